feat: core types, decisions, edges and stand-ins

The workspace, the shared types, the pure decisions (presence, lease, placement, routing, claims, drain), the clients at the edges and the stand-ins of the platform and the engines.

--- /dev/null
+++ b/crates/thistlesill-net/src/journal.rs
@@ -0,0 +1,67 @@
+//! The time line of a process: a clock and a bounded ring of events.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use thistlesill_core::timeline::{Happening, Record, Ring};
+use thistlesill_core::time::HybridClock;
+use thistlesill_core::{NodeId, Stamp};
+
+use crate::clock::Clock;
+
+/// A process's time line, shared between its tasks.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    node: NodeId,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    clock: HybridClock,
+    ring: Ring,
+}
+
+impl Journal {
+    /// An empty time line that keeps `capacity` events.
+    pub fn new(node: NodeId, capacity: usize) -> Self {
+        let inner = Inner {
+            clock: HybridClock::default(),
+            ring: Ring::new(capacity),
+        };
+        Self {
+            node,
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// Notes an event.
+    pub fn note(&self, what: Happening) {
+        self.with(|inner| {
+            let stamp = inner.clock.tick(Clock::wall());
+            inner.ring.push(Record {
+                stamp,
+                node: self.node.clone(),
+                what,
+            });
+        });
+    }
+
+    /// A stamp for a message to another process.
+    pub fn stamp(&self) -> Stamp {
+        self.with(|inner| inner.clock.tick(Clock::wall()))
+    }
+
+    /// Takes in the stamp of another process's message.
+    pub fn merge(&self, seen: Stamp) {
+        self.with(|inner| inner.clock.merge(Clock::wall(), seen));
+    }
+
+    /// The events kept, from the oldest on.
+    pub fn records(&self) -> Vec<Record> {
+        self.with(|inner| inner.ring.iter().cloned().collect())
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
+        f(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-net/src/sync.rs
@@ -0,0 +1,99 @@
+//! How a daemon learns the settings: from the platform's table, or from a
+//! peer that has a newer revision.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use thistlesill_core::message::{StreamAsk, StreamReply};
+use thistlesill_core::row::{BRANCH_PREFIX, HEAD_KEY, HeadRow, SETTINGS_PREFIX};
+use thistlesill_core::settings::{Branch, Tree, check};
+use thistlesill_core::table::Rows;
+
+use crate::peer::PeerLink;
+use crate::platform::Platform;
+
+/// The settings in force in a process, for its other tasks to read.
+#[derive(Debug, Clone, Default)]
+pub struct Shelf {
+    tree: Arc<ArcSwapOption<Tree>>,
+}
+
+impl Shelf {
+    /// The settings in force.
+    pub fn get(&self) -> Option<Arc<Tree>> {
+        self.tree.load_full()
+    }
+
+    /// Puts settings in force, unless newer ones are.
+    pub fn put(&self, tree: &Arc<Tree>) {
+        let newer = self.get().is_none_or(|t| t.yields_to(tree.revision()));
+        if newer {
+            self.tree.store(Some(tree.clone()));
+        }
+    }
+
+    /// The revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.get().map_or(0, |t| t.revision())
+    }
+
+    /// Answers a peer's question.
+    pub fn reply(&self, ask: &StreamAsk) -> StreamReply {
+        let StreamAsk::Settings { have } = ask;
+        match self.get().filter(|t| t.revision() > *have) {
+            None => StreamReply::Nothing,
+            Some(tree) => StreamReply::Settings {
+                revision: tree.revision(),
+                branches: tree.entries(),
+            },
+        }
+    }
+}
+
+/// Reads the settings from the table if they are newer than `have`.
+pub async fn from_platform(platform: &Platform, have: u64) -> Option<Arc<Tree>> {
+    let head = platform.read(vec![HEAD_KEY.into()]).await.ok()?;
+    let revision = head.find(HEAD_KEY)?.decode::<HeadRow>().ok()?.revision;
+    if revision <= have {
+        return None;
+    }
+    let rows = platform.read(vec![SETTINGS_PREFIX.into()]).await.ok()?;
+    tree_of(&rows).filter(|t| t.revision() > have).map(Arc::new)
+}
+
+/// Makes a tree of the rows of one read; `None` if they are not all sound.
+pub fn tree_of(rows: &Rows) -> Option<Tree> {
+    let head: HeadRow = rows.find(HEAD_KEY)?.decode().ok()?;
+    let mut branches = BTreeMap::new();
+    for row in &rows.rows {
+        if let Some(path) = row.key.strip_prefix(BRANCH_PREFIX) {
+            branches.insert(path.to_owned(), row.decode::<Branch>().ok()?);
+        }
+    }
+    sound(head.revision, branches)
+}
+
+/// Reads the settings from a peer if they are newer than `have`.
+pub async fn from_peer(link: &PeerLink, peer: SocketAddr, have: u64) -> Option<Arc<Tree>> {
+    let reply = link.ask(peer, &StreamAsk::Settings { have }).await.ok()?;
+    let StreamReply::Settings { revision, branches } = reply else {
+        return None;
+    };
+    let mut read = BTreeMap::new();
+    for entry in &branches {
+        read.insert(entry.path.clone(), entry.branch().ok()?);
+    }
+    let tree = sound(revision, read).filter(|t| t.revision() > have);
+    tree.map(Arc::new)
+}
+
+fn sound(revision: u64, branches: BTreeMap<String, Branch>) -> Option<Tree> {
+    if check(&branches).is_empty() {
+        Some(Tree::new(revision, branches))
+    } else {
+        log::error!("settings: revision {revision} does not pass its check and is not taken");
+        None
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-policy/src/budget.rs
@@ -0,0 +1,50 @@
+//! The retry budget and the back-off between attempts.
+
+use rand::RngExt;
+use thistlesill_core::Millis;
+
+/// Retries that may be saved up while nothing fails.
+const MAX_SAVED: f64 = 10.0;
+/// The first back-off.
+const FIRST_BACKOFF: Millis = Millis::new(25);
+/// The longest back-off.
+const MAX_BACKOFF: Millis = Millis::new(1_000);
+
+/// Caps retries at a part of the first attempts.
+///
+/// Every first attempt earns a fraction of a retry; every retry costs one.
+/// So the extra load on failing targets is bounded over any span by
+/// `percent` of the requests plus the savings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetryBudget {
+    saved: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { saved: MAX_SAVED }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a first attempt.
+    pub fn earn(&mut self, percent: u32) {
+        self.saved = (self.saved + f64::from(percent) / 100.0).min(MAX_SAVED);
+    }
+
+    /// Takes a retry out of the budget, if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// The wait before attempt `attempt` (from 2), with full jitter.
+pub fn backoff(attempt: u32, rng: &mut impl rand::Rng) -> Millis {
+    let doublings = attempt.saturating_sub(2).min(16);
+    let cap = (FIRST_BACKOFF.get() << doublings).min(MAX_BACKOFF.get());
+    Millis::new(rng.random_range(0..=cap))
+}
--- /dev/null
+++ b/crates/thistlesill-policy/src/placement/place.rs
@@ -0,0 +1,121 @@
+//! The shipped placement.
+
+use super::{Forming, Free, Placement, Pool, best_use, pack};
+use thistlesill_core::Millis;
+
+/// How long a gain in used instances is expected to last, in seconds: the
+/// time between failures within a pool.
+const HORIZON: f64 = 3_600.0;
+/// Seconds for which an instance of a broken-up group serves nothing: its
+/// drain and a load of weights.
+const MOVE_COST: f64 = 90.0;
+/// How long a pool must be steady before it is repacked: members that were
+/// lost for a moment come back within this.
+const SETTLE: Millis = Millis::new(30_000);
+
+/// Decides what each pool forms and drains.
+///
+/// The weight decides twice: a pool that weighs downtime keeps its spares
+/// ready and seldom breaks up what serves, one that weighs stranded
+/// accelerators fills up and repacks when the gain outweighs the move.
+pub fn place(pools: &[Pool], now: Millis) -> Placement {
+    let mut placement = Placement::default();
+    for pool in pools {
+        placement.form.extend(fill(pool));
+        if placement.form.iter().all(|f| f.pool != pool.key) {
+            placement.drain.extend(repack(pool, now));
+        }
+    }
+    // A group with few cold members is back soonest, a larger one serves
+    // more: most instances per load first.
+    placement.form.sort_by(|a, b| {
+        let gain = |f: &Forming| f.members.len() as f64 / f64::from(f.cold + 1);
+        gain(b).total_cmp(&gain(a))
+    });
+    placement
+}
+
+/// Forms groups from free instances.
+fn fill(pool: &Pool) -> Vec<Forming> {
+    let free = pool.free.len() as u32;
+    let keep = spares_kept(pool, free);
+    let mut warm_first: Vec<&Free> = pool.free.iter().collect();
+    warm_first.sort_by_key(|f| (!f.warm, f.instance.clone()));
+    let mut rest = warm_first.into_iter();
+    let mut forming = Vec::new();
+    for size in pack(free - keep, &pool.want.shapes) {
+        let members: Vec<&Free> = rest.by_ref().take(size as usize).collect();
+        let cold = members.iter().filter(|f| !f.warm).count();
+        forming.push(Forming {
+            pool: pool.key.clone(),
+            members: members.iter().map(|f| f.instance.clone()).collect(),
+            load: pool.want.load.clone(),
+            cold: cold as u32,
+        });
+    }
+    forming
+}
+
+/// How many free instances stay free.
+///
+/// Spares are kept where downtime weighs more, and only while what they
+/// strand in addition does not outweigh them: in a pool that just fits two
+/// groups, a spare would cost a whole group.
+fn spares_kept(pool: &Pool, free: u32) -> u32 {
+    let weight = pool.want.downtime_weight;
+    let spares = pool.want.spares.min(free);
+    if weight < 0.5 || spares == 0 {
+        return 0;
+    }
+    let used = best_use(free, &pool.want.shapes);
+    if free - used >= spares {
+        return 0;
+    }
+    let used_beside = best_use(free - spares, &pool.want.shapes);
+    if used_beside == 0 && pool.groups.is_empty() {
+        return 0;
+    }
+    let stranded = f64::from(used - used_beside);
+    let affordable = (1.0 - weight) * stranded <= weight * f64::from(spares);
+    if affordable { spares } else { 0 }
+}
+
+/// Serving groups to drain for a packing that uses more instances.
+fn repack(pool: &Pool, now: Millis) -> Vec<thistlesill_core::GroupId> {
+    let calm = pool.ending == 0 && now - pool.steady >= SETTLE;
+    let settled = pool.groups.iter().all(|g| g.settled);
+    if !calm || !settled || pool.free.is_empty() {
+        return Vec::new();
+    }
+    let used: u32 = pool.groups.iter().map(|g| g.size).sum();
+    let total = used + pool.free.len() as u32;
+    let best = pack(total, &pool.want.shapes);
+    let gained = best.iter().sum::<u32>().saturating_sub(used);
+    if gained == 0 {
+        return Vec::new();
+    }
+    let mut needed = best;
+    let mut broken = Vec::new();
+    let mut moved = 0;
+    for group in &pool.groups {
+        match needed.iter().position(|size| *size == group.size) {
+            Some(at) => {
+                needed.swap_remove(at);
+            }
+            None => {
+                moved += group.size;
+                broken.push(group.group.clone());
+            }
+        }
+    }
+    let weight = pool.want.downtime_weight;
+    let gain = (1.0 - weight) * f64::from(gained) * HORIZON;
+    let cost = weight * f64::from(moved) * MOVE_COST;
+    let spares_needed = if weight >= 0.5 { pool.want.spares } else { 0 };
+    let left_over = total - used - gained;
+    if gain > cost && left_over >= spares_needed {
+        broken
+    } else {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
