--- a/crates/thistlesill-core/src/error.rs
+++ b/crates/thistlesill-core/src/error.rs
@@ -135,7 +135,7 @@
     }
 }
 
-/// The body of an error answer, in the shape that OpenAI clients read.
+/// The body of an error answer, in the shape that `OpenAI` clients read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
     /// The error.
--- a/crates/thistlesill-core/src/jsonc.rs
+++ b/crates/thistlesill-core/src/jsonc.rs
@@ -27,8 +27,11 @@
     /// The place of a byte offset in `text`.
     pub fn of(text: &str, offset: usize) -> Self {
         let before = &text.as_bytes()[..offset.min(text.len())];
-        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
-        let start = before.iter().rposition(|b| *b == b'\n').map_or(0, |p| p + 1);
+        let line = text[..offset.min(text.len())].matches('\n').count() + 1;
+        let start = before
+            .iter()
+            .rposition(|b| *b == b'\n')
+            .map_or(0, |p| p + 1);
         Self {
             line,
             column: before.len() - start + 1,
@@ -97,10 +100,11 @@
         comments: CommentCollectionStrategy::Separate,
         tokens: true,
     };
-    let parsed = parse_to_ast(text, &collect, &ParseOptions::default()).map_err(|e| JsoncError {
-        place: Place::of(text, e.range().start),
-        text: e.kind().to_string(),
-    })?;
+    let parsed =
+        parse_to_ast(text, &collect, &ParseOptions::default()).map_err(|e| JsoncError {
+            place: Place::of(text, e.range().start),
+            text: e.kind().to_string(),
+        })?;
     let mut bytes = text.as_bytes().to_vec();
     let lists = parsed.comments.iter().flat_map(|map| map.values());
     for comment in lists.flat_map(|list| list.iter()) {
--- a/crates/thistlesill-core/src/rendezvous.rs
+++ b/crates/thistlesill-core/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Rendezvous hashing: who watches which target, agreed without messages.
 
-use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 use crate::NodeId;
+use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 
 /// Fixed, since all processes must compute the same ranks.
 const SEED: u64 = 0x7468_6973_746c_6501;
--- a/crates/thistlesill-core/src/row.rs
+++ b/crates/thistlesill-core/src/row.rs
@@ -114,6 +114,8 @@
     pub note: String,
     /// Changed branches; `None` for a removed one.
     pub changes: BTreeMap<String, Option<Branch>>,
+    /// The same branches as they were; `None` for a new one.
+    pub before: BTreeMap<String, Option<Branch>>,
 }
 
 /// Key of the settings' head.
--- a/crates/thistlesill-core/src/settings/check.rs
+++ b/crates/thistlesill-core/src/settings/check.rs
@@ -86,8 +86,8 @@
 }
 
 fn check_path(branches: &BTreeMap<String, Branch>, path: &str, faults: &mut Vec<Fault>) {
-    let well_formed = path == ROOT
-        || (path.starts_with('/') && path[1..].split('/').all(|part| valid_part(part)));
+    let well_formed =
+        path == ROOT || (path.starts_with('/') && path[1..].split('/').all(valid_part));
     if !well_formed {
         let text = "a path is `/` or parts of letters, digits, `-`, `_` and `.`, each after a `/`";
         faults.push(Fault::new(path, None, text.to_owned()));
@@ -132,7 +132,10 @@
         );
     }
     if values.token_sha256.is_some() && !matches!(branch.covers, Some(Cover::Customer(_))) {
-        fault("token_sha256", "only a branch that covers a customer has a token");
+        fault(
+            "token_sha256",
+            "only a branch that covers a customer has a token",
+        );
     }
     for (name, zero) in zero_values(&values) {
         if zero {
--- a/crates/thistlesill-core/src/settings/file.rs
+++ b/crates/thistlesill-core/src/settings/file.rs
@@ -15,6 +15,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TreeFile {
+    /// The revision that the file was made from; `settings put` accepts the
+    /// file only while that revision is in force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
     /// The branches by path.
     pub branches: BTreeMap<String, Branch>,
 }
@@ -47,8 +51,7 @@
         let text = format!("the file has {} bytes; at most {MAX_FILE}", text.len());
         return Err(vec![error(Place { line: 1, column: 1 }, text)]);
     }
-    let tree: TreeFile =
-        jsonc::from_str(text).map_err(|e| vec![error(e.place, e.text)])?;
+    let tree: TreeFile = jsonc::from_str(text).map_err(|e| vec![error(e.place, e.text)])?;
     let faults = check(&tree.branches);
     if faults.is_empty() {
         return Ok(tree);
--- a/crates/thistlesill-core/src/settings/tree.rs
+++ b/crates/thistlesill-core/src/settings/tree.rs
@@ -1,7 +1,6 @@
 //! The whole tree at a revision, and how values are resolved from it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -305,6 +304,3 @@
         Some(at) => Some(&path[..at]),
     }
 }
-
-/// A tree that is shared between tasks.
-pub type SharedTree = Arc<Tree>;
--- a/crates/thistlesill-standins/src/table.rs
+++ b/crates/thistlesill-fakes/src/table.rs
@@ -1,4 +1,4 @@
-//! The transactional table service.
+//! An in-memory table with versions and transactions.
 
 use std::collections::BTreeMap;
 
--- a/crates/thistlesill-net/src/admin.rs
+++ b/crates/thistlesill-net/src/admin.rs
@@ -3,20 +3,26 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use salvo::conn::TcpListener;
+use salvo::fuse::FuseConfig;
 use salvo::http::StatusCode;
 use salvo::prelude::{Depot, FlowCtrl, Listener, Request, Response, Router, Server, handler};
 use salvo::writing::{Json, Text};
 use serde::Serialize;
 use thistlesill_core::ErrorKind;
+use thistlesill_core::config::Limits;
 use thistlesill_core::error::ErrorBody;
 use thistlesill_core::seal::sha256_hex;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::journal::Journal;
 
+/// The least buffer for a header section that the library takes.
+const MIN_HEAD: usize = 8 << 10;
+
 /// A question of an operator to the daemon's loop, answered as JSON.
 #[derive(Debug)]
 pub struct Question {
@@ -191,7 +197,29 @@
 }
 
 /// Serves routes at an address, for ever.
+///
+/// # Panics
+///
+/// If the address cannot be bound: a daemon without its port is of no use.
 pub async fn serve(address: SocketAddr, router: Router) {
+    serve_limited(address, router, &Limits::default()).await;
+}
+
+/// Serves routes at an address, with limits on what comes in, for ever.
+///
+/// # Panics
+///
+/// If the address cannot be bound.
+pub async fn serve_limited(address: SocketAddr, router: Router, limits: &Limits) {
     let acceptor = TcpListener::new(address).bind().await;
-    Server::new(acceptor).serve(router).await;
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_millis(limits.head_ms))
+        .with_request_body_timeout(Duration::from_millis(limits.body_ms));
+    let mut server = Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(limits.connections);
+    server
+        .http1_mut()
+        .max_buf_size(limits.head_bytes.max(MIN_HEAD));
+    server.serve(router).await;
 }
--- a/crates/thistlesill-net/src/engine.rs
+++ b/crates/thistlesill-net/src/engine.rs
@@ -180,7 +180,9 @@
     ///
     /// Any [`HttpError`].
     pub async fn report(&self, address: SocketAddr) -> Result<Report, HttpError> {
-        let call = self.pooled.get_json(address, "/control/report", REPORT_LIMIT);
+        let call = self
+            .pooled
+            .get_json(address, "/control/report", REPORT_LIMIT);
         call.await
     }
 
@@ -194,9 +196,9 @@
         let proof = self.key.tag(&body);
         let head = Request::post(format!("http://{address}/control/order"))
             .header("content-type", "application/json")
-            .header(PROOF_HEADER, hex_text(&proof));
+            .header(PROOF_HEADER, hex::encode(proof));
         let request = finish(head, body)?;
-        decode(self.pooled.call(request, ORDER_LIMIT).await?)
+        decode(&self.pooled.call(request, ORDER_LIMIT).await?)
     }
 
     /// Tells a leader to cancel a request.
@@ -247,7 +249,11 @@
         limit: Duration,
         repeatable: bool,
     ) -> PlainResult {
-        let client = if repeatable { &self.pooled } else { &self.fresh };
+        let client = if repeatable {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
         match client.call(request, limit).await {
             Err(HttpError::Unsent { .. }) => PlainResult::Unsent,
             Err(_) => PlainResult::Broken,
@@ -257,11 +263,6 @@
     }
 }
 
-/// The bytes as hexadecimal text.
-pub fn hex_text(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
-}
-
 fn stream_request(call: &StreamCall) -> Result<Request<http_body_util::Full<Bytes>>, HttpError> {
     let address = call.address;
     let (head, body) = match &call.ask {
--- a/crates/thistlesill-net/src/http.rs
+++ b/crates/thistlesill-net/src/http.rs
@@ -143,7 +143,7 @@
         limit: Duration,
     ) -> Result<T, HttpError> {
         let request = Request::get(format!("http://{address}{path}"));
-        decode(self.call(finish(request, Bytes::new())?, limit).await?)
+        decode(&self.call(finish(request, Bytes::new())?, limit).await?)
     }
 
     /// Posts a JSON value and reads one back.
@@ -160,7 +160,7 @@
     ) -> Result<T, HttpError> {
         let request = Request::post(format!("http://{address}{path}"))
             .header("content-type", "application/json");
-        decode(self.call(finish(request, encode(body)?)?, limit).await?)
+        decode(&self.call(finish(request, encode(body)?)?, limit).await?)
     }
 }
 
@@ -195,7 +195,7 @@
 /// # Errors
 ///
 /// [`HttpError::Status`] or [`HttpError::Malformed`].
-pub fn decode<T: DeserializeOwned>(answer: Response<Bytes>) -> Result<T, HttpError> {
+pub fn decode<T: DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, HttpError> {
     if answer.status() != StatusCode::OK {
         return Err(HttpError::Status {
             status: answer.status().as_u16(),
--- a/crates/thistlesill-net/src/journal.rs
+++ b/crates/thistlesill-net/src/journal.rs
@@ -2,8 +2,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use thistlesill_core::timeline::{Happening, Record, Ring};
 use thistlesill_core::time::HybridClock;
+use thistlesill_core::timeline::{Happening, Record, Ring};
 use thistlesill_core::{NodeId, Stamp};
 
 use crate::clock::Clock;
--- a/crates/thistlesill-net/src/peer.rs
+++ b/crates/thistlesill-net/src/peer.rs
@@ -10,10 +10,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
+use thistlesill_core::NodeId;
 use thistlesill_core::config::PeerConfig;
 use thistlesill_core::message::{Datagram, PeerBody, StreamAsk, StreamReply};
 use thistlesill_core::seal::{MAX_DATAGRAM, SealError, SharedKey};
-use thistlesill_core::NodeId;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -82,7 +82,9 @@
         key: SharedKey,
         journal: Journal,
     ) -> Result<Self, PeerError> {
-        let socket = UdpSocket::bind(address).await.context(IoSnafu { address })?;
+        let socket = UdpSocket::bind(address)
+            .await
+            .context(IoSnafu { address })?;
         Ok(Self {
             me,
             key,
@@ -142,7 +144,7 @@
         self.journal.merge(datagram.stamp);
         Ok(Heard {
             from: datagram.from,
-            lag: Clock::wall() as i64 - datagram.stamp.wall as i64,
+            lag: Clock::wall().cast_signed() - datagram.stamp.wall.cast_signed(),
             body: datagram.body,
         })
     }
@@ -153,7 +155,11 @@
     ///
     /// A [`PeerError`] if the peer cannot be reached, does not answer in
     /// time or has another key.
-    pub async fn ask(&self, address: SocketAddr, ask: &StreamAsk) -> Result<StreamReply, PeerError> {
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        ask: &StreamAsk,
+    ) -> Result<StreamReply, PeerError> {
         let exchange = async {
             let stream = TcpStream::connect(address)
                 .await
--- a/crates/thistlesill-net/src/sync.rs
+++ b/crates/thistlesill-net/src/sync.rs
@@ -6,10 +6,13 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
+use thistlesill_core::config::PeerConfig;
 use thistlesill_core::message::{StreamAsk, StreamReply};
+use thistlesill_core::rendezvous::is_among;
 use thistlesill_core::row::{BRANCH_PREFIX, HEAD_KEY, HeadRow, SETTINGS_PREFIX};
 use thistlesill_core::settings::{Branch, Tree, check};
 use thistlesill_core::table::Rows;
+use thistlesill_core::{HallId, Millis, NodeId};
 
 use crate::peer::PeerLink;
 use crate::platform::Platform;
@@ -52,6 +55,74 @@
     }
 }
 
+/// Decides when this process reads the settings' head from the table.
+///
+/// The two daemons of a hall that rank highest read it every period; the
+/// others hear of it from them, and read it seldom, in case they do not.
+#[derive(Debug, Clone)]
+pub struct HeadWatch {
+    me: NodeId,
+    hall: HallId,
+    period: Millis,
+    neighbours: BTreeMap<NodeId, Millis>,
+    read: Option<Millis>,
+    fetched: Option<Millis>,
+}
+
+impl HeadWatch {
+    /// Daemons of a hall that read every period.
+    const READERS: usize = 2;
+    /// Periods after which the others read, too.
+    const SELDOM: u64 = 10;
+    /// Periods after which a silent neighbour counts as gone.
+    const SILENT: u64 = 3;
+
+    /// A watch that has heard of no neighbours.
+    pub const fn new(me: NodeId, hall: HallId, period_ms: u64) -> Self {
+        Self {
+            me,
+            hall,
+            period: Millis::new(period_ms),
+            neighbours: BTreeMap::new(),
+            read: None,
+            fetched: None,
+        }
+    }
+
+    /// Notes that a peer said which settings it has.
+    pub fn heard(&mut self, peer: &PeerConfig, now: Millis) {
+        if peer.hall == self.hall {
+            self.neighbours.insert(peer.name.clone(), now);
+        }
+    }
+
+    /// Whether to read the head now; counts as read from here on.
+    pub fn is_due(&mut self, now: Millis) -> bool {
+        let silent = Millis::new(self.period.get() * Self::SILENT);
+        self.neighbours.retain(|_, t| now - *t < silent);
+        let names: Vec<NodeId> = self.neighbours.keys().cloned().collect();
+        let reader = is_among(&self.me, &names, self.hall.as_str(), Self::READERS);
+        let factor = if reader { 1 } else { Self::SELDOM };
+        let gap = Millis::new(self.period.get() * factor);
+        let due = self.read.is_none_or(|t| now - t >= gap);
+        if due {
+            self.read = Some(now);
+        }
+        due
+    }
+
+    /// Whether to fetch newer settings from a peer now: not several times
+    /// over, when many peers say that they have them.
+    pub fn may_fetch(&mut self, now: Millis) -> bool {
+        let gap = Millis::new(self.period.get() / 4);
+        let free = self.fetched.is_none_or(|t| now - t >= gap);
+        if free {
+            self.fetched = Some(now);
+        }
+        free
+    }
+}
+
 /// Reads the settings from the table if they are newer than `have`.
 pub async fn from_platform(platform: &Platform, have: u64) -> Option<Arc<Tree>> {
     let head = platform.read(vec![HEAD_KEY.into()]).await.ok()?;
--- /dev/null
+++ b/crates/thistlesill-planner/src/daemon.rs
@@ -0,0 +1,398 @@
+//! The planner's loop: events in, the core's step, actions out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use thistlesill_core::chart::ChartError;
+use thistlesill_core::config::{DaemonConfig, Role};
+use thistlesill_core::message::PeerBody;
+use thistlesill_core::report::Order;
+use thistlesill_core::table::{RowKey, Txn};
+use thistlesill_core::timeline::Happening;
+use thistlesill_core::{HallId, Millis, NodeId};
+use thistlesill_net::admin::{self, Admin, AdminAsk, AdminReply, Question};
+use thistlesill_net::clock::Clock;
+use thistlesill_net::engine::Engines;
+use thistlesill_net::files::Secrets;
+use thistlesill_net::journal::Journal;
+use thistlesill_net::peer::{self, Heard, PeerError, PeerLink};
+use thistlesill_net::platform::Platform;
+use thistlesill_net::sync::{HeadWatch, Shelf, from_peer, from_platform};
+use thistlesill_policy::plan::Strategy;
+use thistlesill_policy::planner::{PlannerAction, PlannerCore, PlannerEvent, PlannerOptions};
+use thistlesill_policy::presence::Watcher;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Between two looks at the time.
+const TICK: Duration = Duration::from_millis(50);
+/// Messages of peers that wait to be read.
+const PEER_QUEUE: usize = 1_024;
+/// How long a stopping planner waits for its leases to be given up.
+const RELEASE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Why a planner could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A state chart does not pass its check.
+    #[snafu(display("{source}"))]
+    Charts {
+        /// The cause.
+        source: ChartError,
+    },
+    /// The address for peers could not be bound.
+    #[snafu(display("peers: {source}"))]
+    Peers {
+        /// The cause.
+        source: PeerError,
+    },
+}
+
+struct Daemon {
+    config: DaemonConfig,
+    core: PlannerCore,
+    clock: Clock,
+    journal: Journal,
+    link: PeerLink,
+    platform: Platform,
+    engines: Engines,
+    shelf: Shelf,
+    heads: HeadWatch,
+    events: mpsc::UnboundedSender<PlannerEvent>,
+    listed: Option<Millis>,
+    /// Transactions on their way.
+    flying: usize,
+    exit: bool,
+}
+
+/// Runs a planner until it is told to stop.
+///
+/// # Errors
+///
+/// A [`StartError`] if it could not start.
+///
+/// # Panics
+///
+/// If the process cannot await signals.
+pub async fn run(config: DaemonConfig, secrets: Secrets) -> Result<(), StartError> {
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let (questions, mut asked) = mpsc::channel(64);
+    let (heard, mut datagrams) = mpsc::channel(PEER_QUEUE);
+    let journal = Journal::new(config.name.clone(), config.limits.events);
+    let shelf = Shelf::default();
+    let key = secrets.key.clone();
+    let link = PeerLink::bind(
+        config.name.clone(),
+        config.peer,
+        key.clone(),
+        journal.clone(),
+    );
+    let link = link.await.context(PeersSnafu)?;
+    tokio::spawn(link.clone().listen(heard));
+    spawn_answers(&config, &secrets, &shelf);
+    spawn_admin(&config, &secrets, questions, journal.clone());
+    let core = PlannerCore::new(options(&config)).context(ChartsSnafu)?;
+    let mut daemon = Daemon {
+        core,
+        clock: Clock::new(),
+        platform: Platform::new(config.platform),
+        engines: Engines::new(secrets.key),
+        heads: HeadWatch::new(
+            config.name.clone(),
+            config.hall.clone(),
+            config.periods.head_ms,
+        ),
+        journal,
+        link,
+        shelf,
+        events,
+        listed: None,
+        flying: 0,
+        exit: false,
+        config,
+    };
+    daemon.journal.note(Happening::Started);
+    log::info!("planner: {} started", daemon.config.name);
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = signal(SignalKind::terminate()).expect("signals can be awaited");
+    while !daemon.exit {
+        tokio::select! {
+            Some(event) = inbox.recv() => daemon.take(event),
+            Some(question) = asked.recv() => daemon.answer(question),
+            Some(message) = datagrams.recv() => daemon.hear(message),
+            _ = stop.recv() => daemon.stop(),
+            _ = tick.tick() => daemon.tick(),
+        }
+    }
+    let released = async {
+        while daemon.flying > 0 {
+            match inbox.recv().await {
+                Some(event) => daemon.take(event),
+                None => break,
+            }
+        }
+    };
+    if tokio::time::timeout(RELEASE_LIMIT, released).await.is_err() {
+        log::warn!("planner: leases could not be given up and will lapse");
+    }
+    log::info!("planner: stopped");
+    Ok(())
+}
+
+fn options(config: &DaemonConfig) -> PlannerOptions {
+    let planners = config.peers.iter().filter(|p| p.role == Role::Planner);
+    PlannerOptions {
+        name: config.name.clone(),
+        region: config.region.clone(),
+        hall: config.hall.clone(),
+        planners: planners
+            .map(|p| Watcher {
+                name: p.name.clone(),
+                hall: p.hall.clone(),
+            })
+            .collect(),
+        run: Clock::wall(),
+        probe: Millis::new(config.periods.probe_ms),
+        beat: Millis::new(config.periods.beat_ms),
+        plan: Millis::new(config.periods.plan_ms),
+        renew: Millis::new(config.periods.renew_ms),
+        lease: Millis::new(config.periods.lease_ms),
+        strategy: Strategy::default(),
+    }
+}
+
+fn spawn_answers(config: &DaemonConfig, secrets: &Secrets, shelf: &Shelf) {
+    let shelf = shelf.clone();
+    let serve = peer::answer(config.peer, secrets.key.clone(), move |ask| {
+        shelf.reply(&ask)
+    });
+    tokio::spawn(async move {
+        if let Err(error) = serve.await {
+            log::error!("peer: {error}");
+        }
+    });
+}
+
+fn spawn_admin(
+    config: &DaemonConfig,
+    secrets: &Secrets,
+    questions: mpsc::Sender<Question>,
+    journal: Journal,
+) {
+    let admin = Admin {
+        questions,
+        token_sha256: secrets.token_sha256.clone(),
+        journal,
+        metrics: admin::install_metrics(),
+    };
+    tokio::spawn(admin::serve(config.admin, admin.router()));
+}
+
+impl Daemon {
+    fn take(&mut self, event: PlannerEvent) {
+        if matches!(event, PlannerEvent::TxnDone { .. }) {
+            self.flying = self.flying.saturating_sub(1);
+        }
+        self.step(event);
+    }
+
+    fn step(&mut self, event: PlannerEvent) {
+        let now = self.clock.now();
+        let actions = self.core.step(event, now);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn stop(&mut self) {
+        log::info!("planner: {} is told to stop", self.config.name);
+        self.step(PlannerEvent::Stop);
+    }
+
+    fn tick(&mut self) {
+        self.step(PlannerEvent::Tick);
+        let now = self.clock.now();
+        if self.heads.is_due(now) {
+            self.read_settings();
+        }
+        let gap = Millis::new(self.config.periods.list_ms);
+        if self.listed.is_none_or(|t| now - t >= gap) {
+            self.listed = Some(now);
+            self.read_list();
+        }
+    }
+
+    fn read_settings(&self) {
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        let have = self.shelf.revision();
+        tokio::spawn(async move {
+            if let Some(tree) = from_platform(&platform, have).await {
+                drop(events.send(PlannerEvent::Settings(tree)));
+            }
+        });
+    }
+
+    fn read_list(&self) {
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        tokio::spawn(async move {
+            if let Ok(listed) = platform.instances().await {
+                drop(events.send(PlannerEvent::Listed(listed)));
+            }
+        });
+    }
+
+    fn hear(&mut self, message: Heard) {
+        let Heard { from, lag, body } = message;
+        match body {
+            PeerBody::Beat(beat) => self.step(PlannerEvent::Beat { from, beat, lag }),
+            PeerBody::Digest(part) => self.step(PlannerEvent::Digest { from, part, lag }),
+            PeerBody::Want => self.step(PlannerEvent::Wanted(from)),
+            PeerBody::Head { revision } => self.hear_head(&from, revision),
+            PeerBody::Usage(_) => {}
+        }
+    }
+
+    fn hear_head(&mut self, from: &NodeId, revision: u64) {
+        let now = self.clock.now();
+        let Some(peer) = self.config.peers.iter().find(|p| p.name == *from).cloned() else {
+            return;
+        };
+        self.heads.heard(&peer, now);
+        let have = self.shelf.revision();
+        if revision <= have || !self.heads.may_fetch(now) {
+            return;
+        }
+        let (link, events) = (self.link.clone(), self.events.clone());
+        tokio::spawn(async move {
+            if let Some(tree) = from_peer(&link, peer.peer, have).await {
+                drop(events.send(PlannerEvent::Settings(tree)));
+            }
+        });
+    }
+
+    fn answer(&mut self, question: Question) {
+        let now = self.clock.now();
+        let reply = match question.ask {
+            AdminAsk::Ready if self.core.is_ready() => AdminReply::Yes,
+            AdminAsk::Ready => AdminReply::No,
+            AdminAsk::Status => AdminReply::value(&self.core.status(now)),
+            AdminAsk::Groups => AdminReply::value(&self.core.halls(now)),
+            AdminAsk::Instances => AdminReply::value(&self.core.instances(now)),
+            AdminAsk::Drain => {
+                self.stop();
+                AdminReply::Yes
+            }
+        };
+        drop(question.reply.send(reply));
+    }
+
+    fn act(&mut self, action: PlannerAction) {
+        match action {
+            PlannerAction::Probe(address) => self.probe(address),
+            PlannerAction::SendTxn { hall, flight, txn } => self.send_txn(hall, flight, txn),
+            PlannerAction::Read {
+                hall,
+                flight,
+                prefixes,
+            } => self.read(hall, flight, prefixes),
+            PlannerAction::Give {
+                hall,
+                order,
+                address,
+            } => self.give(hall, order, address),
+            PlannerAction::TellBeat(beat) => {
+                self.link.tell(&self.config.peers, PeerBody::Beat(beat));
+            }
+            PlannerAction::TellDigest { to, parts } => {
+                for part in parts {
+                    let peers = self.config.peers.iter().filter(|p| p.name == to);
+                    self.link.tell(peers, PeerBody::Digest(part));
+                }
+            }
+            PlannerAction::AskDigest(to) => {
+                let peers = self.config.peers.iter().filter(|p| p.name == to);
+                self.link.tell(peers, PeerBody::Want);
+            }
+            PlannerAction::TellHead(revision) => {
+                if let Some(tree) = self.core.tree() {
+                    self.shelf.put(tree);
+                }
+                self.link
+                    .tell(&self.config.peers, PeerBody::Head { revision });
+            }
+            PlannerAction::Note(what) => {
+                log_event(&what);
+                self.journal.note(what);
+            }
+            PlannerAction::Exit => self.exit = true,
+        }
+    }
+
+    fn probe(&self, address: SocketAddr) {
+        let started = self.clock.now();
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        tokio::spawn(async move {
+            if let Ok(report) = engines.report(address).await {
+                let report = Box::new(report);
+                drop(events.send(PlannerEvent::Reported { report, started }));
+            }
+        });
+    }
+
+    fn send_txn(&mut self, hall: HallId, flight: u64, txn: Txn) {
+        self.flying += 1;
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let result = platform.txn(&txn).await;
+            drop(events.send(PlannerEvent::TxnDone {
+                hall,
+                flight,
+                result,
+            }));
+        });
+    }
+
+    fn read(&self, hall: HallId, flight: u64, prefixes: Vec<RowKey>) {
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let rows = platform.read(prefixes).await.ok();
+            drop(events.send(PlannerEvent::RowsRead { hall, flight, rows }));
+        });
+    }
+
+    fn give(&self, hall: HallId, order: Order, address: SocketAddr) {
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let reply = engines.order(address, &order).await.ok();
+            drop(events.send(PlannerEvent::Answered {
+                hall,
+                instance: order.instance,
+                fence: order.fence,
+                reply,
+            }));
+        });
+    }
+}
+
+fn log_event(what: &Happening) {
+    match what {
+        Happening::LeaseGained { hall, term } => {
+            log::info!("planner: holds the lease of {hall}, term {term}");
+        }
+        Happening::LeaseEnded { hall, term } => {
+            log::info!("planner: no longer holds the lease of {hall}, term {term}");
+        }
+        Happening::GroupPlanned { group, members, .. } => {
+            log::info!(
+                "planner: group {group} planned with {} members",
+                members.len()
+            );
+        }
+        Happening::GroupEnded { group, why, .. } => {
+            log::info!("planner: group {group} ended: {why:?}");
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-planner/src/lib.rs
@@ -0,0 +1,4 @@
+//! The planner daemon: watches targets, holds halls' leases, forms groups
+//! and gives orders.
+
+pub mod daemon;
--- a/crates/thistlesill-policy/src/claim.rs
+++ b/crates/thistlesill-policy/src/claim.rs
@@ -354,7 +354,10 @@
 
     fn read_doubts(&mut self, now: Millis) -> Vec<ClaimStep> {
         let recent = self.last_read.is_some_and(|t| now - t < READ_GAP);
-        let reading = self.flights.values().any(|f| matches!(f, Flight::Doubts(_)));
+        let reading = self
+            .flights
+            .values()
+            .any(|f| matches!(f, Flight::Doubts(_)));
         if recent || reading {
             return Vec::new();
         }
@@ -443,7 +446,10 @@
 
     fn settle(&mut self, now: Millis) -> Vec<ClaimStep> {
         let recent = self.settled.is_some_and(|t| now - t < SETTLE_GAP);
-        let busy = self.flights.values().any(|f| matches!(f, Flight::Settle(_)));
+        let busy = self
+            .flights
+            .values()
+            .any(|f| matches!(f, Flight::Settle(_)));
         if busy || (recent && !matches!(self.settling.front(), Some(Settling::Record { .. }))) {
             return Vec::new();
         }
--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -70,8 +70,8 @@
     hall: HallId,
     periods: LeasePeriods,
     known: Option<Known>,
-    /// Whether the rows were read and found absent.
-    vacant: bool,
+    /// Since when the rows were read and found absent.
+    vacant: Option<Millis>,
     asked: Millis,
     sought: Option<LeaseRow>,
     /// The highest beat ever written or sent, so that no two writes of ours
@@ -97,7 +97,7 @@
             hall,
             periods,
             known: None,
-            vacant: false,
+            vacant: None,
             asked: Millis::ZERO,
             sought: None,
             beat: 0,
@@ -141,9 +141,7 @@
     /// Looks at the time.
     pub fn tick(&mut self, now: Millis) -> (LeaseStep, LeaseNews) {
         let news = self.check_lapse(now);
-        let due = self
-            .looked
-            .is_none_or(|t| now - t >= self.periods.renew);
+        let due = self.looked.is_none_or(|t| now - t >= self.periods.renew);
         let step = match self.state {
             LeaseState::Holding if due => self.send_renewal(now),
             LeaseState::Watching if self.may_take(now) => self.send_takeover(now),
@@ -167,10 +165,16 @@
         };
         let found = self.decode(rows, now);
         let settled = matches!(self.state, LeaseState::Unsure | LeaseState::Doubting);
-        let ours = found.as_ref().is_some_and(|k| Some(&k.row) == self.sought.as_ref());
-        let other_term = found.as_ref().map(|k| k.row.term) != self.known.as_ref().map(|k| k.row.term);
+        let ours = found
+            .as_ref()
+            .is_some_and(|k| Some(&k.row) == self.sought.as_ref());
+        let other_term =
+            found.as_ref().map(|k| k.row.term) != self.known.as_ref().map(|k| k.row.term);
         let before = self.known.as_ref().map(|k| k.row.term);
-        self.vacant = found.is_none();
+        self.vacant = match found {
+            Some(_) => None,
+            None => self.vacant.or(Some(now)),
+        };
         self.known = found;
         if !settled {
             return LeaseNews::None;
@@ -243,7 +247,8 @@
 
     fn may_take(&self, now: Millis) -> bool {
         let Some(known) = &self.known else {
-            return self.vacant;
+            let courtesy = self.periods.courtesy;
+            return self.vacant.is_some_and(|t| now - t >= courtesy);
         };
         let wait = self.periods.length + self.periods.courtesy;
         known.row.free || now - known.since >= wait
@@ -296,7 +301,11 @@
             return;
         };
         let took_over = self.state == LeaseState::Asking;
-        let term_version = if took_over { version } else { self.term_version() };
+        let term_version = if took_over {
+            version
+        } else {
+            self.term_version()
+        };
         self.known = Some(Known {
             row,
             version,
@@ -323,7 +332,7 @@
         self.valid = Millis::ZERO;
         if !held {
             self.known = None;
-            self.vacant = false;
+            self.vacant = None;
         }
         match term {
             Some(term) if held => LeaseNews::Ended { term },
@@ -343,7 +352,7 @@
         // What was known of the row is from before the lapse; look again
         // before anything else, and count its length anew.
         let term = self.known.take().map_or(0, |k| k.row.term);
-        self.vacant = false;
+        self.vacant = None;
         self.looked = None;
         LeaseNews::Ended { term }
     }
--- a/crates/thistlesill-policy/src/lib.rs
+++ b/crates/thistlesill-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod pick;
 pub mod placement;
 pub mod plan;
+pub mod planner;
 pub mod prefix;
 pub mod presence;
 pub mod router;
--- a/crates/thistlesill-policy/src/pick.rs
+++ b/crates/thistlesill-policy/src/pick.rs
@@ -235,9 +235,7 @@
         c.load
             .expected_wait(context.prefix, c.near, mean, context.now)
     };
-    drawn
-        .into_iter()
-        .min_by(|a, b| wait(a).total_cmp(&wait(b)))
+    drawn.into_iter().min_by(|a, b| wait(a).total_cmp(&wait(b)))
 }
 
 fn mean_slowness(candidates: &[Candidate<'_>]) -> f64 {
--- a/crates/thistlesill-policy/src/placement/place.rs
+++ b/crates/thistlesill-policy/src/placement/place.rs
@@ -98,14 +98,11 @@
     let mut broken = Vec::new();
     let mut moved = 0;
     for group in &pool.groups {
-        match needed.iter().position(|size| *size == group.size) {
-            Some(at) => {
-                needed.swap_remove(at);
-            }
-            None => {
-                moved += group.size;
-                broken.push(group.group.clone());
-            }
+        if let Some(at) = needed.iter().position(|size| *size == group.size) {
+            needed.swap_remove(at);
+        } else {
+            moved += group.size;
+            broken.push(group.group.clone());
         }
     }
     let weight = pool.want.downtime_weight;
--- a/crates/thistlesill-policy/src/plan/assess.rs
+++ b/crates/thistlesill-policy/src/plan/assess.rs
@@ -78,7 +78,11 @@
     let standing = |i: &InstanceId| stand(row, observed.get(i), now);
     let leaving = |i: &InstanceId| observed.get(i).is_some_and(|o| o.sighting.leaving);
     Assessment {
-        members: row.members.iter().map(|i| (i.clone(), standing(i))).collect(),
+        members: row
+            .members
+            .iter()
+            .map(|i| (i.clone(), standing(i)))
+            .collect(),
         leaving: row.members.iter().any(leaving),
     }
 }
--- a/crates/thistlesill-policy/src/plan/hall.rs
+++ b/crates/thistlesill-policy/src/plan/hall.rs
@@ -128,7 +128,13 @@
     }
 
     /// Looks at the time, the targets and the settings.
-    pub fn tick(&mut self, view: &View, window: Millis, tree: Option<&Arc<Tree>>, now: Millis) -> Vec<PlanAction> {
+    pub fn tick(
+        &mut self,
+        view: &View,
+        window: Millis,
+        tree: Option<&Arc<Tree>>,
+        now: Millis,
+    ) -> Vec<PlanAction> {
         self.tick_lease(tree, now);
         if let (Some(term), Some(tree)) = (self.lease.term(now), tree) {
             if self.loaded {
@@ -176,7 +182,11 @@
             load: g.row.load.clone(),
             state: g.state,
             why: g.why,
-            waits: g.assessment.as_ref().map(Assessment::waits).unwrap_or_default(),
+            waits: g
+                .assessment
+                .as_ref()
+                .map(Assessment::waits)
+                .unwrap_or_default(),
         };
         let free = self.pools.iter().filter(|p| !p.free.is_empty());
         HallInfo {
@@ -400,7 +410,13 @@
 
     // The plan.
 
-    fn look(&mut self, view: &View, observed: &BTreeMap<InstanceId, Observed>, tree: &Tree, now: Millis) {
+    fn look(
+        &mut self,
+        view: &View,
+        observed: &BTreeMap<InstanceId, Observed>,
+        tree: &Tree,
+        now: Millis,
+    ) {
         self.assess_all(view, observed, tree, now);
         self.pools = self.gather(observed, tree, now);
         if !self.is_flying() {
@@ -411,7 +427,13 @@
         self.give_orders(observed, now);
     }
 
-    fn assess_all(&mut self, view: &View, observed: &BTreeMap<InstanceId, Observed>, tree: &Tree, now: Millis) {
+    fn assess_all(
+        &mut self,
+        view: &View,
+        observed: &BTreeMap<InstanceId, Observed>,
+        tree: &Tree,
+        now: Millis,
+    ) {
         let mut ids: Vec<GroupId> = self.groups.keys().cloned().collect();
         ids.sort();
         for id in ids {
@@ -488,7 +510,8 @@
     }
 
     fn pool_key_of(&self, row: &GroupRow) -> Option<PoolKey> {
-        let has = |p: &&Pool| p.key.domain == row.domain && p.groups.iter().any(|g| g.group == row.group);
+        let has =
+            |p: &&Pool| p.key.domain == row.domain && p.groups.iter().any(|g| g.group == row.group);
         self.pools.iter().find(has).map(|p| p.key.clone())
     }
 
@@ -497,7 +520,10 @@
         let Some(planned) = self.groups.get(id) else {
             return false;
         };
-        let Some(since) = planned.drained.filter(|_| planned.state == GroupState::Draining) else {
+        let Some(since) = planned
+            .drained
+            .filter(|_| planned.state == GroupState::Draining)
+        else {
             return false;
         };
         let context = Context::default()
@@ -531,7 +557,12 @@
     }
 
     /// The pools of the hall as they stand.
-    fn gather(&mut self, observed: &BTreeMap<InstanceId, Observed>, tree: &Tree, now: Millis) -> Vec<Pool> {
+    fn gather(
+        &mut self,
+        observed: &BTreeMap<InstanceId, Observed>,
+        tree: &Tree,
+        now: Millis,
+    ) -> Vec<Pool> {
         let mut pools: BTreeMap<PoolKey, Pool> = BTreeMap::new();
         let mut key_of: BTreeMap<&InstanceId, PoolKey> = BTreeMap::new();
         for (instance, seen) in observed {
@@ -572,7 +603,9 @@
         }
         let mut list: Vec<Pool> = pools.into_values().collect();
         for pool in &mut list {
-            pool.steady = self.steadiness.note(&pool.key, &pool.free, &pool.groups, now);
+            pool.steady = self
+                .steadiness
+                .note(&pool.key, &pool.free, &pool.groups, now);
         }
         list
     }
@@ -617,7 +650,12 @@
         self.held.contains_key(instance)
     }
 
-    fn decide(&mut self, observed: &BTreeMap<InstanceId, Observed>, tree: &Tree, now: Millis) -> Change {
+    fn decide(
+        &mut self,
+        observed: &BTreeMap<InstanceId, Observed>,
+        tree: &Tree,
+        now: Millis,
+    ) -> Change {
         let mut change = Change::default();
         for planned in self.groups.values() {
             if planned.state != GroupState::Ended {
@@ -626,9 +664,7 @@
             let why = planned.why.unwrap_or(EndReason::MemberLost);
             change.ended.push((planned.row.group.clone(), why));
             for instance in &planned.row.members {
-                let incarnation = observed
-                    .get(instance)
-                    .map_or(0, |o| o.sighting.incarnation);
+                let incarnation = observed.get(instance).map_or(0, |o| o.sighting.incarnation);
                 let held = Held::Aside { incarnation };
                 change.aside.push((instance.clone(), InstanceRow { held }));
             }
--- a/crates/thistlesill-policy/src/plan/pools.rs
+++ b/crates/thistlesill-policy/src/plan/pools.rs
@@ -67,7 +67,13 @@
 
 impl Steadiness {
     /// Since when a pool's free instances and groups have been these.
-    pub(super) fn note(&mut self, key: &PoolKey, free: &[Free], groups: &[Existing], now: Millis) -> Millis {
+    pub(super) fn note(
+        &mut self,
+        key: &PoolKey,
+        free: &[Free],
+        groups: &[Existing],
+        now: Millis,
+    ) -> Millis {
         let free: Vec<InstanceId> = free.iter().map(|f| f.instance.clone()).collect();
         let groups: Vec<GroupId> = groups.iter().map(|g| g.group.clone()).collect();
         if let Some(shot) = self.seen.get(key)
--- /dev/null
+++ b/crates/thistlesill-policy/src/planner.rs
@@ -0,0 +1,527 @@
+//! The planner daemon's decisions: which targets to watch, what to tell the
+//! peers, and the plans of the halls.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thistlesill_core::chart::ChartError;
+use thistlesill_core::message::{Beat, Digest};
+use thistlesill_core::report::{Fence, Listed, Order, OrderReply, Report};
+use thistlesill_core::settings::{Context, Tree};
+use thistlesill_core::table::{RowKey, Rows, Txn, TxnResult};
+use thistlesill_core::timeline::Happening;
+use thistlesill_core::{HallId, InstanceId, Millis, NodeId, RegionId};
+
+use crate::charts::Charts;
+use crate::lease::LeasePeriods;
+use crate::plan::{HallInfo, HallPlanner, PlanAction, PlanEvent, PlanOptions, Strategy};
+use crate::presence::{Heard, Observed, View, Watch, WatchPeriods, Watcher, share};
+
+/// Presence window while no branch sets one.
+const PRESENCE: Millis = Millis::new(4_000);
+/// Silence after which a planner counts as dead.
+const SILENT: Millis = Millis::new(2_500);
+/// How long a watcher that is silent is remembered.
+const FORGET: Millis = Millis::new(60_000);
+/// Between two messages about the settings' head.
+const HEAD_GAP: Millis = Millis::new(500);
+/// How much earlier a lease holder stops than others may take over.
+const LEASE_MARGIN: Millis = Millis::new(1_500);
+
+/// What a planner is started with.
+#[derive(Debug, Clone)]
+pub struct PlannerOptions {
+    /// Its name.
+    pub name: NodeId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its hall.
+    pub hall: HallId,
+    /// The other planners.
+    pub planners: Vec<Watcher>,
+    /// Differs between starts, and grows.
+    pub run: u64,
+    /// Between probes.
+    pub probe: Millis,
+    /// Between beats.
+    pub beat: Millis,
+    /// Between looks at the plan.
+    pub plan: Millis,
+    /// Between renewals of a lease.
+    pub renew: Millis,
+    /// A lease's length.
+    pub lease: Millis,
+    /// How groups are formed.
+    pub strategy: Strategy,
+}
+
+/// What a planner learns.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannerEvent {
+    /// The list of instances was read.
+    Listed(Vec<Listed>),
+    /// A probe brought a report.
+    Reported {
+        /// The report.
+        report: Box<Report>,
+        /// When the probe was sent.
+        started: Millis,
+    },
+    /// A watcher's beat.
+    Beat {
+        /// The watcher.
+        from: NodeId,
+        /// The beat.
+        beat: Beat,
+        /// Our wall clock less the sender's, in milliseconds.
+        lag: i64,
+    },
+    /// A part of a watcher's view.
+    Digest {
+        /// The watcher.
+        from: NodeId,
+        /// The part.
+        part: Digest,
+        /// Our wall clock less the sender's, in milliseconds.
+        lag: i64,
+    },
+    /// A peer wants our full view.
+    Wanted(NodeId),
+    /// A revision of the settings was read.
+    Settings(Arc<Tree>),
+    /// A transaction ended.
+    TxnDone {
+        /// The hall.
+        hall: HallId,
+        /// Its number.
+        flight: u64,
+        /// How.
+        result: TxnResult,
+    },
+    /// Rows were read, or not.
+    RowsRead {
+        /// The hall.
+        hall: HallId,
+        /// The read's number.
+        flight: u64,
+        /// The rows, if the read succeeded.
+        rows: Option<Rows>,
+    },
+    /// An order was answered, or not.
+    Answered {
+        /// The hall.
+        hall: HallId,
+        /// The target.
+        instance: InstanceId,
+        /// The order's fence.
+        fence: Fence,
+        /// The answer, if one came.
+        reply: Option<OrderReply>,
+    },
+    /// The daemon is told to stop.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a planner is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannerAction {
+    /// Ask a target for its report.
+    Probe(SocketAddr),
+    /// Send a transaction.
+    SendTxn {
+        /// The hall.
+        hall: HallId,
+        /// Its number.
+        flight: u64,
+        /// The transaction.
+        txn: Txn,
+    },
+    /// Read rows by prefix.
+    Read {
+        /// The hall.
+        hall: HallId,
+        /// The read's number.
+        flight: u64,
+        /// The prefixes.
+        prefixes: Vec<RowKey>,
+    },
+    /// Give an order.
+    Give {
+        /// The hall.
+        hall: HallId,
+        /// The order.
+        order: Order,
+        /// Where to.
+        address: SocketAddr,
+    },
+    /// Send a beat to all peers.
+    TellBeat(Beat),
+    /// Send our full view to one peer.
+    TellDigest {
+        /// The peer.
+        to: NodeId,
+        /// The parts.
+        parts: Vec<Digest>,
+    },
+    /// Ask a watcher for its full view.
+    AskDigest(NodeId),
+    /// Tell the peers which settings are in force here.
+    TellHead(u64),
+    /// Note an event on the time line.
+    Note(Happening),
+    /// The daemon may exit.
+    Exit,
+}
+
+/// Figures of a planner for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerStatus {
+    /// Revision of the settings in force; 0 for none.
+    pub revision: u64,
+    /// Instances listed.
+    pub listed: usize,
+    /// Targets that this planner watches.
+    pub watched: usize,
+    /// Halls whose lease it holds.
+    pub holds: Vec<HallId>,
+}
+
+/// An instance for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceInfo {
+    /// What the watchers say.
+    pub seen: thistlesill_core::message::Sighting,
+    /// Whether that is fresh.
+    pub fresh: bool,
+}
+
+/// The planner's state.
+#[derive(Debug, Clone)]
+pub struct PlannerCore {
+    options: PlannerOptions,
+    charts: Charts,
+    tree: Option<Arc<Tree>>,
+    listed: Vec<Listed>,
+    watch: Watch,
+    view: View,
+    halls: BTreeMap<HallId, HallPlanner>,
+    assigned: Vec<Watcher>,
+    reassign: bool,
+    beaten: Option<Millis>,
+    planned: Option<Millis>,
+    told_head: Millis,
+    stopping: bool,
+    out: Vec<PlannerAction>,
+}
+
+impl PlannerCore {
+    /// A planner that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// A [`ChartError`] if a state chart does not pass its check.
+    pub fn new(options: PlannerOptions) -> Result<Self, ChartError> {
+        Ok(Self {
+            charts: Charts::load()?,
+            tree: None,
+            listed: Vec::new(),
+            watch: Watch::new(options.run, WatchPeriods::new(options.probe)),
+            view: View::new(),
+            halls: BTreeMap::new(),
+            assigned: Vec::new(),
+            reassign: false,
+            beaten: None,
+            planned: None,
+            told_head: Millis::ZERO,
+            stopping: false,
+            out: Vec::new(),
+            options,
+        })
+    }
+
+    /// The settings in force.
+    pub const fn tree(&self) -> Option<&Arc<Tree>> {
+        self.tree.as_ref()
+    }
+
+    /// Whether the planner has settings and is not stopping.
+    pub const fn is_ready(&self) -> bool {
+        self.tree.is_some() && !self.stopping
+    }
+
+    /// The view of all targets.
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Figures for operators.
+    pub fn status(&self, now: Millis) -> PlannerStatus {
+        let held = self.halls.iter().filter(|(_, h)| h.term(now).is_some());
+        PlannerStatus {
+            revision: self.tree.as_ref().map_or(0, |t| t.revision()),
+            listed: self.listed.len(),
+            watched: self.watch.len(),
+            holds: held.map(|(hall, _)| hall.clone()).collect(),
+        }
+    }
+
+    /// The plans for operators.
+    pub fn halls(&self, now: Millis) -> Vec<HallInfo> {
+        self.halls.values().map(|h| h.info(now)).collect()
+    }
+
+    /// The instances for operators.
+    pub fn instances(&self, now: Millis) -> Vec<InstanceInfo> {
+        let all = self.view.observe_all(now, self.window());
+        let info = |seen: Observed| InstanceInfo {
+            fresh: seen.until > now,
+            seen: seen.sighting,
+        };
+        all.into_values().map(info).collect()
+    }
+
+    /// Takes in an event at `now` and returns what to do.
+    pub fn step(&mut self, event: PlannerEvent, now: Millis) -> Vec<PlannerAction> {
+        match event {
+            PlannerEvent::Listed(listed) => self.list(listed),
+            PlannerEvent::Reported { report, started } => {
+                self.watch.reported(*report, started, now);
+            }
+            PlannerEvent::Beat { from, beat, lag } => {
+                let heard = self.view.beat(&from, &beat, lag, now);
+                self.ask_if_missed(heard, from);
+            }
+            PlannerEvent::Digest { from, part, lag } => {
+                self.view.digest(&from, &part, lag, now);
+            }
+            PlannerEvent::Wanted(to) => {
+                let parts = self.watch.digest(now);
+                self.out.push(PlannerAction::TellDigest { to, parts });
+            }
+            PlannerEvent::Settings(tree) => self.settings(tree),
+            PlannerEvent::TxnDone {
+                hall,
+                flight,
+                result,
+            } => self.plan_step(&hall, PlanEvent::TxnDone { flight, result }, now),
+            PlannerEvent::RowsRead { hall, flight, rows } => {
+                self.plan_step(&hall, PlanEvent::RowsRead { flight, rows }, now);
+            }
+            PlannerEvent::Answered {
+                hall,
+                instance,
+                fence,
+                reply,
+            } => {
+                let event = PlanEvent::Answered {
+                    instance,
+                    fence,
+                    reply,
+                };
+                self.plan_step(&hall, event, now);
+            }
+            PlannerEvent::Stop => self.stop(now),
+            PlannerEvent::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn ask_if_missed(&mut self, heard: Heard, from: NodeId) {
+        if heard == Heard::AskDigest {
+            self.out.push(PlannerAction::AskDigest(from));
+        }
+    }
+
+    fn settings(&mut self, tree: Arc<Tree>) {
+        if self
+            .tree
+            .as_ref()
+            .is_some_and(|t| !t.yields_to(tree.revision()))
+        {
+            return;
+        }
+        let revision = tree.revision();
+        self.tree = Some(tree);
+        let note = Happening::SettingsInForce { revision };
+        self.out.push(PlannerAction::Note(note));
+        self.out.push(PlannerAction::TellHead(revision));
+    }
+
+    /// Takes over the list. A list that is empty is not believed: the
+    /// platform answers so when it has lost sight of all.
+    fn list(&mut self, listed: Vec<Listed>) {
+        if listed.is_empty() && !self.listed.is_empty() {
+            return;
+        }
+        let region = &self.options.region;
+        let ours: Vec<Listed> = listed.into_iter().filter(|l| l.region == *region).collect();
+        for entry in &ours {
+            if !self.halls.contains_key(&entry.hall) {
+                let planner = self.hall_planner(&entry.hall);
+                self.halls.insert(entry.hall.clone(), planner);
+            }
+        }
+        if ours != self.listed {
+            self.listed = ours;
+            self.reassign = true;
+        }
+    }
+
+    fn hall_planner(&self, hall: &HallId) -> HallPlanner {
+        let near = *hall == self.options.hall;
+        let courtesy = if near {
+            Millis::ZERO
+        } else {
+            self.options.lease
+        };
+        let options = PlanOptions {
+            name: self.options.name.clone(),
+            region: self.options.region.clone(),
+            hall: hall.clone(),
+            lease: LeasePeriods {
+                renew: self.options.renew,
+                length: self.options.lease,
+                margin: LEASE_MARGIN,
+                courtesy,
+            },
+            strategy: self.options.strategy,
+        };
+        HallPlanner::new(options, &self.charts)
+    }
+
+    fn window(&self) -> Millis {
+        let Some(tree) = &self.tree else {
+            return PRESENCE;
+        };
+        let context = Context::default()
+            .with_region(self.options.region.clone())
+            .with_hall(self.options.hall.clone());
+        let values = tree.resolve(&context);
+        values.presence_ms.map_or(PRESENCE, Millis::new)
+    }
+
+    fn plan_step(&mut self, hall: &HallId, event: PlanEvent, now: Millis) {
+        let Some(planner) = self.halls.get_mut(hall) else {
+            return;
+        };
+        let actions = planner.step(event, now);
+        self.plan_actions(hall, actions);
+    }
+
+    fn plan_actions(&mut self, hall: &HallId, actions: Vec<PlanAction>) {
+        for action in actions {
+            let hall = hall.clone();
+            self.out.push(match action {
+                PlanAction::SendTxn { flight, txn } => PlannerAction::SendTxn { hall, flight, txn },
+                PlanAction::Read { flight, prefixes } => PlannerAction::Read {
+                    hall,
+                    flight,
+                    prefixes,
+                },
+                PlanAction::Give { order, address } => PlannerAction::Give {
+                    hall,
+                    order,
+                    address,
+                },
+                PlanAction::Note(what) => PlannerAction::Note(what),
+            });
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.assign(now);
+        let due = self.watch.due(now);
+        let probes = due.into_iter().map(|(_, at)| PlannerAction::Probe(at));
+        self.out.extend(probes);
+        if self.beaten.is_none_or(|t| now - t >= self.options.beat) {
+            self.beaten = Some(now);
+            self.beat(now);
+        }
+        if self.planned.is_none_or(|t| now - t >= self.options.plan) {
+            self.planned = Some(now);
+            self.plan(now);
+        }
+        self.tell_head(now);
+    }
+
+    fn assign(&mut self, now: Millis) {
+        let alive = self.alive(now);
+        if alive == self.assigned && !self.reassign {
+            return;
+        }
+        let mine = share(&self.options.name, &alive, &self.listed);
+        self.watch.assign(&mine, now);
+        self.assigned = alive;
+        self.reassign = false;
+    }
+
+    /// The planners that are alive, this one included.
+    fn alive(&self, now: Millis) -> Vec<Watcher> {
+        let heard = self.view.alive(now, SILENT);
+        let others = self.options.planners.iter();
+        let mut alive: Vec<Watcher> = others
+            .filter(|w| heard.contains(&w.name))
+            .cloned()
+            .collect();
+        alive.push(Watcher {
+            name: self.options.name.clone(),
+            hall: self.options.hall.clone(),
+        });
+        alive
+    }
+
+    fn beat(&mut self, now: Millis) {
+        let beat = self.watch.beat(now);
+        let heard = self.view.beat(&self.options.name, &beat, 0, now);
+        if heard == Heard::AskDigest {
+            for part in self.watch.digest(now) {
+                self.view.digest(&self.options.name, &part, 0, now);
+            }
+        }
+        self.out.push(PlannerAction::TellBeat(beat));
+        self.view.forget(now, FORGET);
+    }
+
+    fn plan(&mut self, now: Millis) {
+        if self.stopping {
+            return;
+        }
+        let window = self.window();
+        let halls: Vec<HallId> = self.halls.keys().cloned().collect();
+        for hall in halls {
+            let Some(planner) = self.halls.get_mut(&hall) else {
+                continue;
+            };
+            let actions = planner.tick(&self.view, window, self.tree.as_ref(), now);
+            self.plan_actions(&hall, actions);
+        }
+    }
+
+    fn tell_head(&mut self, now: Millis) {
+        let Some(tree) = &self.tree else { return };
+        if now - self.told_head >= HEAD_GAP {
+            self.told_head = now;
+            let revision = tree.revision();
+            self.out.push(PlannerAction::TellHead(revision));
+        }
+    }
+
+    /// Gives up all leases, so that others need not wait them out.
+    fn stop(&mut self, now: Millis) {
+        self.stopping = true;
+        self.out.push(PlannerAction::Note(Happening::Stopping));
+        let halls: Vec<HallId> = self.halls.keys().cloned().collect();
+        for hall in halls {
+            let Some(planner) = self.halls.get_mut(&hall) else {
+                continue;
+            };
+            let actions = planner.release(now);
+            self.plan_actions(&hall, actions);
+        }
+        self.out.push(PlannerAction::Exit);
+    }
+}
--- a/crates/thistlesill-policy/src/presence.rs
+++ b/crates/thistlesill-policy/src/presence.rs
@@ -8,7 +8,7 @@
 mod watch;
 
 pub use view::{Heard, Measured, Observed, View};
-pub use watch::{Watch, WatchPeriods};
+pub use watch::{Watch, WatchPeriods, Watcher, share};
 
 /// How many watchers each target has.
 pub const WATCHERS: usize = 3;
--- a/crates/thistlesill-policy/src/presence/view.rs
+++ b/crates/thistlesill-policy/src/presence/view.rs
@@ -132,7 +132,9 @@
         let parts = std::mem::take(&mut watcher.parts);
         watcher.sightings.clear();
         for sighting in parts.into_values().flat_map(|p| p.sightings) {
-            watcher.sightings.insert(sighting.instance.clone(), sighting);
+            watcher
+                .sightings
+                .insert(sighting.instance.clone(), sighting);
         }
         watcher.changes = part.changes;
         watcher.in_step = true;
@@ -252,7 +254,7 @@
         }
         (true, true) => known.until = known.until.max(other.until),
         (false, true) => *known = other,
-        (true, false) | (false, false) => {}
+        (true | false, false) => {}
     }
     known.sighting.leaving = leaving;
 }
--- a/crates/thistlesill-policy/src/presence/watch.rs
+++ b/crates/thistlesill-policy/src/presence/watch.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 
 use thistlesill_core::message::{Beat, Digest, Gauge, MAX_SIGHTINGS, Seen, Sighting};
+use thistlesill_core::rendezvous::is_among;
 use thistlesill_core::report::{CacheEvent, Listed, Pressure, Report};
-use thistlesill_core::{InstanceId, Millis, NodeId};
+use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 
 use super::WATCHERS;
-use thistlesill_core::rendezvous::is_among;
 
 /// Cache events that a gauge carries at most.
 const MAX_CACHE_EVENTS: usize = 16;
@@ -36,6 +36,9 @@
 
 #[derive(Debug, Clone)]
 struct Target {
+    /// Whether it is in this watcher's share; if not, it is only kept until
+    /// its loss has been told.
+    mine: bool,
     sighting: Sighting,
     sent: bool,
     probed: Option<Millis>,
@@ -70,26 +73,19 @@
         }
     }
 
-    /// Takes over the share of `me` among the `watchers` of the listed
-    /// instances.
-    pub fn assign(&mut self, me: &NodeId, watchers: &[NodeId], listed: &[Listed], now: Millis) {
+    /// Takes over a share of the targets, as [`share`] gives it.
+    pub fn assign(&mut self, mine: &[Listed], now: Millis) {
         let mut kept = BTreeMap::new();
-        for entry in listed {
-            if !is_among(me, watchers, entry.instance.as_str(), WATCHERS) {
-                continue;
-            }
+        for entry in mine {
             let old = self.targets.remove(&entry.instance);
             kept.insert(entry.instance.clone(), renew(old, entry, now));
         }
         // A target that is not ours any more, or not listed, is taken back.
         for (instance, mut gone) in std::mem::take(&mut self.targets) {
-            if gone.sighting.state != Seen::Lost {
-                gone.sighting.state = Seen::Lost;
-                gone.sent = false;
-            }
-            if !gone.sent {
-                kept.insert(instance, gone);
-            }
+            gone.mine = false;
+            gone.sent &= gone.sighting.state == Seen::Lost;
+            gone.sighting.state = Seen::Lost;
+            kept.insert(instance, gone);
         }
         self.targets = kept;
     }
@@ -98,10 +94,8 @@
     pub fn due(&mut self, now: Millis) -> Vec<(InstanceId, std::net::SocketAddr)> {
         let mut due = Vec::new();
         for (instance, target) in &mut self.targets {
-            let waits = target
-                .probed
-                .is_some_and(|t| now - t < self.periods.probe);
-            if !waits {
+            let waits = target.probed.is_some_and(|t| now - t < self.periods.probe);
+            if target.mine && !waits {
                 target.probed = Some(now);
                 due.push((instance.clone(), target.sighting.address));
             }
@@ -111,7 +105,8 @@
 
     /// Takes in the report that a probe begun at `started` brought.
     pub fn reported(&mut self, report: Report, started: Millis, now: Millis) {
-        let Some(target) = self.targets.get_mut(&report.instance) else {
+        let found = self.targets.get_mut(&report.instance);
+        let Some(target) = found.filter(|t| t.mine) else {
             return;
         };
         if started < target.confirmed {
@@ -143,6 +138,7 @@
         let changed = self.take_changes();
         self.changes += changed.len() as u64;
         self.seq += 1;
+        self.targets.retain(|_, t| t.mine || !t.sent);
         Beat {
             seq: self.seq,
             run: self.run,
@@ -247,6 +243,43 @@
     }
 }
 
+/// A planner that is alive, and its hall.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Watcher {
+    /// The planner.
+    pub name: NodeId,
+    /// Its hall.
+    pub hall: HallId,
+}
+
+/// The share of `me` among the living planners.
+///
+/// Each target has [`WATCHERS`] of them, of its own hall first: the death of
+/// one leaves two, whose word goes on counting.
+pub fn share(me: &NodeId, alive: &[Watcher], listed: &[Listed]) -> Vec<Listed> {
+    let mut near: BTreeMap<&HallId, Vec<NodeId>> = BTreeMap::new();
+    for entry in listed {
+        near.entry(&entry.hall)
+            .or_insert_with(|| names(alive, |w| w.hall == entry.hall));
+    }
+    let mine = listed.iter().filter(|entry| {
+        let own = &near[&entry.hall];
+        let key = entry.instance.as_str();
+        if own.contains(me) {
+            return is_among(me, own, key, WATCHERS);
+        }
+        let missing = WATCHERS.saturating_sub(own.len());
+        let far = names(alive, |w| w.hall != entry.hall);
+        missing > 0 && is_among(me, &far, key, missing)
+    });
+    mine.cloned().collect()
+}
+
+fn names(watchers: &[Watcher], keep: impl Fn(&Watcher) -> bool) -> Vec<NodeId> {
+    let kept = watchers.iter().filter(|w| keep(w));
+    kept.map(|w| w.name.clone()).collect()
+}
+
 /// Sets a target's sighting and marks it for sending if it differs.
 fn replace(target: &mut Target, next: Sighting) {
     if target.sighting != next {
@@ -258,6 +291,7 @@
 /// Keeps what is known of a listed target, or starts anew with a lost one.
 fn renew(old: Option<Target>, entry: &Listed, now: Millis) -> Target {
     let fresh = Target {
+        mine: true,
         sighting: Sighting {
             instance: entry.instance.clone(),
             hall: entry.hall.clone(),
@@ -286,5 +320,6 @@
     next.leaving = entry.leaving || (next.leaving && next.state != Seen::Lost);
     next.domain.clone_from(&entry.domain);
     replace(&mut target, next);
+    target.mine = true;
     target
 }
--- a/crates/thistlesill-policy/src/router.rs
+++ b/crates/thistlesill-policy/src/router.rs
@@ -19,8 +19,7 @@
 use thistlesill_core::table::{RowKey, Rows, Txn, TxnResult};
 use thistlesill_core::timeline::Happening;
 use thistlesill_core::{
-    Adapter, CustomerId, ErrorKind, HallId, Millis, Model, NodeId, RegionId, RequestId,
-    ServiceName,
+    Adapter, CustomerId, ErrorKind, HallId, Millis, Model, NodeId, RegionId, RequestId, ServiceName,
 };
 
 pub use self::core::{RouterCore, Status};
--- a/crates/thistlesill-policy/src/router/core.rs
+++ b/crates/thistlesill-policy/src/router/core.rs
@@ -17,8 +17,7 @@
 use super::request::{Attempt, Request, Terms};
 use super::stream::Placed;
 use super::{
-    Arrival, AttemptEvent, Ending, GroupUse, Mode, RouterAction, RouterEvent, RouterOptions,
-    Wanted,
+    Arrival, AttemptEvent, Ending, GroupUse, Mode, RouterAction, RouterEvent, RouterOptions, Wanted,
 };
 use crate::budget::{RetryBudget, backoff};
 use crate::charts::{Charts, DrainState, RequestEvent, RequestState};
@@ -26,7 +25,7 @@
 use crate::drain::Drain;
 use crate::pick::GroupLoad;
 use crate::presence::{Heard, View};
-use crate::serving::{GroupKey, Roster, derive};
+use crate::serving::{GroupKey, Roster, Server, derive};
 use crate::share::{Admission, FairQueue};
 
 /// Presence window while no branch sets one.
@@ -88,7 +87,6 @@
     tree: Option<Arc<Tree>>,
     models: BTreeSet<Model>,
     window: Millis,
-    slots: u32,
     view: View,
     roster: Roster,
     derived: Option<Millis>,
@@ -118,7 +116,6 @@
             tree: None,
             models: BTreeSet::new(),
             window: PRESENCE,
-            slots: SLOTS,
             view: View::new(),
             roster: Roster::default(),
             derived: None,
@@ -143,6 +140,11 @@
         self.tree.is_some() && self.drain.healthy()
     }
 
+    /// Whether a request has no final answer yet.
+    pub fn is_under_way(&self, request: RequestId) -> bool {
+        self.requests.contains_key(&request)
+    }
+
     /// The settings in force.
     pub const fn tree(&self) -> Option<&Arc<Tree>> {
         self.tree.as_ref()
@@ -214,7 +216,11 @@
     // Settings and presence.
 
     fn settings(&mut self, tree: Arc<Tree>) {
-        if self.tree.as_ref().is_some_and(|t| !t.yields_to(tree.revision())) {
+        if self
+            .tree
+            .as_ref()
+            .is_some_and(|t| !t.yields_to(tree.revision()))
+        {
             return;
         }
         let context = Context::default()
@@ -222,11 +228,11 @@
             .with_hall(self.options.hall.clone());
         let values = tree.resolve(&context);
         self.window = values.presence_ms.map_or(PRESENCE, Millis::new);
-        self.slots = values.slots.unwrap_or(SLOTS);
         let models = tree.branches().values().filter_map(|b| b.model.clone());
         self.models = models.collect();
         let revision = tree.revision();
         self.tree = Some(tree);
+        self.refresh_slots();
         self.note(Happening::SettingsInForce { revision });
         self.out.push(RouterAction::TellHead(revision));
     }
@@ -266,9 +272,6 @@
         let old: BTreeSet<GroupKey> = self.roster.servers.iter().map(|s| s.key.clone()).collect();
         let new: BTreeSet<GroupKey> = roster.servers.iter().map(|s| s.key.clone()).collect();
         for key in new.difference(&old) {
-            let slots = self.slots;
-            let load = self.loads.entry(key.clone());
-            load.or_insert_with(|| GroupLoad::new(slots)).set_slots(slots);
             self.note(Happening::GroupComplete {
                 group: key.group.clone(),
                 epoch: key.epoch,
@@ -280,9 +283,10 @@
                 epoch: key.epoch,
             });
         }
-        for key in &new {
-            if let Some(load) = self.loads.get_mut(key) {
-                load.set_slots(self.slots);
+        for server in &roster.servers {
+            if !self.loads.contains_key(&server.key) {
+                let slots = self.slots_of(server);
+                self.loads.insert(server.key.clone(), GroupLoad::new(slots));
             }
         }
         self.loads
@@ -291,6 +295,31 @@
         self.derived = Some(now);
     }
 
+    /// Requests that a server may run at a time, by the settings of its
+    /// place.
+    fn slots_of(&self, server: &Server) -> u32 {
+        let Some(tree) = &self.tree else { return SLOTS };
+        let place = Context {
+            region: Some(self.options.region.clone()),
+            hall: Some(server.hall.clone()),
+            domain: Some(server.domain.clone()),
+            generation: Some(server.generation.clone()),
+            customer: None,
+        };
+        tree.resolve(&place).slots.unwrap_or(SLOTS)
+    }
+
+    fn refresh_slots(&mut self) {
+        let servers = self.roster.servers.iter();
+        let slots: Vec<(GroupKey, u32)> =
+            servers.map(|s| (s.key.clone(), self.slots_of(s))).collect();
+        for (key, slots) in slots {
+            if let Some(load) = self.loads.get_mut(&key) {
+                load.set_slots(slots);
+            }
+        }
+    }
+
     // Arrival and admission.
 
     fn arrive(&mut self, arrival: Arrival, now: Millis) {
@@ -407,15 +436,15 @@
         match self.queue.push(entry) {
             Admission::Admitted => {}
             Admission::Displaced(other) => {
-                let after = self.come_back();
+                let after = Some(self.come_back());
                 self.fail(other, ErrorKind::OverShare, after, now);
             }
             Admission::OverShare => {
-                let after = self.come_back();
+                let after = Some(self.come_back());
                 self.fail(id, ErrorKind::OverShare, after, now);
             }
             Admission::Full => {
-                let after = self.come_back();
+                let after = Some(self.come_back());
                 self.fail(id, ErrorKind::Overloaded, after, now);
             }
         }
@@ -424,10 +453,10 @@
 
     /// When a caller that is turned away should come back: about as long as
     /// the queue takes to empty, by the requests that end now.
-    fn come_back(&self) -> Option<Millis> {
+    fn come_back(&self) -> Millis {
         let room: u32 = self.loads.values().map(GroupLoad::limit).sum();
         let rounds = self.queue.len() as u64 / u64::from(room.max(1)) + 1;
-        Some(Millis::new((rounds * 500).min(10_000)))
+        Millis::new((rounds * 500).min(10_000))
     }
 
     // Sending.
@@ -691,8 +720,7 @@
     fn forgotten(&mut self, id: RequestId, now: Millis) {
         self.fail_attempt(id, now);
         let request = self.requests.get(&id);
-        let can_rerun =
-            request.is_some_and(|r| r.terms.repeatable && r.arrival.resume.is_none());
+        let can_rerun = request.is_some_and(|r| r.terms.repeatable && r.arrival.resume.is_none());
         if !can_rerun {
             self.fail(id, ErrorKind::StreamLost, None, now);
             return;
@@ -739,7 +767,11 @@
             return;
         }
         if !self.budget.spend() {
-            let spent = if request.exposed { kind } else { ErrorKind::RetryBudget };
+            let spent = if request.exposed {
+                kind
+            } else {
+                ErrorKind::RetryBudget
+            };
             self.fail(id, spent, None, now);
             return;
         }
--- a/crates/thistlesill-policy/src/serving.rs
+++ b/crates/thistlesill-policy/src/serving.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use thistlesill_core::message::Seen;
 use thistlesill_core::report::{Load, Membership};
-use thistlesill_core::{GroupId, HallId, InstanceId, Millis, ServiceName};
+use thistlesill_core::{DomainId, Generation, GroupId, HallId, InstanceId, Millis, ServiceName};
 
 use crate::presence::{Observed, View};
 
@@ -41,6 +41,10 @@
     pub address: SocketAddr,
     /// Its hall.
     pub hall: HallId,
+    /// Its fabric domain.
+    pub domain: DomainId,
+    /// The generation of its accelerators.
+    pub generation: Generation,
     /// Members in order of rank.
     pub members: Vec<Member>,
     /// What it runs.
@@ -160,6 +164,8 @@
         },
         address: seen.sighting.address,
         hall: seen.sighting.hall.clone(),
+        domain: seen.sighting.domain.clone(),
+        generation: seen.sighting.generation.clone(),
         members: vec![member(seen)],
         runs: Runs::Service(name.clone()),
         until: seen.until,
@@ -206,6 +212,8 @@
         key,
         address: leader.sighting.address,
         hall: leader.sighting.hall.clone(),
+        domain: leader.sighting.domain.clone(),
+        generation: leader.sighting.generation.clone(),
         members: sorted.iter().map(|(_, seen)| member(seen)).collect(),
         runs: Runs::Model(first.load.clone()),
         until: until.unwrap_or(Millis::ZERO),
--- /dev/null
+++ b/crates/thistlesill-router/src/callers.rs
@@ -0,0 +1,483 @@
+//! What callers meet: the `OpenAI` completion protocol, plain services under
+//! their own paths, and the balancer's health check.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use rand::RngExt;
+use salvo::http::{ParseError, StatusCode};
+use salvo::hyper::{Method, Uri};
+use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, handler};
+use salvo::sse::{self, SseEvent};
+use salvo::writing::{Json, Text};
+use thistlesill_core::config::{DaemonConfig, Limits};
+use thistlesill_core::error::ErrorBody;
+use thistlesill_core::event_id::EventId;
+use thistlesill_core::seal::sha256_hex;
+use thistlesill_core::{CustomerId, ErrorKind, Millis, RequestId, ServiceName};
+use thistlesill_net::admin::{bearer, serve_limited, write_error};
+use thistlesill_net::sync::Shelf;
+use thistlesill_policy::router::{Arrival, ResumePoint, Wanted};
+use thistlesill_policy::serving::GroupKey;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::daemon::LoopEvent;
+use crate::openai::{self, Completion, Dialect};
+use crate::pending::{Asked, CallerGuard, Pending, PlainAsk, Reply, StreamEnd, WholeReply};
+
+/// Header with the caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Characters of an idempotency key at most.
+const MAX_KEY: usize = 128;
+/// Header with the caller's deadline in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header with the caller's priority.
+const PRIORITY_HEADER: &str = "x-priority";
+/// Header that marks a request as not repeatable.
+const REPEATABLE_HEADER: &str = "x-repeatable";
+/// Header with the id of the last event that the caller has.
+const LAST_EVENT_HEADER: &str = "last-event-id";
+/// Header with the request's id, on every answer.
+const REQUEST_HEADER: &str = "x-request-id";
+
+type Events = mpsc::UnboundedSender<LoopEvent>;
+
+/// Serves callers in a task of its own.
+///
+/// # Panics
+///
+/// If the settings have no address for callers; their check sees to it.
+pub fn spawn(config: &DaemonConfig, shelf: Shelf, events: Events) {
+    let address = config.callers.expect("checked settings of a router");
+    let shared = Arc::new(Shared {
+        shelf,
+        events,
+        limits: config.limits,
+    });
+    let limits = config.limits;
+    tokio::spawn(async move {
+        serve_limited(address, routes(&shared), &limits).await;
+    });
+}
+
+struct Shared {
+    shelf: Shelf,
+    events: Events,
+    limits: Limits,
+}
+
+fn routes(shared: &Arc<Shared>) -> Router {
+    let on = |call: Call| Caller {
+        shared: shared.clone(),
+        call,
+    };
+    Router::new()
+        .push(Router::with_path("v1/chat/completions").post(on(Call::Complete(Dialect::Chat))))
+        .push(Router::with_path("v1/completions").post(on(Call::Complete(Dialect::Text))))
+        .push(Router::with_path("v1/models").get(on(Call::Models)))
+        .push(Router::with_path("services/{name}/{**rest}").goal(on(Call::Plain)))
+        .push(Router::with_path("healthz").get(on(Call::Health)))
+        .push(Router::with_path("{**rest}").goal(on(Call::Nothing)))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    Complete(Dialect),
+    Models,
+    Plain,
+    Health,
+    Nothing,
+}
+
+#[derive(Clone)]
+struct Caller {
+    shared: Arc<Shared>,
+    call: Call,
+}
+
+#[handler]
+impl Caller {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let result = match self.call {
+            Call::Complete(dialect) => self.complete(dialect, req, res).await,
+            Call::Plain => self.plain(req, res).await,
+            Call::Models => self.models(req, res).await,
+            Call::Health => {
+                self.health(res).await;
+                Ok(())
+            }
+            Call::Nothing => Err(ErrorBody::new(ErrorKind::NotFound, None)),
+        };
+        if let Err(body) = result {
+            write_error(res, &body);
+        }
+    }
+}
+
+impl Caller {
+    /// The customer whose token the request carries.
+    fn customer(&self, req: &Request) -> Result<CustomerId, ErrorBody> {
+        let Some(tree) = self.shared.shelf.get() else {
+            return Err(ErrorBody::new(ErrorKind::NotReady, None));
+        };
+        let token = bearer(req).unwrap_or_default();
+        let found = tree.customer_of(&sha256_hex(token.as_bytes())).cloned();
+        found.ok_or_else(|| ErrorBody::new(ErrorKind::Unauthorized, None))
+    }
+
+    async fn body(&self, req: &mut Request) -> Result<Bytes, ErrorBody> {
+        let limit = self.shared.limits.body_bytes;
+        match req.payload_with_max_size(limit).await {
+            Ok(bytes) => Ok(bytes.clone()),
+            Err(error) => Err(body_error(&error)),
+        }
+    }
+
+    async fn complete(
+        &self,
+        dialect: Dialect,
+        req: &mut Request,
+        res: &mut Response,
+    ) -> Result<(), ErrorBody> {
+        let customer = self.customer(req)?;
+        let body = self.body(req).await?;
+        let completion = openai::parse(dialect, &body).map_err(|e| bad(&e.text))?;
+        let head = Head::read(req)?;
+        let resume = resume_point(req)?;
+        let request = resume.as_ref().map_or_else(new_request, |id| id.request);
+        let arrival = Arrival {
+            request,
+            customer,
+            wanted: Wanted::Model(completion.model.clone()),
+            prefix: completion.prefix,
+            deadline: head.deadline,
+            priority: head.priority,
+            repeatable: head.repeatable,
+            key: head.key,
+            body: sha256_hex(&body),
+            resume: resume.map(|id| ResumePoint {
+                key: GroupKey {
+                    group: id.group,
+                    epoch: id.epoch,
+                },
+                offset: id.offset + 1,
+            }),
+        };
+        let asked = Asked::Completion(Box::new(completion.clone()));
+        let conversation = self.begin(arrival, asked, res)?;
+        if completion.streamed {
+            conversation.stream(completion, res).await
+        } else {
+            conversation.whole(res).await
+        }
+    }
+
+    async fn plain(&self, req: &mut Request, res: &mut Response) -> Result<(), ErrorBody> {
+        let customer = self.customer(req)?;
+        let body = self.body(req).await?;
+        let head = Head::read(req)?;
+        let name = req.param::<String>("name").unwrap_or_default();
+        let ask = PlainAsk {
+            method: req.method().clone(),
+            uri: service_uri(req, &name).ok_or_else(|| bad("the path is malformed"))?,
+            media: text_header(req, "content-type"),
+            key: head.key.clone(),
+            body: body.clone(),
+        };
+        let safe = matches!(*req.method(), Method::GET | Method::HEAD);
+        let arrival = Arrival {
+            request: new_request(),
+            customer,
+            wanted: Wanted::Service(ServiceName::from(name)),
+            prefix: None,
+            deadline: head.deadline,
+            priority: head.priority,
+            repeatable: if safe { head.repeatable } else { Some(false) },
+            key: head.key,
+            body: sha256_hex(&body),
+            resume: None,
+        };
+        let conversation = self.begin(arrival, Asked::Plain(Box::new(ask)), res)?;
+        conversation.whole(res).await
+    }
+
+    async fn models(&self, req: &Request, res: &mut Response) -> Result<(), ErrorBody> {
+        self.customer(req)?;
+        let (reply, answer) = oneshot::channel();
+        drop(self.shared.events.send(LoopEvent::Models(reply)));
+        let models = answer
+            .await
+            .map_err(|_| ErrorBody::new(ErrorKind::NotReady, None))?;
+        res.render(Json(openai::model_list(&models)));
+        Ok(())
+    }
+
+    /// The balancer's health check: fails as soon as the router is to stop.
+    async fn health(&self, res: &mut Response) {
+        let (reply, answer) = oneshot::channel();
+        drop(self.shared.events.send(LoopEvent::Health(reply)));
+        if answer.await.unwrap_or(false) {
+            res.render(Text::Plain("ok\n"));
+        } else {
+            write_error(res, &ErrorBody::new(ErrorKind::NotReady, None));
+        }
+    }
+
+    /// Hands a request to the loop.
+    fn begin(
+        &self,
+        arrival: Arrival,
+        asked: Asked,
+        res: &mut Response,
+    ) -> Result<Conversation, ErrorBody> {
+        let request = arrival.request;
+        drop(res.add_header(REQUEST_HEADER, request.to_string(), true));
+        let (reply, replies) = mpsc::unbounded_channel();
+        let pending = Box::new(Pending {
+            asked,
+            reply,
+            repeatable: arrival.repeatable != Some(false) && arrival.key.is_none(),
+            answer: None,
+            attempt: None,
+        });
+        let event = LoopEvent::Arrive {
+            arrival: Box::new(arrival),
+            pending,
+        };
+        let guard = CallerGuard::new(request, self.shared.events.clone());
+        if self.shared.events.send(event).is_err() {
+            return Err(ErrorBody::new(ErrorKind::NotReady, None));
+        }
+        Ok(Conversation {
+            request,
+            replies,
+            guard,
+        })
+    }
+}
+
+/// One request's way back to its caller.
+struct Conversation {
+    request: RequestId,
+    replies: mpsc::UnboundedReceiver<Reply>,
+    guard: CallerGuard,
+}
+
+impl Conversation {
+    /// Answers with a whole body.
+    async fn whole(mut self, res: &mut Response) -> Result<(), ErrorBody> {
+        loop {
+            match self.replies.recv().await {
+                Some(Reply::Piece { .. }) => {}
+                Some(Reply::Whole(whole)) => {
+                    self.guard.done();
+                    write_whole(res, whole);
+                    return Ok(());
+                }
+                Some(Reply::Failed(body)) => {
+                    self.guard.done();
+                    return Err(body);
+                }
+                None => return Err(ErrorBody::new(ErrorKind::Internal, None)),
+            }
+        }
+    }
+
+    /// Answers with a stream, once the first piece is there; a failure
+    /// before that has its own status.
+    async fn stream(mut self, completion: Completion, res: &mut Response) -> Result<(), ErrorBody> {
+        match self.replies.recv().await {
+            Some(Reply::Failed(body)) => {
+                self.guard.done();
+                Err(body)
+            }
+            Some(first) => {
+                sse::stream(res, self.events(completion, first));
+                Ok(())
+            }
+            None => Err(ErrorBody::new(ErrorKind::Internal, None)),
+        }
+    }
+
+    fn events(
+        self,
+        completion: Completion,
+        first: Reply,
+    ) -> impl Stream<Item = Result<SseEvent, std::convert::Infallible>> + Send {
+        let state = EventWriter {
+            conversation: self,
+            completion,
+            next: Some(first),
+            queue: Vec::new(),
+            over: false,
+        };
+        futures_util::stream::unfold(state, |mut state| async move {
+            let event = state.step().await?;
+            Some((Ok(event), state))
+        })
+    }
+}
+
+/// Turns replies into server-sent events.
+struct EventWriter {
+    conversation: Conversation,
+    completion: Completion,
+    next: Option<Reply>,
+    /// Events to send before the next reply, the last one first.
+    queue: Vec<SseEvent>,
+    over: bool,
+}
+
+impl EventWriter {
+    async fn step(&mut self) -> Option<SseEvent> {
+        if let Some(event) = self.queue.pop() {
+            if self.queue.is_empty() && self.over {
+                self.conversation.guard.done();
+            }
+            return Some(event);
+        }
+        if self.over {
+            return None;
+        }
+        let reply = match self.next.take() {
+            Some(reply) => reply,
+            None => self.conversation.replies.recv().await?,
+        };
+        let request = self.conversation.request;
+        match reply {
+            Reply::Piece { id, text } => {
+                let data = self.completion.chunk(request, Some(&text), None);
+                Some(SseEvent::default().id(id.to_string()).text(data))
+            }
+            Reply::Whole(whole) => {
+                self.over = true;
+                self.queue = self.closing(request, whole.end);
+                self.queue.pop()
+            }
+            Reply::Failed(body) => {
+                self.over = true;
+                self.conversation.guard.done();
+                let text = serde_json::to_string(&body).unwrap_or_default();
+                Some(SseEvent::default().name("error").text(text))
+            }
+        }
+    }
+
+    /// The last events of a stream, the last one first.
+    fn closing(&self, request: RequestId, end: Option<StreamEnd>) -> Vec<SseEvent> {
+        let mut events = vec![SseEvent::default().text("[DONE]")];
+        let Some(end) = end else { return events };
+        let data = self.completion.chunk(request, None, Some(&end.reason));
+        let last = SseEvent::default().text(data);
+        events.push(match &end.id {
+            Some(id) => last.id(id.to_string()),
+            None => last,
+        });
+        if let Some(text) = &end.text {
+            let data = self.completion.chunk(request, Some(text), None);
+            events.push(SseEvent::default().text(data));
+        }
+        events
+    }
+}
+
+/// The headers that matter to every request.
+struct Head {
+    deadline: Option<Millis>,
+    priority: Option<u8>,
+    repeatable: Option<bool>,
+    key: Option<String>,
+}
+
+impl Head {
+    fn read(req: &Request) -> Result<Self, ErrorBody> {
+        Ok(Self {
+            deadline: parsed(req, DEADLINE_HEADER)?.map(Millis::new),
+            priority: parsed(req, PRIORITY_HEADER)?,
+            repeatable: parsed(req, REPEATABLE_HEADER)?,
+            key: idempotency_key(req)?,
+        })
+    }
+}
+
+fn parsed<T: std::str::FromStr>(req: &Request, name: &str) -> Result<Option<T>, ErrorBody> {
+    let Some(text) = text_header(req, name) else {
+        return Ok(None);
+    };
+    let value = text.trim().parse();
+    value.map(Some).map_err(|_| {
+        bad(&format!(
+            "the header `{name}` has a value that is not understood"
+        ))
+    })
+}
+
+fn idempotency_key(req: &Request) -> Result<Option<String>, ErrorBody> {
+    let Some(key) = text_header(req, KEY_HEADER) else {
+        return Ok(None);
+    };
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    if key.is_empty() || key.len() > MAX_KEY || !key.chars().all(plain) {
+        let text = "an Idempotency-Key has 1 to 128 letters, digits, `-`, `_`, `.` or `:`";
+        return Err(bad(text));
+    }
+    Ok(Some(key))
+}
+
+fn resume_point(req: &Request) -> Result<Option<EventId>, ErrorBody> {
+    let Some(text) = text_header(req, LAST_EVENT_HEADER) else {
+        return Ok(None);
+    };
+    let id = text.parse::<EventId>();
+    id.map(Some)
+        .map_err(|e| bad(&format!("the header `{LAST_EVENT_HEADER}`: {e}")))
+}
+
+fn text_header(req: &Request, name: &str) -> Option<String> {
+    let value = req.headers().get(name)?;
+    // A value that is no text must not pass for a missing one.
+    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
+fn bad(text: &str) -> ErrorBody {
+    ErrorBody::new(ErrorKind::BadRequest, None).message(text)
+}
+
+fn body_error(error: &ParseError) -> ErrorBody {
+    let kind = match error {
+        ParseError::PayloadTooLarge => ErrorKind::BodyTooLarge,
+        ParseError::Io(_) | ParseError::Hyper(_) => ErrorKind::SlowCaller,
+        _ => ErrorKind::BadRequest,
+    };
+    ErrorBody::new(kind, None)
+}
+
+fn new_request() -> RequestId {
+    RequestId::new(rand::rng().random())
+}
+
+/// Path and query at the service, without the router's own prefix.
+fn service_uri(req: &Request, name: &str) -> Option<Uri> {
+    let full = req.uri().path_and_query()?.as_str();
+    let rest = full.strip_prefix("/services/")?.strip_prefix(name)?;
+    let path = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    path.parse().ok()
+}
+
+fn write_whole(res: &mut Response, whole: WholeReply) {
+    let status = StatusCode::from_u16(whole.status);
+    res.status_code(status.unwrap_or(StatusCode::BAD_GATEWAY));
+    drop(res.add_header("content-type", whole.media, true));
+    drop(res.write_body(whole.body));
+}
--- /dev/null
+++ b/crates/thistlesill-router/src/daemon.rs
@@ -0,0 +1,559 @@
+//! The router's loop: events in, the core's step, actions out.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+use salvo::hyper::Response;
+use snafu::{ResultExt, Snafu};
+use thistlesill_core::chart::ChartError;
+use thistlesill_core::config::{DaemonConfig, Role};
+use thistlesill_core::error::ErrorBody;
+use thistlesill_core::event_id::EventId;
+use thistlesill_core::message::PeerBody;
+use thistlesill_core::row::Outcome;
+use thistlesill_core::timeline::Happening;
+use thistlesill_core::{ErrorKind, Millis, Model, RequestId};
+use thistlesill_net::admin::{self, Admin, AdminAsk, AdminReply, Question};
+use thistlesill_net::clock::Clock;
+use thistlesill_net::engine::Engines;
+use thistlesill_net::files::Secrets;
+use thistlesill_net::journal::Journal;
+use thistlesill_net::peer::{self, Heard, PeerError, PeerLink};
+use thistlesill_net::platform::Platform;
+use thistlesill_net::sync::{HeadWatch, Shelf, from_peer, from_platform};
+use thistlesill_policy::pick::Rule;
+use thistlesill_policy::router::{
+    Arrival, AttemptEvent, Dispatch, Ending, RouterAction, RouterCore, RouterEvent, RouterOptions,
+};
+use thistlesill_policy::serving::{GroupKey, Runs};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::callers;
+use crate::pending::{Asked, Pending, Reply, Running, StreamEnd, WholeReply};
+use crate::send;
+
+/// Between two looks at the time.
+const TICK: Duration = Duration::from_millis(25);
+/// Messages of peers that wait to be read.
+const PEER_QUEUE: usize = 1_024;
+/// Bytes of an answer that is recorded for its key.
+const MAX_RECORDED: usize = 64 << 10;
+
+/// Why a router could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A state chart does not pass its check.
+    #[snafu(display("{source}"))]
+    Charts {
+        /// The cause.
+        source: ChartError,
+    },
+    /// The address for peers could not be bound.
+    #[snafu(display("peers: {source}"))]
+    Peers {
+        /// The cause.
+        source: PeerError,
+    },
+}
+
+/// What the loop takes in.
+#[derive(Debug)]
+pub enum LoopEvent {
+    /// A caller's request.
+    Arrive {
+        /// For the core.
+        arrival: Box<Arrival>,
+        /// What the daemon keeps.
+        pending: Box<Pending>,
+    },
+    /// The caller went away.
+    CallerGone(RequestId),
+    /// Something for the core.
+    Core(Box<RouterEvent>),
+    /// A plain answer.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// The answer.
+        answer: Box<Response<Bytes>>,
+    },
+    /// The models that are served.
+    Models(tokio::sync::oneshot::Sender<Vec<Model>>),
+    /// Whether the router is ready for callers.
+    Health(tokio::sync::oneshot::Sender<bool>),
+}
+
+impl LoopEvent {
+    pub(crate) fn attempt(request: RequestId, attempt: u32, what: AttemptEvent) -> Self {
+        Self::Core(Box::new(RouterEvent::Attempt {
+            request,
+            attempt,
+            what,
+        }))
+    }
+
+    pub(crate) fn answer(request: RequestId, attempt: u32, answer: Response<Bytes>) -> Self {
+        Self::Answer {
+            request,
+            attempt,
+            answer: Box::new(answer),
+        }
+    }
+}
+
+struct Daemon {
+    config: DaemonConfig,
+    core: RouterCore,
+    clock: Clock,
+    journal: Journal,
+    link: PeerLink,
+    platform: Platform,
+    engines: Engines,
+    shelf: Shelf,
+    heads: HeadWatch,
+    events: mpsc::UnboundedSender<LoopEvent>,
+    pending: HashMap<RequestId, Pending>,
+    exit: bool,
+}
+
+/// Runs a router until it is told to stop and all its requests have ended.
+///
+/// # Errors
+///
+/// A [`StartError`] if it could not start.
+///
+/// # Panics
+///
+/// If the process cannot await signals.
+pub async fn run(config: DaemonConfig, secrets: Secrets) -> Result<(), StartError> {
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let (questions, mut asked) = mpsc::channel(64);
+    let (heard, mut datagrams) = mpsc::channel(PEER_QUEUE);
+    let journal = Journal::new(config.name.clone(), config.limits.events);
+    let shelf = Shelf::default();
+    let key = secrets.key.clone();
+    let link = PeerLink::bind(
+        config.name.clone(),
+        config.peer,
+        key.clone(),
+        journal.clone(),
+    );
+    let link = link.await.context(PeersSnafu)?;
+    tokio::spawn(link.clone().listen(heard));
+    spawn_answers(&config, &secrets, &shelf);
+    spawn_admin(&config, &secrets, questions, journal.clone());
+    callers::spawn(&config, shelf.clone(), events.clone());
+    let core = RouterCore::new(options(&config)).context(ChartsSnafu)?;
+    let mut daemon = Daemon {
+        core,
+        clock: Clock::new(),
+        platform: Platform::new(config.platform),
+        engines: Engines::new(secrets.key),
+        heads: HeadWatch::new(
+            config.name.clone(),
+            config.hall.clone(),
+            config.periods.head_ms,
+        ),
+        journal,
+        link,
+        shelf,
+        events,
+        pending: HashMap::new(),
+        exit: false,
+        config,
+    };
+    daemon.journal.note(Happening::Started);
+    log::info!("router: {} started", daemon.config.name);
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = signal(SignalKind::terminate()).expect("signals can be awaited");
+    while !daemon.exit {
+        tokio::select! {
+            Some(event) = inbox.recv() => daemon.take(event),
+            Some(question) = asked.recv() => daemon.answer(question),
+            Some(message) = datagrams.recv() => daemon.hear(message),
+            _ = stop.recv() => daemon.stop(),
+            _ = tick.tick() => daemon.tick(),
+        }
+    }
+    log::info!("router: {} stopped", daemon.config.name);
+    Ok(())
+}
+
+fn options(config: &DaemonConfig) -> RouterOptions {
+    RouterOptions {
+        name: config.name.clone(),
+        region: config.region.clone(),
+        hall: config.hall.clone(),
+        waiting: config.limits.waiting,
+        balancer: Millis::new(config.periods.balancer_ms),
+        stop: Millis::new(config.periods.stop_ms),
+        seed: rand::rng().random(),
+        rule: Rule::default(),
+    }
+}
+
+fn spawn_answers(config: &DaemonConfig, secrets: &Secrets, shelf: &Shelf) {
+    let shelf = shelf.clone();
+    let serve = peer::answer(config.peer, secrets.key.clone(), move |ask| {
+        shelf.reply(&ask)
+    });
+    tokio::spawn(async move {
+        if let Err(error) = serve.await {
+            log::error!("peer: {error}");
+        }
+    });
+}
+
+fn spawn_admin(
+    config: &DaemonConfig,
+    secrets: &Secrets,
+    questions: mpsc::Sender<Question>,
+    journal: Journal,
+) {
+    let admin = Admin {
+        questions,
+        token_sha256: secrets.token_sha256.clone(),
+        journal,
+        metrics: admin::install_metrics(),
+    };
+    tokio::spawn(admin::serve(config.admin, admin.router()));
+}
+
+impl Daemon {
+    fn step(&mut self, event: RouterEvent) {
+        let now = self.clock.now();
+        let actions = self.core.step(event, now);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn take(&mut self, event: LoopEvent) {
+        match event {
+            LoopEvent::Arrive { arrival, pending } => {
+                self.pending.insert(arrival.request, *pending);
+                self.step(RouterEvent::Arrive(arrival));
+            }
+            LoopEvent::CallerGone(request) => {
+                self.step(RouterEvent::CallerGone(request));
+                self.forget_gone(request);
+            }
+            LoopEvent::Core(event) => self.step(*event),
+            LoopEvent::Answer {
+                request,
+                attempt,
+                answer,
+            } => {
+                let status = answer.status().as_u16();
+                if let Some(pending) = self.pending.get_mut(&request) {
+                    pending.answer = Some(*answer);
+                }
+                let what = AttemptEvent::Whole { status };
+                self.step(RouterEvent::Attempt {
+                    request,
+                    attempt,
+                    what,
+                });
+            }
+            LoopEvent::Models(reply) => drop(reply.send(self.models())),
+            LoopEvent::Health(reply) => drop(reply.send(self.core.is_ready())),
+        }
+    }
+
+    /// Forgets a request whose caller is gone, unless it must run on.
+    fn forget_gone(&mut self, request: RequestId) {
+        if !self.core.is_under_way(request) {
+            self.pending.remove(&request);
+        }
+    }
+
+    fn models(&self) -> Vec<Model> {
+        let servers = self.core.roster().servers.iter();
+        let mut models: Vec<Model> = servers
+            .filter_map(|s| match &s.runs {
+                Runs::Model(load) => Some(load.model.clone()),
+                Runs::Service(_) => None,
+            })
+            .collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    fn stop(&mut self) {
+        log::info!("router: {} is told to stop", self.config.name);
+        self.step(RouterEvent::Stop);
+    }
+
+    fn tick(&mut self) {
+        self.step(RouterEvent::Tick);
+        let now = self.clock.now();
+        if self.heads.is_due(now) {
+            let (platform, events, have) = (
+                self.platform.clone(),
+                self.events.clone(),
+                self.shelf.revision(),
+            );
+            tokio::spawn(async move {
+                if let Some(tree) = from_platform(&platform, have).await {
+                    drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
+                }
+            });
+        }
+    }
+
+    fn hear(&mut self, message: Heard) {
+        let Heard { from, lag, body } = message;
+        match body {
+            PeerBody::Beat(beat) => self.step(RouterEvent::Beat { from, beat, lag }),
+            PeerBody::Digest(part) => self.step(RouterEvent::Digest { from, part, lag }),
+            PeerBody::Usage(usage) => self.step(RouterEvent::Usage { from, usage }),
+            PeerBody::Head { revision } => self.hear_head(&from, revision),
+            PeerBody::Want => {}
+        }
+    }
+
+    fn hear_head(&mut self, from: &thistlesill_core::NodeId, revision: u64) {
+        let now = self.clock.now();
+        let Some(peer) = self.config.peers.iter().find(|p| p.name == *from).cloned() else {
+            return;
+        };
+        self.heads.heard(&peer, now);
+        let have = self.shelf.revision();
+        if revision <= have || !self.heads.may_fetch(now) {
+            return;
+        }
+        let (link, events) = (self.link.clone(), self.events.clone());
+        tokio::spawn(async move {
+            if let Some(tree) = from_peer(&link, peer.peer, have).await {
+                drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
+            }
+        });
+    }
+
+    fn answer(&mut self, question: Question) {
+        let reply = match question.ask {
+            AdminAsk::Ready if self.core.is_ready() => AdminReply::Yes,
+            AdminAsk::Status => AdminReply::value(&self.core.status()),
+            AdminAsk::Groups => AdminReply::value(self.core.roster()),
+            AdminAsk::Ready | AdminAsk::Instances => AdminReply::No,
+            AdminAsk::Drain => {
+                self.stop();
+                AdminReply::Yes
+            }
+        };
+        drop(question.reply.send(reply));
+    }
+
+    fn act(&mut self, action: RouterAction) {
+        match action {
+            RouterAction::Send(dispatch) => self.send(*dispatch),
+            RouterAction::Cancel { request, .. } => self.cancel(request),
+            RouterAction::Deliver {
+                request,
+                key,
+                offset,
+                text,
+            } => self.deliver(request, key, offset, &text),
+            RouterAction::Finish { request, ending } => self.finish(request, *ending),
+            RouterAction::Fail {
+                request,
+                kind,
+                after,
+            } => self.fail(request, kind, after),
+            RouterAction::SendTxn { flight, txn } => {
+                let (platform, events) = (self.platform.clone(), self.events.clone());
+                tokio::spawn(async move {
+                    let result = platform.txn(&txn).await;
+                    let event = RouterEvent::TxnDone { flight, result };
+                    drop(events.send(LoopEvent::Core(Box::new(event))));
+                });
+            }
+            RouterAction::ReadRows { flight, keys } => {
+                let (platform, events) = (self.platform.clone(), self.events.clone());
+                tokio::spawn(async move {
+                    let rows = platform.read(keys).await.ok();
+                    let event = RouterEvent::RowsRead { flight, rows };
+                    drop(events.send(LoopEvent::Core(Box::new(event))));
+                });
+            }
+            RouterAction::AskDigest(to) => {
+                let peers = self.config.peers.iter().filter(|p| p.name == to);
+                self.link.tell(peers, PeerBody::Want);
+            }
+            RouterAction::TellUsage(usage) => {
+                let routers = self.config.peers.iter().filter(|p| p.role == Role::Router);
+                self.link.tell(routers, PeerBody::Usage(usage));
+            }
+            RouterAction::TellHead(revision) => {
+                if let Some(tree) = self.core.tree() {
+                    self.shelf.put(tree);
+                }
+                self.link
+                    .tell(&self.config.peers, PeerBody::Head { revision });
+            }
+            RouterAction::Note(what) => self.journal.note(what),
+            RouterAction::Exit => self.exit = true,
+        }
+    }
+
+    fn send(&mut self, dispatch: Dispatch) {
+        let Some(pending) = self.pending.get_mut(&dispatch.request) else {
+            return;
+        };
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        let address = dispatch.address;
+        let repeatable = pending.repeatable;
+        let task = match pending.asked.clone() {
+            Asked::Completion(ask) => {
+                let job = send::completion(engines, dispatch, *ask, repeatable, events);
+                tokio::spawn(job)
+            }
+            Asked::Plain(ask) => {
+                tokio::spawn(send::plain(engines, dispatch, *ask, repeatable, events))
+            }
+        };
+        pending.attempt = Some(Running { address, task });
+    }
+
+    fn cancel(&mut self, request: RequestId) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let Some(running) = pending.attempt.take() else {
+            return;
+        };
+        running.task.abort();
+        if matches!(pending.asked, Asked::Completion(_)) {
+            tokio::spawn(send::cancel(self.engines.clone(), running.address, request));
+        }
+    }
+
+    fn deliver(&self, request: RequestId, key: GroupKey, offset: u32, text: &str) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let id = EventId {
+            request,
+            group: key.group,
+            epoch: key.epoch,
+            offset,
+        };
+        let piece = Reply::Piece {
+            id,
+            text: text.to_owned(),
+        };
+        drop(pending.reply.send(piece));
+    }
+
+    fn finish(&mut self, request: RequestId, ending: Ending) {
+        metrics::counter!("thistlesill_requests_completed_total").increment(1);
+        let Some(pending) = self.pending.remove(&request) else {
+            return;
+        };
+        let whole = whole_reply(request, &pending, ending);
+        if let Some(outcome) = outcome_of(&whole) {
+            self.core.record(request, outcome);
+        }
+        drop(pending.reply.send(Reply::Whole(whole)));
+    }
+
+    fn fail(&mut self, request: RequestId, kind: ErrorKind, after: Option<Millis>) {
+        metrics::counter!("thistlesill_requests_failed_total", "kind" => kind.name()).increment(1);
+        log::info!("router: request {request} ends with {kind}");
+        if let Some(pending) = self.pending.remove(&request) {
+            if let Some(running) = pending.attempt {
+                running.task.abort();
+            }
+            drop(
+                pending
+                    .reply
+                    .send(Reply::Failed(ErrorBody::new(kind, after))),
+            );
+        }
+    }
+}
+
+/// The caller's whole answer.
+fn whole_reply(request: RequestId, pending: &Pending, ending: Ending) -> WholeReply {
+    match (ending, &pending.asked) {
+        (
+            Ending::Streamed {
+                text,
+                count,
+                reason,
+                key,
+            },
+            Asked::Completion(ask),
+        ) => WholeReply {
+            status: 200,
+            media: "application/json".to_owned(),
+            body: Bytes::from(ask.whole(request, &text, count, &reason)),
+            end: Some(StreamEnd {
+                id: Some(EventId {
+                    request,
+                    group: key.group,
+                    epoch: key.epoch,
+                    offset: count,
+                }),
+                reason: reason.to_string(),
+                text: None,
+            }),
+        },
+        (Ending::Recorded(outcome), asked) => recorded_reply(outcome, asked),
+        (Ending::Whole | Ending::Streamed { .. }, _) => plain_reply(pending),
+    }
+}
+
+fn recorded_reply(outcome: Outcome, asked: &Asked) -> WholeReply {
+    let body = outcome.body.unwrap_or_default();
+    let end = match asked {
+        Asked::Completion(ask) => Some(StreamEnd {
+            id: None,
+            reason: "stop".to_owned(),
+            text: ask.text_of(&body),
+        }),
+        Asked::Plain(_) => None,
+    };
+    WholeReply {
+        status: outcome.status,
+        media: outcome.media,
+        body: Bytes::from(body),
+        end,
+    }
+}
+
+fn plain_reply(pending: &Pending) -> WholeReply {
+    match &pending.answer {
+        Some(answer) => WholeReply {
+            status: answer.status().as_u16(),
+            media: send::media_of(answer),
+            body: answer.body().clone(),
+            end: None,
+        },
+        None => WholeReply {
+            status: ErrorKind::Internal.answer().status,
+            media: "text/plain".to_owned(),
+            body: Bytes::new(),
+            end: None,
+        },
+    }
+}
+
+/// What to record for a key; `None` if the answer is too large or no text.
+fn outcome_of(whole: &WholeReply) -> Option<Outcome> {
+    let fits = whole.body.len() <= MAX_RECORDED;
+    let body = String::from_utf8(whole.body.to_vec()).ok();
+    let body = body.filter(|_| fits)?;
+    Some(Outcome {
+        status: whole.status,
+        media: whole.media.clone(),
+        body: Some(body),
+    })
+}
--- a/crates/thistlesill-standins/src/engine.rs
+++ b/crates/thistlesill-standins/src/engine.rs
@@ -12,6 +12,7 @@
 use thistlesill_core::report::{Duty, Membership};
 use thistlesill_core::seal::SharedKey;
 use thistlesill_core::{InstanceId, ServiceName};
+use thistlesill_fakes::Target;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -129,7 +130,8 @@
         service: Option<ServiceName>,
         common: &Common,
     ) -> Arc<Self> {
-        let state = EngineState::new(1, service.clone());
+        let checks = common.options.checks_orders;
+        let state = EngineState::new(Target::new(instance.clone(), service.clone(), checks));
         Arc::new(Self {
             instance,
             address,
@@ -160,8 +162,9 @@
             task.abort();
         }
         let mut state = lock(&self.state);
-        let next = state.incarnation + 1;
-        *state = EngineState::new(next, self.service.clone());
+        let mut target = state.target.clone();
+        target.restart();
+        *state = EngineState::new(target);
     }
 
     /// Starts anew after its death.
@@ -192,7 +195,7 @@
 
     /// Says of itself that it is leaving.
     pub fn say_leaving(&self) {
-        lock(&self.state).leaving = true;
+        lock(&self.state).target.leaving = true;
     }
 
     /// Notes that the platform lists it as leaving, for counting.
@@ -202,7 +205,7 @@
 
     /// What it does.
     pub fn duty(&self) -> Duty {
-        lock(&self.state).duty.clone()
+        lock(&self.state).target.duty.clone()
     }
 
     /// Whether it runs and is a ready or draining member of this group.
--- a/crates/thistlesill-standins/src/engine/handlers.rs
+++ b/crates/thistlesill-standins/src/engine/handlers.rs
@@ -11,7 +11,7 @@
 use thistlesill_core::{GroupId, RequestId};
 use thistlesill_net::engine::{
     EPOCH_HEADER, GROUP_HEADER, OFFSET_HEADER, PRIORITY_HEADER, PROOF_HEADER, RAN_HEADER,
-    REQUEST_HEADER, hex_text,
+    REQUEST_HEADER,
 };
 
 use super::stream::{self, StreamLog};
@@ -85,14 +85,10 @@
     fn report(&self) -> Report {
         let mut state = self.state();
         let lag = Duration::from_millis(self.options.lag_ms);
+        let pressure = state.lagged(lag, Instant::now());
         Report {
-            instance: self.instance.clone(),
-            incarnation: state.incarnation,
-            duty: state.duty.clone(),
-            fence: state.fence,
-            leaving: state.leaving,
-            pressure: state.lagged(lag, Instant::now()),
             cache: state.events(),
+            ..state.target.report(pressure)
         }
     }
 
@@ -115,17 +111,14 @@
         res.status_code(StatusCode::BAD_REQUEST);
         return;
     };
-    let proved = !engine.options.checks_orders || hex_text(&engine.key.tag(body)) == proof;
+    let proved = !engine.options.checks_orders || hex::encode(engine.key.tag(body)) == proof;
     let parsed = serde_json::from_slice::<Order>(body);
     let (true, Ok(order)) = (proved, parsed) else {
         engine.counts().refused_orders += 1;
         res.status_code(StatusCode::FORBIDDEN);
         return;
     };
-    let reply = {
-        let mut state = engine.state();
-        state.take(&engine.instance, &order, engine.options.checks_orders)
-    };
+    let reply = engine.state().target.take(&order);
     if reply == OrderReply::Stale {
         engine.counts().refused_orders += 1;
     }
@@ -136,13 +129,13 @@
 }
 
 async fn load(engine: Arc<Engine>, membership: Membership) {
-    let warm = engine.state().warm.as_ref() == Some(&membership.load);
+    let warm = engine.state().target.is_warm(&membership);
     if !warm {
         engine.weights.turn().await;
         tokio::time::sleep(Duration::from_millis(engine.options.load_ms)).await;
     }
     if engine.powered().await {
-        engine.state().loaded(&membership);
+        engine.state().target.loaded(&membership);
     }
 }
 
@@ -153,12 +146,10 @@
     };
     let offset = number(req, OFFSET_HEADER).unwrap_or(0) as u32;
     let priority = number(req, PRIORITY_HEADER).unwrap_or(8) as u8;
-    let body = match req.payload().await.map(|b| serde_json::from_slice::<Body>(b)) {
-        Ok(Ok(body)) => body,
-        _ => {
-            res.status_code(StatusCode::UNPROCESSABLE_ENTITY);
-            return;
-        }
+    let bytes = req.payload().await.cloned().unwrap_or_default();
+    let Ok(body) = serde_json::from_slice::<Body>(&bytes) else {
+        res.status_code(StatusCode::UNPROCESSABLE_ENTITY);
+        return;
     };
     let Some(turn) = enter(engine, priority) else {
         not_run(res);
--- a/crates/thistlesill-standins/src/engine/state.rs
+++ b/crates/thistlesill-standins/src/engine/state.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use thistlesill_core::report::{
-    CacheEvent, Duty, Fence, Load, Membership, Order, OrderReply, Pressure, Task,
-};
-use thistlesill_core::{GroupId, InstanceId, Millis, RequestId, ServiceName};
+use thistlesill_core::report::{CacheEvent, Pressure};
+use thistlesill_core::{Millis, RequestId};
+use thistlesill_fakes::Target;
 
 use super::stream::StreamLog;
 
@@ -19,20 +18,12 @@
 /// The state of one engine.
 #[derive(Debug)]
 pub struct EngineState {
-    /// Changes with every start.
-    pub incarnation: u64,
-    /// What it does.
-    pub duty: Duty,
-    /// The highest fence seen.
-    pub fence: Fence,
-    /// Whether it says that it is leaving.
-    pub leaving: bool,
+    /// What it was ordered to do.
+    pub target: Target,
     /// When it was listed as leaving.
     pub told_leaving: Option<Instant>,
     /// How many times slower than usual it is.
     pub slowness: u32,
-    /// Weights in memory.
-    pub warm: Option<Load>,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait, as priority and turn.
@@ -51,15 +42,11 @@
 
 impl EngineState {
     /// The state after a start.
-    pub fn new(incarnation: u64, service: Option<ServiceName>) -> Self {
+    pub fn new(target: Target) -> Self {
         Self {
-            incarnation,
-            duty: service.map_or(Duty::Idle, |name| Duty::Service { name }),
-            fence: Fence::default(),
-            leaving: false,
+            target,
             told_leaving: None,
             slowness: 1,
-            warm: None,
             running: 0,
             waiting: Vec::new(),
             turns: 0,
@@ -72,46 +59,6 @@
         }
     }
 
-    /// Takes an order; `checks` says whether stale fences are refused.
-    pub fn take(&mut self, instance: &InstanceId, order: &Order, checks: bool) -> OrderReply {
-        if order.instance != *instance || order.incarnation != self.incarnation {
-            return OrderReply::Stranger;
-        }
-        if checks && order.fence < self.fence {
-            return OrderReply::Stale;
-        }
-        self.fence = self.fence.max(order.fence);
-        match &order.task {
-            Task::Join(m) => self.join(m.clone()),
-            Task::Reset => self.duty = Duty::Idle,
-            Task::Quiesce { group, epoch } => self.quiesce(group, *epoch),
-        }
-        OrderReply::Taken
-    }
-
-    fn join(&mut self, membership: Membership) {
-        if self.duty.membership() != Some(&membership) {
-            self.duty = Duty::Loading(membership);
-        }
-    }
-
-    fn quiesce(&mut self, group: &GroupId, epoch: u64) {
-        if let Duty::Ready(m) = &self.duty
-            && m.group == *group
-            && m.epoch == epoch
-        {
-            self.duty = Duty::Draining(m.clone());
-        }
-    }
-
-    /// Notes that the weights for a membership are loaded.
-    pub fn loaded(&mut self, membership: &Membership) {
-        self.warm = Some(membership.load.clone());
-        if self.duty == Duty::Loading(membership.clone()) {
-            self.duty = Duty::Ready(membership.clone());
-        }
-    }
-
     /// Whether a request may begin, by priority and turn.
     pub fn may_begin(&self, turn: (u8, u64), slots: u32) -> bool {
         self.running < slots && self.waiting.iter().min() == Some(&turn)
--- a/crates/thistlesill-standins/src/engine/stream.rs
+++ b/crates/thistlesill-standins/src/engine/stream.rs
@@ -18,7 +18,7 @@
 
 /// How far a stream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Progress {
+pub(super) struct Progress {
     /// Tokens made.
     pub made: u32,
     /// Whether it ended.
@@ -40,7 +40,13 @@
 }
 
 impl StreamLog {
-    pub(super) fn new(request: RequestId, member: &Membership, prompt: String, from: u32, total: u32) -> Self {
+    pub(super) fn new(
+        request: RequestId,
+        member: &Membership,
+        prompt: String,
+        from: u32,
+        total: u32,
+    ) -> Self {
         let progress = Progress {
             made: from,
             done: false,
@@ -78,7 +84,9 @@
             "object": "chat.completion.chunk",
             "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}],
         });
-        SseEvent::default().id(id.to_string()).text(data.to_string())
+        SseEvent::default()
+            .id(id.to_string())
+            .text(data.to_string())
     }
 
     fn end_event(&self) -> SseEvent {
@@ -92,12 +100,19 @@
             "object": "chat.completion.chunk",
             "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
         });
-        SseEvent::default().id(id.to_string()).text(data.to_string())
+        SseEvent::default()
+            .id(id.to_string())
+            .text(data.to_string())
     }
 }
 
 /// Makes the tokens of a stream, one after the other.
-pub(super) async fn make(engine: Arc<Engine>, log: Arc<StreamLog>, member: Membership, prefill: Duration) {
+pub(super) async fn make(
+    engine: Arc<Engine>,
+    log: Arc<StreamLog>,
+    member: Membership,
+    prefill: Duration,
+) {
     tokio::time::sleep(prefill).await;
     while log.progress.borrow().made < log.total && !log.is_over() {
         if !engine.powered().await || !still_member(&engine, &member) {
--- a/crates/thistlesill-standins/src/lib.rs
+++ b/crates/thistlesill-standins/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod harness;
 pub mod platform;
-pub mod table;
 pub mod weights;
 pub mod words;
--- a/crates/thistlesill-standins/src/main.rs
+++ b/crates/thistlesill-standins/src/main.rs
@@ -1,4 +1,7 @@
 //! Runs a fleet of stand-ins until it is ended.
+//!
+//! The type of the command line is generated from its description below.
+#![allow(missing_docs)]
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/thistlesill-standins/src/platform.rs
+++ b/crates/thistlesill-standins/src/platform.rs
@@ -11,11 +11,11 @@
 use serde::{Deserialize, Serialize};
 use thistlesill_core::report::Listed;
 use thistlesill_core::table::{Read, Txn};
+use thistlesill_fakes::Table;
 
 use crate::engine::{Counts, lock};
 use crate::faults::{Fault, TableMode};
 use crate::fleet::Fleet;
-use crate::table::Table;
 
 /// Bytes of a request's body at most.
 const MAX_BODY: usize = 64 << 20;
--- a/crates/thistlesill-standins/src/words.rs
+++ b/crates/thistlesill-standins/src/words.rs
@@ -42,7 +42,9 @@
     pub fn prompt_text(&self) -> String {
         let said = self.messages.iter().filter(|m| m.role != "assistant");
         let mut text: Vec<&str> = said.map(|m| m.content.as_str()).collect();
-        text.push(&self.prompt);
+        if !self.prompt.is_empty() {
+            text.push(&self.prompt);
+        }
         text.join("\n")
     }
 
