--- a/crates/thistlesill-core/src/time.rs
+++ b/crates/thistlesill-core/src/time.rs
@@ -94,6 +94,13 @@
     /// The furthest that a stamp of another process may lead our wall clock.
     const MAX_LEAD: u64 = 60_000;
 
+    /// A clock that has seen nothing.
+    pub const fn new() -> Self {
+        Self {
+            last: Stamp { wall: 0, count: 0 },
+        }
+    }
+
     /// Stamps an event of this process.
     pub fn tick(&mut self, wall: u64) -> Stamp {
         self.advance(wall, self.last)
--- a/crates/thistlesill-policy/src/placement.rs
+++ b/crates/thistlesill-policy/src/placement.rs
@@ -74,6 +74,9 @@
     pub groups: Vec<Existing>,
     /// Usable instances that come free soon: members of groups that end.
     pub ending: u32,
+    /// Instances of the pool that are listed and cannot be used now. The
+    /// spares stand in for them.
+    pub missing: u32,
     /// Since when the pool's free instances and groups have been the same.
     pub steady: Millis,
 }
--- a/crates/thistlesill-policy/src/placement/place.rs
+++ b/crates/thistlesill-policy/src/placement/place.rs
@@ -59,11 +59,11 @@
 /// How many free instances stay free.
 ///
 /// Spares are kept where downtime weighs more, and only while what they
-/// strand in addition does not outweigh them: in a pool that just fits two
-/// groups, a spare would cost a whole group.
+/// strand in addition does not outweigh them. Each instance that is missing
+/// takes a spare's place: that is what the spare was kept for.
 fn spares_kept(pool: &Pool, free: u32) -> u32 {
     let weight = pool.want.downtime_weight;
-    let spares = pool.want.spares.min(free);
+    let spares = pool.want.spares.saturating_sub(pool.missing).min(free);
     if weight < 0.5 || spares == 0 {
         return 0;
     }
@@ -108,9 +108,10 @@
     let weight = pool.want.downtime_weight;
     let gain = (1.0 - weight) * f64::from(gained) * HORIZON;
     let cost = weight * f64::from(moved) * MOVE_COST;
-    let spares_needed = if weight >= 0.5 { pool.want.spares } else { 0 };
+    let wanted = if weight >= 0.5 { pool.want.spares } else { 0 };
+    let spares = wanted.saturating_sub(pool.missing);
     let left_over = total - used - gained;
-    if gain > cost && left_over >= spares_needed {
+    if gain > cost && left_over >= spares {
         broken
     } else {
         Vec::new()
--- a/crates/thistlesill-policy/src/plan/hall.rs
+++ b/crates/thistlesill-policy/src/plan/hall.rs
@@ -32,6 +32,9 @@
 /// How long the free instances of a pool must have been the same before a
 /// group is formed of them, so that all that come free together are used.
 const GATHER: Millis = Millis::new(1_200);
+/// How long a group must have served before the next one is changed: by then
+/// all routers have seen it whole.
+const SETTLED: Millis = Millis::new(4_000);
 /// How long instances that come free are waited for.
 const ENDING_PATIENCE: Millis = Millis::new(6_000);
 /// The longest that an order may be under way, while no branch says.
@@ -46,6 +49,8 @@
     state: GroupState,
     /// When a member was first missed.
     missed: Option<Millis>,
+    /// Since when it has stood as it does.
+    since: Millis,
     /// When it began to drain.
     drained: Option<Millis>,
     why: Option<EndReason>,
@@ -87,6 +92,9 @@
     orders: OrderBook,
     steadiness: Steadiness,
     pools: Vec<Pool>,
+    /// Whether instances are about to come free or to form a group: no
+    /// other group is changed meanwhile.
+    unfinished: bool,
     counter: u64,
     /// No orders before this: those of the last holder may be under way.
     quiet: Millis,
@@ -113,6 +121,7 @@
             orders: OrderBook::default(),
             steadiness: Steadiness::default(),
             pools: Vec::new(),
+            unfinished: true,
             counter: 0,
             quiet: Millis::ZERO,
             flights: BTreeMap::new(),
@@ -326,7 +335,7 @@
         for row in &rows.rows {
             if row.key.starts_with(&groups_at) {
                 if let Ok(group) = row.decode::<GroupRow>() {
-                    let planned = planned(group, row.version, self.chart.start());
+                    let planned = planned(group, row.version, self.chart.start(), now);
                     self.groups.insert(planned.row.group.clone(), planned);
                 }
             } else if let Some(name) = row.key.strip_prefix(&instances_at)
@@ -343,6 +352,7 @@
         for (id, old) in known {
             if let Some(new) = self.groups.get_mut(&id) {
                 new.state = old.state;
+                new.since = old.since;
                 new.drained = old.drained;
                 new.why = old.why;
             }
@@ -370,6 +380,7 @@
     }
 
     fn committed(&mut self, change: Change, version: u64, now: Millis) {
+        self.unfinished = true;
         for (group, why) in change.ended {
             if let Some(planned) = self.groups.remove(&group) {
                 let epoch = planned.row.epoch;
@@ -394,7 +405,7 @@
                 epoch: row.epoch,
                 members: row.members.clone(),
             });
-            let planned = planned(row, version, self.chart.start());
+            let planned = planned(row, version, self.chart.start(), now);
             self.groups.insert(planned.row.group.clone(), planned);
         }
     }
@@ -419,6 +430,8 @@
     ) {
         self.assess_all(view, observed, tree, now);
         self.pools = self.gather(observed, tree, now);
+        self.unfinished =
+            self.pools.iter().any(|p| p.ending > 0) || !place(&self.pools, now).form.is_empty();
         if !self.is_flying() {
             let change = self.decide(observed, tree, now);
             self.write(change);
@@ -471,7 +484,7 @@
         } else if !was_whole && found.all(taken) {
             self.apply(id, GroupEvent::Taken, None, now);
         }
-        if let Some(why) = self.drain_reason(id, &found, tree) {
+        if let Some(why) = self.drain_reason(id, &found, tree, now) {
             self.apply(id, GroupEvent::Drain, Some(why), now);
         }
         if self.is_empty(id, view, tree, now) {
@@ -483,7 +496,13 @@
     ///
     /// A leaving member drains its group at once. A change of settings
     /// drains one group at a time, while all others serve.
-    fn drain_reason(&self, id: &GroupId, found: &Assessment, tree: &Tree) -> Option<EndReason> {
+    fn drain_reason(
+        &self,
+        id: &GroupId,
+        found: &Assessment,
+        tree: &Tree,
+        now: Millis,
+    ) -> Option<EndReason> {
         let planned = self.groups.get(id)?;
         if matches!(planned.state, GroupState::Draining | GroupState::Ended) {
             return None;
@@ -496,8 +515,9 @@
         }
         let unformed = matches!(planned.state, GroupState::Planned | GroupState::Loading);
         let others = self.groups.values().filter(|g| g.row.group != *id);
-        let calm = others.into_iter().all(|g| g.state == GroupState::Serving);
-        (unformed || calm).then_some(EndReason::SettingsChanged)
+        let settled = |g: &Planned| g.state == GroupState::Serving && now - g.since >= SETTLED;
+        let calm = others.into_iter().all(settled);
+        (unformed || calm && !self.unfinished).then_some(EndReason::SettingsChanged)
     }
 
     fn fits_settings(&self, row: &GroupRow, tree: &Tree) -> bool {
@@ -550,6 +570,9 @@
         if next == GroupState::Draining && planned.state != next {
             planned.drained = Some(now);
         }
+        if planned.state != next {
+            planned.since = now;
+        }
         planned.state = next;
         if planned.why.is_none() {
             planned.why = why;
@@ -579,6 +602,7 @@
                 free: Vec::new(),
                 groups: Vec::new(),
                 ending: 0,
+                missing: 0,
                 steady: now,
             });
             match self.availability(instance, seen, now) {
@@ -587,7 +611,8 @@
                     warm: self.is_warm(instance),
                 }),
                 Availability::Soon => pool.ending += 1,
-                Availability::No => {}
+                Availability::Missing => pool.missing += 1,
+                Availability::Held => {}
             }
         }
         for planned in self.groups.values() {
@@ -612,19 +637,20 @@
 
     /// Whether an instance can join a new group.
     fn availability(&self, instance: &InstanceId, seen: &Observed, now: Millis) -> Availability {
-        if seen.until <= now || seen.sighting.leaving {
-            return Availability::No;
+        if seen.sighting.leaving || seen.until <= now {
+            return Availability::Missing;
         }
         let idle = seen.sighting.state == Seen::Idle;
         let Some(held) = self.held.get(instance) else {
             return match &seen.sighting.state {
                 Seen::Idle => Availability::Free,
                 Seen::Loading(_) | Seen::Ready(_) | Seen::Draining(_) => Availability::Soon,
-                Seen::Lost | Seen::Service(_) => Availability::No,
+                Seen::Lost => Availability::Missing,
+                Seen::Service(_) => Availability::Held,
             };
         };
         match &held.row.held {
-            Held::Member { .. } => Availability::No,
+            Held::Member { .. } => Availability::Held,
             Held::Aside { incarnation } => {
                 let anew = seen.sighting.incarnation != *incarnation;
                 if idle && (anew || self.is_reset(instance)) {
@@ -633,7 +659,7 @@
                 if now - held.since < ENDING_PATIENCE {
                     Availability::Soon
                 } else {
-                    Availability::No
+                    Availability::Missing
                 }
             }
         }
@@ -862,17 +888,23 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Availability {
+    /// It can join a group now.
     Free,
+    /// It is about to come free.
     Soon,
-    No,
+    /// It should be there and is not.
+    Missing,
+    /// It is in use, leaving, or no model engine.
+    Held,
 }
 
-const fn planned(row: GroupRow, version: u64, state: GroupState) -> Planned {
+const fn planned(row: GroupRow, version: u64, state: GroupState, since: Millis) -> Planned {
     Planned {
         row,
         version,
         state,
         missed: None,
+        since,
         drained: None,
         why: None,
         assessment: None,
