--- /dev/null
+++ b/crates/thistlesill-core/tests/settings.rs
@@ -0,0 +1,159 @@
+//! The tree of settings: inheritance, checks and their places.
+
+use std::collections::BTreeMap;
+
+use quickcheck::quickcheck;
+use thistlesill_core::settings::{Branch, Context, Cover, Tree, check, parse_file};
+
+const GOOD: &str = r#"{
+  // The whole fleet.
+  "branches": {
+    "/": {
+      "model": "m", "version": "1",
+      "shapes": [{"generation": "a", "instances": 4}],
+      "downtime_weight": 0.5, "presence_ms": 4000, "drain_ms": 1000,
+      "slots": 8, "deadline_ms": 1000, "attempts": 3, "retry_percent": 20,
+    },
+    "/concord": {"covers": {"hall": "concord"}, "slots": 4},
+    "/concord/old": {"covers": {"generation": "old"}, "slots": 2},
+    "/lowell": {"covers": {"customer": "lowell"}, "adapter": "x"},
+  },
+}"#;
+
+fn errors(text: &str) -> Vec<String> {
+    let errors = parse_file("t.jsonc", text).expect_err("a refused file");
+    errors.iter().map(ToString::to_string).collect()
+}
+
+fn tree() -> Tree {
+    Tree::new(1, parse_file("t.jsonc", GOOD).expect("a sound file").branches)
+}
+
+#[test]
+fn later_covers_win() {
+    let there = Context::default().with_hall("concord".into());
+    let old = Context {
+        generation: Some("old".into()),
+        ..there.clone()
+    };
+    assert_eq!(tree().resolve(&Context::default()).slots, Some(8));
+    assert_eq!(tree().resolve(&there).slots, Some(4));
+    assert_eq!(tree().resolve(&old).slots, Some(2));
+    let elsewhere = Context {
+        hall: Some("keene".into()),
+        ..old
+    };
+    assert_eq!(tree().resolve(&elsewhere).slots, Some(8));
+}
+
+#[test]
+fn origins_name_the_branch() {
+    let there = Context::default()
+        .with_hall("concord".into())
+        .with_customer("lowell".into());
+    let resolved = tree().explain(&there);
+    let origin = |name: &str| {
+        let found = resolved.origins.iter().find(|o| o.name == name);
+        found.map(|o| o.path.clone())
+    };
+    assert_eq!(origin("slots").as_deref(), Some("/concord"));
+    assert_eq!(origin("adapter").as_deref(), Some("/lowell"));
+    assert_eq!(origin("model").as_deref(), Some("/"));
+}
+
+#[test]
+fn unknown_value_is_refused_with_the_nearest() {
+    let text = GOOD.replace("\"adapter\"", "\"adpater\"");
+    let found = errors(&text);
+    assert_eq!(found.len(), 1);
+    assert!(found[0].starts_with("t.jsonc:12:"), "{found:?}");
+    assert!(found[0].contains("did you mean `adapter`?"), "{found:?}");
+}
+
+#[test]
+fn syntax_error_has_its_place() {
+    let found = errors("{\n  \"branches\": {\n    \"/\": {,}\n}}");
+    assert!(found[0].starts_with("t.jsonc:3:"), "{found:?}");
+}
+
+#[test]
+fn wrong_type_has_its_place() {
+    let found = errors(&GOOD.replace("\"slots\": 4", "\"slots\": \"four\""));
+    assert!(found[0].starts_with("t.jsonc:10:"), "{found:?}");
+}
+
+#[test]
+fn missing_parent_names_the_nearest() {
+    let found = errors(&GOOD.replace("\"/concord/old\"", "\"/concrod/old\""));
+    assert!(found[0].contains("did you mean `/concord`?"), "{found:?}");
+    assert!(found[0].starts_with("t.jsonc:11:"), "{found:?}");
+}
+
+#[test]
+fn faults_are_found_all_at_once() {
+    let text = GOOD
+        .replace("0.5", "1.5")
+        .replace("\"slots\": 2", "\"slots\": 0");
+    assert_eq!(errors(&text).len(), 2);
+}
+
+#[test]
+fn token_itself_is_refused() {
+    let found = errors(&GOOD.replace("\"adapter\": \"x\"", "\"token_sha256\": \"secret\""));
+    assert!(found[0].contains("never the token"), "{found:?}");
+}
+
+#[test]
+fn siblings_must_differ() {
+    let mut branches = parse_file("t", GOOD).expect("a sound file").branches;
+    branches.insert("/other".to_owned(), branches["/concord"].clone());
+    assert_eq!(check(&branches).len(), 1);
+}
+
+#[test]
+fn diff_and_apply_agree() {
+    let old = tree();
+    let mut branches = old.branches().clone();
+    branches.remove("/concord/old");
+    branches.insert("/new".to_owned(), Branch::default());
+    let diff = old.diff(&branches);
+    assert_eq!(diff.changes.len(), 2);
+    assert_eq!(old.apply(2, &diff).branches(), &branches);
+}
+
+#[test]
+fn deployed_trees_are_sound() {
+    for fleet in ["association", "cascade"] {
+        let path = format!("{}/../../deploy/{fleet}/settings.jsonc", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&path).expect("a deployed tree");
+        let file = parse_file(&path, &text).expect("a sound tree");
+        let tree = Tree::new(1, file.branches);
+        assert_eq!(tree.customers().len(), 10, "{fleet}");
+    }
+}
+
+quickcheck! {
+    fn any_text_is_read_or_refused(text: String) -> bool {
+        parse_file("t", &text).is_ok_and(|t| !t.branches.is_empty())
+            || parse_file("t", &text).is_err()
+    }
+
+    fn damaged_text_is_read_or_refused(at: usize, byte: u8) -> bool {
+        let mut bytes = GOOD.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let text = String::from_utf8_lossy(&bytes);
+        parse_file("t", &text).is_ok() || parse_file("t", &text).is_err()
+    }
+
+    fn deeper_branch_wins(root: u32, hall: Option<u32>, customer: Option<u32>) -> bool {
+        let branch = |covers, slots| Branch { covers, slots, ..Branch::default() };
+        let tree = Tree::new(1, BTreeMap::from([
+            ("/".to_owned(), branch(None, Some(root))),
+            ("/h".to_owned(), branch(Some(Cover::Hall("h".into())), hall)),
+            ("/c".to_owned(), branch(Some(Cover::Customer("c".into())), customer)),
+        ]));
+        let context = Context::customer("c".into()).with_hall("h".into());
+        tree.resolve(&context).slots == customer.or(hall).or(Some(root))
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-router/tests/openai.rs
@@ -0,0 +1,65 @@
+//! Reading completion requests of callers, good and bad.
+
+use quickcheck::quickcheck;
+use thistlesill_core::RequestId;
+use thistlesill_router::openai::{Dialect, parse};
+
+const CHAT: &str =
+    r#"{"model": "m", "messages": [{"role": "user", "content": "hello"}], "stream": true}"#;
+
+fn refusal(body: &str) -> String {
+    parse(Dialect::Chat, body.as_bytes())
+        .expect_err("a refused body")
+        .to_string()
+}
+
+#[test]
+fn fields_are_passed_on() {
+    let body = CHAT.replace("\"stream\"", "\"temperature\": 0.5, \"stream\"");
+    let completion = parse(Dialect::Chat, body.as_bytes()).expect("a sound body");
+    assert!(completion.streamed);
+    let text = String::from_utf8(completion.engine_body()).expect("text");
+    assert!(text.contains("\"temperature\":0.5"), "{text}");
+}
+
+#[test]
+fn continued_body_holds_what_was_said() {
+    let completion = parse(Dialect::Chat, CHAT.as_bytes()).expect("a sound body");
+    let text = String::from_utf8(completion.continued_body("so far")).expect("text");
+    assert!(text.contains(r#"{"content":"so far","role":"assistant"}"#), "{text}");
+}
+
+#[test]
+fn text_of_a_recorded_answer() {
+    for dialect in [Dialect::Chat, Dialect::Text] {
+        let body = r#"{"model": "m", "prompt": "p", "messages": [{"role": "user"}]}"#;
+        let completion = parse(dialect, body.as_bytes()).expect("a sound body");
+        let whole = completion.whole(RequestId::new(1), "said", 1, "stop");
+        assert_eq!(completion.text_of(&whole).as_deref(), Some("said"));
+    }
+}
+
+#[test]
+fn refusals_say_what_is_wrong() {
+    assert!(refusal("nonsense").contains("not a JSON object"));
+    assert!(refusal("[]").contains("not a JSON object"));
+    assert!(refusal("{}").contains("`model`"));
+    assert!(refusal(r#"{"model": "m"}"#).contains("`messages`"));
+    assert!(refusal(r#"{"model": "m", "messages": []}"#).contains("empty"));
+    assert!(refusal(r#"{"model": "m", "messages": [{}]}"#).contains("`role`"));
+    assert!(refusal(&CHAT.replace("true", "\"yes\"")).contains("`stream`"));
+}
+
+quickcheck! {
+    fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
+        parse(Dialect::Chat, &bytes).is_err() && parse(Dialect::Text, &bytes).is_err()
+    }
+
+    fn damaged_bodies_are_read_or_refused(at: usize, byte: u8) -> bool {
+        let mut bytes = CHAT.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let read = parse(Dialect::Chat, &bytes);
+        read.is_ok() || read.is_err()
+    }
+}
