--- a/crates/thistlesill-fakes/src/lib.rs
+++ b/crates/thistlesill-fakes/src/lib.rs
@@ -7,3 +7,19 @@
 
 pub use table::Table;
 pub use target::Target;
+
+/// Property tests by `quickcheck` with a fixed seed, so that CI gives the
+/// same verdict every run. The calling crate needs `quickcheck`.
+#[macro_export]
+macro_rules! seeded {
+    ($(fn $name:ident($($arg:ident: $type:ty),* $(,)?) -> $result:ty $body:block)*) => {$(
+        #[test]
+        fn $name() {
+            fn property($($arg: $type),*) -> $result $body
+            let source = ::quickcheck::Gen::from_size_and_seed(100, 7);
+            ::quickcheck::QuickCheck::new()
+                .r#gen(source)
+                .quickcheck(property as fn($($type),*) -> $result);
+        }
+    )*};
+}
