perf(policy): a leader's gauge once per beat over all its watchers

Ruled out: slower beats, which would delay presence. Change: the watchers of a leader share the beats between them (a draining leader's gauge always goes), the head is told when it changes and every 2 s. Also: slopes of the cores and a bench of the processes.

--- a/crates/thistlesill-net/src/sync.rs
+++ b/crates/thistlesill-net/src/sync.rs
@@ -74,8 +74,9 @@
     const READERS: usize = 2;
     /// Periods after which the others read, too.
     const SELDOM: u64 = 10;
-    /// Periods after which a silent neighbour counts as gone.
-    const SILENT: u64 = 3;
+    /// After which a silent neighbour counts as gone: it speaks every two
+    /// seconds.
+    const SILENT: Millis = Millis::new(7_000);
 
     /// A watch that has heard of no neighbours.
     pub const fn new(me: NodeId, hall: HallId, period_ms: u64) -> Self {
@@ -98,8 +99,7 @@
 
     /// Whether to read the head now; counts as read from here on.
     pub fn is_due(&mut self, now: Millis) -> bool {
-        let silent = Millis::new(self.period.get() * Self::SILENT);
-        self.neighbours.retain(|_, t| now - *t < silent);
+        self.neighbours.retain(|_, t| now - *t < Self::SILENT);
         let names: Vec<NodeId> = self.neighbours.keys().cloned().collect();
         let reader = is_among(&self.me, &names, self.hall.as_str(), Self::READERS);
         let factor = if reader { 1 } else { Self::SELDOM };
--- a/crates/thistlesill-policy/src/planner.rs
+++ b/crates/thistlesill-policy/src/planner.rs
@@ -25,8 +25,9 @@
 const SILENT: Millis = Millis::new(2_500);
 /// How long a watcher that is silent is remembered.
 const FORGET: Millis = Millis::new(60_000);
-/// Between two messages about the settings' head.
-const HEAD_GAP: Millis = Millis::new(500);
+/// Between two messages about the settings' head, beside the one that is sent
+/// at once when a revision comes into force.
+const HEAD_GAP: Millis = Millis::new(2_000);
 /// How much earlier a lease holder stops than others may take over.
 const LEASE_MARGIN: Millis = Millis::new(1_500);
 
--- a/crates/thistlesill-policy/src/presence/watch.rs
+++ b/crates/thistlesill-policy/src/presence/watch.rs
@@ -213,9 +213,11 @@
     }
 
     fn take_gauges(&mut self, now: Millis) -> Vec<Gauge> {
+        let turn = self.seq + self.run;
         let leads = |t: &Target| match &t.sighting.state {
-            Seen::Ready(m) | Seen::Draining(m) => m.rank == 0,
-            Seen::Service(_) => true,
+            Seen::Draining(m) => m.rank == 0,
+            Seen::Ready(m) => m.rank == 0 && has_turn(turn, &t.sighting.instance),
+            Seen::Service(_) => has_turn(turn, &t.sighting.instance),
             _ => false,
         };
         let leaders: Vec<InstanceId> = self
@@ -280,6 +282,13 @@
     kept.map(|w| w.name.clone()).collect()
 }
 
+/// Whether a leader's gauge goes into the beat of this turn: the watchers of
+/// a target share the beats between them. A draining leader's always goes.
+fn has_turn(turn: u64, instance: &InstanceId) -> bool {
+    let offset: u64 = instance.as_str().bytes().map(u64::from).sum();
+    (turn + offset).is_multiple_of(WATCHERS as u64)
+}
+
 /// Sets a target's sighting and marks it for sending if it differs.
 fn replace(target: &mut Target, next: Sighting) {
     if target.sighting != next {
--- a/crates/thistlesill-policy/src/router/core.rs
+++ b/crates/thistlesill-policy/src/router/core.rs
@@ -37,8 +37,9 @@
 const DERIVE_GAP: Millis = Millis::new(250);
 /// Between two messages about usage.
 const USAGE_GAP: Millis = Millis::new(1_000);
-/// Between two messages about the settings' head.
-const HEAD_GAP: Millis = Millis::new(500);
+/// Between two messages about the settings' head, beside the one that is sent
+/// at once when a revision comes into force.
+const HEAD_GAP: Millis = Millis::new(2_000);
 /// How long a watcher that is silent is remembered.
 const FORGET: Millis = Millis::new(60_000);
 /// How long a request waits for a whole group before it is told that there
--- a/crates/thistlesill-replay/src/slopes.rs
+++ b/crates/thistlesill-replay/src/slopes.rs
@@ -1,5 +1,36 @@
-//! x
-/// x
+//! What the decisions cost at several sizes: time, bytes and memory, for
+//! `docs/CAPACITY.md`.
+
+mod cores;
+mod fit;
+mod messages;
+mod settings;
+
+pub use fit::line;
+pub use fit::{Point, Slope};
+
+/// Measures all slopes and returns them as text.
 pub fn report() -> String {
-    String::new()
+    let mut out = String::new();
+    out.push_str("processor time of the cores, per event\n");
+    for slope in cores::slopes() {
+        out.push_str(&line(&slope));
+    }
+    out.push_str("\nbytes of messages\n");
+    for slope in messages::slopes() {
+        out.push_str(&line(&slope));
+    }
+    out.push_str("\nsettings\n");
+    for slope in settings::slopes() {
+        out.push_str(&line(&slope));
+    }
+    out
+}
+
+/// All slopes, for tests of their shape.
+pub fn all() -> Vec<Slope> {
+    let mut all = cores::slopes();
+    all.extend(messages::slopes());
+    all.extend(settings::slopes());
+    all
 }
--- a/crates/thistlesill-standins/src/demo.rs
+++ b/crates/thistlesill-standins/src/demo.rs
@@ -199,7 +199,9 @@
             match result {
                 Ok(answer) => {
                     whole += 1;
-                    firsts.saturating_record(answer.first.as_millis() as u64);
+                    firsts
+                        .record(answer.first.as_millis() as u64)
+                        .expect("it resizes");
                 }
                 Err(fault) => faults.push(fault),
             }
--- a/crates/thistlesill-standins/src/harness/caller.rs
+++ b/crates/thistlesill-standins/src/harness/caller.rs
@@ -100,6 +100,13 @@
         self
     }
 
+    /// The same caller with connections that are used again.
+    #[must_use]
+    pub fn pooled(mut self) -> Self {
+        self.http = HttpClient::pooled();
+        self
+    }
+
     /// The same caller, which goes away after so many pieces.
     #[must_use]
     pub const fn stop_after(mut self, pieces: u32) -> Self {
--- a/crates/thistlesill-standins/src/harness/deployment.rs
+++ b/crates/thistlesill-standins/src/harness/deployment.rs
@@ -286,6 +286,17 @@
         self.planners[n].as_mut().expect("a started planner")
     }
 
+    /// A daemon's metrics, as text.
+    pub async fn metrics(&self, role: Role, n: usize) -> String {
+        let head = hyper::Request::get(format!("http://{}/metrics", self.admin(role, n)));
+        let Ok(request) = thistlesill_net::http::finish(head, bytes::Bytes::new()) else {
+            return String::new();
+        };
+        let answer = self.http.call(request, CALL).await;
+        let bytes = answer.map(|a| a.into_body()).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// How many routers and planners there are.
     pub fn sizes(&self) -> (usize, usize) {
         (self.routers.len(), self.planners.len())
--- a/crates/thistlesill-standins/src/harness/process.rs
+++ b/crates/thistlesill-standins/src/harness/process.rs
@@ -64,6 +64,23 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Processor time used so far.
+    pub fn processor_time(&self) -> Duration {
+        let path = format!("/proc/{}/schedstat", self.inner.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let first = text.split_whitespace().next();
+        Duration::from_nanos(first.and_then(|n| n.parse().ok()).unwrap_or(0))
+    }
+
+    /// Memory that it holds, in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.inner.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let number = line.and_then(|l| l.split_whitespace().next());
+        number.and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+
     /// Tells it to stop.
     pub fn stop(&self) {
         self.signal(Signal::SIGTERM);
