--- /dev/null
+++ b/crates/thistlesill-policy/tests/lease.rs
@@ -0,0 +1,263 @@
+//! The lease on a hall, and plan writes of a holder that has lost it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use thistlesill_core::Millis;
+use thistlesill_core::message::{Beat, Seen, Sighting};
+use thistlesill_core::settings::{Branch, Shape, Tree};
+use thistlesill_core::table::{Read, RowKey, Rows, Txn, TxnReply, TxnResult};
+use thistlesill_fakes::Table;
+use thistlesill_policy::charts::Charts;
+use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
+use thistlesill_policy::plan::{HallPlanner, PlanAction, PlanEvent, PlanOptions, Strategy};
+use thistlesill_policy::presence::View;
+
+const PERIODS: LeasePeriods = LeasePeriods {
+    renew: Millis::new(2_000),
+    length: Millis::new(8_000),
+    margin: Millis::new(1_500),
+    courtesy: Millis::ZERO,
+};
+const START: Millis = Millis::new(1_000_000);
+
+fn charts() -> Charts {
+    Charts::load().expect("sound charts")
+}
+
+fn lease(name: &str) -> Lease {
+    Lease::new(charts().lease, name.into(), "h".into(), PERIODS)
+}
+
+fn read(table: &mut Table) -> Rows {
+    let prefixes: Vec<RowKey> = vec!["halls/h/".into()];
+    table.read(&Read { prefixes })
+}
+
+/// Lets a lease act until it has nothing to do.
+fn settle(lease: &mut Lease, table: &mut Table, now: Millis) -> Vec<LeaseNews> {
+    let mut all = Vec::new();
+    loop {
+        let (step, news) = lease.tick(now);
+        all.push(news);
+        match step {
+            LeaseStep::Wait => break,
+            LeaseStep::Read => all.push(lease.read(Some(&read(table)), now)),
+            LeaseStep::Send(txn) => {
+                let result = TxnResult::Replied(table.txn(&txn));
+                all.push(lease.done(&result, now));
+            }
+        }
+    }
+    all.retain(|news| *news != LeaseNews::None);
+    all
+}
+
+fn at(ms: u64) -> Millis {
+    START + Millis::new(ms)
+}
+
+#[test]
+fn first_asker_gains_it() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    assert_eq!(
+        settle(&mut a, &mut table, START),
+        vec![LeaseNews::Gained { term: 1 }]
+    );
+    assert!(settle(&mut b, &mut table, START).is_empty());
+    assert_eq!(a.term(START), Some(1));
+    assert_eq!(b.term(START), None);
+}
+
+#[test]
+fn term_ends_by_the_holders_own_clock_without_a_tick() {
+    let mut table = Table::default();
+    let mut a = lease("a");
+    settle(&mut a, &mut table, START);
+    assert_eq!(a.term(at(6_499)), Some(1));
+    // Paused, and asked before it has looked at the time.
+    assert_eq!(a.term(at(6_500)), None);
+}
+
+#[test]
+fn takeover_only_after_the_whole_length() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    settle(&mut a, &mut table, START);
+    settle(&mut b, &mut table, START);
+    assert!(settle(&mut b, &mut table, at(7_900)).is_empty());
+    let gained = settle(&mut b, &mut table, at(8_100));
+    assert_eq!(gained, vec![LeaseNews::Gained { term: 2 }]);
+    let ended = settle(&mut a, &mut table, at(8_200));
+    assert_eq!(ended, vec![LeaseNews::Ended { term: 1 }]);
+}
+
+#[test]
+fn renewal_keeps_others_out() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    settle(&mut a, &mut table, START);
+    for second in 1..60 {
+        let now = at(second * 1_000);
+        assert!(settle(&mut a, &mut table, now).is_empty());
+        assert!(
+            settle(&mut b, &mut table, now).is_empty(),
+            "second {second}"
+        );
+    }
+}
+
+#[test]
+fn lost_answer_of_a_renewal_extends_nothing_unless_it_took_effect() {
+    let mut table = Table::default();
+    let mut a = lease("a");
+    settle(&mut a, &mut table, START);
+    let (step, _) = a.tick(at(2_000));
+    assert!(matches!(step, LeaseStep::Send(_)), "{step:?}");
+    // The renewal never reaches the table, and its answer never comes.
+    a.done(&TxnResult::Unknown, at(3_500));
+    a.read(Some(&read(&mut table)), at(3_600));
+    assert_eq!(a.term(at(6_499)), Some(1));
+    assert_eq!(a.term(at(6_600)), None, "only the first write counts");
+}
+
+#[test]
+fn late_renewal_is_not_taken_for_a_newer_one() {
+    let mut table = Table::default();
+    let mut a = lease("a");
+    settle(&mut a, &mut table, START);
+    let (LeaseStep::Send(late), _) = a.tick(at(2_000)) else {
+        panic!("a renewal");
+    };
+    a.done(&TxnResult::Unknown, at(3_500));
+    a.read(Some(&read(&mut table)), at(3_600));
+    let (LeaseStep::Send(_), _) = a.tick(at(4_100)) else {
+        panic!("a second renewal");
+    };
+    // The first one takes effect now; the second one is lost.
+    table.txn(&late);
+    a.done(&TxnResult::Unknown, at(5_600));
+    a.read(Some(&read(&mut table)), at(5_700));
+    assert_eq!(
+        a.term(at(6_600)),
+        None,
+        "it was asked for at 2 s, not at 4 s"
+    );
+}
+
+#[test]
+fn release_lets_others_in_at_once() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    settle(&mut a, &mut table, START);
+    let txn = a.release(at(100)).expect("a release");
+    table.txn(&txn);
+    assert_eq!(a.term(at(100)), None);
+    assert_eq!(
+        settle(&mut b, &mut table, at(200)),
+        vec![LeaseNews::Gained { term: 2 }]
+    );
+}
+
+fn sighting(n: u32) -> Sighting {
+    Sighting {
+        instance: format!("i{n}").into(),
+        hall: "h".into(),
+        domain: "d".into(),
+        generation: "a".into(),
+        accelerators: 8,
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        incarnation: 1,
+        leaving: false,
+        state: Seen::Idle,
+    }
+}
+
+/// A view that is fresh at `now`.
+fn view(now: Millis) -> View {
+    let beat = Beat {
+        seq: 1,
+        run: 1,
+        oldest: Millis::ZERO,
+        changes: 4,
+        changed: (0..4).map(sighting).collect(),
+        gauges: Vec::new(),
+    };
+    let mut view = View::new();
+    view.beat(&"w".into(), &beat, 0, now);
+    view
+}
+
+fn tree() -> Arc<Tree> {
+    let root = Branch {
+        model: Some("m".into()),
+        version: Some("1".into()),
+        shapes: Some(vec![Shape {
+            generation: "a".into(),
+            instances: 4,
+        }]),
+        downtime_weight: Some(0.5),
+        checks_orders: Some(true),
+        ..Branch::default()
+    };
+    Arc::new(Tree::new(1, [("/".to_owned(), root)].into()))
+}
+
+fn planner(name: &str) -> HallPlanner {
+    let options = PlanOptions {
+        name: name.into(),
+        region: "r".into(),
+        hall: "h".into(),
+        lease: PERIODS,
+        strategy: Strategy::default(),
+    };
+    HallPlanner::new(options, &charts())
+}
+
+/// Runs a planner for some seconds; plan writes are returned, not sent.
+fn run(planner: &mut HallPlanner, table: &mut Table, from: u64, seconds: u64) -> Vec<Txn> {
+    let mut kept = Vec::new();
+    for step in 0..seconds * 10 {
+        let now = at(from + step * 100);
+        let mut actions = planner.tick(&view(now), Millis::new(4_000), Some(&tree()), now);
+        while !actions.is_empty() {
+            let mut next = Vec::new();
+            for action in actions {
+                match action {
+                    PlanAction::SendTxn { txn, .. } if writes_plan(&txn) => kept.push(txn),
+                    PlanAction::SendTxn { flight, txn } => {
+                        let result = TxnResult::Replied(table.txn(&txn));
+                        next.extend(planner.step(PlanEvent::TxnDone { flight, result }, now));
+                    }
+                    PlanAction::Read { flight, prefixes } => {
+                        let rows = Some(table.read(&Read { prefixes }));
+                        next.extend(planner.step(PlanEvent::RowsRead { flight, rows }, now));
+                    }
+                    PlanAction::Give { .. } | PlanAction::Note(_) => {}
+                }
+            }
+            actions = next;
+        }
+    }
+    kept
+}
+
+fn writes_plan(txn: &Txn) -> bool {
+    let keys = txn.guards.iter().map(|g| g.key().to_string());
+    keys.into_iter().any(|k| k.contains("/plan/"))
+}
+
+#[test]
+fn late_plan_write_of_a_former_holder_is_refused() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (planner("a"), planner("b"));
+    let late = run(&mut a, &mut table, 0, 5);
+    assert_eq!(late.len(), 1, "one plan, on its way for long");
+    // The next holder has gained the lease and has not planned yet.
+    run(&mut b, &mut table, 0, 1);
+    run(&mut b, &mut table, 14_000, 1);
+    assert_eq!(b.term(at(15_000)), Some(2));
+    let reply = table.txn(&late[0]);
+    assert!(matches!(reply, TxnReply::Refused { .. }), "{reply:?}");
+}
