feat(net): settings spread as the changes since what a daemon has

Ruled out: compressing the tree; it would still grow with the branches. Change: daemons keep their last 64 changes and answer a peer that lags with those; from the table they read the edits since their revision. Whoever has nothing, or is too far behind, still gets the whole tree.

--- a/crates/thistlesill-core/src/message.rs
+++ b/crates/thistlesill-core/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::report::{CacheEvent, Duty, Membership, Pressure};
-use crate::settings::Branch;
+use crate::settings::{Branch, TreeDiff};
 use crate::{
     CustomerId, DomainId, Generation, HallId, InstanceId, Millis, NodeId, ServiceName, Stamp,
 };
@@ -185,6 +185,11 @@
 pub enum StreamReply {
     /// Nothing newer.
     Nothing,
+    /// The changes that lead from the asker's revision to this one, in order.
+    Changes {
+        /// The changes.
+        changes: Vec<ChangeEntry>,
+    },
     /// The whole tree at a revision.
     Settings {
         /// The revision.
@@ -194,6 +199,41 @@
     },
 }
 
+/// What led from one revision to a later one, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeEntry {
+    /// The revision that it applies to.
+    pub from: u64,
+    /// The revision that it gives.
+    pub to: u64,
+    /// The change, as JSON text.
+    pub json: String,
+}
+
+impl ChangeEntry {
+    /// Encodes a change.
+    ///
+    /// # Panics
+    ///
+    /// Never: changes always encode.
+    pub fn new(from: u64, to: u64, diff: &TreeDiff) -> Self {
+        Self {
+            from,
+            to,
+            json: serde_json::to_string(diff).expect("changes always encode"),
+        }
+    }
+
+    /// Decodes the change.
+    ///
+    /// # Errors
+    ///
+    /// The decoder's error if the text is no change.
+    pub fn diff(&self) -> Result<TreeDiff, serde_json::Error> {
+        serde_json::from_str(&self.json)
+    }
+}
+
 /// One branch of a tree on the wire.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BranchEntry {
--- a/crates/thistlesill-net/src/sync.rs
+++ b/crates/thistlesill-net/src/sync.rs
@@ -1,26 +1,30 @@
 //! How a daemon learns the settings: from the platform's table, or from a
 //! peer that has a newer revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use thistlesill_core::config::PeerConfig;
-use thistlesill_core::message::{StreamAsk, StreamReply};
+use thistlesill_core::message::{ChangeEntry, StreamAsk, StreamReply};
 use thistlesill_core::rendezvous::is_among;
-use thistlesill_core::row::{BRANCH_PREFIX, HEAD_KEY, HeadRow, SETTINGS_PREFIX};
-use thistlesill_core::settings::{Branch, Tree, check};
+use thistlesill_core::row::{BRANCH_PREFIX, EditRow, HEAD_KEY, HeadRow, SETTINGS_PREFIX, edit_key};
+use thistlesill_core::settings::{Branch, Tree, TreeDiff, check};
 use thistlesill_core::table::Rows;
 use thistlesill_core::{HallId, Millis, NodeId};
 
 use crate::peer::PeerLink;
 use crate::platform::Platform;
 
+/// Changes that are kept for peers that lag behind.
+const MAX_CHANGES: usize = 64;
+
 /// The settings in force in a process, for its other tasks to read.
 #[derive(Debug, Clone, Default)]
 pub struct Shelf {
     tree: Arc<ArcSwapOption<Tree>>,
+    changes: Arc<Mutex<VecDeque<ChangeEntry>>>,
 }
 
 impl Shelf {
@@ -31,10 +35,20 @@
 
     /// Puts settings in force, unless newer ones are.
     pub fn put(&self, tree: &Arc<Tree>) {
-        let newer = self.get().is_none_or(|t| t.yields_to(tree.revision()));
-        if newer {
-            self.tree.store(Some(tree.clone()));
+        let old = self.get();
+        if old.as_ref().is_some_and(|t| !t.yields_to(tree.revision())) {
+            return;
+        }
+        if let Some(old) = old {
+            let diff = old.diff(tree.branches());
+            let entry = ChangeEntry::new(old.revision(), tree.revision(), &diff);
+            let mut changes = self.changes();
+            changes.push_back(entry);
+            if changes.len() > MAX_CHANGES {
+                changes.pop_front();
+            }
         }
+        self.tree.store(Some(tree.clone()));
     }
 
     /// The revision in force; 0 for none.
@@ -42,17 +56,30 @@
         self.get().map_or(0, |t| t.revision())
     }
 
-    /// Answers a peer's question.
+    /// Answers a peer's question: with the changes since its revision if
+    /// they are kept, else with the whole tree.
     pub fn reply(&self, ask: &StreamAsk) -> StreamReply {
         let StreamAsk::Settings { have } = ask;
-        match self.get().filter(|t| t.revision() > *have) {
-            None => StreamReply::Nothing,
-            Some(tree) => StreamReply::Settings {
-                revision: tree.revision(),
-                branches: tree.entries(),
-            },
+        let Some(tree) = self.get().filter(|t| t.revision() > *have) else {
+            return StreamReply::Nothing;
+        };
+        let changes: Vec<ChangeEntry> = {
+            let kept = self.changes();
+            let since = kept.iter().skip_while(|c| c.from != *have);
+            since.cloned().collect()
+        };
+        if changes.last().is_some_and(|c| c.to == tree.revision()) {
+            return StreamReply::Changes { changes };
+        }
+        StreamReply::Settings {
+            revision: tree.revision(),
+            branches: tree.entries(),
         }
     }
+
+    fn changes(&self) -> MutexGuard<'_, VecDeque<ChangeEntry>> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Decides when this process reads the settings' head from the table.
@@ -123,15 +150,44 @@
     }
 }
 
-/// Reads the settings from the table if they are newer than `have`.
-pub async fn from_platform(platform: &Platform, have: u64) -> Option<Arc<Tree>> {
+/// Reads the settings from the table if they are newer than those on the
+/// shelf: the edits since, or the whole tree if these are many.
+pub async fn from_platform(platform: &Platform, shelf: &Shelf) -> Option<Arc<Tree>> {
+    let have = shelf.get();
     let head = platform.read(vec![HEAD_KEY.into()]).await.ok()?;
     let revision = head.find(HEAD_KEY)?.decode::<HeadRow>().ok()?.revision;
-    if revision <= have {
+    let known = have.as_ref().map_or(0, |t| t.revision());
+    if revision <= known {
         return None;
     }
+    if let Some(old) = have.filter(|_| revision - known <= MAX_CHANGES as u64) {
+        let keys = (known + 1..=revision).map(|r| edit_key(r).into()).collect();
+        let rows = platform.read(keys).await.ok()?;
+        if let Some(tree) = apply_edits(&old, &rows, revision) {
+            return Some(Arc::new(tree));
+        }
+    }
     let rows = platform.read(vec![SETTINGS_PREFIX.into()]).await.ok()?;
-    tree_of(&rows).filter(|t| t.revision() > have).map(Arc::new)
+    tree_of(&rows)
+        .filter(|t| t.revision() > known)
+        .map(Arc::new)
+}
+
+/// Applies the edits that lead to `revision`; `None` unless all are there.
+fn apply_edits(old: &Tree, rows: &Rows, revision: u64) -> Option<Tree> {
+    let mut tree = old.clone();
+    for row in &rows.rows {
+        let edit: EditRow = row.decode().ok()?;
+        if edit.revision != tree.revision() + 1 {
+            return None;
+        }
+        let diff = TreeDiff {
+            changes: edit.changes,
+        };
+        tree = tree.apply(edit.revision, &diff);
+    }
+    let complete = tree.revision() == revision;
+    complete.then(|| sound(revision, tree.branches().clone()))?
 }
 
 /// Makes a tree of the rows of one read; `None` if they are not all sound.
@@ -146,18 +202,37 @@
     sound(head.revision, branches)
 }
 
-/// Reads the settings from a peer if they are newer than `have`.
-pub async fn from_peer(link: &PeerLink, peer: SocketAddr, have: u64) -> Option<Arc<Tree>> {
+/// Reads the settings from a peer if they are newer than those on the shelf.
+pub async fn from_peer(link: &PeerLink, peer: SocketAddr, shelf: &Shelf) -> Option<Arc<Tree>> {
+    let have = shelf.revision();
     let reply = link.ask(peer, &StreamAsk::Settings { have }).await.ok()?;
-    let StreamReply::Settings { revision, branches } = reply else {
-        return None;
+    let tree = match reply {
+        StreamReply::Nothing => None,
+        StreamReply::Changes { changes } => {
+            let old = shelf.get()?;
+            apply_changes(&old, &changes)
+        }
+        StreamReply::Settings { revision, branches } => {
+            let mut read = BTreeMap::new();
+            for entry in &branches {
+                read.insert(entry.path.clone(), entry.branch().ok()?);
+            }
+            sound(revision, read)
+        }
     };
-    let mut read = BTreeMap::new();
-    for entry in &branches {
-        read.insert(entry.path.clone(), entry.branch().ok()?);
+    tree.filter(|t| t.revision() > have).map(Arc::new)
+}
+
+/// Applies a peer's changes; `None` if they do not follow one another.
+fn apply_changes(old: &Tree, changes: &[ChangeEntry]) -> Option<Tree> {
+    let mut tree = old.clone();
+    for change in changes {
+        if change.from != tree.revision() || change.to <= change.from {
+            return None;
+        }
+        tree = tree.apply(change.to, &change.diff().ok()?);
     }
-    let tree = sound(revision, read).filter(|t| t.revision() > have);
-    tree.map(Arc::new)
+    sound(tree.revision(), tree.branches().clone())
 }
 
 fn sound(revision: u64, branches: BTreeMap<String, Branch>) -> Option<Tree> {
--- a/crates/thistlesill-planner/src/daemon.rs
+++ b/crates/thistlesill-planner/src/daemon.rs
@@ -226,9 +226,9 @@
 
     fn read_settings(&self) {
         let (platform, events) = (self.platform.clone(), self.events.clone());
-        let have = self.shelf.revision();
+        let shelf = self.shelf.clone();
         tokio::spawn(async move {
-            if let Some(tree) = from_platform(&platform, have).await {
+            if let Some(tree) = from_platform(&platform, &shelf).await {
                 drop(events.send(PlannerEvent::Settings(tree)));
             }
         });
@@ -260,13 +260,13 @@
             return;
         };
         self.heads.heard(&peer, now);
-        let have = self.shelf.revision();
-        if revision <= have || !self.heads.may_fetch(now) {
+        let shelf = self.shelf.clone();
+        if revision <= shelf.revision() || !self.heads.may_fetch(now) {
             return;
         }
         let (link, events) = (self.link.clone(), self.events.clone());
         tokio::spawn(async move {
-            if let Some(tree) = from_peer(&link, peer.peer, have).await {
+            if let Some(tree) = from_peer(&link, peer.peer, &shelf).await {
                 drop(events.send(PlannerEvent::Settings(tree)));
             }
         });
--- a/crates/thistlesill-policy/tests/claims.rs
+++ b/crates/thistlesill-policy/tests/claims.rs
@@ -93,6 +93,36 @@
     assert_eq!(of(3), Some(&Verdict::Held));
 }
 
+#[test]
+fn same_key_never_waits_twice_for_one_transaction() {
+    let mut table = Table::default();
+    let mut book = book("r0");
+    let now = Millis::new(1);
+    let mut steps = book.ask(ask(1, "a"), now);
+    steps.extend(book.ask(ask(2, "b"), now));
+    // Both flights are taken: these two would share the next transaction.
+    steps.extend(book.ask(ask(3, "same"), now));
+    steps.extend(book.ask(ask(4, "same"), now));
+    let mut granted = Vec::new();
+    while !steps.is_empty() {
+        let mut next = Vec::new();
+        for step in steps {
+            match step {
+                ClaimStep::Send { flight, txn } => {
+                    let reply = table.txn(&txn);
+                    next.extend(book.done(flight, &TxnResult::Replied(reply)));
+                }
+                ClaimStep::Decide { request, verdict } if verdict == Verdict::Granted => {
+                    granted.push(request);
+                }
+                ClaimStep::Decide { .. } | ClaimStep::Read { .. } => {}
+            }
+        }
+        steps = next;
+    }
+    assert_eq!(granted, [1, 2, 3].map(RequestId::new).to_vec());
+}
+
 /// What happens to the next message of a router to the table.
 #[derive(Debug, Clone, Copy)]
 enum Luck {
--- a/crates/thistlesill-replay/tests/it/leaving.rs
+++ b/crates/thistlesill-replay/tests/it/leaving.rs
@@ -2,8 +2,7 @@
 //! stop cuts off no request.
 
 use thistlesill_core::Millis;
-use thistlesill_policy::charts::DrainState;
-use thistlesill_replay::stage::{Answer, Power, Stage};
+use thistlesill_replay::stage::{Answer, Power, Stage, TableMode};
 
 use crate::support::{chat, load, options, root, sends_since, serving, tree, wait};
 
@@ -32,6 +31,15 @@
     assert_left_alone(&mut stage, "d-00");
 }
 
+#[test]
+fn listed_as_leaving_while_nobody_can_give_orders() {
+    let mut stage = serving(options(), 2);
+    stage.set_table(TableMode::Down);
+    stage.run(Millis::new(15_000));
+    stage.leave("d-00", true);
+    assert_left_alone(&mut stage, "d-00");
+}
+
 #[test]
 fn says_itself_that_it_leaves_while_the_list_is_stuck() {
     let mut stage = serving(options(), 2);
@@ -149,5 +157,4 @@
     let refused = Answer::Failed(thistlesill_core::ErrorKind::NotReady);
     assert_eq!(stage.answer(chat(3).request), Some(&refused));
     assert!(!stage.router(0).is_ready());
-    let _ = DrainState::Done;
 }
--- a/crates/thistlesill-router/src/daemon.rs
+++ b/crates/thistlesill-router/src/daemon.rs
@@ -295,13 +295,10 @@
         self.step(RouterEvent::Tick);
         let now = self.clock.now();
         if self.heads.is_due(now) {
-            let (platform, events, have) = (
-                self.platform.clone(),
-                self.events.clone(),
-                self.shelf.revision(),
-            );
+            let (platform, events) = (self.platform.clone(), self.events.clone());
+            let shelf = self.shelf.clone();
             tokio::spawn(async move {
-                if let Some(tree) = from_platform(&platform, have).await {
+                if let Some(tree) = from_platform(&platform, &shelf).await {
                     drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
                 }
             });
@@ -325,13 +322,13 @@
             return;
         };
         self.heads.heard(&peer, now);
-        let have = self.shelf.revision();
-        if revision <= have || !self.heads.may_fetch(now) {
+        let shelf = self.shelf.clone();
+        if revision <= shelf.revision() || !self.heads.may_fetch(now) {
             return;
         }
         let (link, events) = (self.link.clone(), self.events.clone());
         tokio::spawn(async move {
-            if let Some(tree) = from_peer(&link, peer.peer, have).await {
+            if let Some(tree) = from_peer(&link, peer.peer, &shelf).await {
                 drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
             }
         });
