--- a/crates/thistlesill-net/src/lib.rs
+++ b/crates/thistlesill-net/src/lib.rs
@@ -2,6 +2,7 @@
 //! and what all daemons serve to operators.
 
 pub mod admin;
+pub mod base;
 pub mod clock;
 pub mod engine;
 pub mod files;
--- a/crates/thistlesill-planner/src/daemon.rs
+++ b/crates/thistlesill-planner/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The planner's loop: events in, the core's step, actions out.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
@@ -8,17 +9,18 @@
 use thistlesill_core::config::{DaemonConfig, Role};
 use thistlesill_core::message::PeerBody;
 use thistlesill_core::report::Order;
+use thistlesill_core::settings::Tree;
 use thistlesill_core::table::{RowKey, Txn};
 use thistlesill_core::timeline::Happening;
-use thistlesill_core::{HallId, Millis, NodeId};
-use thistlesill_net::admin::{self, Admin, AdminAsk, AdminReply, Question};
+use thistlesill_core::{HallId, Millis};
+use thistlesill_net::admin::{AdminAsk, AdminReply, Question};
+use thistlesill_net::base::{self, SettingsFeed};
 use thistlesill_net::clock::Clock;
 use thistlesill_net::engine::Engines;
 use thistlesill_net::files::Secrets;
 use thistlesill_net::journal::Journal;
-use thistlesill_net::peer::{self, Heard, PeerError, PeerLink};
+use thistlesill_net::peer::{Heard, PeerError, PeerLink};
 use thistlesill_net::platform::Platform;
-use thistlesill_net::sync::{HeadWatch, Shelf, from_peer, from_platform};
 use thistlesill_policy::plan::Strategy;
 use thistlesill_policy::planner::{PlannerAction, PlannerCore, PlannerEvent, PlannerOptions};
 use thistlesill_policy::presence::Watcher;
@@ -27,8 +29,6 @@
 
 /// Between two looks at the time.
 const TICK: Duration = Duration::from_millis(50);
-/// Messages of peers that wait to be read.
-const PEER_QUEUE: usize = 1_024;
 /// How long a stopping planner waits for its leases to be given up.
 const RELEASE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -57,8 +57,7 @@
     link: PeerLink,
     platform: Platform,
     engines: Engines,
-    shelf: Shelf,
-    heads: HeadWatch,
+    feed: SettingsFeed,
     events: mpsc::UnboundedSender<PlannerEvent>,
     listed: Option<Millis>,
     /// Transactions on their way.
@@ -77,42 +76,23 @@
 /// If the process cannot await signals.
 pub async fn run(config: DaemonConfig, secrets: Secrets) -> Result<(), StartError> {
     let (events, mut inbox) = mpsc::unbounded_channel();
-    let (questions, mut asked) = mpsc::channel(64);
-    let (heard, mut datagrams) = mpsc::channel(PEER_QUEUE);
-    let journal = Journal::new(config.name.clone(), config.limits.events);
-    let shelf = Shelf::default();
-    let key = secrets.key.clone();
-    let link = PeerLink::bind(
-        config.name.clone(),
-        config.peer,
-        key.clone(),
-        journal.clone(),
-    );
-    let link = link.await.context(PeersSnafu)?;
-    tokio::spawn(link.clone().listen(heard));
-    spawn_answers(&config, &secrets, &shelf);
-    spawn_admin(&config, &secrets, questions, journal.clone());
     let core = PlannerCore::new(options(&config)).context(ChartsSnafu)?;
+    let base = base::start(&config, &secrets).await.context(PeersSnafu)?;
+    let (mut asked, mut datagrams) = (base.questions, base.datagrams);
     let mut daemon = Daemon {
         core,
         clock: Clock::new(),
-        platform: Platform::new(config.platform),
+        platform: base.platform,
         engines: Engines::new(secrets.key),
-        heads: HeadWatch::new(
-            config.name.clone(),
-            config.hall.clone(),
-            config.periods.head_ms,
-        ),
-        journal,
-        link,
-        shelf,
+        feed: base.feed,
+        journal: base.journal,
+        link: base.link,
         events,
         listed: None,
         flying: 0,
         exit: false,
         config,
     };
-    daemon.journal.note(Happening::Started);
     log::info!("planner: {} started", daemon.config.name);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -163,33 +143,6 @@
     }
 }
 
-fn spawn_answers(config: &DaemonConfig, secrets: &Secrets, shelf: &Shelf) {
-    let shelf = shelf.clone();
-    let serve = peer::answer(config.peer, secrets.key.clone(), move |ask| {
-        shelf.reply(&ask)
-    });
-    tokio::spawn(async move {
-        if let Err(error) = serve.await {
-            log::error!("peer: {error}");
-        }
-    });
-}
-
-fn spawn_admin(
-    config: &DaemonConfig,
-    secrets: &Secrets,
-    questions: mpsc::Sender<Question>,
-    journal: Journal,
-) {
-    let admin = Admin {
-        questions,
-        token_sha256: secrets.token_sha256.clone(),
-        journal,
-        metrics: admin::install_metrics(),
-    };
-    tokio::spawn(admin::serve(config.admin, admin.router()));
-}
-
 impl Daemon {
     fn take(&mut self, event: PlannerEvent) {
         if matches!(event, PlannerEvent::TxnDone { .. }) {
@@ -214,9 +167,8 @@
     fn tick(&mut self) {
         self.step(PlannerEvent::Tick);
         let now = self.clock.now();
-        if self.heads.is_due(now) {
-            self.read_settings();
-        }
+        let take = self.settings_sink();
+        self.feed.tick(now, take);
         let gap = Millis::new(self.config.periods.list_ms);
         if self.listed.is_none_or(|t| now - t >= gap) {
             self.listed = Some(now);
@@ -224,14 +176,10 @@
         }
     }
 
-    fn read_settings(&self) {
-        let (platform, events) = (self.platform.clone(), self.events.clone());
-        let shelf = self.shelf.clone();
-        tokio::spawn(async move {
-            if let Some(tree) = from_platform(&platform, &shelf).await {
-                drop(events.send(PlannerEvent::Settings(tree)));
-            }
-        });
+    /// Hands settings that were read to the loop.
+    fn settings_sink(&self) -> impl FnOnce(Arc<Tree>) + Send + use<> {
+        let events = self.events.clone();
+        move |tree| drop(events.send(PlannerEvent::Settings(tree)))
     }
 
     fn read_list(&self) {
@@ -249,29 +197,14 @@
             PeerBody::Beat(beat) => self.step(PlannerEvent::Beat { from, beat, lag }),
             PeerBody::Digest(part) => self.step(PlannerEvent::Digest { from, part, lag }),
             PeerBody::Want => self.step(PlannerEvent::Wanted(from)),
-            PeerBody::Head { revision } => self.hear_head(&from, revision),
+            PeerBody::Head { revision } => {
+                let take = self.settings_sink();
+                self.feed.heard(&from, revision, self.clock.now(), take);
+            }
             PeerBody::Usage(_) => {}
         }
     }
 
-    fn hear_head(&mut self, from: &NodeId, revision: u64) {
-        let now = self.clock.now();
-        let Some(peer) = self.config.peers.iter().find(|p| p.name == *from).cloned() else {
-            return;
-        };
-        self.heads.heard(&peer, now);
-        let shelf = self.shelf.clone();
-        if revision <= shelf.revision() || !self.heads.may_fetch(now) {
-            return;
-        }
-        let (link, events) = (self.link.clone(), self.events.clone());
-        tokio::spawn(async move {
-            if let Some(tree) = from_peer(&link, peer.peer, &shelf).await {
-                drop(events.send(PlannerEvent::Settings(tree)));
-            }
-        });
-    }
-
     fn answer(&mut self, question: Question) {
         let now = self.clock.now();
         let reply = match question.ask {
@@ -317,7 +250,7 @@
             }
             PlannerAction::TellHead(revision) => {
                 if let Some(tree) = self.core.tree() {
-                    self.shelf.put(tree);
+                    self.feed.shelf.put(tree);
                 }
                 self.link
                     .tell(&self.config.peers, PeerBody::Head { revision });
--- a/crates/thistlesill-policy/tests/claims.rs
+++ b/crates/thistlesill-policy/tests/claims.rs
@@ -112,9 +112,10 @@
                     let reply = table.txn(&txn);
                     next.extend(book.done(flight, &TxnResult::Replied(reply)));
                 }
-                ClaimStep::Decide { request, verdict } if verdict == Verdict::Granted => {
-                    granted.push(request);
-                }
+                ClaimStep::Decide {
+                    request,
+                    verdict: Verdict::Granted,
+                } => granted.push(request),
                 ClaimStep::Decide { .. } | ClaimStep::Read { .. } => {}
             }
         }
--- a/crates/thistlesill-router/src/daemon.rs
+++ b/crates/thistlesill-router/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The router's loop: events in, the core's step, actions out.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,16 +14,16 @@
 use thistlesill_core::event_id::EventId;
 use thistlesill_core::message::PeerBody;
 use thistlesill_core::row::Outcome;
-use thistlesill_core::timeline::Happening;
+use thistlesill_core::settings::Tree;
 use thistlesill_core::{ErrorKind, Millis, Model, RequestId};
-use thistlesill_net::admin::{self, Admin, AdminAsk, AdminReply, Question};
+use thistlesill_net::admin::{AdminAsk, AdminReply, Question};
+use thistlesill_net::base::{self, SettingsFeed};
 use thistlesill_net::clock::Clock;
 use thistlesill_net::engine::Engines;
 use thistlesill_net::files::Secrets;
 use thistlesill_net::journal::Journal;
-use thistlesill_net::peer::{self, Heard, PeerError, PeerLink};
+use thistlesill_net::peer::{Heard, PeerError, PeerLink};
 use thistlesill_net::platform::Platform;
-use thistlesill_net::sync::{HeadWatch, Shelf, from_peer, from_platform};
 use thistlesill_policy::pick::Rule;
 use thistlesill_policy::router::{
     Arrival, AttemptEvent, Dispatch, Ending, RouterAction, RouterCore, RouterEvent, RouterOptions,
@@ -37,8 +38,6 @@
 
 /// Between two looks at the time.
 const TICK: Duration = Duration::from_millis(25);
-/// Messages of peers that wait to be read.
-const PEER_QUEUE: usize = 1_024;
 /// Bytes of an answer that is recorded for its key.
 const MAX_RECORDED: usize = 64 << 10;
 
@@ -114,8 +113,7 @@
     link: PeerLink,
     platform: Platform,
     engines: Engines,
-    shelf: Shelf,
-    heads: HeadWatch,
+    feed: SettingsFeed,
     events: mpsc::UnboundedSender<LoopEvent>,
     pending: HashMap<RequestId, Pending>,
     exit: bool,
@@ -132,42 +130,23 @@
 /// If the process cannot await signals.
 pub async fn run(config: DaemonConfig, secrets: Secrets) -> Result<(), StartError> {
     let (events, mut inbox) = mpsc::unbounded_channel();
-    let (questions, mut asked) = mpsc::channel(64);
-    let (heard, mut datagrams) = mpsc::channel(PEER_QUEUE);
-    let journal = Journal::new(config.name.clone(), config.limits.events);
-    let shelf = Shelf::default();
-    let key = secrets.key.clone();
-    let link = PeerLink::bind(
-        config.name.clone(),
-        config.peer,
-        key.clone(),
-        journal.clone(),
-    );
-    let link = link.await.context(PeersSnafu)?;
-    tokio::spawn(link.clone().listen(heard));
-    spawn_answers(&config, &secrets, &shelf);
-    spawn_admin(&config, &secrets, questions, journal.clone());
-    callers::spawn(&config, shelf.clone(), events.clone());
     let core = RouterCore::new(options(&config)).context(ChartsSnafu)?;
+    let base = base::start(&config, &secrets).await.context(PeersSnafu)?;
+    let (mut asked, mut datagrams) = (base.questions, base.datagrams);
+    callers::spawn(&config, base.feed.shelf.clone(), events.clone());
     let mut daemon = Daemon {
         core,
         clock: Clock::new(),
-        platform: Platform::new(config.platform),
+        platform: base.platform,
         engines: Engines::new(secrets.key),
-        heads: HeadWatch::new(
-            config.name.clone(),
-            config.hall.clone(),
-            config.periods.head_ms,
-        ),
-        journal,
-        link,
-        shelf,
+        feed: base.feed,
+        journal: base.journal,
+        link: base.link,
         events,
         pending: HashMap::new(),
         exit: false,
         config,
     };
-    daemon.journal.note(Happening::Started);
     log::info!("router: {} started", daemon.config.name);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -198,33 +177,6 @@
     }
 }
 
-fn spawn_answers(config: &DaemonConfig, secrets: &Secrets, shelf: &Shelf) {
-    let shelf = shelf.clone();
-    let serve = peer::answer(config.peer, secrets.key.clone(), move |ask| {
-        shelf.reply(&ask)
-    });
-    tokio::spawn(async move {
-        if let Err(error) = serve.await {
-            log::error!("peer: {error}");
-        }
-    });
-}
-
-fn spawn_admin(
-    config: &DaemonConfig,
-    secrets: &Secrets,
-    questions: mpsc::Sender<Question>,
-    journal: Journal,
-) {
-    let admin = Admin {
-        questions,
-        token_sha256: secrets.token_sha256.clone(),
-        journal,
-        metrics: admin::install_metrics(),
-    };
-    tokio::spawn(admin::serve(config.admin, admin.router()));
-}
-
 impl Daemon {
     fn step(&mut self, event: RouterEvent) {
         let now = self.clock.now();
@@ -293,16 +245,14 @@
 
     fn tick(&mut self) {
         self.step(RouterEvent::Tick);
-        let now = self.clock.now();
-        if self.heads.is_due(now) {
-            let (platform, events) = (self.platform.clone(), self.events.clone());
-            let shelf = self.shelf.clone();
-            tokio::spawn(async move {
-                if let Some(tree) = from_platform(&platform, &shelf).await {
-                    drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
-                }
-            });
-        }
+        let take = self.settings_sink();
+        self.feed.tick(self.clock.now(), take);
+    }
+
+    /// Hands settings that were read to the loop.
+    fn settings_sink(&self) -> impl FnOnce(Arc<Tree>) + Send + use<> {
+        let events = self.events.clone();
+        move |tree| drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))))
     }
 
     fn hear(&mut self, message: Heard) {
@@ -311,29 +261,14 @@
             PeerBody::Beat(beat) => self.step(RouterEvent::Beat { from, beat, lag }),
             PeerBody::Digest(part) => self.step(RouterEvent::Digest { from, part, lag }),
             PeerBody::Usage(usage) => self.step(RouterEvent::Usage { from, usage }),
-            PeerBody::Head { revision } => self.hear_head(&from, revision),
+            PeerBody::Head { revision } => {
+                let take = self.settings_sink();
+                self.feed.heard(&from, revision, self.clock.now(), take);
+            }
             PeerBody::Want => {}
         }
     }
 
-    fn hear_head(&mut self, from: &thistlesill_core::NodeId, revision: u64) {
-        let now = self.clock.now();
-        let Some(peer) = self.config.peers.iter().find(|p| p.name == *from).cloned() else {
-            return;
-        };
-        self.heads.heard(&peer, now);
-        let shelf = self.shelf.clone();
-        if revision <= shelf.revision() || !self.heads.may_fetch(now) {
-            return;
-        }
-        let (link, events) = (self.link.clone(), self.events.clone());
-        tokio::spawn(async move {
-            if let Some(tree) = from_peer(&link, peer.peer, &shelf).await {
-                drop(events.send(LoopEvent::Core(Box::new(RouterEvent::Settings(tree)))));
-            }
-        });
-    }
-
     fn answer(&mut self, question: Question) {
         let reply = match question.ask {
             AdminAsk::Ready if self.core.is_ready() => AdminReply::Yes,
@@ -390,7 +325,7 @@
             }
             RouterAction::TellHead(revision) => {
                 if let Some(tree) = self.core.tree() {
-                    self.shelf.put(tree);
+                    self.feed.shelf.put(tree);
                 }
                 self.link
                     .tell(&self.config.peers, PeerBody::Head { revision });
--- a/crates/thistlesill-standins/src/bench.rs
+++ b/crates/thistlesill-standins/src/bench.rs
@@ -18,6 +18,8 @@
 const REQUESTS: usize = 800;
 /// Requests under way at a time.
 const CALLERS: usize = 8;
+/// Tokens of a stream that is held open.
+const HELD_TOKENS: u32 = 4_000;
 /// Time for groups to form.
 const FORMED: Duration = Duration::from_secs(60);
 /// Members of a group.
@@ -125,7 +127,7 @@
     let begun = Instant::now();
     tokio::time::sleep(CONTROL_TIME).await;
     let seconds = begun.elapsed().as_secs_f64();
-    let used = processor_time(deployment, role) - before;
+    let used = processor_time(deployment, role).saturating_sub(before);
     let sent_after = counted(deployment, "thistlesill_peer_sent_bytes_total").await;
     let received_after = counted(deployment, "thistlesill_peer_received_bytes_total").await;
     let resident = match role {
@@ -167,7 +169,7 @@
         let direct = direct(&roster.servers, tokens).await;
         let before = deployment.router(0).processor_time();
         let routed = routed(&deployment, tokens).await;
-        let used = deployment.router(0).processor_time() - before;
+        let used = deployment.router(0).processor_time().saturating_sub(before);
         let each = used.as_secs_f64() * 1e6 / REQUESTS as f64;
         println!(
             "{tokens:>3} tokens: first token direct p50 {:>5} p95 {:>5} us, routed p50 {:>5} p95 {:>5} us, \
--- a/crates/thistlesill-standins/src/harness/deployment.rs
+++ b/crates/thistlesill-standins/src/harness/deployment.rs
@@ -293,7 +293,7 @@
             return String::new();
         };
         let answer = self.http.call(request, CALL).await;
-        let bytes = answer.map(|a| a.into_body()).unwrap_or_default();
+        let bytes = answer.map(hyper::Response::into_body).unwrap_or_default();
         String::from_utf8_lossy(&bytes).into_owned()
     }
 
