--- a/crates/thistlesill-replay/tests/it/settings.rs
+++ b/crates/thistlesill-replay/tests/it/settings.rs
@@ -2,6 +2,8 @@
 
 use thistlesill_core::Millis;
 use thistlesill_core::timeline::Happening;
+use thistlesill_policy::pick::Rule;
+use thistlesill_policy::router::{RouterCore, RouterEvent, RouterOptions};
 use thistlesill_replay::stage::Power;
 
 use crate::support::{options, root, serving, tree};
@@ -42,11 +44,18 @@
 
 #[test]
 fn not_ready_before_settings() {
-    let mut stage = serving(options(), 2);
-    stage.router_power(0, Power::Off);
-    stage.router_power(0, Power::On);
-    assert!(
-        stage.router(0).is_ready(),
-        "it was given settings at its start"
-    );
+    let options = RouterOptions {
+        name: "r9".into(),
+        region: "r".into(),
+        hall: "h".into(),
+        waiting: 1,
+        balancer: Millis::ZERO,
+        stop: Millis::ZERO,
+        seed: 1,
+        rule: Rule::default(),
+    };
+    let mut core = RouterCore::new(options).expect("sound charts");
+    assert!(!core.is_ready());
+    core.step(RouterEvent::Settings(tree(1, root())), Millis::new(1));
+    assert!(core.is_ready());
 }
--- a/crates/thistlesill-standins/src/bench.rs
+++ b/crates/thistlesill-standins/src/bench.rs
@@ -80,15 +80,15 @@
     let mut planner = Vec::new();
     let mut router = Vec::new();
     for size in sizes {
-        let mut deployment = Deployment::start(options(size)).await;
+        let deployment = Deployment::start(options(size)).await;
         deployment.put_settings();
         let groups = (size / MEMBERS) as usize;
         assert!(
             deployment.wait_servers(groups, FORMED).await,
             "groups formed"
         );
-        planner.push(measure(&mut deployment, Role::Planner).await);
-        router.push(measure(&mut deployment, Role::Router).await);
+        planner.push(measure(&deployment, Role::Planner).await);
+        router.push(measure(&deployment, Role::Router).await);
     }
     println!("control of one daemon, three planners that watch all targets, three routers");
     for (name, list) in [("planner", &planner), ("router", &router)] {
@@ -119,21 +119,18 @@
     print!("{}", line(&slope));
 }
 
-async fn measure(deployment: &mut Deployment, role: Role) -> Use {
+async fn measure(deployment: &Deployment, role: Role) -> Use {
     let counted = async |d: &Deployment, name: &str| counter(&d.metrics(role, 0).await, name);
     let sent = counted(deployment, "thistlesill_peer_sent_bytes_total").await;
     let received = counted(deployment, "thistlesill_peer_received_bytes_total").await;
-    let before = processor_time(deployment, role);
+    let before = deployment.processor_time(role, 0);
     let begun = Instant::now();
     tokio::time::sleep(CONTROL_TIME).await;
     let seconds = begun.elapsed().as_secs_f64();
-    let used = processor_time(deployment, role).saturating_sub(before);
+    let used = deployment.processor_time(role, 0).saturating_sub(before);
     let sent_after = counted(deployment, "thistlesill_peer_sent_bytes_total").await;
     let received_after = counted(deployment, "thistlesill_peer_received_bytes_total").await;
-    let resident = match role {
-        Role::Planner => deployment.planner(0).resident_kb(),
-        Role::Router => deployment.router(0).resident_kb(),
-    };
+    let resident = deployment.resident_kb(role, 0);
     Use {
         percent: used.as_secs_f64() * 100.0 / seconds,
         resident_mb: resident as f64 / 1_024.0,
@@ -142,13 +139,6 @@
     }
 }
 
-fn processor_time(deployment: &mut Deployment, role: Role) -> Duration {
-    match role {
-        Role::Planner => deployment.planner(0).processor_time(),
-        Role::Router => deployment.router(0).processor_time(),
-    }
-}
-
 fn counter(text: &str, name: &str) -> f64 {
     let line = text.lines().find(|l| l.starts_with(name));
     let value = line.and_then(|l| l.split_whitespace().last());
@@ -156,7 +146,7 @@
 }
 
 async fn data() {
-    let mut deployment = Deployment::start(options(16)).await;
+    let deployment = Deployment::start(options(16)).await;
     deployment.put_settings();
     assert!(deployment.wait_servers(4, FORMED).await, "groups formed");
     let roster: Roster = deployment
@@ -167,9 +157,11 @@
     println!("\n{REQUESTS} streamed requests, {CALLERS} at a time");
     for tokens in [1_u32, 8, 32] {
         let direct = direct(&roster.servers, tokens).await;
-        let before = deployment.router(0).processor_time();
+        let before = deployment.processor_time(Role::Router, 0);
         let routed = routed(&deployment, tokens).await;
-        let used = deployment.router(0).processor_time().saturating_sub(before);
+        let used = deployment
+            .processor_time(Role::Router, 0)
+            .saturating_sub(before);
         let each = used.as_secs_f64() * 1e6 / REQUESTS as f64;
         println!(
             "{tokens:>3} tokens: first token direct p50 {:>5} p95 {:>5} us, routed p50 {:>5} p95 {:>5} us, \
@@ -195,10 +187,50 @@
         points: cost,
     };
     print!("{}", line(&slope));
-    println!(
-        "router memory {:.1} MB",
-        deployment.router(0).resident_kb() as f64 / 1_024.0
-    );
+    memory(&deployment).await;
+}
+
+/// Memory by the number of streams under way.
+async fn memory(deployment: &Deployment) {
+    let mut points = Vec::new();
+    for streams in [10_usize, 80, 160] {
+        let callers = (0..streams).map(|n| {
+            let caller = deployment.caller(0, "lowell");
+            tokio::spawn(async move {
+                let prompt = format!("held {n}");
+                drop(
+                    caller
+                        .chat(Kind::Streamed, MODEL, &prompt, HELD_TOKENS)
+                        .await,
+                );
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        let limit = Duration::from_secs(10);
+        let under_way = async |wanted: usize| {
+            let status = deployment.router_status(0).await;
+            status.is_ok_and(|s| s.under_way == wanted && s.waiting == 0)
+        };
+        let all = deployment.until(limit, async || under_way(streams).await);
+        assert!(all.await, "all streams are under way");
+        let ended = deployment.until(limit, async || under_way(0).await);
+        let resident = deployment.resident_kb(Role::Router, 0);
+        points.push(Point {
+            size: streams as f64,
+            cost: resident as f64,
+        });
+        for caller in callers {
+            caller.abort();
+        }
+        assert!(ended.await, "the streams end when their callers are gone");
+    }
+    let slope = Slope {
+        name: "router: memory",
+        per: "stream under way",
+        unit: "KB",
+        points,
+    };
+    print!("{}", line(&slope));
 }
 
 /// A run of the data path.
--- a/crates/thistlesill-standins/src/harness/deployment.rs
+++ b/crates/thistlesill-standins/src/harness/deployment.rs
@@ -297,6 +297,24 @@
         String::from_utf8_lossy(&bytes).into_owned()
     }
 
+    fn child(&self, role: Role, n: usize) -> Option<&Child> {
+        match role {
+            Role::Router => self.routers[n].as_ref(),
+            Role::Planner => self.planners[n].as_ref(),
+        }
+    }
+
+    /// Processor time that a daemon has used so far.
+    pub fn processor_time(&self, role: Role, n: usize) -> Duration {
+        let child = self.child(role, n);
+        child.map_or(Duration::ZERO, Child::processor_time)
+    }
+
+    /// Memory that a daemon holds, in kilobytes.
+    pub fn resident_kb(&self, role: Role, n: usize) -> u64 {
+        self.child(role, n).map_or(0, Child::resident_kb)
+    }
+
     /// How many routers and planners there are.
     pub fn sizes(&self) -> (usize, usize) {
         (self.routers.len(), self.planners.len())
