feat(policy): spares are kept warm

Cause: a repair with a spare took as long as a load of weights, 45 s in the traces: the spare was idle with nothing in memory. Ruled out: shorter patience with lost members, which saves 2 s of 52. Change: where downtime weighs 0.5 or more, a holder orders as many free instances as the pool keeps spares to load what the pool runs, while nothing is about to be formed. They stay idle and join without a load.

--- a/crates/thistlesill-core/src/report.rs
+++ b/crates/thistlesill-core/src/report.rs
@@ -155,6 +155,11 @@
 pub enum Task {
     /// Join a group and load what it runs.
     Join(Membership),
+    /// Load weights while idle, so that joining a group needs no loading.
+    Warm {
+        /// What to load.
+        load: Load,
+    },
     /// Leave any group and hold no requests.
     Reset,
     /// Take no new requests of the group; those under way go on.
--- a/crates/thistlesill-fakes/src/target.rs
+++ b/crates/thistlesill-fakes/src/target.rs
@@ -60,6 +60,8 @@
         self.fence = self.fence.max(order.fence);
         match &order.task {
             Task::Join(m) => self.join(m.clone()),
+            // Loading takes time, which the target's owner keeps.
+            Task::Warm { .. } => {}
             Task::Reset => self.duty = Duty::Idle,
             Task::Quiesce { group, epoch } => self.quiesce(group, *epoch),
         }
@@ -79,6 +81,11 @@
         }
     }
 
+    /// Notes that weights are loaded for no group yet.
+    pub fn warmed(&mut self, load: Load) {
+        self.warm = Some(load);
+    }
+
     /// Its report, with these figures.
     pub fn report(&self, pressure: Pressure) -> Report {
         Report {
--- a/crates/thistlesill-policy/src/pick.rs
+++ b/crates/thistlesill-policy/src/pick.rs
@@ -19,7 +19,7 @@
 const FIRST_SLOWNESS: f64 = 50.0;
 /// Weight of a new observation of slowness.
 const LEARNING: f64 = 0.2;
-/// Time after which two thirds of an old observation have faded.
+/// Time after which half of an old observation has faded, in milliseconds.
 const FADE: f64 = 15_000.0;
 /// What remains of the expected wait when the prefix is cached.
 const CACHED_PART: f64 = 0.7;
@@ -166,8 +166,8 @@
 
     /// The expected wait for the first token, in milliseconds.
     pub fn expected_wait(&self, prefix: Option<u64>, near: bool, mean: f64, now: Millis) -> f64 {
-        let faded = (-((now - self.learnt).get() as f64) / FADE).exp();
-        let slowness = mean + (self.slowness - mean) * faded;
+        let kept = FADE / (FADE + (now - self.learnt).get() as f64);
+        let slowness = mean + (self.slowness - mean) * kept;
         let cached = prefix.is_some_and(|p| self.hints.has(p, now));
         let part = if cached { CACHED_PART } else { 1.0 };
         let far = if near { 0.0 } else { FAR };
--- a/crates/thistlesill-policy/src/plan/hall/ordering.rs
+++ b/crates/thistlesill-policy/src/plan/hall/ordering.rs
@@ -10,9 +10,13 @@
 
 use super::{EPOCH_BITS, EPOCH_MASK, HallPlanner, join_tasks, quiesce_task};
 use crate::charts::GroupState;
+use crate::placement::Pool;
 use crate::plan::PlanAction;
 use crate::presence::Observed;
 
+/// The weight of downtime from which spares are kept warm.
+const WARM_FROM: f64 = 0.5;
+
 impl HallPlanner {
     /// Compares what targets report with the plan.
     pub(super) fn want_orders(&mut self, observed: &BTreeMap<InstanceId, Observed>) {
@@ -29,6 +33,7 @@
                 joins.push((instance.clone(), Task::Reset));
             }
         }
+        joins.extend(self.warm_tasks());
         for (instance, task) in joins {
             let Some(seen) = observed.get(&instance) else {
                 continue;
@@ -37,13 +42,41 @@
         }
     }
 
+    /// Spares load what their pool runs, so that a repair needs no loading.
+    ///
+    /// Only while nothing is about to be formed: an instance that joins a
+    /// group has an older fence then. One that left a group has the weights
+    /// already.
+    fn warm_tasks(&self) -> Vec<(InstanceId, Task)> {
+        if self.unfinished || self.is_flying() {
+            return Vec::new();
+        }
+        let weighs_downtime = |p: &&Pool| p.want.downtime_weight >= WARM_FROM;
+        let pools = self.pools.iter().filter(weighs_downtime);
+        let serving = pools.filter(|p| !p.groups.is_empty());
+        let mut tasks = Vec::new();
+        for pool in serving {
+            let spares = pool
+                .free
+                .iter()
+                .filter(|f| !self.held.contains_key(&f.instance));
+            for free in spares.take(pool.want.spares as usize) {
+                let load = pool.want.load.clone();
+                tasks.push((free.instance.clone(), Task::Warm { load }));
+            }
+        }
+        tasks
+    }
+
     pub(super) fn want_order(&mut self, instance: &InstanceId, seen: &Observed, task: Task) {
         let Some(term) = self.lease.known_term() else {
             return;
         };
         let epoch = match &task {
             Task::Join(m) => m.epoch,
-            Task::Reset | Task::Quiesce { .. } => (term << EPOCH_BITS) | (self.counter + 1),
+            Task::Reset | Task::Warm { .. } | Task::Quiesce { .. } => {
+                (term << EPOCH_BITS) | (self.counter + 1)
+            }
         };
         let before = self.orders.get(instance).map(|p| p.fence);
         let fence = Fence { term, epoch };
--- a/crates/thistlesill-policy/src/plan/hall/planning.rs
+++ b/crates/thistlesill-policy/src/plan/hall/planning.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use thistlesill_core::message::Seen;
-use thistlesill_core::report::Task;
+use thistlesill_core::report::{Load, Task};
 use thistlesill_core::row::{GroupRow, Held, InstanceRow, group_key, instance_key, term_key};
 use thistlesill_core::settings::{Context, Tree};
 use thistlesill_core::table::Txn;
@@ -216,7 +216,7 @@
             match self.availability(instance, seen, now) {
                 Availability::Free => pool.free.push(Free {
                     instance: instance.clone(),
-                    warm: self.is_warm(instance),
+                    warm: self.is_warm(instance, &pool.want.load),
                 }),
                 Availability::Soon => pool.ending += 1,
                 Availability::Missing => pool.missing += 1,
@@ -284,9 +284,12 @@
         order.is_some_and(|p| p.task == Task::Reset && p.taken)
     }
 
-    /// Whether an instance came out of a group a moment ago.
-    pub(super) fn is_warm(&self, instance: &InstanceId) -> bool {
-        self.held.contains_key(instance)
+    /// Whether an instance came out of a group, or was told to load what
+    /// its pool runs.
+    pub(super) fn is_warm(&self, instance: &InstanceId, wanted: &Load) -> bool {
+        let order = self.orders.get(instance).filter(|p| p.taken);
+        let told = order.is_some_and(|p| matches!(&p.task, Task::Warm { load } if load == wanted));
+        told || self.held.contains_key(instance)
     }
 
     pub(super) fn decide(
--- a/crates/thistlesill-replay/src/slopes/cores.rs
+++ b/crates/thistlesill-replay/src/slopes/cores.rs
@@ -265,7 +265,8 @@
     }
 }
 
-fn report(n: usize) -> Report {
+/// A report of a ready target.
+pub(super) fn report(n: usize) -> Report {
     Report {
         instance: instance(n),
         incarnation: 1,
--- a/crates/thistlesill-replay/src/slopes/messages.rs
+++ b/crates/thistlesill-replay/src/slopes/messages.rs
@@ -1,11 +1,11 @@
 //! Bytes of messages between daemons, and the time to seal and open them.
 
 use thistlesill_core::message::{CustomerUse, Datagram, Gauge, PeerBody, Usage};
-use thistlesill_core::report::Pressure;
+use thistlesill_core::report::{CacheEvent, Pressure};
 use thistlesill_core::seal::SharedKey;
 use thistlesill_core::{Millis, Stamp};
 
-use super::cores::{beat, sighting};
+use super::cores::{beat, report, sighting};
 use super::fit::{Point, Slope, micros};
 
 pub(super) fn slopes() -> Vec<Slope> {
@@ -30,6 +30,7 @@
         bytes("head", "message", &[1], |_| PeerBody::Head {
             revision: 123_456,
         }),
+        probe_answer(),
         sealing(),
         opening(),
     ]
@@ -50,6 +51,31 @@
     }
 }
 
+/// The body of a target's report, by the cache events in it.
+fn probe_answer() -> Slope {
+    let point = |events: usize| {
+        let mut report = report(0);
+        report.cache = (0..events)
+            .map(|n| CacheEvent {
+                seq: n as u64 + 1_000,
+                prefix: u64::MAX / 3 + n as u64,
+                added: true,
+            })
+            .collect();
+        let body = serde_json::to_vec(&report).expect("reports encode");
+        Point {
+            size: events as f64,
+            cost: body.len() as f64,
+        }
+    };
+    Slope {
+        name: "probe: body of a report",
+        per: "cache event",
+        unit: "bytes",
+        points: [0, 4, 8].into_iter().map(point).collect(),
+    }
+}
+
 fn datagram(body: PeerBody) -> Datagram {
     Datagram {
         from: "hall-p0".into(),
--- a/crates/thistlesill-replay/src/stage.rs
+++ b/crates/thistlesill-replay/src/stage.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::message::{Beat, Digest, Usage};
-use thistlesill_core::report::{Fence, Listed, Membership, Order, Pressure, Report, Task};
+use thistlesill_core::report::{Fence, Listed, Load, Membership, Order, Pressure, Report, Task};
 use thistlesill_core::settings::Tree;
 use thistlesill_core::table::{Read, RowKey, Rows, Txn, TxnResult};
 use thistlesill_core::time::HybridClock;
@@ -136,6 +136,7 @@
     place: Listed,
     power: Power,
     loading: Option<(Millis, Membership)>,
+    warming: Option<(Millis, Load)>,
     load: EngineLoad,
 }
 
@@ -177,6 +178,7 @@
                 place: p.clone(),
                 power: Power::On,
                 loading: None,
+                warming: None,
                 load: EngineLoad::default(),
             };
             (p.instance.clone(), body)
@@ -352,6 +354,7 @@
         let body = self.bodies.get_mut(instance).expect("a known instance");
         if power == Power::Off {
             body.loading = None;
+            body.warming = None;
             body.target.restart();
         }
         body.power = power;
@@ -520,6 +523,10 @@
             if let Some((_, membership)) = done {
                 body.target.loaded(&membership);
             }
+            let warm = body.warming.take_if(|(at, _)| *at <= self.now);
+            if let Some((_, load)) = warm {
+                body.target.warmed(load);
+            }
         }
     }
 
@@ -798,6 +805,9 @@
                 let wait = if body.target.is_warm(m) { STEP } else { load };
                 body.loading = Some((now + wait, m.clone()));
             }
+            if let Task::Warm { load: wanted } = &order.task {
+                body.warming = Some((now + load, wanted.clone()));
+            }
         }
         let changed = order.instance.clone();
         self.check_runs(&changed);
--- a/crates/thistlesill-replay/tests/it/groups.rs
+++ b/crates/thistlesill-replay/tests/it/groups.rs
@@ -101,6 +101,37 @@
     assert_answers_true(&stage);
 }
 
+#[test]
+fn spare_is_warm_when_it_is_needed() {
+    let mut options = options();
+    options.model.load = Millis::new(30_000);
+    let mut stage = Stage::new(options);
+    assert!(wait(&mut stage, 90_000, |s| s
+        .router(0)
+        .roster()
+        .servers
+        .len()
+        == 2));
+    assert!(wait(&mut stage, 60_000, |s| s
+        .target("d-08")
+        .warm
+        .is_some()));
+    assert_eq!(
+        stage.target("d-08").duty.membership(),
+        None,
+        "it stays a spare"
+    );
+    let at = stage.elapsed();
+    stage.power("d-00", Power::Off);
+    assert!(wait(&mut stage, 60_000, |s| s.whole_groups().len() == 1));
+    assert!(wait(&mut stage, 60_000, |s| s.whole_groups().len() == 2));
+    let took = stage.elapsed() - at;
+    assert!(
+        took < Millis::new(20_000),
+        "repaired without a load: {took}"
+    );
+}
+
 #[test]
 fn domain_dark() {
     let mut options = options();
--- a/crates/thistlesill-standins/src/engine/handlers.rs
+++ b/crates/thistlesill-standins/src/engine/handlers.rs
@@ -7,7 +7,7 @@
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, handler};
 use salvo::sse;
 use salvo::writing::Json;
-use thistlesill_core::report::{Duty, Membership, Order, OrderReply, Report, Task};
+use thistlesill_core::report::{Duty, Load, Membership, Order, OrderReply, Report, Task};
 use thistlesill_core::{GroupId, RequestId};
 use thistlesill_net::engine::{
     EPOCH_HEADER, GROUP_HEADER, OFFSET_HEADER, PRIORITY_HEADER, PROOF_HEADER, RAN_HEADER,
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Waits for the weight store and for the load.
+    async fn load_weights(&self) {
+        self.weights.turn().await;
+        tokio::time::sleep(Duration::from_millis(self.options.load_ms)).await;
+    }
+
     /// Time per token: slower with more requests and slow members.
     pub(super) fn token_time(&self) -> Duration {
         let state = self.state();
@@ -122,23 +128,34 @@
     if reply == OrderReply::Stale {
         engine.counts().refused_orders += 1;
     }
-    if let (OrderReply::Taken, Task::Join(membership)) = (reply, order.task) {
-        tokio::spawn(load(engine.clone(), membership));
+    match (reply, order.task) {
+        (OrderReply::Taken, Task::Join(membership)) => {
+            tokio::spawn(join(engine.clone(), membership));
+        }
+        (OrderReply::Taken, Task::Warm { load }) => {
+            tokio::spawn(warm(engine.clone(), load));
+        }
+        _ => {}
     }
     res.render(Json(reply));
 }
 
-async fn load(engine: Arc<Engine>, membership: Membership) {
-    let warm = engine.state().target.is_warm(&membership);
-    if !warm {
-        engine.weights.turn().await;
-        tokio::time::sleep(Duration::from_millis(engine.options.load_ms)).await;
+async fn join(engine: Arc<Engine>, membership: Membership) {
+    if !engine.state().target.is_warm(&membership) {
+        engine.load_weights().await;
     }
     if engine.powered().await {
         engine.state().target.loaded(&membership);
     }
 }
 
+async fn warm(engine: Arc<Engine>, load: Load) {
+    engine.load_weights().await;
+    if engine.powered().await {
+        engine.state().target.warmed(load);
+    }
+}
+
 async fn complete(engine: &Arc<Engine>, req: &mut Request, res: &mut Response) {
     let Some((request, member)) = admitted(engine, req) else {
         not_run(res);
