fix(policy): a dark domain no longer costs requests

When a domain goes dark, each broken stream asked its dead group for the rest, then met another dead group that was passed over for only a second; that used up its attempts and the routers' retry budget. Ruled out: a larger budget, which would also let real failures add load, and uncounted attempts, which the bound of retries_are_bounded_while_targets_fail forbids. Change: a repeatable stream that breaks at a group where others have just failed goes elsewhere at once, and a group is passed over for twice as long with each failure in a row, up to 8 s.

--- a/crates/thistlesill-policy/src/pick.rs
+++ b/crates/thistlesill-policy/src/pick.rs
@@ -25,8 +25,10 @@
 const CACHED_PART: f64 = 0.7;
 /// Added to the expected wait in another hall, in milliseconds.
 const FAR: f64 = 3.0;
-/// How long a group that failed a request is passed over.
+/// How long a group that failed a request is passed over at first.
 const SUSPECT: Millis = Millis::new(1_000);
+/// How often that time doubles at most.
+const MAX_DOUBLINGS: u32 = 3;
 /// Sends and ends kept for correcting reports.
 const MAX_RECENT: usize = 512;
 
@@ -62,6 +64,8 @@
     learnt: Millis,
     hints: PrefixHints,
     suspect: Option<Millis>,
+    /// Failures since the last first token.
+    failures: u32,
 }
 
 impl GroupLoad {
@@ -78,6 +82,7 @@
             learnt: Millis::ZERO,
             hints: PrefixHints::default(),
             suspect: None,
+            failures: 0,
         }
     }
 
@@ -124,12 +129,16 @@
         let each = took.get() as f64 / f64::from(ahead + 1);
         self.slowness += LEARNING * (each - self.slowness);
         self.learnt = now;
+        self.failures = 0;
         self.limit.observe(took, wanted, now);
     }
 
-    /// Notes a failure: the group is passed over for a while.
+    /// Notes a failure: the group is passed over for a while, and for longer
+    /// with each failure in a row.
     pub fn failed(&mut self, now: Millis) {
-        self.suspect = Some(now + SUSPECT);
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.suspect = Some(now + Millis::new(SUSPECT.get() << doublings));
     }
 
     /// Whether the group failed a short while ago.
--- a/crates/thistlesill-policy/src/router/core/attempts.rs
+++ b/crates/thistlesill-policy/src/router/core/attempts.rs
@@ -182,6 +182,7 @@
 
     /// The connection was lost after sending began: the request may run.
     pub(super) fn broken(&mut self, id: RequestId, kind: ErrorKind, now: Millis) {
+        let others_failed = self.is_at_suspect(id, now);
         self.fail_attempt(id, now);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -192,7 +193,12 @@
             self.fail(id, kind, None, now);
             return;
         }
-        if streamed {
+        let elsewhere = others_failed && request.terms.repeatable;
+        if streamed && elsewhere && request.arrival.resume.is_none() {
+            // Others just failed there: asking it for the rest would only
+            // cost one of the attempts.
+            self.go_elsewhere(id);
+        } else if streamed {
             // The group may still run it: ask it for the rest first.
             let offset = request.assembly.next();
             request.mode = Mode::Resume { offset };
@@ -202,6 +208,13 @@
         self.retry_or_fail(id, kind, now);
     }
 
+    /// Whether the group of a request's attempt has just failed others.
+    fn is_at_suspect(&self, id: RequestId, now: Millis) -> bool {
+        let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+        let load = attempt.and_then(|a| self.loads.get(&a.key));
+        load.is_some_and(|l| l.is_suspect(now))
+    }
+
     pub(super) fn go_elsewhere(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.pinned = None;
