refactor(replay): the stage in parts; order_delay_ms takes effect

The setting order_delay_ms was read by nobody: a new holder's quiet time before targets that do not check now follows it (the session asserts no order for 13.5 s with a delay of 6 s, which failed before).

--- a/crates/thistlesill-policy/src/plan/hall.rs
+++ b/crates/thistlesill-policy/src/plan/hall.rs
@@ -93,6 +93,8 @@
     /// other group is changed meanwhile.
     unfinished: bool,
     counter: u64,
+    /// When the lease was gained.
+    gained: Millis,
     /// No orders before this: those of the last holder may be under way.
     quiet: Millis,
     flights: BTreeMap<u64, Flight>,
@@ -120,6 +122,7 @@
             pools: Vec::new(),
             unfinished: true,
             counter: 0,
+            gained: Millis::ZERO,
             quiet: Millis::ZERO,
             flights: BTreeMap::new(),
             next_flight: 0,
--- a/crates/thistlesill-policy/src/plan/hall/holding.rs
+++ b/crates/thistlesill-policy/src/plan/hall/holding.rs
@@ -36,6 +36,7 @@
             LeaseNews::None => {}
             LeaseNews::Gained { term } => {
                 self.forget();
+                self.gained = now;
                 self.quiet = now + self.options.lease.length + ORDER_DELAY;
                 self.note(Happening::LeaseGained {
                     hall: self.options.hall.clone(),
@@ -60,6 +61,8 @@
         let values = tree.resolve(&context);
         if first || values.checks_orders == Some(true) {
             self.quiet = now;
+        } else if let Some(delay) = values.order_delay_ms {
+            self.quiet = self.gained + self.options.lease.length + Millis::new(delay);
         }
     }
 
--- a/crates/thistlesill-replay/src/measure.rs
+++ b/crates/thistlesill-replay/src/measure.rs
@@ -33,8 +33,6 @@
     pub orders: u64,
     /// Transactions of the table.
     pub transactions: u64,
-    /// Requests that ran more than once though they must not.
-    pub doubled: u64,
 }
 
 /// Quantiles in milliseconds.
@@ -126,7 +124,6 @@
             fairness: fairness(&asked),
             orders: stage.orders() - base.orders,
             transactions: stage.table().counts().0 - base.transactions,
-            doubled: 0,
         }
     }
 }
--- /dev/null
+++ b/crates/thistlesill-replay/src/stage/daemons.rs
@@ -0,0 +1,123 @@
+//! The daemons: their cores stepped, their actions carried out.
+
+use thistlesill_core::timeline::{Happening, Record};
+use thistlesill_policy::planner::{PlannerAction, PlannerEvent};
+use thistlesill_policy::router::{RouterAction, RouterEvent};
+
+use super::{Mail, Power, Stage};
+
+impl Stage {
+    pub(super) fn planner_step(&mut self, n: usize, event: PlannerEvent) {
+        if self.planners[n].power != Power::On {
+            return;
+        }
+        let actions = self.planners[n].core.step(event, self.now);
+        for action in actions {
+            self.planner_act(n, action);
+        }
+    }
+
+    pub(super) fn planner_act(&mut self, n: usize, action: PlannerAction) {
+        match action {
+            PlannerAction::Probe(address) => {
+                if let Some(report) = self.report(address) {
+                    let started = self.now;
+                    let report = Box::new(report);
+                    self.planner_step(n, PlannerEvent::Reported { report, started });
+                }
+            }
+            PlannerAction::SendTxn { hall, flight, txn } => {
+                let result = self.txn(&txn);
+                let event = PlannerEvent::TxnDone {
+                    hall,
+                    flight,
+                    result,
+                };
+                self.planner_step(n, event);
+            }
+            PlannerAction::Read {
+                hall,
+                flight,
+                prefixes,
+            } => {
+                let rows = self.read(prefixes);
+                self.planner_step(n, PlannerEvent::RowsRead { hall, flight, rows });
+            }
+            PlannerAction::Give { hall, order, .. } => self.give_or_hold(n, hall, order),
+            PlannerAction::TellBeat(beat) => self.tell_beat(n, &beat),
+            PlannerAction::TellDigest { to, parts } => {
+                for part in parts {
+                    let from = self.planners[n].seat.name.clone();
+                    self.post(n, &to, Mail::Digest(from, part, self.now));
+                }
+            }
+            PlannerAction::AskDigest(to) => {
+                let from = self.planners[n].seat.name.clone();
+                self.post(n, &to, Mail::Want(from));
+            }
+            PlannerAction::Note(what) => {
+                let wall = self.now.get();
+                let daemon = &mut self.planners[n];
+                let stamp = daemon.clock.tick(wall);
+                let node = daemon.seat.name.clone();
+                self.records.push(Record { stamp, node, what });
+            }
+            PlannerAction::TellHead(_) | PlannerAction::Exit => {}
+        }
+    }
+
+    pub(super) fn router_step(&mut self, n: usize, event: RouterEvent) {
+        if self.routers[n].power != Power::On {
+            return;
+        }
+        let actions = self.routers[n].core.step(event, self.now);
+        for action in actions {
+            self.router_act(n, action);
+        }
+    }
+
+    pub(super) fn router_act(&mut self, n: usize, action: RouterAction) {
+        match action {
+            RouterAction::SendTxn { flight, txn } => {
+                let result = self.txn(&txn);
+                self.router_step(n, RouterEvent::TxnDone { flight, result });
+            }
+            RouterAction::ReadRows { flight, keys } => {
+                let rows = self.read(keys);
+                self.router_step(n, RouterEvent::RowsRead { flight, rows });
+            }
+            RouterAction::AskDigest(to) => {
+                let from = self.routers[n].seat.name.clone();
+                let planner = self.planners.iter().position(|p| p.seat.name == to);
+                if let Some(p) = planner.filter(|p| !self.planners[*p].cut) {
+                    self.deliver_to_planner(p, Mail::Want(from));
+                }
+            }
+            RouterAction::TellUsage(usage) => {
+                let from = self.routers[n].seat.name.clone();
+                for other in (0..self.routers.len()).filter(|o| *o != n) {
+                    let mail = Mail::Usage(from.clone(), usage.clone());
+                    self.deliver_to_router(other, mail);
+                }
+            }
+            RouterAction::Note(what) => {
+                let wall = self.now.get();
+                let daemon = &mut self.routers[n];
+                let stamp = daemon.clock.tick(wall);
+                let node = daemon.seat.name.clone();
+                self.note_request(n, &what);
+                self.records.push(Record { stamp, node, what });
+            }
+            RouterAction::TellHead(_) | RouterAction::Exit => {}
+            other => self.request_act(n, other),
+        }
+    }
+
+    /// Counts what the router notes of attempts.
+    pub(super) fn note_request(&mut self, _n: usize, what: &Happening) {
+        if let Happening::Sent { attempt, .. } = what {
+            self.tally.attempts += 1;
+            self.tally.retries += u64::from(*attempt > 1);
+        }
+    }
+}
--- a/crates/thistlesill-replay/tests/it/instances.rs
+++ b/crates/thistlesill-replay/tests/it/instances.rs
@@ -152,6 +152,7 @@
     options.checks = false;
     let mut changed = root();
     changed.checks_orders = Some(false);
+    changed.order_delay_ms = Some(6_000);
     options.tree = tree(1, changed);
     let mut stage = serving(options, 2);
     let first = holder(&stage);
@@ -162,7 +163,8 @@
     }));
     let gained = stage.elapsed();
     let orders = stage.orders();
-    stage.run(Millis::new(7_500));
+    // The lease's length, 8 s, and the order delay of the settings, 6 s.
+    stage.run(Millis::new(13_500));
     assert_eq!(stage.orders(), orders, "orders since {gained}");
     assert!(wait(&mut stage, 20_000, |s| s.whole_groups().len() == 2));
 }
--- a/crates/thistlesill-standins/src/words.rs
+++ b/crates/thistlesill-standins/src/words.rs
@@ -2,7 +2,6 @@
 //! and the position, so that a test knows the whole answer beforehand.
 
 use serde::Deserialize;
-use thistlesill_core::RequestId;
 
 const WORDS: &[&str] = &[
     "the", "motion", "was", "moved", "and", "seconded", "by", "members", "of", "board", "hut",
@@ -66,8 +65,3 @@
 pub fn answer(prompt: &str, tokens: u32) -> String {
     (0..tokens).map(|i| token(prompt, i)).collect()
 }
-
-/// A request id made of a number, for tests.
-pub const fn request_id(number: u128) -> RequestId {
-    RequestId::new(number)
-}
