refactor: one launch for both daemons, one prefix cache for both fakes

The two daemons' programs differed in their name only, and the stage and the stand-in engine kept the same prefix cache twice. Dead: a slope list that nothing read, an assertion that could not fail, an unused argument. No behaviour changes; the golden files are as they were.

--- a/crates/thistlesill-cli/src/edit.rs
+++ b/crates/thistlesill-cli/src/edit.rs
@@ -5,7 +5,7 @@
 
 use thistlesill_core::RequestId;
 use thistlesill_core::row::{
-    BRANCH_PREFIX, EDIT_PREFIX, EditRow, HEAD_KEY, HeadRow, SETTINGS_PREFIX, branch_key, edit_key,
+    EDIT_PREFIX, EditRow, HEAD_KEY, HeadRow, SETTINGS_PREFIX, branch_key, edit_key,
 };
 use thistlesill_core::settings::{Branch, Tree, TreeDiff, check};
 use thistlesill_core::table::{Rows, Txn, TxnReply, TxnResult};
@@ -208,6 +208,5 @@
             None => txn.delete(branch_key(path)),
         };
     }
-    debug_assert!(branch_key("/").starts_with(BRANCH_PREFIX));
     txn
 }
--- a/crates/thistlesill-fakes/src/lib.rs
+++ b/crates/thistlesill-fakes/src/lib.rs
@@ -3,10 +3,12 @@
 //! replayer and the tests are built on them.
 
 mod fleet_file;
+mod prefix_cache;
 mod table;
 mod target;
 
 pub use fleet_file::{DomainSpec, EngineOptions, FleetFile, HallSpec};
+pub use prefix_cache::PrefixCache;
 pub use table::Table;
 pub use target::Target;
 
--- a/crates/thistlesill-planner/src/main.rs
+++ b/crates/thistlesill-planner/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use thistlesill_core::config::Role;
-use thistlesill_net::files::{FileError, read_config, read_secrets};
+use thistlesill_net::launch::launch;
 
 xflags::xflags! {
     /// Watches targets, forms groups and gives orders.
@@ -21,35 +21,12 @@
     }
 }
 
-/// Exit code for settings that do not pass their check.
-const BAD_SETTINGS: u8 = 2;
-
 fn main() -> ExitCode {
     let flags = ThistlesillPlanner::from_env_or_exit();
-    match start(&flags) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("thistlesill-planner: {error}");
-            ExitCode::from(BAD_SETTINGS)
-        }
-    }
-}
-
-fn start(flags: &ThistlesillPlanner) -> Result<(), FileError> {
-    let config = read_config(&flags.config, Role::Planner)?;
-    let secrets = read_secrets(&config)?;
-    if flags.check {
-        println!("{}: fine", flags.config.display());
-        return Ok(());
-    }
-    thistlesill_net::admin::install_logger();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    if let Err(error) = runtime.block_on(thistlesill_planner::daemon::run(config, secrets)) {
-        log::error!("planner: {error}");
-        std::process::exit(1);
-    }
-    Ok(())
+    launch(
+        Role::Planner,
+        &flags.config,
+        flags.check,
+        thistlesill_planner::daemon::run,
+    )
 }
--- a/crates/thistlesill-replay/src/slopes.rs
+++ b/crates/thistlesill-replay/src/slopes.rs
@@ -26,11 +26,3 @@
     }
     out
 }
-
-/// All slopes, for tests of their shape.
-pub fn all() -> Vec<Slope> {
-    let mut all = cores::slopes();
-    all.extend(messages::slopes());
-    all.extend(settings::slopes());
-    all
-}
--- a/crates/thistlesill-replay/src/stage/daemons.rs
+++ b/crates/thistlesill-replay/src/stage/daemons.rs
@@ -105,7 +105,7 @@
                 let daemon = &mut self.routers[n];
                 let stamp = daemon.clock.tick(wall);
                 let node = daemon.seat.name.clone();
-                self.note_request(n, &what);
+                self.note_request(&what);
                 self.records.push(Record { stamp, node, what });
             }
             RouterAction::TellHead(_) | RouterAction::Exit => {}
@@ -114,7 +114,7 @@
     }
 
     /// Counts what the router notes of attempts.
-    pub(super) fn note_request(&mut self, _n: usize, what: &Happening) {
+    pub(super) fn note_request(&mut self, what: &Happening) {
         if let Happening::Sent { attempt, .. } = what {
             self.tally.attempts += 1;
             self.tally.retries += u64::from(*attempt > 1);
--- a/crates/thistlesill-replay/src/stage/engine.rs
+++ b/crates/thistlesill-replay/src/stage/engine.rs
@@ -4,8 +4,9 @@
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::report::{CacheEvent, Duty, Membership, Pressure};
+use thistlesill_core::report::{Duty, Membership, Pressure};
 use thistlesill_core::{InstanceId, Millis, RequestId};
+use thistlesill_fakes::PrefixCache;
 use thistlesill_policy::router::AttemptEvent;
 use thistlesill_policy::serving::GroupKey;
 
@@ -18,8 +19,6 @@
 const CACHED_PREFILL: u64 = 40;
 /// Prefixes that fit into an engine's cache.
 const MAX_PREFIXES: usize = 24;
-/// Cache events that an engine reports; older ones are lost.
-const MAX_EVENTS: usize = 8;
 
 /// How the engines behave.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,9 +78,7 @@
     running: Vec<Run>,
     waiting: Vec<Run>,
     turns: u64,
-    prefixes: VecDeque<u64>,
-    events: VecDeque<CacheEvent>,
-    event_seq: u64,
+    pub(super) cache: PrefixCache,
     history: VecDeque<(Millis, Pressure)>,
 }
 
@@ -129,7 +126,10 @@
         self.waiting.sort_by_key(|r| (r.priority, r.turn));
         while self.running.len() < slots as usize && !self.waiting.is_empty() {
             let mut run = self.waiting.remove(0);
-            if run.prefix.is_some_and(|p| self.touch(p)) {
+            if run
+                .prefix
+                .is_some_and(|p| self.cache.touch(p, MAX_PREFIXES))
+            {
                 run.prefill = run.prefill * CACHED_PREFILL / 100;
             }
             begun.push(run.request);
@@ -138,39 +138,6 @@
         begun
     }
 
-    /// Recent cache events; older ones are lost, as gaps.
-    pub(super) fn events(&self) -> Vec<CacheEvent> {
-        self.events.iter().copied().collect()
-    }
-
-    /// Whether a prefix is cached; it is afterwards.
-    fn touch(&mut self, prefix: u64) -> bool {
-        let hit = self.prefixes.contains(&prefix);
-        self.prefixes.retain(|p| *p != prefix);
-        self.prefixes.push_back(prefix);
-        if !hit {
-            self.cache_event(prefix, true);
-        }
-        if self.prefixes.len() > MAX_PREFIXES
-            && let Some(dropped) = self.prefixes.pop_front()
-        {
-            self.cache_event(dropped, false);
-        }
-        hit
-    }
-
-    fn cache_event(&mut self, prefix: u64, added: bool) {
-        self.event_seq += 1;
-        self.events.push_back(CacheEvent {
-            seq: self.event_seq,
-            prefix,
-            added,
-        });
-        if self.events.len() > MAX_EVENTS {
-            self.events.pop_front();
-        }
-    }
-
     /// Lets a step of work pass; returns the runs with a new piece and those
     /// that ended.
     fn work(&mut self, model: &EngineModel, slowness: u32) -> (Vec<Run>, Vec<Run>) {
--- a/crates/thistlesill-replay/src/stage/platform.rs
+++ b/crates/thistlesill-replay/src/stage/platform.rs
@@ -33,7 +33,7 @@
             return None;
         }
         let pressure = body.load.lagged(now, lag);
-        let cache = body.load.events();
+        let cache = body.load.cache.events();
         Some(Report {
             cache,
             ..body.target.report(pressure)
--- a/crates/thistlesill-router/src/send.rs
+++ b/crates/thistlesill-router/src/send.rs
@@ -18,7 +18,7 @@
 use crate::openai::Completion;
 use crate::pending::PlainAsk;
 
-/// Headers that are not passed on from a plain service.
+/// The longest that a plain service may take.
 const MAX_PLAIN: Duration = Duration::from_secs(120);
 
 /// Sends a completion and passes on what it brings.
--- a/crates/thistlesill-standins/src/engine/handlers.rs
+++ b/crates/thistlesill-standins/src/engine/handlers.rs
@@ -18,6 +18,8 @@
 use super::{Engine, Power};
 use crate::words::Body;
 
+/// Prefixes that fit into the cache.
+const MAX_PREFIXES: usize = 32;
 /// Bytes of the prompt that count as its prefix.
 const PREFIX_BYTES: usize = 64;
 /// Between two looks at the queue.
@@ -87,7 +89,7 @@
         let lag = Duration::from_millis(self.options.lag_ms);
         let pressure = state.lagged(lag, Instant::now());
         Report {
-            cache: state.events(),
+            cache: state.cache.events(),
             ..state.target.report(pressure)
         }
     }
@@ -235,7 +237,7 @@
     state.waiting.retain(|t| *t != turn);
     state.running += 1;
     state.streams.insert(log.request, log.clone());
-    state.touch_prefix(prefix)
+    state.cache.touch(prefix, MAX_PREFIXES)
 }
 
 /// The hash of a prompt's beginning, as routers compute it.
--- a/crates/thistlesill-standins/src/engine/state.rs
+++ b/crates/thistlesill-standins/src/engine/state.rs
@@ -4,17 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use thistlesill_core::report::{CacheEvent, Pressure};
+use thistlesill_core::report::Pressure;
 use thistlesill_core::{Millis, RequestId};
-use thistlesill_fakes::Target;
+use thistlesill_fakes::{PrefixCache, Target};
 
 use super::stream::StreamLog;
 
-/// Cache events kept; older ones are lost, as gaps.
-const MAX_EVENTS: usize = 8;
-/// Prefixes that fit into the cache.
-const MAX_PREFIXES: usize = 32;
-
 /// The state of one engine.
 #[derive(Debug)]
 pub struct EngineState {
@@ -35,9 +30,8 @@
     /// Streams by request.
     pub streams: HashMap<RequestId, Arc<StreamLog>>,
     history: VecDeque<(Instant, Pressure)>,
-    events: VecDeque<CacheEvent>,
-    event_seq: u64,
-    prefixes: VecDeque<u64>,
+    /// The prefix cache.
+    pub cache: PrefixCache,
 }
 
 impl EngineState {
@@ -53,9 +47,7 @@
             accepted: 0,
             streams: HashMap::new(),
             history: VecDeque::new(),
-            events: VecDeque::new(),
-            event_seq: 0,
-            prefixes: VecDeque::new(),
+            cache: PrefixCache::default(),
         }
     }
 
@@ -84,37 +76,4 @@
             ..pressure
         }
     }
-
-    /// Whether a prefix is cached; it is afterwards.
-    pub fn touch_prefix(&mut self, prefix: u64) -> bool {
-        let hit = self.prefixes.contains(&prefix);
-        self.prefixes.retain(|p| *p != prefix);
-        self.prefixes.push_back(prefix);
-        if !hit {
-            self.cache_event(prefix, true);
-        }
-        if self.prefixes.len() > MAX_PREFIXES
-            && let Some(dropped) = self.prefixes.pop_front()
-        {
-            self.cache_event(dropped, false);
-        }
-        hit
-    }
-
-    /// Recent cache events.
-    pub fn events(&self) -> Vec<CacheEvent> {
-        self.events.iter().copied().collect()
-    }
-
-    fn cache_event(&mut self, prefix: u64, added: bool) {
-        self.event_seq += 1;
-        self.events.push_back(CacheEvent {
-            seq: self.event_seq,
-            prefix,
-            added,
-        });
-        if self.events.len() > MAX_EVENTS {
-            self.events.pop_front();
-        }
-    }
 }
