--- /dev/null
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -0,0 +1,73 @@
+//! The settings of an edge daemon's process.
+
+use std::net::{IpAddr, SocketAddr};
+
+use crate::{HallId, Millis, NodeId};
+
+/// Bounds that the operators set for the behaviour of all daemons.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Longest age of the proof that a key is still valid; `None` where a
+    /// removed key may be used for longer.
+    pub revoke: Option<Millis>,
+    /// Time that a stopping process has before it is killed.
+    pub grace: Millis,
+    /// Time after which a group that lost a member is broken.
+    pub stall: Millis,
+    /// Retries of a service per request, over all daemons.
+    pub retry_ratio: f64,
+    /// Retries beyond the ratio, over all daemons and one window.
+    pub retry_slack: f64,
+    /// The window over which retries are counted.
+    pub retry_window: Millis,
+    /// Time between a target's heartbeats to the store.
+    pub heartbeat: Millis,
+}
+
+/// Limits of the platform's store over all daemons.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StoreLimits {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Writing calls a second.
+    pub writes: f64,
+    /// Reading calls a second.
+    pub reads: f64,
+}
+
+/// The settings of one edge daemon's process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// The daemon's name.
+    pub name: NodeId,
+    /// Its data centre.
+    pub hall: HallId,
+    /// Its own address.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the daemon takes callers.
+    pub health: SocketAddr,
+    /// The first port that daemons may use among themselves.
+    pub peer_port: u16,
+    /// The last such port.
+    pub last_port: u16,
+    /// Memory that the process may use, in megabytes.
+    pub memory: u64,
+    /// The bounds in force.
+    pub bounds: Bounds,
+    /// The store.
+    pub store: StoreLimits,
+}
+
+impl EdgeSettings {
+    /// Where the daemon's peers send datagrams.
+    pub const fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_port)
+    }
+
+    /// Where the daemon serves its metrics.
+    pub const fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.last_port)
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -0,0 +1,66 @@
+//! Orders to model engines.
+
+use crate::{GroupId, InstanceId, Model};
+
+/// One forming of a group: its name and epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct GroupRef {
+    /// The group.
+    pub group: GroupId,
+    /// Its epoch.
+    pub epoch: u64,
+}
+
+/// What an engine is told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Become a member of a group.
+    Join {
+        /// The group.
+        to: GroupRef,
+        /// What it runs.
+        model: Model,
+        /// All members; the first leads.
+        members: Vec<InstanceId>,
+    },
+    /// As leader: take requests.
+    Open(GroupRef),
+    /// As leader: break off what runs and take no more requests.
+    Cut(GroupRef),
+    /// As leader: take no more requests, and end those that run.
+    Close(GroupRef),
+    /// Load a model's weights to the host.
+    Stage(Model),
+}
+
+impl Order {
+    /// The order's name in logs and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Join { .. } => "join",
+            Self::Open(_) => "open",
+            Self::Cut(_) => "cut",
+            Self::Close(_) => "close",
+            Self::Stage(_) => "stage",
+        }
+    }
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It is begun or already holds.
+    Taken,
+    /// It does not fit the engine's state.
+    Unfit,
+    /// The engine has seen a higher epoch.
+    Outdated,
+    /// Another engine lives at the address.
+    Elsewhere,
+    /// The engine refused it with this status.
+    Denied(u16),
+    /// Nothing listens at the address: the engine's process is gone.
+    Dead,
+    /// No answer: it may be carried out at any time.
+    Unknown,
+}
--- a/crates/thistlesill-core/src/lib.rs
+++ b/crates/thistlesill-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod chart;
 pub mod config;
+pub mod edge;
 pub mod error;
 pub mod event_id;
 pub mod jsonc;
--- /dev/null
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -0,0 +1,204 @@
+//! The start, the life and the stop of an edge daemon.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use thistlesill_core::Millis;
+use thistlesill_core::chart::ChartError;
+use thistlesill_core::edge::EdgeSettings;
+use thistlesill_platform::Malformed;
+use thistlesill_platform::settings::{decode_settings, settings_path};
+use thistlesill_policy::charts::Charts;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::LocalSet;
+
+use crate::state::Edge;
+use crate::{figures, front, peers, planner, watch};
+
+/// Exit code for settings that do not pass their check.
+const BAD_SETTINGS: u8 = 2;
+/// Between two rounds of housekeeping.
+const SWEEP: Duration = Duration::from_millis(100);
+/// Rounds between two of the slower housekeeping.
+const SLOW_SWEEPS: u32 = 10;
+/// Time in which the balancer notices that the daemon takes no new callers:
+/// it asks once a second and believes the second answer.
+const BALANCER: Millis = Millis::new(2_600);
+/// Kept of the time before a stopping process is killed.
+const STOP_MARGIN: Millis = Millis::new(400);
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings file could not be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The settings do not pass their check.
+    #[snafu(display("{}: {source}", path.display()))]
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: Malformed,
+    },
+    /// A state chart does not pass its check.
+    #[snafu(display("{source}"))]
+    Charts {
+        /// The cause.
+        source: ChartError,
+    },
+    /// An address or a signal could not be had.
+    #[snafu(display("{what}: {source}"))]
+    Io {
+        /// What was wanted.
+        what: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// Reads the settings and runs a daemon, or only checks them.
+pub fn main(config: Option<PathBuf>, only_check: bool) -> ExitCode {
+    let path = config.unwrap_or_else(settings_path);
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("thistlesill-edge: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if only_check {
+        println!("{}: fine", path.display());
+        return ExitCode::SUCCESS;
+    }
+    thistlesill_net::admin::install_logger();
+    match start(settings, path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("thistlesill-edge: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(path: &Path) -> Result<EdgeSettings, StartError> {
+    let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+    decode_settings(&text).context(SettingsSnafu { path })
+}
+
+fn start(settings: EdgeSettings, path: PathBuf) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(IoSnafu { what: "runtime" })?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, run(settings, path))
+}
+
+async fn run(settings: EdgeSettings, path: PathBuf) -> Result<(), StartError> {
+    let charts = Charts::load().context(ChartsSnafu)?;
+    let handle = figures::install();
+    let callers = TcpListener::bind(settings.callers).await.context(IoSnafu {
+        what: settings.callers.to_string(),
+    })?;
+    let mut stop = listen_for(SignalKind::terminate())?;
+    let mut reload = listen_for(SignalKind::hangup())?;
+    let edge = Rc::new(Edge::new(settings));
+    let settings = edge.settings();
+    edge.lines
+        .line("start")
+        .with("name", &settings.name)
+        .with("hall", &settings.hall)
+        .with("boot", format!("{:016x}", edge.boot))
+        .write();
+    tokio::task::spawn_local(watch::follow_catalog(edge.clone()));
+    tokio::task::spawn_local(watch::follow_targets(edge.clone()));
+    tokio::task::spawn_local(peers::follow(edge.clone()));
+    tokio::task::spawn_local(peers::gossip(edge.clone()));
+    tokio::task::spawn_local(planner::run(edge.clone(), charts));
+    tokio::task::spawn_local(front::serve_health(edge.clone(), settings.health));
+    tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
+    if let Some(handle) = &handle {
+        tokio::task::spawn_local(figures::serve(settings.metrics_address(), handle.clone()));
+    }
+    let mut rounds = 0;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => begin_stop(&edge),
+            _ = reload.recv() => reload_settings(&edge, &path),
+            () = tokio::time::sleep(SWEEP) => {}
+        }
+        rounds += 1;
+        sweep(&edge);
+        if rounds % SLOW_SWEEPS == 0 {
+            edge.lanes.sweep(edge.now());
+            if let Some(handle) = &handle {
+                handle.run_upkeep();
+            }
+        }
+        if has_stopped(&edge) {
+            break;
+        }
+    }
+    edge.lines.line("stop").with("active", edge.active.get()).write();
+    edge.lines.flush();
+    // The writing thread needs a moment for the last batch.
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    Ok(())
+}
+
+fn listen_for(kind: SignalKind) -> Result<Signal, StartError> {
+    signal(kind).context(IoSnafu { what: "signals" })
+}
+
+fn begin_stop(edge: &Edge) {
+    if edge.stopping.get().is_some() {
+        return;
+    }
+    edge.stopping.set(Some(edge.now()));
+    edge.stop.notify_waiters();
+    edge.lines.line("stopping").with("active", edge.active.get()).write();
+}
+
+/// Whether the daemon was told to stop and may: the balancer has noticed and
+/// all requests have ended, or the time is nearly up.
+fn has_stopped(edge: &Edge) -> bool {
+    let Some(since) = edge.stopping.get() else {
+        return false;
+    };
+    let gone = edge.now() - since;
+    let grace = edge.settings().bounds.grace - STOP_MARGIN;
+    gone >= grace || (gone >= BALANCER && edge.active.get() == 0)
+}
+
+/// Takes in a changed settings file; a bad one changes nothing.
+fn reload_settings(edge: &Edge, path: &Path) {
+    match read_settings(path) {
+        Ok(settings) => {
+            edge.settings.replace(Rc::new(settings));
+            edge.lines.line("reload").with("result", "taken").write();
+        }
+        Err(error) => edge.lines.line("reload").with("result", error).write(),
+    }
+}
+
+/// Housekeeping: drops what is out of time and writes out the lines.
+fn sweep(edge: &Edge) {
+    let now = edge.now();
+    let catalog = edge.catalog();
+    if edge.book.borrow_mut().expire(catalog.as_deref(), now) {
+        edge.fleet_news.notify_one();
+    }
+    let book = edge.book.borrow();
+    edge.loads.borrow_mut().retain(|id| book.knows(id), now);
+    edge.lines.flush();
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/front.rs
@@ -0,0 +1,110 @@
+//! Where callers connect, and where the balancer asks for health.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::proxy;
+use crate::state::Edge;
+
+/// Time that an unused connection stays open before the operators' limits are
+/// known.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Bytes of a request's head before the operators' limits are known; `hyper`
+/// takes no less than 8 KiB.
+const LEAST_HEAD: usize = 8 * 1024;
+/// After a failure to accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers, for ever.
+pub(crate) async fn serve_callers(edge: Rc<Edge>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_caller(edge.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("front: a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(edge: Rc<Edge>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("front: {error}");
+    }
+    let limits = edge.catalog().map(|c| c.limits());
+    let idle = limits.map_or(FIRST_IDLE, |l| l.idle.duration());
+    let head = limits.map_or(LEAST_HEAD, |l| l.head_bytes.max(LEAST_HEAD));
+    let service = {
+        let edge = edge.clone();
+        service_fn(move |request| {
+            let edge = edge.clone();
+            async move { Ok::<_, Infallible>(proxy::handle(edge, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head + LEAST_HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    if edge.stopping.get().is_some() {
+        connection.as_mut().graceful_shutdown();
+    }
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = edge.stop.notified() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("front: a caller's connection ended: {error}");
+    }
+}
+
+/// Answers whether the daemon takes callers, for ever.
+pub(crate) async fn serve_health(edge: Rc<Edge>, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("health: {address}: {error}");
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let edge = edge.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let status = if edge.is_ready() {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                };
+                let mut answer = Response::new(Full::new(Bytes::new()));
+                *answer.status_mut() = status;
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!("health: a connection ended: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/lanes.rs
@@ -0,0 +1,87 @@
+//! Connections to targets that are kept for the next request.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use thistlesill_core::edge::Target;
+use thistlesill_core::{InstanceId, Millis};
+use thistlesill_net::lane::{Lane, LaneError};
+use tokio::time::Instant;
+
+/// Unused connections kept per target.
+const MAX_IDLE: usize = 6;
+/// How long an unused connection is kept if its target does not say how long
+/// it keeps it; most keep theirs for some seconds.
+const USUAL_KEEP: Millis = Millis::new(2_000);
+/// Kept away from the end of the time that a target names, since its close
+/// and our next request may cross.
+const KEEP_MARGIN: Millis = Millis::new(700);
+
+#[derive(Debug)]
+struct Idle {
+    lane: Lane,
+    until: Millis,
+}
+
+/// The unused connections, by target.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    idle: RefCell<HashMap<InstanceId, Vec<Idle>>>,
+}
+
+impl Lanes {
+    /// A connection that is ready, if one is kept.
+    fn take(&self, target: &InstanceId, now: Millis) -> Option<Lane> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(target)?;
+        while let Some(last) = kept.pop() {
+            if last.until > now && last.lane.is_ready() {
+                return Some(last.lane);
+            }
+        }
+        None
+    }
+
+    /// A connection to a target: a kept one if `reuse`, else a new one.
+    pub(crate) async fn get(
+        &self,
+        target: &Target,
+        reuse: bool,
+        now: Millis,
+        until: Instant,
+    ) -> Result<Lane, LaneError> {
+        let kept = if reuse { self.take(&target.id, now) } else { None };
+        match kept {
+            Some(lane) => Ok(lane),
+            None => {
+                metrics::counter!("thistlesill_edge_connections_total").increment(1);
+                Lane::open(target.address, until).await
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub(crate) fn keep(&self, target: &InstanceId, lane: Lane, keep: Option<Millis>, now: Millis) {
+        let time = keep.map_or(USUAL_KEEP, |k| k - KEEP_MARGIN);
+        if time == Millis::ZERO {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(target.clone()).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle {
+                lane,
+                until: now + time,
+            });
+        }
+    }
+
+    /// Closes connections that are out of time.
+    pub(crate) fn sweep(&self, now: Millis) {
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|i| i.until > now);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -0,0 +1,19 @@
+//! The edge daemon: it proxies the operators' routes to targets and, while it
+//! holds the lease, forms the serving groups.
+//!
+//! All state belongs to one thread. Tasks on it do I/O, borrow the state for
+//! one short step at a time, and never across an await.
+
+pub mod daemon;
+mod figures;
+mod front;
+mod lanes;
+mod lines;
+mod peers;
+mod planner;
+mod proxy;
+mod relay;
+mod reply;
+mod state;
+mod track;
+mod watch;
--- /dev/null
+++ b/crates/thistlesill-edge/src/lines.rs
@@ -0,0 +1,119 @@
+//! Structured log lines on standard output, for whoever has to explain a
+//! failure afterwards.
+//!
+//! A line holds `name=value` pairs: the time, the event, then its inputs and
+//! outcome. Lines are collected and handed to a thread of their own, so the
+//! loop never waits for the reader; what does not fit is dropped and counted.
+
+use std::cell::{Cell, RefCell};
+use std::fmt::{Display, Write as _};
+use std::io::Write as _;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+
+use thistlesill_net::clock::Clock;
+
+/// Bytes of collected lines, at most.
+const MAX_COLLECTED: usize = 64 * 1024;
+/// Batches that may wait for the reader of standard output.
+const MAX_BATCHES: usize = 16;
+
+/// The writer of log lines.
+#[derive(Debug)]
+pub(crate) struct Lines {
+    text: RefCell<String>,
+    dropped: Cell<u64>,
+    out: SyncSender<String>,
+}
+
+impl Lines {
+    /// Starts the writing thread.
+    pub(crate) fn start() -> Self {
+        let (out, batches) = sync_channel(MAX_BATCHES);
+        std::thread::spawn(move || write_batches(&batches));
+        Self {
+            text: RefCell::new(String::new()),
+            dropped: Cell::new(0),
+            out,
+        }
+    }
+
+    /// Begins a line about an event.
+    pub(crate) fn line(&self, event: &str) -> Line<'_> {
+        let mut text = String::with_capacity(160);
+        let wall = Clock::wall();
+        let _ = write!(text, "t={}.{:03} ev={event}", wall / 1_000, wall % 1_000);
+        Line { lines: self, text }
+    }
+
+    /// Hands what was collected to the writing thread.
+    pub(crate) fn flush(&self) {
+        if self.text.borrow().is_empty() {
+            return;
+        }
+        let dropped = self.dropped.replace(0);
+        if dropped > 0 {
+            metrics::counter!("thistlesill_edge_log_dropped_total").increment(dropped);
+            self.line("log_dropped").with("lines", dropped).write();
+        }
+        let batch = self.text.take();
+        let count = batch.lines().count() as u64;
+        if self.out.try_send(batch).is_err() {
+            self.dropped.set(self.dropped.get() + count);
+        }
+    }
+
+    fn push(&self, line: &str) {
+        let mut text = self.text.borrow_mut();
+        if text.len() + line.len() > MAX_COLLECTED {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        text.push_str(line);
+        text.push('\n');
+    }
+}
+
+/// A line that is being put together.
+#[derive(Debug)]
+#[must_use = "a line is written by `write`"]
+pub(crate) struct Line<'a> {
+    lines: &'a Lines,
+    text: String,
+}
+
+impl Line<'_> {
+    /// Adds a value; blanks and quotes in it are quoted.
+    pub(crate) fn with(mut self, name: &str, value: impl Display) -> Self {
+        let start = self.text.len() + name.len() + 2;
+        let _ = write!(self.text, " {name}={value}");
+        let plain = !self.text[start..].contains([' ', '"', '\n', '=']);
+        if !plain {
+            let value = self.text.split_off(start);
+            let _ = write!(self.text, "{value:?}");
+        }
+        self
+    }
+
+    /// Adds a value if there is one.
+    pub(crate) fn maybe(self, name: &str, value: Option<impl Display>) -> Self {
+        match value {
+            Some(value) => self.with(name, value),
+            None => self,
+        }
+    }
+
+    /// Writes the line.
+    pub(crate) fn write(self) {
+        self.lines.push(&self.text);
+    }
+}
+
+fn write_batches(batches: &Receiver<String>) {
+    let mut out = std::io::stdout().lock();
+    while let Ok(batch) = batches.recv() {
+        // Standard output may be closed; there is nowhere left to say so.
+        if out.write_all(batch.as_bytes()).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -0,0 +1,226 @@
+//! Forms groups while this daemon holds the lease on the fleet.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use thistlesill_core::edge::Order;
+use thistlesill_core::row::lease_key;
+use thistlesill_core::table::{Txn, TxnReply, TxnResult};
+use thistlesill_core::{HallId, InstanceId, Millis, ServiceName};
+use thistlesill_net::lane::within;
+use thistlesill_platform::engine;
+use thistlesill_policy::charts::{Charts, LeaseState};
+use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
+
+use crate::state::Edge;
+
+/// Between two looks at the fleet without news.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time for an order; engines answer within some milliseconds.
+const ORDER: Duration = Duration::from_millis(400);
+/// Time for a probe.
+const PROBE: Duration = Duration::from_millis(250);
+/// Time for a call of the store.
+const STORE: Duration = Duration::from_millis(700);
+/// Times of the lease. A holder writes every 0.8 s, so one lost write does
+/// not cost it the lease; a successor takes over after 2.5 s.
+const PERIODS: LeasePeriods = LeasePeriods {
+    renew: Millis::new(800),
+    length: Millis::new(2_500),
+    margin: Millis::new(500),
+    courtesy: Millis::ZERO,
+};
+/// The longest wait before the first look, so that daemons that start
+/// together do not all ask for the lease.
+const FIRST_WAIT: u64 = 150;
+
+/// The part of a daemon that forms groups.
+struct Planner {
+    edge: Rc<Edge>,
+    lease: RefCell<Lease>,
+    fleets: RefCell<HashMap<ServiceName, FleetPlanner>>,
+}
+
+/// Forms groups whenever the lease is held, for ever.
+pub(crate) async fn run(edge: Rc<Edge>, charts: Charts) {
+    let name = edge.settings().name.clone();
+    let wait = edge.rng.borrow_mut().random_range(0..FIRST_WAIT);
+    tokio::time::sleep(Duration::from_millis(wait)).await;
+    let planner = Rc::new(Planner {
+        lease: RefCell::new(Lease::new(charts.lease, name, scope(), PERIODS)),
+        fleets: RefCell::new(HashMap::new()),
+        edge,
+    });
+    loop {
+        planner.tend_lease().await;
+        planner.look();
+        tokio::select! {
+            () = tokio::time::sleep(LOOK) => {}
+            () = planner.edge.fleet_news.notified() => {}
+        }
+    }
+}
+
+/// What the lease is on: all targets of the fleet.
+fn scope() -> HallId {
+    HallId::from("fleet")
+}
+
+impl Planner {
+    async fn tend_lease(&self) {
+        let now = self.edge.now();
+        let watching = matches!(self.lease.borrow().state(), LeaseState::Watching);
+        if watching && self.edge.peers.borrow().hears_planner(now) {
+            return;
+        }
+        let (step, news) = self.lease.borrow_mut().tick(now);
+        self.note(news);
+        let news = match step {
+            LeaseStep::Wait => LeaseNews::None,
+            LeaseStep::Read => {
+                let rows = self.edge.store.read_own(&lease_key(&scope()), STORE).await;
+                let rows = rows.inspect_err(|e| log::debug!("planner: lease not read: {e}"));
+                let now = self.edge.now();
+                self.lease.borrow_mut().read(rows.ok().as_ref(), now)
+            }
+            LeaseStep::Send(txn) => {
+                let result = self.send(&txn).await;
+                self.lease.borrow_mut().done(&result, self.edge.now())
+            }
+        };
+        self.note(news);
+        let holds = self.lease.borrow().term(self.edge.now()).is_some();
+        if self.edge.plans.replace(holds) && !holds {
+            self.fleets.borrow_mut().clear();
+        }
+    }
+
+    /// Sends a transaction; what was certainly not done counts as refused.
+    async fn send(&self, txn: &Txn) -> TxnResult {
+        match self.edge.store.txn(txn, STORE).await {
+            Ok(result) => result,
+            Err(error) => {
+                log::debug!("planner: lease not written: {error}");
+                TxnResult::Replied(TxnReply::Refused { failed: Vec::new() })
+            }
+        }
+    }
+
+    fn note(&self, news: LeaseNews) {
+        let lines = &self.edge.lines;
+        match news {
+            LeaseNews::None => {}
+            LeaseNews::Gained { term } => lines.line("lease_gained").with("term", term).write(),
+            LeaseNews::Ended { term } => lines.line("lease_ended").with("term", term).write(),
+        }
+    }
+
+    /// Looks at all fleets and does what they need.
+    fn look(self: &Rc<Self>) {
+        let edge = &self.edge;
+        let now = edge.now();
+        let Some(term) = self.lease.borrow().term(now) else {
+            return;
+        };
+        let Some(catalog) = edge.catalog() else {
+            return;
+        };
+        let stalled = self.stalled(now);
+        let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
+        let book = edge.book.borrow();
+        for service in catalog.services() {
+            let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
+                continue;
+            };
+            let view = FleetView {
+                targets,
+                engine,
+                stalled: &stalled,
+                term,
+                calm,
+            };
+            let actions = {
+                let mut fleets = self.fleets.borrow_mut();
+                fleets.entry(service.name.clone()).or_default().step(&view, now)
+            };
+            for action in actions {
+                self.act(&service.name, action);
+            }
+        }
+    }
+
+    fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
+        let mut stalled = self.edge.peers.borrow().suspects(now);
+        stalled.extend(self.edge.loads.borrow().suspects(now));
+        stalled
+    }
+
+    fn act(self: &Rc<Self>, service: &ServiceName, action: FleetAction) {
+        let (planner, service) = (self.clone(), service.clone());
+        tokio::task::spawn_local(async move {
+            match action {
+                FleetAction::Give {
+                    target,
+                    address,
+                    order,
+                    why,
+                } => {
+                    if planner.lease.borrow().term(planner.edge.now()).is_none() {
+                        return;
+                    }
+                    let reply = engine::give(&target, address, &order, within(ORDER)).await;
+                    planner.note_order(&target, &order, &format!("{reply:?}"), why);
+                    planner.with_fleet(&service, |fleet, now| {
+                        fleet.answered(&target, &order, reply, now);
+                    });
+                }
+                FleetAction::Probe { target, address } => {
+                    let report = engine::ask_report(&target, address, within(PROBE)).await;
+                    let edge = &planner.edge;
+                    let line = edge.lines.line("probe").with("target", &target);
+                    match &report {
+                        Ok(report) => line.with("alive", true).with("running", report.running),
+                        Err(error) => line.with("alive", false).with("why", error),
+                    }
+                    .write();
+                    planner.with_fleet(&service, |fleet, now| {
+                        fleet.probed(&target, report.is_ok(), now);
+                    });
+                }
+            }
+            planner.edge.fleet_news.notify_one();
+        });
+    }
+
+    fn with_fleet(&self, service: &ServiceName, step: impl FnOnce(&mut FleetPlanner, Millis)) {
+        if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
+            step(fleet, self.edge.now());
+        }
+    }
+
+    fn note_order(&self, target: &InstanceId, order: &Order, reply: &str, why: &str) {
+        metrics::counter!("thistlesill_edge_orders_total", "order" => order.name()).increment(1);
+        let line = self.edge.lines.line("order");
+        let line = line
+            .with("order", order.name())
+            .with("target", target)
+            .with("reply", reply)
+            .with("why", why);
+        match order {
+            Order::Join { to, model, members } => line
+                .with("group", &to.group)
+                .with("epoch", to.epoch)
+                .with("model", model)
+                .with("members", members.len()),
+            Order::Open(group) | Order::Cut(group) | Order::Close(group) => {
+                line.with("group", &group.group).with("epoch", group.epoch)
+            }
+            Order::Stage(model) => line.with("model", model),
+        }
+        .write();
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -0,0 +1,414 @@
+//! One request, from its arrival to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use thistlesill_core::edge::{RouteKind, Target};
+use thistlesill_core::{ErrorKind, InstanceId, Millis};
+use thistlesill_net::lane::{Lane, LaneError, within};
+use thistlesill_platform::caller::{self, AnswerHead, CallerHead, KeyHeader, TargetHead};
+use thistlesill_policy::edge::admission::{Asking, Key, Passage, admit};
+use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::relay;
+use crate::reply::{self, OutBody};
+use crate::state::{Edge, InFlight};
+use crate::track::Track;
+
+/// Time for a connection to a target; targets answer within a few
+/// milliseconds, so a longer wait means a lost packet or a dead machine.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Answers of plain services up to this size are read whole before the first
+/// byte goes to the caller, so that one that breaks off can be asked for again.
+const MAX_HELD: u64 = 256 * 1024;
+/// Time for a caller's body after its head.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Added to the end of a request's time before an attempt is given up, so
+/// that an answer that a target sends at the very end still arrives.
+const LAST_ANSWER: Duration = Duration::from_millis(60);
+
+/// A request that passed, and all that is needed to send it.
+pub(crate) struct Job {
+    pub(crate) edge: Rc<Edge>,
+    pub(crate) passage: Passage,
+    pub(crate) head: CallerHead,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    arrived: Millis,
+    /// When the final answer is due.
+    pub(crate) until: Instant,
+}
+
+impl Job {
+    /// Time left to the request.
+    fn left(&self) -> Millis {
+        let gone = self.edge.now() - self.arrived;
+        self.passage.limit - gone
+    }
+
+    /// Whether the request may run more than once.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.passage.route.may_repeat()
+    }
+
+    fn request(&self, target: &Target, last_event: Option<&str>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let customer = self.passage.customer.as_ref();
+        let head = TargetHead {
+            customer: customer.map(thistlesill_core::CustomerId::as_str),
+            target: &target.id,
+            left: self.left(),
+            priority: self.passage.priority,
+            last_event,
+        };
+        caller::address(&mut headers, &head);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// A target's answer whose head has arrived.
+pub(crate) struct Answered {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) lane: Lane,
+    pub(crate) info: AnswerHead,
+    pub(crate) target: InstanceId,
+    pub(crate) flight: InFlight,
+}
+
+/// An attempt that brought no answer to hand on.
+pub(crate) struct Failure {
+    pub(crate) outcome: Outcome,
+    why: String,
+    /// The target's own answer, if it may be handed on.
+    answer: Option<Box<Answered>>,
+}
+
+impl Failure {
+    fn new(outcome: Outcome, why: impl ToString) -> Self {
+        Self {
+            outcome,
+            why: why.to_string(),
+            answer: None,
+        }
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
+    let arrived = edge.now();
+    edge.busy.set(true);
+    let (parts, body) = request.into_parts();
+    let head = caller::read_caller(&parts.headers);
+    let mut track = Track::new(&edge, &head.id, arrived);
+    let body = match read_body(&edge, body).await {
+        Ok(body) => body,
+        Err(kind) => return track.refuse(kind, None),
+    };
+    let passage = match pass(&edge, &parts, &head) {
+        Ok(passage) => passage,
+        Err(kind) => return track.refuse(kind, None),
+    };
+    track.admitted(&passage);
+    let limit = passage.limit.duration();
+    let job = Rc::new(Job {
+        headers: caller::forwarded(&parts.headers),
+        edge,
+        passage,
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        body,
+        arrived,
+        until: Instant::now() + limit,
+    });
+    serve(job, track).await
+}
+
+async fn read_body(edge: &Edge, body: Incoming) -> Result<Bytes, ErrorKind> {
+    let most = edge.catalog().map_or(0, |c| c.limits().body_bytes);
+    if most == 0 {
+        return Ok(Bytes::new());
+    }
+    let read = Limited::new(body, most).collect();
+    match timeout_at(within(BODY_TIME), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ErrorKind::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(ErrorKind::BadRequest),
+        Err(_) => Err(ErrorKind::SlowCaller),
+    }
+}
+
+fn pass(edge: &Edge, parts: &Parts, head: &CallerHead) -> Result<Passage, ErrorKind> {
+    let named = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
+    let asking = Asking {
+        host,
+        path: parts.uri.path(),
+        key: match &head.key {
+            KeyHeader::Missing => Key::Missing,
+            KeyHeader::One(key) => Key::Given(key),
+            KeyHeader::Unusable => Key::Unusable,
+        },
+        deadline: head.deadline,
+    };
+    let settings = edge.settings();
+    let catalog = edge.catalog();
+    let fresh = edge.fresh.get();
+    let rng = &mut *edge.rng.borrow_mut();
+    admit(catalog.as_deref(), &fresh, &settings.bounds, &asking, edge.now(), rng)
+}
+
+/// Sends a request until an attempt brings an answer or none may follow.
+async fn serve(job: Rc<Job>, mut track: Track) -> Response<OutBody> {
+    let edge = &job.edge;
+    let mut attempts = Attempts::default();
+    let mut tried: Vec<InstanceId> = Vec::new();
+    edge.earn_retry(&job.passage.service.name);
+    loop {
+        let target = edge.pick(&job.passage.service, job.head.model.as_ref(), &tried);
+        let Some(target) = target else {
+            return track.refuse(no_target(attempts), None);
+        };
+        if job.passage.customer.is_some() && !edge.is_fresh() {
+            return track.refuse(stale(attempts), None);
+        }
+        tried.push(target.id.clone());
+        let failure = match attempt(&job, &target, None).await {
+            Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
+                Ok(response) => return response,
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        let next = settle(&job, &target, &failure, &mut attempts, &track);
+        match next {
+            Next::Again => {}
+            Next::Deliver => match failure.answer {
+                Some(answer) => return hand_on(&job, *answer, &mut track).await,
+                None => return track.refuse(ErrorKind::SentUnknown, None),
+            },
+            Next::Fail(kind) => return track.refuse(kind, None),
+        }
+    }
+}
+
+/// Notes what became of an attempt and decides what follows.
+pub(crate) fn settle(
+    job: &Job,
+    target: &Target,
+    failure: &Failure,
+    attempts: &mut Attempts,
+    track: &Track,
+) -> Next {
+    let service = &job.passage.service.name;
+    let allowed = job.passage.route.attempts;
+    let spend = || job.edge.spend_retry(service);
+    let next = after(failure.outcome, attempts, job.may_repeat(), allowed, spend);
+    track.attempt_failed(target, failure.outcome, &failure.why, next);
+    next
+}
+
+const fn no_target(attempts: Attempts) -> ErrorKind {
+    if attempts.may_have_run {
+        ErrorKind::SentUnknown
+    } else if attempts.sent > 0 {
+        ErrorKind::TargetRefused
+    } else {
+        ErrorKind::NoGroup
+    }
+}
+
+const fn stale(attempts: Attempts) -> ErrorKind {
+    if attempts.may_have_run {
+        ErrorKind::SentUnknown
+    } else {
+        ErrorKind::NotReady
+    }
+}
+
+/// Sends a request to a target and awaits the head of its answer.
+pub(crate) async fn attempt(
+    job: &Rc<Job>,
+    target: &Target,
+    last_event: Option<&str>,
+) -> Result<Answered, Failure> {
+    let edge = &job.edge;
+    let flight = InFlight::new(edge, &target.id);
+    let sent = edge.now();
+    let connect = within(CONNECT).min(job.until);
+    // A kept connection may just be closing; a request that may run only
+    // once would then be lost.
+    let lane = edge.lanes.get(target, job.may_repeat(), sent, connect).await;
+    let mut lane = match lane {
+        Ok(lane) => lane,
+        Err(error) => {
+            edge.suspect(&target.id, "no connection");
+            return Err(Failure::new(Outcome::NotSent, error));
+        }
+    };
+    let request = job.request(target, last_event);
+    let answer = {
+        let send = lane.send(request, job.until + LAST_ANSWER);
+        tokio::pin!(send);
+        let patience = relay::stall(job, &target.id, true);
+        tokio::select! {
+            answer = &mut send => answer,
+            () = patience => {
+                edge.suspect(&target.id, "no answer begins");
+                return Err(Failure::new(Outcome::MayHaveRun, "no answer begins"));
+            }
+        }
+    };
+    match answer {
+        Ok(response) => sort_answer(job, target, response, lane, flight),
+        Err(LaneError::Late) => Err(Failure::new(Outcome::Late, "no answer in time")),
+        Err(error) if error.is_unsent() => Err(Failure::new(Outcome::NotSent, error)),
+        Err(error) => {
+            edge.suspect(&target.id, "connection lost");
+            Err(Failure::new(Outcome::MayHaveRun, error))
+        }
+    }
+}
+
+/// Sorts an answer by what it says of the request.
+fn sort_answer(
+    job: &Rc<Job>,
+    target: &Target,
+    response: Response<Incoming>,
+    lane: Lane,
+    flight: InFlight,
+) -> Result<Answered, Failure> {
+    let edge = &job.edge;
+    let (parts, body) = response.into_parts();
+    let status = parts.status;
+    let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
+    edge.loads.borrow_mut().note_progress(&target.id, edge.now());
+    if info.not_run {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            edge.suspect(&target.id, "it is not who it was");
+        }
+        return Err(Failure::new(Outcome::NotRun, status));
+    }
+    if !info.usable {
+        return Err(Failure::new(Outcome::MayHaveRun, "not an answer to this request"));
+    }
+    let promise = matches!(status.as_u16(), 408 | 429 | 503);
+    if promise {
+        // The status would promise that the request has not run; the target
+        // does not say so.
+        return Err(Failure::new(Outcome::MayHaveRun, status));
+    }
+    let answered = Answered {
+        status,
+        headers: parts.headers,
+        body,
+        lane,
+        info,
+        target: target.id.clone(),
+        flight,
+    };
+    if status.is_server_error() {
+        return Err(Failure {
+            outcome: Outcome::Failed,
+            why: status.to_string(),
+            answer: Some(Box::new(answered)),
+        });
+    }
+    Ok(answered)
+}
+
+/// Hands an answer on to the caller.
+async fn deliver(
+    job: &Rc<Job>,
+    answered: Answered,
+    attempts: Attempts,
+    track: &mut Track,
+) -> Result<Response<OutBody>, Failure> {
+    let stream = job.passage.route.kind == RouteKind::Stream && answered.status.is_success();
+    if stream {
+        return Ok(relay::begin(job.clone(), answered, attempts, track));
+    }
+    hold(job, answered, track).await
+}
+
+/// Reads a plain answer whole, if it is small, and hands it on.
+async fn hold(
+    job: &Rc<Job>,
+    answered: Answered,
+    track: &mut Track,
+) -> Result<Response<OutBody>, Failure> {
+    let edge = &job.edge;
+    let large = hyper::body::Body::size_hint(&answered.body).lower() > MAX_HELD;
+    if large {
+        return Ok(relay::pass_on(job.clone(), answered, track));
+    }
+    let Answered {
+        status,
+        mut headers,
+        body,
+        lane,
+        info,
+        target,
+        flight,
+    } = answered;
+    let read = timeout_at(job.until + LAST_ANSWER, body.collect()).await;
+    drop(flight);
+    let body = match read {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            edge.suspect(&target, "the answer broke off");
+            return Err(Failure::new(Outcome::MayHaveRun, error));
+        }
+        Err(_) => return Err(Failure::new(Outcome::Late, "the answer did not end in time")),
+    };
+    let now = edge.now();
+    edge.loads.borrow_mut().note_time(&target, now - job.arrived);
+    if !info.closing {
+        edge.lanes.keep(&target, lane, info.keep, now);
+    }
+    caller::remove_hop(&mut headers);
+    track.ended(status.as_u16(), Some(&target), body.len());
+    Ok(reply::whole(status, headers, body))
+}
+
+/// Hands on a target's own failure.
+async fn hand_on(job: &Rc<Job>, answered: Answered, track: &mut Track) -> Response<OutBody> {
+    match hold(job, answered, track).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let kind = match failure.outcome {
+                Outcome::Late => ErrorKind::LateAnswer,
+                _ => ErrorKind::SentUnknown,
+            };
+            track.refuse(kind, None)
+        }
+    }
+}
+
+/// Sleeps for ever; for waits that have no end of their own.
+pub(crate) async fn never() {
+    std::future::pending::<()>().await;
+}
+
+/// Sleeps until a moment on the daemon's own clock.
+pub(crate) async fn sleep_to(edge: &Edge, at: Millis) {
+    let wait = at - edge.now();
+    sleep_until(Instant::now() + wait.duration()).await;
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -0,0 +1,312 @@
+//! Streams of events from a target to a caller, taken up at another target
+//! when theirs stops.
+
+mod cutter;
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use thistlesill_core::edge::RouteKind;
+use thistlesill_core::{InstanceId, Millis};
+use thistlesill_net::lane::Lane;
+use thistlesill_platform::caller;
+use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
+use tokio::time::sleep_until;
+
+use self::cutter::Cutter;
+use crate::proxy::{Answered, Job, attempt, never, settle, sleep_to};
+use crate::reply::{self, BrokenOff, OutBody};
+use crate::state::InFlight;
+use crate::track::Track;
+
+/// Part of the longest pause in time after which a silent target counts as
+/// stopped; the rest is for taking the stream up elsewhere.
+const STALL_PART: f64 = 0.8;
+/// Part of the objective for the first event after which a silent target
+/// counts as stopped.
+const FIRST_PART: f64 = 1.0;
+
+/// Ends when a target that has a resumable stream of ours has sent nothing to
+/// any of this daemon's streams for too long.
+pub(crate) async fn stall(job: &Job, target: &InstanceId, first: bool) {
+    let route = &job.passage.route;
+    let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
+        return never().await;
+    };
+    let patience = if first {
+        part(route.aim, FIRST_PART)
+    } else {
+        part(pause, STALL_PART)
+    };
+    let start = job.edge.now();
+    loop {
+        let seen = job.edge.loads.borrow().progress(target).max(start);
+        let due = seen + patience;
+        if due <= job.edge.now() {
+            return;
+        }
+        sleep_to(&job.edge, due).await;
+    }
+}
+
+fn part(time: Millis, part: f64) -> Millis {
+    Millis::new((time.get() as f64 * part) as u64)
+}
+
+/// Why a stream does not go on at its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    /// It is complete.
+    Ended,
+    /// It broke off.
+    Broken,
+    /// It stands still; it may go on.
+    Stalled,
+    /// Its time is up.
+    Late,
+}
+
+/// A stream under way.
+struct Relay {
+    job: Rc<Job>,
+    track: Track,
+    attempts: Attempts,
+    cutter: Cutter,
+    source: Option<Source>,
+    tried: Vec<InstanceId>,
+    /// Whether a silent target is still waited for, since no other may or
+    /// can take the stream.
+    stay: bool,
+    bytes: usize,
+}
+
+/// Where a stream comes from.
+struct Source {
+    body: Incoming,
+    lane: Lane,
+    target: InstanceId,
+    keep: Option<Millis>,
+    closing: bool,
+    _flight: InFlight,
+}
+
+impl Source {
+    fn new(answered: Answered) -> Self {
+        Self {
+            body: answered.body,
+            lane: answered.lane,
+            target: answered.target,
+            keep: answered.info.keep,
+            closing: answered.info.closing,
+            _flight: answered.flight,
+        }
+    }
+}
+
+/// Begins to hand a stream on.
+pub(crate) fn begin(
+    job: Rc<Job>,
+    answered: Answered,
+    mut attempts: Attempts,
+    track: &mut Track,
+) -> Response<OutBody> {
+    let status = answered.status;
+    let mut headers = answered.headers.clone();
+    caller::remove_hop(&mut headers);
+    attempts.sent += 1;
+    attempts.may_have_run = true;
+    let edge = job.edge.clone();
+    let relay = Relay {
+        tried: vec![answered.target.clone()],
+        source: Some(Source::new(answered)),
+        track: track.split(&edge),
+        job,
+        attempts,
+        cutter: Cutter::default(),
+        stay: false,
+        bytes: 0,
+    };
+    reply::pieces(status, headers, relay.pieces())
+}
+
+/// Hands a large plain answer on as it comes.
+pub(crate) fn pass_on(
+    job: Rc<Job>,
+    answered: Answered,
+    track: &mut Track,
+) -> Response<OutBody> {
+    let status = answered.status;
+    let mut headers = answered.headers.clone();
+    caller::remove_hop(&mut headers);
+    let track = track.split(&job.edge);
+    let state = (job, Source::new(answered), track, 0);
+    let pieces = stream::try_unfold(state, |(job, mut source, mut track, bytes)| async move {
+        let frame = tokio::select! {
+            frame = source.body.frame() => frame,
+            () = sleep_until(job.until) => Some(Ok(hyper::body::Frame::data(Bytes::new()))),
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                if data.is_empty() && tokio::time::Instant::now() >= job.until {
+                    track.broke_off(&source.target, bytes, "late_answer");
+                    return Err(BrokenOff);
+                }
+                let bytes = bytes + data.len();
+                Ok(Some((data, (job, source, track, bytes))))
+            }
+            Some(Err(_)) => {
+                track.broke_off(&source.target, bytes, "broke_off");
+                Err(BrokenOff)
+            }
+            None => {
+                track.ended(200, Some(&source.target), bytes);
+                Ok(None)
+            }
+        }
+    });
+    reply::pieces(status, headers, pieces)
+}
+
+impl Relay {
+    fn pieces(self) -> impl Stream<Item = Result<Bytes, BrokenOff>> {
+        stream::try_unfold(self, |mut relay| async move {
+            let piece = relay.next().await?;
+            Ok(piece.map(|piece| (piece, relay)))
+        })
+    }
+
+    /// The next events for the caller; `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        loop {
+            if let Some(piece) = self.cutter.take() {
+                if self.bytes == 0 {
+                    self.track.first_piece();
+                }
+                self.bytes += piece.len();
+                return Ok(Some(piece));
+            }
+            match self.read().await {
+                None => {}
+                Some(Stop::Ended) => return Ok(self.finish()),
+                Some(Stop::Late) => return Err(self.break_off("late_answer")),
+                Some(stop) => self.take_up(stop).await?,
+            }
+        }
+    }
+
+    /// Reads from the source until there is something new.
+    async fn read(&mut self) -> Option<Stop> {
+        let Some(source) = &mut self.source else {
+            return Some(Stop::Broken);
+        };
+        let (job, stay) = (self.job.clone(), self.stay);
+        let first = self.bytes == 0;
+        let target = source.target.clone();
+        let stalled = async {
+            if stay {
+                never().await;
+            }
+            stall(&job, &target, first).await;
+        };
+        tokio::select! {
+            biased;
+            frame = source.body.frame() => match frame {
+                Some(Ok(frame)) => {
+                    let edge = &self.job.edge;
+                    edge.loads.borrow_mut().note_progress(&source.target, edge.now());
+                    if let Ok(data) = frame.into_data() {
+                        self.cutter.push(&data);
+                    }
+                    None
+                }
+                Some(Err(_)) => Some(Stop::Broken),
+                None if self.cutter.is_partial() => Some(Stop::Broken),
+                None => Some(Stop::Ended),
+            },
+            () = sleep_until(self.job.until) => Some(Stop::Late),
+            () = stalled => Some(Stop::Stalled),
+        }
+    }
+
+    /// Takes the stream up at another target, if one may and can.
+    async fn take_up(&mut self, stop: Stop) -> Result<(), BrokenOff> {
+        let why = match stop {
+            Stop::Stalled => "no event for too long",
+            _ => "the stream broke off",
+        };
+        if let Some(source) = &self.source {
+            self.job.edge.suspect(&source.target, why);
+        }
+        if stop == Stop::Broken {
+            self.source = None;
+        }
+        self.cutter.drop_partial();
+        let mut again = self.may_go_on();
+        while again {
+            let job = self.job.clone();
+            let service = &job.passage.service;
+            let target = job.edge.pick(service, job.head.model.as_ref(), &self.tried);
+            let Some(target) = target else { break };
+            if job.passage.customer.is_some() && !job.edge.is_fresh() {
+                break;
+            }
+            self.tried.push(target.id.clone());
+            let last = self.cutter.last().or(job.head.last_event.as_deref());
+            match attempt(&job, &target, last).await {
+                Ok(answered) if answered.status.is_success() => {
+                    let from = self.tried.first().cloned().unwrap_or_default();
+                    self.track.resumed(&from, &target.id, last, why);
+                    self.attempts.sent += 1;
+                    self.source = Some(Source::new(answered));
+                    return Ok(());
+                }
+                Ok(_) => break,
+                Err(failure) => {
+                    let attempts = &mut self.attempts;
+                    let next = settle(&job, &target, &failure, attempts, &self.track);
+                    again = next == Next::Again;
+                }
+            }
+        }
+        if self.source.is_some() {
+            self.stay = true;
+            return Ok(());
+        }
+        Err(self.break_off("broke_off"))
+    }
+
+    /// Whether another attempt is allowed.
+    fn may_go_on(&self) -> bool {
+        let job = &self.job;
+        let mut attempts = self.attempts;
+        attempts.sent = attempts.sent.saturating_sub(1);
+        let spend = || job.edge.spend_retry(&job.passage.service.name);
+        let allowed = job.passage.route.attempts;
+        let outcome = Outcome::MayHaveRun;
+        after(outcome, &mut attempts, job.may_repeat(), allowed, spend) == Next::Again
+    }
+
+    fn finish(&mut self) -> Option<Bytes> {
+        let bytes = self.bytes;
+        if let Some(source) = self.source.take() {
+            self.track.ended(200, Some(&source.target), bytes);
+            if !source.closing {
+                let edge = &self.job.edge;
+                edge.lanes
+                    .keep(&source.target, source.lane, source.keep, edge.now());
+            }
+        }
+        None
+    }
+
+    fn break_off(&mut self, why: &str) -> BrokenOff {
+        let target = self.tried.last().cloned().unwrap_or_default();
+        self.track.broke_off(&target, self.bytes, why);
+        BrokenOff
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/state.rs
@@ -0,0 +1,200 @@
+//! The state of an edge daemon, which one thread owns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thistlesill_core::edge::{Catalog, EdgeSettings, Target};
+use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
+use thistlesill_net::clock::Clock;
+use thistlesill_platform::store::Store;
+use thistlesill_policy::budget::RetryBudget;
+use thistlesill_policy::edge::book::TargetBook;
+use thistlesill_policy::edge::freshness::Freshness;
+use thistlesill_policy::edge::load::LoadTable;
+use tokio::sync::Notify;
+
+use crate::lanes::Lanes;
+use crate::lines::Lines;
+use crate::peers::Peers;
+
+/// Daemons that are assumed to share the retry budget until more are known;
+/// the smallest fleets have about as many.
+const FEWEST_DAEMONS: usize = 8;
+/// Part of the retries beyond the ratio that is shared out; the rest covers
+/// daemons that restart and begin to save anew.
+const SLACK_USED: f64 = 0.5;
+/// Part of the ratio that is used, since requests that never arrive may be
+/// counted in another window than their retries.
+const RATIO_USED: f64 = 0.8;
+
+/// All state of a daemon.
+pub(crate) struct Edge {
+    pub(crate) settings: RefCell<Rc<EdgeSettings>>,
+    pub(crate) clock: Clock,
+    pub(crate) boot: u64,
+    pub(crate) store: Store,
+    pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) fresh: Cell<Freshness>,
+    pub(crate) book: RefCell<TargetBook>,
+    pub(crate) loads: RefCell<LoadTable>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) lanes: Lanes,
+    pub(crate) lines: Lines,
+    pub(crate) rng: RefCell<SmallRng>,
+    retries: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Requests that are being answered.
+    pub(crate) active: Cell<usize>,
+    /// Whether any request has come since the start.
+    pub(crate) busy: Cell<bool>,
+    /// When the daemon was told to stop.
+    pub(crate) stopping: Cell<Option<Millis>>,
+    /// Woken when the daemon is told to stop.
+    pub(crate) stop: Notify,
+    /// Whether this daemon holds the lease to form groups.
+    pub(crate) plans: Cell<bool>,
+    /// Woken when targets changed or are suspected.
+    pub(crate) fleet_news: Notify,
+    /// Woken when the store failed to answer.
+    pub(crate) store_doubt: Notify,
+}
+
+impl Edge {
+    pub(crate) fn new(settings: EdgeSettings) -> Self {
+        Self {
+            store: Store::new(settings.store.address),
+            peers: RefCell::new(Peers::default()),
+            settings: RefCell::new(Rc::new(settings)),
+            clock: Clock::new(),
+            boot: rand::random(),
+            catalog: RefCell::new(None),
+            fresh: Cell::new(Freshness::default()),
+            book: RefCell::new(TargetBook::default()),
+            loads: RefCell::new(LoadTable::default()),
+            lanes: Lanes::default(),
+            lines: Lines::start(),
+            rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
+            retries: RefCell::new(HashMap::new()),
+            active: Cell::new(0),
+            busy: Cell::new(false),
+            stopping: Cell::new(None),
+            stop: Notify::new(),
+            plans: Cell::new(false),
+            fleet_news: Notify::new(),
+            store_doubt: Notify::new(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn settings(&self) -> Rc<EdgeSettings> {
+        self.settings.borrow().clone()
+    }
+
+    pub(crate) fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Whether requests with keys may pass now.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let bound = self.settings.borrow().bounds.revoke;
+        self.fresh.get().permits(bound, self.now())
+    }
+
+    /// Whether the balancer may send new callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let known = self.catalog.borrow().is_some();
+        self.stopping.get().is_none() && known && self.is_fresh()
+    }
+
+    /// Picks the target for the next attempt of a request.
+    pub(crate) fn pick(
+        &self,
+        service: &thistlesill_core::edge::Service,
+        model: Option<&Model>,
+        tried: &[InstanceId],
+    ) -> Option<Target> {
+        let book = self.book.borrow();
+        let model = model.filter(|_| service.engine.is_some());
+        let serving = book.serving(&service.name, model);
+        let untried: Vec<&Target> = serving
+            .iter()
+            .map(AsRef::as_ref)
+            .filter(|t| !tried.contains(&t.id))
+            .collect();
+        let loads = self.loads.borrow();
+        let rng = &mut *self.rng.borrow_mut();
+        loads
+            .pick(&untried, service.engine.as_ref(), self.now(), rng)
+            .cloned()
+    }
+
+    /// Notes a first attempt at a service.
+    pub(crate) fn earn_retry(&self, service: &ServiceName) {
+        let part = self.settings.borrow().bounds.retry_ratio * RATIO_USED;
+        self.with_budget(service, |budget| budget.earn_part(part));
+    }
+
+    /// Takes a retry out of the daemon's part of the service's budget.
+    pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
+        let spent = self.with_budget(service, RetryBudget::spend);
+        if !spent {
+            metrics::counter!("thistlesill_edge_retries_denied_total").increment(1);
+        }
+        spent
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        step: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let daemons = self.peers.borrow().most().max(FEWEST_DAEMONS);
+        let most = self.settings.borrow().bounds.retry_slack * SLACK_USED / daemons as f64;
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::saving(most));
+        budget.cap(most);
+        step(budget)
+    }
+
+    /// Notes that a target stopped or failed, and tells the planner.
+    pub(crate) fn suspect(&self, target: &InstanceId, why: &str) {
+        let news = self.loads.borrow_mut().suspect(target, self.now());
+        if news {
+            self.lines
+                .line("target_suspected")
+                .with("target", target)
+                .with("why", why)
+                .write();
+            self.fleet_news.notify_one();
+        }
+    }
+}
+
+/// Counts a request at a target for as long as it lives.
+pub(crate) struct InFlight {
+    edge: Rc<Edge>,
+    target: InstanceId,
+}
+
+impl InFlight {
+    pub(crate) fn new(edge: &Rc<Edge>, target: &InstanceId) -> Self {
+        edge.loads.borrow_mut().begin(target);
+        Self {
+            edge: edge.clone(),
+            target: target.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.edge.loads.borrow_mut().end(&self.target);
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/track.rs
@@ -0,0 +1,147 @@
+//! What is noted about one request: a line for each decision and one at its
+//! end, whatever the end is.
+
+use std::rc::Rc;
+
+use hyper::Response;
+use thistlesill_core::edge::Target;
+use thistlesill_core::{ErrorKind, InstanceId, Millis};
+use thistlesill_policy::edge::admission::Passage;
+use thistlesill_policy::edge::attempt::{Next, Outcome};
+
+use crate::reply::{self, OutBody};
+use crate::state::Edge;
+
+/// A request under way; its last line is written when it ends or is dropped.
+pub(crate) struct Track {
+    edge: Rc<Edge>,
+    id: String,
+    arrived: Millis,
+    route: Option<Rc<str>>,
+    version: Option<u64>,
+    first: Option<Millis>,
+    ended: bool,
+}
+
+impl Track {
+    pub(crate) fn new(edge: &Rc<Edge>, id: &str, arrived: Millis) -> Self {
+        edge.active.set(edge.active.get() + 1);
+        Self {
+            edge: edge.clone(),
+            id: id.to_owned(),
+            arrived,
+            route: None,
+            version: None,
+            first: None,
+            ended: false,
+        }
+    }
+
+    /// Hands the rest of the request's notes over to a new owner.
+    pub(crate) fn split(&mut self, edge: &Rc<Edge>) -> Self {
+        let mut rest = Self::new(edge, &self.id, self.arrived);
+        rest.route = self.route.clone();
+        rest.version = self.version;
+        self.ended = true;
+        rest
+    }
+
+    /// Notes that the request may pass.
+    pub(crate) fn admitted(&mut self, passage: &Passage) {
+        self.route = Some(Rc::from(&*passage.route.name));
+        self.version = Some(passage.version);
+    }
+
+    /// Notes that the first piece of the answer goes to the caller.
+    pub(crate) fn first_piece(&mut self) {
+        let took = self.edge.now() - self.arrived;
+        self.first = Some(took);
+        metrics::histogram!("thistlesill_edge_first_piece_ms").record(took.get() as f64);
+    }
+
+    /// Notes an attempt that brought no answer to hand on.
+    pub(crate) fn attempt_failed(&self, target: &Target, outcome: Outcome, why: &str, next: Next) {
+        metrics::counter!("thistlesill_edge_attempts_failed_total", "outcome" => outcome.name())
+            .increment(1);
+        let next = match next {
+            Next::Again => "again".to_owned(),
+            Next::Deliver => "deliver".to_owned(),
+            Next::Fail(kind) => format!("fail:{kind}"),
+        };
+        self.edge
+            .lines
+            .line("attempt_failed")
+            .with("id", &self.id)
+            .with("target", &target.id)
+            .with("address", target.address)
+            .with("outcome", outcome.name())
+            .with("why", why)
+            .with("after_ms", (self.edge.now() - self.arrived).get())
+            .with("next", next)
+            .write();
+    }
+
+    /// Notes that a stream goes on at another target.
+    pub(crate) fn resumed(&self, from: &InstanceId, to: &InstanceId, last: Option<&str>, why: &str) {
+        metrics::counter!("thistlesill_edge_resumed_total").increment(1);
+        self.edge
+            .lines
+            .line("stream_resumed")
+            .with("id", &self.id)
+            .with("from", from)
+            .with("to", to)
+            .maybe("last_event", last)
+            .with("why", why)
+            .write();
+    }
+
+    /// Ends the request with an error of the system's own.
+    pub(crate) fn refuse(&mut self, kind: ErrorKind, back: Option<Millis>) -> Response<OutBody> {
+        self.end(kind.answer().status, None, 0, kind.name());
+        reply::error(kind, back)
+    }
+
+    /// Ends the request with a target's answer.
+    pub(crate) fn ended(&mut self, status: u16, target: Option<&InstanceId>, bytes: usize) {
+        self.end(status, target, bytes, "answered");
+    }
+
+    /// Ends the request with an answer that breaks off.
+    pub(crate) fn broke_off(&mut self, target: &InstanceId, bytes: usize, why: &str) {
+        self.end(200, Some(target), bytes, why);
+    }
+
+    fn end(&mut self, status: u16, target: Option<&InstanceId>, bytes: usize, what: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.edge.now();
+        let took = now - self.arrived;
+        metrics::counter!("thistlesill_edge_requests_total", "outcome" => what.to_owned())
+            .increment(1);
+        metrics::histogram!("thistlesill_edge_request_ms").record(took.get() as f64);
+        let age = self.edge.fresh.get().age(now);
+        self.edge
+            .lines
+            .line("request")
+            .with("id", &self.id)
+            .with("outcome", what)
+            .with("status", status)
+            .maybe("route", self.route.as_deref())
+            .maybe("target", target)
+            .maybe("catalog", self.version)
+            .maybe("proof_age_ms", age.map(Millis::get))
+            .maybe("first_ms", self.first.map(Millis::get))
+            .with("took_ms", took.get())
+            .with("bytes", bytes)
+            .write();
+    }
+}
+
+impl Drop for Track {
+    fn drop(&mut self) {
+        self.end(0, None, 0, "caller_left");
+        let edge = &self.edge;
+        edge.active.set(edge.active.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -0,0 +1,222 @@
+//! Follows the store: the operators' catalog and the targets' entries.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Catalog, Target};
+use thistlesill_platform::catalog::decode_catalog;
+use thistlesill_platform::store::{CATALOG_KEY, Row, Rows, StoreError, Table};
+use thistlesill_platform::target::decode_target;
+use thistlesill_policy::edge::book::Listing;
+use thistlesill_policy::edge::freshness::MARGIN;
+
+use crate::state::Edge;
+
+/// Time for a read; the store answers within some milliseconds, and slowly
+/// within some hundred.
+const READ: Duration = Duration::from_millis(1_000);
+/// Added to the time for which the store was asked to wait.
+const SLACK: Duration = Duration::from_millis(700);
+/// Part of the longest age of a proof for which a question about the catalog
+/// waits: a proof holds from before its question, so its age reaches twice
+/// the wait, and one failed question must still fit in.
+const WAIT_PART: f64 = 0.35;
+/// Wait of questions where keys need no proof.
+const LONG_WAIT: Duration = Duration::from_secs(8);
+/// After a call that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Between two batches of changes to targets, so that changes that belong
+/// together come as one; the planner does not wait.
+const BATCH: Duration = Duration::from_millis(150);
+/// The same for the planner.
+const PLANNER_BATCH: Duration = Duration::from_millis(20);
+
+/// Follows the catalog, for ever.
+pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
+    let mut version = None;
+    let reachable = Cell::new(true);
+    loop {
+        let asked = edge.now();
+        match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
+            Ok(rows) => {
+                note_store(&edge, &reachable, None);
+                if take_catalog(&edge, &rows) {
+                    let mut fresh = edge.fresh.get();
+                    fresh.confirm(asked);
+                    edge.fresh.set(fresh);
+                }
+                version = Some(rows.version);
+            }
+            Err(error) => {
+                if matches!(error, StoreError::HistoryGone) {
+                    version = None;
+                } else {
+                    note_store(&edge, &reachable, Some(&error));
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask(
+    edge: &Edge,
+    table: Table,
+    version: Option<u64>,
+    wait: Duration,
+) -> Result<Rows, StoreError> {
+    match version {
+        None => edge.store.read(table, READ).await,
+        Some(version) => edge.store.changes(table, version, wait, SLACK).await,
+    }
+}
+
+fn catalog_wait(edge: &Edge) -> Duration {
+    match edge.settings().bounds.revoke {
+        None => LONG_WAIT,
+        Some(bound) => (bound - MARGIN).duration().mul_f64(WAIT_PART),
+    }
+}
+
+/// Notes whether the store answers, with a line when that changes.
+fn note_store(edge: &Edge, reachable: &Cell<bool>, error: Option<&StoreError>) {
+    let now = edge.now();
+    match error {
+        None => edge.book.borrow_mut().store_answered(now),
+        Some(_) => {
+            edge.book.borrow_mut().store_failed();
+            edge.store_doubt.notify_waiters();
+            metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
+        }
+    }
+    if reachable.replace(error.is_none()) == error.is_none() {
+        return;
+    }
+    let line = match error {
+        None => edge.lines.line("store_regained"),
+        Some(error) => edge.lines.line("store_lost").with("why", error),
+    };
+    let age = edge.fresh.get().age(now).map(Millis::get);
+    line.maybe("proof_age_ms", age).write();
+}
+
+/// Takes in the catalog if it is newer; returns whether what is in force is
+/// the newest that the store has.
+fn take_catalog(edge: &Edge, rows: &Rows) -> bool {
+    let row = rows.rows.iter().find(|row| row.key == CATALOG_KEY);
+    let Some(bytes) = row.and_then(|row| row.value.as_deref()) else {
+        return edge.catalog.borrow().is_some();
+    };
+    match decode_catalog(bytes) {
+        Ok(catalog) => {
+            put_catalog(edge, catalog);
+            true
+        }
+        Err(error) => {
+            edge.lines.line("catalog_refused").with("why", error).write();
+            metrics::counter!("thistlesill_edge_catalogs_refused_total").increment(1);
+            false
+        }
+    }
+}
+
+fn put_catalog(edge: &Edge, catalog: Catalog) {
+    let old = edge.catalog().map(|c| c.version);
+    if old.is_some_and(|old| old >= catalog.version) {
+        return;
+    }
+    edge.lines
+        .line("catalog_in_force")
+        .with("version", catalog.version)
+        .maybe("before", old)
+        .write();
+    metrics::gauge!("thistlesill_edge_catalog_version").set(catalog.version as f64);
+    let catalog = Rc::new(catalog);
+    edge.catalog.replace(Some(catalog.clone()));
+    edge.book.borrow_mut().index(Some(&catalog));
+    edge.fleet_news.notify_one();
+}
+
+/// Follows the targets' entries, for ever.
+pub(crate) async fn follow_targets(edge: Rc<Edge>) {
+    let mut version = None;
+    loop {
+        let asked = tokio::select! {
+            asked = ask(&edge, Table::Targets, version, LONG_WAIT) => asked,
+            () = edge.store_doubt.notified() => continue,
+        };
+        match asked {
+            Ok(rows) => {
+                take_targets(&edge, &rows, version.is_none());
+                version = Some(rows.version);
+                let batch = if edge.plans.get() { PLANNER_BATCH } else { BATCH };
+                tokio::time::sleep(batch).await;
+            }
+            Err(error) => {
+                if matches!(error, StoreError::HistoryGone) {
+                    version = None;
+                }
+                log::debug!("watch: targets: {error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_targets(edge: &Edge, rows: &Rows, whole: bool) {
+    let listings: Vec<Listing> = rows.rows.iter().filter_map(|row| decode(edge, row)).collect();
+    let (catalog, now) = (edge.catalog(), edge.now());
+    let mut book = edge.book.borrow_mut();
+    if whole {
+        let listed = listings.into_iter().filter_map(|listing| match listing {
+            Listing::Listed(target) => Some(*target),
+            Listing::Gone(_) => None,
+        });
+        book.replace(listed.collect(), catalog.as_deref(), now);
+    } else if !listings.is_empty() {
+        book.apply(listings, catalog.as_deref(), now);
+    }
+    edge.fleet_news.notify_one();
+}
+
+fn decode(edge: &Edge, row: &Row) -> Option<Listing> {
+    let Some(value) = &row.value else {
+        edge.lines.line("target_gone").with("target", &row.key).write();
+        return Some(Listing::Gone(row.key.as_str().into()));
+    };
+    match decode_target(&row.key, value) {
+        Ok(target) => {
+            note_target(edge, &target);
+            Some(Listing::Listed(Box::new(target)))
+        }
+        Err(error) => {
+            edge.lines.line("target_refused").with("why", error).write();
+            metrics::counter!("thistlesill_edge_targets_refused_total").increment(1);
+            None
+        }
+    }
+}
+
+/// Writes a line about a target's change if it changes who takes requests.
+fn note_target(edge: &Edge, target: &Target) {
+    let book = edge.book.borrow();
+    let old = book.of(&target.service).and_then(|t| t.get(&target.id));
+    let leads = target.leads_open();
+    if old.is_some_and(|old| old.leads_open() == leads && old.leaving == target.leaving) {
+        return;
+    }
+    if target.domain.is_some() && !leads && !target.leaving && old.is_none_or(|o| !o.leads_open()) {
+        return;
+    }
+    let group = target.member.as_ref().map(|m| m.of.group.clone());
+    edge.lines
+        .line("target_changed")
+        .with("target", &target.id)
+        .with("address", target.address)
+        .with("serves", leads || target.domain.is_none())
+        .with("leaving", target.leaving)
+        .maybe("group", group)
+        .write();
+}
--- /dev/null
+++ b/crates/thistlesill-net/src/lane.rs
@@ -0,0 +1,167 @@
+//! One HTTP/1.1 connection that is owned by its user.
+//!
+//! A connection pool hides which connection a request travels on; a proxy
+//! has to know whether a request that failed can have reached the other side.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
+
+/// Why a request on a connection brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum LaneError {
+    /// Nothing listens at the address; nothing was sent.
+    #[snafu(display("connection refused"))]
+    Refused,
+    /// Nothing of the request was sent.
+    #[snafu(display("not sent: {text}"))]
+    Unsent {
+        /// The cause.
+        text: String,
+    },
+    /// The request, or a part of it, may have arrived.
+    #[snafu(display("connection lost: {text}"))]
+    Lost {
+        /// The cause.
+        text: String,
+    },
+    /// No answer came in time; the request may have arrived.
+    #[snafu(display("no answer in time"))]
+    Late,
+}
+
+/// An open connection that carries one request at a time.
+///
+/// Dropping it closes the connection, whatever is under way.
+#[derive(Debug)]
+pub struct Lane {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Lane {
+    /// Connects to an address.
+    ///
+    /// # Errors
+    ///
+    /// [`LaneError::Refused`] if nothing listens there, [`LaneError::Unsent`]
+    /// if the connection does not come up by `until`.
+    pub async fn open(address: SocketAddr, until: Instant) -> Result<Self, LaneError> {
+        let connect = TcpStream::connect(address);
+        let stream = match timeout_at(until, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(LaneError::Refused);
+            }
+            Ok(Err(error)) => return Err(unsent(&error)),
+            Err(_) => {
+                let text = "the connection did not come up in time".to_owned();
+                return Err(LaneError::Unsent { text });
+            }
+        };
+        stream.set_nodelay(true).map_err(|e| unsent(&e))?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await;
+        let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("lane: a connection ended: {error}");
+            }
+        });
+        Ok(Self { sender, task })
+    }
+
+    /// Whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Sends a request and awaits the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// A [`LaneError`] that tells whether the request can have arrived.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Response<Incoming>, LaneError> {
+        let answer = self.sender.try_send_request(request);
+        match timeout_at(until, answer).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(mut error)) => {
+                let kept = error.take_message().is_some();
+                let text = error.into_error().to_string();
+                Err(if kept {
+                    LaneError::Unsent { text }
+                } else {
+                    LaneError::Lost { text }
+                })
+            }
+            Err(_) => Err(LaneError::Late),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Lane::send`]; an answer that breaks off or exceeds `most` bytes
+    /// is [`LaneError::Lost`].
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most: usize,
+        until: Instant,
+    ) -> Result<Response<Bytes>, LaneError> {
+        let (head, body) = self.send(request, until).await?.into_parts();
+        let read = Limited::new(body, most).collect();
+        match timeout_at(until, read).await {
+            Ok(Ok(body)) => Ok(Response::from_parts(head, body.to_bytes())),
+            Ok(Err(error)) => {
+                let text = error.to_string();
+                Err(LaneError::Lost { text })
+            }
+            Err(_) => Err(LaneError::Late),
+        }
+    }
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl LaneError {
+    /// Whether nothing of the request can have arrived.
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self, Self::Refused | Self::Unsent { .. })
+    }
+}
+
+/// The largest piece that is read at once, in bytes.
+const READ_BUFFER: usize = 64 * 1024;
+
+/// The time `limit` from now.
+pub fn within(limit: Duration) -> Instant {
+    Instant::now() + limit
+}
+
+fn unsent(error: &dyn std::error::Error) -> LaneError {
+    let text = error.to_string();
+    LaneError::Unsent { text }
+}
--- a/crates/thistlesill-net/src/lib.rs
+++ b/crates/thistlesill-net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod files;
 pub mod http;
 pub mod journal;
+pub mod lane;
 pub mod launch;
 pub mod peer;
 pub mod platform;
--- a/crates/thistlesill-policy/src/budget.rs
+++ b/crates/thistlesill-policy/src/budget.rs
@@ -18,18 +18,43 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct RetryBudget {
     saved: f64,
+    most: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { saved: MAX_SAVED }
+        Self {
+            saved: MAX_SAVED,
+            most: MAX_SAVED,
+        }
     }
 }
 
 impl RetryBudget {
+    /// A budget that saves up to `most` retries and starts with half of
+    /// them, so that a daemon that restarts again and again does not add
+    /// `most` each time.
+    pub const fn saving(most: f64) -> Self {
+        Self {
+            saved: most / 2.0,
+            most,
+        }
+    }
+
+    /// Changes how many retries may be saved, as daemons come and go.
+    pub const fn cap(&mut self, most: f64) {
+        self.most = most;
+        self.saved = self.saved.min(most);
+    }
+
     /// Notes a first attempt.
     pub fn earn(&mut self, percent: u32) {
-        self.saved = (self.saved + f64::from(percent) / 100.0).min(MAX_SAVED);
+        self.earn_part(f64::from(percent) / 100.0);
+    }
+
+    /// Notes a first attempt that earns `part` of a retry.
+    pub const fn earn_part(&mut self, part: f64) {
+        self.saved = (self.saved + part).min(self.most);
     }
 
     /// Takes a retry out of the budget, if there is one.
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -0,0 +1,9 @@
+//! The decisions of an edge daemon: which requests may pass, where they go,
+//! and which targets form groups.
+
+pub mod admission;
+pub mod attempt;
+pub mod book;
+pub mod fleet;
+pub mod freshness;
+pub mod load;
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -0,0 +1,337 @@
+//! Which targets of a service form groups, and the orders that make them.
+//!
+//! The targets' own entries hold all that is known of groups, so a planner
+//! that takes over needs no plan of its predecessor: it goes on from what the
+//! entries say. Epochs begin with the lease's term, so no two planners ever
+//! give out the same one, and a target refuses a join that is older than one
+//! it has seen.
+
+mod demand;
+mod forming;
+mod loads;
+mod survey;
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use thistlesill_core::edge::{Engine, GroupRef, Order, OrderReply, Target};
+use thistlesill_core::{GroupId, InstanceId, Millis, Model};
+
+use self::forming::Planned;
+use self::loads::LoadRate;
+use self::survey::{Survey, Verdict};
+
+/// Bits of an epoch that count the groups within a term.
+const EPOCH_BITS: u32 = 20;
+/// An order without effect is given again after this time; an engine takes
+/// some milliseconds, and its entry some more.
+const REPEAT: Millis = Millis::new(700);
+/// How long a target that left orders unanswered or refused them is not
+/// planned with.
+const AVOID: Millis = Millis::new(4_000);
+/// How long a leader may be missing from the list before its group counts as
+/// ended, if it does not answer either.
+const LEADER_GONE: Millis = Millis::new(1_500);
+/// How long a target that answered no probe counts as dead without another
+/// probe.
+const DEAD: Millis = Millis::new(8_000);
+/// Between two probes of one target.
+const PROBE_GAP: Millis = Millis::new(250);
+
+/// What the planner wants done next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetAction {
+    /// Give an order.
+    Give {
+        /// The engine.
+        target: InstanceId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: Order,
+        /// Why it is given.
+        why: &'static str,
+    },
+    /// Ask a target whether it lives.
+    Probe {
+        /// The target.
+        target: InstanceId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// What the planner decides on.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetView<'a> {
+    /// The targets of the service.
+    pub targets: &'a HashMap<InstanceId, Target>,
+    /// The service's engines.
+    pub engine: &'a Engine,
+    /// Leaders whose groups stand still, as the daemons see it.
+    pub stalled: &'a HashSet<InstanceId>,
+    /// The term of the lease.
+    pub term: u64,
+    /// Whether no caller has sent a request yet; loads are cheap until then.
+    pub calm: bool,
+}
+
+/// The planner of one service's groups, while its daemon holds the lease.
+#[derive(Debug, Default)]
+pub struct FleetPlanner {
+    counter: u64,
+    planned: HashMap<GroupRef, Planned>,
+    /// Groups whose leader took an order to break off.
+    cut: HashSet<GroupRef>,
+    /// When an order was last given to a target, by its kind.
+    given: HashMap<(InstanceId, &'static str), Millis>,
+    avoid: HashMap<InstanceId, Millis>,
+    dead: HashMap<InstanceId, Millis>,
+    probed: HashMap<InstanceId, Millis>,
+    missing: HashMap<InstanceId, Millis>,
+    addresses: HashMap<InstanceId, SocketAddr>,
+    /// Spares that were told to hold a model ready, and when.
+    staging: HashMap<InstanceId, (Model, Millis)>,
+    loads: LoadRate,
+}
+
+impl FleetPlanner {
+    /// Looks at the fleet and decides what to do next.
+    pub fn step(&mut self, view: &FleetView<'_>, now: Millis) -> Vec<FleetAction> {
+        self.remember(view, now);
+        let survey = Survey::new(view);
+        let mut actions = Vec::new();
+        let mut free = HashSet::new();
+        for (group, standing) in &survey.groups {
+            let verdict = self.judge(view, group, standing, now);
+            self.carry_out(view, group, standing, verdict, now, &mut actions);
+            if verdict == Verdict::Void {
+                free.extend(standing.members.iter().map(|m| m.id.clone()));
+            }
+        }
+        free.extend(survey.single.iter().map(|t| t.id.clone()));
+        self.tend_planned(view, now, &mut actions);
+        self.drop_taken(&mut free, view, now);
+        self.form(view, &survey, &mut free, now, &mut actions);
+        self.stage(view, &free, now, &mut actions);
+        actions
+    }
+
+    /// Takes in what became of an order.
+    pub fn answered(&mut self, target: &InstanceId, order: &Order, reply: OrderReply, now: Millis) {
+        match (order, reply) {
+            (Order::Join { to, .. }, OrderReply::Taken) => {
+                if let Some(planned) = self.planned.get_mut(to) {
+                    planned.taken.insert(target.clone());
+                }
+            }
+            (Order::Join { to, .. }, OrderReply::Unknown) => {
+                let tries = self.planned.get_mut(to).map_or(0, |p| p.unanswered(target));
+                if tries >= forming::MAX_TRIES {
+                    self.abandon(to, target, now);
+                }
+            }
+            (Order::Join { to, .. }, _) => self.abandon(to, target, now),
+            (Order::Cut(group), OrderReply::Taken | OrderReply::Dead | OrderReply::Elsewhere) => {
+                self.cut.insert(group.clone());
+            }
+            (_, OrderReply::Dead) => {
+                self.dead.insert(target.clone(), now);
+            }
+            (_, OrderReply::Taken | OrderReply::Unknown) => {}
+            (_, _) => {
+                self.avoid.insert(target.clone(), now);
+            }
+        }
+    }
+
+    /// Takes in whether a target answered a probe.
+    pub fn probed(&mut self, target: &InstanceId, alive: bool, now: Millis) {
+        if alive {
+            self.dead.remove(target);
+        } else {
+            self.dead.insert(target.clone(), now);
+        }
+    }
+
+    /// Gives up a group that cannot be completed because of one member.
+    fn abandon(&mut self, group: &GroupRef, target: &InstanceId, now: Millis) {
+        self.planned.remove(group);
+        self.avoid.insert(target.clone(), now);
+    }
+
+    fn remember(&mut self, view: &FleetView<'_>, now: Millis) {
+        self.avoid.retain(|_, at| now - *at < AVOID);
+        self.dead.retain(|_, at| now - *at < DEAD);
+        self.given.retain(|_, at| now - *at < AVOID);
+        self.probed.retain(|_, at| now - *at < AVOID);
+        self.staging.retain(|id, (model, at)| {
+            let target = view.targets.get(id);
+            let waits = target.is_some_and(|t| !t.staged.contains(model));
+            waits && now - *at < STAGING
+        });
+        for target in view.targets.values() {
+            self.addresses.insert(target.id.clone(), target.address);
+            self.missing.remove(&target.id);
+        }
+        for id in self.addresses.keys() {
+            if !view.targets.contains_key(id) {
+                self.missing.entry(id.clone()).or_insert(now);
+            }
+        }
+        self.missing.retain(|_, since| now - *since < FORGET);
+        let (missing, targets) = (&self.missing, view.targets);
+        self.addresses
+            .retain(|id, _| targets.contains_key(id) || missing.contains_key(id));
+    }
+
+    fn carry_out(
+        &mut self,
+        view: &FleetView<'_>,
+        group: &GroupRef,
+        standing: &survey::Standing<'_>,
+        verdict: Verdict,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match verdict {
+            Verdict::Serve | Verdict::Wait | Verdict::Void => {}
+            Verdict::Open => {
+                let order = Order::Open(group.clone());
+                self.give_leader(standing, order, "all members are ready", now, actions);
+            }
+            Verdict::Cut => {
+                let order = Order::Cut(group.clone());
+                self.give_leader(standing, order, "a member is lost", now, actions);
+            }
+            Verdict::Retire => {
+                let order = Order::Close(group.clone());
+                self.give_leader(standing, order, "a member is leaving", now, actions);
+            }
+            Verdict::Probe => self.probe_members(view, standing, now, actions),
+        }
+    }
+
+    fn give_leader(
+        &mut self,
+        standing: &survey::Standing<'_>,
+        order: Order,
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if let Some(leader) = standing.leader {
+            let (id, address) = (leader.id.clone(), leader.address);
+            self.give(id, address, order, why, now, actions);
+        }
+    }
+
+    /// Gives an order unless the same kind was given a moment ago.
+    fn give(
+        &mut self,
+        target: InstanceId,
+        address: SocketAddr,
+        order: Order,
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let slot = (target.clone(), order.name());
+        if self.given.get(&slot).is_some_and(|at| now - *at < REPEAT) {
+            return;
+        }
+        self.given.insert(slot, now);
+        actions.push(FleetAction::Give {
+            target,
+            address,
+            order,
+            why,
+        });
+    }
+
+    fn probe_members(
+        &mut self,
+        view: &FleetView<'_>,
+        standing: &survey::Standing<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for member in &standing.members {
+            let recent = self.probed.get(&member.id).is_some_and(|at| now - *at < PROBE_GAP);
+            if recent || !view.targets.contains_key(&member.id) {
+                continue;
+            }
+            self.probed.insert(member.id.clone(), now);
+            actions.push(FleetAction::Probe {
+                target: member.id.clone(),
+                address: member.address,
+            });
+        }
+    }
+
+    /// Repeats joins that are still unanswered and drops what is complete or
+    /// can no longer become so.
+    fn tend_planned(
+        &mut self,
+        view: &FleetView<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let groups: Vec<GroupRef> = self.planned.keys().cloned().collect();
+        for group in groups {
+            let Some(planned) = self.planned.get(&group) else {
+                continue;
+            };
+            if planned.is_shown(&group, view) {
+                self.planned.remove(&group);
+                continue;
+            }
+            let lost = planned.members.iter().find(|id| !self.is_usable(id, view));
+            if let Some(lost) = lost.cloned() {
+                self.abandon(&group, &lost, now);
+                continue;
+            }
+            for (id, order) in planned.unjoined(&group, view) {
+                let address = view.targets[&id].address;
+                self.give(id, address, order, "the group is formed", now, actions);
+            }
+        }
+    }
+
+    fn is_usable(&self, id: &InstanceId, view: &FleetView<'_>) -> bool {
+        let listed = view.targets.get(id).is_some_and(|t| !t.leaving);
+        listed && !self.dead.contains_key(id) && !self.avoid.contains_key(id)
+    }
+
+    /// Leaves only targets that can be planned with now.
+    fn drop_taken(&self, free: &mut HashSet<InstanceId>, view: &FleetView<'_>, now: Millis) {
+        for planned in self.planned.values() {
+            for id in &planned.members {
+                free.remove(id);
+            }
+        }
+        let busy = |id: &InstanceId| {
+            let slot = (id.clone(), "stage");
+            self.given.get(&slot).is_some_and(|at| now - *at < REPEAT)
+        };
+        free.retain(|id| self.is_usable(id, view) && !busy(id));
+    }
+
+    fn next_group(&mut self, view: &FleetView<'_>) -> GroupRef {
+        self.counter += 1;
+        let seen = view.targets.values().filter_map(|t| t.member.as_ref());
+        let highest = seen.map(|m| m.of.epoch).max().unwrap_or(0);
+        let epoch = ((view.term << EPOCH_BITS) + self.counter).max(highest + 1);
+        self.counter = self.counter.max(epoch.saturating_sub(view.term << EPOCH_BITS));
+        GroupRef {
+            group: GroupId::from(format!("g{epoch:x}")),
+            epoch,
+        }
+    }
+}
+
+/// How long a spare may take until it shows the weights that it was told to
+/// load: the longest load of the known engines, beside several others.
+const STAGING: Millis = Millis::new(60_000);
+/// How long targets that are gone are remembered.
+const FORGET: Millis = Millis::new(30_000);
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -0,0 +1,284 @@
+//! Which new groups are formed, and what the spare targets hold ready.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target};
+use thistlesill_core::{DomainId, InstanceId, Millis, Model};
+
+use super::demand::shortage;
+use super::loads::MAX_CALM;
+use super::survey::Survey;
+use super::{FleetAction, FleetPlanner, FleetView};
+
+/// Times that a join is given before its target is passed over.
+pub(super) const MAX_TRIES: u32 = 4;
+/// Above this shortage a model may use the last spares of a domain and load
+/// weights from afar while requests run.
+const SHORT: f64 = 1.25;
+/// Below this shortage no more groups of a model are formed.
+const AMPLE: f64 = 0.5;
+/// Targets of a domain that stand by unless a model is short.
+const SPARES: usize = 2;
+
+/// A group that was decided on and is not yet shown by all its members.
+#[derive(Debug)]
+pub(super) struct Planned {
+    pub(super) members: Vec<InstanceId>,
+    pub(super) model: Model,
+    /// Members that took the order to join.
+    pub(super) taken: HashSet<InstanceId>,
+    unanswered: HashMap<InstanceId, u32>,
+}
+
+impl Planned {
+    /// Counts an order that got no answer, and returns how many did not.
+    pub(super) fn unanswered(&mut self, target: &InstanceId) -> u32 {
+        let count = self.unanswered.entry(target.clone()).or_default();
+        *count += 1;
+        *count
+    }
+
+    /// Whether all members show the group.
+    pub(super) fn is_shown(&self, group: &GroupRef, view: &FleetView<'_>) -> bool {
+        self.members.iter().all(|id| shows(id, group, view))
+    }
+
+    /// The joins of members that neither show the group nor took the order.
+    pub(super) fn unjoined(
+        &self,
+        group: &GroupRef,
+        view: &FleetView<'_>,
+    ) -> Vec<(InstanceId, Order)> {
+        let open = |id: &&InstanceId| !self.taken.contains(*id) && !shows(id, group, view);
+        let members = self.members.iter().filter(open);
+        members.map(|id| (id.clone(), self.join(group))).collect()
+    }
+
+    fn join(&self, group: &GroupRef) -> Order {
+        Order::Join {
+            to: group.clone(),
+            model: self.model.clone(),
+            members: self.members.clone(),
+        }
+    }
+}
+
+fn shows(id: &InstanceId, group: &GroupRef, view: &FleetView<'_>) -> bool {
+    let member = view.targets.get(id).and_then(|t| t.member.as_ref());
+    member.is_some_and(|m| m.of == *group)
+}
+
+/// A group that could be formed.
+#[derive(Debug)]
+struct Candidate<'a> {
+    model: &'a Model,
+    members: Vec<&'a Target>,
+    /// Members that must load the weights from afar.
+    cold: usize,
+    shortage: f64,
+    /// Free targets that remain in the domain.
+    left: usize,
+}
+
+impl FleetPlanner {
+    /// Forms as many groups as the work calls for and the targets allow.
+    pub(super) fn form(
+        &mut self,
+        view: &FleetView<'_>,
+        survey: &Survey<'_>,
+        free: &mut HashSet<InstanceId>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        loop {
+            let counts = self.count_groups(survey);
+            let Some(best) = self.best_candidate(view, free, &counts, now) else {
+                return;
+            };
+            let group = self.next_group(view);
+            let planned = Planned {
+                members: best.members.iter().map(|t| t.id.clone()).collect(),
+                model: best.model.clone(),
+                taken: HashSet::new(),
+                unanswered: HashMap::new(),
+            };
+            self.loads.note(best.cold, now);
+            for target in &best.members {
+                free.remove(&target.id);
+                let (id, address) = (target.id.clone(), target.address);
+                let order = planned.join(&group);
+                self.given.remove(&(id.clone(), order.name()));
+                self.give(id, address, order, "the model is short of groups", now, actions);
+            }
+            self.planned.insert(group, planned);
+        }
+    }
+
+    /// Groups of each model that serve or will serve.
+    fn count_groups(&self, survey: &Survey<'_>) -> HashMap<Model, usize> {
+        let mut counts: HashMap<Model, usize> = HashMap::new();
+        for planned in self.planned.values() {
+            *counts.entry(planned.model.clone()).or_default() += 1;
+        }
+        for (group, standing) in &survey.groups {
+            let ends = self.cut.contains(group) || self.planned.contains_key(group);
+            if ends || !standing.is_alive() {
+                continue;
+            }
+            if let Some(model) = standing.model() {
+                *counts.entry(model.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn best_candidate<'a>(
+        &mut self,
+        view: &FleetView<'a>,
+        free: &HashSet<InstanceId>,
+        counts: &HashMap<Model, usize>,
+        now: Millis,
+    ) -> Option<Candidate<'a>> {
+        let mut domains: BTreeMap<Option<&DomainId>, Vec<&'a Target>> = BTreeMap::new();
+        for id in free {
+            if let Some(target) = view.targets.get(id) {
+                domains.entry(target.domain.as_ref()).or_default().push(target);
+            }
+        }
+        let mut found: Vec<Candidate<'a>> = Vec::new();
+        for targets in domains.values() {
+            for plan in &view.engine.models {
+                let groups = counts.get(&plan.model).copied().unwrap_or(0);
+                let shortage = shortage(view.engine, &plan.model, groups, view.targets.len());
+                found.extend(candidate(plan, targets, shortage));
+            }
+        }
+        found.sort_by(|a, b| {
+            let short = b.shortage.total_cmp(&a.shortage);
+            short.then(a.cold.cmp(&b.cold)).then(b.left.cmp(&a.left))
+        });
+        found.into_iter().find(|c| self.is_allowed(view, c, now))
+    }
+
+    fn is_allowed(&mut self, view: &FleetView<'_>, candidate: &Candidate<'_>, now: Millis) -> bool {
+        let short = candidate.shortage > SHORT;
+        if candidate.shortage < AMPLE || (candidate.left < SPARES && !short) {
+            return false;
+        }
+        if view.calm {
+            return self.loading(view) + candidate.cold <= MAX_CALM;
+        }
+        if candidate.cold > 0 && !short {
+            return false;
+        }
+        self.loads.allows(candidate.cold, view.engine.loads_rate, now)
+    }
+
+    /// Targets that take over weights now.
+    fn loading(&self, view: &FleetView<'_>) -> usize {
+        let shown = view.targets.values().filter(|t| {
+            let member = t.member.as_ref();
+            member.is_some_and(|m| m.state == MemberState::Joining)
+        });
+        let planned = self.planned.iter();
+        let unseen = planned.map(|(group, p)| p.members.iter().filter(|id| !shows(id, group, view)));
+        shown.count() + unseen.map(Iterator::count).sum::<usize>()
+    }
+
+    /// Has spare targets hold ready the weights that their domain's groups
+    /// may need.
+    pub(super) fn stage(
+        &mut self,
+        view: &FleetView<'_>,
+        free: &HashSet<InstanceId>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if !self.planned.is_empty() && view.calm {
+            return;
+        }
+        let mut ready: HashMap<(Option<&DomainId>, &Model), usize> = HashMap::new();
+        for target in free.iter().filter_map(|id| view.targets.get(id)) {
+            if let Some(model) = self.holds(target) {
+                let model = view.engine.models.iter().find(|p| p.model == model);
+                if let Some(plan) = model {
+                    let slot = (target.domain.as_ref(), &plan.model);
+                    *ready.entry(slot).or_default() += 1;
+                }
+            }
+        }
+        let mut spares: Vec<&Target> = free.iter().filter_map(|id| view.targets.get(id)).collect();
+        spares.sort_by(|a, b| a.id.cmp(&b.id));
+        for target in spares {
+            if self.holds(target).is_some() {
+                continue;
+            }
+            let domain = target.domain.as_ref();
+            // The larger a group, the sooner one of its members is lost.
+            let wanted = view.engine.models.iter().max_by(|a, b| {
+                let need = |p: &ModelPlan| {
+                    let ready = ready.get(&(domain, &p.model)).copied().unwrap_or(0);
+                    f64::from(p.size) / (ready as f64 + 1.0)
+                };
+                need(a).total_cmp(&need(b))
+            });
+            let Some(plan) = wanted else { continue };
+            if !view.calm && !self.loads.allows(1, view.engine.loads_rate, now) {
+                return;
+            }
+            *ready.entry((domain, &plan.model)).or_default() += 1;
+            self.loads.note(1, now);
+            self.staging.insert(target.id.clone(), (plan.model.clone(), now));
+            let (id, address) = (target.id.clone(), target.address);
+            let order = Order::Stage(plan.model.clone());
+            self.give(id, address, order, "a spare holds the weights ready", now, actions);
+        }
+    }
+
+    /// The model that a spare holds or is about to hold on its host.
+    fn holds(&self, target: &Target) -> Option<Model> {
+        let staging = self.staging.get(&target.id).map(|(model, _)| model.clone());
+        staging.or_else(|| target.staged.last().cloned())
+    }
+}
+
+fn candidate<'a>(
+    plan: &'a ModelPlan,
+    targets: &[&'a Target],
+    shortage: f64,
+) -> Option<Candidate<'a>> {
+    let size = plan.size as usize;
+    if targets.len() < size {
+        return None;
+    }
+    let mut sorted: Vec<&'a Target> = targets.to_vec();
+    sorted.sort_by(|a, b| warmth(b, plan).cmp(&warmth(a, plan)).then(a.id.cmp(&b.id)));
+    sorted.truncate(size);
+    let cold = sorted.iter().filter(|t| warmth(t, plan) == Warmth::Cold).count();
+    Some(Candidate {
+        model: &plan.model,
+        members: sorted,
+        cold,
+        shortage,
+        left: targets.len() - size,
+    })
+}
+
+/// How soon a target can run a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Warmth {
+    Cold,
+    Staged,
+    Loaded,
+}
+
+fn warmth(target: &Target, plan: &ModelPlan) -> Warmth {
+    let last = target.member.as_ref().and_then(|m| m.model.as_ref());
+    if last == Some(&plan.model) {
+        Warmth::Loaded
+    } else if target.staged.contains(&plan.model) {
+        Warmth::Staged
+    } else {
+        Warmth::Cold
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -0,0 +1,166 @@
+//! The groups that the targets' entries show, and what each one needs.
+
+use std::collections::BTreeMap;
+
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
+
+use super::{FleetPlanner, FleetView, LEADER_GONE};
+
+/// What a group needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// Nothing: it serves.
+    Serve,
+    /// Nothing yet.
+    Wait,
+    /// Its leader may take requests.
+    Open,
+    /// Its leader must stop at once.
+    Cut,
+    /// Its leader must end what runs.
+    Retire,
+    /// Its members must be asked whether they live.
+    Probe,
+    /// It has ended; its members are free.
+    Void,
+}
+
+/// A group as the entries show it.
+#[derive(Debug, Default)]
+pub(super) struct Standing<'a> {
+    /// All members that are listed.
+    pub(super) members: Vec<&'a Target>,
+    /// The member that leads.
+    pub(super) leader: Option<&'a Target>,
+}
+
+impl<'a> Standing<'a> {
+    fn states(&self) -> impl Iterator<Item = &'a Membership> {
+        self.members.iter().filter_map(|t| t.member.as_ref())
+    }
+
+    /// What the leader says of itself.
+    pub(super) fn leader_state(&self) -> Option<MemberState> {
+        let member = self.leader?.member.as_ref()?;
+        Some(member.state)
+    }
+
+    /// What the group runs, as its members show it.
+    pub(super) fn model(&self) -> Option<&'a thistlesill_core::Model> {
+        self.states().find_map(|m| m.model.as_ref())
+    }
+
+    /// Whether the group takes or will take requests.
+    pub(super) fn is_alive(&self) -> bool {
+        !matches!(
+            self.leader_state(),
+            None | Some(MemberState::Broken | MemberState::Closing)
+        )
+    }
+}
+
+/// All groups of a service.
+#[derive(Debug)]
+pub(super) struct Survey<'a> {
+    pub(super) groups: BTreeMap<GroupRef, Standing<'a>>,
+    /// Targets without a group.
+    pub(super) single: Vec<&'a Target>,
+}
+
+impl<'a> Survey<'a> {
+    pub(super) fn new(view: &FleetView<'a>) -> Self {
+        let mut groups: BTreeMap<GroupRef, Standing<'a>> = BTreeMap::new();
+        let mut single = Vec::new();
+        for target in view.targets.values() {
+            let Some(member) = &target.member else {
+                single.push(target);
+                continue;
+            };
+            let standing = groups.entry(member.of.clone()).or_default();
+            standing.members.push(target);
+            if member.rank == 0 {
+                standing.leader = Some(target);
+            }
+        }
+        Self { groups, single }
+    }
+}
+
+impl FleetPlanner {
+    /// Decides what a group needs.
+    pub(super) fn judge(
+        &self,
+        view: &FleetView<'_>,
+        group: &GroupRef,
+        standing: &Standing<'_>,
+        now: Millis,
+    ) -> Verdict {
+        let Some(leader) = standing.leader else {
+            return self.judge_leaderless(group, standing, now);
+        };
+        let state = standing.leader_state().unwrap_or(MemberState::Broken);
+        let lost = standing.members.iter().any(|t| self.dead.contains_key(&t.id));
+        match state {
+            MemberState::Broken => Verdict::Void,
+            MemberState::Open if self.cut.contains(group) => Verdict::Wait,
+            MemberState::Open if lost && !self.dead.contains_key(&leader.id) => Verdict::Cut,
+            MemberState::Open if leader.leaving => Verdict::Serve,
+            MemberState::Open if standing.members.iter().any(|t| t.leaving) => Verdict::Retire,
+            MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
+            MemberState::Open => Verdict::Serve,
+            MemberState::Closing => Verdict::Wait,
+            MemberState::Joining | MemberState::Ready => {
+                self.judge_forming(view, group, standing, lost)
+            }
+        }
+    }
+
+    /// A group that does not serve yet, or no longer.
+    fn judge_forming(
+        &self,
+        view: &FleetView<'_>,
+        group: &GroupRef,
+        standing: &Standing<'_>,
+        lost: bool,
+    ) -> Verdict {
+        if self.planned.contains_key(group) {
+            return Verdict::Wait;
+        }
+        let leaving = standing.members.iter().any(|t| t.leaving);
+        if lost || leaving || self.cut.contains(group) {
+            return Verdict::Void;
+        }
+        let plan = standing.model().and_then(|model| view.engine.plan(model));
+        match plan {
+            Some(plan) if standing.members.len() < plan.size as usize => Verdict::Void,
+            None => Verdict::Void,
+            Some(_) if standing.states().all(|m| m.state == MemberState::Ready) => Verdict::Open,
+            Some(_) => Verdict::Wait,
+        }
+    }
+
+    /// A group whose leader is not listed. A leader that is cut off from the
+    /// store may still serve, so its members stay with it for a while, unless
+    /// it never led.
+    fn judge_leaderless(
+        &self,
+        group: &GroupRef,
+        standing: &Standing<'_>,
+        now: Millis,
+    ) -> Verdict {
+        if self.planned.contains_key(group) {
+            return Verdict::Wait;
+        }
+        if self.cut.contains(group) {
+            return Verdict::Void;
+        }
+        let joining = standing.states().any(|m| m.state == MemberState::Joining);
+        let longest = self.missing.values().map(|since| now - *since).min();
+        match longest {
+            _ if joining => Verdict::Void,
+            Some(gone) if gone < LEADER_GONE => Verdict::Wait,
+            _ => Verdict::Void,
+        }
+    }
+}
--- a/crates/thistlesill-policy/src/lib.rs
+++ b/crates/thistlesill-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod charts;
 pub mod claim;
 pub mod drain;
+pub mod edge;
 pub mod lease;
 pub mod limit;
 pub mod pick;
