fix(fleet): a planned group stays planned until its leader is open

Members do not say what they will run while they load, so groups were taken for ended and formed anew: 1338 joins.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -32,6 +32,12 @@
 /// How long a leader may be missing from the list before its group counts as
 /// ended, if it does not answer either.
 const LEADER_GONE: Millis = Millis::new(1_500);
+/// How long the members of a group that another planner formed may take to
+/// show themselves.
+const SHOW: Millis = Millis::new(2_000);
+/// After a target appeared, how long others may follow that belong to the
+/// same domain.
+const SETTLE: Millis = Millis::new(600);
 /// How long a target that answered no probe counts as dead without another
 /// probe.
 const DEAD: Millis = Millis::new(8_000);
@@ -89,6 +95,12 @@
     dead: HashMap<InstanceId, Millis>,
     probed: HashMap<InstanceId, Millis>,
     missing: HashMap<InstanceId, Millis>,
+    /// When each group was first seen.
+    seen: HashMap<GroupRef, Millis>,
+    /// Who led each group when it was last seen.
+    leaders: HashMap<GroupRef, InstanceId>,
+    /// When a target was last seen for the first time.
+    grown: Millis,
     addresses: HashMap<InstanceId, SocketAddr>,
     /// Spares that were told to hold a model ready, and when.
     staging: HashMap<InstanceId, (Model, Millis)>,
@@ -171,14 +183,30 @@
             waits && now - *at < STAGING
         });
         for target in view.targets.values() {
-            self.addresses.insert(target.id.clone(), target.address);
+            if self.addresses.insert(target.id.clone(), target.address).is_none() {
+                self.grown = now;
+            }
             self.missing.remove(&target.id);
+            let Some(member) = &target.member else {
+                continue;
+            };
+            self.seen.entry(member.of.clone()).or_insert(now);
+            if member.rank == 0 {
+                self.leaders.insert(member.of.clone(), target.id.clone());
+            }
         }
         for id in self.addresses.keys() {
             if !view.targets.contains_key(id) {
                 self.missing.entry(id.clone()).or_insert(now);
             }
         }
+        let shown: HashSet<&GroupRef> = view
+            .targets
+            .values()
+            .filter_map(|t| Some(&t.member.as_ref()?.of))
+            .collect();
+        self.seen.retain(|group, _| shown.contains(group));
+        self.leaders.retain(|group, _| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
         let (missing, targets) = (&self.missing, view.targets);
         self.addresses
@@ -282,7 +310,7 @@
             let Some(planned) = self.planned.get(&group) else {
                 continue;
             };
-            if planned.is_shown(&group, view) {
+            if planned.is_open(&group, view) {
                 self.planned.remove(&group);
                 continue;
             }
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -8,7 +8,7 @@
 use super::demand::shortage;
 use super::loads::MAX_CALM;
 use super::survey::Survey;
-use super::{FleetAction, FleetPlanner, FleetView};
+use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
 
 /// Times that a join is given before its target is passed over.
 pub(super) const MAX_TRIES: u32 = 4;
@@ -43,6 +43,12 @@
         self.members.iter().all(|id| shows(id, group, view))
     }
 
+    /// Whether the group takes requests.
+    pub(super) fn is_open(&self, group: &GroupRef, view: &FleetView<'_>) -> bool {
+        let leader = self.members.first().and_then(|id| view.targets.get(id));
+        leader.is_some_and(|t| shows(&t.id, group, view) && t.leads_open())
+    }
+
     /// The joins of members that neither show the group nor took the order.
     pub(super) fn unjoined(
         &self,
@@ -162,6 +168,11 @@
 
     fn is_allowed(&mut self, view: &FleetView<'_>, candidate: &Candidate<'_>, now: Millis) -> bool {
         let short = candidate.shortage > SHORT;
+        let largest = view.engine.models.iter().map(|m| m.size as usize).max();
+        let settled = now - self.grown >= SETTLE;
+        if view.calm && !settled && Some(candidate.members.len()) != largest {
+            return false;
+        }
         if candidate.shortage < AMPLE || (candidate.left < SPARES && !short) {
             return false;
         }
@@ -194,7 +205,8 @@
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
-        if !self.planned.is_empty() && view.calm {
+        let settled = now - self.grown >= SETTLE;
+        if view.calm && !(settled && self.loading(view) < MAX_CALM) {
             return;
         }
         let mut ready: HashMap<(Option<&DomainId>, &Model), usize> = HashMap::new();
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 
-use super::{FleetPlanner, FleetView, LEADER_GONE};
+use super::{FleetPlanner, FleetView, LEADER_GONE, SHOW};
 
 /// What a group needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,7 +97,7 @@
         now: Millis,
     ) -> Verdict {
         let Some(leader) = standing.leader else {
-            return self.judge_leaderless(group, standing, now);
+            return self.judge_leaderless(group, now);
         };
         let state = standing.leader_state().unwrap_or(MemberState::Broken);
         let lost = standing.members.iter().any(|t| self.dead.contains_key(&t.id));
@@ -111,7 +111,7 @@
             MemberState::Open => Verdict::Serve,
             MemberState::Closing => Verdict::Wait,
             MemberState::Joining | MemberState::Ready => {
-                self.judge_forming(view, group, standing, lost)
+                self.judge_forming(view, group, standing, lost, now)
             }
         }
     }
@@ -123,44 +123,46 @@
         group: &GroupRef,
         standing: &Standing<'_>,
         lost: bool,
+        now: Millis,
     ) -> Verdict {
-        if self.planned.contains_key(group) {
-            return Verdict::Wait;
+        let ready = standing.states().all(|m| m.state == MemberState::Ready);
+        if let Some(planned) = self.planned.get(group) {
+            return match ready && planned.is_shown(group, view) {
+                true => Verdict::Open,
+                false => Verdict::Wait,
+            };
         }
         let leaving = standing.members.iter().any(|t| t.leaving);
         if lost || leaving || self.cut.contains(group) {
             return Verdict::Void;
         }
+        let young = self.seen.get(group).is_none_or(|at| now - *at < SHOW);
         let plan = standing.model().and_then(|model| view.engine.plan(model));
         match plan {
-            Some(plan) if standing.members.len() < plan.size as usize => Verdict::Void,
-            None => Verdict::Void,
-            Some(_) if standing.states().all(|m| m.state == MemberState::Ready) => Verdict::Open,
-            Some(_) => Verdict::Wait,
+            Some(plan) if standing.members.len() >= plan.size as usize && ready => Verdict::Open,
+            // While it loads, a member does not say what it will run.
+            _ if young || !ready => Verdict::Wait,
+            _ => Verdict::Void,
         }
     }
 
     /// A group whose leader is not listed. A leader that is cut off from the
     /// store may still serve, so its members stay with it for a while, unless
     /// it never led.
-    fn judge_leaderless(
-        &self,
-        group: &GroupRef,
-        standing: &Standing<'_>,
-        now: Millis,
-    ) -> Verdict {
+    fn judge_leaderless(&self, group: &GroupRef, now: Millis) -> Verdict {
         if self.planned.contains_key(group) {
             return Verdict::Wait;
         }
         if self.cut.contains(group) {
             return Verdict::Void;
         }
-        let joining = standing.states().any(|m| m.state == MemberState::Joining);
-        let longest = self.missing.values().map(|since| now - *since).min();
-        match longest {
-            _ if joining => Verdict::Void,
-            Some(gone) if gone < LEADER_GONE => Verdict::Wait,
-            _ => Verdict::Void,
+        let leader = self.leaders.get(group);
+        let gone = leader.and_then(|id| self.missing.get(id));
+        let since = gone.or_else(|| self.seen.get(group)).copied().unwrap_or(now);
+        if now - since < LEADER_GONE {
+            Verdict::Wait
+        } else {
+            Verdict::Void
         }
     }
 }
