fix(edge): a proof needs an answer without changes; a leader off the list is told to stop

CONFIG: after an outage the feed hands out versions in order, so an answer with an intermediate version was taken for a proof.

--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -42,7 +42,11 @@
         match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
             Ok(rows) => {
                 note_store(&edge, &reachable, None);
-                if take_catalog(&edge, &rows) {
+                // An answer with changes may be followed by more of them; only
+                // a whole read, or an answer without changes, shows that what
+                // is in force was the newest when the question was sent.
+                let newest = version.is_none() || rows.rows.is_empty();
+                if take_catalog(&edge, &rows) && newest {
                     let mut fresh = edge.fresh.get();
                     fresh.confirm(asked);
                     edge.fresh.set(fresh);
@@ -50,12 +54,12 @@
                 version = Some(rows.version);
             }
             Err(error) => {
-                if matches!(error, StoreError::HistoryGone) {
-                    version = None;
-                } else {
+                // Reading whole gives a proof at once.
+                version = None;
+                if !matches!(error, StoreError::HistoryGone) {
                     note_store(&edge, &reachable, Some(&error));
+                    tokio::time::sleep(PAUSE).await;
                 }
-                tokio::time::sleep(PAUSE).await;
             }
         }
     }
@@ -105,7 +109,7 @@
 /// Takes in the catalog if it is newer; returns whether what is in force is
 /// the newest that the store has.
 fn take_catalog(edge: &Edge, rows: &Rows) -> bool {
-    let row = rows.rows.iter().find(|row| row.key == CATALOG_KEY);
+    let row = rows.rows.iter().rfind(|row| row.key == CATALOG_KEY);
     let Some(bytes) = row.and_then(|row| row.value.as_deref()) else {
         return edge.catalog.borrow().is_some();
     };
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -29,9 +29,11 @@
 /// How long a target that left orders unanswered or refused them is not
 /// planned with.
 const AVOID: Millis = Millis::new(4_000);
-/// How long a leader may be missing from the list before its group counts as
-/// ended, if it does not answer either.
-const LEADER_GONE: Millis = Millis::new(1_500);
+/// How long a leader that is no longer listed may go on with what runs.
+const LEADER_ENDS: Millis = Millis::new(800);
+/// How long a leader may be missing from the list and answer no order before
+/// its group counts as ended: several orders went unanswered by then.
+const LEADER_GONE: Millis = Millis::new(2_800);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
 const SHOW: Millis = Millis::new(2_000);
@@ -236,6 +238,14 @@
                 let order = Order::Close(group.clone());
                 self.give_leader(standing, order, "a member is leaving", now, actions);
             }
+            Verdict::Dismiss => {
+                let order = Order::Close(group.clone());
+                self.give_lost_leader(group, order, now, actions);
+            }
+            Verdict::Stop => {
+                let order = Order::Cut(group.clone());
+                self.give_lost_leader(group, order, now, actions);
+            }
             Verdict::Probe => self.probe_members(view, standing, now, actions),
         }
     }
@@ -254,6 +264,21 @@
         }
     }
 
+    /// Gives an order to a leader that is no longer listed, where it was last.
+    fn give_lost_leader(
+        &mut self,
+        group: &GroupRef,
+        order: Order,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let leader = self.leaders.get(group).cloned();
+        let known = leader.and_then(|id| Some((id.clone(), *self.addresses.get(&id)?)));
+        if let Some((id, address)) = known {
+            self.give(id, address, order, "the leader is no longer listed", now, actions);
+        }
+    }
+
     /// Gives an order unless the same kind was given a moment ago.
     fn give(
         &mut self,
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 
-use super::{FleetPlanner, FleetView, LEADER_GONE, SHOW};
+use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, SHOW};
 
 /// What a group needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +20,10 @@
     Cut,
     /// Its leader must end what runs.
     Retire,
+    /// Its leader is no longer listed and must end what runs.
+    Dismiss,
+    /// Its leader is no longer listed and must stop at once.
+    Stop,
     /// Its members must be asked whether they live.
     Probe,
     /// It has ended; its members are free.
@@ -146,9 +150,10 @@
         }
     }
 
-    /// A group whose leader is not listed. A leader that is cut off from the
-    /// store may still serve, so its members stay with it for a while, unless
-    /// it never led.
+    /// A group whose leader is not listed. The leader may still serve: it may
+    /// be leaving without a word, or be cut off from the store. So it is told
+    /// to stop, and its members stay with it until it has answered or has
+    /// been silent for so long that it must be gone.
     fn judge_leaderless(&self, group: &GroupRef, now: Millis) -> Verdict {
         if self.planned.contains_key(group) {
             return Verdict::Wait;
@@ -159,10 +164,10 @@
         let leader = self.leaders.get(group);
         let gone = leader.and_then(|id| self.missing.get(id));
         let since = gone.or_else(|| self.seen.get(group)).copied().unwrap_or(now);
-        if now - since < LEADER_GONE {
-            Verdict::Wait
-        } else {
-            Verdict::Void
+        match now - since {
+            gone if gone < LEADER_ENDS => Verdict::Dismiss,
+            gone if gone < LEADER_GONE => Verdict::Stop,
+            _ => Verdict::Void,
         }
     }
 }
