--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -13,14 +13,19 @@
 use thistlesill_core::table::Txn;
 use thistlesill_core::{InstanceId, Millis, NodeId};
 use thistlesill_platform::store::{Row, StoreError, Table};
+use thistlesill_policy::edge::load::Work;
 use tokio::net::UdpSocket;
 
 use crate::state::Edge;
 
-/// Between two beats of a daemon that has requests.
-const BEAT: Duration = Duration::from_millis(200);
-/// Beats that an idle daemon leaves out between two.
-const IDLE_BEATS: u32 = 2;
+/// The shortest time between two beats of a daemon that has requests: about
+/// as long as the target that was picked takes to begin.
+const BEAT: Duration = Duration::from_millis(60);
+/// Added for each peer, so that what a daemon hears stays at about 150 beats
+/// a second however many there are.
+const BEAT_EACH: Duration = Duration::from_micros(6_500);
+/// Between two beats of a daemon without requests.
+const IDLE_BEAT: Duration = Duration::from_millis(300);
 /// After this silence a peer counts as down.
 const SILENT: Millis = Millis::new(1_500);
 /// After this silence the planner counts as down.
@@ -53,7 +58,7 @@
     /// Whether any caller has sent a request since its start.
     busy: bool,
     /// Its requests by target.
-    counts: Vec<(InstanceId, u32)>,
+    counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
     suspects: Vec<InstanceId>,
 }
@@ -136,15 +141,12 @@
         }
     };
     tokio::task::spawn_local(listen(edge.clone(), socket.clone()));
-    let mut left_out = 0;
     loop {
-        tokio::time::sleep(BEAT).await;
-        let idle = edge.active.get() == 0 && !edge.plans.get();
-        if idle && left_out < IDLE_BEATS {
-            left_out += 1;
-            continue;
-        }
-        left_out = 0;
+        let peers = u32::try_from(edge.peers.borrow().most()).unwrap_or(u32::MAX);
+        let busy = BEAT.max(BEAT_EACH * peers);
+        let idle = edge.active.get() == 0;
+        let gap = if idle { IDLE_BEAT.max(busy) } else { busy };
+        tokio::time::sleep(gap).await;
         tell(&edge, &socket);
     }
 }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -55,6 +55,18 @@
         self.passage.limit - gone
     }
 
+    /// Tokens of the prompt, as far as they are known.
+    pub(crate) fn prompt(&self) -> u32 {
+        let tokens = self.head.prompt.unwrap_or(0);
+        u32::try_from(tokens).unwrap_or(u32::MAX)
+    }
+
+    /// Picks the next target of the request.
+    pub(crate) fn pick(&self, tried: &[InstanceId]) -> Option<Target> {
+        let model = self.head.model.as_ref();
+        self.edge.pick(&self.passage.service, model, self.prompt(), tried)
+    }
+
     /// Whether the request may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.passage.route.may_repeat()
@@ -86,7 +98,7 @@
     pub(crate) body: Incoming,
     pub(crate) lane: Lane,
     pub(crate) info: AnswerHead,
-    pub(crate) target: InstanceId,
+    pub(crate) target: Target,
     pub(crate) flight: InFlight,
 }
 
@@ -182,8 +194,7 @@
     let mut tried: Vec<InstanceId> = Vec::new();
     edge.earn_retry(&job.passage.service.name);
     loop {
-        let target = edge.pick(&job.passage.service, job.head.model.as_ref(), &tried);
-        let Some(target) = target else {
+        let Some(target) = job.pick(&tried) else {
             return track.refuse(no_target(attempts), None);
         };
         if job.passage.customer.is_some() && !edge.is_fresh() {
@@ -250,7 +261,7 @@
     last_event: Option<&str>,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
-    let flight = InFlight::new(edge, &target.id);
+    let flight = InFlight::new(edge, &target.id, job.prompt());
     let sent = edge.now();
     let connect = within(CONNECT).min(job.until);
     // A kept connection may just be closing; a request that may run only
@@ -267,7 +278,7 @@
     let answer = {
         let send = lane.send(request, job.until + LAST_ANSWER);
         tokio::pin!(send);
-        let patience = relay::stall(job, &target.id, true);
+        let patience = relay::stall(job, target, true);
         tokio::select! {
             answer = &mut send => answer,
             () = patience => {
@@ -321,7 +332,7 @@
         body,
         lane,
         info,
-        target: target.id.clone(),
+        target: target.clone(),
         flight,
     };
     if status.is_server_error() {
@@ -373,18 +384,18 @@
     let body = match read {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
-            edge.suspect(&target, "the answer broke off");
+            edge.suspect(&target.id, "the answer broke off");
             return Err(Failure::new(Outcome::MayHaveRun, error));
         }
         Err(_) => return Err(Failure::new(Outcome::Late, "the answer did not end in time")),
     };
     let now = edge.now();
-    edge.loads.borrow_mut().note_time(&target, now - job.arrived);
+    edge.loads.borrow_mut().note_time(&target.id, now - job.arrived);
     if !info.closing {
-        edge.lanes.keep(&target, lane, info.keep, now);
+        edge.lanes.keep(&target.id, lane, info.keep, now);
     }
     caller::remove_hop(&mut headers);
-    track.ended(status.as_u16(), Some(&target), body.len());
+    track.ended(status.as_u16(), Some(&target.id), body.len());
     Ok(reply::whole(status, headers, body))
 }
 
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use thistlesill_core::edge::RouteKind;
+use thistlesill_core::edge::{RouteKind, Target};
 use thistlesill_core::{InstanceId, Millis};
 use thistlesill_net::lane::Lane;
 use thistlesill_platform::caller;
@@ -32,20 +32,25 @@
 
 /// Ends when a target that has a resumable stream of ours has sent nothing to
 /// any of this daemon's streams for too long.
-pub(crate) async fn stall(job: &Job, target: &InstanceId, first: bool) {
+pub(crate) async fn stall(job: &Job, target: &Target, first: bool) {
     let route = &job.passage.route;
     let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
         return never().await;
     };
-    let patience = if first {
+    let least = if first {
         part(route.aim, FIRST_PART)
     } else {
         part(pause, STALL_PART)
     };
+    let engine = job.passage.service.engine.as_ref();
     let start = job.edge.now();
     loop {
-        let seen = job.edge.loads.borrow().progress(target).max(start);
-        let due = seen + patience;
+        let due = {
+            let loads = job.edge.loads.borrow();
+            let seen = loads.progress(&target.id).max(start);
+            let usual = engine.map(|e| loads.patience(target, e, job.edge.now()));
+            seen + usual.map_or(least, |usual| usual.max(least))
+        };
         if due <= job.edge.now() {
             return;
         }
@@ -88,10 +93,10 @@
 struct Source {
     body: Incoming,
     lane: Lane,
-    target: InstanceId,
+    target: Target,
     keep: Option<Millis>,
     closing: bool,
-    _flight: InFlight,
+    flight: InFlight,
 }
 
 impl Source {
@@ -102,7 +107,7 @@
             target: answered.target,
             keep: answered.info.keep,
             closing: answered.info.closing,
-            _flight: answered.flight,
+            flight: answered.flight,
         }
     }
 }
@@ -121,7 +126,7 @@
     attempts.may_have_run = true;
     let edge = job.edge.clone();
     let relay = Relay {
-        tried: vec![answered.target.clone()],
+        tried: vec![answered.target.id.clone()],
         source: Some(Source::new(answered)),
         track: track.split(&edge),
         job,
@@ -153,18 +158,18 @@
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
                 if data.is_empty() && tokio::time::Instant::now() >= job.until {
-                    track.broke_off(&source.target, bytes, "late_answer");
+                    track.broke_off(&source.target.id, bytes, "late_answer");
                     return Err(BrokenOff);
                 }
                 let bytes = bytes + data.len();
                 Ok(Some((data, (job, source, track, bytes))))
             }
             Some(Err(_)) => {
-                track.broke_off(&source.target, bytes, "broke_off");
+                track.broke_off(&source.target.id, bytes, "broke_off");
                 Err(BrokenOff)
             }
             None => {
-                track.ended(200, Some(&source.target), bytes);
+                track.ended(200, Some(&source.target.id), bytes);
                 Ok(None)
             }
         }
@@ -218,8 +223,9 @@
             frame = source.body.frame() => match frame {
                 Some(Ok(frame)) => {
                     let edge = &self.job.edge;
-                    edge.loads.borrow_mut().note_progress(&source.target, edge.now());
+                    edge.loads.borrow_mut().note_progress(&source.target.id, edge.now());
                     if let Ok(data) = frame.into_data() {
+                        source.flight.begun();
                         self.cutter.push(&data);
                     }
                     None
@@ -240,7 +246,7 @@
             _ => "the stream broke off",
         };
         if let Some(source) = &self.source {
-            self.job.edge.suspect(&source.target, why);
+            self.job.edge.suspect(&source.target.id, why);
         }
         if stop == Stop::Broken {
             self.source = None;
@@ -249,9 +255,9 @@
         let mut again = self.may_go_on();
         while again {
             let job = self.job.clone();
-            let service = &job.passage.service;
-            let target = job.edge.pick(service, job.head.model.as_ref(), &self.tried);
-            let Some(target) = target else { break };
+            let Some(target) = job.pick(&self.tried) else {
+                break;
+            };
             if job.passage.customer.is_some() && !job.edge.is_fresh() {
                 break;
             }
@@ -294,11 +300,11 @@
     fn finish(&mut self) -> Option<Bytes> {
         let bytes = self.bytes;
         if let Some(source) = self.source.take() {
-            self.track.ended(200, Some(&source.target), bytes);
+            self.track.ended(200, Some(&source.target.id), bytes);
             if !source.closing {
                 let edge = &self.job.edge;
                 edge.lanes
-                    .keep(&source.target, source.lane, source.keep, edge.now());
+                    .keep(&source.target.id, source.lane, source.keep, edge.now());
             }
         }
         None
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -13,7 +13,7 @@
 use thistlesill_policy::budget::RetryBudget;
 use thistlesill_policy::edge::book::TargetBook;
 use thistlesill_policy::edge::freshness::Freshness;
-use thistlesill_policy::edge::load::LoadTable;
+use thistlesill_policy::edge::load::{LoadTable, Wanted};
 use tokio::sync::Notify;
 
 use crate::lanes::Lanes;
@@ -116,6 +116,7 @@
         &self,
         service: &thistlesill_core::edge::Service,
         model: Option<&Model>,
+        prompt: u32,
         tried: &[InstanceId],
     ) -> Option<Target> {
         let book = self.book.borrow();
@@ -126,11 +127,15 @@
             .map(AsRef::as_ref)
             .filter(|t| !tried.contains(&t.id))
             .collect();
+        let settings = self.settings();
+        let wanted = Wanted {
+            engine: service.engine.as_ref(),
+            prompt,
+            hall: &settings.hall,
+        };
         let loads = self.loads.borrow();
         let rng = &mut *self.rng.borrow_mut();
-        loads
-            .pick(&untried, service.engine.as_ref(), self.now(), rng)
-            .cloned()
+        loads.pick(&untried, &wanted, self.now(), rng).cloned()
     }
 
     /// Notes a first attempt at a service.
@@ -181,20 +186,31 @@
 pub(crate) struct InFlight {
     edge: Rc<Edge>,
     target: InstanceId,
+    unread: u32,
 }
 
 impl InFlight {
-    pub(crate) fn new(edge: &Rc<Edge>, target: &InstanceId) -> Self {
-        edge.loads.borrow_mut().begin(target);
+    pub(crate) fn new(edge: &Rc<Edge>, target: &InstanceId, prompt: u32) -> Self {
+        edge.loads.borrow_mut().begin(target, prompt);
         Self {
             edge: edge.clone(),
             target: target.clone(),
+            unread: prompt,
+        }
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(crate) fn begun(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.edge.loads.borrow_mut().read(&self.target, unread);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.begun();
         self.edge.loads.borrow_mut().end(&self.target);
     }
 }
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -5,14 +5,25 @@
 //! over until they show some again.
 
 use std::collections::HashMap;
+use std::ops::Add;
 
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Engine, Target};
-use thistlesill_core::{InstanceId, Millis, NodeId};
+use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 
 /// Targets that are drawn to pick the best of; a few suffice, and daemons
 /// that know the same do not all pick the same one.
-const DRAWN: usize = 4;
+const DRAWN: usize = 3;
+/// Added to the expected time in another data centre, in milliseconds: its
+/// share of the price of bytes between them, where the wait is about equal.
+const FAR: f64 = 4.0;
+/// Part of an answer's time after the first event that counts in the choice;
+/// the first event and the pauses decide whether an answer is in time.
+const ANSWER_PART: f64 = 0.25;
+/// How many times its usual pause a group may be silent before it counts as
+/// stopped, since prompts that all daemons send are read in between.
+const PASSES: f64 = 3.0;
 /// How long a target that failed a request is passed over.
 const SUSPECT: Millis = Millis::new(2_500);
 /// How long a peer's counts are believed.
@@ -20,11 +31,42 @@
 /// Weight of a new observation of a target's time.
 const LEARNING: f64 = 0.2;
 
+/// Requests at a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests that were sent and have not ended.
+    pub requests: u32,
+    /// Tokens of prompts whose answers have not begun.
+    pub unread: u32,
+}
+
+impl Add for Work {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            unread: self.unread + other.unread,
+        }
+    }
+}
+
+/// A request that asks for a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The engines of its service, if it runs models.
+    pub engine: Option<&'a Engine>,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// The data centre of the daemon.
+    pub hall: &'a HallId,
+}
+
 /// What a daemon knows of one target's load.
 #[derive(Debug, Clone, Default)]
 pub struct TargetLoad {
-    /// Requests of this daemon.
-    own: u32,
+    /// Work of this daemon's requests.
+    own: Work,
     /// When the target last sent something to this daemon.
     progress: Millis,
     /// Until when it is passed over.
@@ -43,19 +85,27 @@
 #[derive(Debug, Clone, Default)]
 struct PeerCounts {
     heard: Millis,
-    counts: HashMap<InstanceId, u32>,
+    counts: HashMap<InstanceId, Work>,
 }
 
 impl LoadTable {
-    /// Notes that a request was sent to a target.
-    pub fn begin(&mut self, id: &InstanceId) {
-        self.entry(id).own += 1;
+    /// Notes that a request with a prompt of `unread` tokens was sent.
+    pub fn begin(&mut self, id: &InstanceId, unread: u32) {
+        let own = &mut self.entry(id).own;
+        own.requests += 1;
+        own.unread += unread;
+    }
+
+    /// Notes that the prompt of a request was read.
+    pub fn read(&mut self, id: &InstanceId, unread: u32) {
+        let own = &mut self.entry(id).own;
+        own.unread = own.unread.saturating_sub(unread);
     }
 
     /// Notes that a request at a target ended.
     pub fn end(&mut self, id: &InstanceId) {
-        let load = self.entry(id);
-        load.own = load.own.saturating_sub(1);
+        let own = &mut self.entry(id).own;
+        own.requests = own.requests.saturating_sub(1);
     }
 
     /// Notes that a target sent something.
@@ -101,48 +151,56 @@
     }
 
     /// Takes in the counts of a peer.
-    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, u32>, now: Millis) {
+    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, now: Millis) {
         let heard = PeerCounts { heard: now, counts };
         self.peers.insert(peer.clone(), heard);
     }
 
     /// This daemon's requests by target.
-    pub fn counts(&self) -> Vec<(InstanceId, u32)> {
-        let busy = self.targets.iter().filter(|(_, l)| l.own > 0);
+    pub fn counts(&self) -> Vec<(InstanceId, Work)> {
+        let busy = self.targets.iter().filter(|(_, l)| l.own.requests > 0);
         busy.map(|(id, l)| (id.clone(), l.own)).collect()
     }
 
     /// Forgets targets that are gone and peers that fell silent.
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool, now: Millis) {
-        self.targets.retain(|id, l| l.own > 0 || known(id));
+        self.targets.retain(|id, l| l.own.requests > 0 || known(id));
         self.peers.retain(|_, p| now - p.heard < PEER_TRUST);
     }
 
-    /// Requests at a target, of this daemon and its peers.
-    pub fn running(&self, id: &InstanceId, now: Millis) -> u32 {
-        let own = self.targets.get(id).map_or(0, |l| l.own);
+    /// Work at a target, of this daemon and its peers.
+    pub fn work(&self, id: &InstanceId, now: Millis) -> Work {
+        let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
         let fresh = self.peers.values().filter(|p| now - p.heard < PEER_TRUST);
-        own + fresh
+        fresh
             .filter_map(|p| p.counts.get(id).copied())
-            .sum::<u32>()
+            .fold(own, Add::add)
+    }
+
+    /// How long a group may be silent while it works off what it has, in
+    /// milliseconds.
+    pub fn patience(&self, target: &Target, engine: &Engine, now: Millis) -> Millis {
+        let work = self.work(&target.id, now);
+        let pass = Pass::of(target, engine, work);
+        Millis::new((PASSES * (pass.event + pass.reading)) as u64)
     }
 
     /// The expected time of one more request at a target, in milliseconds.
-    fn expected(&self, target: &Target, engine: Option<&Engine>, now: Millis) -> f64 {
-        let running = f64::from(self.running(&target.id, now));
-        let Some(engine) = engine else {
+    fn expected(&self, target: &Target, wanted: &Wanted<'_>, now: Millis) -> f64 {
+        let mut work = self.work(&target.id, now);
+        let far = if target.hall == *wanted.hall { 0.0 } else { FAR };
+        let Some(engine) = wanted.engine else {
             let slots = f64::from(target.slots.max(1));
             let time = self.targets.get(&target.id).map_or(0.0, |l| l.time);
-            return time.max(1.0) * (1.0 + running / slots);
+            return far + time.max(1.0) * (1.0 + f64::from(work.requests) / slots);
         };
-        let model = target.member.as_ref().and_then(|m| m.model.as_ref());
-        let pace = model.and_then(|m| engine.plan(m)).map_or(1.0, |p| p.pace);
+        work.unread += wanted.prompt;
+        let pass = Pass::of(target, engine, work);
         let slots = f64::from(engine.slots.max(1));
-        let step = pace * (engine.step + engine.step_each * running.min(slots));
-        let answer = step * engine.usual_answer;
+        let answer = pass.event / f64::from(engine.stride.max(1)) * engine.usual_answer;
         // Each `slots` requests in front end within about one answer.
-        let wait = (running + 1.0 - slots).max(0.0) / slots * answer;
-        answer + wait
+        let queue = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots * answer;
+        far + pass.reading + pass.event + queue + ANSWER_PART * answer
     }
 
     /// The best of a few targets drawn from `candidates`; those that are
@@ -150,7 +208,7 @@
     pub fn pick<'a>(
         &self,
         candidates: &[&'a Target],
-        engine: Option<&Engine>,
+        wanted: &Wanted<'_>,
         now: Millis,
         rng: &mut impl rand::Rng,
     ) -> Option<&'a Target> {
@@ -172,8 +230,8 @@
         let drawn = (0..DRAWN.min(pool.len())).map(|i| pool[(start + i * stride) % pool.len()]);
         drawn.min_by(|a, b| {
             let (a, b) = (
-                self.expected(a, engine, now),
-                self.expected(b, engine, now),
+                self.expected(a, wanted, now),
+                self.expected(b, wanted, now),
             );
             a.total_cmp(&b)
         })
@@ -183,3 +241,24 @@
         self.targets.entry(id.clone()).or_default()
     }
 }
+
+/// What one pass of a group takes, in milliseconds.
+struct Pass {
+    /// Steps until the next event of each stream.
+    event: f64,
+    /// Reading the prompts that wait.
+    reading: f64,
+}
+
+impl Pass {
+    fn of(target: &Target, engine: &Engine, work: Work) -> Self {
+        let model = target.member.as_ref().and_then(|m| m.model.as_ref());
+        let pace = model.and_then(|m| engine.plan(m)).map_or(1.0, |p| p.pace);
+        let running = f64::from(work.requests.min(engine.slots));
+        let step = pace * (engine.step + engine.step_each * running);
+        Self {
+            event: step * f64::from(engine.stride.max(1)),
+            reading: pace * f64::from(work.unread) / engine.read_rate.max(1.0) * 1_000.0,
+        }
+    }
+}
