--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -14,6 +14,7 @@
 use thistlesill_core::{InstanceId, Millis, NodeId};
 use thistlesill_platform::store::{Row, StoreError, Table};
 use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
 
 use crate::state::Edge;
@@ -61,6 +62,10 @@
     counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
     suspects: Vec<InstanceId>,
+    /// As planner: the lease.
+    lease: Option<LeaseSeen>,
+    /// As planner: targets that answered no probe.
+    dead: Vec<InstanceId>,
 }
 
 #[derive(Debug, Clone)]
@@ -70,6 +75,7 @@
     listed: Millis,
     busy: bool,
     suspects: Vec<InstanceId>,
+    busy_at: Vec<InstanceId>,
 }
 
 /// The daemons that are known.
@@ -77,6 +83,12 @@
 pub(crate) struct Peers {
     peers: HashMap<NodeId, Peer>,
     planner: Option<Millis>,
+    /// The lease as this daemon holds it.
+    pub(crate) shown: Option<LeaseSeen>,
+    /// The lease as another daemon told of it.
+    pub(crate) heard_lease: Option<LeaseSeen>,
+    /// As planner: targets that answered no probe.
+    pub(crate) dead: Vec<InstanceId>,
 }
 
 impl Peers {
@@ -101,6 +113,13 @@
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
+    /// Targets at which a peer has requests without suspecting them.
+    pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
+        let fresh = self.peers.values().filter(|p| is_heard(p, now));
+        let busy = fresh.flat_map(|p| p.busy_at.iter().filter(|id| !p.suspects.contains(id)));
+        busy.cloned().collect()
+    }
+
     fn hear(&mut self, beat: &Beat, now: Millis) -> bool {
         let Some(peer) = self.peers.get_mut(&beat.from) else {
             return false;
@@ -108,8 +127,10 @@
         peer.heard = Some(now);
         peer.busy = beat.busy;
         peer.suspects.clone_from(&beat.suspects);
+        peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
         if beat.plans {
             self.planner = Some(now);
+            self.heard_lease.clone_from(&beat.lease);
         }
         true
     }
@@ -121,6 +142,7 @@
             listed: now,
             busy: false,
             suspects: Vec::new(),
+            busy_at: Vec::new(),
         });
         peer.address = address;
     }
@@ -155,6 +177,7 @@
     let now = edge.now();
     let beat = {
         let loads = edge.loads.borrow();
+        let peers = edge.peers.borrow();
         Beat {
             from: edge.settings().name.clone(),
             boot: edge.boot,
@@ -162,6 +185,8 @@
             busy: edge.busy.get(),
             counts: loads.counts(),
             suspects: loads.suspects(now),
+            lease: peers.shown.clone(),
+            dead: peers.dead.clone(),
         }
     };
     let bytes = match postcard::to_stdvec(&beat) {
@@ -215,6 +240,12 @@
     }
     let counts = beat.counts.into_iter().collect();
     edge.loads.borrow_mut().hear(&beat.from, counts, now);
+    for target in &beat.dead {
+        if !edge.book.borrow().knows(target) {
+            continue;
+        }
+        edge.suspect(target, "it answered no probe of the planner");
+    }
     if !beat.suspects.is_empty() && edge.plans.get() {
         edge.fleet_news.notify_one();
     }
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -24,14 +24,14 @@
 const ORDER: Duration = Duration::from_millis(400);
 /// Time for a probe.
 const PROBE: Duration = Duration::from_millis(250);
-/// Time for a call of the store.
-const STORE: Duration = Duration::from_millis(700);
-/// Times of the lease. A holder writes every 0.8 s, so one lost write does
-/// not cost it the lease; a successor takes over after 2.5 s.
+/// Time for a call of the store; several fit into a lease.
+const STORE: Duration = Duration::from_millis(500);
+/// Times of the lease. A holder writes every 0.6 s, so two lost writes do not
+/// cost it the lease; a successor takes over after 2 s.
 const PERIODS: LeasePeriods = LeasePeriods {
-    renew: Millis::new(800),
-    length: Millis::new(2_500),
-    margin: Millis::new(500),
+    renew: Millis::new(600),
+    length: Millis::new(2_000),
+    margin: Millis::new(300),
     courtesy: Millis::ZERO,
 };
 /// The longest wait before the first look, so that daemons that start
@@ -73,6 +73,9 @@
 impl Planner {
     async fn tend_lease(&self) {
         let now = self.edge.now();
+        if let Some(seen) = self.edge.peers.borrow_mut().heard_lease.take() {
+            self.lease.borrow_mut().witness(seen, now);
+        }
         let watching = matches!(self.lease.borrow().state(), LeaseState::Watching);
         if watching && self.edge.peers.borrow().hears_planner(now) {
             return;
@@ -94,9 +97,8 @@
         };
         self.note(news);
         let holds = self.lease.borrow().term(self.edge.now()).is_some();
-        if self.edge.plans.replace(holds) && !holds {
-            self.fleets.borrow_mut().clear();
-        }
+        self.edge.plans.set(holds);
+        self.edge.peers.borrow_mut().shown = self.lease.borrow().shown().filter(|_| holds);
     }
 
     /// Sends a transaction; what was certainly not done counts as refused.
@@ -123,30 +125,43 @@
     fn look(self: &Rc<Self>) {
         let edge = &self.edge;
         let now = edge.now();
-        let Some(term) = self.lease.borrow().term(now) else {
-            return;
-        };
         let Some(catalog) = edge.catalog() else {
             return;
         };
+        let term = self.lease.borrow().term(now);
         let stalled = self.stalled(now);
         let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
+        let working = self.working(now);
         let book = edge.book.borrow();
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
             };
+            let mut fleets = self.fleets.borrow_mut();
+            let fleet = fleets.entry(service.name.clone()).or_default();
+            let Some(term) = term else {
+                fleet.watch(targets, now);
+                continue;
+            };
             let view = FleetView {
                 targets,
                 engine,
                 stalled: &stalled,
+                working: &working,
                 term,
                 calm,
             };
-            let actions = {
-                let mut fleets = self.fleets.borrow_mut();
-                fleets.entry(service.name.clone()).or_default().step(&view, now)
-            };
+            let actions = fleet.step(&view, now);
+            let dead: Vec<InstanceId> = fleet
+                .dead()
+                .filter(|id| targets.contains_key(*id))
+                .cloned()
+                .collect();
+            for target in &dead {
+                edge.suspect(target, "it answered no probe");
+            }
+            edge.peers.borrow_mut().dead = dead;
+            drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
             }
@@ -159,6 +174,16 @@
         stalled
     }
 
+    /// Leaders at which some daemon has requests without suspecting them.
+    fn working(&self, now: Millis) -> HashSet<InstanceId> {
+        let loads = self.edge.loads.borrow();
+        let own = loads.counts().into_iter().map(|(id, _)| id);
+        let own = own.filter(|id| !loads.is_suspect(id, now));
+        let mut working: HashSet<InstanceId> = own.collect();
+        working.extend(self.edge.peers.borrow().working(now));
+        working
+    }
+
     fn act(self: &Rc<Self>, service: &ServiceName, action: FleetAction) {
         let (planner, service) = (self.clone(), service.clone());
         tokio::task::spawn_local(async move {
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -29,7 +29,7 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Between two batches of changes to targets, so that changes that belong
 /// together come as one; the planner does not wait.
-const BATCH: Duration = Duration::from_millis(150);
+const BATCH: Duration = Duration::from_millis(300);
 /// The same for the planner.
 const PLANNER_BATCH: Duration = Duration::from_millis(20);
 
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -43,6 +43,8 @@
 /// How long a target that answered no probe counts as dead without another
 /// probe.
 const DEAD: Millis = Millis::new(8_000);
+/// Probes in a row without an answer after which a target counts as dead.
+const DEAD_PROBES: u32 = 2;
 /// Between two probes of one target.
 const PROBE_GAP: Millis = Millis::new(250);
 
@@ -78,6 +80,8 @@
     pub engine: &'a Engine,
     /// Leaders whose groups stand still, as the daemons see it.
     pub stalled: &'a HashSet<InstanceId>,
+    /// Leaders that still work for some daemon.
+    pub working: &'a HashSet<InstanceId>,
     /// The term of the lease.
     pub term: u64,
     /// Whether no caller has sent a request yet; loads are cheap until then.
@@ -94,13 +98,16 @@
     /// When an order was last given to a target, by its kind.
     given: HashMap<(InstanceId, &'static str), Millis>,
     avoid: HashMap<InstanceId, Millis>,
-    dead: HashMap<InstanceId, Millis>,
+    /// Probes in a row that a target did not answer, and the last one's time.
+    silent: HashMap<InstanceId, (u32, Millis)>,
     probed: HashMap<InstanceId, Millis>,
     missing: HashMap<InstanceId, Millis>,
     /// When each group was first seen.
     seen: HashMap<GroupRef, Millis>,
     /// Who led each group when it was last seen.
     leaders: HashMap<GroupRef, InstanceId>,
+    /// The most targets that were seen.
+    most: usize,
     /// When a target was last seen for the first time.
     grown: Millis,
     addresses: HashMap<InstanceId, SocketAddr>,
@@ -112,7 +119,7 @@
 impl FleetPlanner {
     /// Looks at the fleet and decides what to do next.
     pub fn step(&mut self, view: &FleetView<'_>, now: Millis) -> Vec<FleetAction> {
-        self.remember(view, now);
+        self.remember(view.targets, now);
         let survey = Survey::new(view);
         let mut actions = Vec::new();
         let mut free = HashSet::new();
@@ -150,7 +157,7 @@
                 self.cut.insert(group.clone());
             }
             (_, OrderReply::Dead) => {
-                self.dead.insert(target.clone(), now);
+                self.silent.insert(target.clone(), (DEAD_PROBES, now));
             }
             (_, OrderReply::Taken | OrderReply::Unknown) => {}
             (_, _) => {
@@ -162,29 +169,48 @@
     /// Takes in whether a target answered a probe.
     pub fn probed(&mut self, target: &InstanceId, alive: bool, now: Millis) {
         if alive {
-            self.dead.remove(target);
+            self.silent.remove(target);
         } else {
-            self.dead.insert(target.clone(), now);
+            let silent = self.silent.entry(target.clone()).or_insert((0, now));
+            *silent = (silent.0 + 1, now);
         }
     }
 
+    /// Targets that answered no probe.
+    pub fn dead(&self) -> impl Iterator<Item = &InstanceId> {
+        let dead = self.silent.iter().filter(|(_, (probes, _))| *probes >= DEAD_PROBES);
+        dead.map(|(id, _)| id)
+    }
+
+    fn is_dead(&self, id: &InstanceId) -> bool {
+        self.silent.get(id).is_some_and(|(probes, _)| *probes >= DEAD_PROBES)
+    }
+
+    /// Follows the fleet without the lease, so that a planner that takes over
+    /// knows who led which group.
+    pub fn watch(&mut self, targets: &HashMap<InstanceId, Target>, now: Millis) {
+        self.planned.clear();
+        self.remember(targets, now);
+    }
+
     /// Gives up a group that cannot be completed because of one member.
     fn abandon(&mut self, group: &GroupRef, target: &InstanceId, now: Millis) {
         self.planned.remove(group);
         self.avoid.insert(target.clone(), now);
     }
 
-    fn remember(&mut self, view: &FleetView<'_>, now: Millis) {
+    fn remember(&mut self, targets: &HashMap<InstanceId, Target>, now: Millis) {
         self.avoid.retain(|_, at| now - *at < AVOID);
-        self.dead.retain(|_, at| now - *at < DEAD);
+        self.silent.retain(|_, (_, at)| now - *at < DEAD);
+        self.most = self.most.max(targets.len());
         self.given.retain(|_, at| now - *at < AVOID);
         self.probed.retain(|_, at| now - *at < AVOID);
         self.staging.retain(|id, (model, at)| {
-            let target = view.targets.get(id);
+            let target = targets.get(id);
             let waits = target.is_some_and(|t| !t.staged.contains(model));
             waits && now - *at < STAGING
         });
-        for target in view.targets.values() {
+        for target in targets.values() {
             if self.addresses.insert(target.id.clone(), target.address).is_none() {
                 self.grown = now;
             }
@@ -198,19 +224,18 @@
             }
         }
         for id in self.addresses.keys() {
-            if !view.targets.contains_key(id) {
+            if !targets.contains_key(id) {
                 self.missing.entry(id.clone()).or_insert(now);
             }
         }
-        let shown: HashSet<&GroupRef> = view
-            .targets
+        let shown: HashSet<&GroupRef> = targets
             .values()
             .filter_map(|t| Some(&t.member.as_ref()?.of))
             .collect();
         self.seen.retain(|group, _| shown.contains(group));
         self.leaders.retain(|group, _| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
-        let (missing, targets) = (&self.missing, view.targets);
+        let missing = &self.missing;
         self.addresses
             .retain(|id, _| targets.contains_key(id) || missing.contains_key(id));
     }
@@ -353,7 +378,7 @@
 
     fn is_usable(&self, id: &InstanceId, view: &FleetView<'_>) -> bool {
         let listed = view.targets.get(id).is_some_and(|t| !t.leaving);
-        listed && !self.dead.contains_key(id) && !self.avoid.contains_key(id)
+        listed && !self.is_dead(id) && !self.avoid.contains_key(id)
     }
 
     /// Leaves only targets that can be planned with now.
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -12,9 +12,11 @@
 
 /// Times that a join is given before its target is passed over.
 pub(super) const MAX_TRIES: u32 = 4;
-/// Above this shortage a model may use the last spares of a domain and load
-/// weights from afar while requests run.
+/// Above this shortage a model's groups may load weights from afar while
+/// requests run.
 const SHORT: f64 = 1.25;
+/// Above this shortage a model's groups may use the last spares of a domain.
+const BELOW_FAIR: f64 = 1.05;
 /// Below this shortage no more groups of a model are formed.
 const AMPLE: f64 = 0.5;
 /// Targets of a domain that stand by unless a model is short.
@@ -127,8 +129,9 @@
             *counts.entry(planned.model.clone()).or_default() += 1;
         }
         for (group, standing) in &survey.groups {
+            let dead = standing.leader.is_some_and(|t| self.is_dead(&t.id));
             let ends = self.cut.contains(group) || self.planned.contains_key(group);
-            if ends || !standing.is_alive() {
+            if dead || ends || !standing.is_alive() {
                 continue;
             }
             if let Some(model) = standing.model() {
@@ -155,7 +158,7 @@
         for targets in domains.values() {
             for plan in &view.engine.models {
                 let groups = counts.get(&plan.model).copied().unwrap_or(0);
-                let shortage = shortage(view.engine, &plan.model, groups, view.targets.len());
+                let shortage = shortage(view.engine, &plan.model, groups, self.most);
                 found.extend(candidate(plan, targets, shortage));
             }
         }
@@ -173,7 +176,8 @@
         if view.calm && !settled && Some(candidate.members.len()) != largest {
             return false;
         }
-        if candidate.shortage < AMPLE || (candidate.left < SPARES && !short) {
+        let below = candidate.shortage > BELOW_FAIR;
+        if candidate.shortage < AMPLE || (candidate.left < SPARES && !below) {
             return false;
         }
         if view.calm {
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use thistlesill_core::Millis;
+use thistlesill_core::{InstanceId, Millis};
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 
 use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, SHOW};
@@ -101,14 +101,14 @@
         now: Millis,
     ) -> Verdict {
         let Some(leader) = standing.leader else {
-            return self.judge_leaderless(group, now);
+            return self.judge_leaderless(view, group, now);
         };
         let state = standing.leader_state().unwrap_or(MemberState::Broken);
-        let lost = standing.members.iter().any(|t| self.dead.contains_key(&t.id));
+        let lost = standing.members.iter().any(|t| self.is_dead(&t.id));
         match state {
             MemberState::Broken => Verdict::Void,
             MemberState::Open if self.cut.contains(group) => Verdict::Wait,
-            MemberState::Open if lost && !self.dead.contains_key(&leader.id) => Verdict::Cut,
+            MemberState::Open if lost && !self.is_dead(&leader.id) => Verdict::Cut,
             MemberState::Open if leader.leaving => Verdict::Serve,
             MemberState::Open if standing.members.iter().any(|t| t.leaving) => Verdict::Retire,
             MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
@@ -154,7 +154,12 @@
     /// be leaving without a word, or be cut off from the store. So it is told
     /// to stop, and its members stay with it until it has answered or has
     /// been silent for so long that it must be gone.
-    fn judge_leaderless(&self, group: &GroupRef, now: Millis) -> Verdict {
+    fn judge_leaderless(
+        &self,
+        view: &FleetView<'_>,
+        group: &GroupRef,
+        now: Millis,
+    ) -> Verdict {
         if self.planned.contains_key(group) {
             return Verdict::Wait;
         }
@@ -162,6 +167,10 @@
             return Verdict::Void;
         }
         let leader = self.leaders.get(group);
+        let silent = |id: &InstanceId| self.is_dead(id) && !view.working.contains(id);
+        if leader.is_some_and(silent) {
+            return Verdict::Void;
+        }
         let gone = leader.and_then(|id| self.missing.get(id));
         let since = gone.or_else(|| self.seen.get(group)).copied().unwrap_or(now);
         match now - since {
--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -5,6 +5,7 @@
 //! whole length on their own monotonic clock. The holder counts its length
 //! from before it sent the write that renewed it.
 
+use serde::{Deserialize, Serialize};
 use thistlesill_core::chart::Chart;
 use thistlesill_core::row::{LeaseRow, TermRow, lease_key, term_key};
 use thistlesill_core::table::{Rows, Txn, TxnReply, TxnResult};
@@ -53,6 +54,17 @@
     pub courtesy: Millis,
 }
 
+/// The lease's rows as a holder knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseSeen {
+    /// The lease.
+    pub row: LeaseRow,
+    /// The version of its row.
+    pub version: u64,
+    /// The version of the term's row.
+    pub term_version: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Known {
     row: LeaseRow,
@@ -133,6 +145,32 @@
         self.known.as_ref().map(|k| &k.row.holder)
     }
 
+    /// The rows as the holder last wrote or read them, to be told to others.
+    pub fn shown(&self) -> Option<LeaseSeen> {
+        let known = self.known.as_ref()?;
+        Some(LeaseSeen {
+            row: known.row.clone(),
+            version: known.version,
+            term_version: known.term_version,
+        })
+    }
+
+    /// Takes in what the holder told of the rows. They were so at some moment
+    /// before now, so counting the lease's length from now is safe, and a
+    /// later change of the row refuses a takeover.
+    pub fn witness(&mut self, seen: LeaseSeen, now: Millis) {
+        let newer = self.known.as_ref().is_none_or(|k| k.version < seen.version);
+        if self.state != LeaseState::Watching || !newer {
+            return;
+        }
+        self.known = Some(Known {
+            row: seen.row,
+            version: seen.version,
+            term_version: seen.term_version,
+            since: now,
+        });
+    }
+
     /// Version of the term row, the guard of plan writes.
     pub fn term_version(&self) -> u64 {
         self.known.as_ref().map_or(0, |k| k.term_version)
@@ -251,7 +289,10 @@
             return self.vacant.is_some_and(|t| now - t >= courtesy);
         };
         let wait = self.periods.length + self.periods.courtesy;
-        known.row.free || now - known.since >= wait
+        // A row of this daemon's own name that it did not write in this life
+        // is from a life that ended.
+        let own = known.row.holder == self.me && self.beat == 0;
+        known.row.free || own || now - known.since >= wait
     }
 
     fn send_takeover(&mut self, now: Millis) -> LeaseStep {
