fix(fleet): no domain is filled up before all are listed

Domains that were listed first got two large groups and kept no spare, so a lost member there meant a load from afar (16 s).

--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -173,7 +173,9 @@
         let short = candidate.shortage > SHORT;
         let largest = view.engine.models.iter().map(|m| m.size as usize).max();
         let settled = now - self.grown >= SETTLE;
-        if view.calm && !settled && Some(candidate.members.len()) != largest {
+        // Until all domains are listed, none is filled up.
+        let early = Some(candidate.members.len()) != largest || candidate.left < SPARES;
+        if view.calm && !settled && early {
             return false;
         }
         let below = candidate.shortage > BELOW_FAIR;
