feat(fleet): spares hold what their domain's groups would lose

Spares chose by the size of a model alone, and before the small groups were formed. Now by members at risk and shortage, a second spare counting a quarter; probes after 140 ms; no load from afar while targets are still being listed.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -22,8 +22,8 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Time for an order; engines answer within some milliseconds.
 const ORDER: Duration = Duration::from_millis(400);
-/// Time for a probe.
-const PROBE: Duration = Duration::from_millis(250);
+/// Time for a probe; a live engine answers within some milliseconds.
+const PROBE: Duration = Duration::from_millis(130);
 /// Time for a call of the store; several fit into a lease.
 const STORE: Duration = Duration::from_millis(500);
 /// Times of the lease. A holder writes every 0.6 s, so two lost writes do not
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod forming;
 mod loads;
+mod spares;
 mod survey;
 
 use std::collections::{HashMap, HashSet};
@@ -46,7 +47,7 @@
 /// Probes in a row without an answer after which a target counts as dead.
 const DEAD_PROBES: u32 = 2;
 /// Between two probes of one target.
-const PROBE_GAP: Millis = Millis::new(250);
+const PROBE_GAP: Millis = Millis::new(140);
 
 /// What the planner wants done next.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -113,6 +114,8 @@
     addresses: HashMap<InstanceId, SocketAddr>,
     /// Spares that were told to hold a model ready, and when.
     staging: HashMap<InstanceId, (Model, Millis)>,
+    /// Whether a group waits to be formed until others have their weights.
+    held_back: bool,
     loads: LoadRate,
 }
 
@@ -134,7 +137,7 @@
         self.tend_planned(view, now, &mut actions);
         self.drop_taken(&mut free, view, now);
         self.form(view, &survey, &mut free, now, &mut actions);
-        self.stage(view, &free, now, &mut actions);
+        self.stage(view, &survey, &free, now, &mut actions);
         actions
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -98,6 +98,7 @@
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
+        self.held_back = false;
         loop {
             let counts = self.count_groups(survey);
             let Some(best) = self.best_candidate(view, free, &counts, now) else {
@@ -123,7 +124,7 @@
     }
 
     /// Groups of each model that serve or will serve.
-    fn count_groups(&self, survey: &Survey<'_>) -> HashMap<Model, usize> {
+    pub(super) fn count_groups(&self, survey: &Survey<'_>) -> HashMap<Model, usize> {
         let mut counts: HashMap<Model, usize> = HashMap::new();
         for planned in self.planned.values() {
             *counts.entry(planned.model.clone()).or_default() += 1;
@@ -183,16 +184,20 @@
             return false;
         }
         if view.calm {
-            return self.loading(view) + candidate.cold <= MAX_CALM;
+            let allowed = self.loading(view) + candidate.cold <= MAX_CALM;
+            self.held_back |= !allowed;
+            return allowed;
         }
-        if candidate.cold > 0 && !short {
+        // Targets that return together are listed one by one, and those that
+        // still hold the weights may come last.
+        if candidate.cold > 0 && !(short && settled) {
             return false;
         }
         self.loads.allows(candidate.cold, view.engine.loads_rate, now)
     }
 
     /// Targets that take over weights now.
-    fn loading(&self, view: &FleetView<'_>) -> usize {
+    pub(super) fn loading(&self, view: &FleetView<'_>) -> usize {
         let shown = view.targets.values().filter(|t| {
             let member = t.member.as_ref();
             member.is_some_and(|m| m.state == MemberState::Joining)
@@ -201,63 +206,6 @@
         let unseen = planned.map(|(group, p)| p.members.iter().filter(|id| !shows(id, group, view)));
         shown.count() + unseen.map(Iterator::count).sum::<usize>()
     }
-
-    /// Has spare targets hold ready the weights that their domain's groups
-    /// may need.
-    pub(super) fn stage(
-        &mut self,
-        view: &FleetView<'_>,
-        free: &HashSet<InstanceId>,
-        now: Millis,
-        actions: &mut Vec<FleetAction>,
-    ) {
-        let settled = now - self.grown >= SETTLE;
-        if view.calm && !(settled && self.loading(view) < MAX_CALM) {
-            return;
-        }
-        let mut ready: HashMap<(Option<&DomainId>, &Model), usize> = HashMap::new();
-        for target in free.iter().filter_map(|id| view.targets.get(id)) {
-            if let Some(model) = self.holds(target) {
-                let model = view.engine.models.iter().find(|p| p.model == model);
-                if let Some(plan) = model {
-                    let slot = (target.domain.as_ref(), &plan.model);
-                    *ready.entry(slot).or_default() += 1;
-                }
-            }
-        }
-        let mut spares: Vec<&Target> = free.iter().filter_map(|id| view.targets.get(id)).collect();
-        spares.sort_by(|a, b| a.id.cmp(&b.id));
-        for target in spares {
-            if self.holds(target).is_some() {
-                continue;
-            }
-            let domain = target.domain.as_ref();
-            // The larger a group, the sooner one of its members is lost.
-            let wanted = view.engine.models.iter().max_by(|a, b| {
-                let need = |p: &ModelPlan| {
-                    let ready = ready.get(&(domain, &p.model)).copied().unwrap_or(0);
-                    f64::from(p.size) / (ready as f64 + 1.0)
-                };
-                need(a).total_cmp(&need(b))
-            });
-            let Some(plan) = wanted else { continue };
-            if !view.calm && !self.loads.allows(1, view.engine.loads_rate, now) {
-                return;
-            }
-            *ready.entry((domain, &plan.model)).or_default() += 1;
-            self.loads.note(1, now);
-            self.staging.insert(target.id.clone(), (plan.model.clone(), now));
-            let (id, address) = (target.id.clone(), target.address);
-            let order = Order::Stage(plan.model.clone());
-            self.give(id, address, order, "a spare holds the weights ready", now, actions);
-        }
-    }
-
-    /// The model that a spare holds or is about to hold on its host.
-    fn holds(&self, target: &Target) -> Option<Model> {
-        let staging = self.staging.get(&target.id).map(|(model, _)| model.clone());
-        staging.or_else(|| target.staged.last().cloned())
-    }
 }
 
 fn candidate<'a>(
