feat(edge): turn away at once what would begin too late

Requests are now told to come back when all groups that are left are busy and the best would begin 1.5 objectives late.

--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -94,6 +94,8 @@
     pub stride: u32,
     /// Loads of weights that may start per second, over all targets.
     pub loads_rate: f64,
+    /// Loads that may run at once before they slow each other down.
+    pub loads_once: usize,
     /// The models, with the sizes of their groups.
     pub models: Vec<ModelPlan>,
     /// Mean tokens of an answer.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -13,13 +13,13 @@
 use thistlesill_core::{ErrorKind, InstanceId, Millis};
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead, CallerHead, KeyHeader, TargetHead};
-use thistlesill_policy::edge::admission::{Asking, Key, Passage, admit};
+use thistlesill_policy::edge::admission::{self, Key, Passage, admit};
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::relay;
 use crate::reply::{self, OutBody};
-use crate::state::{Edge, InFlight};
+use crate::state::{Asking, Choice, Edge, InFlight};
 use crate::track::Track;
 
 /// Time for a connection to a target; targets answer within a few
@@ -28,6 +28,10 @@
 /// Answers of plain services up to this size are read whole before the first
 /// byte goes to the caller, so that one that breaks off can be asked for again.
 const MAX_HELD: u64 = 256 * 1024;
+/// The bounds of when a caller is told to come back: sooner, little has
+/// changed, and later, most of the caller's time is gone.
+const SOONEST: Millis = Millis::new(300);
+const LATEST: Millis = Millis::new(2_000);
 /// Time for a caller's body after its head.
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Added to the end of a request's time before an attempt is given up, so
@@ -62,9 +66,14 @@
     }
 
     /// Picks the next target of the request.
-    pub(crate) fn pick(&self, tried: &[InstanceId]) -> Option<Target> {
-        let model = self.head.model.as_ref();
-        self.edge.pick(&self.passage.service, model, self.prompt(), tried)
+    pub(crate) fn pick(&self, tried: &[InstanceId]) -> Choice {
+        self.edge.pick(&Asking {
+            service: &self.passage.service,
+            model: self.head.model.as_ref(),
+            prompt: self.prompt(),
+            aim: self.passage.route.aim,
+            tried,
+        })
     }
 
     /// Whether the request may run more than once.
@@ -170,7 +179,7 @@
 fn pass(edge: &Edge, parts: &Parts, head: &CallerHead) -> Result<Passage, ErrorKind> {
     let named = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
-    let asking = Asking {
+    let asking = admission::Asking {
         host,
         path: parts.uri.path(),
         key: match &head.key {
@@ -194,8 +203,12 @@
     let mut tried: Vec<InstanceId> = Vec::new();
     edge.earn_retry(&job.passage.service.name);
     loop {
-        let Some(target) = job.pick(&tried) else {
-            return track.refuse(no_target(attempts), None);
+        let target = match job.pick(&tried) {
+            Choice::Target(target) => *target,
+            Choice::Overloaded(late) => {
+                return track.refuse(ErrorKind::Overloaded, Some(come_back(late)));
+            }
+            Choice::Nobody => return track.refuse(no_target(attempts), None),
         };
         if job.passage.customer.is_some() && !edge.is_fresh() {
             return track.refuse(stale(attempts), None);
@@ -236,6 +249,11 @@
     next
 }
 
+/// When a caller that would be served too late may come back.
+fn come_back(late: Millis) -> Millis {
+    late.clamp(SOONEST, LATEST)
+}
+
 const fn no_target(attempts: Attempts) -> ErrorKind {
     if attempts.may_have_run {
         ErrorKind::SentUnknown
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -20,7 +20,7 @@
 use self::cutter::Cutter;
 use crate::proxy::{Answered, Job, attempt, never, settle, sleep_to};
 use crate::reply::{self, BrokenOff, OutBody};
-use crate::state::InFlight;
+use crate::state::{Choice, InFlight};
 use crate::track::Track;
 
 /// Part of the longest pause in time after which a silent target counts as
@@ -255,7 +255,7 @@
         let mut again = self.may_go_on();
         while again {
             let job = self.job.clone();
-            let Some(target) = job.pick(&self.tried) else {
+            let Choice::Target(target) = job.pick(&self.tried) else {
                 break;
             };
             if job.passage.customer.is_some() && !job.edge.is_fresh() {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -6,7 +6,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::{Catalog, EdgeSettings, Target};
+use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target};
 use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
 use thistlesill_net::clock::Clock;
 use thistlesill_platform::store::Store;
@@ -30,6 +30,28 @@
 /// counted in another window than their retries.
 const RATIO_USED: f64 = 0.8;
 
+/// A request that asks for a target.
+pub(crate) struct Asking<'a> {
+    pub(crate) service: &'a Service,
+    pub(crate) model: Option<&'a Model>,
+    /// Tokens of the prompt.
+    pub(crate) prompt: u32,
+    /// The latency objective.
+    pub(crate) aim: Millis,
+    /// Targets that it was sent to.
+    pub(crate) tried: &'a [InstanceId],
+}
+
+/// Where the next attempt of a request goes.
+pub(crate) enum Choice {
+    /// To this target.
+    Target(Box<Target>),
+    /// Nowhere now: it would begin too late by this much.
+    Overloaded(Millis),
+    /// Nowhere: no target serves what it asks for.
+    Nobody,
+}
+
 /// All state of a daemon.
 pub(crate) struct Edge {
     pub(crate) settings: RefCell<Rc<EdgeSettings>>,
@@ -112,30 +134,33 @@
     }
 
     /// Picks the target for the next attempt of a request.
-    pub(crate) fn pick(
-        &self,
-        service: &thistlesill_core::edge::Service,
-        model: Option<&Model>,
-        prompt: u32,
-        tried: &[InstanceId],
-    ) -> Option<Target> {
+    pub(crate) fn pick(&self, asking: &Asking<'_>) -> Choice {
+        let service = asking.service;
         let book = self.book.borrow();
-        let model = model.filter(|_| service.engine.is_some());
+        let model = asking.model.filter(|_| service.engine.is_some());
         let serving = book.serving(&service.name, model);
         let untried: Vec<&Target> = serving
             .iter()
             .map(AsRef::as_ref)
-            .filter(|t| !tried.contains(&t.id))
+            .filter(|t| !asking.tried.contains(&t.id))
             .collect();
         let settings = self.settings();
         let wanted = Wanted {
             engine: service.engine.as_ref(),
-            prompt,
+            prompt: asking.prompt,
             hall: &settings.hall,
         };
-        let loads = self.loads.borrow();
+        let (loads, now) = (self.loads.borrow(), self.now());
+        if asking.tried.is_empty()
+            && let Some(late) = loads.overload(&untried, &wanted, asking.aim, now)
+        {
+            return Choice::Overloaded(late);
+        }
         let rng = &mut *self.rng.borrow_mut();
-        loads.pick(&untried, &wanted, self.now(), rng).cloned()
+        match loads.pick(&untried, &wanted, now, rng) {
+            Some(target) => Choice::Target(Box::new(target.clone())),
+            None => Choice::Nobody,
+        }
     }
 
     /// Notes a first attempt at a service.
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -76,6 +76,7 @@
         if view.calm && !late {
             return;
         }
+        let mut running = self.loading(view) + self.staging.len();
         let mut spares: Vec<&Target> = free.iter().filter_map(|id| view.targets.get(id)).collect();
         spares.sort_by(|a, b| a.id.cmp(&b.id));
         let mut holdings = self.holdings(view, survey, &spares);
@@ -83,9 +84,10 @@
             let Some(plan) = self.choose(view, &holdings, target) else {
                 continue;
             };
-            if !view.calm && !self.loads.allows(1, view.engine.loads_rate, now) {
+            if !view.calm && !self.may_stage(view, running, now) {
                 return;
             }
+            running += 1;
             let domain = target.domain.as_ref();
             if let Some(held) = self.held(view, target) {
                 let left = holdings.ready(&(domain, &held.model)).saturating_sub(1);
@@ -100,6 +102,13 @@
         }
     }
 
+    /// Whether one more spare may load weights while requests run. Groups
+    /// that are formed need the weights sooner, so some room is left to them.
+    fn may_stage(&mut self, view: &FleetView<'_>, running: usize, now: Millis) -> bool {
+        let most = (view.engine.loads_once / 2).max(1);
+        running < most && self.loads.allows(1, view.engine.loads_rate, now)
+    }
+
     fn holdings<'a>(
         &self,
         view: &FleetView<'a>,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -21,6 +21,12 @@
 /// Part of an answer's time after the first event that counts in the choice;
 /// the first event and the pauses decide whether an answer is in time.
 const ANSWER_PART: f64 = 0.25;
+/// Part of a target's places from which on it counts as busy; no request is
+/// turned away while a target has more than that free.
+const BUSY: f64 = 0.75;
+/// Part of the objective beyond which a request would begin too late: an
+/// estimate may err by so much, and a late answer still has some worth.
+const LATE: f64 = 1.5;
 /// How many times its usual pause a group may be silent before it counts as
 /// stopped, since prompts that all daemons send are read in between.
 const PASSES: f64 = 3.0;
@@ -196,11 +202,35 @@
         };
         work.unread += wanted.prompt;
         let pass = Pass::of(target, engine, work);
-        let slots = f64::from(engine.slots.max(1));
-        let answer = pass.event / f64::from(engine.stride.max(1)) * engine.usual_answer;
-        // Each `slots` requests in front end within about one answer.
-        let queue = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots * answer;
-        far + pass.reading + pass.event + queue + ANSWER_PART * answer
+        far + pass.begin(engine, work) + ANSWER_PART * pass.answer(engine)
+    }
+
+    /// How much later than `aim` a request would begin at the best target,
+    /// if all are busy; `None` if it may be sent.
+    ///
+    /// A request that would begin too late also delays those behind it, so
+    /// its caller does better to come back when the targets have caught up.
+    pub fn overload(
+        &self,
+        candidates: &[&Target],
+        wanted: &Wanted<'_>,
+        aim: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
+        let engine = wanted.engine?;
+        let mut least = f64::MAX;
+        for target in candidates {
+            let mut work = self.work(&target.id, now);
+            let busy = f64::from(work.requests) >= BUSY * f64::from(engine.slots);
+            if !busy && !self.is_suspect(&target.id, now) {
+                return None;
+            }
+            work.unread += wanted.prompt;
+            least = least.min(Pass::of(target, engine, work).begin(engine, work));
+        }
+        let aim = aim.get() as f64;
+        let late = least - aim * LATE;
+        (late > 0.0 && least < f64::MAX).then(|| Millis::new(late as u64))
     }
 
     /// The best of a few targets drawn from `candidates`; those that are
@@ -261,4 +291,17 @@
             reading: pace * f64::from(work.unread) / engine.read_rate.max(1.0) * 1_000.0,
         }
     }
+
+    /// A usual answer, from its first event to its last.
+    fn answer(&self, engine: &Engine) -> f64 {
+        self.event / f64::from(engine.stride.max(1)) * engine.usual_answer
+    }
+
+    /// The time until one more request has its first event.
+    fn begin(&self, engine: &Engine, work: Work) -> f64 {
+        let slots = f64::from(engine.slots.max(1));
+        // Each `slots` requests in front end within about one answer.
+        let queue = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots * self.answer(engine);
+        self.reading + self.event + queue
+    }
 }
