feat(edge): one daemon of a data centre reads the store for the others

The first daemon of each data centre and the planner read it now; the others ask, with their own time in the question, so that a proof's age holds however long a datagram was held up.

--- a/crates/thistlesill-core/src/edge/order.rs
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -1,9 +1,11 @@
 //! Orders to model engines.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{GroupId, InstanceId, Model};
 
 /// One forming of a group: its name and epoch.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GroupRef {
     /// The group.
     pub group: GroupId,
--- a/crates/thistlesill-core/src/edge/target.rs
+++ b/crates/thistlesill-core/src/edge/target.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use super::GroupRef;
 use crate::{DomainId, HallId, InstanceId, Model, ServiceName};
 
 /// How far a member of a group is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// It is loading or taking over weights.
     Joining,
@@ -21,7 +23,7 @@
 }
 
 /// A target's place in a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// The group.
     pub of: GroupRef,
@@ -34,7 +36,7 @@
 }
 
 /// One life of a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Its id, new at every start.
     pub id: InstanceId,
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -17,7 +17,7 @@
 use tokio::task::LocalSet;
 
 use crate::state::Edge;
-use crate::{figures, front, peers, planner, watch};
+use crate::{figures, follow, front, peers, planner, watch};
 
 /// Exit code for settings that do not pass their check.
 const BAD_SETTINGS: u8 = 2;
@@ -122,8 +122,9 @@
         .write();
     tokio::task::spawn_local(watch::follow_catalog(edge.clone()));
     tokio::task::spawn_local(watch::follow_targets(edge.clone()));
-    tokio::task::spawn_local(peers::follow(edge.clone()));
-    tokio::task::spawn_local(peers::gossip(edge.clone()));
+    tokio::task::spawn_local(peers::roster::run(edge.clone()));
+    tokio::task::spawn_local(peers::link::run(edge.clone()));
+    tokio::task::spawn_local(follow::run(edge.clone()));
     tokio::task::spawn_local(planner::run(edge.clone(), charts));
     tokio::task::spawn_local(front::serve_health(edge.clone(), settings.health));
     tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
--- /dev/null
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -0,0 +1,212 @@
+//! What a daemon knows from peers that read the store.
+//!
+//! Every call of the store has its price, and hundreds of daemons that all
+//! follow it would exceed its rate. So the first daemon of each data centre,
+//! and the one that forms groups, read the store; the others ask it. A
+//! question carries the asker's time and comes back with the answer, so a
+//! proof's age is right on the asker's clock however long the datagrams, or
+//! either process, were held up.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use thistlesill_core::Millis;
+use thistlesill_policy::edge::book::Listing;
+
+use crate::peers::link;
+use crate::peers::packet::{Ask, Change, ChangeKind, Changes, Packet, Vouch};
+use crate::state::Edge;
+use crate::watch;
+
+/// Between two questions.
+const ASK: Duration = Duration::from_millis(500);
+/// After this time without a fresh proof a daemon reads the store itself.
+/// A reader's proof is up to two seconds old, and one question may be lost.
+const ALONE: Millis = Millis::new(2_900);
+/// Time after the start in which the daemons find each other; all read the
+/// store once then, and none follows it yet.
+const FIND: Millis = Millis::new(1_500);
+/// Changes that are kept for daemons that missed them.
+const MAX_KEPT: usize = 600;
+/// Changes in one datagram.
+const MAX_TOLD: usize = 24;
+
+/// The targets' changes that a reader keeps for others, and what it knows.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    /// The store's version up to which all changes are known.
+    pub(crate) version: u64,
+    /// All changes after this version are kept.
+    floor: u64,
+    kept: VecDeque<Change>,
+}
+
+impl Feed {
+    /// Starts anew at a version, after a whole read.
+    pub(crate) fn restart(&mut self, version: u64) {
+        self.version = version;
+        self.floor = version;
+        self.kept.clear();
+    }
+
+    /// Takes in changes up to a version.
+    pub(crate) fn extend(&mut self, changes: &[Change], version: u64) {
+        self.kept.extend(changes.iter().cloned());
+        self.version = self.version.max(version);
+        while self.kept.len() > MAX_KEPT {
+            if let Some(dropped) = self.kept.pop_front() {
+                self.floor = self.floor.max(dropped.version);
+            }
+        }
+    }
+
+    /// The changes after a version, if all of them are kept.
+    fn after(&self, version: u64) -> Option<Vec<Change>> {
+        if version < self.floor {
+            return None;
+        }
+        let later = self.kept.iter().filter(|c| c.version > version);
+        Some(later.cloned().collect())
+    }
+}
+
+/// Decides whether this daemon reads the store now.
+pub(crate) fn reads_store(edge: &Edge) -> bool {
+    let now = edge.now();
+    let settings = edge.settings();
+    if edge.plans.get() {
+        return true;
+    }
+    if now - edge.started < FIND {
+        return false;
+    }
+    let peers = edge.peers.borrow();
+    let alone = edge.fresh.get().age(now).is_none_or(|age| age > ALONE);
+    alone || peers.is_first(&settings.name, &settings.hall, now)
+}
+
+/// Asks a peer that reads the store, for ever.
+pub(crate) async fn run(edge: Rc<Edge>) {
+    loop {
+        tokio::time::sleep(ASK).await;
+        let reads = reads_store(&edge);
+        if edge.reads.replace(reads) != reads {
+            edge.lines.line("store_reader").with("reads", reads).write();
+            edge.reads_changed.notify_waiters();
+        }
+        if reads {
+            continue;
+        }
+        ask(&edge);
+    }
+}
+
+fn ask(edge: &Edge) {
+    let settings = edge.settings();
+    let reader = edge.peers.borrow().reader(&settings.hall, edge.now());
+    let Some(reader) = reader else { return };
+    let question = Ask {
+        from: settings.name.clone(),
+        asked: edge.now(),
+        targets: edge.feed.borrow().version,
+    };
+    link::tell(edge, &reader, &Packet::Ask(question));
+}
+
+/// As reader: answers a question, with the changes that the asker lacks.
+pub(crate) fn answer(edge: &Edge, ask: &Ask) {
+    let now = edge.now();
+    let catalog = edge.catalog().map(|c| c.version);
+    let age = edge.fresh.get().age(now);
+    if let (true, Some(catalog), Some(age)) = (edge.reads.get(), catalog, age) {
+        let vouch = Vouch {
+            asked: ask.asked,
+            catalog,
+            age,
+            floor: edge.feed.borrow().floor,
+        };
+        link::tell(edge, &ask.from, &Packet::Vouch(vouch));
+    }
+    let feed = edge.feed.borrow();
+    if !edge.reads.get() || ask.targets >= feed.version {
+        return;
+    }
+    let Some(mut missed) = feed.after(ask.targets) else {
+        return;
+    };
+    let whole = missed.len() <= MAX_TOLD;
+    missed.truncate(MAX_TOLD);
+    let last = missed.last().map(|c| c.version);
+    let after = last.filter(|_| !whole).unwrap_or(feed.version);
+    let changes = Changes {
+        before: ask.targets,
+        after,
+        changes: missed,
+        steady: edge.book.borrow().steady_for(now),
+    };
+    link::tell(edge, &ask.from, &Packet::Changes(changes));
+}
+
+/// As reader: tells all daemons what changed.
+pub(crate) fn tell_changes(edge: &Edge, before: u64, changes: &[Change], after: u64) {
+    let steady = edge.book.borrow().steady_for(edge.now());
+    let mut before = before;
+    let mut rest = changes;
+    while !rest.is_empty() {
+        let (part, later) = rest.split_at(rest.len().min(MAX_TOLD));
+        let last = part.last().map_or(after, |c| c.version);
+        let until = if later.is_empty() { after } else { last };
+        let packet = Packet::Changes(Changes {
+            before,
+            after: until,
+            changes: part.to_vec(),
+            steady,
+        });
+        link::tell_all(edge, &packet);
+        (before, rest) = (until, later);
+    }
+}
+
+/// Takes in another daemon's word for the catalog.
+pub(crate) fn take_vouch(edge: &Edge, vouch: Vouch) {
+    if edge.feed.borrow().version < vouch.floor && !edge.reads.get() {
+        edge.targets_news.notify_one();
+    }
+    let Some(own) = edge.catalog().map(|c| c.version) else {
+        return;
+    };
+    if vouch.catalog > own {
+        edge.catalog_news.notify_one();
+        return;
+    }
+    if vouch.catalog == own {
+        let mut fresh = edge.fresh.get();
+        fresh.confirm(vouch.asked - vouch.age);
+        edge.fresh.set(fresh);
+    }
+}
+
+/// Takes in changes of targets from a daemon that reads the store.
+pub(crate) fn take_changes(edge: &Edge, news: Changes) {
+    let known = edge.feed.borrow().version;
+    if edge.reads.get() || known == 0 || news.after <= known {
+        return;
+    }
+    if news.before > known {
+        // Something between was missed; the next question brings it.
+        ask(edge);
+        return;
+    }
+    let now = edge.now();
+    if let Some(steady) = news.steady {
+        edge.book.borrow_mut().store_steady(now - steady);
+    }
+    let fresh: Vec<Change> = news.changes.into_iter().filter(|c| c.version > known).collect();
+    edge.feed.borrow_mut().extend(&fresh, news.after);
+    let listings = fresh.into_iter().map(|c| match c.what {
+        ChangeKind::Listed(target) => Listing::Listed(target),
+        ChangeKind::Gone(id) => Listing::Gone(id),
+    });
+    watch::apply(edge, listings.collect());
+}
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod daemon;
 mod figures;
+mod follow;
 mod front;
 mod lanes;
 mod lines;
--- /dev/null
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -0,0 +1,149 @@
+//! The socket for datagrams between daemons.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use thistlesill_core::NodeId;
+use tokio::net::UdpSocket;
+
+use super::packet::{Beat, Packet};
+use crate::follow;
+use crate::state::Edge;
+
+/// The shortest time between two beats of a daemon that has requests: about
+/// as long as the target that was picked takes to begin.
+const BEAT: Duration = Duration::from_millis(60);
+/// Added for each peer, so that what a daemon hears stays at about 150 beats
+/// a second however many there are.
+const BEAT_EACH: Duration = Duration::from_micros(6_500);
+/// Between two beats of a daemon without requests.
+const IDLE_BEAT: Duration = Duration::from_millis(300);
+/// Bytes of a datagram, at most.
+pub(crate) const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// Sends and takes in datagrams, for ever.
+pub(crate) async fn run(edge: Rc<Edge>) {
+    let address = edge.settings().peer_address();
+    match UdpSocket::bind(address).await {
+        Ok(socket) => edge.peers.borrow_mut().socket = Some(Rc::new(socket)),
+        Err(error) => {
+            log::error!("peers: {address}: {error}");
+            return;
+        }
+    }
+    tokio::task::spawn_local(listen(edge.clone()));
+    loop {
+        let peers = u32::try_from(edge.peers.borrow().most()).unwrap_or(u32::MAX);
+        let busy = BEAT.max(BEAT_EACH * peers);
+        let idle = edge.active.get() == 0;
+        let gap = if idle { IDLE_BEAT.max(busy) } else { busy };
+        tokio::time::sleep(gap).await;
+        tell_beat(&edge);
+    }
+}
+
+fn tell_beat(edge: &Edge) {
+    let now = edge.now();
+    let settings = edge.settings();
+    let beat = {
+        let loads = edge.loads.borrow();
+        let peers = edge.peers.borrow();
+        Beat {
+            from: settings.name.clone(),
+            hall: settings.hall.clone(),
+            reads: edge.reads.get(),
+            plans: edge.plans.get(),
+            busy: edge.busy.get(),
+            counts: loads.counts(),
+            suspects: loads.suspects(now),
+            lease: peers.shown.clone(),
+            dead: peers.dead.clone(),
+        }
+    };
+    tell_all(edge, &Packet::Beat(Box::new(beat)));
+}
+
+/// Sends a datagram to all peers that may live.
+pub(crate) fn tell_all(edge: &Edge, packet: &Packet) {
+    let Some(bytes) = encode(packet) else { return };
+    let peers = edge.peers.borrow();
+    let Some(socket) = &peers.socket else { return };
+    for address in peers.addresses(edge.now()) {
+        metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
+        if let Err(error) = socket.try_send_to(&bytes, address) {
+            log::debug!("peers: {address}: {error}");
+        }
+    }
+}
+
+/// Sends a datagram to one peer.
+pub(crate) fn tell(edge: &Edge, to: &NodeId, packet: &Packet) {
+    let Some(bytes) = encode(packet) else { return };
+    let peers = edge.peers.borrow();
+    let (Some(socket), Some(address)) = (&peers.socket, peers.address(to)) else {
+        return;
+    };
+    metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
+    if let Err(error) = socket.try_send_to(&bytes, address) {
+        log::debug!("peers: {address}: {error}");
+    }
+}
+
+fn encode(packet: &Packet) -> Option<Vec<u8>> {
+    match postcard::to_stdvec(packet) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM => Some(bytes),
+        Ok(bytes) => {
+            metrics::counter!("thistlesill_edge_datagrams_oversize_total").increment(1);
+            log::warn!("peers: a datagram of {} bytes is too large", bytes.len());
+            None
+        }
+        Err(error) => {
+            log::error!("peers: a datagram was not encoded: {error}");
+            None
+        }
+    }
+}
+
+async fn listen(edge: Rc<Edge>) {
+    let Some(socket) = edge.peers.borrow().socket.clone() else {
+        return;
+    };
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("peers: {error}");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Packet>(&buffer[..length]) {
+            Ok(Packet::Beat(beat)) => hear_beat(&edge, *beat, from),
+            Ok(Packet::Ask(ask)) => follow::answer(&edge, &ask),
+            Ok(Packet::Vouch(vouch)) => follow::take_vouch(&edge, vouch),
+            Ok(Packet::Changes(changes)) => follow::take_changes(&edge, changes),
+            Err(error) => {
+                metrics::counter!("thistlesill_edge_datagrams_refused_total").increment(1);
+                log::debug!("peers: {from}: {error}");
+            }
+        }
+    }
+}
+
+fn hear_beat(edge: &Edge, beat: Beat, from: std::net::SocketAddr) {
+    let now = edge.now();
+    if beat.from == edge.settings().name {
+        return;
+    }
+    edge.peers.borrow_mut().hear(&beat, from, now);
+    if !beat.suspects.is_empty() && edge.plans.get() {
+        edge.fleet_news.notify_one();
+    }
+    let counts = beat.counts.into_iter().collect();
+    edge.loads.borrow_mut().hear(&beat.from, counts, now);
+    for target in &beat.dead {
+        if edge.book.borrow().knows(target) {
+            edge.suspect(target, "it answered no probe of the planner");
+        }
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -0,0 +1,93 @@
+//! Datagrams between daemons.
+
+use serde::{Deserialize, Serialize};
+use thistlesill_core::edge::Target;
+use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::lease::LeaseSeen;
+
+/// One datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Packet {
+    /// How the sender is; goes to all.
+    Beat(Box<Beat>),
+    /// A question to a daemon that reads the store.
+    Ask(Ask),
+    /// The answer.
+    Vouch(Vouch),
+    /// Changes of targets.
+    Changes(Changes),
+}
+
+/// What a daemon tells its peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    pub(crate) from: NodeId,
+    pub(crate) hall: HallId,
+    /// Whether it reads the store itself.
+    pub(crate) reads: bool,
+    /// Whether it forms groups.
+    pub(crate) plans: bool,
+    /// Whether any caller has sent a request since its start.
+    pub(crate) busy: bool,
+    /// Its requests by target.
+    pub(crate) counts: Vec<(InstanceId, Work)>,
+    /// Targets that stopped answering it.
+    pub(crate) suspects: Vec<InstanceId>,
+    /// As planner: the lease.
+    pub(crate) lease: Option<LeaseSeen>,
+    /// As planner: targets that answered no probe.
+    pub(crate) dead: Vec<InstanceId>,
+}
+
+/// Asks how fresh another daemon's knowledge is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Ask {
+    pub(crate) from: NodeId,
+    /// When it was asked, on the asker's clock; comes back in the answer.
+    pub(crate) asked: Millis,
+    /// The version of the targets that the asker knows.
+    pub(crate) targets: u64,
+}
+
+/// Vouches for a catalog.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Vouch {
+    /// The asker's time of the question. The proof is at least as young as
+    /// `age` at that moment, however long the datagrams took.
+    pub(crate) asked: Millis,
+    /// The version of the catalog that was the newest.
+    pub(crate) catalog: u64,
+    /// The age of the proof when the answer was sent.
+    pub(crate) age: Millis,
+    /// Who knows the targets at an older version must read them whole.
+    pub(crate) floor: u64,
+}
+
+/// Changes of targets from one version of the store to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Changes {
+    /// Who knows the targets at `before` knows them at `after` with these.
+    pub(crate) before: u64,
+    pub(crate) after: u64,
+    pub(crate) changes: Vec<Change>,
+    /// How long the store has answered the sender without a break.
+    pub(crate) steady: Option<Millis>,
+}
+
+/// One change of a target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Change {
+    /// The store's version of the change.
+    pub(crate) version: u64,
+    pub(crate) what: ChangeKind,
+}
+
+/// What changed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum ChangeKind {
+    /// A target is listed, or its entry changed.
+    Listed(Box<Target>),
+    /// A target's entry is gone.
+    Gone(InstanceId),
+}
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -16,6 +16,7 @@
 use thistlesill_policy::edge::load::{LoadTable, Wanted};
 use tokio::sync::Notify;
 
+use crate::follow::Feed;
 use crate::lanes::Lanes;
 use crate::lines::Lines;
 use crate::peers::Peers;
@@ -77,6 +78,18 @@
     pub(crate) stop: Notify,
     /// Whether this daemon holds the lease to form groups.
     pub(crate) plans: Cell<bool>,
+    /// When the daemon started.
+    pub(crate) started: Millis,
+    /// Whether this daemon reads the store for others.
+    pub(crate) reads: Cell<bool>,
+    /// The targets' changes, as far as they are known.
+    pub(crate) feed: RefCell<Feed>,
+    /// Woken when the daemon begins or ceases to read the store.
+    pub(crate) reads_changed: Notify,
+    /// Woken when a peer has a newer catalog.
+    pub(crate) catalog_news: Notify,
+    /// Woken when a peer knows changes of targets that nobody keeps.
+    pub(crate) targets_news: Notify,
     /// Woken when targets changed or are suspected.
     pub(crate) fleet_news: Notify,
     /// Woken when the store failed to answer.
@@ -85,11 +98,12 @@
 
 impl Edge {
     pub(crate) fn new(settings: EdgeSettings) -> Self {
+        let clock = Clock::new();
         Self {
             store: Store::new(settings.store.address),
             peers: RefCell::new(Peers::default()),
             settings: RefCell::new(Rc::new(settings)),
-            clock: Clock::new(),
+            clock,
             boot: rand::random(),
             catalog: RefCell::new(None),
             fresh: Cell::new(Freshness::default()),
@@ -104,6 +118,12 @@
             stopping: Cell::new(None),
             stop: Notify::new(),
             plans: Cell::new(false),
+            started: clock.now(),
+            reads: Cell::new(false),
+            feed: RefCell::new(Feed::default()),
+            reads_changed: Notify::new(),
+            catalog_news: Notify::new(),
+            targets_news: Notify::new(),
             fleet_news: Notify::new(),
             store_doubt: Notify::new(),
         }
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -12,6 +12,8 @@
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::freshness::MARGIN;
 
+use crate::follow;
+use crate::peers::packet::{Change, ChangeKind};
 use crate::state::Edge;
 
 /// Time for a read; the store answers within some milliseconds, and slowly
@@ -20,24 +22,36 @@
 /// Added to the time for which the store was asked to wait.
 const SLACK: Duration = Duration::from_millis(700);
 /// Part of the longest age of a proof for which a question about the catalog
-/// waits: a proof holds from before its question, so its age reaches twice
-/// the wait, and one failed question must still fit in.
-const WAIT_PART: f64 = 0.35;
+/// waits. A proof holds from before its question, so its age reaches twice
+/// the wait; daemons that ask this one add half a second; and one failed
+/// question must still fit in.
+const WAIT_PART: f64 = 0.22;
 /// Wait of questions where keys need no proof.
 const LONG_WAIT: Duration = Duration::from_secs(8);
 /// After a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Between two batches of changes to targets, so that changes that belong
 /// together come as one; the planner does not wait.
-const BATCH: Duration = Duration::from_millis(300);
+const BATCH: Duration = Duration::from_millis(200);
 /// The same for the planner.
-const PLANNER_BATCH: Duration = Duration::from_millis(20);
+const PLANNER_BATCH: Duration = Duration::from_millis(40);
+/// How often a daemon that does not read the store looks whether it should.
+const IDLE: Duration = Duration::from_millis(400);
 
 /// Follows the catalog, for ever.
 pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
     let mut version = None;
     let reachable = Cell::new(true);
     loop {
+        let known = edge.catalog.borrow().is_some();
+        if known && !edge.reads.get() {
+            version = None;
+            tokio::select! {
+                () = edge.catalog_news.notified() => {}
+                () = edge.reads_changed.notified() => {}
+                () = tokio::time::sleep(IDLE) => continue,
+            }
+        }
         let asked = edge.now();
         match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
             Ok(rows) => {
@@ -145,23 +159,30 @@
 
 /// Follows the targets' entries, for ever.
 pub(crate) async fn follow_targets(edge: Rc<Edge>) {
-    let mut version = None;
+    let mut whole = true;
     loop {
+        if !whole && !edge.reads.get() {
+            tokio::select! {
+                () = edge.targets_news.notified() => whole = true,
+                () = edge.reads_changed.notified() => {}
+                () = tokio::time::sleep(IDLE) => {}
+            }
+            continue;
+        }
+        let version = Some(edge.feed.borrow().version).filter(|_| !whole);
         let asked = tokio::select! {
             asked = ask(&edge, Table::Targets, version, LONG_WAIT) => asked,
             () = edge.store_doubt.notified() => continue,
         };
         match asked {
             Ok(rows) => {
-                take_targets(&edge, &rows, version.is_none());
-                version = Some(rows.version);
+                take_targets(&edge, &rows, whole);
+                whole = false;
                 let batch = if edge.plans.get() { PLANNER_BATCH } else { BATCH };
                 tokio::time::sleep(batch).await;
             }
             Err(error) => {
-                if matches!(error, StoreError::HistoryGone) {
-                    version = None;
-                }
+                whole |= matches!(error, StoreError::HistoryGone);
                 log::debug!("watch: targets: {error}");
                 tokio::time::sleep(PAUSE).await;
             }
@@ -170,37 +191,64 @@
 }
 
 fn take_targets(edge: &Edge, rows: &Rows, whole: bool) {
-    let listings: Vec<Listing> = rows.rows.iter().filter_map(|row| decode(edge, row)).collect();
-    let (catalog, now) = (edge.catalog(), edge.now());
-    let mut book = edge.book.borrow_mut();
+    let changes: Vec<Change> = rows.rows.iter().filter_map(|row| decode(edge, row)).collect();
+    let before = edge.feed.borrow().version;
     if whole {
-        let listed = listings.into_iter().filter_map(|listing| match listing {
-            Listing::Listed(target) => Some(*target),
-            Listing::Gone(_) => None,
+        edge.feed.borrow_mut().restart(rows.version);
+        let listed = changes.into_iter().filter_map(|change| match change.what {
+            ChangeKind::Listed(target) => Some(*target),
+            ChangeKind::Gone(_) => None,
         });
+        let (catalog, now) = (edge.catalog(), edge.now());
+        let mut book = edge.book.borrow_mut();
         book.replace(listed.collect(), catalog.as_deref(), now);
-    } else if !listings.is_empty() {
-        book.apply(listings, catalog.as_deref(), now);
+        edge.fleet_news.notify_one();
+        return;
     }
-    edge.fleet_news.notify_one();
+    edge.feed.borrow_mut().extend(&changes, rows.version);
+    if changes.is_empty() {
+        return;
+    }
+    follow::tell_changes(edge, before, &changes, rows.version);
+    let listings = changes.into_iter().map(|change| match change.what {
+        ChangeKind::Listed(target) => Listing::Listed(target),
+        ChangeKind::Gone(id) => Listing::Gone(id),
+    });
+    apply(edge, listings.collect());
 }
 
-fn decode(edge: &Edge, row: &Row) -> Option<Listing> {
-    let Some(value) = &row.value else {
-        edge.lines.line("target_gone").with("target", &row.key).write();
-        return Some(Listing::Gone(row.key.as_str().into()));
-    };
-    match decode_target(&row.key, value) {
-        Ok(target) => {
-            note_target(edge, &target);
-            Some(Listing::Listed(Box::new(target)))
-        }
-        Err(error) => {
-            edge.lines.line("target_refused").with("why", error).write();
-            metrics::counter!("thistlesill_edge_targets_refused_total").increment(1);
-            None
+/// Takes in changes of targets.
+pub(crate) fn apply(edge: &Edge, listings: Vec<Listing>) {
+    if listings.is_empty() {
+        return;
+    }
+    for listing in &listings {
+        match listing {
+            Listing::Listed(target) => note_target(edge, target),
+            Listing::Gone(id) => edge.lines.line("target_gone").with("target", id).write(),
         }
     }
+    let (catalog, now) = (edge.catalog(), edge.now());
+    edge.book.borrow_mut().apply(listings, catalog.as_deref(), now);
+    edge.fleet_news.notify_one();
+}
+
+fn decode(edge: &Edge, row: &Row) -> Option<Change> {
+    let what = match &row.value {
+        None => ChangeKind::Gone(row.key.as_str().into()),
+        Some(value) => match decode_target(&row.key, value) {
+            Ok(target) => ChangeKind::Listed(Box::new(target)),
+            Err(error) => {
+                edge.lines.line("target_refused").with("why", error).write();
+                metrics::counter!("thistlesill_edge_targets_refused_total").increment(1);
+                return None;
+            }
+        },
+    };
+    Some(Change {
+        version: row.version,
+        what,
+    })
 }
 
 /// Writes a line about a target's change if it changes who takes requests.
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -45,6 +45,16 @@
         self.steady = None;
     }
 
+    /// Notes since when the store has answered, as another daemon tells.
+    pub const fn store_steady(&mut self, since: Millis) {
+        self.steady = Some(since);
+    }
+
+    /// How long the store has answered without a break.
+    pub fn steady_for(&self, now: Millis) -> Option<Millis> {
+        self.steady.map(|since| now - since)
+    }
+
     /// Takes in changes of entries.
     pub fn apply(&mut self, changes: Vec<Listing>, catalog: Option<&Catalog>, now: Millis) {
         for change in changes {
