--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -15,9 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use thistlesill_core::edge::{
-    Engine, GroupRef, MemberState, Membership, Order, OrderReply, Target,
-};
+use thistlesill_core::edge::{Engine, GroupRef, MemberState, Order, OrderReply, Target};
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
 use self::forming::Planned;
@@ -220,10 +218,18 @@
         self.planned.clear();
         self.remember(targets, now);
         for target in targets.values() {
-            // The planner that forms it may have told it to open.
-            let ready = |m: &&Membership| m.rank == 0 && m.state == MemberState::Ready;
-            if let Some(member) = target.member.as_ref().filter(ready) {
-                self.opening.entry(member.of.clone()).or_insert(1);
+            let Some(member) = target.member.as_ref().filter(|m| m.rank == 0) else {
+                continue;
+            };
+            match member.state {
+                // The planner that forms the group may have told it to open.
+                MemberState::Ready => {
+                    self.opening.entry(member.of.clone()).or_insert(1);
+                }
+                MemberState::Open => {
+                    self.opening.remove(&member.of);
+                }
+                _ => {}
             }
         }
     }
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -119,13 +119,19 @@
         let verdict = self.judge_state(view, group, standing, now);
         let doubtful = self.opening.contains_key(group) && !self.left.contains(group);
         let leader = self.leaders.get(group);
-        let silent = leader.is_some_and(|id| self.is_dead(id));
+        let silent = leader.is_some_and(|id| self.is_dead(id) || self.is_gone(id, now));
         match verdict {
             Verdict::Void if doubtful && !silent => Verdict::Dissolve,
             verdict => verdict,
         }
     }
 
+    /// Whether a target has been off the list for so long that it is gone.
+    fn is_gone(&self, id: &InstanceId, now: Millis) -> bool {
+        let missing = self.missing.get(id);
+        missing.is_some_and(|since| now - *since >= LEADER_GONE)
+    }
+
     fn judge_state(
         &self,
         view: &FleetView<'_>,
