perf(fleet): as many first loads at once as the weight store serves; fewer probes and calls

Sixteen loads at once left the weight store of the largest deployment idle, so its groups were formed only after the first requests, and no spare was ready.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -86,6 +86,13 @@
     alone || peers.is_first(&settings.name, &settings.hall, now)
 }
 
+/// Decides whether this daemon reads the targets' entries from the store: the
+/// one that forms groups does, and tells the others.
+pub(crate) fn reads_targets(edge: &Edge) -> bool {
+    let planner = edge.peers.borrow().hears_planner(edge.now());
+    edge.plans.get() || (edge.reads.get() && !planner)
+}
+
 /// Asks a peer that reads the store, for ever.
 pub(crate) async fn run(edge: Rc<Edge>) {
     loop {
@@ -95,16 +102,22 @@
             edge.lines.line("store_reader").with("reads", reads).write();
             edge.reads_changed.notify_waiters();
         }
-        if reads {
-            continue;
+        if !edge.plans.get() {
+            ask(&edge);
         }
-        ask(&edge);
     }
 }
 
 fn ask(edge: &Edge) {
     let settings = edge.settings();
-    let reader = edge.peers.borrow().reader(&settings.hall, edge.now());
+    let reader = {
+        let peers = edge.peers.borrow();
+        // A daemon that reads the catalog itself asks for targets only.
+        match edge.reads.get() {
+            true => peers.planner(),
+            false => peers.reader(&settings.hall, edge.now()),
+        }
+    };
     let Some(reader) = reader else { return };
     let question = Ask {
         from: settings.name.clone(),
@@ -170,7 +183,7 @@
 
 /// Takes in another daemon's word for the catalog.
 pub(crate) fn take_vouch(edge: &Edge, vouch: Vouch) {
-    if edge.feed.borrow().version < vouch.floor && !edge.reads.get() {
+    if edge.feed.borrow().version < vouch.floor && !reads_targets(edge) {
         edge.targets_news.notify_one();
     }
     let Some(own) = edge.catalog().map(|c| c.version) else {
@@ -190,7 +203,7 @@
 /// Takes in changes of targets from a daemon that reads the store.
 pub(crate) fn take_changes(edge: &Edge, news: Changes) {
     let known = edge.feed.borrow().version;
-    if edge.reads.get() || known == 0 || news.after <= known {
+    if reads_targets(edge) || known == 0 || news.after <= known {
         return;
     }
     if news.before > known {
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -51,7 +51,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: HashMap<NodeId, Peer>,
-    planner: Option<Millis>,
+    planner: Option<(NodeId, Millis)>,
     pub(crate) socket: Option<Rc<UdpSocket>>,
     /// The lease as this daemon holds it.
     pub(crate) shown: Option<LeaseSeen>,
@@ -74,7 +74,13 @@
 
     /// Whether a daemon that forms groups was heard a moment ago.
     pub(crate) fn hears_planner(&self, now: Millis) -> bool {
-        self.planner.is_some_and(|at| now - at < PLANNER_SILENT)
+        let heard = self.planner.as_ref().map(|(_, at)| *at);
+        heard.is_some_and(|at| now - at < PLANNER_SILENT)
+    }
+
+    /// The daemon that formed groups when it was last heard.
+    pub(crate) fn planner(&self) -> Option<NodeId> {
+        self.planner.as_ref().map(|(name, _)| name.clone())
     }
 
     /// Whether any peer has had a request.
@@ -148,7 +154,7 @@
         peer.suspects.clone_from(&beat.suspects);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
         if beat.plans {
-            self.planner = Some(now);
+            self.planner = Some((beat.from.clone(), now));
             self.heard_lease.clone_from(&beat.lease);
         }
     }
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -168,7 +168,7 @@
 pub(crate) async fn follow_targets(edge: Rc<Edge>) {
     let mut whole = true;
     loop {
-        if !whole && !edge.reads.get() {
+        if !whole && !follow::reads_targets(&edge) {
             tokio::select! {
                 () = edge.targets_news.notified() => whole = true,
                 () = edge.reads_changed.notified() => {}
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -46,6 +46,11 @@
 const DEAD: Millis = Millis::new(8_000);
 /// Probes in a row without an answer after which a target counts as dead.
 const DEAD_PROBES: u32 = 2;
+/// Rounds of probes of one group; members that answered all of them live, and
+/// the group stands still for another reason.
+const PROBE_ROUNDS: u32 = 4;
+/// After the first of these rounds, when more may follow.
+const PROBE_REST: Millis = Millis::new(2_000);
 /// Between two probes of one target.
 const PROBE_GAP: Millis = Millis::new(140);
 
@@ -109,6 +114,8 @@
     /// Probes in a row that a target did not answer, and the last one's time.
     silent: BTreeMap<InstanceId, (u32, Millis)>,
     probed: BTreeMap<InstanceId, Millis>,
+    /// Rounds of probes of a leader's group, and when they began.
+    rounds: BTreeMap<InstanceId, (u32, Millis)>,
     missing: BTreeMap<InstanceId, Millis>,
     /// When each group was first seen.
     seen: BTreeMap<GroupRef, Millis>,
@@ -245,6 +252,7 @@
         self.silent.retain(|_, (_, at)| now - *at < DEAD);
         self.most = self.most.max(targets.len());
         self.given.retain(|_, at| now - *at < AVOID);
+        self.rounds.retain(|_, (_, at)| now - *at < PROBE_REST);
         self.probed.retain(|_, at| now - *at < AVOID);
         self.staging.retain(|id, (model, at)| {
             let target = targets.get(id);
@@ -412,6 +420,17 @@
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
+        let Some(leader) = standing.leader else {
+            return;
+        };
+        let rounds = self.rounds.entry(leader.id.clone()).or_insert((0, now));
+        if now - rounds.1 >= PROBE_REST {
+            *rounds = (0, now);
+        }
+        if rounds.0 >= PROBE_ROUNDS {
+            return;
+        }
+        let probes = actions.len();
         for member in &standing.members {
             let recent = self
                 .probed
@@ -426,6 +445,11 @@
                 address: member.address,
             });
         }
+        if actions.len() > probes
+            && let Some(rounds) = self.rounds.get_mut(&leader.id)
+        {
+            rounds.0 += 1;
+        }
     }
 
     /// Repeats joins that are still unanswered and drops what is complete or
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -6,7 +6,7 @@
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::shortage;
-use super::loads::MAX_CALM;
+use super::loads::most_calm;
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
 
@@ -214,7 +214,7 @@
             return false;
         }
         if view.calm {
-            let allowed = self.loading(view) + candidate.cold <= MAX_CALM;
+            let allowed = self.loading(view) + candidate.cold <= most_calm(view.engine);
             self.held_back |= !allowed;
             return allowed;
         }
--- a/crates/thistlesill-policy/src/edge/fleet/loads.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/loads.rs
@@ -3,15 +3,24 @@
 use std::collections::VecDeque;
 
 use thistlesill_core::Millis;
+use thistlesill_core::edge::Engine;
 
 /// The span over which starts are counted.
 const WINDOW: Millis = Millis::new(5_000);
 /// Part of the allowed rate that is used, since a load that was asked for
 /// may begin a moment later, beside newer ones.
 const USED: f64 = 0.8;
-/// Loads that may run at once while nothing is served; more of them at once
-/// only make each last longer.
-pub(super) const MAX_CALM: usize = 16;
+/// The fewest loads that run at once while nothing is served, so that the
+/// first groups of several domains are formed side by side.
+const LEAST_CALM: usize = 16;
+
+/// Loads that may run at once while nothing is served: some more than the
+/// weight store serves at full rate, so that it is never idle; many more
+/// would only make each last longer.
+pub(super) fn most_calm(engine: &Engine) -> usize {
+    let full = engine.loads_once.saturating_add(engine.loads_once / 2);
+    full.max(LEAST_CALM)
+}
 
 /// Starts of loads in the last window.
 #[derive(Debug, Default)]
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -9,7 +9,7 @@
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::shortage;
-use super::loads::MAX_CALM;
+use super::loads::most_calm;
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
 
@@ -72,7 +72,7 @@
         actions: &mut Vec<FleetAction>,
     ) {
         let settled = now - self.grown >= SETTLE;
-        let late = settled && !self.held_back && self.loading(view) < MAX_CALM;
+        let late = settled && !self.held_back && self.loading(view) < most_calm(view.engine);
         if view.calm && !late {
             return;
         }
