fix(edge): keep only as many unused connections as the targets accept

Each daemon kept six to each target; 79 of them hit the cap of the four booking targets, which reset new connections under requests that may run once.

--- a/crates/thistlesill-edge/src/lanes.rs
+++ b/crates/thistlesill-edge/src/lanes.rs
@@ -8,8 +8,11 @@
 use thistlesill_net::lane::{Lane, LaneError};
 use tokio::time::Instant;
 
-/// Unused connections kept per target.
+/// Unused connections kept per target, at most.
 const MAX_IDLE: usize = 6;
+/// Part of the connections that a target accepts from all daemons which may
+/// be unused ones; it resets what exceeds its number.
+const IDLE_PART: f64 = 0.5;
 /// How long an unused connection is kept if its target does not say how long
 /// it keeps it; most keep theirs for some seconds.
 const USUAL_KEEP: Millis = Millis::new(2_000);
@@ -64,15 +67,23 @@
         }
     }
 
-    /// Keeps a connection whose answer was read whole.
-    pub(crate) fn keep(&self, target: &InstanceId, lane: Lane, keep: Option<Millis>, now: Millis) {
+    /// Keeps a connection whose answer was read whole, if fewer than `most`
+    /// are kept.
+    pub(crate) fn keep(
+        &self,
+        target: &InstanceId,
+        lane: Lane,
+        keep: Option<Millis>,
+        most: usize,
+        now: Millis,
+    ) {
         let time = keep.map_or(USUAL_KEEP, |k| k - KEEP_MARGIN);
         if time == Millis::ZERO {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(target.clone()).or_default();
-        if kept.len() < MAX_IDLE {
+        if kept.len() < most {
             kept.push(Idle {
                 lane,
                 until: now + time,
@@ -89,3 +100,10 @@
         idle.retain(|_, kept| !kept.is_empty());
     }
 }
+
+/// How many unused connections one of `daemons` daemons keeps to a target that
+/// accepts `connections` from all of them.
+pub(crate) fn most_idle(connections: u32, daemons: usize) -> usize {
+    let part = f64::from(connections) * IDLE_PART / daemons.max(1) as f64;
+    (part as usize).min(MAX_IDLE)
+}
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -17,6 +17,7 @@
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::lanes::most_idle;
 use crate::relay;
 use crate::reply::{self, OutBody};
 use crate::state::{Asking, Choice, Edge, InFlight};
@@ -59,6 +60,14 @@
         self.passage.limit - gone
     }
 
+    /// Keeps a connection for the next request.
+    pub(crate) fn keep_lane(&self, target: &InstanceId, lane: Lane, keep: Option<Millis>) {
+        let daemons = self.edge.peers.borrow().most();
+        let most = most_idle(self.passage.service.connections, daemons);
+        let now = self.edge.now();
+        self.edge.lanes.keep(target, lane, keep, most, now);
+    }
+
     /// Tokens of the prompt, as far as they are known.
     pub(crate) fn prompt(&self) -> u32 {
         let tokens = self.head.prompt.unwrap_or(0);
@@ -432,7 +441,7 @@
         .borrow_mut()
         .note_time(&target.id, now - job.arrived);
     if !info.closing {
-        edge.lanes.keep(&target.id, lane, info.keep, now);
+        job.keep_lane(&target.id, lane, info.keep);
     }
     caller::remove_hop(&mut headers);
     track.ended(status.as_u16(), Some(&target.id), body.len());
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -298,9 +298,8 @@
         if let Some(source) = self.source.take() {
             self.track.ended(200, Some(&source.target.id), bytes);
             if !source.closing {
-                let edge = &self.job.edge;
-                edge.lanes
-                    .keep(&source.target.id, source.lane, source.keep, edge.now());
+                self.job
+                    .keep_lane(&source.target.id, source.lane, source.keep);
             }
         }
         None
