test(edge): the daemon as a process before stand-ins; a stopping daemon still answers

The stand-ins speak the platform's protocol and note what every target ran. Seen red first: a daemon told to stop closed connections that the balancer still sent it. It now answers them and ends the connection with the answer.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -30,6 +30,8 @@
 /// Time in which the balancer notices that the daemon takes no new callers:
 /// it asks once a second and believes the second answer.
 const BALANCER: Millis = Millis::new(2_600);
+/// Time in which connections without a request are closed.
+const CLOSE: Millis = Millis::new(150);
 /// Kept of the time before a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
 
@@ -188,8 +190,12 @@
         return false;
     };
     let gone = edge.now() - since;
+    if gone >= BALANCER {
+        // No new callers come; connections without a request end.
+        edge.stop.notify_waiters();
+    }
     let grace = edge.settings().bounds.grace - STOP_MARGIN;
-    gone >= grace || (gone >= BALANCER && edge.active.get() == 0)
+    gone >= grace || (gone >= BALANCER + CLOSE && edge.active.get() == 0)
 }
 
 /// Takes in a changed settings file; a bad one changes nothing.
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -15,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::proxy;
+use crate::reply::OutBody;
 use crate::state::Edge;
 
 /// Time that an unused connection stays open before the operators' limits are
@@ -52,7 +54,7 @@
         let edge = edge.clone();
         service_fn(move |request| {
             let edge = edge.clone();
-            async move { Ok::<_, Infallible>(proxy::handle(edge, request).await) }
+            async move { Ok::<_, Infallible>(answer(edge, request).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -61,9 +63,6 @@
         .max_buf_size(head + LEAST_HEAD)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    if edge.stopping.get().is_some() {
-        connection.as_mut().graceful_shutdown();
-    }
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = edge.stop.notified() => {
@@ -76,6 +75,17 @@
     }
 }
 
+/// Answers one request. A daemon that is stopping answers what still comes,
+/// since the balancer has not noticed yet, and ends the connection with it.
+async fn answer(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
+    let mut answer = proxy::handle(edge.clone(), request).await;
+    if edge.stopping.get().is_some() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
 /// Answers whether the daemon takes callers, for ever.
 pub(crate) async fn serve_health(edge: Rc<Edge>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -74,7 +74,7 @@
     pub(crate) busy: Cell<bool>,
     /// When the daemon was told to stop.
     pub(crate) stopping: Cell<Option<Millis>>,
-    /// Woken when the daemon is told to stop.
+    /// Woken when connections without a request are to end.
     pub(crate) stop: Notify,
     /// Whether this daemon holds the lease to form groups.
     pub(crate) plans: Cell<bool>,
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -0,0 +1,12 @@
+//! Edge daemons as processes before stand-ins of the platform.
+
+#[path = "it/answers.rs"]
+mod answers;
+#[path = "it/keys.rs"]
+mod keys;
+#[path = "it/stops.rs"]
+mod stops;
+#[path = "it/streams.rs"]
+mod streams;
+#[path = "it/support.rs"]
+mod support;
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/answers.rs
@@ -0,0 +1,103 @@
+//! Answers are the target's own and whole, and an error tells the truth about
+//! whether the request ran.
+
+use thistlesill_platform_standin::targets::Fault;
+
+use crate::support::{ask, book, read, sleep, world};
+
+const BOTH: [&str; 2] = ["p-0", "p-1"];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_pass_unchanged_and_keys_stay_here() {
+    let world = world(1, 1).await;
+    let got = ask(&world, 0, book("once")).await;
+    assert_eq!(
+        (got.status, got.body.as_str(), got.whole),
+        (200, "POST once", true)
+    );
+    let got = ask(&world, 0, read("read")).await;
+    assert_eq!(got.body, "GET read");
+    let runs = world.targets.ledger.runs("read");
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].path, "/read/x?a=1&b=%2F");
+    assert_eq!(runs[0].customer.as_deref(), Some("customer"));
+    assert!(!runs[0].leaked);
+    assert_eq!(world.targets.ledger.runs("once")[0].body, b"two bunks");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_have_run_once_is_neither_sent_again_nor_refused() {
+    let world = world(2, 1).await;
+    for (i, fault) in [
+        Fault::LoseAnswers,
+        Fault::CutShort,
+        Fault::WrongId,
+        Fault::FullUnclear,
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for target in BOTH {
+            world.targets.set_fault(target, fault);
+        }
+        let id = format!("once-{i}");
+        let got = ask(&world, 0, book(&id)).await;
+        assert_eq!(got.status, 502, "{fault:?}");
+        assert_eq!(got.retry_after(), None, "{fault:?}");
+        assert!(world.targets.ledger.runs(&id).len() <= 1, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_says_when_to_come_back_and_nothing_ran() {
+    let world = world(3, 1).await;
+    for target in BOTH {
+        world.targets.set_fault(target, Fault::Full);
+    }
+    let got = ask(&world, 0, book("refused")).await;
+    assert_eq!(got.status, 503);
+    assert!(got.retry_after().is_some_and(|s| s > 0.0));
+    assert!(world.targets.ledger.runs("refused").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_be_repeated_is_asked_for_elsewhere() {
+    let world = world(4, 1).await;
+    for fault in [
+        Fault::LoseAnswers,
+        Fault::CutShort,
+        Fault::WrongId,
+        Fault::Full,
+    ] {
+        world.targets.set_fault("p-0", fault);
+        for i in 0..6 {
+            let id = format!("{fault:?}-{i}");
+            let got = ask(&world, 0, read(&id)).await;
+            assert_eq!((got.status, got.body), (200, format!("GET {id}")));
+            // The retry budget is small on purpose; let it fill again.
+            sleep(20).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_over_the_limit_and_unknown_paths_get_their_status() {
+    let world = world(5, 1).await;
+    let got = ask(&world, 0, book("large").body("x".repeat(100_001))).await;
+    assert_eq!(got.status, 413);
+    let mut nowhere = read("nowhere");
+    nowhere.path = "/nowhere/".to_owned();
+    assert_eq!(ask(&world, 0, nowhere).await.status, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_gets_nothing_more() {
+    let world = world(6, 1).await;
+    world.targets.leave("p-0");
+    sleep(900).await;
+    for i in 0..12 {
+        let id = format!("after-{i}");
+        assert_eq!(ask(&world, 0, read(&id)).await.status, 200);
+        assert_eq!(world.targets.ledger.runs(&id)[0].target.as_str(), "p-1");
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -0,0 +1,92 @@
+//! A key that was taken away opens nothing, whatever a daemon can reach.
+
+use thistlesill_platform_standin::store::Mode;
+use thistlesill_platform_standin::world::catalog;
+
+use crate::support::{ask, book, read, sleep, world};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_key_is_refused_and_a_new_catalog_never_reverts() {
+    let world = world(11, 3).await;
+    assert_eq!(
+        ask(&world, 1, read("old").key(Some("k2"))).await.status,
+        200
+    );
+    world.store.put("op", "config", &catalog(5, &["k1"]));
+    sleep(1_500).await;
+    for daemon in 0..3 {
+        let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
+        assert_eq!(got.status, 401, "daemon {daemon}");
+        assert_eq!(ask(&world, daemon, read("kept")).await.status, 200);
+    }
+    world.store.put("op", "config", &catalog(4, &["k1", "k2"]));
+    sleep(1_500).await;
+    let got = ask(&world, 0, read("older").key(Some("k2"))).await;
+    assert_eq!(got.status, 401, "an older catalog is not taken");
+    assert!(world.targets.ledger.runs("gone").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_store_keys_pass_only_as_long_as_the_proof_is_young() {
+    let world = world(12, 2).await;
+    assert_eq!(ask(&world, 0, book("before")).await.status, 200);
+    world.store.set_mode(Mode::Silent);
+    sleep(3_200).await;
+    for daemon in 0..2 {
+        let got = ask(&world, daemon, book("after")).await;
+        assert_eq!(got.status, 503, "daemon {daemon}");
+        assert!(got.retry_after().is_some());
+    }
+    assert!(world.targets.ledger.runs("after").is_empty());
+    world.store.set_mode(Mode::Up);
+    sleep(2_500).await;
+    for daemon in 0..2 {
+        assert_eq!(ask(&world, daemon, book("back")).await.status, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_daemon_does_not_trust_its_proof_when_it_wakes() {
+    let mut world = world(13, 2).await;
+    world.daemons[0].signal(nix::sys::signal::Signal::SIGSTOP);
+    world.store.put("op", "config", &catalog(9, &["k1"]));
+    sleep(3_500).await;
+    let late = tokio::spawn({
+        let address = world.daemons[0].callers();
+        let ask = book("frozen").key(Some("k2"));
+        async move { thistlesill_platform_standin::caller::call(address, &ask).await }
+    });
+    sleep(200).await;
+    world.daemons[0].signal(nix::sys::signal::Signal::SIGCONT);
+    let got = late.await.expect("the task ends").expect("an answer");
+    assert!(matches!(got.status, 401 | 503), "{}", got.status);
+    assert!(world.targets.ledger.runs("frozen").is_empty());
+    assert!(world.daemons[0].runs());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_knows_no_catalog_says_that_it_is_not_ready() {
+    let mut world = world(14, 1).await;
+    world.store.set_mode(Mode::Busy);
+    world.daemons[0].kill().await;
+    world.daemons[0].start();
+    sleep(700).await;
+    let mut nowhere = read("nowhere");
+    nowhere.path = "/nowhere/".to_owned();
+    assert_eq!(ask(&world, 0, nowhere).await.status, 503);
+    assert_eq!(
+        ask(&world, 0, read("key").key(Some("k9"))).await.status,
+        503
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_catalog_leaves_the_last_one_in_force() {
+    let world = world(15, 1).await;
+    let mut broken = catalog(7, &["k1"]);
+    broken["routes"][0]["kind"] = "sometimes".into();
+    world.store.put("op", "config", &broken);
+    sleep(800).await;
+    assert_eq!(ask(&world, 0, read("still")).await.status, 200);
+    assert!(!world.lines(0, "ev=catalog_refused").is_empty());
+}
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -0,0 +1,74 @@
+//! Planned stops, kills and takeovers.
+
+use nix::sys::signal::Signal;
+use thistlesill_platform_standin::caller::{Ask, call};
+
+use crate::support::{ask, book, sleep, stream, world};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_ends_what_runs_and_then_the_process() {
+    let mut world = world(31, 1).await;
+    let address = world.daemons[0].callers();
+    let running = tokio::spawn(async move { call(address, &stream("running")).await });
+    sleep(60).await;
+    world.daemons[0].signal(Signal::SIGTERM);
+    sleep(50).await;
+    let health = Ask::new("health", "GET", "/api/ready");
+    let got = call(world.daemons[0].health(), &health)
+        .await
+        .expect("it still answers");
+    assert_eq!(got.status, 503);
+    // The balancer has not noticed yet: a caller still gets an answer.
+    assert_eq!(ask(&world, 0, book("late")).await.status, 200);
+    let got = running.await.expect("the task ends").expect("an answer");
+    assert!(got.whole, "the stream was cut off");
+    world.daemons[0].ended().await;
+    assert!(!world.lines(0, "ev=stop ").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_daemon_forms_groups_when_the_one_that_did_is_killed() {
+    let mut world = world(32, 3).await;
+    let holder = (0..3).find(|d| !world.lines(*d, "ev=lease_gained").is_empty());
+    let holder = holder.expect("one daemon holds the lease");
+    world.daemons[holder].kill().await;
+    sleep(4_000).await;
+    let others = (0..3).filter(|d| *d != holder);
+    let gained: Vec<_> = others
+        .flat_map(|d| world.lines(d, "ev=lease_gained"))
+        .collect();
+    assert_eq!(gained.len(), 1, "{gained:?}");
+    assert!(gained[0].contains("term=2"));
+    let (_, members) = world.targets.serving().swap_remove(0);
+    world.targets.kill(&members[1]);
+    sleep(4_000).await;
+    assert!(
+        world.targets.breaches().is_empty(),
+        "{:?}",
+        world.targets.breaches()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_settings_file_is_taken_and_a_bad_one_is_not() {
+    let world = world(33, 1).await;
+    world.daemons[0].signal(Signal::SIGHUP);
+    sleep(300).await;
+    assert!(
+        world
+            .lines(0, "ev=reload")
+            .iter()
+            .any(|l| l.contains("taken"))
+    );
+    let file = world.daemons[0].log().with_extension("json");
+    std::fs::write(file, "{").expect("the file can be written");
+    world.daemons[0].signal(Signal::SIGHUP);
+    sleep(300).await;
+    assert!(
+        world
+            .lines(0, "ev=reload")
+            .iter()
+            .any(|l| l.contains("line 1"))
+    );
+    assert_eq!(ask(&world, 0, book("still")).await.status, 200);
+}
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/streams.rs
@@ -0,0 +1,88 @@
+//! Streams arrive whole, in order and once, also when their group is lost.
+
+use thistlesill_platform_standin::targets::{EVENTS, Fault};
+
+use crate::support::{ask, sleep, stream, world};
+
+fn all() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_in_an_event_is_taken_up_at_the_next() {
+    let world = world(21, 1).await;
+    let leaders = world.targets.serving();
+    let (small, _) = leaders
+        .iter()
+        .find(|(_, m)| m.len() == 2)
+        .expect("a small group");
+    world.targets.set_fault(small.as_str(), Fault::CutShort);
+    let mut resumed = 0;
+    for i in 0..8 {
+        let id = format!("cut-{i}");
+        let got = ask(&world, 0, stream(&id).model("small")).await;
+        let runs = world.targets.ledger.runs(&id);
+        if got.whole {
+            assert_eq!(got.events(), all(), "{}", got.body);
+            resumed += usize::from(runs.len() > 1);
+        }
+        sleep(50).await;
+    }
+    let others = leaders.iter().filter(|(_, m)| m.len() == 2).count();
+    assert!(
+        others < 2 || resumed > 0,
+        "no stream was taken up elsewhere"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_member_stops_its_group_and_a_spare_takes_its_place() {
+    let world = world(22, 2).await;
+    let before = world.targets.serving();
+    let (leader, members) = before
+        .iter()
+        .find(|(_, m)| m.len() == 4)
+        .expect("a large group");
+    world.targets.kill(&members[1]);
+    let until = tokio::time::Instant::now() + std::time::Duration::from_secs(12);
+    loop {
+        let again = ask(&world, 0, stream("again")).await;
+        if again.status == 200 && again.whole {
+            assert_eq!(again.events(), all());
+            break;
+        }
+        assert!(
+            tokio::time::Instant::now() < until,
+            "no group serves: {again:?}"
+        );
+        sleep(100).await;
+    }
+    let after = world.targets.serving();
+    assert!(after.iter().all(|(_, m)| !m.contains(&members[1])));
+    assert!(
+        world.targets.breaches().is_empty(),
+        "{:?}",
+        world.targets.breaches()
+    );
+    let told = (0..2).flat_map(|d| world.lines(d, "ev=order"));
+    assert!(
+        told.into_iter()
+            .any(|l| l.contains("order=cut") && l.contains(leader.as_str()))
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_its_stream_at_the_target() {
+    let world = world(23, 1).await;
+    let mut gone = stream("gone");
+    gone.deadline = std::time::Duration::from_millis(60);
+    let got = ask(&world, 0, gone).await;
+    assert!(!got.whole);
+    sleep(300).await;
+    let ends = world.lines(0, "id=gone");
+    assert!(
+        ends.iter()
+            .any(|l| l.contains("outcome=caller_left") || l.contains("late")),
+        "{ends:?}"
+    );
+}
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -12,16 +12,32 @@
 };
 use thistlesill_core::{InstanceId, Millis, Model};
 
-/// Time of a load from afar.
-pub const LOAD: Millis = Millis::new(16_000);
-/// Time of a load from the host.
-pub const WARM: Millis = Millis::new(1_600);
-/// Time of a join with the weights of the last group.
-pub const SAME: Millis = Millis::new(200);
-/// Time after which a leader that lost a member is broken.
-pub const STALL: Millis = Millis::new(5_000);
-/// Time from the order to the first request of a group.
-pub const FORM: Millis = Millis::new(300);
+/// How long the engines take.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// A load from afar.
+    pub load: Millis,
+    /// A load from the host.
+    pub warm: Millis,
+    /// A join with the weights of the last group.
+    pub same: Millis,
+    /// Until a leader that lost a member is broken.
+    pub stall: Millis,
+    /// From the order to open to the first request.
+    pub form: Millis,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            load: Millis::new(16_000),
+            warm: Millis::new(1_600),
+            same: Millis::new(200),
+            stall: Millis::new(5_000),
+            form: Millis::new(300),
+        }
+    }
+}
 
 /// The figures of engines that run a model of four and one of two members.
 pub fn engine() -> Engine {
@@ -71,6 +87,8 @@
     lists: HashMap<GroupRef, Vec<InstanceId>>,
     /// Members that were ready, by group.
     ready: HashSet<(GroupRef, InstanceId)>,
+    /// How long the engines take.
+    pub times: Times,
     /// Breaches of what must always hold.
     pub breaches: Vec<String>,
 }
@@ -124,6 +142,22 @@
             .collect()
     }
 
+    /// Whether an engine leads a group that serves and has all its members.
+    pub fn runs(&self, id: &InstanceId) -> bool {
+        let leads = self
+            .engines
+            .get(id)
+            .is_some_and(|e| e.alive && e.target.leads_open());
+        leads && !self.lacks_member(id)
+    }
+
+    /// Moves an engine to an address.
+    pub fn settle(&mut self, id: &InstanceId, address: SocketAddr) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.target.address = address;
+        }
+    }
+
     /// Whether an engine answers.
     pub fn is_alive(&self, id: &InstanceId) -> bool {
         self.engines.get(id).is_some_and(|e| e.alive)
@@ -201,7 +235,7 @@
             return;
         }
         let since = *engine.stalled.get_or_insert(now);
-        if now - since >= STALL {
+        if now - since >= self.times.stall {
             member.state = MemberState::Broken;
         }
     }
@@ -235,7 +269,7 @@
                 let Some(engine) = self.engines.get_mut(id) else {
                     return OrderReply::Unknown;
                 };
-                engine.staging = Some((model.clone(), now + LOAD));
+                engine.staging = Some((model.clone(), now + self.times.load));
                 OrderReply::Taken
             }
         }
@@ -274,11 +308,11 @@
             return OrderReply::Unknown;
         };
         let time = if engine.loaded.as_ref() == Some(model) {
-            SAME
+            self.times.same
         } else if engine.target.staged.contains(model) {
-            WARM
+            self.times.warm
         } else {
-            LOAD
+            self.times.load
         };
         engine.epoch = to.epoch;
         engine.members = members.to_vec();
@@ -322,7 +356,7 @@
         };
         match &engine.target.member {
             Some(m) if m.of == *group && m.rank == 0 && m.state == MemberState::Ready => {
-                engine.opening.get_or_insert(now + FORM);
+                engine.opening.get_or_insert(now + self.times.form);
                 OrderReply::Taken
             }
             Some(m) if m.of == *group && m.state == MemberState::Open => OrderReply::Taken,
