--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -44,10 +44,10 @@
     pub hall: HallId,
     /// Its own address.
     pub ip: IpAddr,
-    /// Where callers connect.
-    pub callers: SocketAddr,
+    /// Where callers connect, if the process serves any.
+    pub callers: Option<SocketAddr>,
     /// Where the balancer asks whether the daemon takes callers.
-    pub health: SocketAddr,
+    pub health: Option<SocketAddr>,
     /// The first port that daemons may use among themselves.
     pub peer_port: u16,
     /// The last such port.
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -1,11 +1,13 @@
 //! The start, the life and the stop of an edge daemon.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::Duration;
 
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 use thistlesill_core::Millis;
 use thistlesill_core::chart::ChartError;
 use thistlesill_core::edge::EdgeSettings;
@@ -35,6 +37,49 @@
 /// Kept of the time before a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
 
+/// What a process does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Parts {
+    /// It serves callers and forms groups under the lease.
+    #[default]
+    Both,
+    /// It serves callers.
+    Serve,
+    /// It forms groups under the lease.
+    Plan,
+}
+
+impl FromStr for Parts {
+    type Err = UnknownPart;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPart> {
+        match text {
+            "both" => Ok(Self::Both),
+            "serve" => Ok(Self::Serve),
+            "plan" => Ok(Self::Plan),
+            _ => Err(UnknownPart {
+                text: text.to_owned(),
+            }),
+        }
+    }
+}
+
+/// A word that names no part of a daemon.
+#[derive(Debug, Snafu)]
+#[snafu(display("`{text}` is none of `both`, `serve` and `plan`"))]
+pub struct UnknownPart {
+    text: String,
+}
+
+/// What the command line asks for beside the settings.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// What the process does.
+    pub parts: Parts,
+    /// Where the metrics are served.
+    pub metrics: Option<SocketAddr>,
+}
+
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -60,6 +105,9 @@
         /// The cause.
         source: ChartError,
     },
+    /// The settings name no address for callers.
+    #[snafu(display("the settings name no address for callers and the balancer"))]
+    NoCallers,
     /// An address or a signal could not be had.
     #[snafu(display("{what}: {source}"))]
     Io {
@@ -71,7 +119,7 @@
 }
 
 /// Reads the settings and runs a daemon, or only checks them.
-pub fn main(config: Option<PathBuf>, only_check: bool) -> ExitCode {
+pub fn main(config: Option<PathBuf>, only_check: bool, options: Options) -> ExitCode {
     let path = config.unwrap_or_else(settings_path);
     let settings = match read_settings(&path) {
         Ok(settings) => settings,
@@ -85,7 +133,7 @@
         return ExitCode::SUCCESS;
     }
     thistlesill_net::admin::install_logger();
-    match start(settings, path) {
+    match start(settings, path, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("thistlesill-edge: {error}");
@@ -99,21 +147,22 @@
     decode_settings(&text).context(SettingsSnafu { path })
 }
 
-fn start(settings: EdgeSettings, path: PathBuf) -> Result<(), StartError> {
+fn start(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(IoSnafu { what: "runtime" })?;
     let local = LocalSet::new();
-    local.block_on(&runtime, run(settings, path))
+    local.block_on(&runtime, run(settings, path, options))
 }
 
-async fn run(settings: EdgeSettings, path: PathBuf) -> Result<(), StartError> {
+async fn run(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
+    let settings = match options.parts {
+        Parts::Plan => beside(settings),
+        Parts::Both | Parts::Serve => settings,
+    };
     let charts = Charts::load().context(ChartsSnafu)?;
     let handle = figures::install();
-    let callers = TcpListener::bind(settings.callers).await.context(IoSnafu {
-        what: settings.callers.to_string(),
-    })?;
     let mut stop = listen_for(SignalKind::terminate())?;
     let mut reload = listen_for(SignalKind::hangup())?;
     let edge = Rc::new(Edge::new(settings));
@@ -129,11 +178,19 @@
     tokio::task::spawn_local(peers::roster::run(edge.clone()));
     tokio::task::spawn_local(peers::link::run(edge.clone()));
     tokio::task::spawn_local(follow::run(edge.clone()));
-    tokio::task::spawn_local(planner::run(edge.clone(), charts));
-    tokio::task::spawn_local(front::serve_health(edge.clone(), settings.health));
-    tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
+    if options.parts != Parts::Serve {
+        tokio::task::spawn_local(planner::run(edge.clone(), charts));
+    }
+    if options.parts != Parts::Plan {
+        let callers = listen(settings.callers.context(NoCallersSnafu)?).await?;
+        let health = listen(settings.health.context(NoCallersSnafu)?).await?;
+        tokio::task::spawn_local(front::serve_health(edge.clone(), health));
+        tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
+    }
     if let Some(handle) = &handle {
-        tokio::task::spawn_local(figures::serve(settings.metrics_address(), handle.clone()));
+        let address = options.metrics.unwrap_or(settings.metrics_address());
+        let listener = listen(address).await?;
+        tokio::task::spawn_local(figures::serve(listener, handle.clone()));
     }
     let mut rounds = 0;
     loop {
@@ -167,6 +224,21 @@
     Ok(())
 }
 
+/// The settings of a planner beside a daemon that serves on the same machine.
+fn beside(mut settings: EdgeSettings) -> EdgeSettings {
+    settings.name = format!("{}-plan", settings.name).into();
+    settings.peer_port += 1;
+    settings.last_port = settings.last_port.saturating_sub(1);
+    settings
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.with_context(|_| IoSnafu {
+        what: address.to_string(),
+    })
+}
+
 fn listen_for(kind: SignalKind) -> Result<Signal, StartError> {
     signal(kind).context(IoSnafu { what: "signals" })
 }
--- a/crates/thistlesill-edge/src/figures.rs
+++ b/crates/thistlesill-edge/src/figures.rs
@@ -1,7 +1,5 @@
 //! The daemon's metrics, served as text.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -39,14 +37,7 @@
 }
 
 /// Serves the metrics, for ever.
-pub(crate) async fn serve(address: SocketAddr, handle: PrometheusHandle) {
-    let listener = match TcpListener::bind(address).await {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::error!("metrics: {address}: {error}");
-            return;
-        }
-    };
+pub(crate) async fn serve(listener: TcpListener, handle: PrometheusHandle) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -1,7 +1,6 @@
 //! Where callers connect, and where the balancer asks for health.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,14 +86,7 @@
 }
 
 /// Answers whether the daemon takes callers, for ever.
-pub(crate) async fn serve_health(edge: Rc<Edge>, address: SocketAddr) {
-    let listener = match TcpListener::bind(address).await {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::error!("health: {address}: {error}");
-            return;
-        }
-    };
+pub(crate) async fn serve_health(edge: Rc<Edge>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
