--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -230,7 +230,8 @@
             return track.refuse(stale(attempts), None);
         }
         tried.push(target.id.clone());
-        let failure = match attempt(&job, &target, None).await {
+        let last = attempts.sent + 1 >= job.passage.route.attempts;
+        let failure = match attempt(&job, &target, None, last).await {
             Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
                 Ok(response) => return response,
                 Err(failure) => failure,
@@ -288,11 +289,14 @@
     }
 }
 
-/// Sends a request to a target and awaits the head of its answer.
+/// Sends a request to a target and awaits the head of its answer; for the
+/// `last` attempt as long as the request has time, since a late answer is
+/// worth more than none.
 pub(crate) async fn attempt(
     job: &Rc<Job>,
     target: &Target,
     last_event: Option<&str>,
+    last: bool,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
     let flight = InFlight::new(edge, &target.id, job.prompt());
@@ -315,7 +319,12 @@
     let answer = {
         let send = lane.send(request, job.until + LAST_ANSWER);
         tokio::pin!(send);
-        let patience = relay::stall(job, target, true);
+        let patience = async {
+            if last {
+                never().await;
+            }
+            relay::stall(job, target, true).await;
+        };
         tokio::select! {
             answer = &mut send => answer,
             () = patience => {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -258,11 +258,12 @@
                 break;
             }
             self.tried.push(target.id.clone());
-            let last = self.cutter.last().or(job.head.last_event.as_deref());
-            match attempt(&job, &target, last).await {
+            let last_event = self.cutter.last().or(job.head.last_event.as_deref());
+            let last = self.attempts.sent + 1 >= job.passage.route.attempts;
+            match attempt(&job, &target, last_event, last).await {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.first().cloned().unwrap_or_default();
-                    self.track.resumed(&from, &target.id, last, why);
+                    self.track.resumed(&from, &target.id, last_event, why);
                     self.attempts.sent += 1;
                     self.source = Some(Source::new(answered));
                     return Ok(());
