--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -10,6 +10,8 @@
     /// Longest age of the proof that a key is still valid; `None` where a
     /// removed key may be used for longer.
     pub revoke: Option<Millis>,
+    /// Time in which a new catalog must be in force.
+    pub apply: Millis,
     /// Time that a stopping process has before it is killed.
     pub grace: Millis,
     /// Time after which a group that lost a member is broken.
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -19,14 +19,17 @@
 use crate::state::Edge;
 use crate::watch;
 
-/// Between two questions.
-const ASK: Duration = Duration::from_millis(500);
-/// After this time without a fresh proof a daemon reads the store itself.
-/// A reader's proof is up to two seconds old, and one question may be lost.
-const ALONE: Millis = Millis::new(2_900);
+/// Between two looks at whether this daemon reads the store.
+const LOOK: Duration = Duration::from_millis(200);
+/// Looks between two questions.
+const ASK_LOOKS: u32 = 2;
+/// Part of the time in which a new catalog must be in force after which a
+/// daemon without a younger proof reads the store itself. A reader's proof is
+/// up to half that time old; the rest is for the read.
+const ALONE_PART: f64 = 0.72;
 /// Time after the start in which the daemons find each other; all read the
 /// store once then, and none follows it yet.
-pub(crate) const FIND: Millis = Millis::new(2_200);
+pub(crate) const FIND: Millis = Millis::new(1_300);
 /// Changes that are kept for daemons that missed them.
 const MAX_KEPT: usize = 600;
 /// Changes in one datagram.
@@ -82,7 +85,9 @@
         return false;
     }
     let peers = edge.peers.borrow();
-    let alone = edge.fresh.get().age(now).is_none_or(|age| age > ALONE);
+    let most = settings.bounds.apply.get() as f64 * ALONE_PART;
+    let age = edge.fresh.get().age(now);
+    let alone = age.is_none_or(|age| age.get() as f64 > most);
     alone || peers.is_first(&settings.name, &settings.hall, now)
 }
 
@@ -95,14 +100,16 @@
 
 /// Asks a peer that reads the store, for ever.
 pub(crate) async fn run(edge: Rc<Edge>) {
+    let mut looks = 0;
     loop {
-        tokio::time::sleep(ASK).await;
+        tokio::time::sleep(LOOK).await;
+        looks += 1;
         let reads = reads_store(&edge);
         if edge.reads.replace(reads) != reads {
             edge.lines.line("store_reader").with("reads", reads).write();
             edge.reads_changed.notify_waiters();
         }
-        if !edge.plans.get() {
+        if !edge.plans.get() && looks % ASK_LOOKS == 0 {
             ask(&edge);
         }
     }
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -20,12 +20,16 @@
 /// within some hundred.
 const READ: Duration = Duration::from_millis(1_000);
 /// Added to the time for which the store was asked to wait.
-const SLACK: Duration = Duration::from_millis(700);
+const SLACK: Duration = Duration::from_millis(500);
 /// Part of the longest age of a proof for which a question about the catalog
 /// waits. A proof holds from before its question, so its age reaches twice
-/// the wait; daemons that ask this one add half a second; and one failed
-/// question must still fit in.
-const WAIT_PART: f64 = 0.22;
+/// the wait; daemons that ask this one add some; and one failed question must
+/// still fit in.
+const PROOF_PART: f64 = 0.22;
+/// Part of the time in which a new catalog must be in force for which a
+/// question waits: a daemon whose reader fell silent must notice and read the
+/// catalog itself within the rest.
+const APPLY_PART: f64 = 0.25;
 /// Wait of questions where keys need no proof.
 const LONG_WAIT: Duration = Duration::from_secs(8);
 /// After a call that failed.
@@ -96,9 +100,11 @@
         // There is nothing to prove yet.
         return LONG_WAIT;
     }
-    match edge.settings().bounds.revoke {
-        None => LONG_WAIT,
-        Some(bound) => (bound - MARGIN).duration().mul_f64(WAIT_PART),
+    let bounds = edge.settings().bounds;
+    let apply = bounds.apply.duration().mul_f64(APPLY_PART);
+    match bounds.revoke {
+        None => apply,
+        Some(bound) => apply.min((bound - MARGIN).duration().mul_f64(PROOF_PART)),
     }
 }
 
--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -1,5 +1,6 @@
 //! A key that was taken away opens nothing, whatever a daemon can reach.
 
+use thistlesill_platform_standin::link::Harm;
 use thistlesill_platform_standin::store::Mode;
 use thistlesill_platform_standin::world::catalog;
 
@@ -90,3 +91,28 @@
     assert_eq!(ask(&world, 0, read("still")).await.status, 200);
     assert!(!world.lines(0, "ev=catalog_refused").is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_whose_reader_is_cut_off_hears_of_a_change_in_time() {
+    let world = world(16, 4).await;
+    sleep(2_500).await;
+    let readers: Vec<usize> = (0..4)
+        .filter(|d| {
+            world
+                .lines(*d, "ev=store_reader")
+                .last()
+                .is_some_and(|l| l.contains("reads=true"))
+        })
+        .collect();
+    assert!(!readers.is_empty() && readers.len() < 4, "{readers:?}");
+    for reader in &readers {
+        world.links[*reader].set(Harm::Silent);
+    }
+    world.store.put("op", "config", &catalog(9, &["k1"]));
+    // The settings allow two seconds.
+    sleep(1_800).await;
+    for daemon in (0..4).filter(|d| !readers.contains(d)) {
+        let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
+        assert_eq!(got.status, 401, "daemon {daemon}, readers {readers:?}");
+    }
+}
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -13,6 +13,7 @@
 fn bounds() -> Bounds {
     Bounds {
         revoke: Some(REVOKE),
+        apply: Millis::new(2_000),
         grace: Millis::new(8_000),
         stall: Millis::new(5_000),
         retry_ratio: 0.2,
