--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -227,7 +227,9 @@
             Choice::Nobody => return track.refuse(no_target(attempts), None),
         };
         if job.passage.customer.is_some() && !edge.is_fresh() {
-            return track.refuse(stale(attempts), None);
+            return track
+                .because("no young proof")
+                .refuse(stale(attempts), None);
         }
         tried.push(target.id.clone());
         let last = attempts.sent + 1 >= job.passage.route.attempts;
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -20,6 +20,9 @@
     route: Option<Rc<str>>,
     version: Option<u64>,
     first: Option<Millis>,
+    /// What decided the end, where its kind does not say it.
+    why: Option<&'static str>,
+    back: Option<Millis>,
     ended: bool,
 }
 
@@ -33,6 +36,8 @@
             route: None,
             version: None,
             first: None,
+            why: None,
+            back: None,
             ended: false,
         }
     }
@@ -101,8 +106,15 @@
             .write();
     }
 
+    /// Notes what decides the end, where its kind does not say it.
+    pub(crate) fn because(&mut self, why: &'static str) -> &mut Self {
+        self.why = Some(why);
+        self
+    }
+
     /// Ends the request with an error of the system's own.
     pub(crate) fn refuse(&mut self, kind: ErrorKind, back: Option<Millis>) -> Response<OutBody> {
+        self.back = back;
         self.end(kind.answer().status, None, 0, kind.name());
         reply::error(kind, back)
     }
@@ -138,6 +150,8 @@
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
             .maybe("first_ms", self.first.map(Millis::get))
+            .maybe("why", self.why)
+            .maybe("back_ms", self.back.map(Millis::get))
             .with("took_ms", took.get())
             .with("bytes", bytes)
             .write();
