--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -120,9 +120,10 @@
     let reader = {
         let peers = edge.peers.borrow();
         // A daemon that reads the catalog itself asks for targets only.
-        match edge.reads.get() {
-            true => peers.planner(),
-            false => peers.reader(&settings.hall, edge.now()),
+        if edge.reads.get() {
+            peers.planner()
+        } else {
+            peers.reader(&settings.hall, edge.now())
         }
     };
     let Some(reader) = reader else { return };
@@ -162,7 +163,7 @@
     let changes = Changes {
         before: ask.targets,
         after,
-        changes: missed,
+        list: missed,
         steady: edge.book.borrow().steady_for(now),
     };
     link::tell(edge, &ask.from, &Packet::Changes(changes));
@@ -180,7 +181,7 @@
         let packet = Packet::Changes(Changes {
             before,
             after: until,
-            changes: part.to_vec(),
+            list: part.to_vec(),
             steady,
         });
         link::tell_all(edge, &packet);
@@ -223,7 +224,7 @@
         edge.book.borrow_mut().store_steady(now - steady);
     }
     let fresh: Vec<Change> = news
-        .changes
+        .list
         .into_iter()
         .filter(|c| c.version > known)
         .collect();
--- a/crates/thistlesill-edge/src/lanes.rs
+++ b/crates/thistlesill-edge/src/lanes.rs
@@ -58,12 +58,11 @@
         } else {
             None
         };
-        match kept {
-            Some(lane) => Ok(lane),
-            None => {
-                metrics::counter!("thistlesill_edge_connections_total").increment(1);
-                Lane::open(target.address, until).await
-            }
+        if let Some(lane) = kept {
+            Ok(lane)
+        } else {
+            metrics::counter!("thistlesill_edge_connections_total").increment(1);
+            Lane::open(target.address, until).await
         }
     }
 
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! All state belongs to one thread. Tasks on it do I/O, borrow the state for
 //! one short step at a time, and never across an await.
 
+mod attempt;
 pub mod daemon;
 mod figures;
 mod follow;
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -50,7 +50,7 @@
 /// The daemons that are known.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    peers: HashMap<NodeId, Peer>,
+    known: HashMap<NodeId, Peer>,
     planner: Option<(NodeId, Millis)>,
     pub(crate) socket: Option<Rc<UdpSocket>>,
     /// The lease as this daemon holds it.
@@ -64,12 +64,12 @@
 impl Peers {
     /// How many daemons there may be, this one included.
     pub(crate) fn most(&self) -> usize {
-        self.peers.len() + 1
+        self.known.len() + 1
     }
 
     /// How many peers were heard a moment ago.
     pub(crate) fn heard(&self, now: Millis) -> usize {
-        self.peers.values().filter(|p| p.is_heard(now)).count()
+        self.known.values().filter(|p| p.is_heard(now)).count()
     }
 
     /// Whether a daemon that forms groups was heard a moment ago.
@@ -85,18 +85,18 @@
 
     /// Whether any peer has had a request.
     pub(crate) fn any_busy(&self) -> bool {
-        self.peers.values().any(|p| p.busy)
+        self.known.values().any(|p| p.busy)
     }
 
     /// Targets that peers suspect.
     pub(crate) fn suspects(&self, now: Millis) -> HashSet<InstanceId> {
-        let fresh = self.peers.values().filter(|p| p.is_heard(now));
+        let fresh = self.known.values().filter(|p| p.is_heard(now));
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
     /// Targets at which a peer has requests without suspecting them.
     pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
-        let fresh = self.peers.values().filter(|p| p.is_heard(now));
+        let fresh = self.known.values().filter(|p| p.is_heard(now));
         let busy = fresh.flat_map(|p| p.busy_at.iter().filter(|id| !p.suspects.contains(id)));
         busy.cloned().collect()
     }
@@ -105,7 +105,7 @@
     /// are heard.
     pub(crate) fn is_first(&self, me: &NodeId, hall: &HallId, now: Millis) -> bool {
         let near = self
-            .peers
+            .known
             .iter()
             .filter(|(_, p)| p.hall == *hall && p.is_heard(now));
         near.map(|(name, _)| name).all(|name| me < name)
@@ -114,7 +114,7 @@
     /// A peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
         let readers = self
-            .peers
+            .known
             .iter()
             .filter(|(_, p)| p.reads && p.is_heard(now));
         let best = readers.min_by_key(|(name, p)| (p.hall != *hall, (*name).clone()));
@@ -123,28 +123,28 @@
 
     /// The address of a peer.
     pub(crate) fn address(&self, name: &NodeId) -> Option<SocketAddr> {
-        self.peers.get(name).map(|p| p.address)
+        self.known.get(name).map(|p| p.address)
     }
 
     /// The addresses of all peers that may live.
     fn addresses(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
-        let peers = self.peers.values();
+        let peers = self.known.values();
         let alive = peers.filter(move |p| p.silence(now) < REMOVED);
         alive.map(|p| p.address)
     }
 
     fn silent_for(&self, time: Millis, now: Millis) -> Vec<NodeId> {
-        let silent = self.peers.iter().filter(|(_, p)| p.silence(now) > time);
+        let silent = self.known.iter().filter(|(_, p)| p.silence(now) > time);
         silent.map(|(name, _)| name.clone()).collect()
     }
 
     fn forget(&mut self, name: &NodeId) {
-        self.peers.remove(name);
+        self.known.remove(name);
     }
 
     fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) {
         self.list(beat.from.clone(), from, now);
-        let Some(peer) = self.peers.get_mut(&beat.from) else {
+        let Some(peer) = self.known.get_mut(&beat.from) else {
             return;
         };
         peer.heard = Some(now);
@@ -160,7 +160,7 @@
     }
 
     fn list(&mut self, name: NodeId, address: SocketAddr, now: Millis) {
-        let peer = self.peers.entry(name).or_insert(Peer {
+        let peer = self.known.entry(name).or_insert(Peer {
             address,
             hall: HallId::default(),
             heard: None,
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -70,7 +70,7 @@
     /// Who knows the targets at `before` knows them at `after` with these.
     pub(crate) before: u64,
     pub(crate) after: u64,
-    pub(crate) changes: Vec<Change>,
+    pub(crate) list: Vec<Change>,
     /// How long the store has answered the sender without a break.
     pub(crate) steady: Option<Millis>,
 }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -4,28 +4,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response};
 use thistlesill_core::edge::{RouteKind, Target};
 use thistlesill_core::{ErrorKind, InstanceId, Millis};
-use thistlesill_net::lane::{Lane, LaneError, within};
-use thistlesill_platform::caller::{self, AnswerHead, CallerHead, KeyHeader, TargetHead};
+use thistlesill_net::lane::within;
+use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Key, Passage, admit};
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::lanes::most_idle;
+use crate::attempt::{Answered, Failure, Job, LAST_ANSWER, attempt};
 use crate::relay;
 use crate::reply::{self, OutBody};
-use crate::state::{Asking, Choice, Edge, InFlight};
+use crate::state::{Choice, Edge};
 use crate::track::Track;
 
-/// Time for a connection to a target; targets answer within a few
-/// milliseconds, so a longer wait means a lost packet or a dead machine.
-const CONNECT: Duration = Duration::from_millis(250);
 /// Answers of plain services up to this size are read whole before the first
 /// byte goes to the caller, so that one that breaks off can be asked for again.
 const MAX_HELD: u64 = 256 * 1024;
@@ -35,109 +32,6 @@
 const LATEST: Millis = Millis::new(2_000);
 /// Time for a caller's body after its head.
 const BODY_TIME: Duration = Duration::from_secs(10);
-/// Added to the end of a request's time before an attempt is given up, so
-/// that an answer that a target sends at the very end still arrives.
-const LAST_ANSWER: Duration = Duration::from_millis(60);
-
-/// A request that passed, and all that is needed to send it.
-pub(crate) struct Job {
-    pub(crate) edge: Rc<Edge>,
-    pub(crate) passage: Passage,
-    pub(crate) head: CallerHead,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-    arrived: Millis,
-    /// When the final answer is due.
-    pub(crate) until: Instant,
-}
-
-impl Job {
-    /// Time left to the request.
-    fn left(&self) -> Millis {
-        let gone = self.edge.now() - self.arrived;
-        self.passage.limit - gone
-    }
-
-    /// Keeps a connection for the next request.
-    pub(crate) fn keep_lane(&self, target: &InstanceId, lane: Lane, keep: Option<Millis>) {
-        let daemons = self.edge.peers.borrow().most();
-        let most = most_idle(self.passage.service.connections, daemons);
-        let now = self.edge.now();
-        self.edge.lanes.keep(target, lane, keep, most, now);
-    }
-
-    /// Tokens of the prompt, as far as they are known.
-    pub(crate) fn prompt(&self) -> u32 {
-        let tokens = self.head.prompt.unwrap_or(0);
-        u32::try_from(tokens).unwrap_or(u32::MAX)
-    }
-
-    /// Picks the next target of the request.
-    pub(crate) fn pick(&self, tried: &[InstanceId]) -> Choice {
-        self.edge.pick(&Asking {
-            service: &self.passage.service,
-            model: self.head.model.as_ref(),
-            prompt: self.prompt(),
-            aim: self.passage.route.aim,
-            tried,
-        })
-    }
-
-    /// Whether the request may run more than once.
-    pub(crate) fn may_repeat(&self) -> bool {
-        self.passage.route.may_repeat()
-    }
-
-    fn request(&self, target: &Target, last_event: Option<&str>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        let mut headers = self.headers.clone();
-        let customer = self.passage.customer.as_ref();
-        let head = TargetHead {
-            customer: customer.map(thistlesill_core::CustomerId::as_str),
-            target: &target.id,
-            left: self.left(),
-            priority: self.passage.priority,
-            last_event,
-        };
-        caller::address(&mut headers, &head);
-        *request.headers_mut() = headers;
-        request
-    }
-}
-
-/// A target's answer whose head has arrived.
-pub(crate) struct Answered {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
-    pub(crate) lane: Lane,
-    pub(crate) info: AnswerHead,
-    pub(crate) target: Target,
-    pub(crate) flight: InFlight,
-}
-
-/// An attempt that brought no answer to hand on.
-pub(crate) struct Failure {
-    pub(crate) outcome: Outcome,
-    why: String,
-    /// The target's own answer, if it may be handed on.
-    answer: Option<Box<Answered>>,
-}
-
-impl Failure {
-    fn new(outcome: Outcome, why: impl ToString) -> Self {
-        Self {
-            outcome,
-            why: why.to_string(),
-            answer: None,
-        }
-    }
-}
-
 /// Answers one request of a caller.
 pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
     let arrived = edge.now();
@@ -291,113 +185,6 @@
     }
 }
 
-/// Sends a request to a target and awaits the head of its answer; for the
-/// `last` attempt as long as the request has time, since a late answer is
-/// worth more than none.
-pub(crate) async fn attempt(
-    job: &Rc<Job>,
-    target: &Target,
-    last_event: Option<&str>,
-    last: bool,
-) -> Result<Answered, Failure> {
-    let edge = &job.edge;
-    let flight = InFlight::new(edge, &target.id, job.prompt());
-    let sent = edge.now();
-    let connect = within(CONNECT).min(job.until);
-    // A kept connection may just be closing; a request that may run only
-    // once would then be lost.
-    let lane = edge
-        .lanes
-        .get(target, job.may_repeat(), sent, connect)
-        .await;
-    let mut lane = match lane {
-        Ok(lane) => lane,
-        Err(error) => {
-            edge.suspect(&target.id, "no connection");
-            return Err(Failure::new(Outcome::NotSent, error));
-        }
-    };
-    let request = job.request(target, last_event);
-    let answer = {
-        let send = lane.send(request, job.until + LAST_ANSWER);
-        tokio::pin!(send);
-        let patience = async {
-            if last {
-                never().await;
-            }
-            relay::stall(job, target, true).await;
-        };
-        tokio::select! {
-            answer = &mut send => answer,
-            () = patience => {
-                edge.suspect(&target.id, "no answer begins");
-                return Err(Failure::new(Outcome::MayHaveRun, "no answer begins"));
-            }
-        }
-    };
-    match answer {
-        Ok(response) => sort_answer(job, target, response, lane, flight),
-        Err(LaneError::Late) => Err(Failure::new(Outcome::Late, "no answer in time")),
-        Err(error) if error.is_unsent() => Err(Failure::new(Outcome::NotSent, error)),
-        Err(error) => {
-            edge.suspect(&target.id, "connection lost");
-            Err(Failure::new(Outcome::MayHaveRun, error))
-        }
-    }
-}
-
-/// Sorts an answer by what it says of the request.
-fn sort_answer(
-    job: &Rc<Job>,
-    target: &Target,
-    response: Response<Incoming>,
-    lane: Lane,
-    flight: InFlight,
-) -> Result<Answered, Failure> {
-    let edge = &job.edge;
-    let (parts, body) = response.into_parts();
-    let status = parts.status;
-    let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
-    edge.loads
-        .borrow_mut()
-        .note_progress(&target.id, edge.now());
-    if info.not_run {
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            edge.suspect(&target.id, "it is not who it was");
-        }
-        return Err(Failure::new(Outcome::NotRun, status));
-    }
-    if !info.usable {
-        return Err(Failure::new(
-            Outcome::MayHaveRun,
-            "not an answer to this request",
-        ));
-    }
-    let promise = matches!(status.as_u16(), 408 | 429 | 503);
-    if promise {
-        // The status would promise that the request has not run; the target
-        // does not say so.
-        return Err(Failure::new(Outcome::MayHaveRun, status));
-    }
-    let answered = Answered {
-        status,
-        headers: parts.headers,
-        body,
-        lane,
-        info,
-        target: target.clone(),
-        flight,
-    };
-    if status.is_server_error() {
-        return Err(Failure {
-            outcome: Outcome::Failed,
-            why: status.to_string(),
-            answer: Some(Box::new(answered)),
-        });
-    }
-    Ok(answered)
-}
-
 /// Hands an answer on to the caller.
 async fn deliver(
     job: &Rc<Job>,
@@ -438,12 +225,12 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             edge.suspect(&target.id, "the answer broke off");
-            return Err(Failure::new(Outcome::MayHaveRun, error));
+            return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
         Err(_) => {
             return Err(Failure::new(
                 Outcome::Late,
-                "the answer did not end in time",
+                &"the answer did not end in time",
             ));
         }
     };
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -18,7 +18,8 @@
 use tokio::time::sleep_until;
 
 use self::cutter::Cutter;
-use crate::proxy::{Answered, Job, attempt, never, settle, sleep_to};
+use crate::attempt::{Answered, Job, attempt};
+use crate::proxy::{never, settle, sleep_to};
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::state::{Choice, InFlight};
 use crate::track::Track;
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -45,7 +45,7 @@
     /// Hands the rest of the request's notes over to a new owner.
     pub(crate) fn split(&mut self, edge: &Rc<Edge>) -> Self {
         let mut rest = Self::new(edge, &self.id, self.arrived);
-        rest.route = self.route.clone();
+        rest.route.clone_from(&self.route);
         rest.version = self.version;
         self.ended = true;
         rest
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -111,13 +111,12 @@
 /// Notes whether the store answers, with a line when that changes.
 fn note_store(edge: &Edge, reachable: &Cell<bool>, error: Option<&StoreError>) {
     let now = edge.now();
-    match error {
-        None => edge.book.borrow_mut().store_answered(now),
-        Some(_) => {
-            edge.book.borrow_mut().store_failed();
-            edge.store_doubt.notify_waiters();
-            metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
-        }
+    if error.is_none() {
+        edge.book.borrow_mut().store_answered(now);
+    } else {
+        edge.book.borrow_mut().store_failed();
+        edge.store_doubt.notify_waiters();
+        metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
     }
     if reachable.replace(error.is_none()) == error.is_none() {
         return;
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -4,6 +4,8 @@
 mod answers;
 #[path = "it/keys.rs"]
 mod keys;
+#[path = "it/soak.rs"]
+mod soak;
 #[path = "it/stops.rs"]
 mod stops;
 #[path = "it/streams.rs"]
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/soak.rs
@@ -0,0 +1,38 @@
+//! A short run of the fault soak; longer ones are played by hand.
+
+use std::path::Path;
+use std::time::Duration;
+
+use thistlesill_platform_standin::soak;
+
+/// The seed that CI plays.
+const SEED: u64 = 7;
+/// How long faults last in it.
+const TIME: Duration = Duration::from_secs(8);
+
+/// Seeds that once failed, with the cause.
+const CASES: [(u64, &str); 1] = [(
+    114,
+    "the soak itself did not start a daemon again that ended after the rest was healed",
+)];
+
+async fn play(net: u8, seed: u64) -> Vec<String> {
+    let program = Path::new(env!("CARGO_BIN_EXE_thistlesill-edge"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    drop(std::fs::remove_dir_all(&folder));
+    soak::run(program, &folder, net, seed, TIME).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_break_no_promise() {
+    let faults = play(41, SEED).await;
+    assert!(faults.is_empty(), "{faults:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_that_once_failed_are_kept() {
+    for (seed, cause) in CASES {
+        let faults = play(42, seed).await;
+        assert!(faults.is_empty(), "seed {seed} ({cause}): {faults:?}");
+    }
+}
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -83,7 +83,7 @@
 /// A service's engines.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
-    engines: BTreeMap<InstanceId, FakeEngine>,
+    all: BTreeMap<InstanceId, FakeEngine>,
     lists: HashMap<GroupRef, Vec<InstanceId>>,
     /// Members that were ready, by group.
     ready: HashSet<(GroupRef, InstanceId)>,
@@ -130,13 +130,13 @@
             staging: None,
             stalled: None,
         };
-        self.engines.insert(id.clone(), engine);
+        self.all.insert(id.clone(), engine);
         id
     }
 
     /// The targets as the list shows them.
     pub fn listed(&self) -> HashMap<InstanceId, Target> {
-        let listed = self.engines.values().filter(|e| e.listed);
+        let listed = self.all.values().filter(|e| e.listed);
         listed
             .map(|e| (e.target.id.clone(), e.target.clone()))
             .collect()
@@ -145,7 +145,7 @@
     /// Whether an engine leads a group that serves and has all its members.
     pub fn runs(&self, id: &InstanceId) -> bool {
         let leads = self
-            .engines
+            .all
             .get(id)
             .is_some_and(|e| e.alive && e.target.leads_open());
         leads && !self.lacks_member(id)
@@ -153,20 +153,20 @@
 
     /// Moves an engine to an address.
     pub fn settle(&mut self, id: &InstanceId, address: SocketAddr) {
-        if let Some(engine) = self.engines.get_mut(id) {
+        if let Some(engine) = self.all.get_mut(id) {
             engine.target.address = address;
         }
     }
 
     /// Whether an engine answers.
     pub fn is_alive(&self, id: &InstanceId) -> bool {
-        self.engines.get(id).is_some_and(|e| e.alive)
+        self.all.get(id).is_some_and(|e| e.alive)
     }
 
     /// The leaders of groups that serve, with their groups' members.
     pub fn serving(&self) -> Vec<(InstanceId, Vec<InstanceId>)> {
         let open = self
-            .engines
+            .all
             .values()
             .filter(|e| e.alive && e.target.leads_open());
         open.map(|e| (e.target.id.clone(), e.members.clone()))
@@ -175,35 +175,35 @@
 
     /// Leaders that serve but lack a member.
     pub fn stalled(&self) -> HashSet<InstanceId> {
-        let open = self.engines.values().filter(|e| e.target.leads_open());
+        let open = self.all.values().filter(|e| e.target.leads_open());
         let lacking = open.filter(|e| e.stalled.is_some() || !e.alive);
         lacking.map(|e| e.target.id.clone()).collect()
     }
 
     /// Silences an engine for good; it stays in the list for a while.
     pub fn kill(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.engines.get_mut(id) {
+        if let Some(engine) = self.all.get_mut(id) {
             engine.alive = false;
         }
     }
 
     /// Takes an engine off the list, whether it lives or not.
     pub fn unlist(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.engines.get_mut(id) {
+        if let Some(engine) = self.all.get_mut(id) {
             engine.listed = false;
         }
     }
 
     /// Has an engine say that it leaves.
     pub fn leave(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.engines.get_mut(id) {
+        if let Some(engine) = self.all.get_mut(id) {
             engine.target.leaving = true;
         }
     }
 
     /// Lets time pass.
     pub fn advance(&mut self, now: Millis) {
-        let ids: Vec<InstanceId> = self.engines.keys().cloned().collect();
+        let ids: Vec<InstanceId> = self.all.keys().cloned().collect();
         for id in ids {
             self.advance_one(&id, now);
         }
@@ -211,7 +211,7 @@
 
     fn advance_one(&mut self, id: &InstanceId, now: Millis) {
         let lacks = self.lacks_member(id);
-        let Some(engine) = self.engines.get_mut(id).filter(|e| e.alive) else {
+        let Some(engine) = self.all.get_mut(id).filter(|e| e.alive) else {
             return;
         };
         if let Some((model, _)) = engine.staging.take_if(|(_, at)| *at <= now) {
@@ -242,14 +242,14 @@
 
     /// Whether a leader lacks a member of its group.
     fn lacks_member(&self, id: &InstanceId) -> bool {
-        let Some(leader) = self.engines.get(id) else {
+        let Some(leader) = self.all.get(id) else {
             return false;
         };
         let Some(group) = leader.target.member.as_ref().map(|m| &m.of) else {
             return false;
         };
         leader.members.iter().any(|id| {
-            let member = self.engines.get(id).filter(|e| e.alive);
+            let member = self.all.get(id).filter(|e| e.alive);
             let of = member.and_then(|e| e.target.member.as_ref()).map(|m| &m.of);
             of != Some(group)
         })
@@ -266,7 +266,7 @@
             Order::Cut(group) | Order::Close(group) => self.close(id, group),
             Order::Leave(group) => self.leave_group(id, group),
             Order::Stage(model) => {
-                let Some(engine) = self.engines.get_mut(id) else {
+                let Some(engine) = self.all.get_mut(id) else {
                     return OrderReply::Unknown;
                 };
                 engine.staging = Some((model.clone(), now + self.times.load));
@@ -291,7 +291,7 @@
             self.breaches
                 .push(format!("{} has two lists of members", to.group));
         }
-        let Some(engine) = self.engines.get(id) else {
+        let Some(engine) = self.all.get(id) else {
             return OrderReply::Unknown;
         };
         let old = engine.target.member.as_ref().map(|m| m.of.clone());
@@ -304,7 +304,7 @@
         if let Some(old) = old {
             self.check_left(id, &old);
         }
-        let Some(engine) = self.engines.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id) else {
             return OrderReply::Unknown;
         };
         let time = if engine.loaded.as_ref() == Some(model) {
@@ -331,9 +331,7 @@
     /// A member may go only if its leader neither serves nor will.
     fn check_left(&mut self, id: &InstanceId, old: &GroupRef) {
         let leader = self.lists.get(old).and_then(|list| list.first()).cloned();
-        let leads = leader
-            .and_then(|l| self.engines.get(&l))
-            .filter(|e| e.alive);
+        let leads = leader.and_then(|l| self.all.get(&l)).filter(|e| e.alive);
         let member = leads.and_then(|e| e.target.member.as_ref());
         let serves = member.is_some_and(|m| m.of == *old && m.state == MemberState::Open);
         if serves {
@@ -351,7 +349,7 @@
             self.breaches
                 .push(format!("{} opens before {unready} is ready", group.group));
         }
-        let Some(engine) = self.engines.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id) else {
             return OrderReply::Unknown;
         };
         match &engine.target.member {
@@ -365,7 +363,7 @@
     }
 
     fn close(&mut self, id: &InstanceId, group: &GroupRef) -> OrderReply {
-        let Some(engine) = self.engines.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id) else {
             return OrderReply::Unknown;
         };
         match &mut engine.target.member {
@@ -379,7 +377,7 @@
     }
 
     fn leave_group(&mut self, id: &InstanceId, group: &GroupRef) -> OrderReply {
-        let Some(engine) = self.engines.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id) else {
             return OrderReply::Unknown;
         };
         match &engine.target.member {
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -0,0 +1,164 @@
+//! The orders and probes that follow from what a group needs.
+
+use std::net::SocketAddr;
+
+use thistlesill_core::edge::{GroupRef, Order};
+use thistlesill_core::{InstanceId, Millis};
+
+use super::survey::{Standing, Verdict};
+use super::{FleetAction, FleetPlanner, FleetView, PROBE_GAP, PROBE_REST, PROBE_ROUNDS, REPEAT};
+
+impl FleetPlanner {
+    pub(super) fn carry_out(
+        &mut self,
+        view: &FleetView<'_>,
+        group: &GroupRef,
+        standing: &Standing<'_>,
+        verdict: Verdict,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match verdict {
+            Verdict::Serve | Verdict::Wait | Verdict::Void => {}
+            Verdict::Open => {
+                let order = Order::Open(group.clone());
+                self.give_leader(standing, order, "all members are ready", now, actions);
+            }
+            Verdict::Cut => {
+                let order = Order::Cut(group.clone());
+                self.give_leader(standing, order, "a member is lost", now, actions);
+            }
+            Verdict::Retire => {
+                let order = Order::Close(group.clone());
+                self.give_leader(standing, order, "a member is leaving", now, actions);
+            }
+            Verdict::Dissolve => {
+                let order = Order::Leave(group.clone());
+                if standing.leader.is_some() {
+                    let why = "a late order could open the group again";
+                    self.give_leader(standing, order, why, now, actions);
+                } else {
+                    self.give_lost_leader(group, order, now, actions);
+                }
+            }
+            Verdict::Dismiss => {
+                let order = Order::Close(group.clone());
+                self.give_lost_leader(group, order, now, actions);
+            }
+            Verdict::Stop => {
+                let order = Order::Cut(group.clone());
+                self.give_lost_leader(group, order, now, actions);
+            }
+            Verdict::Probe => self.probe_members(view, standing, now, actions),
+        }
+    }
+
+    fn give_leader(
+        &mut self,
+        standing: &Standing<'_>,
+        order: Order,
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(leader) = standing.leader else {
+            return;
+        };
+        let (id, address) = (leader.id.clone(), leader.address);
+        let open = match &order {
+            Order::Open(group) => Some(group.clone()),
+            _ => None,
+        };
+        if self.give(id, address, order, why, now, actions)
+            && let Some(group) = open
+        {
+            *self.opening.entry(group).or_default() += 1;
+        }
+    }
+
+    /// Gives an order to a leader that is no longer listed, where it was last.
+    fn give_lost_leader(
+        &mut self,
+        group: &GroupRef,
+        order: Order,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let leader = self.leaders.get(group).cloned();
+        let known = leader.and_then(|id| Some((id.clone(), *self.addresses.get(&id)?)));
+        if let Some((id, address)) = known {
+            self.give(
+                id,
+                address,
+                order,
+                "the leader is no longer listed",
+                now,
+                actions,
+            );
+        }
+    }
+
+    /// Gives an order unless the same kind was given a moment ago; returns
+    /// whether it was given.
+    pub(super) fn give(
+        &mut self,
+        target: InstanceId,
+        address: SocketAddr,
+        order: Order,
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
+        let slot = (target.clone(), order.name());
+        if self.given.get(&slot).is_some_and(|at| now - *at < REPEAT) {
+            return false;
+        }
+        self.given.insert(slot, now);
+        actions.push(FleetAction::Give {
+            target,
+            address,
+            order,
+            why,
+        });
+        true
+    }
+
+    fn probe_members(
+        &mut self,
+        view: &FleetView<'_>,
+        standing: &Standing<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(leader) = standing.leader else {
+            return;
+        };
+        let rounds = self.rounds.entry(leader.id.clone()).or_insert((0, now));
+        if now - rounds.1 >= PROBE_REST {
+            *rounds = (0, now);
+        }
+        if rounds.0 >= PROBE_ROUNDS {
+            return;
+        }
+        let probes = actions.len();
+        for member in &standing.members {
+            let recent = self
+                .probed
+                .get(&member.id)
+                .is_some_and(|at| now - *at < PROBE_GAP);
+            if recent || !view.targets.contains_key(&member.id) {
+                continue;
+            }
+            self.probed.insert(member.id.clone(), now);
+            actions.push(FleetAction::Probe {
+                target: member.id.clone(),
+                address: member.address,
+            });
+        }
+        if actions.len() > probes
+            && let Some(rounds) = self.rounds.get_mut(&leader.id)
+        {
+            rounds.0 += 1;
+        }
+    }
+}
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -60,12 +60,11 @@
     /// The plan of what the group runs. Members that still load do not say
     /// what, so a group that another planner is forming is told by its size.
     pub(super) fn plan<'v>(&self, view: &FleetView<'v>) -> Option<&'v ModelPlan> {
-        match self.model() {
-            Some(model) => view.engine.plan(model),
-            None => {
-                let size = self.members.len();
-                view.engine.models.iter().find(|p| p.size as usize == size)
-            }
+        if let Some(model) = self.model() {
+            view.engine.plan(model)
+        } else {
+            let size = self.members.len();
+            view.engine.models.iter().find(|p| p.size as usize == size)
         }
     }
 
@@ -170,9 +169,10 @@
     ) -> Verdict {
         let ready = standing.states().all(|m| m.state == MemberState::Ready);
         if let Some(planned) = self.planned.get(group) {
-            return match ready && planned.is_shown(group, view) {
-                true => Verdict::Open,
-                false => Verdict::Wait,
+            return if ready && planned.is_shown(group, view) {
+                Verdict::Open
+            } else {
+                Verdict::Wait
             };
         }
         let leaving = standing.members.iter().any(|t| t.leaving);
