perf(edge): fewer calls while the store is away and when it returns

Every daemon of a large fleet looked for the lease and followed the targets when the planner fell silent, and tried the store as often as a reader. Now the first daemons of the data centres do, the others after five seconds without a holder, with growing pauses.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -84,18 +84,25 @@
     if now - edge.started < FIND {
         return false;
     }
-    let peers = edge.peers.borrow();
     let most = settings.bounds.apply.get() as f64 * ALONE_PART;
     let age = edge.fresh.get().age(now);
     let alone = age.is_none_or(|age| age.get() as f64 > most);
-    alone || peers.is_first(&settings.name, &settings.hall, now)
+    alone || reads_for_others(edge)
+}
+
+/// Whether other daemons depend on what this one reads.
+pub(crate) fn reads_for_others(edge: &Edge) -> bool {
+    let settings = edge.settings();
+    let peers = edge.peers.borrow();
+    edge.plans.get() || peers.is_first(&settings.name, &settings.hall, edge.now())
 }
 
 /// Decides whether this daemon reads the targets' entries from the store: the
-/// one that forms groups does, and tells the others.
+/// one that forms groups does, and tells the others. Without it, the readers
+/// that others depend on do.
 pub(crate) fn reads_targets(edge: &Edge) -> bool {
     let planner = edge.peers.borrow().hears_planner(edge.now());
-    edge.plans.get() || (edge.reads.get() && !planner)
+    edge.plans.get() || (edge.reads.get() && !planner && reads_for_others(edge))
 }
 
 /// Asks a peer that reads the store, for ever.
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -74,8 +74,13 @@
 
     /// Whether a daemon that forms groups was heard a moment ago.
     pub(crate) fn hears_planner(&self, now: Millis) -> bool {
-        let heard = self.planner.as_ref().map(|(_, at)| *at);
-        heard.is_some_and(|at| now - at < PLANNER_SILENT)
+        self.planner_heard()
+            .is_some_and(|at| now - at < PLANNER_SILENT)
+    }
+
+    /// When a daemon that forms groups was last heard.
+    pub(crate) fn planner_heard(&self) -> Option<Millis> {
+        self.planner.as_ref().map(|(_, at)| *at)
     }
 
     /// The daemon that formed groups when it was last heard.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -16,7 +16,7 @@
 use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, FleetView};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
-use crate::follow::FIND;
+use crate::follow::{self, FIND};
 use crate::state::Edge;
 
 /// Between two looks at the fleet without news.
@@ -35,6 +35,9 @@
     margin: Millis::new(300),
     courtesy: Millis::ZERO,
 };
+/// Without a holder for this long, every daemon looks for the lease: the first
+/// ones of the data centres have had time for two takeovers.
+const ORPHANED: Millis = Millis::new(5_000);
 /// The longest wait before the first look, so that daemons that start
 /// together do not all ask for the lease.
 const FIRST_WAIT: u64 = 150;
@@ -78,11 +81,7 @@
             self.lease.borrow_mut().witness(seen, now);
         }
         let watching = matches!(self.lease.borrow().state(), LeaseState::Watching);
-        let found = now - self.edge.started >= FIND;
-        let known = self.lease.borrow().holder().is_some();
-        let other = self.edge.peers.borrow().hears_planner(now);
-        // At the start the holder is known from the store before it is heard.
-        if watching && (other || (known && !found)) {
+        if watching && !self.may_seek(now) {
             return;
         }
         let (step, news) = self.lease.borrow_mut().tick(now);
@@ -106,6 +105,24 @@
         self.edge.peers.borrow_mut().shown = self.lease.borrow().shown().filter(|_| holds);
     }
 
+    /// Whether this daemon looks for the lease now. Not while a holder is
+    /// heard; at the start, the holder is known from the store before it is
+    /// heard; and when it falls silent, the first daemons of the data centres
+    /// look, so that hundreds do not, and the others only if none of them
+    /// succeeds.
+    fn may_seek(&self, now: Millis) -> bool {
+        let peers = self.edge.peers.borrow();
+        if peers.hears_planner(now) {
+            return false;
+        }
+        let found = now - self.edge.started >= FIND;
+        if !found {
+            return self.lease.borrow().holder().is_none();
+        }
+        let silence = now - peers.planner_heard().unwrap_or(self.edge.started);
+        silence >= ORPHANED || follow::reads_for_others(&self.edge)
+    }
+
     /// Sends a transaction; what was certainly not done counts as refused.
     async fn send(&self, txn: &Txn) -> TxnResult {
         match self.edge.store.txn(txn, STORE).await {
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -34,6 +34,9 @@
 const LONG_WAIT: Duration = Duration::from_secs(8);
 /// After a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
+/// The longest pause after calls that failed one after the other, for a daemon
+/// on which no other depends: it also asks the readers, which try more often.
+const MOST_PAUSE: Duration = Duration::from_millis(2_400);
 /// Between two batches of changes to targets, so that changes that belong
 /// together come as one; the planner does not wait.
 const BATCH: Duration = Duration::from_millis(200);
@@ -45,6 +48,7 @@
 /// Follows the catalog, for ever.
 pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
     let mut version = None;
+    let mut pause = PAUSE;
     let reachable = Cell::new(true);
     loop {
         let known = edge.catalog.borrow().is_some();
@@ -60,6 +64,7 @@
         match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
             Ok(rows) => {
                 note_store(&edge, &reachable, None);
+                pause = PAUSE;
                 // An answer with changes may be followed by more of them; only
                 // a whole read, or an answer without changes, shows that what
                 // is in force was the newest when the question was sent.
@@ -76,7 +81,11 @@
                 version = None;
                 if !matches!(error, StoreError::HistoryGone) {
                     note_store(&edge, &reachable, Some(&error));
-                    tokio::time::sleep(PAUSE).await;
+                    tokio::time::sleep(pause).await;
+                    pause = match follow::reads_for_others(&edge) {
+                        true => PAUSE,
+                        false => (pause * 2).min(MOST_PAUSE),
+                    };
                 }
             }
         }
