--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -9,7 +9,7 @@
 mod order;
 mod target;
 
-pub use bounds::{Bounds, EdgeSettings, StoreLimits};
+pub use bounds::{Bounds, EdgeSettings};
 pub use catalog::{
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
 };
--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -14,27 +14,10 @@
     pub apply: Millis,
     /// Time that a stopping process has before it is killed.
     pub grace: Millis,
-    /// Time after which a group that lost a member is broken.
-    pub stall: Millis,
     /// Retries of a service per request, over all daemons.
     pub retry_ratio: f64,
     /// Retries beyond the ratio, over all daemons and one window.
     pub retry_slack: f64,
-    /// The window over which retries are counted.
-    pub retry_window: Millis,
-    /// Time between a target's heartbeats to the store.
-    pub heartbeat: Millis,
-}
-
-/// Limits of the platform's store over all daemons.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct StoreLimits {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Writing calls a second.
-    pub writes: f64,
-    /// Reading calls a second.
-    pub reads: f64,
 }
 
 /// The settings of one edge daemon's process.
@@ -54,12 +37,10 @@
     pub peer_port: u16,
     /// The last such port.
     pub last_port: u16,
-    /// Memory that the process may use, in megabytes.
-    pub memory: u64,
     /// The bounds in force.
     pub bounds: Bounds,
-    /// The store.
-    pub store: StoreLimits,
+    /// Where the store listens.
+    pub store: SocketAddr,
 }
 
 impl EdgeSettings {
--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -82,8 +82,6 @@
 pub struct Engine {
     /// Requests that a group runs at once.
     pub slots: u32,
-    /// Tokens that a group's cache holds.
-    pub cache_tokens: u64,
     /// Milliseconds of a token step.
     pub step: f64,
     /// Milliseconds that each running request adds to a step.
@@ -100,8 +98,6 @@
     pub models: Vec<ModelPlan>,
     /// Mean tokens of an answer.
     pub usual_answer: f64,
-    /// Mean tokens of a prompt.
-    pub usual_prompt: f64,
 }
 
 impl Engine {
@@ -129,8 +125,6 @@
     pub head_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
-    /// Time for a request's head to arrive.
-    pub head_time: Millis,
     /// Time that an unused connection stays open.
     pub idle: Millis,
 }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -100,7 +100,7 @@
     pub(crate) fn new(settings: EdgeSettings) -> Self {
         let clock = Clock::new();
         Self {
-            store: Store::new(settings.store.address),
+            store: Store::new(settings.store),
             peers: RefCell::new(Peers::default()),
             settings: RefCell::new(Rc::new(settings)),
             clock,
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -82,9 +82,10 @@
                 if !matches!(error, StoreError::HistoryGone) {
                     note_store(&edge, &reachable, Some(&error));
                     tokio::time::sleep(pause).await;
-                    pause = match follow::reads_for_others(&edge) {
-                        true => PAUSE,
-                        false => (pause * 2).min(MOST_PAUSE),
+                    pause = if follow::reads_for_others(&edge) {
+                        PAUSE
+                    } else {
+                        (pause * 2).min(MOST_PAUSE)
                     };
                 }
             }
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -49,7 +49,6 @@
     };
     Engine {
         slots: 26,
-        cache_tokens: 1_400_000,
         step: 6.0,
         step_each: 0.24,
         read_rate: 46_000.0,
@@ -58,7 +57,6 @@
         loads_once: 6,
         models: vec![plan("large", 4, 0.67, 1.0), plan("small", 2, 0.33, 0.6)],
         usual_answer: 116.0,
-        usual_prompt: 1_076.0,
     }
 }
 
--- a/crates/thistlesill-policy/src/edge/freshness.rs
+++ b/crates/thistlesill-policy/src/edge/freshness.rs
@@ -24,11 +24,6 @@
         self.proved = self.proved.max(Some(asked));
     }
 
-    /// The moment for which the last proof holds.
-    pub const fn proved(&self) -> Option<Millis> {
-        self.proved
-    }
-
     /// The age of the last proof.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         self.proved.map(|at| now - at)
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -15,11 +15,8 @@
         revoke: Some(REVOKE),
         apply: Millis::new(2_000),
         grace: Millis::new(8_000),
-        stall: Millis::new(5_000),
         retry_ratio: 0.2,
         retry_slack: 100.0,
-        retry_window: Millis::new(10_000),
-        heartbeat: Millis::new(1_200),
     }
 }
 
@@ -46,7 +43,6 @@
     let limits = Limits {
         head_bytes: 16_384,
         body_bytes: 1 << 20,
-        head_time: Millis::new(3_000),
         idle: Millis::new(15_000),
     };
     let mut catalog = Catalog::new(7, limits);
