--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::lanes::most_idle;
+use crate::proxy::never;
 use crate::relay;
 use crate::state::{Asking, Choice, Edge, InFlight};
 
@@ -157,7 +158,7 @@
         tokio::pin!(send);
         let patience = async {
             if last {
-                std::future::pending::<()>().await;
+                never().await;
             }
             relay::stall(job, target, true).await;
         };
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -12,10 +12,9 @@
 use std::time::Duration;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::book::Listing;
 
 use crate::peers::link;
-use crate::peers::packet::{Ask, Change, ChangeKind, Changes, Packet, Vouch};
+use crate::peers::packet::{Ask, Change, Changes, Packet, Vouch};
 use crate::state::Edge;
 use crate::watch;
 
@@ -209,9 +208,7 @@
         return;
     }
     if vouch.catalog == own {
-        let mut fresh = edge.fresh.get();
-        fresh.confirm(vouch.asked - vouch.age);
-        edge.fresh.set(fresh);
+        edge.confirm(vouch.asked - vouch.age);
     }
 }
 
@@ -236,9 +233,5 @@
         .filter(|c| c.version > known)
         .collect();
     edge.feed.borrow_mut().extend(&fresh, news.after);
-    let listings = fresh.into_iter().map(|c| match c.what {
-        ChangeKind::Listed(target) => Listing::Listed(target),
-        ChangeKind::Gone(id) => Listing::Gone(id),
-    });
-    watch::apply(edge, listings.collect());
+    watch::apply(edge, fresh.into_iter().map(|c| c.what).collect());
 }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,8 +1,8 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::Target;
 use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::load::Work;
 use thistlesill_policy::lease::LeaseSeen;
 
@@ -80,14 +80,5 @@
 pub(crate) struct Change {
     /// The store's version of the change.
     pub(crate) version: u64,
-    pub(crate) what: ChangeKind,
-}
-
-/// What changed.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) enum ChangeKind {
-    /// A target is listed, or its entry changed.
-    Listed(Box<Target>),
-    /// A target's entry is gone.
-    Gone(InstanceId),
+    pub(crate) what: Listing,
 }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -147,6 +147,13 @@
         self.fresh.get().permits(bound, self.now())
     }
 
+    /// Notes that the catalog in force was the newest at the moment `asked`.
+    pub(crate) fn confirm(&self, asked: Millis) {
+        let mut fresh = self.fresh.get();
+        fresh.confirm(asked);
+        self.fresh.set(fresh);
+    }
+
     /// Whether the balancer may send new callers here.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.catalog.borrow().is_some();
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -13,7 +13,7 @@
 use thistlesill_policy::edge::freshness::MARGIN;
 
 use crate::follow;
-use crate::peers::packet::{Change, ChangeKind};
+use crate::peers::packet::Change;
 use crate::state::Edge;
 
 /// Time for a read; the store answers within some milliseconds, and slowly
@@ -70,9 +70,7 @@
                 // is in force was the newest when the question was sent.
                 let newest = version.is_none() || rows.rows.is_empty();
                 if take_catalog(&edge, &rows) && newest {
-                    let mut fresh = edge.fresh.get();
-                    fresh.confirm(asked);
-                    edge.fresh.set(fresh);
+                    edge.confirm(asked);
                 }
                 version = Some(rows.version);
             }
@@ -226,8 +224,8 @@
     if whole {
         edge.feed.borrow_mut().restart(rows.version);
         let listed = changes.into_iter().filter_map(|change| match change.what {
-            ChangeKind::Listed(target) => Some(*target),
-            ChangeKind::Gone(_) => None,
+            Listing::Listed(target) => Some(*target),
+            Listing::Gone(_) => None,
         });
         let (catalog, now) = (edge.catalog(), edge.now());
         let mut book = edge.book.borrow_mut();
@@ -240,11 +238,7 @@
         return;
     }
     follow::tell_changes(edge, before, &changes, rows.version);
-    let listings = changes.into_iter().map(|change| match change.what {
-        ChangeKind::Listed(target) => Listing::Listed(target),
-        ChangeKind::Gone(id) => Listing::Gone(id),
-    });
-    apply(edge, listings.collect());
+    apply(edge, changes.into_iter().map(|c| c.what).collect());
 }
 
 /// Takes in changes of targets.
@@ -267,9 +261,9 @@
 
 fn decode(edge: &Edge, row: &Row) -> Option<Change> {
     let what = match &row.value {
-        None => ChangeKind::Gone(row.key.as_str().into()),
+        None => Listing::Gone(row.key.as_str().into()),
         Some(value) => match decode_target(&row.key, value) {
-            Ok(target) => ChangeKind::Listed(Box::new(target)),
+            Ok(target) => Listing::Listed(Box::new(target)),
             Err(error) => {
                 edge.lines.line("target_refused").with("why", error).write();
                 metrics::counter!("thistlesill_edge_targets_refused_total").increment(1);
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Catalog, Target};
 use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
 
@@ -26,7 +27,7 @@
 }
 
 /// What a change of an entry means.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     /// A target is listed, or its entry changed.
     Listed(Box<Target>),
