fix(lease): a renewal that took no effect is sent again at once

Cause of the red test a_lost_member_stops_its_group_and_a_spare_takes_its_place: the stand-in of the store gave each row of a transaction a version of its own and answered with the last one, so the first renewal after a takeover was always refused; the holder read the rows, found the lease its own, and then waited a whole renewal period (0.6 s) before it wrote again. With the look every 0.2 s the second renewal came 1.4 to 1.7 s after the takeover, and the lease ends after 1.7 s: any delay cost it. Ruled out: load alone (the time line of the kept log fits without any), a slow store, two holders (the term rose only after the lapse).

--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -221,9 +221,11 @@
             return self.granted();
         }
         // Our write did not take effect. In doubt over a renewal, the lease
-        // is still ours as long as the term is.
+        // is still ours as long as the term is; it is renewed at once, since
+        // much of its length is gone.
         if self.state == LeaseState::Doubting && !other_term {
             self.apply(LeaseEvent::Granted);
+            self.looked = None;
             return LeaseNews::None;
         }
         self.denied(before)
--- a/crates/thistlesill-policy/tests/lease.rs
+++ b/crates/thistlesill-policy/tests/lease.rs
@@ -122,6 +122,23 @@
     assert_eq!(a.term(at(6_600)), None, "only the first write counts");
 }
 
+#[test]
+fn renewal_that_took_no_effect_is_sent_again_at_once() {
+    let mut table = Table::default();
+    let mut a = lease("a");
+    settle(&mut a, &mut table, START);
+    let (step, _) = a.tick(at(2_000));
+    assert!(matches!(step, LeaseStep::Send(_)), "{step:?}");
+    // The renewal never reaches the table, and its answer never comes.
+    a.done(&TxnResult::Unknown, at(3_500));
+    let (step, _) = a.tick(at(3_500));
+    assert_eq!(step, LeaseStep::Read);
+    a.read(Some(&read(&mut table)), at(3_600));
+    // Of the lease's length over half is gone; a whole period may not pass.
+    let (step, _) = a.tick(at(3_600));
+    assert!(matches!(step, LeaseStep::Send(_)), "{step:?}");
+}
+
 #[test]
 fn late_renewal_is_not_taken_for_a_newer_one() {
     let mut table = Table::default();
