fix(edge): requests wait for the first reads of a daemon that starts

Cause: callers connect in the moment in which a daemon listens again, 5 to 10 ms before it has read the catalog and the targets, and each of them was told 503; after a kill of all that was 15 to 25 requests a daemon, many of them on their second and last attempt. Found by the lines of one restart: start at .746, 17 lines not_ready from .747 to .753, catalog_in_force at .756. Ruled out: a slow store (the reads took 10 ms), no groups (they were open). Change: a request waits for both reads, 90 ms at most.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -45,6 +45,11 @@
 }
 
 impl Feed {
+    /// Whether all targets have been read once.
+    pub(crate) const fn is_known(&self) -> bool {
+        self.version > 0
+    }
+
     /// Starts anew at a version, after a whole read.
     pub(crate) fn restart(&mut self, version: u64) {
         self.version = version;
@@ -215,7 +220,7 @@
 /// Takes in changes of targets from a daemon that reads the store.
 pub(crate) fn take_changes(edge: &Edge, news: Changes) {
     let known = edge.feed.borrow().version;
-    if reads_targets(edge) || known == 0 || news.after <= known {
+    if reads_targets(edge) || !edge.feed.borrow().is_known() || news.after <= known {
         return;
     }
     if news.before > known {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -39,6 +39,7 @@
     let (parts, body) = request.into_parts();
     let head = caller::read_caller(&parts.headers);
     let mut track = Track::new(&edge, &head.id, arrived);
+    edge.wait_to_learn().await;
     let body = match read_body(&edge, body).await {
         Ok(body) => body,
         Err(kind) => return track.refuse(kind, None),
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -15,6 +16,7 @@
 use thistlesill_policy::edge::freshness::Freshness;
 use thistlesill_policy::edge::load::{LoadTable, Wanted};
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 
 use crate::follow::Feed;
 use crate::lanes::Lanes;
@@ -31,6 +33,11 @@
 /// counted in another window than their retries.
 const RATIO_USED: f64 = 0.8;
 
+/// How long a request waits for a daemon that has just started: a few reads of
+/// the store, and less than a quarter of the usual objectives, so that a
+/// caller that must be turned away hears it soon.
+const FIRST_READS: Duration = Duration::from_millis(90);
+
 /// A request that asks for a target.
 pub(crate) struct Asking<'a> {
     pub(crate) service: &'a Service,
@@ -86,6 +93,8 @@
     pub(crate) feed: RefCell<Feed>,
     /// Woken when the daemon begins or ceases to read the store.
     pub(crate) reads_changed: Notify,
+    /// Woken when the catalog or all targets have been read for the first time.
+    pub(crate) learned: Notify,
     /// Woken when a peer has a newer catalog.
     pub(crate) catalog_news: Notify,
     /// Woken when a peer knows changes of targets that nobody keeps.
@@ -122,6 +131,7 @@
             reads: Cell::new(false),
             feed: RefCell::new(Feed::default()),
             reads_changed: Notify::new(),
+            learned: Notify::new(),
             catalog_news: Notify::new(),
             targets_news: Notify::new(),
             fleet_news: Notify::new(),
@@ -141,6 +151,22 @@
         self.catalog.borrow().clone()
     }
 
+    /// Whether the catalog and the targets have been read since the start.
+    fn has_learned(&self) -> bool {
+        self.catalog.borrow().is_some() && self.feed.borrow().is_known()
+    }
+
+    /// Waits until the catalog and the targets have been read, for a short
+    /// time at most: callers connect as soon as a daemon listens again.
+    pub(crate) async fn wait_to_learn(&self) {
+        let until = Instant::now() + FIRST_READS;
+        while !self.has_learned() {
+            if timeout_at(until, self.learned.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Whether requests with keys may pass now.
     pub(crate) fn is_fresh(&self) -> bool {
         let bound = self.settings.borrow().bounds.revoke;
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -174,6 +174,7 @@
     let catalog = Rc::new(catalog);
     edge.catalog.replace(Some(catalog.clone()));
     edge.book.borrow_mut().index(Some(&catalog));
+    edge.learned.notify_waiters();
     edge.fleet_news.notify_one();
 }
 
@@ -230,6 +231,7 @@
         let (catalog, now) = (edge.catalog(), edge.now());
         let mut book = edge.book.borrow_mut();
         book.replace(listed.collect(), catalog.as_deref(), now);
+        edge.learned.notify_waiters();
         edge.fleet_news.notify_one();
         return;
     }
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -1,9 +1,12 @@
 //! Planned stops, kills and takeovers.
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use thistlesill_platform_standin::caller::{Ask, call};
+use thistlesill_platform_standin::link::Harm;
 
-use crate::support::{ask, book, sleep, stream, world};
+use crate::support::{ask, book, read, sleep, stream, world};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_ends_what_runs_and_then_the_process() {
@@ -26,6 +29,25 @@
     assert!(!world.lines(0, "ev=stop ").is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_daemon_to_start_are_served() {
+    let mut world = world(34, 1).await;
+    world.daemons[0].kill().await;
+    // The first reads of the store end after the first requests have come.
+    world.links[0].set(Harm::Delay(Duration::from_millis(15)));
+    world.daemons[0].start();
+    let address = world.daemons[0].callers();
+    let first = loop {
+        if let Ok(got) = call(address, &stream("first")).await {
+            break got;
+        }
+        sleep(1).await;
+    };
+    assert_eq!(first.status, 200, "a caller that came at once was turned away");
+    assert!(first.whole);
+    assert_eq!(ask(&world, 0, read("second")).await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_daemon_forms_groups_when_the_one_that_did_is_killed() {
     let mut world = world(32, 3).await;
