fix(planner): a leader that refuses connections and still works keeps its members

A leaving leader had taken the order to end what runs; 0.7 s later it refused connections while it still worked off its streams, and the planner took the refusal for its end and gave its members to a new group. Ruled out: the order of the two groups' epochs, a second planner (one lease holder throughout), a late order (all were answered). Change: a refused connection only counts as the end where no daemon has requests that make progress there; the reply is named for what it is.

--- a/crates/thistlesill-core/src/edge/order.rs
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -64,8 +64,9 @@
     Elsewhere,
     /// The engine refused it with this status.
     Denied(u16),
-    /// Nothing listens at the address: the engine's process is gone.
-    Dead,
+    /// Nothing listens at the address: the engine's process is gone, or it is
+    /// about to end and still works off what it has.
+    Refused,
     /// No answer: it may be carried out at any time.
     Unknown,
 }
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -173,7 +173,8 @@
                 }
             }
             (Order::Join { to, .. }, _) => self.abandon(to, target, now),
-            (Order::Cut(group), OrderReply::Taken | OrderReply::Dead | OrderReply::Elsewhere) => {
+            // A leader that refuses connections may still work off what it has.
+            (Order::Cut(group), OrderReply::Taken | OrderReply::Elsewhere) => {
                 self.cut.insert(group.clone());
             }
             (Order::Open(_), OrderReply::Unknown) => {}
@@ -182,10 +183,13 @@
                     *open = open.saturating_sub(1);
                 }
             }
-            (Order::Leave(group), OrderReply::Taken | OrderReply::Dead | OrderReply::Elsewhere) => {
+            (
+                Order::Leave(group),
+                OrderReply::Taken | OrderReply::Refused | OrderReply::Elsewhere,
+            ) => {
                 self.left.insert(group.clone());
             }
-            (_, OrderReply::Dead) => {
+            (_, OrderReply::Refused) => {
                 self.silent.insert(target.clone(), (DEAD_PROBES, now));
             }
             (_, OrderReply::Taken | OrderReply::Unknown) => {}
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -94,6 +94,39 @@
     );
 }
 
+#[test]
+fn members_of_a_leader_that_refuses_orders_wait_while_it_works() {
+    let mut stage = Stage::formed(6);
+    let (leader, members) = large_group(&stage);
+    // It has left the list and accepts no connection, but still works off
+    // the requests that it has.
+    stage.engines.unlist(&leader);
+    stage.working.insert(leader.clone());
+    for _ in 0..20 {
+        stage.now = stage.now + Millis::new(100);
+        stage.engines.advance(stage.now);
+        stage.look(|order| match order {
+            Order::Close(_) | Order::Cut(_) => Fate::Refused,
+            _ => Fate::Done,
+        });
+    }
+    let told = stage
+        .given("cut", &leader)
+        .or(stage.given("close", &leader));
+    assert!(told.is_some(), "{:?}", stage.orders);
+    let joined = |stage: &Stage| members.iter().any(|m| stage.given("join", m).is_some());
+    assert!(!joined(&stage), "{:?}", stage.orders);
+    stage.engines.kill(&leader);
+    stage.working.clear();
+    stage.run(secs(2));
+    assert!(joined(&stage), "{:?}", stage.orders);
+    assert!(
+        stage.engines.breaches.is_empty(),
+        "{:?}",
+        stage.engines.breaches
+    );
+}
+
 #[test]
 fn a_planner_that_takes_over_knows_who_led() {
     let mut stage = Stage::formed(6);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -24,6 +24,8 @@
     pub(crate) term: u64,
     pub(crate) now: Millis,
     pub(crate) calm: bool,
+    /// Leaders at which daemons have requests that make progress.
+    pub(crate) working: HashSet<InstanceId>,
     /// All orders that were given, with their times.
     pub(crate) orders: Vec<(Millis, InstanceId, Order)>,
     pub(crate) late: VecDeque<Late>,
@@ -38,6 +40,7 @@
             term: 1,
             now: Millis::new(1_000_000),
             calm: true,
+            working: HashSet::new(),
             orders: Vec::new(),
             late: VecDeque::new(),
             engine: engine(),
@@ -72,7 +75,7 @@
             targets: &targets,
             engine: &self.engine,
             stalled: &stalled,
-            working: &HashSet::new(),
+            working: &self.working,
             term: self.term,
             calm: self.calm,
         };
@@ -83,6 +86,7 @@
                     let reply = match fate(&order) {
                         Fate::Done => self.engines.order(&target, &order, self.now),
                         Fate::Lost => OrderReply::Unknown,
+                        Fate::Refused => OrderReply::Refused,
                         Fate::Late(after) => {
                             let at = self.now + after;
                             self.late.push_back(Late {
@@ -140,6 +144,8 @@
     Done,
     /// It never arrives.
     Lost,
+    /// The engine accepts no connection.
+    Refused,
     /// It is carried out and the answer is lost.
     Unanswered,
     /// It gets no answer and is carried out later.
