perf(edge): daemons that start again know each other at once

Cause: the list of daemons was read 0.7 s after the start, when daemons that start together have written their rows; until then each picked targets without the others' load, and took a group that was busy with their prompts for stopped (50 streams were sent a second time in the half second after a kill of all). Change: the list is read at the start as well; after a restart the rows are already there. Costs one call of the store a start.

--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -35,20 +35,32 @@
     while !enlist(&edge).await {
         tokio::time::sleep(PAUSE).await;
     }
+    // After a restart the rows of the others are already there, and what they
+    // tell of their load is wanted for the first requests.
+    read_list(&edge).await;
     tokio::time::sleep(GATHER).await;
     loop {
-        match edge.store.read(Table::Daemons, LIMIT).await {
-            Ok(rows) => {
-                for row in &rows.rows {
-                    take(&edge, row);
-                }
-                remove_silent(&edge).await;
-                tokio::time::sleep(REREAD).await;
-            }
-            Err(error) => {
-                log::debug!("peers: the list was not read: {error}");
-                tokio::time::sleep(PAUSE).await;
+        if read_list(&edge).await {
+            remove_silent(&edge).await;
+            tokio::time::sleep(REREAD).await;
+        } else {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Reads the list once; returns whether it could be read.
+async fn read_list(edge: &Edge) -> bool {
+    match edge.store.read(Table::Daemons, LIMIT).await {
+        Ok(rows) => {
+            for row in &rows.rows {
+                take(edge, row);
             }
+            true
+        }
+        Err(error) => {
+            log::debug!("peers: the list was not read: {error}");
+            false
         }
     }
 }
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -43,11 +43,39 @@
         }
         sleep(1).await;
     };
-    assert_eq!(first.status, 200, "a caller that came at once was turned away");
+    assert_eq!(
+        first.status, 200,
+        "a caller that came at once was turned away"
+    );
     assert!(first.whole);
     assert_eq!(ask(&world, 0, read("second")).await.status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_start_again_together_know_each_other_at_once() {
+    let mut world = world(35, 2).await;
+    for daemon in &mut world.daemons {
+        daemon.kill().await;
+    }
+    for daemon in &mut world.daemons {
+        daemon.start();
+    }
+    sleep(450).await;
+    for daemon in &world.daemons {
+        let metrics = Ask::new("metrics", "GET", "/metrics");
+        let got = call(daemon.metrics(), &metrics).await.expect("metrics");
+        let sent = got
+            .body
+            .lines()
+            .find(|l| l.starts_with("thistlesill_edge_datagrams_sent_total"));
+        assert!(
+            sent.is_some(),
+            "{} has told nobody of its load",
+            daemon.name
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_daemon_forms_groups_when_the_one_that_did_is_killed() {
     let mut world = world(32, 3).await;
