perf(edge): streams that callers take up again give way to those in time

After a kill of all, about a hundred callers take their streams up again in the same 100 ms; they are late in any case, and their prompts delay requests that could be in time. Ruled out: the engines' own ranks (the groups' places are not all taken, so nothing waits for one); fewer retries (callers decide on these). Change: a stream that its caller takes up again waits for a group with room, one second at most.

--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -30,6 +30,11 @@
 /// changed, and later, most of the caller's time is gone.
 const SOONEST: Millis = Millis::new(300);
 const LATEST: Millis = Millis::new(2_000);
+/// How long a stream that its caller takes up again gives way to others: well
+/// below the two seconds after which callers leave a stream that says nothing.
+const GIVE_WAY: Duration = Duration::from_millis(1_000);
+/// Between two looks for room.
+const LOOK: Duration = Duration::from_millis(40);
 /// Time for a caller's body after its head.
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Answers one request of a caller.
@@ -113,6 +118,9 @@
     let mut attempts = Attempts::default();
     let mut tried: Vec<InstanceId> = Vec::new();
     edge.earn_retry(&job.passage.service.name);
+    if job.head.last_event.is_some() {
+        give_way(&job).await;
+    }
     loop {
         let target = match job.pick(&tried) {
             Choice::Target(target) => *target,
@@ -147,6 +155,18 @@
     }
 }
 
+/// Has a stream that its caller takes up again wait for room, for a short time
+/// at most. Its pause is longer than the objective already, so it gives way to
+/// those that can still be in time; after a kill of many daemons hundreds of
+/// such streams come at once.
+async fn give_way(job: &Job) {
+    let until = Instant::now() + GIVE_WAY;
+    let (service, model) = (&job.passage.service, job.head.model.as_ref());
+    while Instant::now() < until && !job.edge.has_room(service, model) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Notes what became of an attempt and decides what follows.
 pub(crate) fn settle(
     job: &Job,
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -38,6 +38,9 @@
 /// caller that must be turned away hears it soon.
 const FIRST_READS: Duration = Duration::from_millis(90);
 
+/// Time in which a daemon that has just started hears of its peers' load.
+const BLIND: Millis = Millis::new(400);
+
 /// A request that asks for a target.
 pub(crate) struct Asking<'a> {
     pub(crate) service: &'a Service,
@@ -186,6 +189,19 @@
         self.stopping.get().is_none() && known && self.is_fresh()
     }
 
+    /// Whether a request that is late in any case may be sent now.
+    pub(crate) fn has_room(&self, service: &Service, model: Option<&Model>) -> bool {
+        let (Some(engine), loads) = (&service.engine, self.loads.borrow()) else {
+            return true;
+        };
+        let now = self.now();
+        let alone = now - self.started < BLIND && !loads.hears_peers();
+        let book = self.book.borrow();
+        let serving = book.serving(&service.name, model);
+        let serving: Vec<&Target> = serving.iter().map(AsRef::as_ref).collect();
+        !alone && loads.has_room(&serving, engine, now)
+    }
+
     /// Picks the target for the next attempt of a request.
     pub(crate) fn pick(&self, asking: &Asking<'_>) -> Choice {
         let service = asking.service;
--- a/crates/thistlesill-edge/tests/it/streams.rs
+++ b/crates/thistlesill-edge/tests/it/streams.rs
@@ -1,5 +1,8 @@
 //! Streams arrive whole, in order and once, also when their group is lost.
 
+use std::time::{Duration, Instant};
+
+use thistlesill_platform_standin::caller::call;
 use thistlesill_platform_standin::targets::{EVENTS, Fault};
 
 use crate::support::{ask, sleep, stream, world};
@@ -35,6 +38,32 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_its_caller_takes_up_again_gives_way_to_others() {
+    let world = world(24, 1).await;
+    let address = world.daemons[0].callers();
+    // Most of the places of the one large group.
+    let others: Vec<_> = (0..20)
+        .map(|i| {
+            let stream = stream(&format!("other-{i}"));
+            tokio::spawn(async move { call(address, &stream).await })
+        })
+        .collect();
+    sleep(40).await;
+    let begun = Instant::now();
+    let got = ask(&world, 0, stream("again").after(3)).await;
+    let took = begun.elapsed();
+    assert_eq!(got.events(), all()[3..]);
+    assert!(
+        took > Duration::from_millis(230),
+        "it began at once: {took:?}"
+    );
+    for other in others {
+        let got = other.await.expect("the task ends").expect("an answer");
+        assert!(got.whole);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_member_stops_its_group_and_a_spare_takes_its_place() {
     let world = world(22, 2).await;
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -237,6 +237,22 @@
         (late > 0.0 && least < f64::MAX).then(|| Millis::new(late as u64))
     }
 
+    /// Whether some target has room, so that a request that is late in any
+    /// case takes nothing away from those that can be in time.
+    pub fn has_room(&self, candidates: &[&Target], engine: &Engine, now: Millis) -> bool {
+        let most = BUSY * f64::from(engine.slots);
+        let room = |target: &&Target| {
+            let requests = self.work(&target.id, now).requests;
+            f64::from(requests) < most && !self.is_suspect(&target.id, now)
+        };
+        candidates.iter().any(room)
+    }
+
+    /// Whether any peer has told of its load.
+    pub fn hears_peers(&self) -> bool {
+        !self.peers.is_empty()
+    }
+
     /// The best of a few targets drawn from `candidates`; those that are
     /// passed over only if there is no other.
     pub fn pick<'a>(
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -50,6 +50,21 @@
     picks.filter(|t| t.id.as_str() == "a").count()
 }
 
+#[test]
+fn a_group_has_room_until_most_of_its_places_are_taken() {
+    let (a, engine) = (leader("a"), engine());
+    let mut loads = LoadTable::default();
+    let mut taken = 0;
+    while loads.has_room(&[&a], &engine, NOW) {
+        loads.begin(&a.id, 0);
+        taken += 1;
+    }
+    assert_eq!(taken, 16, "three fifths of 26 places");
+    assert!(loads.has_room(&[&a, &leader("b")], &engine, NOW));
+    loads.suspect(&"b".into(), NOW);
+    assert!(!loads.has_room(&[&a, &leader("b")], &engine, NOW));
+}
+
 #[test]
 fn prompts_that_wait_to_be_read_count_more_than_requests() {
     let mut loads = LoadTable::default();
