feat(planner): a line and figures a second about how the fleet stands

The log did not tell why groups stay away: which targets are idle in which domain, and which weights they hold. A planner now writes one line a second for each service (groups open and wanted by model; by domain idle and listed targets, those on the move, weights held) and counts the operators' measures, seconds of missing groups and of targets in no group, as metrics.

--- a/crates/thistlesill-edge/src/figures.rs
+++ b/crates/thistlesill-edge/src/figures.rs
@@ -8,6 +8,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use thistlesill_core::{Millis, ServiceName};
+use thistlesill_policy::edge::fleet::Census;
 use tokio::net::TcpListener;
 
 /// Bounds of the latency histograms, in milliseconds.
@@ -36,6 +38,30 @@
     }
 }
 
+/// Records how a fleet stands; `passed` is the time since this was last done.
+///
+/// The two counters are the operators' measures: seconds of groups that were
+/// missing, and seconds of targets that were in no group.
+pub(crate) fn note_fleet(service: &ServiceName, census: &Census, passed: Millis) {
+    let service = service.to_string();
+    for model in &census.models {
+        let labels = [
+            ("service", service.clone()),
+            ("model", model.model.to_string()),
+        ];
+        metrics::gauge!("thistlesill_edge_groups_open", &labels).set(model.open as f64);
+    }
+    let labels = [("service", service)];
+    let seconds = passed.get() as f64 / 1_000.0;
+    let missing = census.missing() * seconds;
+    let idle = census.idle() as f64 * seconds;
+    metrics::gauge!("thistlesill_edge_targets_idle", &labels).set(census.idle() as f64);
+    metrics::counter!("thistlesill_edge_group_downtime_seconds_total", &labels)
+        .increment(missing.round() as u64);
+    metrics::counter!("thistlesill_edge_stranded_seconds_total", &labels)
+        .increment(idle.round() as u64);
+}
+
 /// Serves the metrics, for ever.
 pub(crate) async fn serve(listener: TcpListener, handle: PrometheusHandle) {
     loop {
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -9,13 +9,14 @@
 use thistlesill_core::edge::Order;
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
-use thistlesill_core::{HallId, InstanceId, Millis, ServiceName};
+use thistlesill_core::{DomainId, HallId, InstanceId, Millis, ServiceName};
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
 use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, FleetView};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
+use crate::figures;
 use crate::follow::{self, FIND};
 use crate::state::Edge;
 
@@ -42,11 +43,16 @@
 /// together do not all ask for the lease.
 const FIRST_WAIT: u64 = 150;
 
+/// Between two lines about how a fleet stands.
+const CENSUS: Millis = Millis::new(1_000);
+
 /// The part of a daemon that forms groups.
 struct Planner {
     edge: Rc<Edge>,
     lease: RefCell<Lease>,
     fleets: RefCell<HashMap<ServiceName, FleetPlanner>>,
+    /// When each fleet's standing was last noted.
+    noted: RefCell<HashMap<ServiceName, Millis>>,
 }
 
 /// Forms groups whenever the lease is held, for ever.
@@ -57,6 +63,7 @@
     let planner = Rc::new(Planner {
         lease: RefCell::new(Lease::new(charts.lease, name, scope(), PERIODS)),
         fleets: RefCell::new(HashMap::new()),
+        noted: RefCell::new(HashMap::new()),
         edge,
     });
     loop {
@@ -174,6 +181,7 @@
                 calm,
             };
             let actions = fleet.step(&view, now);
+            self.note_census(&service.name, fleet, &view, now);
             let dead: Vec<InstanceId> = fleet
                 .dead()
                 .filter(|id| targets.contains_key(*id))
@@ -190,6 +198,34 @@
         }
     }
 
+    /// Now and then, a line and figures about how the fleet stands.
+    fn note_census(
+        &self,
+        service: &ServiceName,
+        fleet: &FleetPlanner,
+        view: &FleetView<'_>,
+        now: Millis,
+    ) {
+        let mut noted = self.noted.borrow_mut();
+        let last = noted.get(service).copied();
+        let passed = last.map_or(Millis::ZERO, |at| now - at);
+        if last.is_some() && passed < CENSUS {
+            return;
+        }
+        noted.insert(service.clone(), now);
+        let census = fleet.census(view);
+        figures::note_fleet(service, &census, passed);
+        let mut line = self.edge.lines.line("fleet").with("service", service);
+        for model in &census.models {
+            line = line.with("model", model);
+        }
+        for (domain, census) in &census.domains {
+            let name = domain.as_ref().map_or("none", DomainId::as_str);
+            line = line.with(name, census);
+        }
+        line.write();
+    }
+
     fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
         let mut stalled = self.edge.peers.borrow().suspects(now);
         stalled.extend(self.edge.loads.borrow().suspects(now));
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -6,6 +6,7 @@
 //! give out the same one, and a target refuses a join that is older than one
 //! it has seen.
 
+mod census;
 mod demand;
 mod forming;
 mod loads;
@@ -19,6 +20,7 @@
 use thistlesill_core::edge::{Engine, GroupRef, MemberState, Order, OrderReply, Target};
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
+pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::forming::Planned;
 use self::loads::LoadRate;
 use self::survey::{Survey, Verdict};
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -1,7 +1,7 @@
 //! How many groups of each model the work calls for.
 
 use thistlesill_core::Model;
-use thistlesill_core::edge::Engine;
+use thistlesill_core::edge::{Engine, ModelPlan};
 
 /// Part of the targets that groups may use; the rest stands by, ready to
 /// replace lost members.
@@ -20,8 +20,12 @@
     if groups == 0 {
         return f64::MAX;
     }
+    fair_groups(engine, plan, targets) / groups as f64
+}
+
+/// The groups that a model should have by its share of the targets.
+pub(super) fn fair_groups(engine: &Engine, plan: &ModelPlan, targets: usize) -> f64 {
     let all: f64 = engine.models.iter().map(|m| m.share).sum();
     let part = plan.share / all.max(f64::MIN_POSITIVE);
-    let fair = part * IN_GROUPS * targets as f64 / f64::from(plan.size.max(1));
-    fair / groups as f64
+    part * IN_GROUPS * targets as f64 / f64::from(plan.size.max(1))
 }
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -27,6 +27,20 @@
     );
 }
 
+#[test]
+fn a_census_counts_missing_groups_and_idle_targets() {
+    let mut stage = Stage::formed(6);
+    let census = stage.census();
+    assert_eq!(census.idle(), 12);
+    assert!(census.missing() < 1.0, "{census:?}");
+    let (leader, members) = large_group(&stage);
+    stage.engines.kill(&leader);
+    stage.engines.unlist(&leader);
+    let census = stage.census();
+    assert_eq!(census.idle(), 12 + members.len() - 1);
+    assert!(census.missing() >= 1.0, "{census:?}");
+}
+
 #[test]
 fn domains_that_are_listed_first_are_not_filled_up() {
     let mut stage = Stage::new(0);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{Engine, Order, OrderReply};
 use thistlesill_core::{InstanceId, Millis};
 use thistlesill_fakes::engines::{Engines, engine};
-use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{Census, FleetAction, FleetPlanner, FleetView};
 
 /// Between two looks of the planner.
 pub(crate) const STEP: Millis = Millis::new(100);
@@ -111,6 +111,19 @@
         }
     }
 
+    /// How the planner says that the fleet stands.
+    pub(crate) fn census(&self) -> Census {
+        let targets = self.engines.listed();
+        self.planner.census(&FleetView {
+            targets: &targets,
+            engine: &self.engine,
+            stalled: &HashSet::new(),
+            working: &self.working,
+            term: self.term,
+            calm: self.calm,
+        })
+    }
+
     pub(crate) fn carry_out_late(&mut self) {
         let late = std::mem::take(&mut self.late);
         let (due, rest): (VecDeque<Late>, _) = late.into_iter().partition(|l| l.at <= self.now);
