perf(planner): idle targets load before they join, the most useful load first

About ten loads ran at once where the weight store serves six at full rate, so each took 27 s, not 16 s. Ruled out: too few targets (50 were listed), orders without effect. Change: while requests run, a group is formed only of targets that hold the weights; the others load first, never more at once than the store serves at full rate, and the load that helps most is begun first: one that completes a wanted group before one that only makes a spare. No group is formed for a model that has enough while another is short. The test spares_never_load_more_at_once_than_leaves_room_for_groups asked that spares leave half of the store to groups; groups load nothing any more, so it is replaced by one on the bound itself.

--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -12,9 +12,6 @@
 
 /// Times that a join is given before its target is passed over.
 pub(super) const MAX_TRIES: u32 = 4;
-/// Above this shortage a model's groups may load weights from afar while
-/// requests run.
-const SHORT: f64 = 1.25;
 /// Above this shortage a model's groups may use the last spares of a domain.
 const BELOW_FAIR: f64 = 1.05;
 /// Below this shortage no more groups of a model are formed.
@@ -197,11 +194,16 @@
                 .then(a.cold.cmp(&b.cold))
                 .then(a.waste().cmp(&b.waste()))
         });
+        let short = view.engine.models.iter().any(|plan| {
+            let groups = counts.get(&plan.model).copied().unwrap_or(0);
+            shortage(view.engine, &plan.model, groups, self.most) > BELOW_FAIR
+        });
+        // What a short model lacks is not used up for one that has enough.
+        found.retain(|c| !short || view.calm || c.shortage > BELOW_FAIR);
         found.into_iter().find(|c| self.is_allowed(view, c, now))
     }
 
     fn is_allowed(&mut self, view: &FleetView<'_>, candidate: &Candidate<'_>, now: Millis) -> bool {
-        let short = candidate.shortage > SHORT;
         let largest = view.engine.models.iter().map(|m| m.size as usize).max();
         let settled = now - self.grown >= SETTLE;
         // Until all domains are listed, none is filled up.
@@ -218,13 +220,9 @@
             self.held_back |= !allowed;
             return allowed;
         }
-        // Targets that return together are listed one by one, and those that
-        // still hold the weights may come last.
-        if candidate.cold > 0 && !(short && settled) {
-            return false;
-        }
-        self.loads
-            .allows(candidate.cold, view.engine.loads_rate, now)
+        // Idle targets load before they join, so that those that hold the
+        // weights already do not wait for them in a group that serves nothing.
+        candidate.cold == 0
     }
 
     /// Targets that take over weights now.
@@ -273,6 +271,11 @@
     Loaded,
 }
 
+/// Whether a target can run a model without a load from afar.
+pub(super) fn is_warm(target: &Target, plan: &ModelPlan) -> bool {
+    warmth(target, plan) != Warmth::Cold
+}
+
 fn warmth(target: &Target, plan: &ModelPlan) -> Warmth {
     let last = target.member.as_ref().and_then(|m| m.model.as_ref());
     if last == Some(&plan.model) {
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -1,7 +1,11 @@
-//! Which weights the spare targets hold ready.
+//! Which weights the idle targets hold ready.
 //!
-//! A spare that has a model's weights on its host joins a group within a
+//! A target that has a model's weights on its host joins a group within a
 //! second or two; one that has not needs a load from afar, ten times as long.
+//! So while requests run, groups are formed of targets that hold the weights,
+//! and the others load first. The weight store serves a few loads at full
+//! rate; more at once would only make each last longer, so the load that helps
+//! most is begun first.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,11 +13,12 @@
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::shortage;
+use super::forming::is_warm;
 use super::loads::most_calm;
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
 
-/// How much more another model must need a spare than the one whose weights
+/// How much more another model must need a target than the one whose weights
 /// it holds before it loads the other's: a load takes a while, and the model
 /// whose spare it was is without one at once.
 const RESTAGE: f64 = 1.9;
@@ -21,15 +26,22 @@
 const ABSENT: f64 = 0.1;
 /// The largest shortage that counts, so that one model does not take all.
 const MOST_SHORT: f64 = 3.0;
+/// Above this shortage another group of the model is wanted.
+const WANTED: f64 = 1.05;
+/// How much more a group counts that could serve now than one that would have
+/// a spare if it lost a member.
+const COMPLETES: f64 = 4.0;
 
 type Slot<'a> = (Option<&'a DomainId>, &'a Model);
 
-/// What the domains' groups may need and what their spares hold.
+/// What the domains' groups may need and what their idle targets hold.
 struct Holdings<'a> {
     /// Members of groups, by domain and model.
     exposed: BTreeMap<Slot<'a>, usize>,
-    /// Spares that hold a model's weights.
+    /// Idle targets that hold a model's weights, or soon will.
     ready: BTreeMap<Slot<'a>, usize>,
+    /// Idle targets, by domain.
+    idle: BTreeMap<Option<&'a DomainId>, usize>,
     /// How short each model is of groups.
     short: BTreeMap<&'a Model, f64>,
 }
@@ -39,29 +51,60 @@
         self.ready.get(slot).copied().unwrap_or(0)
     }
 
+    fn short(&self, plan: &ModelPlan) -> f64 {
+        self.short.get(&plan.model).copied().unwrap_or(1.0)
+    }
+
     /// How much a domain's groups of a model would lose for want of a spare.
     fn need(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) -> f64 {
         let exposed = self.exposed.get(&(domain, &plan.model)).copied();
         let members = exposed.unwrap_or(0) as f64 + ABSENT * f64::from(plan.size);
-        members * self.short.get(&plan.model).copied().unwrap_or(1.0)
+        members * self.short(plan)
+    }
+
+    /// What the last of `ready` spares of a model is worth. A second loss in
+    /// the same domain, before there is another spare, is much less likely
+    /// than the first.
+    fn worth(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan, ready: usize) -> f64 {
+        self.need(domain, plan) / (ready.max(1) as f64).powi(2)
     }
 
-    /// What one more spare is worth. A second loss in the same domain, before
-    /// there is another spare, is much less likely than the first.
+    /// What one more spare of a model is worth.
     fn gain(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) -> f64 {
-        let ready = self.ready(&(domain, &plan.model)) as f64 + 1.0;
-        self.need(domain, plan) / ready.powi(2)
+        self.worth(domain, plan, self.ready(&(domain, &plan.model)) + 1)
+    }
+
+    /// What it is worth that one more idle target holds a model's weights,
+    /// where the idle targets suffice for a group that is wanted.
+    fn completion(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) -> f64 {
+        let (size, ready) = (plan.size as usize, self.ready(&(domain, &plan.model)));
+        let idle = self.idle.get(&domain).copied().unwrap_or(0);
+        if self.short(plan) < WANTED || idle < size || ready >= size {
+            return 0.0;
+        }
+        let missing = (size - ready) as f64;
+        COMPLETES * f64::from(plan.size) * self.short(plan) / missing
+    }
+
+    fn note(&mut self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) {
+        *self.ready.entry((domain, &plan.model)).or_default() += 1;
     }
 
-    /// What the last spare that there is is worth.
-    fn worth(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) -> f64 {
-        let ready = self.ready(&(domain, &plan.model)).max(1) as f64;
-        self.need(domain, plan) / ready.powi(2)
+    fn forget(&mut self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) {
+        let ready = self.ready.entry((domain, &plan.model)).or_default();
+        *ready = ready.saturating_sub(1);
     }
 }
 
+/// A load that an idle target could begin.
+struct Load<'a> {
+    target: &'a Target,
+    plan: &'a ModelPlan,
+    gain: f64,
+}
+
 impl FleetPlanner {
-    /// Has spare targets hold ready the weights that their domain's groups
+    /// Has idle targets load the weights that their domain's groups need, or
     /// may need.
     pub(super) fn stage(
         &mut self,
@@ -76,53 +119,66 @@
         if view.calm && !late {
             return;
         }
-        let mut running = self.loading(view) + self.staging.len();
-        let mut spares: Vec<&Target> = free.iter().filter_map(|id| view.targets.get(id)).collect();
-        spares.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut holdings = self.holdings(view, survey, &spares);
-        for target in spares {
-            let Some(plan) = self.choose(view, &holdings, target) else {
-                continue;
-            };
-            if !view.calm && !self.may_stage(view, running, now) {
+        let idle: Vec<&Target> = free.iter().filter_map(|id| view.targets.get(id)).collect();
+        let mut holdings = self.holdings(view, survey, &idle);
+        while view.calm || self.may_load(view, now) {
+            let Some(load) = self.best_load(view, &holdings, &idle) else {
                 return;
-            }
-            running += 1;
+            };
+            let (target, plan) = (load.target, load.plan);
             let domain = target.domain.as_ref();
-            if let Some(held) = self.held(view, target) {
-                let left = holdings.ready(&(domain, &held.model)).saturating_sub(1);
-                holdings.ready.insert((domain, &held.model), left);
+            for held in view.engine.models.iter().filter(|p| is_warm(target, p)) {
+                holdings.forget(domain, held);
             }
-            *holdings.ready.entry((domain, &plan.model)).or_default() += 1;
+            holdings.note(domain, plan);
             self.loads.note(1, now);
             self.staging
                 .insert(target.id.clone(), (plan.model.clone(), now));
             let (id, address) = (target.id.clone(), target.address);
             let order = Order::Stage(plan.model.clone());
-            self.give(
-                id,
-                address,
-                order,
-                "a spare holds the weights ready",
-                now,
-                actions,
-            );
+            let why = "an idle target holds the weights ready";
+            self.give(id, address, order, why, now, actions);
         }
     }
 
-    /// Whether one more spare may load weights while requests run. Groups
-    /// that are formed need the weights sooner, so some room is left to them.
-    fn may_stage(&mut self, view: &FleetView<'_>, running: usize, now: Millis) -> bool {
-        let most = (view.engine.loads_once / 2).max(1);
-        running < most && self.loads.allows(1, view.engine.loads_rate, now)
+    /// Whether one more target may load weights while requests run.
+    fn may_load(&mut self, view: &FleetView<'_>, now: Millis) -> bool {
+        let most = view.engine.loads_once.max(1);
+        self.staging.len() < most && self.loads.allows(1, view.engine.loads_rate, now)
     }
 
     fn holdings<'a>(
         &self,
         view: &FleetView<'a>,
         survey: &Survey<'a>,
-        spares: &[&'a Target],
+        idle: &[&'a Target],
     ) -> Holdings<'a> {
+        let counts = self.count_groups(view, survey);
+        let short = view.engine.models.iter().map(|plan| {
+            let groups = counts.get(&plan.model).copied().unwrap_or(0);
+            let short = shortage(view.engine, &plan.model, groups, self.most);
+            (&plan.model, short.min(MOST_SHORT))
+        });
+        let mut holdings = Holdings {
+            exposed: self.exposed(view, survey),
+            ready: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            short: short.collect(),
+        };
+        for target in idle {
+            let domain = target.domain.as_ref();
+            *holdings.idle.entry(domain).or_default() += 1;
+            for plan in &view.engine.models {
+                if self.holds(target, plan) {
+                    holdings.note(domain, plan);
+                }
+            }
+        }
+        holdings
+    }
+
+    /// Members of groups that serve or will serve, by domain and model.
+    fn exposed<'a>(&self, view: &FleetView<'a>, survey: &Survey<'a>) -> BTreeMap<Slot<'a>, usize> {
         let mut exposed: BTreeMap<Slot<'a>, usize> = BTreeMap::new();
         for (group, standing) in &survey.groups {
             let planned = self.planned.get(group).map(|p| &p.model);
@@ -137,49 +193,64 @@
                 *exposed.entry(slot).or_default() += 1;
             }
         }
-        let mut ready: BTreeMap<Slot<'a>, usize> = BTreeMap::new();
-        for target in spares {
-            if let Some(plan) = self.held(view, target) {
-                let slot = (target.domain.as_ref(), &plan.model);
-                *ready.entry(slot).or_default() += 1;
-            }
-        }
-        let counts = self.count_groups(view, survey);
-        let short = view.engine.models.iter().map(|plan| {
-            let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            let short = shortage(view.engine, &plan.model, groups, self.most);
-            (&plan.model, short.min(MOST_SHORT))
-        });
-        Holdings {
-            exposed,
-            ready,
-            short: short.collect(),
-        }
+        exposed
     }
 
-    /// The model that a spare should load, if any.
-    fn choose<'a>(
+    /// The load that helps most, if any helps.
+    fn best_load<'a>(
         &self,
+        view: &FleetView<'a>,
+        holdings: &Holdings<'a>,
+        idle: &[&'a Target],
+    ) -> Option<Load<'a>> {
+        let able = idle.iter().filter(|t| !self.staging.contains_key(&t.id));
+        let loads = able.flat_map(|target| {
+            let plans = view.engine.models.iter();
+            plans.filter_map(|plan| Self::weigh(view, holdings, target, plan))
+        });
+        loads.max_by(|a, b| {
+            let gain = a.gain.total_cmp(&b.gain);
+            gain.then(b.target.id.cmp(&a.target.id))
+        })
+    }
+
+    /// What it would help if a target loaded a model's weights.
+    fn weigh<'a>(
         view: &FleetView<'a>,
         holdings: &Holdings<'a>,
         target: &'a Target,
-    ) -> Option<&'a ModelPlan> {
+        plan: &'a ModelPlan,
+    ) -> Option<Load<'a>> {
+        if is_warm(target, plan) {
+            return None;
+        }
         let domain = target.domain.as_ref();
-        let gain = |plan: &&'a ModelPlan| holdings.gain(domain, plan);
-        let plans = view.engine.models.iter();
-        let best = plans.max_by(|a, b| gain(a).total_cmp(&gain(b)))?;
-        let Some(held) = self.held(view, target) else {
-            return Some(best);
-        };
-        let idle = !view.calm && !self.staging.contains_key(&target.id);
-        let better = gain(&best) > RESTAGE * holdings.worth(domain, held);
-        (idle && better && best.model != held.model).then_some(best)
+        let mut held = view
+            .engine
+            .models
+            .iter()
+            .filter(|p| is_warm(target, p))
+            .peekable();
+        let spare = holdings.gain(domain, plan);
+        if held.peek().is_none() {
+            let gain = spare.max(holdings.completion(domain, plan));
+            return Some(Load { target, plan, gain });
+        }
+        let lost = held.map(|p| holdings.worth(domain, p, holdings.ready(&(domain, &p.model))));
+        let lost = lost.fold(0.0, f64::max);
+        let better = !view.calm && spare > RESTAGE * lost;
+        better.then_some(Load {
+            target,
+            plan,
+            gain: spare,
+        })
     }
 
-    /// The model that a spare holds or is about to hold on its host.
-    fn held<'a>(&self, view: &FleetView<'a>, target: &Target) -> Option<&'a ModelPlan> {
-        let staging = self.staging.get(&target.id).map(|(model, _)| model);
-        let model = staging.or_else(|| target.staged.last())?;
-        view.engine.plan(model)
+    /// Whether an idle target holds a model's weights or soon will.
+    fn holds(&self, target: &Target, plan: &ModelPlan) -> bool {
+        match self.staging.get(&target.id) {
+            Some((model, _)) => *model == plan.model,
+            None => is_warm(target, plan),
+        }
     }
 }
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -237,18 +237,60 @@
 }
 
 #[test]
-fn spares_never_load_more_at_once_than_leaves_room_for_groups() {
+fn no_more_loads_run_at_once_than_the_weight_store_serves_at_full_rate() {
     let mut stage = Stage::formed(6);
     for number in 48..64 {
         stage.engines.add(number);
     }
-    stage.run(secs(3));
-    let staged = stage
-        .orders
-        .iter()
-        .filter(|(_, _, o)| o.name() == "stage")
-        .count();
-    assert!(staged <= 3, "{staged}");
+    // The first loads end after 16 s.
+    stage.run(secs(15));
+    let loads = stage.orders.iter();
+    let loads = loads.filter(|(_, _, o)| matches!(o, Order::Stage(_)));
+    assert_eq!(loads.count(), 6);
+    stage.run(secs(90));
+    assert!(
+        stage.sizes().0 > 6,
+        "the new targets form groups: {:?}",
+        stage.sizes()
+    );
+}
+
+#[test]
+fn idle_targets_load_what_the_next_group_lacks_first() {
+    let mut stage = Stage::formed(1);
+    // Empty targets in one domain; in another three that hold the weights of
+    // the large model and one that holds nothing.
+    for number in 8..11 {
+        stage.engines.add(number);
+    }
+    let near: Vec<_> = (16..20).map(|n| stage.engines.add(n)).collect();
+    let large = Order::Stage("large".into());
+    for id in &near[..3] {
+        stage.engines.order(id, &large, stage.now);
+    }
+    stage.now = stage.now + secs(17);
+    stage.engines.advance(stage.now);
+    stage.run(secs(1));
+    let mut orders = stage.orders.iter();
+    let first = orders.find(|(_, _, o)| matches!(o, Order::Stage(_)));
+    let (_, first, order) = first.expect("a load is begun");
+    assert_eq!((first, order), (&near[3], &large), "{:?}", stage.orders);
+}
+
+#[test]
+fn a_model_that_has_enough_takes_no_targets_while_another_is_short() {
+    let mut stage = Stage::formed(1);
+    let (leader, members) = large_group(&stage);
+    for lost in [&leader, &members[1]] {
+        stage.engines.kill(lost);
+        stage.engines.unlist(lost);
+    }
+    stage.run(secs(12));
+    let small = stage.orders.iter().filter(|(_, _, o)| match o {
+        Order::Join { model, .. } => model.as_str() == "small",
+        _ => false,
+    });
+    assert_eq!(small.count(), 0, "{:?}", stage.orders);
 }
 
 fn large_group(
