perf(edge): slow groups get less work, and slow members are replaced

Cause: a group is as slow as its slowest member. Daemons picked targets by the engines' usual times, so a group with a member four to twelve times slower got as many requests as others, and its streams were sent a second time for their pauses; the planner's probes said pace=12 and nothing followed. Change: a daemon learns the pause between events as a multiple of the usual one and counts a slow group's times by it; it tells its peers which groups are slow. The planner asks the members, stops a group whose slow member an idle target with the weights can replace at once, and uses the slow one again when a probe finds it sound. A slow group without such a spare goes on.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -34,6 +34,7 @@
     reads: bool,
     busy: bool,
     suspects: Vec<InstanceId>,
+    slow: Vec<InstanceId>,
     busy_at: Vec<InstanceId>,
 }
 
@@ -99,6 +100,12 @@
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
+    /// Targets whose streams are slow, as peers see it.
+    pub(crate) fn slow(&self, now: Millis) -> HashSet<InstanceId> {
+        let fresh = self.known.values().filter(|p| p.is_heard(now));
+        fresh.flat_map(|p| p.slow.iter().cloned()).collect()
+    }
+
     /// Targets at which a peer has requests without suspecting them.
     pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
         let fresh = self.known.values().filter(|p| p.is_heard(now));
@@ -157,6 +164,7 @@
         peer.reads = beat.reads;
         peer.busy = beat.busy;
         peer.suspects.clone_from(&beat.suspects);
+        peer.slow.clone_from(&beat.slow);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
         if beat.plans {
             self.planner = Some((beat.from.clone(), now));
@@ -173,6 +181,7 @@
             reads: false,
             busy: false,
             suspects: Vec::new(),
+            slow: Vec::new(),
             busy_at: Vec::new(),
         });
         peer.address = address;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -56,6 +56,7 @@
             busy: edge.busy.get(),
             counts: loads.counts(),
             suspects: loads.suspects(now),
+            slow: loads.slow(now),
             lease: peers.shown.clone(),
             dead: peers.dead.clone(),
         }
@@ -136,7 +137,8 @@
         return;
     }
     edge.peers.borrow_mut().hear(&beat, from, now);
-    if !beat.suspects.is_empty() && edge.plans.get() {
+    let doubt = !beat.suspects.is_empty() || !beat.slow.is_empty();
+    if doubt && edge.plans.get() {
         edge.fleet_news.notify_one();
     }
     let counts = beat.counts.into_iter().collect();
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -34,6 +34,8 @@
     pub(crate) counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
     pub(crate) suspects: Vec<InstanceId>,
+    /// Targets whose streams are slow.
+    pub(crate) slow: Vec<InstanceId>,
     /// As planner: the lease.
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -13,7 +13,7 @@
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
-use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{Condition, FleetAction, FleetPlanner, FleetView};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
 use crate::figures;
@@ -46,6 +46,10 @@
 /// Between two lines about how a fleet stands.
 const CENSUS: Millis = Millis::new(1_000);
 
+/// Times its usual step from which on a target is replaced in its group, which
+/// is as slow as its slowest member: the group is away for about two seconds.
+const SLOW_PACE: f64 = 2.5;
+
 /// The part of a daemon that forms groups.
 struct Planner {
     edge: Rc<Edge>,
@@ -226,9 +230,13 @@
         line.write();
     }
 
+    /// Leaders whose streams stand still or are slow.
     fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
-        let mut stalled = self.edge.peers.borrow().suspects(now);
-        stalled.extend(self.edge.loads.borrow().suspects(now));
+        let (peers, loads) = (self.edge.peers.borrow(), self.edge.loads.borrow());
+        let mut stalled = peers.suspects(now);
+        stalled.extend(peers.slow(now));
+        stalled.extend(loads.suspects(now));
+        stalled.extend(loads.slow(now));
         stalled
     }
 
@@ -266,12 +274,20 @@
                     let edge = &planner.edge;
                     let line = edge.lines.line("probe").with("target", &target);
                     match &report {
-                        Ok(report) => line.with("alive", true).with("running", report.running),
+                        Ok(report) => line
+                            .with("alive", true)
+                            .with("running", report.running)
+                            .with("pace", report.pace),
                         Err(error) => line.with("alive", false).with("why", error),
                     }
                     .write();
+                    let found = match report {
+                        Ok(report) if report.pace >= SLOW_PACE => Condition::Slow,
+                        Ok(_) => Condition::Sound,
+                        Err(_) => Condition::Silent,
+                    };
                     planner.with_fleet(&service, |fleet, now| {
-                        fleet.probed(&target, report.is_ok(), now);
+                        fleet.probed(&target, found, now);
                     });
                 }
             }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -98,9 +98,23 @@
     keep: Option<Millis>,
     closing: bool,
     flight: InFlight,
+    /// When its last event came.
+    last: Option<Millis>,
 }
 
 impl Source {
+    /// Notes that events came, and how long after the ones before.
+    fn note_event(&mut self, job: &Job) {
+        let now = job.edge.now();
+        let mut loads = job.edge.loads.borrow_mut();
+        let engine = job.passage.service.engine.as_ref();
+        if let (Some(last), Some(engine)) = (self.last, engine) {
+            loads.note_pause(&self.target, engine, now - last, now);
+        }
+        loads.note_progress(&self.target.id, now);
+        self.last = Some(now);
+    }
+
     fn new(answered: Answered) -> Self {
         Self {
             body: answered.body,
@@ -109,6 +123,7 @@
             keep: answered.info.keep,
             closing: answered.info.closing,
             flight: answered.flight,
+            last: None,
         }
     }
 }
@@ -219,8 +234,7 @@
             biased;
             frame = source.body.frame() => match frame {
                 Some(Ok(frame)) => {
-                    let edge = &self.job.edge;
-                    edge.loads.borrow_mut().note_progress(&source.target.id, edge.now());
+                    source.note_event(&self.job);
                     if let Ok(data) = frame.into_data() {
                         source.flight.begun();
                         self.cutter.push(&data);
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -54,6 +54,8 @@
 const PROBE_ROUNDS: u32 = 4;
 /// After the first of these rounds, when more may follow.
 const PROBE_REST: Millis = Millis::new(2_000);
+/// Between two probes of an idle target that was slow.
+const SLOW_GAP: Millis = Millis::new(1_000);
 /// Between two probes of one target.
 const PROBE_GAP: Millis = Millis::new(140);
 
@@ -97,6 +99,17 @@
     pub calm: bool,
 }
 
+/// What a probe found of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// It lives and is as fast as usual.
+    Sound,
+    /// It lives and is much slower than usual.
+    Slow,
+    /// It did not answer.
+    Silent,
+}
+
 /// The planner of one service's groups, while its daemon holds the lease.
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
@@ -117,6 +130,8 @@
     /// Probes in a row that a target did not answer, and the last one's time.
     silent: BTreeMap<InstanceId, (u32, Millis)>,
     probed: BTreeMap<InstanceId, Millis>,
+    /// Targets that were much slower than usual when they were last asked.
+    slow: BTreeSet<InstanceId>,
     /// Rounds of probes of a leader's group, and when they began.
     rounds: BTreeMap<InstanceId, (u32, Millis)>,
     missing: BTreeMap<InstanceId, Millis>,
@@ -154,6 +169,7 @@
         }
         free.extend(survey.single.iter().map(|t| t.id.clone()));
         self.tend_planned(view, now, &mut actions);
+        self.ask_slow(view, &free, now, &mut actions);
         self.drop_taken(&mut free, view, now);
         self.form(view, &survey, &mut free, now, &mut actions);
         self.stage(view, &survey, &free, now, &mut actions);
@@ -201,13 +217,21 @@
         }
     }
 
-    /// Takes in whether a target answered a probe.
-    pub fn probed(&mut self, target: &InstanceId, alive: bool, now: Millis) {
-        if alive {
-            self.silent.remove(target);
-        } else {
-            let silent = self.silent.entry(target.clone()).or_insert((0, now));
-            *silent = (silent.0 + 1, now);
+    /// Takes in what a probe found of a target.
+    pub fn probed(&mut self, target: &InstanceId, found: Condition, now: Millis) {
+        match found {
+            Condition::Sound => {
+                self.silent.remove(target);
+                self.slow.remove(target);
+            }
+            Condition::Slow => {
+                self.silent.remove(target);
+                self.slow.insert(target.clone());
+            }
+            Condition::Silent => {
+                let silent = self.silent.entry(target.clone()).or_insert((0, now));
+                *silent = (silent.0 + 1, now);
+            }
         }
     }
 
@@ -301,6 +325,7 @@
         self.left.retain(|group| shown.contains(group));
         self.cut.retain(|group| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
+        self.slow.retain(|id| targets.contains_key(id));
         let missing = &self.missing;
         self.addresses
             .retain(|id, _| targets.contains_key(id) || missing.contains_key(id));
@@ -332,7 +357,8 @@
 
     fn is_usable(&self, id: &InstanceId, view: &FleetView<'_>) -> bool {
         let listed = view.targets.get(id).is_some_and(|t| !t.leaving);
-        listed && !self.is_dead(id) && !self.avoid.contains_key(id)
+        let sound = !self.is_dead(id) && !self.slow.contains(id);
+        listed && sound && !self.avoid.contains_key(id)
     }
 
     /// Leaves only targets that can be planned with now.
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -1,12 +1,15 @@
 //! The orders and probes that follow from what a group needs.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use thistlesill_core::edge::{GroupRef, Order};
 use thistlesill_core::{InstanceId, Millis};
 
 use super::survey::{Standing, Verdict};
-use super::{FleetAction, FleetPlanner, FleetView, PROBE_GAP, PROBE_REST, PROBE_ROUNDS, REPEAT};
+use super::{
+    FleetAction, FleetPlanner, FleetView, PROBE_GAP, PROBE_REST, PROBE_ROUNDS, REPEAT, SLOW_GAP,
+};
 
 impl FleetPlanner {
     pub(super) fn carry_out(
@@ -28,6 +31,10 @@
                 let order = Order::Cut(group.clone());
                 self.give_leader(standing, order, "a member is lost", now, actions);
             }
+            Verdict::Replace => {
+                let order = Order::Cut(group.clone());
+                self.give_leader(standing, order, "a member is slow", now, actions);
+            }
             Verdict::Retire => {
                 let order = Order::Close(group.clone());
                 self.give_leader(standing, order, "a member is leaving", now, actions);
@@ -123,6 +130,27 @@
         true
     }
 
+    /// Asks idle targets that were slow whether they still are.
+    pub(super) fn ask_slow(
+        &mut self,
+        view: &FleetView<'_>,
+        free: &BTreeSet<InstanceId>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for id in self.slow.iter().filter(|id| free.contains(*id)) {
+            let recent = self.probed.get(id).is_some_and(|at| now - *at < SLOW_GAP);
+            let Some(target) = view.targets.get(id).filter(|_| !recent) else {
+                continue;
+            };
+            self.probed.insert(id.clone(), now);
+            actions.push(FleetAction::Probe {
+                target: id.clone(),
+                address: target.address,
+            });
+        }
+    }
+
     fn probe_members(
         &mut self,
         view: &FleetView<'_>,
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -5,6 +5,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, ModelPlan, Target};
 use thistlesill_core::{InstanceId, Millis};
 
+use super::forming::is_warm;
 use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, SHOW};
 
 /// What a group needs.
@@ -18,6 +19,8 @@
     Open,
     /// Its leader must stop at once.
     Cut,
+    /// Its leader must stop, since spares can take the place of slow members.
+    Replace,
     /// Its leader must end what runs.
     Retire,
     /// It has ended, but its leader could be opened again by a late order.
@@ -149,6 +152,7 @@
             MemberState::Open if lost && !self.is_dead(&leader.id) => Verdict::Cut,
             MemberState::Open if leader.leaving => Verdict::Serve,
             MemberState::Open if standing.members.iter().any(|t| t.leaving) => Verdict::Retire,
+            MemberState::Open if self.can_replace_slow(view, standing) => Verdict::Replace,
             MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
             MemberState::Open => Verdict::Serve,
             MemberState::Closing => Verdict::Wait,
@@ -158,6 +162,24 @@
         }
     }
 
+    /// Whether a group has slow members and its domain idle targets that can
+    /// take their places at once.
+    fn can_replace_slow(&self, view: &FleetView<'_>, standing: &Standing<'_>) -> bool {
+        let slow = standing
+            .members
+            .iter()
+            .filter(|t| self.slow.contains(&t.id));
+        let slow = slow.count();
+        let (Some(plan), Some(leader)) = (standing.plan(view), standing.leader) else {
+            return false;
+        };
+        let ready = |t: &&Target| {
+            let idle = t.member.is_none() && t.domain == leader.domain;
+            idle && is_warm(t, plan) && self.is_usable(&t.id, view)
+        };
+        slow > 0 && view.targets.values().filter(ready).count() >= slow
+    }
+
     /// A group that does not serve yet, or no longer.
     fn judge_forming(
         &self,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -36,6 +36,13 @@
 const PEER_TRUST: Millis = Millis::new(1_500);
 /// Weight of a new observation of a target's time.
 const LEARNING: f64 = 0.2;
+/// Times the usual pause between events from which on a group counts as slow;
+/// prompts that daemons have not told of yet make half of that.
+const SLOW: f64 = 2.0;
+/// The longest pause that is learnt, in usual ones.
+const SLOWEST: f64 = 20.0;
+/// How long it is believed that a group is slow without another event.
+const SLOW_TRUST: Millis = Millis::new(2_500);
 
 /// Requests at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +86,21 @@
     suspect: Millis,
     /// Time of a request, in milliseconds, learnt; 0 if unknown.
     time: f64,
+    /// Pause between the events of a stream, in usual ones, learnt; 0 if
+    /// unknown.
+    pause: f64,
+}
+
+impl TargetLoad {
+    /// How many times slower than usual the target is; 1 if it is not slow.
+    fn slowness(&self, now: Millis) -> f64 {
+        let known = now - self.progress < SLOW_TRUST;
+        if known && self.pause >= SLOW {
+            self.pause
+        } else {
+            1.0
+        }
+    }
 }
 
 /// What a daemon knows of all targets' load.
@@ -132,6 +154,25 @@
         };
     }
 
+    /// Notes the pause before an event of a stream.
+    pub fn note_pause(&mut self, target: &Target, engine: &Engine, pause: Millis, now: Millis) {
+        let work = self.work(&target.id, now);
+        let usual = Pass::of(target, engine, work).pause();
+        let pause = (pause.get() as f64 / usual.max(1.0)).min(SLOWEST);
+        let load = self.entry(&target.id);
+        load.pause += LEARNING * (pause - load.pause);
+    }
+
+    /// Targets whose streams are slow.
+    pub fn slow(&self, now: Millis) -> Vec<InstanceId> {
+        let slow = self.targets.iter().filter(|(_, l)| l.slowness(now) > 1.0);
+        slow.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn slowness(&self, id: &InstanceId, now: Millis) -> f64 {
+        self.targets.get(id).map_or(1.0, |l| l.slowness(now))
+    }
+
     /// When the target last sent something to this daemon.
     pub fn progress(&self, id: &InstanceId) -> Millis {
         self.targets.get(id).map_or(Millis::ZERO, |l| l.progress)
@@ -188,7 +229,8 @@
     pub fn patience(&self, target: &Target, engine: &Engine, now: Millis) -> Millis {
         let work = self.work(&target.id, now);
         let pass = Pass::of(target, engine, work);
-        Millis::new((PASSES * (pass.event + pass.reading)) as u64)
+        let slowness = self.slowness(&target.id, now);
+        Millis::new((PASSES * pass.pause() * slowness) as u64)
     }
 
     /// The expected time of one more request at a target, in milliseconds.
@@ -206,7 +248,8 @@
         };
         work.unread += wanted.prompt;
         let pass = Pass::of(target, engine, work);
-        far + pass.begin(engine, work) + ANSWER_PART * pass.answer(engine)
+        let time = pass.begin(engine, work) + ANSWER_PART * pass.answer(engine);
+        far + time * self.slowness(&target.id, now)
     }
 
     /// How much later than `aim` a request would begin at the best target,
@@ -230,7 +273,8 @@
                 return None;
             }
             work.unread += wanted.prompt;
-            least = least.min(Pass::of(target, engine, work).begin(engine, work));
+            let begin = Pass::of(target, engine, work).begin(engine, work);
+            least = least.min(begin * self.slowness(&target.id, now));
         }
         let aim = aim.get() as f64;
         let late = least - aim * LATE;
@@ -309,6 +353,11 @@
         }
     }
 
+    /// The longest usual pause between two events of a stream.
+    fn pause(&self) -> f64 {
+        self.event + self.reading
+    }
+
     /// A usual answer, from its first event to its last.
     fn answer(&self, engine: &Engine) -> f64 {
         self.event / f64::from(engine.stride.max(1)) * engine.usual_answer
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -77,6 +77,57 @@
     );
 }
 
+#[test]
+fn a_slow_member_is_replaced_by_a_spare_and_used_again_when_it_is_sound() {
+    let mut stage = Stage::formed(6);
+    let (leader, members) = large_group(&stage);
+    let slow = members[2].clone();
+    stage.slow.insert(slow.clone());
+    stage.doubted.insert(leader.clone());
+    stage.run(secs(4));
+    assert!(stage.given("cut", &leader).is_some());
+    assert_eq!(stage.sizes(), (6, 6));
+    let serving = stage.engines.serving();
+    assert!(serving.iter().all(|(_, m)| !m.contains(&slow)));
+    // The next loss in its domain takes it back, once it is sound.
+    stage.doubted.clear();
+    stage.slow.clear();
+    stage.run(secs(3));
+    let group = serving.iter().find(|(_, m)| m.contains(&members[1]));
+    let (_, now) = group.expect("the group was formed anew");
+    let lost = now.iter().find(|m| !members.contains(m)).expect("a spare");
+    stage.engines.kill(lost);
+    stage.run(secs(6));
+    let back = stage.engines.serving();
+    assert!(back.iter().any(|(_, m)| m.contains(&slow)), "{back:?}");
+    assert!(
+        stage.engines.breaches.is_empty(),
+        "{:?}",
+        stage.engines.breaches
+    );
+}
+
+#[test]
+fn a_slow_group_goes_on_if_no_spare_can_take_a_place() {
+    let mut stage = Stage::formed(1);
+    let (leader, members) = large_group(&stage);
+    let idle: Vec<_> = stage
+        .engines
+        .listed()
+        .into_values()
+        .filter(|t| t.member.is_none())
+        .collect();
+    for spare in &idle {
+        stage.engines.kill(&spare.id);
+        stage.engines.unlist(&spare.id);
+    }
+    stage.slow.insert(members[2].clone());
+    stage.doubted.insert(leader.clone());
+    stage.run(secs(4));
+    assert!(stage.given("cut", &leader).is_none());
+    assert_eq!(stage.sizes(), (1, 1));
+}
+
 #[test]
 fn members_of_a_silent_leader_wait_until_it_is_off_the_list() {
     let mut stage = Stage::formed(6);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{Engine, Order, OrderReply};
 use thistlesill_core::{InstanceId, Millis};
 use thistlesill_fakes::engines::{Engines, engine};
-use thistlesill_policy::edge::fleet::{Census, FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{Census, Condition, FleetAction, FleetPlanner, FleetView};
 
 /// Between two looks of the planner.
 pub(crate) const STEP: Millis = Millis::new(100);
@@ -26,6 +26,10 @@
     pub(crate) calm: bool,
     /// Leaders at which daemons have requests that make progress.
     pub(crate) working: HashSet<InstanceId>,
+    /// Targets that are slow.
+    pub(crate) slow: HashSet<InstanceId>,
+    /// Leaders that daemons see as stopped, beside those that are.
+    pub(crate) doubted: HashSet<InstanceId>,
     /// All orders that were given, with their times.
     pub(crate) orders: Vec<(Millis, InstanceId, Order)>,
     pub(crate) late: VecDeque<Late>,
@@ -41,6 +45,8 @@
             now: Millis::new(1_000_000),
             calm: true,
             working: HashSet::new(),
+            slow: HashSet::new(),
+            doubted: HashSet::new(),
             orders: Vec::new(),
             late: VecDeque::new(),
             engine: engine(),
@@ -70,7 +76,8 @@
     /// One look of the planner; `fate` says what becomes of each order.
     pub(crate) fn look(&mut self, mut fate: impl FnMut(&Order) -> Fate) {
         let targets = self.engines.listed();
-        let stalled = self.engines.stalled();
+        let mut stalled = self.engines.stalled();
+        stalled.extend(self.doubted.iter().cloned());
         let view = FleetView {
             targets: &targets,
             engine: &self.engine,
@@ -104,8 +111,12 @@
                     self.planner.answered(&target, &order, reply, self.now);
                 }
                 FleetAction::Probe { target, .. } => {
-                    let alive = self.engines.is_alive(&target);
-                    self.planner.probed(&target, alive, self.now);
+                    let found = match self.engines.is_alive(&target) {
+                        true if self.slow.contains(&target) => Condition::Slow,
+                        true => Condition::Sound,
+                        false => Condition::Silent,
+                    };
+                    self.planner.probed(&target, found, self.now);
                 }
             }
         }
