perf(planner): idle targets stand by as closed groups and hold two models

Ruled out: more spares (every one costs a working group), members of working groups as holders (measured before, no gain). Change: before the first requests, idle targets of a domain join a group of the smallest model that is not opened, and load another model to their hosts: each can then join a group of either model without a load from afar. When their own model is short of groups, theirs is opened, which takes 0.3 s. A planner that takes over has such a group's leader leave first, since its predecessor's order to open it may still be carried out.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -12,6 +12,7 @@
 mod loads;
 mod orders;
 mod spares;
+mod standby;
 mod survey;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -124,6 +125,8 @@
     left: BTreeSet<GroupRef>,
     /// Groups that have ended, as of the last look.
     void: BTreeSet<GroupRef>,
+    /// Groups that are complete and not wanted, as of the last look.
+    standby: BTreeSet<GroupRef>,
     /// When an order was last given to a target, by its kind.
     given: BTreeMap<(InstanceId, &'static str), Millis>,
     avoid: BTreeMap<InstanceId, Millis>,
@@ -159,11 +162,14 @@
         let mut actions = Vec::new();
         let mut free = BTreeSet::new();
         self.void.clear();
+        self.find_standby(view, &survey);
         for (group, standing) in &survey.groups {
             let verdict = self.judge(view, group, standing, now);
             self.carry_out(view, group, standing, verdict, now, &mut actions);
             if verdict == Verdict::Void {
                 self.void.insert(group.clone());
+            }
+            if matches!(verdict, Verdict::Void | Verdict::Standby) {
                 free.extend(standing.members.iter().map(|m| m.id.clone()));
             }
         }
@@ -339,7 +345,7 @@
             let Some(planned) = self.planned.get(&group) else {
                 continue;
             };
-            if planned.is_open(&group, view) {
+            if planned.is_done(&group, view) {
                 self.planned.remove(&group);
                 continue;
             }
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -27,7 +27,7 @@
     pub listed: usize,
     /// Those in no group that takes requests.
     pub idle: usize,
-    /// Idle ones in a group that is being formed or is ending.
+    /// Idle ones that take over weights, or whose group ends what it has.
     pub moving: usize,
     /// Idle ones by the weights on their hosts.
     pub ready: BTreeMap<Option<Model>, usize>,
@@ -114,7 +114,7 @@
         }
         domain.idle += 1;
         let state = target.member.as_ref().map(|m| m.state);
-        let moving = state.is_some_and(|s| s != MemberState::Broken);
+        let moving = matches!(state, Some(MemberState::Joining | MemberState::Closing));
         domain.moving += usize::from(moving);
         let model = target.staged.last().cloned();
         *domain.ready.entry(model).or_default() += 1;
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -1,5 +1,6 @@
 //! Which new groups are formed, and what the spare targets hold ready.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target};
@@ -13,7 +14,7 @@
 /// Times that a join is given before its target is passed over.
 pub(super) const MAX_TRIES: u32 = 4;
 /// Above this shortage a model's groups may use the last spares of a domain.
-const BELOW_FAIR: f64 = 1.05;
+pub(super) const BELOW_FAIR: f64 = 1.05;
 /// Below this shortage no more groups of a model are formed.
 const AMPLE: f64 = 0.5;
 /// Targets of a domain that stand by unless a model is short.
@@ -26,10 +27,30 @@
     pub(super) model: Model,
     /// Members that took the order to join.
     pub(super) taken: BTreeSet<InstanceId>,
+    /// Whether it waits to be wanted once it is complete.
+    pub(super) standby: bool,
     unanswered: BTreeMap<InstanceId, u32>,
 }
 
 impl Planned {
+    pub(super) fn new(plan: &ModelPlan, members: &[&Target]) -> Self {
+        Self {
+            members: members.iter().map(|t| t.id.clone()).collect(),
+            model: plan.model.clone(),
+            taken: BTreeSet::new(),
+            standby: false,
+            unanswered: BTreeMap::new(),
+        }
+    }
+
+    /// The same, for a group that stands by.
+    pub(super) fn standing_by(self) -> Self {
+        Self {
+            standby: true,
+            ..self
+        }
+    }
+
     /// Counts an order that got no answer, and returns how many did not.
     pub(super) fn unanswered(&mut self, target: &InstanceId) -> u32 {
         let count = self.unanswered.entry(target.clone()).or_default();
@@ -42,8 +63,16 @@
         self.members.iter().all(|id| shows(id, group, view))
     }
 
-    /// Whether the group takes requests.
-    pub(super) fn is_open(&self, group: &GroupRef, view: &FleetView<'_>) -> bool {
+    /// Whether the group needs no more orders: it takes requests, or it stands
+    /// by.
+    pub(super) fn is_done(&self, group: &GroupRef, view: &FleetView<'_>) -> bool {
+        let ready = |id: &InstanceId| {
+            let member = view.targets.get(id).and_then(|t| t.member.as_ref());
+            member.is_some_and(|m| m.of == *group && m.state == MemberState::Ready)
+        };
+        if self.standby {
+            return self.members.iter().all(ready);
+        }
         let leader = self.members.first().and_then(|id| view.targets.get(id));
         leader.is_some_and(|t| shows(&t.id, group, view) && t.leads_open())
     }
@@ -76,7 +105,7 @@
 /// A group that could be formed.
 #[derive(Debug)]
 struct Candidate<'a> {
-    model: &'a Model,
+    plan: &'a ModelPlan,
     members: Vec<&'a Target>,
     /// Members that must load the weights from afar.
     cold: usize,
@@ -111,32 +140,39 @@
         loop {
             let counts = self.count_groups(view, survey);
             let Some(best) = self.best_candidate(view, free, &counts, now) else {
-                return;
+                break;
             };
-            let group = self.next_group(view);
-            let planned = Planned {
-                members: best.members.iter().map(|t| t.id.clone()).collect(),
-                model: best.model.clone(),
-                taken: BTreeSet::new(),
-                unanswered: BTreeMap::new(),
-            };
-            self.loads.note(best.cold, now);
             for target in &best.members {
                 free.remove(&target.id);
-                let (id, address) = (target.id.clone(), target.address);
-                let order = planned.join(&group);
-                self.given.remove(&(id.clone(), order.name()));
-                self.give(
-                    id,
-                    address,
-                    order,
-                    "the model is short of groups",
-                    now,
-                    actions,
-                );
             }
-            self.planned.insert(group, planned);
+            let planned = Planned::new(best.plan, &best.members);
+            self.loads.note(best.cold, now);
+            let why = "the model is short of groups";
+            self.give_joins(planned, &best.members, why, now, actions, view);
+        }
+        if view.calm && !self.held_back && now - self.grown >= SETTLE {
+            self.form_standby(view, free, now, actions);
+        }
+    }
+
+    /// Plans a group and has its members join it.
+    pub(super) fn give_joins(
+        &mut self,
+        planned: Planned,
+        members: &[&Target],
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+        view: &FleetView<'_>,
+    ) {
+        let group = self.next_group(view);
+        for target in members {
+            let (id, address) = (target.id.clone(), target.address);
+            let order = planned.join(&group);
+            self.given.remove(&(id.clone(), order.name()));
+            self.give(id, address, order, why, now, actions);
         }
+        self.planned.insert(group, planned);
     }
 
     /// Groups of each model that serve or will serve.
@@ -146,12 +182,13 @@
         survey: &Survey<'_>,
     ) -> BTreeMap<Model, usize> {
         let mut counts: BTreeMap<Model, usize> = BTreeMap::new();
-        for planned in self.planned.values() {
+        for planned in self.planned.values().filter(|p| !p.standby) {
             *counts.entry(planned.model.clone()).or_default() += 1;
         }
         for (group, standing) in &survey.groups {
             let dead = standing.leader.is_some_and(|t| self.is_dead(&t.id));
             let ends = self.cut.contains(group)
+                || self.standby.contains(group)
                 || self.void.contains(group)
                 || self.planned.contains_key(group);
             if dead || ends || !standing.is_alive() {
@@ -185,7 +222,7 @@
             for plan in &view.engine.models {
                 let groups = counts.get(&plan.model).copied().unwrap_or(0);
                 let shortage = shortage(view.engine, &plan.model, groups, self.most);
-                found.extend(candidate(plan, targets, shortage));
+                found.extend(self.candidate(plan, targets, shortage));
             }
         }
         found.sort_by(|a, b| {
@@ -225,6 +262,36 @@
         candidate.cold == 0
     }
 
+    /// The best group of a model among a domain's targets, if they suffice.
+    fn candidate<'a>(
+        &self,
+        plan: &'a ModelPlan,
+        targets: &[&'a Target],
+        shortage: f64,
+    ) -> Option<Candidate<'a>> {
+        let size = plan.size as usize;
+        if targets.len() < size {
+            return None;
+        }
+        let mut sorted: Vec<&'a Target> = targets.to_vec();
+        // Those that wait in no group go first, so that groups that stand by stay
+        // whole.
+        let rank = |t: &Target| (Reverse(warmth(t, plan)), self.stands_by(t), t.id.clone());
+        sorted.sort_by_key(|t| rank(t));
+        sorted.truncate(size);
+        let cold = sorted
+            .iter()
+            .filter(|t| warmth(t, plan) == Warmth::Cold)
+            .count();
+        Some(Candidate {
+            plan,
+            members: sorted,
+            cold,
+            shortage,
+            left: targets.len() - size,
+        })
+    }
+
     /// Targets that take over weights now.
     pub(super) fn loading(&self, view: &FleetView<'_>) -> usize {
         let shown = view.targets.values().filter(|t| {
@@ -238,31 +305,6 @@
     }
 }
 
-fn candidate<'a>(
-    plan: &'a ModelPlan,
-    targets: &[&'a Target],
-    shortage: f64,
-) -> Option<Candidate<'a>> {
-    let size = plan.size as usize;
-    if targets.len() < size {
-        return None;
-    }
-    let mut sorted: Vec<&'a Target> = targets.to_vec();
-    sorted.sort_by(|a, b| warmth(b, plan).cmp(&warmth(a, plan)).then(a.id.cmp(&b.id)));
-    sorted.truncate(size);
-    let cold = sorted
-        .iter()
-        .filter(|t| warmth(t, plan) == Warmth::Cold)
-        .count();
-    Some(Candidate {
-        model: &plan.model,
-        members: sorted,
-        cold,
-        shortage,
-        left: targets.len() - size,
-    })
-}
-
 /// How soon a target can run a model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Warmth {
@@ -271,6 +313,11 @@
     Loaded,
 }
 
+/// Whether a target's accelerators hold a model's weights.
+pub(super) fn is_loaded(target: &Target, plan: &ModelPlan) -> bool {
+    warmth(target, plan) == Warmth::Loaded
+}
+
 /// Whether a target can run a model without a load from afar.
 pub(super) fn is_warm(target: &Target, plan: &ModelPlan) -> bool {
     warmth(target, plan) != Warmth::Cold
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -22,7 +22,7 @@
         actions: &mut Vec<FleetAction>,
     ) {
         match verdict {
-            Verdict::Serve | Verdict::Wait | Verdict::Void => {}
+            Verdict::Serve | Verdict::Wait | Verdict::Standby | Verdict::Void => {}
             Verdict::Open => {
                 let order = Order::Open(group.clone());
                 self.give_leader(standing, order, "all members are ready", now, actions);
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -13,7 +13,7 @@
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::shortage;
-use super::forming::is_warm;
+use super::forming::{is_loaded, is_warm};
 use super::loads::most_calm;
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
@@ -127,7 +127,7 @@
             };
             let (target, plan) = (load.target, load.plan);
             let domain = target.domain.as_ref();
-            for held in view.engine.models.iter().filter(|p| is_warm(target, p)) {
+            for held in evicted(view, target) {
                 holdings.forget(domain, held);
             }
             holdings.note(domain, plan);
@@ -184,8 +184,8 @@
             let planned = self.planned.get(group).map(|p| &p.model);
             let planned = planned.and_then(|model| view.engine.plan(model));
             let plan = planned.or_else(|| standing.plan(view));
-            let (Some(plan), true) = (plan, standing.is_alive() && !self.void.contains(group))
-            else {
+            let idle = self.void.contains(group) || self.standby.contains(group);
+            let (Some(plan), true) = (plan, standing.is_alive() && !idle) else {
                 continue;
             };
             for target in &standing.members {
@@ -225,12 +225,7 @@
             return None;
         }
         let domain = target.domain.as_ref();
-        let mut held = view
-            .engine
-            .models
-            .iter()
-            .filter(|p| is_warm(target, p))
-            .peekable();
+        let mut held = evicted(view, target).peekable();
         let spare = holdings.gain(domain, plan);
         if held.peek().is_none() {
             let gain = spare.max(holdings.completion(domain, plan));
@@ -249,8 +244,15 @@
     /// Whether an idle target holds a model's weights or soon will.
     fn holds(&self, target: &Target, plan: &ModelPlan) -> bool {
         match self.staging.get(&target.id) {
-            Some((model, _)) => *model == plan.model,
+            Some((model, _)) => *model == plan.model || is_loaded(target, plan),
             None => is_warm(target, plan),
         }
     }
 }
+
+/// The models whose weights a target loses if it loads others to its host.
+fn evicted<'a>(view: &FleetView<'a>, target: &'a Target) -> impl Iterator<Item = &'a ModelPlan> {
+    let staged = move |plan: &&ModelPlan| target.staged.contains(&plan.model);
+    let plans = view.engine.models.iter().filter(staged);
+    plans.filter(|plan| !is_loaded(target, plan))
+}
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -31,6 +31,8 @@
     Stop,
     /// Its members must be asked whether they live.
     Probe,
+    /// It is complete and not wanted now; its members are free.
+    Standby,
     /// It has ended; its members are free.
     Void,
 }
@@ -123,7 +125,7 @@
         let leader = self.leaders.get(group);
         let silent = leader.is_some_and(|id| self.is_dead(id) || self.is_gone(id, now));
         match verdict {
-            Verdict::Void if doubtful && !silent => Verdict::Dissolve,
+            Verdict::Void | Verdict::Standby if doubtful && !silent => Verdict::Dissolve,
             verdict => verdict,
         }
     }
@@ -174,8 +176,8 @@
             return false;
         };
         let ready = |t: &&Target| {
-            let idle = t.member.is_none() && t.domain == leader.domain;
-            idle && is_warm(t, plan) && self.is_usable(&t.id, view)
+            let idle = t.member.is_none() || self.stands_by(t);
+            idle && t.domain == leader.domain && is_warm(t, plan) && self.is_usable(&t.id, view)
         };
         slow > 0 && view.targets.values().filter(ready).count() >= slow
     }
@@ -191,7 +193,7 @@
     ) -> Verdict {
         let ready = standing.states().all(|m| m.state == MemberState::Ready);
         if let Some(planned) = self.planned.get(group) {
-            return if ready && planned.is_shown(group, view) {
+            return if ready && !planned.standby && planned.is_shown(group, view) {
                 Verdict::Open
             } else {
                 Verdict::Wait
@@ -201,6 +203,9 @@
         if lost || leaving || self.cut.contains(group) {
             return Verdict::Void;
         }
+        if self.standby.contains(group) {
+            return Verdict::Standby;
+        }
         let young = self.seen.get(group).is_none_or(|at| now - *at < SHOW);
         let plan = standing.model().and_then(|model| view.engine.plan(model));
         match plan {
@@ -219,7 +224,8 @@
         if self.planned.contains_key(group) {
             return Verdict::Wait;
         }
-        if self.cut.contains(group) {
+        // The leader has ended it, or has left it.
+        if self.cut.contains(group) || self.left.contains(group) {
             return Verdict::Void;
         }
         let leader = self.leaders.get(group);
