perf(planner): groups that stand by open when requests call for them

Cause: groups were counted against a model's fair part of the targets alone, so a burst met as many groups as a quiet hour while a quarter of the targets stood by. Change: a model also wants a group for every 65 hundredths of its places that requests take, as daemons count them; a group that stands by is opened for it, and closed again, without breaking anything off, when one fewer would leave 40 hundredths free of need for three seconds. Groups beyond the fair part are no longer formed open; what is left stands by.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -165,6 +165,7 @@
         let stalled = self.stalled(now);
         let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
         let working = self.working(now);
+        let requests = edge.loads.borrow().requests(now);
         let book = edge.book.borrow();
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
@@ -181,6 +182,7 @@
                 engine,
                 stalled: &stalled,
                 working: &working,
+                requests: &requests,
                 term,
                 calm,
             };
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -94,6 +94,8 @@
     pub stalled: &'a HashSet<InstanceId>,
     /// Leaders that still work for some daemon.
     pub working: &'a HashSet<InstanceId>,
+    /// Requests at leaders, of all daemons.
+    pub requests: &'a HashMap<InstanceId, u32>,
     /// The term of the lease.
     pub term: u64,
     /// Whether no caller has sent a request yet; loads are cheap until then.
@@ -127,6 +129,10 @@
     void: BTreeSet<GroupRef>,
     /// Groups that are complete and not wanted, as of the last look.
     standby: BTreeSet<GroupRef>,
+    /// Groups that serve and are not wanted, as of the last look.
+    surplus: BTreeSet<GroupRef>,
+    /// Since when each model would do with a group fewer.
+    eased: BTreeMap<Model, Millis>,
     /// When an order was last given to a target, by its kind.
     given: BTreeMap<(InstanceId, &'static str), Millis>,
     avoid: BTreeMap<InstanceId, Millis>,
@@ -162,7 +168,7 @@
         let mut actions = Vec::new();
         let mut free = BTreeSet::new();
         self.void.clear();
-        self.find_standby(view, &survey);
+        self.find_standby(view, &survey, now);
         for (group, standing) in &survey.groups {
             let verdict = self.judge(view, group, standing, now);
             self.carry_out(view, group, standing, verdict, now, &mut actions);
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -15,8 +15,9 @@
 pub(super) const MAX_TRIES: u32 = 4;
 /// Above this shortage a model's groups may use the last spares of a domain.
 pub(super) const BELOW_FAIR: f64 = 1.05;
-/// Below this shortage no more groups of a model are formed.
-const AMPLE: f64 = 0.5;
+/// Up to this shortage no more groups of a model are formed: it has its fair
+/// part, and what is left stands by.
+const AMPLE: f64 = 1.0;
 /// Targets of a domain that stand by unless a model is short.
 const SPARES: usize = 2;
 
@@ -249,7 +250,7 @@
             return false;
         }
         let below = candidate.shortage > BELOW_FAIR;
-        if candidate.shortage < AMPLE || (candidate.left < SPARES && !below) {
+        if candidate.shortage <= AMPLE || (candidate.left < SPARES && !below) {
             return false;
         }
         if view.calm {
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -39,6 +39,10 @@
                 let order = Order::Close(group.clone());
                 self.give_leader(standing, order, "a member is leaving", now, actions);
             }
+            Verdict::Rest => {
+                let order = Order::Close(group.clone());
+                self.give_leader(standing, order, "the group is not wanted now", now, actions);
+            }
             Verdict::Dissolve => {
                 let order = Order::Leave(group.clone());
                 if standing.leader.is_some() {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -16,24 +16,121 @@
 use super::survey::{Standing, Survey};
 use super::{FleetAction, FleetPlanner, FleetView};
 
+/// How long a group may take to open after the order.
+const OPENS: Millis = Millis::new(2_000);
+/// Part of the places of a model's groups that may be taken before one that
+/// stands by is opened: from about there on, answers become late.
+const BUSY: f64 = 0.65;
+/// Part of the places that would be taken with one group fewer below which a
+/// group that is not wanted is closed; far enough from [`BUSY`] that a group
+/// is not opened and closed by turns.
+const EASED: f64 = 0.4;
+/// How long the groups must have been at ease.
+const EASED_FOR: Millis = Millis::new(3_000);
+
+/// How many groups a model has and wants.
+#[derive(Debug, Clone, Copy)]
+struct Supply {
+    groups: usize,
+    /// Groups that its share of the targets and its requests call for.
+    wanted: usize,
+    /// Whether it would do with one group fewer.
+    eased: bool,
+}
+
 impl FleetPlanner {
-    /// Finds the groups that are complete and closed, and leaves out those
-    /// that are wanted now.
-    pub(super) fn find_standby(&mut self, view: &FleetView<'_>, survey: &Survey<'_>) {
+    /// Finds the groups that are complete and closed and leaves out those that
+    /// are wanted now; and finds the open ones that are wanted no longer.
+    pub(super) fn find_standby(&mut self, view: &FleetView<'_>, survey: &Survey<'_>, now: Millis) {
         let groups = survey.groups.iter();
-        let closed = groups.filter(|(group, standing)| self.is_closed(view, group, standing));
+        let closed = groups.filter(|(group, standing)| {
+            !self.is_opening(standing, now) && self.is_closed(view, group, standing)
+        });
         self.standby = closed.map(|(group, _)| group.clone()).collect();
-        let mut counts = self.count_groups(view, survey);
-        for (group, standing) in &survey.groups {
-            let Some(plan) = standing.plan(view).filter(|_| self.standby.contains(group)) else {
-                continue;
-            };
-            let count = counts.entry(plan.model.clone()).or_default();
-            if shortage(view.engine, &plan.model, *count, self.most) > BELOW_FAIR {
-                *count += 1;
-                self.standby.remove(group);
-            }
+        self.surplus.clear();
+        let counts = self.count_groups(view, survey);
+        for plan in &view.engine.models {
+            let groups = counts.get(&plan.model).copied().unwrap_or(0);
+            let supply = self.supply(view, survey, plan, groups);
+            self.open_wanted(view, survey, plan, supply);
+            self.find_surplus(view, survey, plan, supply, now);
+        }
+    }
+
+    fn supply(
+        &self,
+        view: &FleetView<'_>,
+        survey: &Survey<'_>,
+        plan: &ModelPlan,
+        groups: usize,
+    ) -> Supply {
+        let open = open_groups(view, survey, plan);
+        let leaders = open.filter_map(|(_, standing)| standing.leader);
+        let sound = leaders.filter(|t| !view.stalled.contains(&t.id) && !self.is_dead(&t.id));
+        let requests = sound.filter_map(|t| view.requests.get(&t.id)).sum::<u32>();
+        let slots = f64::from(view.engine.slots.max(1));
+        let busy = (f64::from(requests) / (slots * BUSY)).ceil() as usize;
+        let mut fair = groups;
+        while shortage(view.engine, &plan.model, fair, self.most) > BELOW_FAIR {
+            fair += 1;
+        }
+        while fair > 1 && shortage(view.engine, &plan.model, fair - 1, self.most) <= BELOW_FAIR {
+            fair -= 1;
+        }
+        let fewer = groups.saturating_sub(1) as f64;
+        let wanted = fair.max(busy);
+        Supply {
+            groups,
+            wanted,
+            eased: groups > fair && f64::from(requests) < slots * EASED * fewer,
+        }
+    }
+
+    fn open_wanted(
+        &mut self,
+        view: &FleetView<'_>,
+        survey: &Survey<'_>,
+        plan: &ModelPlan,
+        supply: Supply,
+    ) {
+        let missing = supply.wanted.saturating_sub(supply.groups);
+        let groups = survey.groups.iter().filter(|(group, standing)| {
+            let model = standing.plan(view).map(|p| &p.model);
+            self.standby.contains(*group) && model == Some(&plan.model)
+        });
+        let opened: Vec<GroupRef> = groups.map(|(g, _)| g.clone()).take(missing).collect();
+        for group in opened {
+            self.standby.remove(&group);
+        }
+    }
+
+    /// Notes an open group that the model has not wanted for a while.
+    fn find_surplus(
+        &mut self,
+        view: &FleetView<'_>,
+        survey: &Survey<'_>,
+        plan: &ModelPlan,
+        supply: Supply,
+        now: Millis,
+    ) {
+        if !supply.eased || view.calm {
+            self.eased.remove(&plan.model);
+            return;
+        }
+        let since = *self.eased.entry(plan.model.clone()).or_insert(now);
+        if now - since < EASED_FOR {
+            return;
         }
+        self.eased.insert(plan.model.clone(), now);
+        let last = open_groups(view, survey, plan).last();
+        self.surplus.extend(last.map(|(group, _)| group.clone()));
+    }
+
+    /// Whether a group's leader was told to open a moment ago.
+    fn is_opening(&self, standing: &Standing<'_>, now: Millis) -> bool {
+        let slot = standing.leader.map(|t| (t.id.clone(), "open"));
+        let given = slot.and_then(|slot| self.given.get(&slot));
+        given.is_some_and(|at| now - *at < OPENS)
     }
 
     /// Whether a group is complete and neither serves nor was planned to.
@@ -94,3 +191,16 @@
         }
     }
 }
+
+/// The groups of a model that take requests.
+fn open_groups<'a, 's>(
+    view: &FleetView<'a>,
+    survey: &'s Survey<'a>,
+    plan: &'s ModelPlan,
+) -> impl Iterator<Item = (&'s GroupRef, &'s Standing<'a>)> {
+    let view = *view;
+    survey.groups.iter().filter(move |(_, standing)| {
+        let model = standing.plan(&view).map(|p| &p.model);
+        standing.leader.is_some_and(Target::leads_open) && model == Some(&plan.model)
+    })
+}
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -25,6 +25,8 @@
     Retire,
     /// It has ended, but its leader could be opened again by a late order.
     Dissolve,
+    /// Its leader must end what runs; the group then stands by.
+    Rest,
     /// Its leader is no longer listed and must end what runs.
     Dismiss,
     /// Its leader is no longer listed and must stop at once.
@@ -155,6 +157,7 @@
             MemberState::Open if leader.leaving => Verdict::Serve,
             MemberState::Open if standing.members.iter().any(|t| t.leaving) => Verdict::Retire,
             MemberState::Open if self.can_replace_slow(view, standing) => Verdict::Replace,
+            MemberState::Open if self.surplus.contains(group) => Verdict::Rest,
             MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
             MemberState::Open => Verdict::Serve,
             MemberState::Closing => Verdict::Wait,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -224,6 +224,19 @@
             .fold(own, Add::add)
     }
 
+    /// Requests at each target, of this daemon and its peers.
+    pub fn requests(&self, now: Millis) -> HashMap<InstanceId, u32> {
+        let mut all: HashMap<InstanceId, u32> = HashMap::new();
+        for (id, work) in self.counts() {
+            *all.entry(id).or_default() += work.requests;
+        }
+        let fresh = self.peers.values().filter(|p| now - p.heard < PEER_TRUST);
+        for (id, work) in fresh.flat_map(|p| &p.counts) {
+            *all.entry(id.clone()).or_default() += work.requests;
+        }
+        all
+    }
+
     /// How long a group may be silent while it works off what it has, in
     /// milliseconds.
     pub fn patience(&self, target: &Target, engine: &Engine, now: Millis) -> Millis {
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -45,6 +45,36 @@
     assert!(!joined, "{:?}", stage.orders);
 }
 
+#[test]
+fn a_burst_opens_groups_that_stand_by_and_its_end_closes_them() {
+    let mut stage = Stage::formed(6);
+    let small = |stage: &Stage| -> Vec<_> {
+        let serving = stage.engines.serving().into_iter();
+        serving
+            .filter(|(_, m)| m.len() == 2)
+            .map(|(l, _)| l)
+            .collect()
+    };
+    for leader in small(&stage) {
+        stage.requests.insert(leader, 25);
+    }
+    stage.run(secs(2));
+    // 150 requests at 26 places a group, two thirds of them taken.
+    assert_eq!(stage.sizes(), (6, 9));
+    for leader in small(&stage) {
+        stage.requests.insert(leader, 7);
+    }
+    stage.run(secs(2));
+    assert_eq!(stage.sizes(), (6, 9), "a moment's ease closes nothing");
+    stage.run(secs(20));
+    assert_eq!(stage.sizes(), (6, 6));
+    assert!(
+        stage.engines.breaches.is_empty(),
+        "{:?}",
+        stage.engines.breaches
+    );
+}
+
 #[test]
 fn two_losses_in_a_row_are_replaced_by_spares_of_one_domain() {
     let mut stage = Stage::formed(1);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -1,6 +1,6 @@
 //! A planner before fake engines, in virtual time.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use thistlesill_core::edge::{Engine, Order, OrderReply, Target};
 use thistlesill_core::{InstanceId, Millis};
@@ -26,6 +26,8 @@
     pub(crate) calm: bool,
     /// Leaders at which daemons have requests that make progress.
     pub(crate) working: HashSet<InstanceId>,
+    /// Requests at leaders.
+    pub(crate) requests: HashMap<InstanceId, u32>,
     /// Targets that are slow.
     pub(crate) slow: HashSet<InstanceId>,
     /// Leaders that daemons see as stopped, beside those that are.
@@ -45,6 +47,7 @@
             now: Millis::new(1_000_000),
             calm: true,
             working: HashSet::new(),
+            requests: HashMap::new(),
             slow: HashSet::new(),
             doubted: HashSet::new(),
             orders: Vec::new(),
@@ -84,6 +87,7 @@
             engine: &self.engine,
             stalled: &stalled,
             working: &self.working,
+            requests: &self.requests,
             term: self.term,
             calm: self.calm,
         };
@@ -131,6 +135,7 @@
             engine: &self.engine,
             stalled: &HashSet::new(),
             working: &self.working,
+            requests: &self.requests,
             term: self.term,
             calm: self.calm,
         })
