fix(edge): a stopping daemon refuses what it could not end

While so many daemons of a data centre were out that the balancer used all of them, one that had been told to stop 4.7 s before took a stream, and ended 3 s later, as it must, in the middle of the answer. Ruled out: a target that broke off, the request's own time (8 s), a kept connection (it was new). Change: once the balancer must have noticed, a request is only taken if its time fits into what is left of the grace; else it is told at once that it has not run and when to come back.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -14,6 +14,7 @@
 use thistlesill_platform::Malformed;
 use thistlesill_platform::settings::{decode_settings, settings_path};
 use thistlesill_policy::charts::Charts;
+use thistlesill_policy::edge::admission::BALANCER;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
@@ -29,9 +30,6 @@
 const SLOW_SWEEPS: u32 = 10;
 /// Rounds between two lines about the daemon's state.
 const STATUS_SWEEPS: u32 = 50;
-/// Time in which the balancer notices that the daemon takes no new callers:
-/// it asks once a second and believes the second answer.
-const BALANCER: Millis = Millis::new(2_600);
 /// Time in which connections without a request are closed.
 const CLOSE: Millis = Millis::new(150);
 /// Kept of the time before a stopping process is killed.
@@ -266,8 +264,12 @@
         // No new callers come; connections without a request end.
         edge.stop.notify_waiters();
     }
-    let grace = edge.settings().bounds.grace - STOP_MARGIN;
-    gone >= grace || (gone >= BALANCER + CLOSE && edge.active.get() == 0)
+    gone >= grace(edge) || (gone >= BALANCER + CLOSE && edge.active.get() == 0)
+}
+
+/// Time in which a daemon that was told to stop ends.
+pub(crate) fn grace(edge: &Edge) -> Millis {
+    edge.settings().bounds.grace - STOP_MARGIN
 }
 
 /// Takes in a changed settings file; a bad one changes nothing.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::attempt::{Answered, Failure, Job, LAST_ANSWER, attempt};
+use crate::daemon;
 use crate::relay;
 use crate::reply::{self, OutBody};
 use crate::state::{Choice, Edge};
@@ -54,6 +55,10 @@
         Err(kind) => return track.refuse(kind, None),
     };
     track.admitted(&passage);
+    if !fits_stop(&edge, passage.limit) {
+        let why = "the daemon stops before it would end";
+        return track.because(why).refuse(ErrorKind::NotReady, None);
+    }
     let limit = passage.limit.duration();
     let job = Rc::new(Job {
         headers: caller::forwarded(&parts.headers),
@@ -69,6 +74,15 @@
     serve(job, track).await
 }
 
+/// Whether a request may be taken although the daemon may have been told to
+/// stop.
+fn fits_stop(edge: &Edge, limit: Millis) -> bool {
+    edge.stopping.get().is_none_or(|since| {
+        let gone = edge.now() - since;
+        admission::may_still_take(gone, limit, daemon::grace(edge))
+    })
+}
+
 async fn read_body(edge: &Edge, body: Incoming) -> Result<Bytes, ErrorKind> {
     let most = edge.catalog().map_or(0, |c| c.limits().body_bytes);
     if most == 0 {
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -29,6 +29,25 @@
     assert!(!world.lines(0, "ev=stop ").is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_daemon_refuses_what_it_could_not_end() {
+    let world = world(36, 1).await;
+    // A request whose target says nothing keeps the process for its time.
+    for link in &world.targets.links[8..] {
+        link.set(Harm::Silent);
+    }
+    let address = world.daemons[0].callers();
+    let held = tokio::spawn(async move { call(address, &book("held")).await });
+    sleep(50).await;
+    world.daemons[0].signal(Signal::SIGTERM);
+    sleep(3_000).await;
+    let late = ask(&world, 0, stream("late")).await;
+    assert_eq!(late.status, 503);
+    assert!(late.retry_after().is_some());
+    assert!(world.targets.ledger.runs("late").is_empty());
+    drop(held.await);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_wait_for_a_daemon_to_start_are_served() {
     let mut world = world(34, 1).await;
--- a/crates/thistlesill-policy/src/edge/admission.rs
+++ b/crates/thistlesill-policy/src/edge/admission.rs
@@ -91,6 +91,20 @@
     })
 }
 
+/// Time in which the balancer notices that a stopping daemon takes no new
+/// callers: it asks once a second and believes the second answer.
+pub const BALANCER: Millis = Millis::new(2_600);
+
+/// Whether a daemon that was told to stop `gone` ago still takes a request
+/// that may last for `limit`, where it must end within `grace`.
+///
+/// Until the balancer has noticed, callers cannot know better. Later ones come
+/// only if the balancer has nobody else, and would be broken off.
+#[must_use]
+pub fn may_still_take(gone: Millis, limit: Millis, grace: Millis) -> bool {
+    gone < BALANCER || gone + limit < grace
+}
+
 /// Draws one of the route's services by weight.
 fn draw_service(
     catalog: &Catalog,
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Bounds, Catalog, Limits, Route, RouteKind, Service, TargetShare};
 use thistlesill_core::{ErrorKind, Millis};
-use thistlesill_policy::edge::admission::{Asking, Key, Passage, admit};
+use thistlesill_policy::edge::admission::{Asking, Key, Passage, admit, may_still_take};
 use thistlesill_policy::edge::freshness::{Freshness, MARGIN};
 
 const NOW: Millis = Millis::new(1_000_000);
@@ -135,3 +135,13 @@
     let refused = admit(None, &Freshness::default(), &bounds(), &asking, NOW, rng).err();
     assert_eq!(refused, Some(ErrorKind::NotReady));
 }
+
+#[test]
+fn a_stopping_daemon_takes_only_what_ends_in_time() {
+    let grace = Millis::new(7_600);
+    let (long, short) = (Millis::new(6_000), Millis::new(1_000));
+    assert!(may_still_take(Millis::new(2_500), long, grace));
+    assert!(!may_still_take(Millis::new(2_700), long, grace));
+    assert!(may_still_take(Millis::new(6_500), short, grace));
+    assert!(!may_still_take(Millis::new(6_700), short, grace));
+}
