--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -2,6 +2,7 @@
 //! when theirs stops.
 
 mod cutter;
+mod passing;
 
 use std::rc::Rc;
 
@@ -18,6 +19,7 @@
 use tokio::time::sleep_until;
 
 use self::cutter::Cutter;
+pub(crate) use self::passing::pass_on;
 use crate::attempt::{Answered, Job, attempt};
 use crate::proxy::{never, settle, sleep_to};
 use crate::reply::{self, BrokenOff, OutBody};
@@ -154,41 +156,6 @@
     reply::pieces(status, headers, relay.pieces())
 }
 
-/// Hands a large plain answer on as it comes.
-pub(crate) fn pass_on(job: Rc<Job>, answered: Answered, track: &mut Track) -> Response<OutBody> {
-    let status = answered.status;
-    let mut headers = answered.headers.clone();
-    caller::remove_hop(&mut headers);
-    let track = track.split(&job.edge);
-    let state = (job, Source::new(answered), track, 0);
-    let pieces = stream::try_unfold(state, |(job, mut source, mut track, bytes)| async move {
-        let frame = tokio::select! {
-            frame = source.body.frame() => frame,
-            () = sleep_until(job.until) => Some(Ok(hyper::body::Frame::data(Bytes::new()))),
-        };
-        match frame {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
-                if data.is_empty() && tokio::time::Instant::now() >= job.until {
-                    track.broke_off(&source.target.id, bytes, "late_answer");
-                    return Err(BrokenOff);
-                }
-                let bytes = bytes + data.len();
-                Ok(Some((data, (job, source, track, bytes))))
-            }
-            Some(Err(_)) => {
-                track.broke_off(&source.target.id, bytes, "broke_off");
-                Err(BrokenOff)
-            }
-            None => {
-                track.ended(200, Some(&source.target.id), bytes);
-                Ok(None)
-            }
-        }
-    });
-    reply::pieces(status, headers, pieces)
-}
-
 impl Relay {
     fn pieces(self) -> impl Stream<Item = Result<Bytes, BrokenOff>> {
         stream::try_unfold(self, |mut relay| async move {
--- a/crates/thistlesill-edge/tests/it/answers.rs
+++ b/crates/thistlesill-edge/tests/it/answers.rs
@@ -25,6 +25,22 @@
     assert_eq!(world.targets.ledger.runs("once")[0].body, b"two bunks");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_too_large_to_hold_is_handed_on_whole() {
+    let world = world(7, 1).await;
+    let mut large = read("large");
+    large.path = "/read/x?pad=700000".to_owned();
+    let got = ask(&world, 0, large).await;
+    assert_eq!((got.status, got.whole), (200, true));
+    assert_eq!(got.body.len(), "GET large".len() + 700_000);
+    sleep(300).await;
+    let ends = world.lines(0, "id=large");
+    assert!(
+        ends.iter().any(|l| l.contains("outcome=answered")),
+        "{ends:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_may_have_run_once_is_neither_sent_again_nor_refused() {
     let world = world(2, 1).await;
