perf(edge): daemons on which no other depends ask an absent store less often

Change: after a second failure it waits 2.4 s; the readers, which it asks as well, try every 0.15 s and vouch for the catalog as soon as the store is back.

--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -34,9 +34,10 @@
 const LONG_WAIT: Duration = Duration::from_secs(8);
 /// After a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
-/// The longest pause after calls that failed one after the other, for a daemon
-/// on which no other depends: it also asks the readers, which try more often.
-const MOST_PAUSE: Duration = Duration::from_millis(2_400);
+/// After a second call that failed, for a daemon on which no other depends: the
+/// store is away rather than an answer lost, and the readers, which it asks as
+/// well, try more often.
+const LONG_PAUSE: Duration = Duration::from_millis(2_400);
 /// Between two batches of changes to targets, so that changes that belong
 /// together come as one; the planner does not wait.
 const BATCH: Duration = Duration::from_millis(200);
@@ -83,7 +84,7 @@
                     pause = if follow::reads_for_others(&edge) {
                         PAUSE
                     } else {
-                        (pause * 2).min(MOST_PAUSE)
+                        LONG_PAUSE
                     };
                 }
             }
