perf(edge): readers and the lease go to daemons that reach the store

Three daemons were cut off from the store, among them the first of each data centre and the holder of the lease; they were still heard, so all others waited for them to seek the lease, until it had been orphaned for 5 s. The others also asked them for proofs that they did not have. Ruled out: the lease's length (it lapsed 1.7 s after the cut), late beats. Change: a daemon tells whether its last question to the store was answered; one that was not comes last in its data centre, and is asked last. A holder that says that it forms groups no longer is not waited for. Before: the_lease_goes_to_a_daemon_that_reaches_the_store failed. After: passes.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -98,7 +98,7 @@
 pub(crate) fn reads_for_others(edge: &Edge) -> bool {
     let settings = edge.settings();
     let peers = edge.peers.borrow();
-    edge.plans.get() || peers.is_first(&settings.name, &settings.hall, edge.now())
+    edge.plans.get() || peers.is_first(&settings.name, edge.away.get(), &settings.hall, edge.now())
 }
 
 /// Decides whether this daemon reads the targets' entries from the store: the
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -15,7 +15,7 @@
 use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
 
-use self::packet::Beat;
+use self::packet::{Beat, StoreUse};
 
 /// After this silence a peer counts as down. The largest fleets send a beat
 /// each half second, and one may be lost.
@@ -31,7 +31,7 @@
     hall: HallId,
     heard: Option<Millis>,
     listed: Millis,
-    reads: bool,
+    store: StoreUse,
     busy: bool,
     suspects: Vec<InstanceId>,
     slow: Vec<InstanceId>,
@@ -53,6 +53,8 @@
 pub(crate) struct Peers {
     known: HashMap<NodeId, Peer>,
     planner: Option<(NodeId, Millis)>,
+    /// Whether that planner has said since that it forms groups no longer.
+    planner_ended: bool,
     pub(crate) socket: Option<Rc<UdpSocket>>,
     /// The lease as this daemon holds it.
     pub(crate) shown: Option<LeaseSeen>,
@@ -75,8 +77,8 @@
 
     /// Whether a daemon that forms groups was heard a moment ago.
     pub(crate) fn hears_planner(&self, now: Millis) -> bool {
-        self.planner_heard()
-            .is_some_and(|at| now - at < PLANNER_SILENT)
+        let heard = self.planner_heard();
+        !self.planner_ended && heard.is_some_and(|at| now - at < PLANNER_SILENT)
     }
 
     /// When a daemon that forms groups was last heard.
@@ -114,13 +116,14 @@
     }
 
     /// Whether `me` comes first among the daemons of its data centre that
-    /// are heard.
-    pub(crate) fn is_first(&self, me: &NodeId, hall: &HallId, now: Millis) -> bool {
+    /// are heard; those that cannot reach the store come last.
+    pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
         let near = self
             .known
             .iter()
             .filter(|(_, p)| p.hall == *hall && p.is_heard(now));
-        near.map(|(name, _)| name).all(|name| me < name)
+        let mut ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
+        ranks.all(|rank| (away, me) < rank)
     }
 
     /// A peer that reads the store, of the same data centre if there is one.
@@ -128,8 +131,8 @@
         let readers = self
             .known
             .iter()
-            .filter(|(_, p)| p.reads && p.is_heard(now));
-        let best = readers.min_by_key(|(name, p)| (p.hall != *hall, (*name).clone()));
+            .filter(|(_, p)| p.store != StoreUse::Asks && p.is_heard(now));
+        let best = readers.min_by_key(|(name, p)| (p.store, p.hall != *hall, (*name).clone()));
         best.map(|(name, _)| name.clone())
     }
 
@@ -161,14 +164,17 @@
         };
         peer.heard = Some(now);
         peer.hall = beat.hall.clone();
-        peer.reads = beat.reads;
+        peer.store = beat.store;
         peer.busy = beat.busy;
         peer.suspects.clone_from(&beat.suspects);
         peer.slow.clone_from(&beat.slow);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
         if beat.plans {
             self.planner = Some((beat.from.clone(), now));
+            self.planner_ended = false;
             self.heard_lease.clone_from(&beat.lease);
+        } else if self.planner().as_ref() == Some(&beat.from) {
+            self.planner_ended = true;
         }
     }
 
@@ -178,7 +184,7 @@
             hall: HallId::default(),
             heard: None,
             listed: now,
-            reads: false,
+            store: StoreUse::Asks,
             busy: false,
             suspects: Vec::new(),
             slow: Vec::new(),
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -51,7 +51,7 @@
         Beat {
             from: settings.name.clone(),
             hall: settings.hall.clone(),
-            reads: edge.reads.get(),
+            store: edge.store_use(),
             plans: edge.plans.get(),
             busy: edge.busy.get(),
             counts: loads.counts(),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -19,13 +19,25 @@
     Changes(Changes),
 }
 
+/// What a daemon has to do with the store; in the order in which others prefer
+/// to depend on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) enum StoreUse {
+    /// It reads the store itself.
+    Reads,
+    /// It asks others.
+    Asks,
+    /// Its last question to the store brought no answer.
+    Away,
+}
+
 /// What a daemon tells its peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Beat {
     pub(crate) from: NodeId,
     pub(crate) hall: HallId,
-    /// Whether it reads the store itself.
-    pub(crate) reads: bool,
+    /// What it has to do with the store.
+    pub(crate) store: StoreUse,
     /// Whether it forms groups.
     pub(crate) plans: bool,
     /// Whether any caller has sent a request since its start.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -22,6 +22,7 @@
 use crate::lanes::Lanes;
 use crate::lines::Lines;
 use crate::peers::Peers;
+use crate::peers::packet::StoreUse;
 
 /// Daemons that are assumed to share the retry budget until more are known;
 /// the smallest fleets have about as many.
@@ -90,6 +91,8 @@
     pub(crate) plans: Cell<bool>,
     /// When the daemon started.
     pub(crate) started: Millis,
+    /// Whether this daemon's last question about the catalog brought no answer.
+    pub(crate) away: Cell<bool>,
     /// Whether this daemon reads the store for others.
     pub(crate) reads: Cell<bool>,
     /// The targets' changes, as far as they are known.
@@ -131,6 +134,7 @@
             stop: Notify::new(),
             plans: Cell::new(false),
             started: clock.now(),
+            away: Cell::new(false),
             reads: Cell::new(false),
             feed: RefCell::new(Feed::default()),
             reads_changed: Notify::new(),
@@ -170,6 +174,15 @@
         }
     }
 
+    /// What this daemon has to do with the store.
+    pub(crate) fn store_use(&self) -> StoreUse {
+        match (self.away.get(), self.reads.get()) {
+            (true, _) => StoreUse::Away,
+            (false, true) => StoreUse::Reads,
+            (false, false) => StoreUse::Asks,
+        }
+    }
+
     /// Whether requests with keys may pass now.
     pub(crate) fn is_fresh(&self) -> bool {
         let bound = self.settings.borrow().bounds.revoke;
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -1,6 +1,5 @@
 //! Follows the store: the operators' catalog and the targets' entries.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,7 +49,6 @@
 pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
     let mut version = None;
     let mut pause = PAUSE;
-    let reachable = Cell::new(true);
     loop {
         let known = edge.catalog.borrow().is_some();
         if known && !edge.reads.get() {
@@ -64,7 +62,7 @@
         let asked = edge.now();
         match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
             Ok(rows) => {
-                note_store(&edge, &reachable, None);
+                note_store(&edge, None);
                 pause = PAUSE;
                 // An answer with changes may be followed by more of them; only
                 // a whole read, or an answer without changes, shows that what
@@ -79,7 +77,7 @@
                 // Reading whole gives a proof at once.
                 version = None;
                 if !matches!(error, StoreError::HistoryGone) {
-                    note_store(&edge, &reachable, Some(&error));
+                    note_store(&edge, Some(&error));
                     tokio::time::sleep(pause).await;
                     pause = if follow::reads_for_others(&edge) {
                         PAUSE
@@ -118,7 +116,7 @@
 }
 
 /// Notes whether the store answers, with a line when that changes.
-fn note_store(edge: &Edge, reachable: &Cell<bool>, error: Option<&StoreError>) {
+fn note_store(edge: &Edge, error: Option<&StoreError>) {
     let now = edge.now();
     if error.is_none() {
         edge.book.borrow_mut().store_answered(now);
@@ -127,7 +125,7 @@
         edge.store_doubt.notify_waiters();
         metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
     }
-    if reachable.replace(error.is_none()) == error.is_none() {
+    if edge.away.replace(error.is_some()) == error.is_some() {
         return;
     }
     let line = match error {
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -118,6 +118,26 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_lease_goes_to_a_daemon_that_reaches_the_store() {
+    let world = world(37, 4).await;
+    sleep(2_500).await;
+    let holder = (0..4).find(|d| !world.lines(*d, "ev=lease_gained").is_empty());
+    // The daemons that come first in their data centres, and the holder; all
+    // of them go on talking to the others.
+    let mut cut = vec![0, 1];
+    cut.extend(holder.filter(|h| *h > 1));
+    for daemon in &cut {
+        world.links[*daemon].set(Harm::Silent);
+    }
+    sleep(4_800).await;
+    let others = (0..4).filter(|d| !cut.contains(d));
+    let gained: usize = others
+        .map(|d| world.lines(d, "ev=lease_gained").len())
+        .sum();
+    assert_eq!(gained, 1, "held by {holder:?} before");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_changed_settings_file_is_taken_and_a_bad_one_is_not() {
     let world = world(33, 1).await;
