fix(edge): a pause within an event loses nothing when no other group can go on

When a target paused for too long in the middle of an event, the part that had come was dropped before another target was sought; if none could take the stream, the rest of that event came and was handed on alone. Ruled out by reading: ends of streams without a length (read errors are told apart from ends), ids of events that were not handed on. Change: the part is dropped when another target goes on, or when its own broke off. Before: a_pause_within_an_event_loses_nothing_if_no_other_group_can_go_on failed. After: passes.

--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -228,8 +228,8 @@
         }
         if stop == Stop::Broken {
             self.source = None;
+            self.cutter.drop_partial();
         }
-        self.cutter.drop_partial();
         let mut again = self.may_go_on();
         while again {
             let job = self.job.clone();
@@ -247,6 +247,9 @@
                     let from = self.tried.first().cloned().unwrap_or_default();
                     self.track.resumed(&from, &target.id, last_event, why);
                     self.attempts.sent += 1;
+                    // A target that only paused may still end the event that
+                    // it began, so its part is kept until another goes on.
+                    self.cutter.drop_partial();
                     self.source = Some(Source::new(answered));
                     return Ok(());
                 }
--- a/crates/thistlesill-edge/tests/it/streams.rs
+++ b/crates/thistlesill-edge/tests/it/streams.rs
@@ -38,6 +38,22 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_within_an_event_loses_nothing_if_no_other_group_can_go_on() {
+    let world = world(25, 1).await;
+    let serving = world.targets.serving();
+    let (large, _) = serving
+        .iter()
+        .find(|(_, m)| m.len() == 4)
+        .expect("a large group");
+    world.targets.set_fault(large.as_str(), Fault::Hesitate);
+    let got = ask(&world, 0, stream("pause")).await;
+    assert!(got.whole);
+    assert_eq!(got.events(), all(), "{}", got.body);
+    let pieces = got.body.matches("data: pause:").count();
+    assert_eq!(pieces, all().len(), "{}", got.body);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_its_caller_takes_up_again_gives_way_to_others() {
     let world = world(24, 1).await;
