perf(planner): a planner that is stopped gives its lease up

Change: once the balancer must have noticed, the planner writes its lease free and tells its peers that it plans no longer. Before: a_planner_that_is_stopped_gives_its_lease_up failed. After: passes.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -13,6 +13,7 @@
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
+use thistlesill_policy::edge::admission::BALANCER;
 use thistlesill_policy::edge::fleet::{Condition, FleetAction, FleetPlanner, FleetView};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
@@ -70,7 +71,7 @@
         noted: RefCell::new(HashMap::new()),
         edge,
     });
-    loop {
+    while !planner.must_end() {
         planner.tend_lease().await;
         planner.look();
         tokio::select! {
@@ -78,6 +79,7 @@
             () = planner.edge.fleet_news.notified() => {}
         }
     }
+    planner.give_up().await;
 }
 
 /// What the lease is on: all targets of the fleet.
@@ -86,6 +88,29 @@
 }
 
 impl Planner {
+    /// Whether the daemon was told to stop and will soon end.
+    fn must_end(&self) -> bool {
+        let stopping = self.edge.stopping.get();
+        stopping.is_some_and(|since| self.edge.now() - since >= BALANCER)
+    }
+
+    /// Gives the lease up, so that another daemon need not wait for its end.
+    /// If the write is lost, the lease runs out.
+    async fn give_up(&self) {
+        let txn = self.lease.borrow_mut().release(self.edge.now());
+        self.edge.plans.set(false);
+        self.edge.peers.borrow_mut().shown = None;
+        if let Some(txn) = txn {
+            let result = self.send(&txn).await;
+            let given = matches!(result, TxnResult::Replied(TxnReply::Committed { .. }));
+            self.edge
+                .lines
+                .line("lease_given_up")
+                .with("written", given)
+                .write();
+        }
+    }
+
     async fn tend_lease(&self) {
         let now = self.edge.now();
         if let Some(seen) = self.edge.peers.borrow_mut().heard_lease.take() {
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -138,6 +138,21 @@
     assert_eq!(gained, 1, "held by {holder:?} before");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_is_stopped_gives_its_lease_up() {
+    let world = world(38, 3).await;
+    let holder = (0..3).find(|d| !world.lines(*d, "ev=lease_gained").is_empty());
+    let holder = holder.expect("one daemon holds the lease");
+    world.daemons[holder].signal(Signal::SIGTERM);
+    sleep(3_900).await;
+    let others = (0..3).filter(|d| *d != holder);
+    let gained: usize = others
+        .map(|d| world.lines(d, "ev=lease_gained").len())
+        .sum();
+    assert_eq!(gained, 1);
+    assert!(!world.lines(holder, "ev=lease_given_up").is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_changed_settings_file_is_taken_and_a_bad_one_is_not() {
     let world = world(33, 1).await;
