--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -65,6 +65,24 @@
     assert!(!loads.has_room(&[&a, &leader("b")], &engine, NOW));
 }
 
+#[test]
+fn nobody_is_turned_away_while_places_are_free() {
+    let (a, engine, hall) = (leader("a"), engine(), HallId::from("h"));
+    let mut loads = LoadTable::default();
+    // One prompt that takes far longer to read than the objective.
+    loads.begin(&a.id, 100_000);
+    let wanted = Wanted {
+        engine: Some(&engine),
+        prompt: 1_000,
+        hall: &hall,
+    };
+    assert_eq!(loads.overload(&[&a], &wanted, AIM, NOW), None);
+    for _ in 0..16 {
+        loads.begin(&a.id, 0);
+    }
+    assert!(loads.overload(&[&a], &wanted, AIM, NOW).is_some());
+}
+
 #[test]
 fn prompts_that_wait_to_be_read_count_more_than_requests() {
     let mut loads = LoadTable::default();
