fix(planner): a stopping process waits until its planner has given the lease up

The process ends 2.75 s after the signal if no request is left, and the planner looks only every 0.2 s, so it could be ended before it wrote. Change: the process also waits for its planner, within its grace; the planner counts as holding until the write is answered.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -253,8 +253,8 @@
         .write();
 }
 
-/// Whether the daemon was told to stop and may: the balancer has noticed and
-/// all requests have ended, or the time is nearly up.
+/// Whether the daemon was told to stop and may: the balancer has noticed, all
+/// requests have ended and the lease is given up, or the time is nearly up.
 fn has_stopped(edge: &Edge) -> bool {
     let Some(since) = edge.stopping.get() else {
         return false;
@@ -264,7 +264,8 @@
         // No new callers come; connections without a request end.
         edge.stop.notify_waiters();
     }
-    gone >= grace(edge) || (gone >= BALANCER + CLOSE && edge.active.get() == 0)
+    let done = edge.active.get() == 0 && !edge.plans.get();
+    gone >= grace(edge) || (done && gone >= BALANCER + CLOSE)
 }
 
 /// Time in which a daemon that was told to stop ends.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -99,19 +99,17 @@
     /// If the write is lost, the lease runs out.
     async fn give_up(&self) {
         let txn = self.lease.borrow_mut().release(self.edge.now());
-        self.edge.plans.set(false);
-        self.edge.peers.borrow_mut().shown = None;
         if let Some(txn) = txn {
             let result = self.send(&txn).await;
             let given = matches!(result, TxnResult::Replied(TxnReply::Committed { .. }));
-            self.edge
-                .lines
-                .line("lease_given_up")
-                .with("written", given)
-                .write();
-            // The next beat may be due after the process has ended.
-            link::tell_beat(&self.edge);
+            let line = self.edge.lines.line("lease_given_up");
+            line.with("written", given).write();
         }
+        self.edge.peers.borrow_mut().shown = None;
+        // The process waits for this before it ends.
+        self.edge.plans.set(false);
+        // The next beat may be due after the process has ended.
+        link::tell_beat(&self.edge);
     }
 
     async fn tend_lease(&self) {
