fix(planner): a slow group's members are asked without using up the probes

Log: four rounds of probes of all groups from 276.4 on, though nothing was lost (the stand-in's events are twice as far apart as its engines' figures say, so daemons called its groups slow); the member died at 277.2, its leader was suspected at 277.46, and the next round was due at 278.4, when the member was off the list already. So where a group is slow, a lost member was noticed up to two seconds later. Ruled out: load (the rounds are in the log before the loss), the lease (held throughout), the stand-in's list. Change: slow groups are asked for the members' pace once in two seconds, apart from the rounds for groups that stand still. Before: with slow leaders among the stopped ones, as it was, a_member_that_dies_in_a_slow_group_is_noticed_at_once fails. After: passes.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -190,6 +190,7 @@
         let term = self.lease.borrow().term(now);
         let stalled = self.stalled(now);
         let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
+        let slow = self.slow(now);
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
         let book = edge.book.borrow();
@@ -207,6 +208,7 @@
                 targets,
                 engine,
                 stalled: &stalled,
+                slow: &slow,
                 working: &working,
                 requests: &requests,
                 term,
@@ -258,13 +260,18 @@
         line.write();
     }
 
-    /// Leaders whose streams stand still or are slow.
+    /// Leaders whose streams are slow.
+    fn slow(&self, now: Millis) -> HashSet<InstanceId> {
+        let mut slow = self.edge.peers.borrow().slow(now);
+        slow.extend(self.edge.loads.borrow().slow(now));
+        slow
+    }
+
+    /// Leaders whose streams stand still.
     fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
         let (peers, loads) = (self.edge.peers.borrow(), self.edge.loads.borrow());
         let mut stalled = peers.suspects(now);
-        stalled.extend(peers.slow(now));
         stalled.extend(loads.suspects(now));
-        stalled.extend(loads.slow(now));
         stalled
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -92,6 +92,8 @@
     pub engine: &'a Engine,
     /// Leaders whose groups stand still, as the daemons see it.
     pub stalled: &'a HashSet<InstanceId>,
+    /// Leaders whose streams are slow, as the daemons see it.
+    pub slow: &'a HashSet<InstanceId>,
     /// Leaders that still work for some daemon.
     pub working: &'a HashSet<InstanceId>,
     /// Requests at leaders, of all daemons.
@@ -143,6 +145,8 @@
     slow: BTreeSet<InstanceId>,
     /// Rounds of probes of a leader's group, and when they began.
     rounds: BTreeMap<InstanceId, (u32, Millis)>,
+    /// When the members of a slow leader were last asked for their pace.
+    asked: BTreeMap<InstanceId, Millis>,
     missing: BTreeMap<InstanceId, Millis>,
     /// When each group was first seen.
     seen: BTreeMap<GroupRef, Millis>,
@@ -296,6 +300,7 @@
         self.most = self.most.max(targets.len());
         self.given.retain(|_, at| now - *at < AVOID);
         self.rounds.retain(|_, (_, at)| now - *at < PROBE_REST);
+        self.asked.retain(|_, at| now - *at < PROBE_REST);
         self.probed.retain(|_, at| now - *at < AVOID);
         self.staging.retain(|id, (model, at)| {
             let target = targets.get(id);
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -60,7 +60,8 @@
                 let order = Order::Cut(group.clone());
                 self.give_lost_leader(group, order, now, actions);
             }
-            Verdict::Probe => self.probe_members(view, standing, now, actions),
+            Verdict::Probe => self.probe_stalled(view, standing, now, actions),
+            Verdict::Ask => self.ask_members(view, standing, now, actions),
         }
     }
 
@@ -155,7 +156,26 @@
         }
     }
 
-    fn probe_members(
+    /// Asks the members of a slow group for their pace, once in a while. These
+    /// rounds do not count: a member may die while its group is slow.
+    fn ask_members(
+        &mut self,
+        view: &FleetView<'_>,
+        standing: &Standing<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(leader) = standing.leader else {
+            return;
+        };
+        if !self.asked.contains_key(&leader.id) {
+            self.asked.insert(leader.id.clone(), now);
+            self.probe_members(view, standing, now, actions);
+        }
+    }
+
+    /// Asks the members of a group that stands still whether they live.
+    fn probe_stalled(
         &mut self,
         view: &FleetView<'_>,
         standing: &Standing<'_>,
@@ -172,6 +192,22 @@
         if rounds.0 >= PROBE_ROUNDS {
             return;
         }
+        if self.probe_members(view, standing, now, actions)
+            && let Some(rounds) = self.rounds.get_mut(&leader.id)
+        {
+            rounds.0 += 1;
+        }
+    }
+
+    /// Probes all members that were not asked a moment ago; returns whether
+    /// there was one.
+    fn probe_members(
+        &mut self,
+        view: &FleetView<'_>,
+        standing: &Standing<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
         let probes = actions.len();
         for member in &standing.members {
             let recent = self
@@ -187,10 +223,6 @@
                 address: member.address,
             });
         }
-        if actions.len() > probes
-            && let Some(rounds) = self.rounds.get_mut(&leader.id)
-        {
-            rounds.0 += 1;
-        }
+        actions.len() > probes
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -33,6 +33,8 @@
     Stop,
     /// Its members must be asked whether they live.
     Probe,
+    /// Its members must be asked whether one of them is slow.
+    Ask,
     /// It is complete and not wanted now; its members are free.
     Standby,
     /// It has ended; its members are free.
@@ -159,6 +161,7 @@
             MemberState::Open if self.can_replace_slow(view, standing) => Verdict::Replace,
             MemberState::Open if self.surplus.contains(group) => Verdict::Rest,
             MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
+            MemberState::Open if view.slow.contains(&leader.id) => Verdict::Ask,
             MemberState::Open => Verdict::Serve,
             MemberState::Closing => Verdict::Wait,
             MemberState::Joining | MemberState::Ready => {
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -168,6 +168,20 @@
     stage.assert_sound();
 }
 
+#[test]
+fn a_member_that_dies_in_a_slow_group_is_noticed_at_once() {
+    let mut stage = Stage::formed(6);
+    let (leader, members) = large_group(&stage);
+    // Its streams are slow although all its members are sound.
+    stage.doubted.insert(leader.clone());
+    stage.run(secs(5));
+    let killed = stage.now;
+    stage.engines.kill(&members[2]);
+    stage.run(secs(3));
+    let cut = stage.given("cut", &leader).expect("the leader is stopped");
+    assert!(cut - killed <= SECOND, "{}", cut - killed);
+}
+
 #[test]
 fn a_slow_group_goes_on_if_no_spare_can_take_a_place() {
     let mut stage = Stage::formed(1);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -30,7 +30,7 @@
     pub(crate) requests: HashMap<InstanceId, u32>,
     /// Targets that are slow.
     pub(crate) slow: HashSet<InstanceId>,
-    /// Leaders that daemons see as stopped, beside those that are.
+    /// Leaders whose streams are slow.
     pub(crate) doubted: HashSet<InstanceId>,
     /// All orders that were given, with their times.
     pub(crate) orders: Vec<(Millis, InstanceId, Order)>,
@@ -80,12 +80,12 @@
     /// One look of the planner; `fate` says what becomes of each order.
     pub(crate) fn look(&mut self, mut fate: impl FnMut(&Order) -> Fate) {
         let targets = self.engines.listed();
-        let mut stalled = self.engines.stalled();
-        stalled.extend(self.doubted.iter().cloned());
+        let stalled = self.engines.stalled();
         let view = FleetView {
             targets: &targets,
             engine: &self.engine,
             stalled: &stalled,
+            slow: &self.doubted,
             working: &self.working,
             requests: &self.requests,
             term: self.term,
@@ -134,6 +134,7 @@
             targets: &targets,
             engine: &self.engine,
             stalled: &HashSet::new(),
+            slow: &HashSet::new(),
             working: &self.working,
             requests: &self.requests,
             term: self.term,
