refactor(planner): one bound for a short model, one way to probe a target

What reading the whole change found: spares.rs had a second constant for the shortage above which a group is wanted, and idle slow targets were probed by a copy of the loop over a group's members. Behaviour is the same.

--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use thistlesill_core::edge::{GroupRef, Order};
+use thistlesill_core::edge::{GroupRef, Order, Target};
 use thistlesill_core::{InstanceId, Millis};
 
 use super::survey::{Standing, Verdict};
@@ -143,19 +143,26 @@
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
-        for id in self.slow.iter().filter(|id| free.contains(*id)) {
-            let recent = self.probed.get(id).is_some_and(|at| now - *at < SLOW_GAP);
-            let Some(target) = view.targets.get(id).filter(|_| !recent) else {
-                continue;
-            };
-            self.probed.insert(id.clone(), now);
-            actions.push(FleetAction::Probe {
-                target: id.clone(),
-                address: target.address,
-            });
+        let slow = self.slow.iter().filter(|id| free.contains(*id));
+        let slow: Vec<&Target> = slow.filter_map(|id| view.targets.get(id)).collect();
+        for target in slow {
+            self.probe(target, SLOW_GAP, now, actions);
         }
     }
 
+    /// Probes a target unless that was done less than `gap` ago.
+    fn probe(&mut self, target: &Target, gap: Millis, now: Millis, actions: &mut Vec<FleetAction>) {
+        let last = self.probed.get(&target.id);
+        if last.is_some_and(|at| now - *at < gap) {
+            return;
+        }
+        self.probed.insert(target.id.clone(), now);
+        actions.push(FleetAction::Probe {
+            target: target.id.clone(),
+            address: target.address,
+        });
+    }
+
     /// Asks the members of a slow group for their pace, once in a while. These
     /// rounds do not count: a member may die while its group is slow.
     fn ask_members(
@@ -210,18 +217,9 @@
     ) -> bool {
         let probes = actions.len();
         for member in &standing.members {
-            let recent = self
-                .probed
-                .get(&member.id)
-                .is_some_and(|at| now - *at < PROBE_GAP);
-            if recent || !view.targets.contains_key(&member.id) {
-                continue;
+            if view.targets.contains_key(&member.id) {
+                self.probe(member, PROBE_GAP, now, actions);
             }
-            self.probed.insert(member.id.clone(), now);
-            actions.push(FleetAction::Probe {
-                target: member.id.clone(),
-                address: member.address,
-            });
         }
         actions.len() > probes
     }
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -13,7 +13,7 @@
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::shortage;
-use super::forming::{is_loaded, is_warm};
+use super::forming::{BELOW_FAIR, is_loaded, is_warm};
 use super::loads::most_calm;
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
@@ -26,8 +26,6 @@
 const ABSENT: f64 = 0.1;
 /// The largest shortage that counts, so that one model does not take all.
 const MOST_SHORT: f64 = 3.0;
-/// Above this shortage another group of the model is wanted.
-const WANTED: f64 = 1.05;
 /// How much more a group counts that could serve now than one that would have
 /// a spare if it lost a member.
 const COMPLETES: f64 = 4.0;
@@ -79,7 +77,7 @@
     fn completion(&self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) -> f64 {
         let (size, ready) = (plan.size as usize, self.ready(&(domain, &plan.model)));
         let idle = self.idle.get(&domain).copied().unwrap_or(0);
-        if self.short(plan) < WANTED || idle < size || ready >= size {
+        if self.short(plan) < BELOW_FAIR || idle < size || ready >= size {
             return 0.0;
         }
         let missing = (size - ready) as f64;
