fix(edge): a daemon that read an empty store at its start follows the targets

Their first whole read came before anything was written, at version 0, and version 0 counted as never read: what peers told was dropped and no second read was due. Change: whether the targets were read is a flag of its own.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -39,6 +39,8 @@
 pub(crate) struct Feed {
     /// The store's version up to which all changes are known.
     pub(crate) version: u64,
+    /// Whether all targets have been read once; an empty store's version is 0.
+    known: bool,
     /// All changes after this version are kept.
     floor: u64,
     kept: VecDeque<Change>,
@@ -47,11 +49,12 @@
 impl Feed {
     /// Whether all targets have been read once.
     pub(crate) const fn is_known(&self) -> bool {
-        self.version > 0
+        self.known
     }
 
     /// Starts anew at a version, after a whole read.
     pub(crate) fn restart(&mut self, version: u64) {
+        self.known = true;
         self.version = version;
         self.floor = version;
         self.kept.clear();
