perf(policy): the groups that a model should have follow the work it is asked for

Cause: the announced shares alone decided how many groups a model has, so with the larger model asked twice as often a tenth of the requests was refused while groups of the smaller one idled. Ruled out: requests in flight as the measure (they grow with lateness, not with work). Change: each daemon measures the work that it is asked for as the part of a group's time that it takes up (prompts at the reading rate, answers at what each running request adds to a step), over 4 s, and tells the planner once a second. A model's fair groups are what its work calls for at 0.6 of their time; only what is left is divided by the announced shares.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -12,6 +12,7 @@
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Passage;
+use thistlesill_policy::edge::asked::Asked;
 use thistlesill_policy::edge::attempt::Outcome;
 use tokio::time::Instant;
 
@@ -62,6 +63,26 @@
         u32::try_from(tokens).unwrap_or(u32::MAX)
     }
 
+    /// Notes what the request asks of its model.
+    pub(crate) fn note_asked(&self, refused: bool) {
+        let service = &self.passage.service;
+        let (Some(engine), Some(model)) = (&service.engine, &self.head.model) else {
+            return;
+        };
+        let asked = Asked {
+            engine,
+            model,
+            prompt: self.prompt(),
+            answer: self.head.hint.or(self.head.answer),
+            refused,
+        };
+        let now = self.edge.now();
+        self.edge
+            .asked
+            .borrow_mut()
+            .note(&service.name, &asked, now);
+    }
+
     /// Picks the next target of the request.
     pub(crate) fn pick(&self, tried: &[InstanceId]) -> Choice {
         self.edge.pick(&Asking {
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -11,11 +11,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_core::{HallId, InstanceId, Millis, Model, NodeId, ServiceName};
+use thistlesill_policy::edge::fleet::Demand;
 use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
 
-use self::packet::{Beat, StoreUse};
+use self::packet::{AskedWork, Beat, StoreUse};
 
 /// After this silence a peer counts as down. The largest fleets send a beat
 /// each half second, and one may be lost.
@@ -24,6 +25,9 @@
 const PLANNER_SILENT: Millis = Millis::new(1_200);
 /// After this silence a daemon is forgotten.
 const REMOVED: Millis = Millis::new(40_000);
+/// How long what a daemon told of its callers is believed: it tells once a
+/// second, and two datagrams may be lost.
+const ASKED_TRUST: Millis = Millis::new(3_500);
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -60,6 +64,8 @@
     pub(crate) shown: Option<LeaseSeen>,
     /// The lease as another daemon told of it.
     pub(crate) heard_lease: Option<LeaseSeen>,
+    /// As planner: what callers ask the other daemons for, and when they told.
+    asked: HashMap<NodeId, (Millis, AskedWork)>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<InstanceId>,
 }
@@ -115,6 +121,26 @@
         busy.cloned().collect()
     }
 
+    /// Takes in what callers ask a peer for.
+    pub(crate) fn hear_asked(&mut self, asked: AskedWork, now: Millis) {
+        self.asked.insert(asked.from.clone(), (now, asked));
+        self.asked.retain(|_, (at, _)| now - *at < ASKED_TRUST);
+    }
+
+    /// What callers ask the peers for, of one service.
+    pub(crate) fn demand(&self, service: &ServiceName, now: Millis) -> Demand {
+        let fresh = self
+            .asked
+            .values()
+            .filter(|(at, _)| now - *at < ASKED_TRUST);
+        let all = fresh.flat_map(|(_, asked)| &asked.work);
+        let mut demand = Demand::new();
+        for (_, model, work) in all.filter(|(name, _, _)| name == service) {
+            *demand.entry(Model::clone(model)).or_default() += f64::from(*work);
+        }
+        demand
+    }
+
     /// Whether `me` comes first among the daemons of its data centre that
     /// are heard; those that cannot reach the store come last.
     pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::NodeId;
+use thistlesill_core::{Millis, NodeId};
 use tokio::net::UdpSocket;
 
-use super::packet::{Beat, Packet};
+use super::packet::{AskedWork, Beat, Packet};
 use crate::follow;
 use crate::state::Edge;
 
@@ -18,6 +18,9 @@
 const BEAT_EACH: Duration = Duration::from_micros(6_500);
 /// Between two beats of a daemon without requests.
 const IDLE_BEAT: Duration = Duration::from_millis(300);
+/// Between two tellings of what callers ask for: groups follow it within
+/// seconds, and a hundred daemons tell one.
+const TELL_ASKED: Millis = Millis::new(1_000);
 /// Bytes of a datagram, at most.
 pub(crate) const MAX_DATAGRAM: usize = 8 * 1024;
 
@@ -32,6 +35,7 @@
         }
     }
     tokio::task::spawn_local(listen(edge.clone()));
+    let mut told = Millis::ZERO;
     loop {
         let peers = u32::try_from(edge.peers.borrow().most()).unwrap_or(u32::MAX);
         let busy = BEAT.max(BEAT_EACH * peers);
@@ -39,9 +43,31 @@
         let gap = if idle { IDLE_BEAT.max(busy) } else { busy };
         tokio::time::sleep(gap).await;
         tell_beat(&edge);
+        let now = edge.now();
+        if now - told >= TELL_ASKED {
+            told = now;
+            tell_asked(&edge, now);
+        }
     }
 }
 
+/// Tells the daemon that forms groups what callers ask this one for.
+fn tell_asked(edge: &Edge, now: Millis) {
+    let planner = edge.peers.borrow().planner();
+    let Some(planner) = planner.filter(|_| !edge.plans.get()) else {
+        return;
+    };
+    let work = edge.asked.borrow_mut().work(now);
+    let work = work.into_iter();
+    let work = work.map(|((service, model), work)| (service, model, work as f32));
+    let from = edge.settings().name.clone();
+    let asked = AskedWork {
+        from,
+        work: work.collect(),
+    };
+    tell(edge, &planner, &Packet::Asked(asked));
+}
+
 /// Tells all peers how this daemon is.
 pub(crate) fn tell_beat(edge: &Edge) {
     let now = edge.now();
@@ -124,6 +150,7 @@
             Ok(Packet::Ask(ask)) => follow::answer(&edge, &ask),
             Ok(Packet::Vouch(vouch)) => follow::take_vouch(&edge, vouch),
             Ok(Packet::Changes(changes)) => follow::take_changes(&edge, changes),
+            Ok(Packet::Asked(asked)) => edge.peers.borrow_mut().hear_asked(asked, edge.now()),
             Err(error) => {
                 metrics::counter!("thistlesill_edge_datagrams_refused_total").increment(1);
                 log::debug!("peers: {from}: {error}");
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,7 +1,7 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_core::{HallId, InstanceId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::load::Work;
 use thistlesill_policy::lease::LeaseSeen;
@@ -17,6 +17,8 @@
     Vouch(Vouch),
     /// Changes of targets.
     Changes(Changes),
+    /// What callers ask the sender for; goes to the daemon that forms groups.
+    Asked(AskedWork),
 }
 
 /// What a daemon has to do with the store; in the order in which others prefer
@@ -54,6 +56,14 @@
     pub(crate) dead: Vec<InstanceId>,
 }
 
+/// The work that callers ask a daemon for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct AskedWork {
+    pub(crate) from: NodeId,
+    /// By service and model; 1 keeps one group fully busy.
+    pub(crate) work: Vec<(ServiceName, Model, f32)>,
+}
+
 /// Asks how fresh another daemon's knowledge is.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Ask {
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -14,7 +14,7 @@
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
 use thistlesill_policy::edge::admission::BALANCER;
-use thistlesill_policy::edge::fleet::{Condition, FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{Condition, Demand, FleetAction, FleetPlanner, FleetView};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
 use crate::figures;
@@ -204,6 +204,7 @@
                 fleet.watch(targets, now);
                 continue;
             };
+            let demand = self.demand(&service.name, now);
             let view = FleetView {
                 targets,
                 engine,
@@ -211,6 +212,7 @@
                 slow: &slow,
                 working: &working,
                 requests: &requests,
+                demand: &demand,
                 term,
                 calm,
             };
@@ -260,6 +262,18 @@
         line.write();
     }
 
+    /// What callers ask all daemons for, of one service.
+    fn demand(&self, service: &ServiceName, now: Millis) -> Demand {
+        let mut demand = self.edge.peers.borrow().demand(service, now);
+        let own = self.edge.asked.borrow_mut().work(now);
+        for ((name, model), work) in own {
+            if name == *service {
+                *demand.entry(model).or_default() += work;
+            }
+        }
+        demand
+    }
+
     /// Leaders whose streams are slow.
     fn slow(&self, now: Millis) -> HashSet<InstanceId> {
         let mut slow = self.edge.peers.borrow().slow(now);
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -136,7 +136,11 @@
         give_way(&job).await;
     }
     loop {
-        let target = match job.pick(&tried) {
+        let choice = job.pick(&tried);
+        if tried.is_empty() {
+            job.note_asked(!matches!(choice, Choice::Target(_)));
+        }
+        let target = match choice {
             Choice::Target(target) => *target,
             Choice::Overloaded(late) => {
                 return track.refuse(ErrorKind::Overloaded, Some(come_back(late)));
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -12,6 +12,7 @@
 use thistlesill_net::clock::Clock;
 use thistlesill_platform::store::Store;
 use thistlesill_policy::budget::RetryBudget;
+use thistlesill_policy::edge::asked::AskedMeter;
 use thistlesill_policy::edge::book::TargetBook;
 use thistlesill_policy::edge::freshness::Freshness;
 use thistlesill_policy::edge::load::{LoadTable, Wanted};
@@ -74,6 +75,8 @@
     pub(crate) fresh: Cell<Freshness>,
     pub(crate) book: RefCell<TargetBook>,
     pub(crate) loads: RefCell<LoadTable>,
+    /// The work that callers ask this daemon for.
+    pub(crate) asked: RefCell<AskedMeter>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) lanes: Lanes,
     pub(crate) lines: Lines,
@@ -124,6 +127,7 @@
             fresh: Cell::new(Freshness::default()),
             book: RefCell::new(TargetBook::default()),
             loads: RefCell::new(LoadTable::default()),
+            asked: RefCell::new(AskedMeter::default()),
             lanes: Lanes::default(),
             lines: Lines::start(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -2,6 +2,7 @@
 //! and which targets form groups.
 
 pub mod admission;
+pub mod asked;
 pub mod attempt;
 pub mod book;
 pub mod fleet;
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -22,6 +22,7 @@
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
+pub use self::demand::Demand;
 use self::forming::Planned;
 use self::loads::LoadRate;
 use self::survey::{Survey, Verdict};
@@ -98,6 +99,8 @@
     pub working: &'a HashSet<InstanceId>,
     /// Requests at leaders, of all daemons.
     pub requests: &'a HashMap<InstanceId, u32>,
+    /// The work that each model is asked for, over all daemons.
+    pub demand: &'a Demand,
     /// The term of the lease.
     pub term: u64,
     /// Whether no caller has sent a request yet; loads are cheap until then.
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -91,7 +91,7 @@
         ModelCensus {
             model: plan.model.clone(),
             open: view.targets.values().filter(leads).count(),
-            fair: fair_groups(view.engine, plan, self.most),
+            fair: fair_groups(view, plan, self.most),
         }
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -1,31 +1,63 @@
 //! How many groups of each model the work calls for.
 
+use std::collections::BTreeMap;
+
 use thistlesill_core::Model;
 use thistlesill_core::edge::{Engine, ModelPlan};
 
+use super::FleetView;
+
 /// Part of the targets that groups may use; the rest stands by, ready to
 /// replace lost members.
 const IN_GROUPS: f64 = 0.75;
+/// Part of a group's time that work may take up while answers begin in time:
+/// at 0.6 a prompt waits about as long as the reading of one other takes.
+const USED: f64 = 0.6;
+
+/// The work that each model is asked for; 1 keeps one group fully busy.
+pub type Demand = BTreeMap<Model, f64>;
 
 /// How short a model is of groups: 1 is its fair part, more is short.
-///
-/// A model's share is its part of the targets' work, so its fair part of the
-/// targets, divided by the size of a group, gives its groups. `targets` is
-/// the largest number of targets that was seen: work does not shrink when
-/// targets are lost.
-pub(super) fn shortage(engine: &Engine, model: &Model, groups: usize, targets: usize) -> f64 {
-    let Some(plan) = engine.plan(model) else {
-        return 0.0;
-    };
+pub(super) fn shortage(
+    view: &FleetView<'_>,
+    plan: &ModelPlan,
+    groups: usize,
+    targets: usize,
+) -> f64 {
     if groups == 0 {
         return f64::MAX;
     }
-    fair_groups(engine, plan, targets) / groups as f64
+    fair_groups(view, plan, targets) / groups as f64
+}
+
+/// The groups that a model should have.
+///
+/// The work that is asked for comes first; the targets that it leaves are
+/// divided by the shares that the operators announced, which is also all that is
+/// known before the first requests. `targets` is the largest number of targets
+/// that was seen: work does not shrink when targets are lost.
+pub(super) fn fair_groups(view: &FleetView<'_>, plan: &ModelPlan, targets: usize) -> f64 {
+    let engine = view.engine;
+    let budget = IN_GROUPS * targets as f64;
+    let needed: f64 = engine.models.iter().map(|m| needed(view, m)).sum();
+    let own = needed_part(view, plan, budget, needed);
+    let left = (budget - needed).max(0.0);
+    (own + announced(engine, plan) * left) / f64::from(plan.size.max(1))
+}
+
+/// The targets that a model's work calls for, less if all do not fit.
+fn needed_part(view: &FleetView<'_>, plan: &ModelPlan, budget: f64, all: f64) -> f64 {
+    needed(view, plan) * (budget / all.max(f64::MIN_POSITIVE)).min(1.0)
+}
+
+/// The targets that a model's work calls for.
+fn needed(view: &FleetView<'_>, plan: &ModelPlan) -> f64 {
+    let work = view.demand.get(&plan.model).copied().unwrap_or(0.0);
+    work / USED * f64::from(plan.size)
 }
 
-/// The groups that a model should have by its share of the targets.
-pub(super) fn fair_groups(engine: &Engine, plan: &ModelPlan, targets: usize) -> f64 {
+/// A model's announced part of the targets' work.
+fn announced(engine: &Engine, plan: &ModelPlan) -> f64 {
     let all: f64 = engine.models.iter().map(|m| m.share).sum();
-    let part = plan.share / all.max(f64::MIN_POSITIVE);
-    part * IN_GROUPS * targets as f64 / f64::from(plan.size.max(1))
+    plan.share / all.max(f64::MIN_POSITIVE)
 }
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -222,7 +222,7 @@
         for targets in domains.values() {
             for plan in &view.engine.models {
                 let groups = counts.get(&plan.model).copied().unwrap_or(0);
-                let shortage = shortage(view.engine, &plan.model, groups, self.most);
+                let shortage = shortage(view, plan, groups, self.most);
                 found.extend(self.candidate(plan, targets, shortage));
             }
         }
@@ -234,7 +234,7 @@
         });
         let short = view.engine.models.iter().any(|plan| {
             let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            shortage(view.engine, &plan.model, groups, self.most) > BELOW_FAIR
+            shortage(view, plan, groups, self.most) > BELOW_FAIR
         });
         // What a short model lacks is not used up for one that has enough.
         found.retain(|c| !short || view.calm || c.shortage > BELOW_FAIR);
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -154,7 +154,7 @@
         let counts = self.count_groups(view, survey);
         let short = view.engine.models.iter().map(|plan| {
             let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            let short = shortage(view.engine, &plan.model, groups, self.most);
+            let short = shortage(view, plan, groups, self.most);
             (&plan.model, short.min(MOST_SHORT))
         });
         let mut holdings = Holdings {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -70,7 +70,7 @@
         let requests = sound.filter_map(|t| view.requests.get(&t.id)).sum::<u32>();
         let slots = f64::from(view.engine.slots.max(1));
         let busy = (f64::from(requests) / (slots * BUSY)).ceil() as usize;
-        let fair = fair_groups(view.engine, plan, self.most) / BELOW_FAIR;
+        let fair = fair_groups(view, plan, self.most) / BELOW_FAIR;
         let fair = (fair.ceil() as usize).max(1);
         let fewer = groups.saturating_sub(1) as f64;
         Supply {
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -2,6 +2,8 @@
 
 #[path = "edge/admission.rs"]
 mod admission;
+#[path = "edge/asked.rs"]
+mod asked;
 #[path = "edge/attempt.rs"]
 mod attempt;
 #[path = "edge/book.rs"]
--- /dev/null
+++ b/crates/thistlesill-policy/tests/edge/asked.rs
@@ -0,0 +1,85 @@
+//! The work that callers ask for is measured in groups.
+
+use thistlesill_core::{Millis, Model, ServiceName};
+use thistlesill_fakes::engines::engine;
+use thistlesill_policy::edge::asked::{Asked, AskedMeter};
+
+/// Between two requests: 50 a second.
+const GAP: Millis = Millis::new(20);
+/// Milliseconds of a group that a request takes: its prompt is read in 40 ms,
+/// and 50 tokens add 0.24 ms each.
+const WORK: f64 = 52.0;
+
+fn start() -> Millis {
+    Millis::new(1_000_000)
+}
+
+/// Notes requests for the large model over a time, and returns its end.
+fn ask(meter: &mut AskedMeter, from: Millis, time: Millis, refused: bool) -> Millis {
+    let (engine, model) = (engine(), Model::from("large"));
+    let mut now = from;
+    while now < from + time {
+        let asked = Asked {
+            engine: &engine,
+            model: &model,
+            prompt: 1_840,
+            answer: Some(50),
+            refused,
+        };
+        meter.note(&"s".into(), &asked, now);
+        now = now + GAP;
+    }
+    now
+}
+
+fn work(meter: &mut AskedMeter, now: Millis) -> f64 {
+    let key = (ServiceName::from("s"), Model::from("large"));
+    meter.work(now).get(&key).copied().unwrap_or(0.0)
+}
+
+fn assert_near(work: f64, expected: f64) {
+    let part = work / expected;
+    assert!((0.9..1.1).contains(&part), "{work} for {expected}");
+}
+
+#[test]
+fn work_is_told_in_groups_from_the_first_second_on() {
+    let mut meter = AskedMeter::default();
+    let groups = WORK / GAP.get() as f64;
+    let second = ask(&mut meter, start(), Millis::new(1_000), false);
+    assert_near(work(&mut meter, second), groups);
+    let later = ask(&mut meter, second, Millis::new(20_000), false);
+    assert_near(work(&mut meter, later), groups);
+}
+
+#[test]
+fn refused_requests_count_half_since_they_come_back() {
+    let mut meter = AskedMeter::default();
+    let end = ask(&mut meter, start(), Millis::new(10_000), true);
+    assert_near(work(&mut meter, end), WORK / GAP.get() as f64 / 2.0);
+}
+
+#[test]
+fn work_that_ends_is_forgotten() {
+    let mut meter = AskedMeter::default();
+    let end = ask(&mut meter, start(), Millis::new(10_000), false);
+    let before = work(&mut meter, end);
+    let after = work(&mut meter, end + Millis::new(8_000));
+    assert!(after < before * 0.15, "{before} to {after}");
+    assert!(meter.work(end + Millis::new(60_000)).is_empty());
+}
+
+#[test]
+fn models_that_the_service_does_not_run_count_nothing() {
+    let mut meter = AskedMeter::default();
+    let (engine, model) = (engine(), Model::from("unknown"));
+    let asked = Asked {
+        engine: &engine,
+        model: &model,
+        prompt: 1_000,
+        answer: None,
+        refused: false,
+    };
+    meter.note(&"s".into(), &asked, start());
+    assert!(meter.work(start()).is_empty());
+}
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -5,7 +5,9 @@
 use thistlesill_core::edge::{Engine, Order, OrderReply, Target};
 use thistlesill_core::{InstanceId, Millis};
 use thistlesill_fakes::engines::{Engines, engine};
-use thistlesill_policy::edge::fleet::{Census, Condition, FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{
+    Census, Condition, Demand, FleetAction, FleetPlanner, FleetView,
+};
 
 /// Between two looks of the planner.
 pub(crate) const STEP: Millis = Millis::new(100);
@@ -28,6 +30,8 @@
     pub(crate) working: HashSet<InstanceId>,
     /// Requests at leaders.
     pub(crate) requests: HashMap<InstanceId, u32>,
+    /// The work that each model is asked for.
+    pub(crate) demand: Demand,
     /// Targets that are slow.
     pub(crate) slow: HashSet<InstanceId>,
     /// Leaders whose streams are slow.
@@ -48,6 +52,7 @@
             calm: true,
             working: HashSet::new(),
             requests: HashMap::new(),
+            demand: Demand::new(),
             slow: HashSet::new(),
             doubted: HashSet::new(),
             orders: Vec::new(),
@@ -88,6 +93,7 @@
             slow: &self.doubted,
             working: &self.working,
             requests: &self.requests,
+            demand: &self.demand,
             term: self.term,
             calm: self.calm,
         };
@@ -137,6 +143,7 @@
             slow: &HashSet::new(),
             working: &self.working,
             requests: &self.requests,
+            demand: &self.demand,
             term: self.term,
             calm: self.calm,
         })
