test(policy): an empty store that was read whole counts as read

Ruled out: a test with daemons as processes alone. Before the stand-in, with reads at version 0, refused writes and a break before the first targets, it passes with and without the fix, since each daemon reads until it knows a planner. Change: what a reader keeps of the targets' changes moves to policy::edge::feed, with its tests. Figures: an_empty_store_that_was_read_is_known is red when the version alone says whether the store was read, and green with the flag.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -7,14 +7,14 @@
 //! proof's age is right on the asker's clock however long the datagrams, or
 //! either process, were held up.
 
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use thistlesill_core::Millis;
+use thistlesill_policy::edge::feed::Change;
 
 use crate::peers::link;
-use crate::peers::packet::{Ask, Change, Changes, Packet, Vouch};
+use crate::peers::packet::{Ask, Changes, Packet, Vouch};
 use crate::state::Edge;
 use crate::watch;
 
@@ -29,58 +29,9 @@
 /// Time after the start in which the daemons find each other; all read the
 /// store once then, and none follows it yet.
 pub(crate) const FIND: Millis = Millis::new(1_300);
-/// Changes that are kept for daemons that missed them.
-const MAX_KEPT: usize = 600;
 /// Changes in one datagram.
 const MAX_TOLD: usize = 24;
 
-/// The targets' changes that a reader keeps for others, and what it knows.
-#[derive(Debug, Default)]
-pub(crate) struct Feed {
-    /// The store's version up to which all changes are known.
-    pub(crate) version: u64,
-    /// Whether all targets have been read once; an empty store's version is 0.
-    known: bool,
-    /// All changes after this version are kept.
-    floor: u64,
-    kept: VecDeque<Change>,
-}
-
-impl Feed {
-    /// Whether all targets have been read once.
-    pub(crate) const fn is_known(&self) -> bool {
-        self.known
-    }
-
-    /// Starts anew at a version, after a whole read.
-    pub(crate) fn restart(&mut self, version: u64) {
-        self.known = true;
-        self.version = version;
-        self.floor = version;
-        self.kept.clear();
-    }
-
-    /// Takes in changes up to a version.
-    pub(crate) fn extend(&mut self, changes: &[Change], version: u64) {
-        self.kept.extend(changes.iter().cloned());
-        self.version = self.version.max(version);
-        while self.kept.len() > MAX_KEPT {
-            if let Some(dropped) = self.kept.pop_front() {
-                self.floor = self.floor.max(dropped.version);
-            }
-        }
-    }
-
-    /// The changes after a version, if all of them are kept.
-    fn after(&self, version: u64) -> Option<Vec<Change>> {
-        if version < self.floor {
-            return None;
-        }
-        let later = self.kept.iter().filter(|c| c.version > version);
-        Some(later.cloned().collect())
-    }
-}
-
 /// Decides whether this daemon reads the store now.
 pub(crate) fn reads_store(edge: &Edge) -> bool {
     let now = edge.now();
@@ -144,7 +95,7 @@
     let question = Ask {
         from: settings.name.clone(),
         asked: edge.now(),
-        targets: edge.feed.borrow().version,
+        targets: edge.feed.borrow().version(),
     };
     link::tell(edge, &reader, &Packet::Ask(question));
 }
@@ -159,12 +110,12 @@
             asked: ask.asked,
             catalog,
             age,
-            floor: edge.feed.borrow().floor,
+            floor: edge.feed.borrow().floor(),
         };
         link::tell(edge, &ask.from, &Packet::Vouch(vouch));
     }
     let feed = edge.feed.borrow();
-    if !edge.reads.get() || ask.targets >= feed.version {
+    if !edge.reads.get() || ask.targets >= feed.version() {
         return;
     }
     let Some(mut missed) = feed.after(ask.targets) else {
@@ -173,7 +124,7 @@
     let whole = missed.len() <= MAX_TOLD;
     missed.truncate(MAX_TOLD);
     let last = missed.last().map(|c| c.version);
-    let after = last.filter(|_| !whole).unwrap_or(feed.version);
+    let after = last.filter(|_| !whole).unwrap_or(feed.version());
     let changes = Changes {
         before: ask.targets,
         after,
@@ -205,7 +156,7 @@
 
 /// Takes in another daemon's word for the catalog.
 pub(crate) fn take_vouch(edge: &Edge, vouch: Vouch) {
-    if edge.feed.borrow().version < vouch.floor && !reads_targets(edge) {
+    if edge.feed.borrow().version() < vouch.floor && !reads_targets(edge) {
         edge.targets_news.notify_one();
     }
     let Some(own) = edge.catalog().map(|c| c.version) else {
@@ -222,7 +173,7 @@
 
 /// Takes in changes of targets from a daemon that reads the store.
 pub(crate) fn take_changes(edge: &Edge, news: Changes) {
-    let known = edge.feed.borrow().version;
+    let known = edge.feed.borrow().version();
     if reads_targets(edge) || !edge.feed.borrow().is_known() || news.after <= known {
         return;
     }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::{HallId, InstanceId, Millis, Model, NodeId, ServiceName};
-use thistlesill_policy::edge::book::Listing;
+use thistlesill_policy::edge::feed::Change;
 use thistlesill_policy::edge::load::Work;
 use thistlesill_policy::lease::LeaseSeen;
 
@@ -98,11 +98,3 @@
     /// How long the store has answered the sender without a break.
     pub(crate) steady: Option<Millis>,
 }
-
-/// One change of a target.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Change {
-    /// The store's version of the change.
-    pub(crate) version: u64,
-    pub(crate) what: Listing,
-}
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -19,11 +19,11 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-use crate::follow::Feed;
 use crate::lanes::Lanes;
 use crate::lines::Lines;
 use crate::peers::Peers;
 use crate::peers::packet::StoreUse;
+use thistlesill_policy::edge::feed::Feed;
 
 /// Daemons that are assumed to share the retry budget until more are known;
 /// the smallest fleets have about as many.
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -12,8 +12,8 @@
 use thistlesill_policy::edge::freshness::MARGIN;
 
 use crate::follow;
-use crate::peers::packet::Change;
 use crate::state::Edge;
+use thistlesill_policy::edge::feed::Change;
 
 /// Time for a read; the store answers within some milliseconds, and slowly
 /// within some hundred.
@@ -189,7 +189,7 @@
             }
             continue;
         }
-        let version = Some(edge.feed.borrow().version).filter(|_| !whole);
+        let version = Some(edge.feed.borrow().version()).filter(|_| !whole);
         let asked = tokio::select! {
             asked = ask(&edge, Table::Targets, version, LONG_WAIT) => asked,
             () = edge.store_doubt.notified() => continue,
@@ -220,7 +220,7 @@
         .iter()
         .filter_map(|row| decode(edge, row))
         .collect();
-    let before = edge.feed.borrow().version;
+    let before = edge.feed.borrow().version();
     if whole {
         edge.feed.borrow_mut().restart(rows.version);
         let listed = changes.into_iter().filter_map(|change| match change.what {
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -6,6 +6,8 @@
 mod keys;
 #[path = "it/soak.rs"]
 mod soak;
+#[path = "it/starts.rs"]
+mod starts;
 #[path = "it/stops.rs"]
 mod stops;
 #[path = "it/streams.rs"]
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -1,6 +1,6 @@
 //! A deployment for one test.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use thistlesill_platform_standin::caller::{Ask, Got, call};
@@ -8,10 +8,22 @@
 
 /// Starts a deployment; `net` keeps the tests' addresses apart.
 pub(crate) async fn world(net: u8, daemons: u8) -> World {
-    let program = Path::new(env!("CARGO_BIN_EXE_thistlesill-edge"));
+    let (program, folder) = place(net);
+    World::start(program, &folder, net, daemons).await
+}
+
+/// The same, with daemons that read the store while it is still empty.
+pub(crate) async fn early_world(net: u8, daemons: u8) -> World {
+    let (program, folder) = place(net);
+    let early = Duration::from_millis(1_000);
+    World::start_early(program, &folder, net, daemons, early).await
+}
+
+/// The program, and an empty folder for the deployment.
+fn place(net: u8) -> (&'static Path, PathBuf) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("world-{net}"));
     drop(std::fs::remove_dir_all(&folder));
-    World::start(program, &folder, net, daemons).await
+    (Path::new(env!("CARGO_BIN_EXE_thistlesill-edge")), folder)
 }
 
 /// Sends a request to a daemon that must answer.
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/feed.rs
@@ -0,0 +1,78 @@
+//! The changes of targets, kept by daemons that read the store for those that
+//! follow them.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use super::book::Listing;
+
+/// Changes that are kept for daemons that missed them.
+const MAX_KEPT: usize = 600;
+
+/// One change of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The store's version of the change.
+    pub version: u64,
+    /// What the target's entry became.
+    pub what: Listing,
+}
+
+/// The targets' changes that a reader keeps for others, and what it knows.
+#[derive(Debug, Default)]
+pub struct Feed {
+    /// The store's version up to which all changes are known.
+    version: u64,
+    /// Whether all targets have been read once; an empty store's version is 0.
+    known: bool,
+    /// All changes after this version are kept.
+    floor: u64,
+    kept: VecDeque<Change>,
+}
+
+impl Feed {
+    /// Whether all targets have been read once.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// The store's version up to which all changes are known.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Changes after this version are kept; who knows less must read all targets.
+    pub const fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Starts anew at a version, after a whole read.
+    pub fn restart(&mut self, version: u64) {
+        self.known = true;
+        self.version = version;
+        self.floor = version;
+        self.kept.clear();
+    }
+
+    /// Takes in changes up to a version.
+    pub fn extend(&mut self, changes: &[Change], version: u64) {
+        self.kept.extend(changes.iter().cloned());
+        self.version = self.version.max(version);
+        while self.kept.len() > MAX_KEPT {
+            if let Some(dropped) = self.kept.pop_front() {
+                self.floor = self.floor.max(dropped.version);
+            }
+        }
+    }
+
+    /// The changes after a version, if all of them are kept.
+    pub fn after(&self, version: u64) -> Option<Vec<Change>> {
+        if version < self.floor {
+            return None;
+        }
+        let later = self.kept.iter().filter(|c| c.version > version);
+        Some(later.cloned().collect())
+    }
+}
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -8,6 +8,8 @@
 mod attempt;
 #[path = "edge/book.rs"]
 mod book;
+#[path = "edge/feed.rs"]
+mod feed;
 #[path = "edge/fleet.rs"]
 mod fleet;
 #[path = "edge/fleet_random.rs"]
--- /dev/null
+++ b/crates/thistlesill-policy/tests/edge/feed.rs
@@ -0,0 +1,44 @@
+//! Daemons that read the store keep changes for those that follow them.
+
+use thistlesill_policy::edge::book::Listing;
+use thistlesill_policy::edge::feed::{Change, Feed};
+
+fn gone(version: u64) -> Change {
+    Change {
+        version,
+        what: Listing::Gone(format!("t-{version}").into()),
+    }
+}
+
+#[test]
+fn an_empty_store_that_was_read_is_known() {
+    let mut feed = Feed::default();
+    assert!(!feed.is_known());
+    feed.restart(0);
+    assert!(feed.is_known());
+    feed.extend(&[gone(3)], 3);
+    assert_eq!(feed.after(0), Some(vec![gone(3)]));
+}
+
+#[test]
+fn changes_are_told_from_any_version_that_is_kept() {
+    let mut feed = Feed::default();
+    feed.restart(10);
+    feed.extend(&[gone(11), gone(12)], 12);
+    assert_eq!(feed.after(9), None);
+    assert_eq!(feed.after(11), Some(vec![gone(12)]));
+    assert_eq!(feed.after(12), Some(Vec::new()));
+}
+
+#[test]
+fn old_changes_are_dropped_and_no_longer_told() {
+    let mut feed = Feed::default();
+    feed.restart(0);
+    for version in 1..=1_000 {
+        feed.extend(&[gone(version)], version);
+    }
+    assert_eq!(feed.version(), 1_000);
+    assert_eq!(feed.after(1), None);
+    let kept = feed.after(feed.floor()).map_or(0, |changes| changes.len());
+    assert!(kept > 100, "{kept}");
+}
