--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -29,6 +29,15 @@
 /// second, and two datagrams may be lost.
 const ASKED_TRUST: Millis = Millis::new(3_500);
 
+/// Which peers a datagram goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// Those of the same data centre, and those whose data centre is not known.
+    Near,
+    /// All.
+    All,
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
@@ -47,6 +56,10 @@
         self.heard.is_some_and(|at| now - at < SILENT)
     }
 
+    fn is_near(&self, hall: &HallId) -> bool {
+        self.heard.is_none() || self.hall == *hall
+    }
+
     fn silence(&self, now: Millis) -> Millis {
         now - self.heard.unwrap_or(self.listed)
     }
@@ -76,6 +89,12 @@
         self.known.len() + 1
     }
 
+    /// How many daemons of a data centre there may be, this one included.
+    pub(crate) fn near(&self, hall: &HallId) -> usize {
+        let near = self.known.values().filter(|p| p.is_near(hall));
+        near.count() + 1
+    }
+
     /// How many peers were heard a moment ago.
     pub(crate) fn heard(&self, now: Millis) -> usize {
         self.known.values().filter(|p| p.is_heard(now)).count()
@@ -168,8 +187,14 @@
     }
 
     /// The addresses of all peers that may live.
-    fn addresses(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
-        let peers = self.known.values();
+    fn addresses(
+        &self,
+        now: Millis,
+        hall: &HallId,
+        reach: Reach,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let wanted = move |p: &&Peer| reach == Reach::All || p.is_near(hall);
+        let peers = self.known.values().filter(wanted);
         let alive = peers.filter(move |p| p.silence(now) < REMOVED);
         alive.map(|p| p.address)
     }
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -6,6 +6,7 @@
 use thistlesill_core::{Millis, NodeId};
 use tokio::net::UdpSocket;
 
+use super::Reach;
 use super::packet::{AskedWork, Beat, Packet};
 use crate::follow;
 use crate::state::Edge;
@@ -13,9 +14,16 @@
 /// The shortest time between two beats of a daemon that has requests: about
 /// as long as the target that was picked takes to begin.
 const BEAT: Duration = Duration::from_millis(60);
-/// Added for each peer, so that what a daemon hears stays at about 150 beats
-/// a second however many there are.
-const BEAT_EACH: Duration = Duration::from_micros(6_500);
+/// Added for each peer of the data centre, so that what a daemon hears of them
+/// stays at about 150 beats a second however many there are.
+const NEAR_EACH: Duration = Duration::from_micros(6_500);
+/// Added for each daemon, for beats to other data centres: their groups are
+/// used when the near ones are busier, and bytes on the way there cost; in
+/// milliseconds.
+const FAR_EACH: u64 = 10;
+/// The longest time between two beats to other data centres; two of them fit
+/// into the silence after which a peer counts as down; in milliseconds.
+const FAR_MOST: u64 = 700;
 /// Between two beats of a daemon without requests.
 const IDLE_BEAT: Duration = Duration::from_millis(300);
 /// Between two tellings of what callers ask for: groups follow it within
@@ -35,15 +43,16 @@
         }
     }
     tokio::task::spawn_local(listen(edge.clone()));
-    let mut told = Millis::ZERO;
+    let (mut told, mut far_told) = (Millis::ZERO, Millis::ZERO);
     loop {
-        let peers = u32::try_from(edge.peers.borrow().most()).unwrap_or(u32::MAX);
-        let busy = BEAT.max(BEAT_EACH * peers);
-        let idle = edge.active.get() == 0;
-        let gap = if idle { IDLE_BEAT.max(busy) } else { busy };
-        tokio::time::sleep(gap).await;
-        tell_beat(&edge);
+        let (near, far) = gaps(&edge);
+        tokio::time::sleep(near).await;
         let now = edge.now();
+        let due = now - far_told >= far || edge.plans.get();
+        if due {
+            far_told = now;
+        }
+        tell_beat(&edge, if due { Reach::All } else { Reach::Near });
         if now - told >= TELL_ASKED {
             told = now;
             tell_asked(&edge, now);
@@ -51,6 +60,20 @@
     }
 }
 
+/// The time until the next beat, to the peers of this data centre and to all.
+fn gaps(edge: &Edge) -> (Duration, Millis) {
+    let peers = edge.peers.borrow();
+    let near = u32::try_from(peers.near(&edge.settings().hall)).unwrap_or(u32::MAX);
+    let near = BEAT.max(NEAR_EACH * near);
+    let near = if edge.active.get() == 0 {
+        IDLE_BEAT.max(near)
+    } else {
+        near
+    };
+    let far = FAR_EACH.saturating_mul(peers.most() as u64).min(FAR_MOST);
+    (near, Millis::new(far))
+}
+
 /// Tells the daemon that forms groups what callers ask this one for.
 fn tell_asked(edge: &Edge, now: Millis) {
     let planner = edge.peers.borrow().planner();
@@ -68,35 +91,49 @@
     tell(edge, &planner, &Packet::Asked(asked));
 }
 
-/// Tells all peers how this daemon is.
-pub(crate) fn tell_beat(edge: &Edge) {
+/// Tells peers how this daemon is.
+pub(crate) fn tell_beat(edge: &Edge, reach: Reach) {
+    tell_peers(edge, &beat(edge), reach);
+}
+
+/// Tells the daemon that forms groups at once what this one suspects: until it
+/// has probed the group, others send requests there.
+pub(crate) fn tell_suspects(edge: &Edge) {
+    let planner = edge.peers.borrow().planner();
+    if let Some(planner) = planner.filter(|_| !edge.plans.get()) {
+        tell(edge, &planner, &beat(edge));
+    }
+}
+
+fn beat(edge: &Edge) -> Packet {
     let now = edge.now();
     let settings = edge.settings();
-    let beat = {
-        let loads = edge.loads.borrow();
-        let peers = edge.peers.borrow();
-        Beat {
-            from: settings.name.clone(),
-            hall: settings.hall.clone(),
-            store: edge.store_use(),
-            plans: edge.plans.get(),
-            busy: edge.busy.get(),
-            counts: loads.counts(),
-            suspects: loads.suspects(now),
-            slow: loads.slow(now),
-            lease: peers.shown.clone(),
-            dead: peers.dead.clone(),
-        }
-    };
-    tell_all(edge, &Packet::Beat(Box::new(beat)));
+    let (loads, peers) = (edge.loads.borrow(), edge.peers.borrow());
+    Packet::Beat(Box::new(Beat {
+        from: settings.name.clone(),
+        hall: settings.hall.clone(),
+        store: edge.store_use(),
+        plans: edge.plans.get(),
+        busy: edge.busy.get(),
+        counts: loads.counts(),
+        suspects: loads.suspects(now),
+        slow: loads.slow(now),
+        lease: peers.shown.clone(),
+        dead: peers.dead.clone(),
+    }))
 }
 
 /// Sends a datagram to all peers that may live.
 pub(crate) fn tell_all(edge: &Edge, packet: &Packet) {
+    tell_peers(edge, packet, Reach::All);
+}
+
+fn tell_peers(edge: &Edge, packet: &Packet, reach: Reach) {
     let Some(bytes) = encode(packet) else { return };
     let peers = edge.peers.borrow();
     let Some(socket) = &peers.socket else { return };
-    for address in peers.addresses(edge.now()) {
+    let hall = edge.settings().hall.clone();
+    for address in peers.addresses(edge.now(), &hall, reach) {
         metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
         if let Err(error) = socket.try_send_to(&bytes, address) {
             log::debug!("peers: {address}: {error}");
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -19,7 +19,7 @@
 
 use crate::figures;
 use crate::follow::{self, FIND};
-use crate::peers::link;
+use crate::peers::{Reach, link};
 use crate::state::Edge;
 
 /// Between two looks at the fleet without news.
@@ -109,7 +109,7 @@
         // The process waits for this before it ends.
         self.edge.plans.set(false);
         // The next beat may be due after the process has ended.
-        link::tell_beat(&self.edge);
+        link::tell_beat(&self.edge, Reach::All);
     }
 
     async fn tend_lease(&self) {
@@ -194,6 +194,7 @@
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
         let book = edge.book.borrow();
+        let mut dead = Vec::new();
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
@@ -218,20 +219,30 @@
             };
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
-            let dead: Vec<InstanceId> = fleet
-                .dead()
-                .filter(|id| targets.contains_key(*id))
-                .cloned()
-                .collect();
-            for target in &dead {
-                edge.suspect(target, "it answered no probe");
-            }
-            edge.peers.borrow_mut().dead = dead;
+            dead.extend(fleet.broken(targets));
             drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
             }
         }
+        drop(book);
+        for target in &dead {
+            edge.suspect(target, "it or a member of its group answered no probe");
+        }
+        self.tell_dead(dead);
+    }
+
+    /// Tells all daemons of targets that answered no probe; at once if one is
+    /// news, since requests still go to its group.
+    fn tell_dead(&self, dead: Vec<InstanceId>) {
+        let before = std::mem::replace(&mut self.edge.peers.borrow_mut().dead, dead);
+        let news = {
+            let peers = self.edge.peers.borrow();
+            peers.dead.iter().any(|id| !before.contains(id))
+        };
+        if news {
+            link::tell_beat(&self.edge, Reach::All);
+        }
     }
 
     /// Now and then, a line and figures about how the fleet stands.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -21,8 +21,8 @@
 
 use crate::lanes::Lanes;
 use crate::lines::Lines;
-use crate::peers::Peers;
 use crate::peers::packet::StoreUse;
+use crate::peers::{Peers, link};
 use thistlesill_policy::edge::feed::Feed;
 
 /// Daemons that are assumed to share the retry budget until more are known;
@@ -285,6 +285,7 @@
                 .with("why", why)
                 .write();
             self.fleet_news.notify_one();
+            link::tell_suspects(self);
         }
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -275,6 +275,18 @@
         dead.map(|(id, _)| id)
     }
 
+    /// Listed targets that answered no probe, and the leaders that still take
+    /// requests for groups with such members.
+    pub fn broken(&self, targets: &HashMap<InstanceId, Target>) -> Vec<InstanceId> {
+        let dead: Vec<&Target> = self.dead().filter_map(|id| targets.get(id)).collect();
+        let group = |target: &Target| target.member.as_ref().map(|m| m.of.clone());
+        let lost: BTreeSet<GroupRef> = dead.iter().filter_map(|t| group(t)).collect();
+        let leads = |t: &&Target| t.leads_open() && group(t).is_some_and(|g| lost.contains(&g));
+        let leaders = targets.values().filter(leads);
+        let all = dead.into_iter().chain(leaders).map(|t| t.id.clone());
+        all.collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
     fn is_dead(&self, id: &InstanceId) -> bool {
         self.silent
             .get(id)
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -12,12 +12,14 @@
 use thistlesill_core::edge::{Engine, Target};
 use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 
-/// Targets that are drawn to pick the best of; a few suffice, and daemons
-/// that know the same do not all pick the same one.
-const DRAWN: usize = 3;
+/// Targets of the own data centre that are drawn to pick the best of.
+const DRAWN_NEAR: usize = 4;
+/// Targets of other data centres that are drawn beside them. Their load is known
+/// less well, and daemons that know the same should not all pick the same one.
+const DRAWN_FAR: usize = 2;
 /// Added to the expected time in another data centre, in milliseconds: its
 /// share of the price of bytes between them, where the wait is about equal.
-const FAR: f64 = 4.0;
+const FAR: f64 = 25.0;
 /// Part of an answer's time after the first event that counts in the choice;
 /// the first event and the pauses decide whether an answer is in time.
 const ANSWER_PART: f64 = 0.25;
@@ -328,17 +330,15 @@
         if pool.is_empty() {
             return None;
         }
-        let start = rng.random_range(0..pool.len());
-        let stride = if pool.len() > DRAWN {
-            1 + rng.random_range(0..pool.len() / DRAWN)
-        } else {
-            1
-        };
-        let drawn = (0..DRAWN.min(pool.len())).map(|i| pool[(start + i * stride) % pool.len()]);
-        drawn.min_by(|a, b| {
-            let (a, b) = (self.expected(a, wanted, now), self.expected(b, wanted, now));
-            a.total_cmp(&b)
-        })
+        let (near, far): (Vec<&Target>, Vec<&Target>) =
+            pool.iter().copied().partition(|t| t.hall == *wanted.hall);
+        let mut drawn = draw(&near, DRAWN_NEAR, rng);
+        drawn.extend(draw(&far, DRAWN_FAR, rng));
+        let timed = drawn
+            .into_iter()
+            .map(|t| (self.expected(t, wanted, now), t));
+        let best = timed.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, target)| target)
     }
 
     fn entry(&mut self, id: &InstanceId) -> &mut TargetLoad {
@@ -346,6 +346,15 @@
     }
 }
 
+/// Draws some targets, as far apart in the list as they can be.
+fn draw<'a>(pool: &[&'a Target], count: usize, rng: &mut impl rand::Rng) -> Vec<&'a Target> {
+    let length = pool.len().max(1);
+    let start = rng.random_range(0..length);
+    let stride = 1 + rng.random_range(0..(length / count).max(1));
+    let drawn = (0..count.min(pool.len())).map(|i| pool[(start + i * stride) % length]);
+    drawn.collect()
+}
+
 /// What one pass of a group takes, in milliseconds.
 struct Pass {
     /// Steps until the next event of each stream.
