fix(edge): what peers told is believed for as long as beats may be apart

Cause: beats are spaced by the number of daemons, but a peer counted as down after a fixed 1.5 s and its load was forgotten then; at 300 daemons a beat comes every 3 s. Ruled out: a fixed bound on the spacing, which at 660 daemons has each hear 900 beats a second. Change: trust is 1.5 s or two and a quarter of the spacing, whichever is longer; the daemon that forms groups beats every 0.4 s at least.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -18,9 +18,11 @@
 
 use self::packet::{AskedWork, Beat, StoreUse};
 
-/// After this silence a peer counts as down. The largest fleets send a beat
-/// each half second, and one may be lost.
+/// The shortest silence after which a peer counts as down.
 const SILENT: Millis = Millis::new(1_500);
+/// Between two beats to other data centres, for each daemon, in milliseconds:
+/// what a daemon hears of them stays at a hundred beats a second.
+const FAR_EACH: u64 = 10;
 /// After this silence the planner counts as down.
 const PLANNER_SILENT: Millis = Millis::new(1_200);
 /// After this silence a daemon is forgotten.
@@ -52,8 +54,8 @@
 }
 
 impl Peer {
-    fn is_heard(&self, now: Millis) -> bool {
-        self.heard.is_some_and(|at| now - at < SILENT)
+    fn is_heard(&self, now: Millis, trust: Millis) -> bool {
+        self.heard.is_some_and(|at| now - at < trust)
     }
 
     fn is_near(&self, hall: &HallId) -> bool {
@@ -95,9 +97,25 @@
         near.count() + 1
     }
 
+    /// The time between two beats to other data centres. Their groups are used
+    /// when the near ones are busier, and bytes on the way there cost.
+    pub(crate) fn far_gap(&self) -> Millis {
+        Millis::new(FAR_EACH * self.most() as u64)
+    }
+
+    /// How long a peer's last beat is believed: two may come late in a row.
+    pub(crate) fn trust(&self) -> Millis {
+        let two = self.far_gap().get() * 9 / 4;
+        SILENT.max(Millis::new(two))
+    }
+
     /// How many peers were heard a moment ago.
     pub(crate) fn heard(&self, now: Millis) -> usize {
-        self.known.values().filter(|p| p.is_heard(now)).count()
+        let trust = self.trust();
+        self.known
+            .values()
+            .filter(|p| p.is_heard(now, trust))
+            .count()
     }
 
     /// Whether a daemon that forms groups was heard a moment ago.
@@ -123,19 +141,22 @@
 
     /// Targets that peers suspect.
     pub(crate) fn suspects(&self, now: Millis) -> HashSet<InstanceId> {
-        let fresh = self.known.values().filter(|p| p.is_heard(now));
+        let trust = self.trust();
+        let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
     /// Targets whose streams are slow, as peers see it.
     pub(crate) fn slow(&self, now: Millis) -> HashSet<InstanceId> {
-        let fresh = self.known.values().filter(|p| p.is_heard(now));
+        let trust = self.trust();
+        let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.slow.iter().cloned()).collect()
     }
 
     /// Targets at which a peer has requests without suspecting them.
     pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
-        let fresh = self.known.values().filter(|p| p.is_heard(now));
+        let trust = self.trust();
+        let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         let busy = fresh.flat_map(|p| p.busy_at.iter().filter(|id| !p.suspects.contains(id)));
         busy.cloned().collect()
     }
@@ -163,20 +184,22 @@
     /// Whether `me` comes first among the daemons of its data centre that
     /// are heard; those that cannot reach the store come last.
     pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
+        let trust = self.trust();
         let near = self
             .known
             .iter()
-            .filter(|(_, p)| p.hall == *hall && p.is_heard(now));
+            .filter(|(_, p)| p.hall == *hall && p.is_heard(now, trust));
         let mut ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
         ranks.all(|rank| (away, me) < rank)
     }
 
     /// A peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
+        let trust = self.trust();
         let readers = self
             .known
             .iter()
-            .filter(|(_, p)| p.store != StoreUse::Asks && p.is_heard(now));
+            .filter(|(_, p)| p.store != StoreUse::Asks && p.is_heard(now, trust));
         let best = readers.min_by_key(|(name, p)| (p.store, p.hall != *hall, (*name).clone()));
         best.map(|(name, _)| name.clone())
     }
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -17,13 +17,9 @@
 /// Added for each peer of the data centre, so that what a daemon hears of them
 /// stays at about 150 beats a second however many there are.
 const NEAR_EACH: Duration = Duration::from_micros(6_500);
-/// Added for each daemon, for beats to other data centres: their groups are
-/// used when the near ones are busier, and bytes on the way there cost; in
-/// milliseconds.
-const FAR_EACH: u64 = 10;
-/// The longest time between two beats to other data centres; two of them fit
-/// into the silence after which a peer counts as down; in milliseconds.
-const FAR_MOST: u64 = 700;
+/// The longest time between two beats of the daemon that forms groups: others
+/// take it for down after three of them.
+const PLANNER_BEAT: Millis = Millis::new(400);
 /// Between two beats of a daemon without requests.
 const IDLE_BEAT: Duration = Duration::from_millis(300);
 /// Between two tellings of what callers ask for: groups follow it within
@@ -48,7 +44,7 @@
         let (near, far) = gaps(&edge);
         tokio::time::sleep(near).await;
         let now = edge.now();
-        let due = now - far_told >= far || edge.plans.get();
+        let due = now - far_told >= far;
         if due {
             far_told = now;
         }
@@ -70,8 +66,13 @@
     } else {
         near
     };
-    let far = FAR_EACH.saturating_mul(peers.most() as u64).min(FAR_MOST);
-    (near, Millis::new(far))
+    let far = peers.far_gap();
+    let far = if edge.plans.get() {
+        far.min(PLANNER_BEAT)
+    } else {
+        far
+    };
+    (near, far)
 }
 
 /// Tells the daemon that forms groups what callers ask this one for.
@@ -207,7 +208,8 @@
         edge.fleet_news.notify_one();
     }
     let counts = beat.counts.into_iter().collect();
-    edge.loads.borrow_mut().hear(&beat.from, counts, now);
+    let until = now + edge.peers.borrow().trust();
+    edge.loads.borrow_mut().hear(&beat.from, counts, until);
     for target in &beat.dead {
         if edge.book.borrow().knows(target) {
             edge.suspect(target, "it answered no probe of the planner");
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -35,9 +35,9 @@
 /// counted in another window than their retries.
 const RATIO_USED: f64 = 0.8;
 
-/// How long a request waits for a daemon that has just started: a few reads of
-/// the store, and less than a quarter of the usual objectives, so that a
-/// caller that must be turned away hears it soon.
+/// How long a request waits for a daemon that has just started: about four reads
+/// of the store at its usual 4 ms and their way there and back. When they take
+/// longer the store is slow or away, and the caller is told to come back.
 const FIRST_READS: Duration = Duration::from_millis(90);
 
 /// Time in which a daemon that has just started hears of its peers' load.
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -16,8 +16,10 @@
     pub model: Model,
     /// Groups that take requests.
     pub open: usize,
-    /// Groups that the model should have by its share of the targets.
+    /// Groups that the model should have.
     pub fair: f64,
+    /// The work that it is asked for; 1 keeps one group fully busy.
+    pub work: f64,
 }
 
 /// The targets of one fabric domain.
@@ -57,7 +59,13 @@
 
 impl Display for ModelCensus {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}/{:.1}", self.model, self.open, self.fair)
+        let Self {
+            model,
+            open,
+            fair,
+            work,
+        } = self;
+        write!(f, "{model}:{open}/{fair:.1}@{work:.1}")
     }
 }
 
@@ -92,6 +100,7 @@
             model: plan.model.clone(),
             open: view.targets.values().filter(leads).count(),
             fair: fair_groups(view, plan, self.most),
+            work: view.demand.get(&plan.model).copied().unwrap_or(0.0),
         }
     }
 }
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -34,8 +34,6 @@
 const PASSES: f64 = 3.0;
 /// How long a target that failed a request is passed over.
 const SUSPECT: Millis = Millis::new(2_500);
-/// How long a peer's counts are believed.
-const PEER_TRUST: Millis = Millis::new(1_500);
 /// Weight of a new observation of a target's time.
 const LEARNING: f64 = 0.2;
 /// Times the usual pause between events from which on a group counts as slow;
@@ -114,7 +112,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct PeerCounts {
-    heard: Millis,
+    until: Millis,
     counts: HashMap<InstanceId, Work>,
 }
 
@@ -199,10 +197,10 @@
         found.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Takes in the counts of a peer.
-    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, now: Millis) {
-        let heard = PeerCounts { heard: now, counts };
-        self.peers.insert(peer.clone(), heard);
+    /// Takes in a peer's counts, to be believed until a moment.
+    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
+        self.peers
+            .insert(peer.clone(), PeerCounts { until, counts });
     }
 
     /// This daemon's requests by target.
@@ -214,13 +212,13 @@
     /// Forgets targets that are gone and peers that fell silent.
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool, now: Millis) {
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
-        self.peers.retain(|_, p| now - p.heard < PEER_TRUST);
+        self.peers.retain(|_, p| now < p.until);
     }
 
     /// Work at a target, of this daemon and its peers.
     pub fn work(&self, id: &InstanceId, now: Millis) -> Work {
         let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
-        let fresh = self.peers.values().filter(|p| now - p.heard < PEER_TRUST);
+        let fresh = self.peers.values().filter(|p| now < p.until);
         fresh
             .filter_map(|p| p.counts.get(id).copied())
             .fold(own, Add::add)
@@ -232,7 +230,7 @@
         for (id, work) in self.counts() {
             *all.entry(id).or_default() += work.requests;
         }
-        let fresh = self.peers.values().filter(|p| now - p.heard < PEER_TRUST);
+        let fresh = self.peers.values().filter(|p| now < p.until);
         for (id, work) in fresh.flat_map(|p| &p.counts) {
             *all.entry(id.clone()).or_default() += work.requests;
         }
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -11,6 +11,8 @@
 use thistlesill_policy::edge::load::{LoadTable, Wanted, Work};
 
 const NOW: Millis = Millis::new(1_000_000);
+/// How long a peer's word is believed.
+const TRUST: Millis = Millis::new(1_500);
 const AIM: Millis = Millis::new(300);
 
 fn leader(id: &str) -> Target {
@@ -102,7 +104,11 @@
         requests: 10,
         unread: 4_000,
     };
-    loads.hear(&"peer".into(), HashMap::from([("a".into(), work)]), NOW);
+    loads.hear(
+        &"peer".into(),
+        HashMap::from([("a".into(), work)]),
+        NOW + TRUST,
+    );
     assert_eq!(wins(&loads, NOW), 0);
     assert_ne!(wins(&loads, NOW + Millis::new(5_000)), 0);
 }
@@ -149,3 +155,29 @@
         "there is nobody to wait for"
     );
 }
+
+#[test]
+fn the_own_data_centre_is_preferred_where_the_wait_is_about_equal() {
+    let mut loads = LoadTable::default();
+    let (near, mut far) = (leader("a"), leader("b"));
+    far.hall = "other".into();
+    let engine = engine();
+    let wanted = Wanted {
+        engine: Some(&engine),
+        prompt: 600,
+        hall: &HallId::from("h"),
+    };
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut pick = |loads: &LoadTable| {
+        let both = [&near, &far];
+        loads
+            .pick(&both, &wanted, NOW, &mut rng)
+            .map(|t| t.id.clone())
+    };
+    assert_eq!(pick(&loads), Some("a".into()));
+    // One more prompt costs 20 ms there: 13 to read it, the rest for its answer.
+    loads.begin(&"a".into(), 600);
+    assert_eq!(pick(&loads), Some("a".into()));
+    loads.begin(&"a".into(), 600);
+    assert_eq!(pick(&loads), Some("b".into()));
+}
