--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -7,6 +7,7 @@
 //! it has seen.
 
 mod census;
+mod conversion;
 mod demand;
 mod forming;
 mod loads;
@@ -14,7 +15,6 @@
 mod spares;
 mod standby;
 mod survey;
-mod turning;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -23,11 +23,11 @@
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
+use self::conversion::Conversion;
 pub use self::demand::Demand;
 use self::forming::Planned;
 use self::loads::LoadRate;
 use self::survey::{Survey, Verdict};
-use self::turning::Turn;
 
 /// Bits of an epoch that count the groups within a term.
 const EPOCH_BITS: u32 = 20;
@@ -167,8 +167,8 @@
     addresses: BTreeMap<InstanceId, SocketAddr>,
     /// Spares that were told to hold a model ready, and when.
     staging: BTreeMap<InstanceId, (Model, Millis)>,
-    /// Changes of groups to short models that are under way.
-    turning: Vec<Turn>,
+    /// Conversions of groups to short models that are under way.
+    conversions: Vec<Conversion>,
     /// Since when each model has been so short that others give way.
     short_since: BTreeMap<Model, Millis>,
     /// Groups that end so that another model gets their members.
@@ -203,7 +203,7 @@
         self.drop_taken(&mut free, view, now);
         self.form(view, &survey, &mut free, now, &mut actions);
         self.stage(view, &survey, &free, now, &mut actions);
-        self.turn(view, &survey, &free, now, &mut actions);
+        self.convert(view, &survey, &free, now, &mut actions);
         actions
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/turning.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -19,16 +19,16 @@
 
 /// How many times its groups a model's work must call for until groups of others
 /// give way: a change costs its targets some seconds, and spares.
-const TURN_SHORT: f64 = 1.15;
+const CONVERT_SHORT: f64 = 1.15;
 /// How long a model must have been that short: a lost group is replaced within
 /// two to three seconds, and that is no reason for a change.
-const TURN_AFTER: Millis = Millis::new(3_000);
+const CONVERT_AFTER: Millis = Millis::new(3_000);
 /// Groups that must be missing at least, so that rounding makes no change.
-const TURN_MISSING: f64 = 0.6;
+const CONVERT_MISSING: f64 = 0.6;
 
-/// A change of some groups that is under way.
+/// Some groups that are to become one of another model.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Turn {
+pub(super) struct Conversion {
     /// The model that is short.
     model: Model,
     /// Groups that give way.
@@ -37,7 +37,7 @@
     members: BTreeSet<InstanceId>,
 }
 
-/// What changes can still use.
+/// What conversions can still use.
 struct Room<'a> {
     /// Idle targets, by domain.
     idle: BTreeMap<Option<&'a DomainId>, Vec<&'a Target>>,
@@ -55,18 +55,18 @@
         Self { idle, given }
     }
 
-    /// Takes out what a change uses, and counts its groups as changed.
+    /// Takes out what a conversion uses, and counts its groups as converted.
     fn take(
         &mut self,
-        turn: &Turn,
+        conversion: &Conversion,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
         counts: &mut BTreeMap<Model, usize>,
     ) {
         for targets in self.idle.values_mut() {
-            targets.retain(|t| !turn.members.contains(&t.id));
+            targets.retain(|t| !conversion.members.contains(&t.id));
         }
-        for group in &turn.groups {
+        for group in &conversion.groups {
             let standing = survey.groups.get(group);
             if let Some(plan) = standing.and_then(|s| s.plan(view)) {
                 let count = counts.entry(plan.model.clone()).or_default();
@@ -74,7 +74,7 @@
             }
             self.given.insert(group.clone());
         }
-        *counts.entry(turn.model.clone()).or_default() += 1;
+        *counts.entry(conversion.model.clone()).or_default() += 1;
     }
 }
 
@@ -85,7 +85,7 @@
     }
 
     /// Whether a model is so short that groups of others give way.
-    pub(super) fn is_turn_short(
+    pub(super) fn needs_conversion(
         &self,
         view: &FleetView<'_>,
         plan: &ModelPlan,
@@ -93,11 +93,11 @@
     ) -> bool {
         let groups = groups as f64;
         let missing = fair_groups(view, plan, self.most) - groups;
-        missing >= TURN_MISSING && needed_groups(view, plan) >= TURN_SHORT * groups
+        missing >= CONVERT_MISSING && needed_groups(view, plan) >= CONVERT_SHORT * groups
     }
 
-    /// Begins, goes on with or drops changes of groups to short models.
-    pub(super) fn turn(
+    /// Begins, goes on with or drops conversions of groups to short models.
+    pub(super) fn convert(
         &mut self,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
@@ -116,30 +116,29 @@
         let mut counts = self.count_groups(view, survey);
         self.note_short(view, &counts, now);
         let mut room = Room::new(view, free);
-        let old = std::mem::take(&mut self.turning);
-        for turn in old {
-            let usable = turn.members.iter().all(|id| self.is_usable(id, view));
-            if usable && turn.groups.iter().all(open) && self.is_wanted(view, &turn, &counts) {
-                room.take(&turn, view, survey, &mut counts);
-                self.turning.push(turn);
-            }
-        }
-        while let Some(turn) = self.best_turn(view, survey, &room, &counts, now) {
-            room.take(&turn, view, survey, &mut counts);
-            self.turning.push(turn);
-        }
-        for turn in std::mem::take(&mut self.turning) {
-            if !self.tend_turn(view, &turn, now, actions) {
-                self.turning.push(turn);
+        let mut conversions = std::mem::take(&mut self.conversions);
+        conversions.retain(|conversion| {
+            let usable = conversion.members.iter().all(|id| self.is_usable(id, view));
+            let whole = usable && conversion.groups.iter().all(open);
+            let goes_on = whole && self.is_wanted(view, conversion, &counts);
+            if goes_on {
+                room.take(conversion, view, survey, &mut counts);
             }
+            goes_on
+        });
+        while let Some(conversion) = self.best_conversion(view, survey, &room, &counts, now) {
+            room.take(&conversion, view, survey, &mut counts);
+            conversions.push(conversion);
         }
+        conversions.retain(|conversion| !self.tend_conversion(view, conversion, now, actions));
+        self.conversions = conversions;
     }
 
     /// Notes since when each model has been short.
     fn note_short(&mut self, view: &FleetView<'_>, counts: &BTreeMap<Model, usize>, now: Millis) {
         for plan in &view.engine.models {
             let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            if self.is_turn_short(view, plan, groups) {
+            if self.needs_conversion(view, plan, groups) {
                 self.short_since.entry(plan.model.clone()).or_insert(now);
             } else {
                 self.short_since.remove(&plan.model);
@@ -147,37 +146,40 @@
         }
     }
 
-    /// Whether a change still helps.
+    /// Whether a conversion still helps.
     fn is_wanted(
         &self,
         view: &FleetView<'_>,
-        turn: &Turn,
+        conversion: &Conversion,
         counts: &BTreeMap<Model, usize>,
     ) -> bool {
-        let groups = counts.get(&turn.model).copied().unwrap_or(0);
-        let plan = view.engine.plan(&turn.model);
-        plan.is_some_and(|plan| self.is_turn_short(view, plan, groups))
+        let groups = counts.get(&conversion.model).copied().unwrap_or(0);
+        let plan = view.engine.plan(&conversion.model);
+        plan.is_some_and(|plan| self.needs_conversion(view, plan, groups))
     }
 
-    /// Has the targets of a change load; returns whether all have the weights,
+    /// Has the targets of a conversion load; returns whether all have the weights,
     /// so that its groups end.
-    fn tend_turn(
+    fn tend_conversion(
         &mut self,
         view: &FleetView<'_>,
-        turn: &Turn,
+        conversion: &Conversion,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) -> bool {
-        let Some(plan) = view.engine.plan(&turn.model) else {
+        let Some(plan) = view.engine.plan(&conversion.model) else {
             return false;
         };
-        let members = turn.members.iter().filter_map(|id| view.targets.get(id));
+        let members = conversion
+            .members
+            .iter()
+            .filter_map(|id| view.targets.get(id));
         let cold: Vec<&Target> = members.filter(|t| !self.is_warm(t, plan)).collect();
         if cold.is_empty() {
-            self.yielding.extend(turn.groups.iter().cloned());
+            self.yielding.extend(conversion.groups.iter().cloned());
             return true;
         }
-        self.load_for_turn(view, plan, &cold, now, actions);
+        self.load_for(view, plan, &cold, now, actions);
         false
     }
 
@@ -224,7 +226,7 @@
         }
     }
 
-    fn load_for_turn(
+    fn load_for(
         &mut self,
         view: &FleetView<'_>,
         plan: &ModelPlan,
@@ -245,48 +247,68 @@
         }
     }
 
-    /// The change that costs least for the model that is shortest.
-    fn best_turn(
+    /// The conversion that costs least for the model that is shortest.
+    fn best_conversion(
         &self,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
         room: &Room<'_>,
         counts: &BTreeMap<Model, usize>,
         now: Millis,
-    ) -> Option<Turn> {
+    ) -> Option<Conversion> {
+        let plan = self.shortest(view, counts, now)?;
+        let size = plan.size as usize;
+        if room.idle.values().any(|targets| targets.len() >= size) {
+            // Idle targets form the next group, or are loading to form it.
+            return None;
+        }
+        let domains = self.spared_groups(view, survey, room, plan, counts);
+        let conversions = domains.iter().filter_map(|(domain, groups)| {
+            let idle = room.idle.get(domain).map_or(&[][..], Vec::as_slice);
+            self.conversion_in(view, plan, idle, groups, counts)
+        });
+        let best = conversions.min_by_key(|(cost, _)| *cost);
+        best.map(|(_, conversion)| conversion)
+    }
+
+    /// The model that has been short for long enough and is so most.
+    fn shortest<'v>(
+        &self,
+        view: &FleetView<'v>,
+        counts: &BTreeMap<Model, usize>,
+        now: Millis,
+    ) -> Option<&'v ModelPlan> {
         let count = |plan: &ModelPlan| counts.get(&plan.model).copied().unwrap_or(0);
-        let long = |plan: &&ModelPlan| {
+        let short = |plan: &&ModelPlan| {
             let since = self.short_since.get(&plan.model);
-            since.is_some_and(|at| now - *at >= TURN_AFTER)
+            let long = since.is_some_and(|at| now - *at >= CONVERT_AFTER);
+            long && self.needs_conversion(view, plan, count(plan))
         };
-        let short = |plan: &&ModelPlan| self.is_turn_short(view, plan, count(plan));
-        let short = |plan: &&ModelPlan| long(plan) && short(plan);
         let plans = view.engine.models.iter().filter(short);
-        let plan = plans.max_by(|a, b| {
+        plans.max_by(|a, b| {
             let short = |plan| shortage(view, plan, count(plan), self.most);
             short(a).total_cmp(&short(b))
-        })?;
-        let size = plan.size as usize;
-        if room.idle.values().any(|targets| targets.len() >= size) {
-            // Idle targets form the next group, or are loading to form it.
-            return None;
-        }
-        let mut domains: BTreeMap<Option<&DomainId>, Vec<(&GroupRef, &Standing<'_>)>> =
-            BTreeMap::new();
-        for (group, standing) in &survey.groups {
-            if room.given.contains(group) {
-                continue;
-            }
+        })
+    }
+
+    /// The groups that can give way to a model, by domain.
+    fn spared_groups<'s, 'a>(
+        &self,
+        view: &FleetView<'_>,
+        survey: &'s Survey<'a>,
+        room: &Room<'_>,
+        plan: &ModelPlan,
+        counts: &BTreeMap<Model, usize>,
+    ) -> BTreeMap<Option<&'a DomainId>, Vec<(&'s GroupRef, &'s Standing<'a>)>> {
+        let mut domains: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        let open = survey.groups.iter();
+        for (group, standing) in open.filter(|(group, _)| !room.given.contains(*group)) {
             if let Some(leader) = self.spared_leader(view, standing, plan, counts) {
                 let groups = domains.entry(leader.domain.as_ref()).or_default();
                 groups.push((group, standing));
             }
         }
-        let turns = domains.iter().filter_map(|(domain, groups)| {
-            let idle = room.idle.get(domain).map_or(&[][..], Vec::as_slice);
-            self.turn_in(view, plan, idle, groups, counts)
-        });
-        turns.min_by_key(|(cost, _)| *cost).map(|(_, turn)| turn)
+        domains
     }
 
     /// The leader of a serving group whose model can do with a group fewer.
@@ -317,16 +339,16 @@
         groups.saturating_sub(keeps.max(1))
     }
 
-    /// The change in one domain, with the loads that it needs; `None` if its
+    /// The conversion in one domain, with the loads that it needs; `None` if its
     /// idle targets and the groups that can give way do not suffice.
-    fn turn_in(
+    fn conversion_in(
         &self,
         view: &FleetView<'_>,
         plan: &ModelPlan,
         idle: &[&Target],
         groups: &[(&GroupRef, &Standing<'_>)],
         counts: &BTreeMap<Model, usize>,
-    ) -> Option<(usize, Turn)> {
+    ) -> Option<(usize, Conversion)> {
         let size = plan.size as usize;
         let mut members: Vec<&Target> = idle.to_vec();
         let mut giving = BTreeSet::new();
@@ -349,11 +371,11 @@
         members.sort_by_key(|t| (!self.is_warm(t, plan), t.id.clone()));
         members.truncate(size);
         let cold = members.iter().filter(|t| !self.is_warm(t, plan)).count();
-        let turn = Turn {
+        let conversion = Conversion {
             model: plan.model.clone(),
             groups: giving,
             members: members.iter().map(|t| t.id.clone()).collect(),
         };
-        Some((cold, turn))
+        Some((cold, conversion))
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -43,6 +43,11 @@
                 let order = Order::Close(group.clone());
                 self.give_leader(standing, order, "the group is not wanted now", now, actions);
             }
+            Verdict::GiveWay => {
+                let order = Order::Close(group.clone());
+                let why = "the group gives way to a model that is asked for more";
+                self.give_leader(standing, order, why, now, actions);
+            }
             Verdict::Dissolve => {
                 let order = Order::Leave(group.clone());
                 if standing.leader.is_some() {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -114,7 +114,7 @@
     ) {
         let short = |other: &ModelPlan| {
             let groups = counts.get(&other.model).copied().unwrap_or(0);
-            self.is_turn_short(view, other, groups)
+            self.needs_conversion(view, other, groups)
         };
         // Where another model is short, groups end only when that helps it.
         if !supply.eased || view.calm || view.engine.models.iter().any(short) {
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -26,6 +26,8 @@
     Dissolve,
     /// Its leader must end what runs; the group then stands by.
     Rest,
+    /// Its leader must end what runs; its members go to a model that is short.
+    GiveWay,
     /// Its leader is no longer listed and must end what runs.
     Dismiss,
     /// Its leader is no longer listed and must stop at once.
@@ -158,9 +160,8 @@
             MemberState::Open if leader.leaving => Verdict::Serve,
             MemberState::Open if standing.members.iter().any(|t| t.leaving) => Verdict::Retire,
             MemberState::Open if self.can_replace_slow(view, standing) => Verdict::Replace,
-            MemberState::Open if self.surplus.contains(group) || self.gives_way(group) => {
-                Verdict::Rest
-            }
+            MemberState::Open if self.surplus.contains(group) => Verdict::Rest,
+            MemberState::Open if self.gives_way(group) => Verdict::GiveWay,
             MemberState::Open if view.stalled.contains(&leader.id) => Verdict::Probe,
             MemberState::Open if view.slow.contains(&leader.id) => Verdict::Ask,
             MemberState::Open => Verdict::Serve,
