--- a/crates/thistlesill-policy/src/edge/fleet/conversion.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -9,11 +9,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target};
+use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target};
 use thistlesill_core::{DomainId, InstanceId, Millis, Model};
 
 use super::demand::{fair_groups, needed_groups, shortage};
-use super::forming::BELOW_FAIR;
+use super::forming::{BELOW_FAIR, by_domain};
 use super::survey::{Standing, Survey};
 use super::{FleetAction, FleetPlanner, FleetView};
 
@@ -47,12 +47,10 @@
 
 impl<'a> Room<'a> {
     fn new(view: &FleetView<'a>, free: &BTreeSet<InstanceId>) -> Self {
-        let mut idle: BTreeMap<Option<&DomainId>, Vec<&Target>> = BTreeMap::new();
-        for target in free.iter().filter_map(|id| view.targets.get(id)) {
-            idle.entry(target.domain.as_ref()).or_default().push(target);
+        Self {
+            idle: by_domain(view, free),
+            given: BTreeSet::new(),
         }
-        let given = BTreeSet::new();
-        Self { idle, given }
     }
 
     /// Takes out what a conversion uses, and counts its groups as converted.
@@ -218,11 +216,8 @@
             if self.is_warm(target, plan) || self.staging.contains_key(&target.id) {
                 continue;
             }
-            let model = plan.model.clone();
-            self.staging.insert(target.id.clone(), (model.clone(), now));
-            let (id, address) = (target.id.clone(), target.address);
             let why = "a member holds the weights of another model ready";
-            self.give(id, address, Order::Stage(model), why, now, actions);
+            self.give_load(target, plan, why, now, actions);
         }
     }
 
@@ -239,11 +234,8 @@
                 continue;
             }
             self.loads.note(1, now);
-            let model = plan.model.clone();
-            self.staging.insert(target.id.clone(), (model.clone(), now));
-            let (id, address) = (target.id.clone(), target.address);
             let why = "its group is to give way to a model that is asked for more";
-            self.give(id, address, Order::Stage(model), why, now, actions);
+            self.give_load(target, plan, why, now, actions);
         }
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -209,15 +209,7 @@
         counts: &BTreeMap<Model, usize>,
         now: Millis,
     ) -> Option<Candidate<'a>> {
-        let mut domains: BTreeMap<Option<&DomainId>, Vec<&'a Target>> = BTreeMap::new();
-        for id in free {
-            if let Some(target) = view.targets.get(id) {
-                domains
-                    .entry(target.domain.as_ref())
-                    .or_default()
-                    .push(target);
-            }
-        }
+        let domains = by_domain(view, free);
         let mut found: Vec<Candidate<'a>> = Vec::new();
         for targets in domains.values() {
             for plan in &view.engine.models {
@@ -334,6 +326,19 @@
     }
 }
 
+/// The targets of some ids, by domain.
+pub(super) fn by_domain<'a>(
+    view: &FleetView<'a>,
+    ids: &BTreeSet<InstanceId>,
+) -> BTreeMap<Option<&'a DomainId>, Vec<&'a Target>> {
+    let mut domains: BTreeMap<Option<&DomainId>, Vec<&Target>> = BTreeMap::new();
+    for target in ids.iter().filter_map(|id| view.targets.get(id)) {
+        let targets = domains.entry(target.domain.as_ref()).or_default();
+        targets.push(target);
+    }
+    domains
+}
+
 /// How soon a target can run a model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Warmth {
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -133,15 +133,26 @@
             }
             holdings.note(domain, plan);
             self.loads.note(1, now);
-            self.staging
-                .insert(target.id.clone(), (plan.model.clone(), now));
-            let (id, address) = (target.id.clone(), target.address);
-            let order = Order::Stage(plan.model.clone());
             let why = "an idle target holds the weights ready";
-            self.give(id, address, order, why, now, actions);
+            self.give_load(target, plan, why, now, actions);
         }
     }
 
+    /// Has a target load a model's weights to its host.
+    pub(super) fn give_load(
+        &mut self,
+        target: &Target,
+        plan: &ModelPlan,
+        why: &'static str,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let model = plan.model.clone();
+        self.staging.insert(target.id.clone(), (model.clone(), now));
+        let (id, address) = (target.id.clone(), target.address);
+        self.give(id, address, Order::Stage(model), why, now, actions);
+    }
+
     /// Whether one more target may load weights while requests run.
     pub(super) fn may_load(&mut self, view: &FleetView<'_>, now: Millis) -> bool {
         let most = view.engine.loads_once.max(1);
