--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -288,6 +288,9 @@
 fn note_status(edge: &Edge) {
     let now = edge.now();
     metrics::gauge!("thistlesill_edge_active_requests").set(edge.active.get() as f64);
+    if let Some(age) = edge.targets_age() {
+        metrics::gauge!("thistlesill_edge_targets_age_ms").set(age.get() as f64);
+    }
     metrics::gauge!("thistlesill_edge_store_calls").set(edge.store.calls() as f64);
     edge.lines
         .line("status")
@@ -295,6 +298,7 @@
         .with("active", edge.active.get())
         .maybe("catalog", edge.catalog().map(|c| c.version))
         .maybe("proof_age_ms", edge.fresh.get().age(now).map(Millis::get))
+        .maybe("targets_age_ms", edge.targets_age().map(Millis::get))
         .with("reads", edge.reads.get())
         .with("plans", edge.plans.get())
         .with("peers", edge.peers.borrow().heard(now))
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -72,7 +72,10 @@
     pub(crate) boot: u64,
     pub(crate) store: Store,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// When the catalog in force was last known to be the newest.
     pub(crate) fresh: Cell<Freshness>,
+    /// When the targets' entries were last known to be the newest.
+    pub(crate) targets_fresh: Cell<Freshness>,
     pub(crate) book: RefCell<TargetBook>,
     pub(crate) loads: RefCell<LoadTable>,
     /// The work that callers ask this daemon for.
@@ -125,6 +128,7 @@
             boot: rand::random(),
             catalog: RefCell::new(None),
             fresh: Cell::new(Freshness::default()),
+            targets_fresh: Cell::new(Freshness::default()),
             book: RefCell::new(TargetBook::default()),
             loads: RefCell::new(LoadTable::default()),
             asked: RefCell::new(AskedMeter::default()),
@@ -200,6 +204,18 @@
         self.fresh.set(fresh);
     }
 
+    /// Notes that all changes of targets before the moment `asked` are known.
+    pub(crate) fn confirm_targets(&self, asked: Millis) {
+        let mut fresh = self.targets_fresh.get();
+        fresh.confirm(asked);
+        self.targets_fresh.set(fresh);
+    }
+
+    /// How old the knowledge of the targets is.
+    pub(crate) fn targets_age(&self) -> Option<Millis> {
+        self.targets_fresh.get().age(self.now())
+    }
+
     /// Whether the balancer may send new callers here.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.catalog.borrow().is_some();
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -149,6 +149,7 @@
             .maybe("target", target)
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
+            .maybe("targets_age_ms", self.edge.targets_age().map(Millis::get))
             .maybe("first_ms", self.first.map(Millis::get))
             .maybe("why", self.why)
             .maybe("back_ms", self.back.map(Millis::get))
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -74,6 +74,7 @@
                 version = Some(rows.version);
             }
             Err(error) => {
+                note_failure(&edge, Table::Operators, &error, asked);
                 // Reading whole gives a proof at once.
                 version = None;
                 if !matches!(error, StoreError::HistoryGone) {
@@ -115,6 +116,16 @@
     }
 }
 
+/// Writes a line about a question that brought no rows.
+fn note_failure(edge: &Edge, table: Table, error: &StoreError, asked: Millis) {
+    edge.lines
+        .line("store_failed")
+        .with("table", table)
+        .with("why", error)
+        .with("took_ms", (edge.now() - asked).get())
+        .write();
+}
+
 /// Notes whether the store answers, with a line when that changes.
 fn note_store(edge: &Edge, error: Option<&StoreError>) {
     let now = edge.now();
@@ -190,13 +201,15 @@
             continue;
         }
         let version = Some(edge.feed.borrow().version()).filter(|_| !whole);
-        let asked = tokio::select! {
-            asked = ask(&edge, Table::Targets, version, LONG_WAIT) => asked,
+        let asked = edge.now();
+        let answer = tokio::select! {
+            answer = ask(&edge, Table::Targets, version, LONG_WAIT) => answer,
             () = edge.store_doubt.notified() => continue,
         };
-        match asked {
+        match answer {
             Ok(rows) => {
                 take_targets(&edge, &rows, whole);
+                edge.confirm_targets(asked);
                 whole = false;
                 let batch = if edge.plans.get() {
                     PLANNER_BATCH
@@ -207,7 +220,7 @@
             }
             Err(error) => {
                 whole |= matches!(error, StoreError::HistoryGone);
-                log::debug!("watch: targets: {error}");
+                note_failure(&edge, Table::Targets, &error, asked);
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/thistlesill-policy/src/edge/freshness.rs
+++ b/crates/thistlesill-policy/src/edge/freshness.rs
@@ -1,4 +1,4 @@
-//! Proof that the catalog in force is the newest.
+//! Proof that what a daemon knows of the store is the newest.
 //!
 //! A customer's key may be taken away at any moment, and a daemon that is cut
 //! off from the store does not hear of it. So a request with a key passes
@@ -12,14 +12,14 @@
 /// from the check until the target has the request, with a busy machine.
 pub const MARGIN: Millis = Millis::new(700);
 
-/// When the catalog in force was last known to be the newest.
+/// When something that the store holds was last known to be the newest.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Freshness {
     proved: Option<Millis>,
 }
 
 impl Freshness {
-    /// Notes that the catalog was the newest at the moment `asked`.
+    /// Notes that what is known was the newest at the moment `asked`.
     pub fn confirm(&mut self, asked: Millis) {
         self.proved = self.proved.max(Some(asked));
     }
