--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -4,6 +4,8 @@
 mod answers;
 #[path = "it/keys.rs"]
 mod keys;
+#[path = "it/silence.rs"]
+mod silence;
 #[path = "it/soak.rs"]
 mod soak;
 #[path = "it/starts.rs"]
--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -4,7 +4,7 @@
 use thistlesill_platform_standin::store::Mode;
 use thistlesill_platform_standin::world::catalog;
 
-use crate::support::{ask, book, read, sleep, world};
+use crate::support::{ask, book, read, readers, sleep, world};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_removed_key_is_refused_and_a_new_catalog_never_reverts() {
@@ -96,14 +96,7 @@
 async fn a_daemon_whose_reader_is_cut_off_hears_of_a_change_in_time() {
     let world = world(16, 4).await;
     sleep(2_500).await;
-    let readers: Vec<usize> = (0..4)
-        .filter(|d| {
-            world
-                .lines(*d, "ev=store_reader")
-                .last()
-                .is_some_and(|l| l.contains("reads=true"))
-        })
-        .collect();
+    let readers = readers(&world);
     assert!(!readers.is_empty() && readers.len() < 4, "{readers:?}");
     for reader in &readers {
         world.links[*reader].set(Harm::Silent);
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -0,0 +1,102 @@
+//! Open connections to the store that fall silent for good, while new ones work.
+//!
+//! Symptom: requests reached targets 2 to 6 s after these had said that they
+//! leave, where 2 s are allowed; requests were answered as an older catalog would
+//! have it more than 2 s after a newer one.
+//!
+//! Sequence, from one day's lines: connections fell silent at 14.5 s. The daemon
+//! that forms groups, from which all others hear of the targets, went on waiting:
+//! `store_failed table=targets why="no answer in time on a connection that was kept
+//! for 40 ms" took_ms=8501` at 22.6 s, and 0.1 s later nine changes of targets at
+//! once on all daemons, the first of them 4.5 s old. Its `proof_age_ms` was below
+//! 1 s throughout, so that nobody else asked. A daemon that had lost its reader met
+//! its own kept connections one after the other: `store_failed table=operators …
+//! kept for 14140 ms took_ms=1001`, a pause of 2.4 s as if the store were away, then
+//! `kept for 17659 ms`; its catalog was 8.4 s old when it had one that worked.
+//!
+//! Cause: silence was taken for no news. A question waited far longer than its
+//! answer may be old, nothing told how old the knowledge of the targets was, and a
+//! connection that failed said nothing about the others of its age.
+
+use thistlesill_platform_standin::link::Harm;
+use thistlesill_platform_standin::world::{World, catalog};
+
+use crate::support::{ask, planner, read, readers, sleep, world};
+
+/// What a daemon asks when it waits for changes of targets.
+const TARGETS_QUESTION: &str = "rows-feed?table=servers";
+/// A target of the plain service; there are two.
+const LEAVES: &str = "p-0";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_is_known_though_the_question_about_targets_fell_silent() {
+    let world = world(41, 4).await;
+    sleep(2_500).await;
+    for link in &world.links {
+        link.hush(TARGETS_QUESTION);
+    }
+    world.targets.leave(LEAVES);
+    sleep(2_000).await;
+    assert_unused(&world, LEAVES, 0..4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_is_known_though_all_connections_fell_silent() {
+    let world = world(42, 4).await;
+    sleep(2_500).await;
+    for link in &world.links {
+        link.hush("");
+    }
+    world.targets.leave(LEAVES);
+    sleep(2_000).await;
+    assert_unused(&world, LEAVES, 0..4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_catalog_is_known_though_kept_connections_fell_silent_and_readers_are_cut_off() {
+    let world = world(43, 4).await;
+    sleep(2_500).await;
+    let readers = readers(&world);
+    assert!(!readers.is_empty() && readers.len() < 4, "{readers:?}");
+    for (daemon, link) in world.links.iter().enumerate() {
+        if readers.contains(&daemon) {
+            link.set(Harm::Silent);
+        } else {
+            link.hush("");
+        }
+    }
+    world.store.put("op", "config", &catalog(9, &["k1"]));
+    // The settings allow two seconds.
+    sleep(1_800).await;
+    for daemon in (0..4).filter(|d| !readers.contains(d)) {
+        let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
+        assert_eq!(got.status, 401, "daemon {daemon}, readers {readers:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_is_known_though_the_planner_is_cut_off() {
+    let world = world(44, 4).await;
+    sleep(2_500).await;
+    let planner = planner(&world);
+    world.links[planner].set(Harm::Silent);
+    world.targets.leave(LEAVES);
+    // Half a second less than the settings allow.
+    sleep(1_500).await;
+    let others = (0..4).filter(|d| *d != planner);
+    assert_unused(&world, LEAVES, others).await;
+}
+
+/// Has daemons answer requests, none of which may run at `target`.
+async fn assert_unused(world: &World, target: &str, daemons: impl Iterator<Item = usize>) {
+    for daemon in daemons {
+        for number in 0..8 {
+            let id = format!("after-{daemon}-{number}");
+            let got = ask(world, daemon, read(&id)).await;
+            assert_eq!(got.status, 200, "{id}");
+            let runs = world.targets.ledger.runs(&id);
+            let there = runs.iter().any(|run| run.target.as_str() == target);
+            assert!(!there, "{id} ran at {target}, which leaves");
+        }
+    }
+}
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -52,3 +52,19 @@
 pub(crate) async fn sleep(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
+
+/// The daemons that read the store for others, by their last lines.
+pub(crate) fn readers(world: &World) -> Vec<usize> {
+    let reads = |daemon: &usize| {
+        let lines = world.lines(*daemon, "ev=store_reader");
+        lines.last().is_some_and(|l| l.contains("reads=true"))
+    };
+    (0..world.daemons.len()).filter(reads).collect()
+}
+
+/// The daemon that forms groups, by its lines.
+pub(crate) fn planner(world: &World) -> usize {
+    let plans = |daemon: &usize| !world.lines(*daemon, "ev=lease_gained").is_empty();
+    let mut planners = (0..world.daemons.len()).filter(plans);
+    planners.next().expect("a daemon forms groups")
+}
