--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -40,6 +40,11 @@
 /// longer the store is slow or away, and the caller is told to come back.
 const FIRST_READS: Duration = Duration::from_millis(90);
 
+/// How long an unused connection to the store is kept: longer than a daemon that
+/// forms groups or reads for others leaves one unused (it writes the lease every
+/// 0.6 s). Daemons that ask their peers call the store seldom, on a new one.
+const STORE_KEEP: Duration = Duration::from_millis(1_000);
+
 /// Time in which a daemon that has just started hears of its peers' load.
 const BLIND: Millis = Millis::new(400);
 
@@ -121,7 +126,7 @@
     pub(crate) fn new(settings: EdgeSettings) -> Self {
         let clock = Clock::new();
         Self {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, STORE_KEEP),
             peers: RefCell::new(Peers::default()),
             settings: RefCell::new(Rc::new(settings)),
             clock,
