fix(edge): a question about targets waits for a part of the time in which leaving ones are still used

Ruled out: the catalog's question, which is bounded already, and the daemons' datagrams, since all daemons had all changes within 2 ms when the question ended. Change: the wait is a fifth of the settings' drain bound, as the catalog's is a part of its own; the settings' field is decoded. A daemon without a catalog waits no longer either.

--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -12,6 +12,8 @@
     pub revoke: Option<Millis>,
     /// Time in which a new catalog must be in force.
     pub apply: Millis,
+    /// Time after which a target that said that it leaves gets no new requests.
+    pub drain: Millis,
     /// Time that a stopping process has before it is killed.
     pub grace: Millis,
     /// Retries of a service per request, over all daemons.
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -29,8 +29,10 @@
 /// question waits: a daemon whose reader fell silent must notice and read the
 /// catalog itself within the rest.
 const APPLY_PART: f64 = 0.25;
-/// Wait of questions where keys need no proof.
-const LONG_WAIT: Duration = Duration::from_secs(8);
+/// Part of the time after which a target that leaves gets no new requests for
+/// which a question about targets waits. With a wait of 8 s, a connection that
+/// fell silent kept all daemons sending to such targets for up to 6 s too long.
+const DRAIN_PART: f64 = 0.2;
 /// After a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// After a second call that failed, for a daemon on which no other depends: the
@@ -103,11 +105,11 @@
     }
 }
 
+fn targets_wait(edge: &Edge) -> Duration {
+    edge.settings().bounds.drain.duration().mul_f64(DRAIN_PART)
+}
+
 fn catalog_wait(edge: &Edge) -> Duration {
-    if edge.catalog.borrow().is_none() {
-        // There is nothing to prove yet.
-        return LONG_WAIT;
-    }
     let bounds = edge.settings().bounds;
     let apply = bounds.apply.duration().mul_f64(APPLY_PART);
     match bounds.revoke {
@@ -203,7 +205,7 @@
         let version = Some(edge.feed.borrow().version()).filter(|_| !whole);
         let asked = edge.now();
         let answer = tokio::select! {
-            answer = ask(&edge, Table::Targets, version, LONG_WAIT) => answer,
+            answer = ask(&edge, Table::Targets, version, targets_wait(&edge)) => answer,
             () = edge.store_doubt.notified() => continue,
         };
         match answer {
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -14,6 +14,7 @@
     Bounds {
         revoke: Some(REVOKE),
         apply: Millis::new(2_000),
+        drain: Millis::new(2_000),
         grace: Millis::new(8_000),
         retry_ratio: 0.2,
         retry_slack: 100.0,
