fix(edge): how old the knowledge of the targets is decides who reads them

Cause: all daemons but the planner took its silence for no news. Its lease lasts 2 s, and a reader looked for itself only once the planner was gone, so a target that left just after the planner was cut off from the store was known to leave 2.0 to 2.2 s later, where 2 s are allowed. Ruled out: lost datagrams and the readers' own path (their catalog was young). Change: a daemon that reads the targets tells with its beats how old its knowledge is and the version of the newest change. Who lacks none of these is as young; who lacks some asks at once. Readers on which others depend read the targets when their knowledge is older than half the drain bound, all others from three quarters on. What a peer told is not undone by an older answer of the store.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -10,11 +10,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::Millis;
+use thistlesill_core::{Millis, NodeId};
 use thistlesill_policy::edge::feed::Change;
 
 use crate::peers::link;
-use crate::peers::packet::{Ask, Changes, Packet, Vouch};
+use crate::peers::packet::{Ask, Changes, KnownTargets, Packet, Vouch};
 use crate::state::Edge;
 use crate::watch;
 
@@ -26,6 +26,14 @@
 /// daemon without a younger proof reads the store itself. A reader's proof is
 /// up to half that time old; the rest is for the read.
 const ALONE_PART: f64 = 0.72;
+/// Part of the time after which a target that leaves gets no new requests. When
+/// its knowledge of the targets is older, a daemon on which others depend reads
+/// them from the store, although a planner is heard: the planner may be cut off
+/// from the store, and its lease lasts 2 s. Usually the knowledge is at most 0.85 s
+/// old: a question of the planner, and the time between two of its beats.
+const DOUBT_PART: f64 = 0.5;
+/// The same for daemons on which none depends; the rest is for the read.
+const TARGETS_ALONE_PART: f64 = 0.75;
 /// Time after the start in which the daemons find each other; all read the
 /// store once then, and none follows it yet.
 pub(crate) const FIND: Millis = Millis::new(1_300);
@@ -56,19 +64,60 @@
 }
 
 /// Decides whether this daemon reads the targets' entries from the store: the
-/// one that forms groups does, and tells the others. Without it, the readers
-/// that others depend on do.
+/// one that forms groups does, and tells the others. Without it, or when what
+/// it tells grows old, the readers that others depend on do, and at last all.
 pub(crate) fn reads_targets(edge: &Edge) -> bool {
+    if edge.plans.get() {
+        return true;
+    }
+    let drain = edge.settings().bounds.drain.get() as f64;
+    let age = edge.targets_age().map_or(0.0, |age| age.get() as f64);
+    if age > drain * TARGETS_ALONE_PART && !edge.away.get() {
+        return true;
+    }
     let planner = edge.peers.borrow().hears_planner(edge.now());
-    edge.plans.get() || (edge.reads.get() && !planner && reads_for_others(edge))
+    let told = planner && age <= drain * DOUBT_PART;
+    !told && edge.reads.get() && reads_for_others(edge)
+}
+
+/// What this daemon read of the targets itself, for its peers. What it heard
+/// from others is not passed on: a datagram that was held up would make it seem
+/// younger with each hop.
+pub(crate) fn known_targets(edge: &Edge, now: Millis) -> Option<KnownTargets> {
+    let asked = edge.targets_read.get()?;
+    let newest = edge.feed.borrow().newest();
+    let age = now - asked;
+    Some(KnownTargets { newest, age })
+}
+
+/// Takes in how much of the targets a peer knows: as much as this daemon, or
+/// changes that it missed.
+pub(crate) fn hear_known(edge: &Edge, from: &NodeId, known: KnownTargets) {
+    let (is_known, version) = {
+        let feed = edge.feed.borrow();
+        (feed.is_known(), feed.version())
+    };
+    if !is_known {
+        return;
+    }
+    if version >= known.newest {
+        edge.confirm_targets(edge.now() - known.age);
+    } else {
+        ask_peer(edge, from);
+    }
 }
 
 /// Asks a peer that reads the store, for ever.
 pub(crate) async fn run(edge: Rc<Edge>) {
     let mut looks = 0;
+    let mut targets = false;
     loop {
         tokio::time::sleep(LOOK).await;
         looks += 1;
+        let had = std::mem::replace(&mut targets, reads_targets(&edge));
+        if targets && !had {
+            edge.reads_changed.notify_waiters();
+        }
         let reads = reads_store(&edge);
         if edge.reads.replace(reads) != reads {
             edge.lines.line("store_reader").with("reads", reads).write();
@@ -91,13 +140,19 @@
             peers.reader(&settings.hall, edge.now())
         }
     };
-    let Some(reader) = reader else { return };
+    if let Some(reader) = reader {
+        ask_peer(edge, &reader);
+    }
+}
+
+fn ask_peer(edge: &Edge, peer: &NodeId) {
+    let settings = edge.settings();
     let question = Ask {
         from: settings.name.clone(),
         asked: edge.now(),
         targets: edge.feed.borrow().version(),
     };
-    link::tell(edge, &reader, &Packet::Ask(question));
+    link::tell(edge, peer, &Packet::Ask(question));
 }
 
 /// As reader: answers a question, with the changes that the asker lacks.
@@ -174,7 +229,7 @@
 /// Takes in changes of targets from a daemon that reads the store.
 pub(crate) fn take_changes(edge: &Edge, news: Changes) {
     let known = edge.feed.borrow().version();
-    if reads_targets(edge) || !edge.feed.borrow().is_known() || news.after <= known {
+    if !edge.feed.borrow().is_known() || news.after <= known {
         return;
     }
     if news.before > known {
@@ -186,11 +241,7 @@
     if let Some(steady) = news.steady {
         edge.book.borrow_mut().store_steady(now - steady);
     }
-    let fresh: Vec<Change> = news
-        .list
-        .into_iter()
-        .filter(|c| c.version > known)
-        .collect();
+    let fresh = edge.feed.borrow().unknown(news.list);
     edge.feed.borrow_mut().extend(&fresh, news.after);
     watch::apply(edge, fresh.into_iter().map(|c| c.what).collect());
 }
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -121,6 +121,7 @@
         slow: loads.slow(now),
         lease: peers.shown.clone(),
         dead: peers.dead.clone(),
+        targets: follow::known_targets(edge, now),
     }))
 }
 
@@ -203,6 +204,9 @@
         return;
     }
     edge.peers.borrow_mut().hear(&beat, from, now);
+    if let Some(known) = beat.targets {
+        follow::hear_known(edge, &beat.from, known);
+    }
     let doubt = !beat.suspects.is_empty() || !beat.slow.is_empty();
     if doubt && edge.plans.get() {
         edge.fleet_news.notify_one();
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -54,6 +54,17 @@
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<InstanceId>,
+    /// What it read of the targets itself, if it ever did.
+    pub(crate) targets: Option<KnownTargets>,
+}
+
+/// Says that a daemon knows all changes of targets up to a moment.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct KnownTargets {
+    /// The version of the newest change.
+    pub(crate) newest: u64,
+    /// How long ago the daemon asked the store for it.
+    pub(crate) age: Millis,
 }
 
 /// The work that callers ask a daemon for.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -81,6 +81,9 @@
     pub(crate) fresh: Cell<Freshness>,
     /// When the targets' entries were last known to be the newest.
     pub(crate) targets_fresh: Cell<Freshness>,
+    /// When this daemon last asked the store itself for what it then knew of the
+    /// targets.
+    pub(crate) targets_read: Cell<Option<Millis>>,
     pub(crate) book: RefCell<TargetBook>,
     pub(crate) loads: RefCell<LoadTable>,
     /// The work that callers ask this daemon for.
@@ -134,6 +137,7 @@
             catalog: RefCell::new(None),
             fresh: Cell::new(Freshness::default()),
             targets_fresh: Cell::new(Freshness::default()),
+            targets_read: Cell::new(None),
             book: RefCell::new(TargetBook::default()),
             loads: RefCell::new(LoadTable::default()),
             asked: RefCell::new(AskedMeter::default()),
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -82,11 +82,7 @@
                 if !matches!(error, StoreError::HistoryGone) {
                     note_store(&edge, Some(&error));
                     tokio::time::sleep(pause).await;
-                    pause = if follow::reads_for_others(&edge) {
-                        PAUSE
-                    } else {
-                        LONG_PAUSE
-                    };
+                    pause = next_pause(&edge);
                 }
             }
         }
@@ -105,6 +101,15 @@
     }
 }
 
+/// The pause after the next call that fails.
+fn next_pause(edge: &Edge) -> Duration {
+    if follow::reads_for_others(edge) {
+        PAUSE
+    } else {
+        LONG_PAUSE
+    }
+}
+
 fn targets_wait(edge: &Edge) -> Duration {
     edge.settings().bounds.drain.duration().mul_f64(DRAIN_PART)
 }
@@ -193,6 +198,7 @@
 /// Follows the targets' entries, for ever.
 pub(crate) async fn follow_targets(edge: Rc<Edge>) {
     let mut whole = true;
+    let mut pause = PAUSE;
     loop {
         if !whole && !follow::reads_targets(&edge) {
             tokio::select! {
@@ -210,9 +216,12 @@
         };
         match answer {
             Ok(rows) => {
-                take_targets(&edge, &rows, whole);
-                edge.confirm_targets(asked);
-                whole = false;
+                if take_targets(&edge, &rows, whole) {
+                    edge.targets_read.set(Some(asked));
+                    edge.confirm_targets(asked);
+                    whole = false;
+                }
+                pause = PAUSE;
                 let batch = if edge.plans.get() {
                     PLANNER_BATCH
                 } else {
@@ -223,38 +232,50 @@
             Err(error) => {
                 whole |= matches!(error, StoreError::HistoryGone);
                 note_failure(&edge, Table::Targets, &error, asked);
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(pause).await;
+                pause = next_pause(&edge);
             }
         }
     }
 }
 
-fn take_targets(edge: &Edge, rows: &Rows, whole: bool) {
+/// Takes in what the store answered; returns whether all its changes are known
+/// now.
+fn take_targets(edge: &Edge, rows: &Rows, whole: bool) -> bool {
     let changes: Vec<Change> = rows
         .rows
         .iter()
         .filter_map(|row| decode(edge, row))
         .collect();
-    let before = edge.feed.borrow().version();
     if whole {
-        edge.feed.borrow_mut().restart(rows.version);
-        let listed = changes.into_iter().filter_map(|change| match change.what {
-            Listing::Listed(target) => Some(*target),
-            Listing::Gone(_) => None,
-        });
-        let (catalog, now) = (edge.catalog(), edge.now());
-        let mut book = edge.book.borrow_mut();
-        book.replace(listed.collect(), catalog.as_deref(), now);
-        edge.learned.notify_waiters();
-        edge.fleet_news.notify_one();
-        return;
+        return take_all_targets(edge, changes, rows.version);
     }
+    let before = edge.feed.borrow().version();
+    let changes = edge.feed.borrow().unknown(changes);
     edge.feed.borrow_mut().extend(&changes, rows.version);
-    if changes.is_empty() {
-        return;
+    if !changes.is_empty() {
+        follow::tell_changes(edge, before, &changes, rows.version);
+        apply(edge, changes.into_iter().map(|c| c.what).collect());
+    }
+    true
+}
+
+/// Takes in a whole read, unless peers told of later changes meanwhile.
+fn take_all_targets(edge: &Edge, all: Vec<Change>, version: u64) -> bool {
+    if edge.feed.borrow().is_ahead_of(version) {
+        return false;
     }
-    follow::tell_changes(edge, before, &changes, rows.version);
-    apply(edge, changes.into_iter().map(|c| c.what).collect());
+    edge.feed.borrow_mut().restart(version);
+    let listed = all.into_iter().filter_map(|change| match change.what {
+        Listing::Listed(target) => Some(*target),
+        Listing::Gone(_) => None,
+    });
+    let (catalog, now) = (edge.catalog(), edge.now());
+    let mut book = edge.book.borrow_mut();
+    book.replace(listed.collect(), catalog.as_deref(), now);
+    edge.learned.notify_waiters();
+    edge.fleet_news.notify_one();
+    true
 }
 
 /// Takes in changes of targets.
--- a/crates/thistlesill-policy/src/edge/feed.rs
+++ b/crates/thistlesill-policy/src/edge/feed.rs
@@ -43,6 +43,28 @@
         self.version
     }
 
+    /// The version of the newest change; who knows the targets at this version
+    /// or a later one lacks none of the changes that are known here.
+    pub fn newest(&self) -> u64 {
+        let last = self.kept.back().map(|change| change.version);
+        last.unwrap_or_default().max(self.floor)
+    }
+
+    /// Whether a whole read at a version is older than what is known.
+    #[must_use]
+    pub const fn is_ahead_of(&self, version: u64) -> bool {
+        self.known && self.version > version
+    }
+
+    /// Those of `changes` that are not known yet. The store's answer can be
+    /// older than what a peer told meanwhile, and a target that leaves would
+    /// take requests again.
+    #[must_use]
+    pub fn unknown(&self, changes: Vec<Change>) -> Vec<Change> {
+        let unknown = changes.into_iter().filter(|c| c.version > self.version);
+        unknown.collect()
+    }
+
     /// Changes after this version are kept; who knows less must read all targets.
     pub const fn floor(&self) -> u64 {
         self.floor
--- a/crates/thistlesill-policy/tests/edge/feed.rs
+++ b/crates/thistlesill-policy/tests/edge/feed.rs
@@ -42,3 +42,25 @@
     let kept = feed.after(feed.floor()).map_or(0, |changes| changes.len());
     assert!(kept > 100, "{kept}");
 }
+
+#[test]
+fn what_a_peer_told_is_not_undone_by_an_older_answer() {
+    let mut feed = Feed::default();
+    feed.restart(10);
+    feed.extend(&[gone(12)], 12);
+    assert_eq!(feed.unknown(vec![gone(11), gone(12), gone(13)]), [gone(13)]);
+    assert!(feed.is_ahead_of(11));
+    assert!(!feed.is_ahead_of(12));
+}
+
+#[test]
+fn who_knows_the_newest_change_lacks_none() {
+    let mut feed = Feed::default();
+    feed.restart(10);
+    assert_eq!(feed.newest(), 10);
+    feed.extend(&[gone(12)], 12);
+    // Other tables of the store change too.
+    feed.extend(&[], 20);
+    assert_eq!(feed.newest(), 12);
+    assert_eq!(feed.version(), 20);
+}
