--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -18,6 +18,9 @@
 //! answer may be old, nothing told how old the knowledge of the targets was, and a
 //! connection that failed said nothing about the others of its age.
 
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
 use thistlesill_platform_standin::link::Harm;
 use thistlesill_platform_standin::world::{World, catalog};
 
@@ -87,6 +90,32 @@
     assert_unused(&world, LEAVES, others).await;
 }
 
+/// The same fault towards targets: a plain request that may be repeated went out on
+/// a kept connection, and nothing but its deadline ended the wait; each kept
+/// connection cost one request.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_though_kept_connections_to_targets_fell_silent() {
+    let world = world(45, 1).await;
+    let world = &world;
+    let warm = (0..12).map(async |number| ask(world, 0, read(&format!("warm-{number}"))).await);
+    let warm = join_all(warm).await;
+    assert!(warm.iter().all(|got| got.status == 200));
+    for link in &world.targets.links {
+        link.hush("");
+    }
+    for number in 0..6 {
+        let sent = Instant::now();
+        let got = ask(world, 0, read(&format!("after-{number}"))).await;
+        assert_eq!(got.status, 200, "request {number}");
+        // The objective is 400 ms, for each of two attempts.
+        let took = sent.elapsed();
+        assert!(
+            took < Duration::from_millis(900),
+            "request {number}: {took:?}"
+        );
+    }
+}
+
 /// Has daemons answer requests, none of which may run at `target`.
 async fn assert_unused(world: &World, target: &str, daemons: impl Iterator<Item = usize>) {
     for daemon in daemons {
