fix(net): an unused connection of the HTTP client is kept for a second

The pool cannot be emptied after a call that failed, so each connection that falls silent within that second still costs a call.

--- a/crates/thistlesill-net/src/http.rs
+++ b/crates/thistlesill-net/src/http.rs
@@ -19,6 +19,11 @@
 /// Time for connecting.
 const CONNECT: Duration = Duration::from_millis(1_000);
 
+/// How long an unused connection is kept. One that falls silent meanwhile costs
+/// the next call its whole time-out; calls that come more often than this show
+/// that theirs works.
+const KEEP: Duration = Duration::from_secs(1);
+
 /// Why a call brought no usable answer.
 #[derive(Debug, Snafu)]
 pub enum HttpError {
@@ -75,7 +80,7 @@
         connector.set_nodelay(true);
         let inner = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(idle)
-            .pool_idle_timeout(Duration::from_secs(20))
+            .pool_idle_timeout(KEEP)
             .retry_canceled_requests(false)
             .build(connector);
         Self { inner }
