--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -33,7 +33,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_leaves_is_known_though_the_question_about_targets_fell_silent() {
-    let world = world(41, 4).await;
+    let world = world(51, 4).await;
     sleep(2_500).await;
     for link in &world.links {
         link.hush(TARGETS_QUESTION);
@@ -45,7 +45,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_leaves_is_known_though_all_connections_fell_silent() {
-    let world = world(42, 4).await;
+    let world = world(52, 4).await;
     sleep(2_500).await;
     for link in &world.links {
         link.hush("");
@@ -57,7 +57,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_catalog_is_known_though_kept_connections_fell_silent_and_readers_are_cut_off() {
-    let world = world(43, 4).await;
+    let world = world(53, 4).await;
     sleep(2_500).await;
     let readers = readers(&world);
     assert!(!readers.is_empty() && readers.len() < 4, "{readers:?}");
@@ -79,7 +79,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_leaves_is_known_though_the_planner_is_cut_off() {
-    let world = world(44, 4).await;
+    let world = world(54, 4).await;
     sleep(2_500).await;
     let planner = planner(&world);
     world.links[planner].set(Harm::Silent);
@@ -95,7 +95,7 @@
 /// connection cost one request.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_answered_though_kept_connections_to_targets_fell_silent() {
-    let world = world(45, 1).await;
+    let world = world(55, 1).await;
     let world = &world;
     let warm = (0..12).map(async |number| ask(world, 0, read(&format!("warm-{number}"))).await);
     let warm = join_all(warm).await;
--- a/crates/thistlesill-edge/tests/it/soak.rs
+++ b/crates/thistlesill-edge/tests/it/soak.rs
@@ -5,6 +5,8 @@
 
 use thistlesill_platform_standin::soak;
 
+use crate::support::claim;
+
 /// The seed that CI plays.
 const SEED: u64 = 7;
 /// How long faults last in it.
@@ -25,12 +27,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults_break_no_promise() {
+    claim(41);
     let faults = play(41, SEED).await;
     assert!(faults.is_empty(), "{faults:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_once_failed_are_kept() {
+    claim(42);
     for (seed, cause) in CASES {
         let faults = play(42, seed).await;
         assert!(faults.is_empty(), "seed {seed} ({cause}): {faults:?}");
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -1,6 +1,8 @@
 //! A deployment for one test.
 
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use thistlesill_platform_standin::caller::{Ask, Got, call};
@@ -19,8 +21,18 @@
     World::start_early(program, &folder, net, daemons, early).await
 }
 
+/// Takes a number for the addresses of one deployment.
+///
+/// Two tests with the same one fail only when they happen to run at the same time.
+pub(crate) fn claim(net: u8) {
+    static TAKEN: Mutex<BTreeSet<u8>> = Mutex::new(BTreeSet::new());
+    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+    assert!(taken.insert(net), "{net} is another test's number");
+}
+
 /// The program, and an empty folder for the deployment.
 fn place(net: u8) -> (&'static Path, PathBuf) {
+    claim(net);
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("world-{net}"));
     drop(std::fs::remove_dir_all(&folder));
     (Path::new(env!("CARGO_BIN_EXE_thistlesill-edge")), folder)
