--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -90,6 +90,24 @@
     assert_unused(&world, LEAVES, others).await;
 }
 
+/// Entries that vanish just after the store was away are kept for 2.3 s, since those
+/// of living targets come back. One's own silent connection is no outage: taken for
+/// one, it had all daemons go on sending to targets that were gone, and the planner
+/// had members of a leader that had left join another group while it still worked.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_vanishes_is_dropped_though_connections_fell_silent() {
+    let world = world(56, 4).await;
+    sleep(2_500).await;
+    for link in &world.links {
+        link.hush("");
+    }
+    // The questions have failed by now, and new ones were answered.
+    sleep(1_500).await;
+    world.targets.vanish(LEAVES);
+    sleep(1_200).await;
+    assert_unused(&world, LEAVES, 0..4).await;
+}
+
 /// The same fault towards targets: a plain request that may be repeated went out on
 /// a kept connection, and nothing but its deadline ended the wait; each kept
 /// connection cost one request.
