fix(edge): only a failure on a new connection tells that the store is away

A question that failed on a kept connection was noted as an outage: entries that vanished were kept for 2.3 s on all daemons, and the daemon gave its place as reader up. Change: such a question is asked again at once on a new connection, within 0.4 s; only when that fails is the store away. Ruled out: telling the two apart by peers, whose own failures come up to 1 s later.

--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -18,6 +18,9 @@
 /// Time for a read; the store answers within some milliseconds, and slowly
 /// within some hundred.
 const READ: Duration = Duration::from_millis(1_000);
+/// Time for a read that shows whether the store is away, after a connection that
+/// was kept brought no answer; an outage of 1.5 s is noticed then.
+const CONFIRM: Duration = Duration::from_millis(400);
 /// Added to the time for which the store was asked to wait.
 const SLACK: Duration = Duration::from_millis(500);
 /// Part of the longest age of a proof for which a question about the catalog
@@ -51,6 +54,7 @@
 pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
     let mut version = None;
     let mut pause = PAUSE;
+    let mut limit = READ;
     loop {
         let known = edge.catalog.borrow().is_some();
         if known && !edge.reads.get() {
@@ -62,7 +66,9 @@
             }
         }
         let asked = edge.now();
-        match ask(&edge, Table::Operators, version, catalog_wait(&edge)).await {
+        let answer = ask_catalog(&edge, version, limit).await;
+        limit = READ;
+        match answer {
             Ok(rows) => {
                 note_store(&edge, None);
                 pause = PAUSE;
@@ -79,25 +85,58 @@
                 note_failure(&edge, Table::Operators, &error, asked);
                 // Reading whole gives a proof at once.
                 version = None;
-                if !matches!(error, StoreError::HistoryGone) {
-                    note_store(&edge, Some(&error));
-                    tokio::time::sleep(pause).await;
-                    pause = next_pause(&edge);
+                match after_failure(&error) {
+                    AfterFailure::AskAgain => {
+                        limit = CONFIRM;
+                        edge.store_doubt.notify_waiters();
+                    }
+                    AfterFailure::ReadWhole => {}
+                    AfterFailure::Wait => {
+                        note_store(&edge, Some(&error));
+                        tokio::time::sleep(pause).await;
+                        pause = next_pause(&edge);
+                    }
                 }
             }
         }
     }
 }
 
-async fn ask(
+/// Reads the catalog, within `limit`, or awaits changes after a version.
+async fn ask_catalog(
     edge: &Edge,
-    table: Table,
     version: Option<u64>,
-    wait: Duration,
+    limit: Duration,
 ) -> Result<Rows, StoreError> {
-    match version {
-        None => edge.store.read(table, READ).await,
-        Some(version) => edge.store.changes(table, version, wait, SLACK).await,
+    let Some(version) = version else {
+        return edge.store.read(Table::Operators, limit).await;
+    };
+    let wait = catalog_wait(edge);
+    edge.store
+        .changes(Table::Operators, version, wait, SLACK)
+        .await
+}
+
+/// What follows a question that brought no rows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterFailure {
+    /// It is asked again at once, on a new connection.
+    AskAgain,
+    /// The table is read whole.
+    ReadWhole,
+    /// The store is away; it is asked again after a pause.
+    Wait,
+}
+
+/// Only a failure on a new connection tells of the store. One on a connection that
+/// was kept, taken for an outage, had entries that vanished be kept for 2.3 s on all
+/// daemons: requests reached targets that were gone, and members of a leader that
+/// still worked were used in another group.
+const fn after_failure(error: &StoreError) -> AfterFailure {
+    match error {
+        StoreError::HistoryGone => AfterFailure::ReadWhole,
+        _ if error.is_of_kept() => AfterFailure::AskAgain,
+        _ => AfterFailure::Wait,
     }
 }
 
@@ -125,6 +164,7 @@
 
 /// Writes a line about a question that brought no rows.
 fn note_failure(edge: &Edge, table: Table, error: &StoreError, asked: Millis) {
+    metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
     edge.lines
         .line("store_failed")
         .with("table", table)
@@ -141,7 +181,6 @@
     } else {
         edge.book.borrow_mut().store_failed();
         edge.store_doubt.notify_waiters();
-        metrics::counter!("thistlesill_edge_store_failures_total").increment(1);
     }
     if edge.away.replace(error.is_some()) == error.is_some() {
         return;
@@ -208,10 +247,9 @@
             }
             continue;
         }
-        let version = Some(edge.feed.borrow().version()).filter(|_| !whole);
         let asked = edge.now();
         let answer = tokio::select! {
-            answer = ask(&edge, Table::Targets, version, targets_wait(&edge)) => answer,
+            answer = ask_targets(&edge, whole) => answer,
             () = edge.store_doubt.notified() => continue,
         };
         match answer {
@@ -230,15 +268,31 @@
                 tokio::time::sleep(batch).await;
             }
             Err(error) => {
-                whole |= matches!(error, StoreError::HistoryGone);
                 note_failure(&edge, Table::Targets, &error, asked);
-                tokio::time::sleep(pause).await;
-                pause = next_pause(&edge);
+                match after_failure(&error) {
+                    AfterFailure::AskAgain => {}
+                    AfterFailure::ReadWhole => whole = true,
+                    AfterFailure::Wait => {
+                        tokio::time::sleep(pause).await;
+                        pause = next_pause(&edge);
+                    }
+                }
             }
         }
     }
 }
 
+async fn ask_targets(edge: &Edge, whole: bool) -> Result<Rows, StoreError> {
+    if whole {
+        return edge.store.read(Table::Targets, READ).await;
+    }
+    let version = edge.feed.borrow().version();
+    let wait = targets_wait(edge);
+    edge.store
+        .changes(Table::Targets, version, wait, SLACK)
+        .await
+}
+
 /// Takes in what the store answered; returns whether all its changes are known
 /// now.
 fn take_targets(edge: &Edge, rows: &Rows, whole: bool) -> bool {
