--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -134,6 +134,32 @@
     }
 }
 
+/// A daemon that was cut off from the store paused for 2.4 s after each failure, also
+/// when the cut had healed and its peers told of a newer catalog: it refused a route
+/// 3.1 s after the end of the cut as the catalog from before would have it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_whose_store_is_back_takes_a_catalog_that_peers_have() {
+    let world = world(57, 4).await;
+    sleep(2_500).await;
+    let readers = readers(&world);
+    let others = (0..4).filter(|daemon| !readers.contains(daemon));
+    let others: Vec<usize> = others.collect();
+    for daemon in &others {
+        world.links[*daemon].set(Harm::Silent);
+    }
+    world.store.put("op", "config", &catalog(9, &["k1"]));
+    // Two questions fail, and a pause begins.
+    sleep(2_600).await;
+    for daemon in &others {
+        world.links[*daemon].set(Harm::None);
+    }
+    sleep(1_400).await;
+    for daemon in others {
+        let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
+        assert_eq!(got.status, 401, "daemon {daemon}, readers {readers:?}");
+    }
+}
+
 /// Has daemons answer requests, none of which may run at `target`.
 async fn assert_unused(world: &World, target: &str, daemons: impl Iterator<Item = usize>) {
     for daemon in daemons {
