fix(policy): members of a leader that nobody knows wait until its work must have ended

Cause: a planner that has just started sees members of a group whose leader is no longer listed. It cannot know who led, so it can tell no one to stop, and took the group for ended after 2.8 s as if orders had gone unanswered; a leader that leaves may work for 10 s. Ruled out: the daemons that saw the leader vanish, none of which became the planner. Change: 10 s where the leader is not known.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -42,6 +42,9 @@
 /// How long a leader may be missing from the list and answer no order before
 /// its group counts as ended: several orders went unanswered by then.
 const LEADER_GONE: Millis = Millis::new(2_800);
+/// How long a leader that leaves may work off what it has; the platform's longest
+/// time for it.
+const LEADER_WORKS: Millis = Millis::new(10_000);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
 const SHOW: Millis = Millis::new(2_000);
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, ModelPlan, Target};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, SHOW};
+use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, LEADER_WORKS, SHOW};
 
 /// What a group needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -243,14 +243,17 @@
         if leader.is_some_and(silent) {
             return Verdict::Void;
         }
-        let gone = leader.and_then(|id| self.missing.get(id));
-        let since = gone
+        let missing = leader.and_then(|id| self.missing.get(id));
+        let since = missing
             .or_else(|| self.seen.get(group))
             .copied()
             .unwrap_or(now);
+        // A planner that has just started does not know who led, and can tell no
+        // leader to stop.
+        let gone = leader.map_or(LEADER_WORKS, |_| LEADER_GONE);
         match now - since {
-            gone if gone < LEADER_ENDS => Verdict::Dismiss,
-            gone if gone < LEADER_GONE => Verdict::Stop,
+            time if time < LEADER_ENDS => Verdict::Dismiss,
+            time if time < gone => Verdict::Stop,
             _ => Verdict::Void,
         }
     }
