fix(edge): word of a newer catalog ends the pause after a failure

Ruled out: the vouches, which came every 0.4 s. Change: such word ends the pause, after 0.15 s at least.

--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -93,7 +93,7 @@
                     AfterFailure::ReadWhole => {}
                     AfterFailure::Wait => {
                         note_store(&edge, Some(&error));
-                        tokio::time::sleep(pause).await;
+                        rest(&edge, pause).await;
                         pause = next_pause(&edge);
                     }
                 }
@@ -102,6 +102,16 @@
     }
 }
 
+/// Pauses after a failure, until a peer tells of a newer catalog at most: the store
+/// may be back, and a pause to its end left an old catalog in force for up to 3.4 s
+/// after a cut had healed.
+async fn rest(edge: &Edge, pause: Duration) {
+    tokio::select! {
+        () = tokio::time::sleep(pause) => {}
+        () = edge.catalog_news.notified() => tokio::time::sleep(PAUSE.min(pause)).await,
+    }
+}
+
 /// Reads the catalog, within `limit`, or awaits changes after a version.
 async fn ask_catalog(
     edge: &Edge,
