fix(policy): streams that go on outweigh refused connections to a leader

Cause: a leader that leaves accepts no connections while it works off its requests; daemons suspected it for that, and the planner, which takes suspicion for death where nobody works, used its members while it was open. Change: beats name the suspected targets whose streams go on (an event in the last 150 ms), and these count as working.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -49,6 +49,7 @@
     store: StoreUse,
     busy: bool,
     suspects: Vec<InstanceId>,
+    going_on: Vec<InstanceId>,
     slow: Vec<InstanceId>,
     busy_at: Vec<InstanceId>,
 }
@@ -62,6 +63,11 @@
         self.heard.is_none() || self.hall == *hall
     }
 
+    fn working(&self) -> impl Iterator<Item = &InstanceId> {
+        let sound = |id: &&InstanceId| !self.suspects.contains(id);
+        self.busy_at.iter().filter(sound).chain(&self.going_on)
+    }
+
     fn silence(&self, now: Millis) -> Millis {
         now - self.heard.unwrap_or(self.listed)
     }
@@ -153,12 +159,13 @@
         fresh.flat_map(|p| p.slow.iter().cloned()).collect()
     }
 
-    /// Targets at which a peer has requests without suspecting them.
+    /// Targets at which a peer has requests without suspecting them, or streams that
+    /// go on.
     pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
         let trust = self.trust();
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
-        let busy = fresh.flat_map(|p| p.busy_at.iter().filter(|id| !p.suspects.contains(id)));
-        busy.cloned().collect()
+        let all = fresh.flat_map(Peer::working);
+        all.cloned().collect()
     }
 
     /// Takes in what callers ask a peer for.
@@ -241,6 +248,7 @@
         peer.store = beat.store;
         peer.busy = beat.busy;
         peer.suspects.clone_from(&beat.suspects);
+        peer.going_on.clone_from(&beat.going_on);
         peer.slow.clone_from(&beat.slow);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
         if beat.plans {
@@ -261,6 +269,7 @@
             store: StoreUse::Asks,
             busy: false,
             suspects: Vec::new(),
+            going_on: Vec::new(),
             slow: Vec::new(),
             busy_at: Vec::new(),
         });
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -118,6 +118,7 @@
         busy: edge.busy.get(),
         counts: loads.counts(),
         suspects: loads.suspects(now),
+        going_on: loads.going_on(now),
         slow: loads.slow(now),
         lease: peers.shown.clone(),
         dead: peers.dead.clone(),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -48,6 +48,8 @@
     pub(crate) counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
     pub(crate) suspects: Vec<InstanceId>,
+    /// Those of them whose streams to it go on all the same.
+    pub(crate) going_on: Vec<InstanceId>,
     /// Targets whose streams are slow.
     pub(crate) slow: Vec<InstanceId>,
     /// As planner: the lease.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -300,12 +300,14 @@
         stalled
     }
 
-    /// Leaders at which some daemon has requests without suspecting them.
+    /// Leaders at which some daemon has requests without suspecting them, or streams
+    /// that go on.
     fn working(&self, now: Millis) -> HashSet<InstanceId> {
         let loads = self.edge.loads.borrow();
         let own = loads.counts().into_iter().map(|(id, _)| id);
         let own = own.filter(|id| !loads.is_suspect(id, now));
         let mut working: HashSet<InstanceId> = own.collect();
+        working.extend(loads.going_on(now));
         working.extend(self.edge.peers.borrow().working(now));
         working
     }
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -34,6 +34,10 @@
 const PASSES: f64 = 3.0;
 /// How long a target that failed a request is passed over.
 const SUSPECT: Millis = Millis::new(2_500);
+/// How long after an event the streams of a target count as going on: several
+/// usual pauses, and less than the shortest after which a stream is taken up
+/// elsewhere.
+const GOES_ON: Millis = Millis::new(150);
 /// Weight of a new observation of a target's time.
 const LEARNING: f64 = 0.2;
 /// Times the usual pause between events from which on a group counts as slow;
@@ -92,6 +96,11 @@
 }
 
 impl TargetLoad {
+    /// Whether streams of this daemon go on at the target.
+    fn goes_on(&self, now: Millis) -> bool {
+        self.own.requests > 0 && now - self.progress < GOES_ON
+    }
+
     /// How many times slower than usual the target is; 1 if it is not slow.
     fn slowness(&self, now: Millis) -> f64 {
         let known = now - self.progress < SLOW_TRUST;
@@ -197,6 +206,14 @@
         found.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Those of them whose streams go on all the same: a target that leaves accepts
+    /// no connections while it works off what it has.
+    pub fn going_on(&self, now: Millis) -> Vec<InstanceId> {
+        let found = self.targets.iter().filter(|(_, l)| l.suspect > now);
+        let found = found.filter(|(_, l)| l.goes_on(now));
+        found.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Takes in a peer's counts, to be believed until a moment.
     pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
         self.peers
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -185,7 +185,7 @@
 /// A leader that left refused connections, which counted as its death although streams
 /// there went on; its members were used in another group 10 ms before it ended.
 #[test]
-fn a_target_whose_streams_go_on_is_not_told_as_suspected() {
+fn a_target_whose_streams_go_on_is_told_of_though_it_is_suspected() {
     let mut loads = LoadTable::default();
     let id = InstanceId::from("t");
     let now = Millis::new(10_000);
@@ -193,6 +193,6 @@
     loads.note_progress(&id, now);
     loads.suspect(&id, now);
     assert!(loads.is_suspect(&id, now), "no new requests go there");
-    assert!(loads.suspects(now + Millis::new(100)).is_empty());
-    assert_eq!(loads.suspects(now + Millis::new(200)), [id]);
+    assert_eq!(loads.going_on(now + Millis::new(100)), [id]);
+    assert!(loads.going_on(now + Millis::new(200)).is_empty());
 }
