refactor(edge): a daemon tells of what it knows of the targets only while that is young

All daemons read the targets whole at their start, so all of them named the newest change they know in every beat for ever, and a daemon that missed a change would have asked each of them, though only readers answer. Now those name it that read within the drain bound: readers.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -80,13 +80,16 @@
     !told && edge.reads.get() && reads_for_others(edge)
 }
 
-/// What this daemon read of the targets itself, for its peers. What it heard
-/// from others is not passed on: a datagram that was held up would make it seem
-/// younger with each hop.
+/// What this daemon read of the targets itself a short time ago, for its peers. What
+/// it heard from others is not passed on: a datagram that was held up would make it
+/// seem younger with each hop.
 pub(crate) fn known_targets(edge: &Edge, now: Millis) -> Option<KnownTargets> {
-    let asked = edge.targets_read.get()?;
+    let age = now - edge.targets_read.get()?;
+    if age > edge.settings().bounds.drain {
+        // It proves nothing to anyone any more.
+        return None;
+    }
     let newest = edge.feed.borrow().newest();
-    let age = now - asked;
     Some(KnownTargets { newest, age })
 }
 
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -56,7 +56,7 @@
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<InstanceId>,
-    /// What it read of the targets itself, if it ever did.
+    /// What it read of the targets itself, if it did a short time ago.
     pub(crate) targets: Option<KnownTargets>,
 }
 
