--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -21,13 +21,12 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use thistlesill_platform_standin::link::Harm;
+use thistlesill_platform_standin::link::{Harm, Link};
+use thistlesill_platform_standin::store::TARGETS_QUESTION;
 use thistlesill_platform_standin::world::{World, catalog};
 
 use crate::support::{ask, planner, read, readers, sleep, world};
 
-/// What a daemon asks when it waits for changes of targets.
-const TARGETS_QUESTION: &str = "rows-feed?table=servers";
 /// A target of the plain service; there are two.
 const LEAVES: &str = "p-0";
 
@@ -35,9 +34,7 @@
 async fn a_target_that_leaves_is_known_though_the_question_about_targets_fell_silent() {
     let world = world(51, 4).await;
     sleep(2_500).await;
-    for link in &world.links {
-        link.hush(TARGETS_QUESTION);
-    }
+    hush_all(&world.links, TARGETS_QUESTION);
     world.targets.leave(LEAVES);
     sleep(2_000).await;
     assert_unused(&world, LEAVES, 0..4).await;
@@ -47,9 +44,7 @@
 async fn a_target_that_leaves_is_known_though_all_connections_fell_silent() {
     let world = world(52, 4).await;
     sleep(2_500).await;
-    for link in &world.links {
-        link.hush("");
-    }
+    hush_all(&world.links, "");
     world.targets.leave(LEAVES);
     sleep(2_000).await;
     assert_unused(&world, LEAVES, 0..4).await;
@@ -98,9 +93,7 @@
 async fn a_target_that_vanishes_is_dropped_though_connections_fell_silent() {
     let world = world(56, 4).await;
     sleep(2_500).await;
-    for link in &world.links {
-        link.hush("");
-    }
+    hush_all(&world.links, "");
     // The questions have failed by now, and new ones were answered.
     sleep(1_500).await;
     world.targets.vanish(LEAVES);
@@ -118,9 +111,7 @@
     let warm = (0..12).map(async |number| ask(world, 0, read(&format!("warm-{number}"))).await);
     let warm = join_all(warm).await;
     assert!(warm.iter().all(|got| got.status == 200));
-    for link in &world.targets.links {
-        link.hush("");
-    }
+    hush_all(&world.targets.links, "");
     for number in 0..6 {
         let sent = Instant::now();
         let got = ask(world, 0, read(&format!("after-{number}"))).await;
@@ -160,6 +151,13 @@
     }
 }
 
+/// Silences the open connections of all links whose last request holds `text`.
+fn hush_all(links: &[Link], text: &str) {
+    for link in links {
+        link.hush(text);
+    }
+}
+
 /// Has daemons answer requests, none of which may run at `target`.
 async fn assert_unused(world: &World, target: &str, daemons: impl Iterator<Item = usize>) {
     for daemon in daemons {
