feat(edge): lines tell what the store was called for, and the longest pause of each stream

Status lines and the gauge thistlesill_edge_store_calls tell calls by purpose; request lines tell the longest pause as the caller sees it, how much of it the target was waited for, the prompts believed unread there, and how often the stream was taken up elsewhere.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -19,6 +19,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+use crate::lines::Line;
 use crate::state::Edge;
 use crate::{figures, follow, front, peers, planner, watch};
 
@@ -291,9 +292,8 @@
     if let Some(age) = edge.targets_age() {
         metrics::gauge!("thistlesill_edge_targets_age_ms").set(age.get() as f64);
     }
-    metrics::gauge!("thistlesill_edge_store_calls").set(edge.store.calls() as f64);
-    edge.lines
-        .line("status")
+    let line = edge.lines.line("status");
+    note_store_calls(edge, line)
         .with("ready", edge.is_ready())
         .with("active", edge.active.get())
         .maybe("catalog", edge.catalog().map(|c| c.version))
@@ -303,10 +303,22 @@
         .with("plans", edge.plans.get())
         .with("peers", edge.peers.borrow().heard(now))
         .with("targets", edge.book.borrow().ids().count())
-        .with("store_calls", edge.store.calls())
         .write();
 }
 
+/// Adds to a line, and to the figures, how often the store was called and what for.
+fn note_store_calls<'a>(edge: &Edge, line: Line<'a>) -> Line<'a> {
+    let mut line = line.with("store_calls", edge.store.calls());
+    for (purpose, calls) in edge.store.calls_by_purpose() {
+        let name = purpose.name();
+        metrics::gauge!("thistlesill_edge_store_calls", "purpose" => name).set(calls as f64);
+        if calls > 0 {
+            line = line.with(name, calls);
+        }
+    }
+    line
+}
+
 /// Housekeeping: drops what is out of time and writes out the lines.
 fn sweep(edge: &Edge) {
     let now = edge.now();
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -65,6 +65,32 @@
     Millis::new((time.get() as f64 * part) as u64)
 }
 
+/// A pause between two events of a stream, as its caller sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Pause {
+    /// From the hand-over of one event to the arrival of the next.
+    pub(crate) length: Millis,
+    /// The part for which the target was waited for; the rest was spent on the way
+    /// to the caller.
+    pub(crate) waited: Millis,
+    /// Tokens of prompts that were believed to be unread at the target.
+    pub(crate) unread: u32,
+}
+
+impl Pause {
+    /// The pause that ends now, at a target from which events were awaited since
+    /// `asked`, after the last ones were handed on.
+    fn seen(job: &Job, target: &Target, handed: Millis, asked: Millis) -> Self {
+        let now = job.edge.now();
+        let unread = job.edge.loads.borrow().work(&target.id, now).unread;
+        Self {
+            length: now - handed,
+            waited: now - asked,
+            unread,
+        }
+    }
+}
+
 /// Why a stream does not go on at its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stop {
@@ -90,6 +116,9 @@
     /// can take the stream.
     stay: bool,
     bytes: usize,
+    /// When the last events were handed on.
+    handed: Option<Millis>,
+    longest: Pause,
 }
 
 /// Where a stream comes from.
@@ -152,6 +181,8 @@
         cutter: Cutter::default(),
         stay: false,
         bytes: 0,
+        handed: None,
+        longest: Pause::default(),
     };
     reply::pieces(status, headers, relay.pieces())
 }
@@ -172,6 +203,7 @@
                     self.track.first_piece();
                 }
                 self.bytes += piece.len();
+                self.handed = Some(self.job.edge.now());
                 return Ok(Some(piece));
             }
             match self.read().await {
@@ -191,6 +223,7 @@
         let (job, stay) = (self.job.clone(), self.stay);
         let first = self.bytes == 0;
         let target = source.target.clone();
+        let (asked, handed) = (job.edge.now(), self.handed);
         let stalled = async {
             if stay {
                 never().await;
@@ -202,6 +235,10 @@
             frame = source.body.frame() => match frame {
                 Some(Ok(frame)) => {
                     source.note_event(&self.job);
+                    if let Some(handed) = handed {
+                        let pause = Pause::seen(&self.job, &target, handed, asked);
+                        self.longest = self.longest.max(pause);
+                    }
                     if let Ok(data) = frame.into_data() {
                         source.flight.begun();
                         self.cutter.push(&data);
@@ -282,6 +319,7 @@
     fn finish(&mut self) -> Option<Bytes> {
         let bytes = self.bytes;
         if let Some(source) = self.source.take() {
+            self.track.paused(self.longest);
             self.track.ended(200, Some(&source.target.id), bytes);
             if !source.closing {
                 self.job
@@ -293,6 +331,7 @@
 
     fn break_off(&mut self, why: &str) -> BrokenOff {
         let target = self.tried.last().cloned().unwrap_or_default();
+        self.track.paused(self.longest);
         self.track.broke_off(&target, self.bytes, why);
         BrokenOff
     }
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -9,6 +9,7 @@
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::attempt::{Next, Outcome};
 
+use crate::relay::Pause;
 use crate::reply::{self, OutBody};
 use crate::state::Edge;
 
@@ -23,6 +24,10 @@
     /// What decided the end, where its kind does not say it.
     why: Option<&'static str>,
     back: Option<Millis>,
+    /// The longest pause of a stream.
+    pause: Option<Pause>,
+    /// Times at which the stream was taken up elsewhere.
+    resumes: u32,
     ended: bool,
 }
 
@@ -38,6 +43,8 @@
             first: None,
             why: None,
             back: None,
+            pause: None,
+            resumes: 0,
             ended: false,
         }
     }
@@ -64,6 +71,12 @@
         metrics::histogram!("thistlesill_edge_first_piece_ms").record(took.get() as f64);
     }
 
+    /// Notes the longest pause of a stream that ends.
+    pub(crate) fn paused(&mut self, pause: Pause) {
+        metrics::histogram!("thistlesill_edge_longest_pause_ms").record(pause.length.get() as f64);
+        self.pause = Some(pause);
+    }
+
     /// Notes an attempt that brought no answer to hand on.
     pub(crate) fn attempt_failed(&self, target: &Target, outcome: Outcome, why: &str, next: Next) {
         metrics::counter!("thistlesill_edge_attempts_failed_total", "outcome" => outcome.name())
@@ -88,13 +101,14 @@
 
     /// Notes that a stream goes on at another target.
     pub(crate) fn resumed(
-        &self,
+        &mut self,
         from: &InstanceId,
         to: &InstanceId,
         last: Option<&str>,
         why: &str,
     ) {
         metrics::counter!("thistlesill_edge_resumed_total").increment(1);
+        self.resumes += 1;
         self.edge
             .lines
             .line("stream_resumed")
@@ -151,6 +165,10 @@
             .maybe("proof_age_ms", age.map(Millis::get))
             .maybe("targets_age_ms", self.edge.targets_age().map(Millis::get))
             .maybe("first_ms", self.first.map(Millis::get))
+            .maybe("pause_ms", self.pause.map(|p| p.length.get()))
+            .maybe("pause_waited_ms", self.pause.map(|p| p.waited.get()))
+            .maybe("pause_unread", self.pause.map(|p| p.unread))
+            .maybe("resumes", Some(self.resumes).filter(|n| *n > 0))
             .maybe("why", self.why)
             .maybe("back_ms", self.back.map(Millis::get))
             .with("took_ms", took.get())
