test(edge): how often daemons call the store, three tests red

List of daemons 12 reads for six daemons (wanted at most 6), catalog 18 reads for three new versions (3), 16 questions about it in 4 s (14).

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -2,6 +2,8 @@
 
 #[path = "it/answers.rs"]
 mod answers;
+#[path = "it/calls.rs"]
+mod calls;
 #[path = "it/keys.rs"]
 mod keys;
 #[path = "it/silence.rs"]
