perf(edge): daemons read their list once at the start, and one of them looks for the lease

Ruled out: finding the others by the settings, which name none for this role. Change: at the first start each daemon reads the list once, after all have written; later starts read it at once and write only a row that is missing; the daemon that is listed first looks for the lease, others only when nobody is heard. A daemon that hears nobody forgets who is silent and reads the list again (before, daemons that were apart for 40 s never told each other of themselves again).

--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -39,6 +39,8 @@
     pub peer_port: u16,
     /// The last such port.
     pub last_port: u16,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// The bounds in force.
     pub bounds: Bounds,
     /// Where the store listens.
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -77,6 +77,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     known: HashMap<NodeId, Peer>,
+    /// Whether the list of daemons in the store has been read.
+    listed: bool,
     planner: Option<(NodeId, Millis)>,
     /// Whether that planner has said since that it forms groups no longer.
     planner_ended: bool,
@@ -188,6 +190,12 @@
         demand
     }
 
+    /// Whether `me` comes first among all daemons that the store listed, whether they
+    /// live or not.
+    pub(crate) fn is_first_listed(&self, me: &NodeId) -> bool {
+        self.listed && self.known.keys().all(|name| me < name)
+    }
+
     /// Whether `me` comes first among the daemons of its data centre that
     /// are heard; those that cannot reach the store come last.
     pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
@@ -234,6 +242,12 @@
         silent.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Forgets all that have been silent for long, so that those that the store
+    /// still lists are told of this daemon again.
+    fn forget_silent(&mut self, now: Millis) {
+        self.known.retain(|_, p| p.silence(now) < REMOVED);
+    }
+
     fn forget(&mut self, name: &NodeId) {
         self.known.remove(name);
     }
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -1,8 +1,11 @@
 //! The list of daemons in the store.
 //!
-//! A daemon writes its row when it starts and reads the list once the others
-//! that start with it have had time to do the same. After that daemons know
-//! each other by their beats, and the list is only read now and then.
+//! At the first start of the whole system all daemons write their rows, and each
+//! reads the list once, when the others have had time to do the same. A daemon
+//! that starts later reads the list at once and writes its row only if the row is
+//! missing. After that daemons know each other by their beats. Of two daemons that
+//! start at the same moment at least one reads the other's row, and its beat tells
+//! the other. This takes two calls of the store a start instead of four.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,8 +20,11 @@
 
 /// Time in which daemons that start together have written their rows.
 const GATHER: Duration = Duration::from_millis(700);
-/// Between two reads of the list.
-const REREAD: Duration = Duration::from_secs(30);
+/// Between two looks at whether the list is to be read again.
+const LOOK: Duration = Duration::from_secs(30);
+/// Looks after which it is read in any case, for what beats cannot heal: daemons
+/// that were apart for long have forgotten each other.
+const REREAD_LOOKS: u32 = 10;
 /// Time for a call.
 const LIMIT: Duration = Duration::from_millis(1_000);
 /// After a call that failed.
@@ -32,37 +38,72 @@
 
 /// Lists this daemon and reads the list of all, for ever.
 pub(crate) async fn run(edge: Rc<Edge>) {
-    while !enlist(&edge).await {
-        tokio::time::sleep(PAUSE).await;
+    if edge.settings().first_start {
+        enlist(&edge).await;
+        tokio::time::sleep(GATHER).await;
+        join(&edge).await;
+    } else if join(&edge).await == Own::Missing {
+        enlist(&edge).await;
+        join(&edge).await;
     }
-    // After a restart the rows of the others are already there, and what they
-    // tell of their load is wanted for the first requests.
-    read_list(&edge).await;
-    tokio::time::sleep(GATHER).await;
+    let mut looks = 0;
     loop {
-        if read_list(&edge).await {
+        tokio::time::sleep(LOOK).await;
+        looks += 1;
+        let alone = edge.peers.borrow().heard(edge.now()) == 0;
+        if alone || edge.plans.get() || looks % REREAD_LOOKS == 0 {
             remove_silent(&edge).await;
-            tokio::time::sleep(REREAD).await;
-        } else {
-            tokio::time::sleep(PAUSE).await;
+            edge.peers.borrow_mut().forget_silent(edge.now());
+            if join(&edge).await == Own::Missing {
+                enlist(&edge).await;
+            }
         }
     }
 }
 
-/// Reads the list once; returns whether it could be read.
-async fn read_list(edge: &Edge) -> bool {
-    match edge.store.read(Table::Daemons, LIMIT).await {
-        Ok(rows) => {
-            for row in &rows.rows {
-                take(edge, row);
-            }
-            true
+/// Whether this daemon's own row is in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Own {
+    /// It is, and tells the right address.
+    Listed,
+    /// It is not.
+    Missing,
+}
+
+/// Reads the list, however often that takes.
+async fn join(edge: &Edge) -> Own {
+    loop {
+        match edge.store.read(Table::Daemons, LIMIT).await {
+            Ok(rows) => return take_all(edge, &rows.rows),
+            Err(error) => log::debug!("peers: the list was not read: {error}"),
         }
-        Err(error) => {
-            log::debug!("peers: the list was not read: {error}");
-            false
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn take_all(edge: &Edge, rows: &[Row]) -> Own {
+    let settings = edge.settings();
+    let mut own = Own::Missing;
+    for row in rows {
+        let Some((name, daemon)) = decode(edge, row) else {
+            continue;
+        };
+        if name != settings.name {
+            let now = edge.now();
+            edge.peers.borrow_mut().list(name, daemon.address, now);
+        } else if daemon.address == settings.peer_address() {
+            own = Own::Listed;
         }
     }
+    edge.peers.borrow_mut().listed = true;
+    own
+}
+
+/// Writes this daemon's row, however often that takes.
+async fn enlist(edge: &Edge) {
+    while !write_row(edge).await {
+        tokio::time::sleep(PAUSE).await;
+    }
 }
 
 fn key(name: &NodeId) -> String {
@@ -71,7 +112,7 @@
 
 /// Writes this daemon's row. The write is the same whenever it is repeated,
 /// so an unknown outcome is simply written again.
-async fn enlist(edge: &Edge) -> bool {
+async fn write_row(edge: &Edge) -> bool {
     let settings = edge.settings();
     let row = DaemonRow {
         address: settings.peer_address(),
@@ -87,22 +128,15 @@
     }
 }
 
-fn take(edge: &Edge, row: &Row) {
+fn decode(edge: &Edge, row: &Row) -> Option<(NodeId, DaemonRow)> {
     let name = NodeId::from(row.key.as_str());
-    let Some(value) = row.value.as_ref().filter(|_| name != edge.settings().name) else {
-        return;
-    };
-    match serde_json::from_slice::<DaemonRow>(value) {
-        Ok(daemon) => edge
-            .peers
-            .borrow_mut()
-            .list(name, daemon.address, edge.now()),
-        Err(error) => edge
-            .lines
-            .line("daemon_refused")
-            .with("name", name)
-            .with("why", error)
-            .write(),
+    match serde_json::from_slice(row.value.as_ref()?) {
+        Ok(daemon) => Some((name, daemon)),
+        Err(error) => {
+            let line = edge.lines.line("daemon_refused").with("name", name);
+            line.with("why", error).write();
+            None
+        }
     }
 }
 
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::RngExt;
 use thistlesill_core::edge::Order;
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
@@ -41,10 +40,6 @@
 /// Without a holder for this long, every daemon looks for the lease: the first
 /// ones of the data centres have had time for two takeovers.
 const ORPHANED: Millis = Millis::new(5_000);
-/// The longest wait before the first look, so that daemons that start
-/// together do not all ask for the lease.
-const FIRST_WAIT: u64 = 150;
-
 /// Between two lines about how a fleet stands.
 const CENSUS: Millis = Millis::new(1_000);
 
@@ -64,8 +59,6 @@
 /// Forms groups whenever the lease is held, for ever.
 pub(crate) async fn run(edge: Rc<Edge>, charts: Charts) {
     let name = edge.settings().name.clone();
-    let wait = edge.rng.borrow_mut().random_range(0..FIRST_WAIT);
-    tokio::time::sleep(Duration::from_millis(wait)).await;
     let planner = Rc::new(Planner {
         lease: RefCell::new(Lease::new(charts.lease, name, scope(), PERIODS)),
         fleets: RefCell::new(HashMap::new()),
@@ -143,10 +136,10 @@
     }
 
     /// Whether this daemon looks for the lease now. Not while a holder is
-    /// heard; at the start, the holder is known from the store before it is
-    /// heard; and when it falls silent, the first daemons of the data centres
-    /// look, so that hundreds do not, and the others only if none of them
-    /// succeeds.
+    /// heard; at the start, only the daemon that the store lists first looks, so
+    /// that hundreds do not, each with a call; when that one does not live, or the
+    /// holder falls silent, the first daemons of the data centres look, and the
+    /// others only if none of them succeeds.
     fn may_seek(&self, now: Millis) -> bool {
         let peers = self.edge.peers.borrow();
         if peers.hears_planner(now) {
@@ -154,7 +147,8 @@
         }
         let found = now - self.edge.started >= FIND;
         if !found {
-            return self.lease.borrow().holder().is_none();
+            let unknown = self.lease.borrow().holder().is_none();
+            return unknown && peers.is_first_listed(&self.edge.settings().name);
         }
         let silence = now - peers.planner_heard().unwrap_or(self.edge.started);
         silence >= ORPHANED || follow::reads_for_others(&self.edge)
