perf(edge): one daemon follows the catalog, and daemons hand new ones to each other

Cause: the first daemon of each data centre asked the store for a newer catalog 1.2 times a second, and each new one was read from the store by every daemon. Change: the daemon that forms groups follows it for all; the first ones of the data centres read only when its word is older than 0.56 of the time in which a new catalog must be in force; a daemon that hears of a newer catalog gets it over TCP from the one that told, eight at a time, and from the store if that fails.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -1,11 +1,11 @@
 //! What a daemon knows from peers that read the store.
 //!
 //! Every call of the store has its price, and hundreds of daemons that all
-//! follow it would exceed its rate. So the first daemon of each data centre,
-//! and the one that forms groups, read the store; the others ask it. A
-//! question carries the asker's time and comes back with the answer, so a
-//! proof's age is right on the asker's clock however long the datagrams, or
-//! either process, were held up.
+//! follow it would exceed its rate. So the daemon that forms groups reads the
+//! store, and the others ask it; when its word grows old, the first daemon of each
+//! data centre reads, and at last each for itself. A question carries the asker's
+//! time and comes back with the answer, so a proof's age is right on the asker's
+//! clock however long the datagrams, or either process, were held up.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,8 +13,8 @@
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_policy::edge::feed::Change;
 
-use crate::peers::link;
 use crate::peers::packet::{Ask, Changes, KnownTargets, Packet, Vouch};
+use crate::peers::{Reach, link};
 use crate::state::Edge;
 use crate::watch;
 
@@ -26,6 +26,10 @@
 /// daemon without a younger proof reads the store itself. A reader's proof is
 /// up to half that time old; the rest is for the read.
 const ALONE_PART: f64 = 0.72;
+/// The same for the first daemon of a data centre, which then reads for the others
+/// there. A proof is usually at most half of that time old: two questions of the
+/// daemon that forms groups, and the time between two of this one's.
+const HEAD_PART: f64 = 0.56;
 /// Part of the time after which a target that leaves gets no new requests. When
 /// its knowledge of the targets is older, a daemon on which others depend reads
 /// them from the store, although a planner is heard: the planner may be cut off
@@ -50,10 +54,14 @@
     if now - edge.started < FIND {
         return false;
     }
-    let most = settings.bounds.apply.get() as f64 * ALONE_PART;
+    let apply = settings.bounds.apply.get() as f64;
     let age = edge.fresh.get().age(now);
-    let alone = age.is_none_or(|age| age.get() as f64 > most);
-    alone || reads_for_others(edge)
+    let older_than = |part| age.is_none_or(|age| age.get() as f64 > apply * part);
+    if older_than(ALONE_PART) {
+        return true;
+    }
+    let goes_on = edge.reads.get() && !edge.peers.borrow().hears_planner(now);
+    (older_than(HEAD_PART) || goes_on) && reads_for_others(edge)
 }
 
 /// Whether other daemons depend on what this one reads.
@@ -125,6 +133,10 @@
         if edge.reads.replace(reads) != reads {
             edge.lines.line("store_reader").with("reads", reads).write();
             edge.reads_changed.notify_waiters();
+            if reads {
+                // The others there need not wait for the next beat to ask this one.
+                link::tell_beat(&edge, Reach::Near);
+            }
         }
         if !edge.plans.get() && looks % ASK_LOOKS == 0 {
             ask(&edge);
@@ -132,7 +144,7 @@
     }
 }
 
-fn ask(edge: &Edge) {
+pub(crate) fn ask(edge: &Edge) {
     let settings = edge.settings();
     let reader = {
         let peers = edge.peers.borrow();
@@ -165,6 +177,7 @@
     let age = edge.fresh.get().age(now);
     if let (true, Some(catalog), Some(age)) = (edge.reads.get(), catalog, age) {
         let vouch = Vouch {
+            from: edge.settings().name.clone(),
             asked: ask.asked,
             catalog,
             age,
@@ -221,6 +234,8 @@
         return;
     };
     if vouch.catalog > own {
+        let address = edge.peers.borrow().address(&vouch.from);
+        edge.catalog_at.set(address);
         edge.catalog_news.notify_one();
         return;
     }
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -6,6 +6,7 @@
 pub(crate) mod link;
 pub(crate) mod packet;
 pub(crate) mod roster;
+pub(crate) mod transfer;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -88,8 +88,10 @@
 }
 
 /// Vouches for a catalog.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Vouch {
+    /// Who vouches, and has that catalog.
+    pub(crate) from: NodeId,
     /// The asker's time of the question. The proof is at least as young as
     /// `age` at that moment, however long the datagrams took.
     pub(crate) asked: Millis,
--- /dev/null
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -0,0 +1,131 @@
+//! Catalogs that daemons hand to each other over TCP.
+//!
+//! A new catalog reaches one daemon from the store and the others from daemons that
+//! have it: at hundreds of daemons, a call of the store each would cost more than a
+//! second of all their callers' requests, and its bytes the same again.
+//!
+//! The exchange is one frame each way. A daemon that hands out as many as its
+//! connection bears closes further ones at once, and their daemons read the store.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout_at};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::state::Edge;
+
+/// Catalogs that are handed out at the same time: a catalog of 300 kB takes 0.12 s
+/// on a connection of 20 Mbit/s, so the last of these has it after one second, a
+/// quarter of the time in which it must be in force.
+const MAX_AT_ONCE: usize = 8;
+/// Bytes of a catalog, at most; the operators' store takes no more in a row.
+const MAX_CATALOG: usize = 8 << 20;
+/// Time for handing one out.
+const HAND_OUT: Duration = Duration::from_secs(2);
+/// The question, the only one there is.
+const QUESTION: &[u8] = b"catalog";
+/// After a failure to accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why no catalog came.
+#[derive(Debug, Snafu)]
+pub(crate) enum TransferError {
+    /// The connection did not come up or broke off.
+    #[snafu(display("{source}"))]
+    Connection { source: std::io::Error },
+    /// The peer has none or hands out too many.
+    #[snafu(display("the peer hands none out now"))]
+    Refused,
+    /// It took too long.
+    #[snafu(display("no catalog in time"))]
+    Late,
+}
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_CATALOG)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Hands the catalog to peers, for ever.
+pub(crate) async fn serve(edge: Rc<Edge>) {
+    let address = edge.settings().peer_address();
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("transfer: {address}: {error}");
+            return;
+        }
+    };
+    let active = Rc::new(Cell::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => begin(&edge, stream, &active),
+            Err(error) => {
+                log::debug!("transfer: a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn begin(edge: &Rc<Edge>, stream: TcpStream, active: &Rc<Cell<usize>>) {
+    if active.get() >= MAX_AT_ONCE {
+        metrics::counter!("thistlesill_edge_transfers_refused_total").increment(1);
+        return;
+    }
+    active.set(active.get() + 1);
+    let (edge, active) = (edge.clone(), active.clone());
+    tokio::task::spawn_local(async move {
+        let until = Instant::now() + HAND_OUT;
+        match timeout_at(until, hand_out(&edge, stream)).await {
+            Ok(Ok(())) => metrics::counter!("thistlesill_edge_transfers_total").increment(1),
+            Ok(Err(error)) => log::debug!("transfer: not handed out: {error}"),
+            Err(_) => log::debug!("transfer: not handed out in time"),
+        }
+        active.set(active.get() - 1);
+    });
+}
+
+async fn hand_out(edge: &Edge, stream: TcpStream) -> Result<(), TransferError> {
+    let mut frames = frames(stream);
+    let question = next_frame(&mut frames).await?;
+    let text = edge.catalog_text.borrow().clone();
+    if question != QUESTION || text.is_empty() {
+        return RefusedSnafu.fail();
+    }
+    frames.send(text).await.context(ConnectionSnafu)
+}
+
+/// Gets the catalog of the daemon at an address, within `limit`.
+pub(crate) async fn fetch_catalog(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<Bytes, TransferError> {
+    let exchange = async {
+        let stream = TcpStream::connect(address).await.context(ConnectionSnafu)?;
+        let mut frames = frames(stream);
+        let question = Bytes::from_static(QUESTION);
+        frames.send(question).await.context(ConnectionSnafu)?;
+        next_frame(&mut frames).await
+    };
+    match timeout_at(Instant::now() + limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => LateSnafu.fail(),
+    }
+}
+
+async fn next_frame(frames: &mut Frames) -> Result<Bytes, TransferError> {
+    let frame = frames.next().await.context(RefusedSnafu)?;
+    Ok(frame.context(ConnectionSnafu)?.freeze())
+}
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -2,9 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target};
@@ -77,6 +79,10 @@
     pub(crate) boot: u64,
     pub(crate) store: Store,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The catalog in force as the operators wrote it, for peers that lack it.
+    pub(crate) catalog_text: RefCell<Bytes>,
+    /// Where the newer catalog is that a peer told of.
+    pub(crate) catalog_at: Cell<Option<SocketAddr>>,
     /// When the catalog in force was last known to be the newest.
     pub(crate) fresh: Cell<Freshness>,
     /// When the targets' entries were last known to be the newest.
@@ -135,6 +141,8 @@
             clock,
             boot: rand::random(),
             catalog: RefCell::new(None),
+            catalog_text: RefCell::new(Bytes::new()),
+            catalog_at: Cell::new(None),
             fresh: Cell::new(Freshness::default()),
             targets_fresh: Cell::new(Freshness::default()),
             targets_read: Cell::new(None),
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use thistlesill_core::Millis;
 use thistlesill_core::edge::Catalog;
 use thistlesill_platform::catalog::decode_catalog;
@@ -10,6 +11,8 @@
 use thistlesill_policy::edge::freshness::MARGIN;
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
+use crate::follow;
+use crate::peers::transfer;
 use crate::state::Edge;
 
 /// Time for a read that shows whether the store is away, after a connection that
@@ -23,7 +26,10 @@
 /// Part of the time in which a new catalog must be in force for which a
 /// question waits: a daemon whose reader fell silent must notice and read the
 /// catalog itself within the rest.
-const APPLY_PART: f64 = 0.25;
+const APPLY_PART: f64 = 0.16;
+/// Part of that time for which a peer is asked for its catalog before it is read
+/// from the store.
+const FETCH_PART: f64 = 0.15;
 
 /// Follows the catalog, for ever.
 pub(crate) async fn follow_catalog(edge: Rc<Edge>) {
@@ -35,7 +41,7 @@
         if known && !edge.reads.get() {
             version = None;
             tokio::select! {
-                () = edge.catalog_news.notified() => {}
+                () = edge.catalog_news.notified() => if fetch_catalog(&edge).await { continue },
                 () = edge.reads_changed.notified() => {}
                 () = tokio::time::sleep(IDLE) => continue,
             }
@@ -77,13 +83,41 @@
     }
 }
 
+/// Gets the newer catalog that a peer told of from that peer; returns whether this
+/// worked. A call of the store a daemon for each new catalog cost 0.015 of worth on
+/// a calm day of 63 daemons.
+async fn fetch_catalog(edge: &Edge) -> bool {
+    let Some(address) = edge.catalog_at.take() else {
+        return false;
+    };
+    let limit = edge.settings().bounds.apply.duration().mul_f64(FETCH_PART);
+    match transfer::fetch_catalog(address, limit).await {
+        Ok(text) => {
+            let taken = decode_and_put(edge, &text);
+            // The proof that goes with it.
+            follow::ask(edge);
+            taken
+        }
+        Err(error) => {
+            metrics::counter!("thistlesill_edge_transfers_failed_total").increment(1);
+            let line = edge.lines.line("transfer_failed").with("from", address);
+            line.with("why", error).write();
+            false
+        }
+    }
+}
+
 /// Pauses after a failure, until a peer tells of a newer catalog at most: the store
 /// may be back, and a pause to its end left an old catalog in force for up to 3.4 s
 /// after a cut had healed.
 async fn pause_until_news(edge: &Edge, pause: Duration) {
     tokio::select! {
         () = tokio::time::sleep(pause) => {}
-        () = edge.catalog_news.notified() => tokio::time::sleep(PAUSE.min(pause)).await,
+        () = edge.catalog_news.notified() => {
+            if !fetch_catalog(edge).await {
+                tokio::time::sleep(PAUSE.min(pause)).await;
+            }
+        }
     }
 }
 
@@ -138,9 +172,14 @@
     let Some(bytes) = row.and_then(|row| row.value.as_deref()) else {
         return edge.catalog.borrow().is_some();
     };
-    match decode_catalog(bytes) {
+    decode_and_put(edge, bytes)
+}
+
+/// Takes in a catalog as the operators wrote it; returns whether it is sound.
+fn decode_and_put(edge: &Edge, text: &[u8]) -> bool {
+    match decode_catalog(text) {
         Ok(catalog) => {
-            put_catalog(edge, catalog);
+            put_catalog(edge, catalog, text);
             true
         }
         Err(error) => {
@@ -154,7 +193,7 @@
     }
 }
 
-fn put_catalog(edge: &Edge, catalog: Catalog) {
+fn put_catalog(edge: &Edge, catalog: Catalog, text: &[u8]) {
     let old = edge.catalog().map(|c| c.version);
     if old.is_some_and(|old| old >= catalog.version) {
         return;
@@ -165,6 +204,7 @@
         .maybe("before", old)
         .write();
     metrics::gauge!("thistlesill_edge_catalog_version").set(catalog.version as f64);
+    edge.catalog_text.replace(Bytes::copy_from_slice(text));
     let catalog = Rc::new(catalog);
     edge.catalog.replace(Some(catalog.clone()));
     edge.book.borrow_mut().index(Some(&catalog));
