feat(edge,policy): the owner of a scope places its requests

Cause: each of hundreds of daemons chose a group by counts up to 0.4 s old, so prompts met at one group while others were idle, and the streams there paused or began late. Change: the groups of a model in a data centre have an owner, by rendezvous hashing among the daemons that are heard there. A daemon asks it for a target with one datagram and waits 15 ms at most; the owner counts the request at once, and hears when its prompt is read and when it ends. Without an answer the daemon chooses as before. Owners tell each other, and the daemons near them, all work at their targets. Sums of peers' counts are kept, not added up for each target at each request.

--- a/crates/thistlesill-core/src/rendezvous.rs
+++ b/crates/thistlesill-core/src/rendezvous.rs
@@ -1,4 +1,5 @@
-//! Rendezvous hashing: who watches which target, agreed without messages.
+//! Rendezvous hashing: who watches which target and who places which requests,
+//! agreed without messages.
 
 use crate::NodeId;
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
@@ -16,6 +17,11 @@
     rapidhash_v3_seeded(text.as_bytes(), &secrets)
 }
 
+/// The highest ranked of `nodes` for `key`.
+pub fn first<'a>(nodes: impl Iterator<Item = &'a NodeId>, key: &str) -> Option<&'a NodeId> {
+    nodes.max_by_key(|node| (rank(node, key), *node))
+}
+
 /// Whether `node` is among the `count` highest ranked of `nodes` for `key`.
 pub fn is_among(node: &NodeId, nodes: &[NodeId], key: &str, count: usize) -> bool {
     let own = rank(node, key);
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -14,9 +14,11 @@
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::asked::Asked;
 use thistlesill_policy::edge::attempt::Outcome;
+use thistlesill_policy::edge::load::Knowledge;
 use tokio::time::Instant;
 
 use crate::lanes::{Taken, most_idle};
+use crate::peers::place;
 use crate::proxy::never;
 use crate::relay;
 use crate::state::{Asking, Choice, Edge, InFlight};
@@ -84,14 +86,20 @@
     }
 
     /// Picks the next target of the request.
-    pub(crate) fn pick(&self, tried: &[InstanceId]) -> Choice {
-        self.edge.pick(&Asking {
-            service: &self.passage.service,
-            model: self.head.model.as_ref(),
-            prompt: self.prompt(),
-            aim: self.passage.route.aim,
-            tried,
-        })
+    pub(crate) async fn pick(&self, tried: &[InstanceId]) -> Choice {
+        place::pick(
+            &self.edge,
+            Asking {
+                service: &self.passage.service,
+                model: self.head.model.as_ref(),
+                prompt: self.prompt(),
+                aim: self.passage.route.aim,
+                tried,
+                first: tried.is_empty(),
+                knowledge: Knowledge::Old,
+            },
+        )
+        .await
     }
 
     /// Whether the request may run more than once.
@@ -179,7 +187,7 @@
     turn: Turn,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
-    let flight = InFlight::new(edge, &target.id, job.prompt());
+    let flight = InFlight::new(edge, target, job.prompt());
     let sent = edge.now();
     let connect = within(CONNECT).min(job.until);
     // A kept connection may just be closing, or have fallen silent; a request
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -177,6 +177,7 @@
     tokio::task::spawn_local(peers::roster::run(edge.clone()));
     tokio::task::spawn_local(peers::link::run(edge.clone()));
     tokio::task::spawn_local(peers::transfer::serve(edge.clone()));
+    tokio::task::spawn_local(peers::place::run(edge.clone()));
     tokio::task::spawn_local(follow::run(edge.clone()));
     if options.parts != Parts::Serve {
         tokio::task::spawn_local(planner::run(edge.clone(), charts));
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod link;
 pub(crate) mod packet;
+pub(crate) mod place;
 pub(crate) mod roster;
 pub(crate) mod transfer;
 
@@ -49,6 +50,7 @@
     listed: Millis,
     store: StoreUse,
     busy: bool,
+    owns: bool,
     suspects: Vec<InstanceId>,
     going_on: Vec<InstanceId>,
     slow: Vec<InstanceId>,
@@ -209,6 +211,14 @@
         ranks.all(|rank| (away, me) < rank)
     }
 
+    /// The peers of a data centre that may own scopes.
+    pub(crate) fn owners(&self, hall: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
+        let trust = self.trust();
+        let all = self.known.iter();
+        let may = move |p: &Peer| p.owns && p.hall == *hall && p.is_heard(now, trust);
+        all.filter(move |(_, p)| may(p)).map(|(name, _)| name)
+    }
+
     /// A peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
         let trust = self.trust();
@@ -262,6 +272,7 @@
         peer.hall = beat.hall.clone();
         peer.store = beat.store;
         peer.busy = beat.busy;
+        peer.owns = beat.owns;
         peer.suspects.clone_from(&beat.suspects);
         peer.going_on.clone_from(&beat.going_on);
         peer.slow.clone_from(&beat.slow);
@@ -283,6 +294,7 @@
             listed: now,
             store: StoreUse::Asks,
             busy: false,
+            owns: false,
             suspects: Vec::new(),
             going_on: Vec::new(),
             slow: Vec::new(),
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -6,8 +6,8 @@
 use thistlesill_core::{Millis, NodeId};
 use tokio::net::UdpSocket;
 
-use super::Reach;
 use super::packet::{AskedWork, Beat, Packet};
+use super::{Reach, place};
 use crate::follow;
 use crate::state::Edge;
 
@@ -116,6 +116,7 @@
         store: edge.store_use(),
         plans: edge.plans.get(),
         busy: edge.busy.get(),
+        owns: place::may_own(edge, now),
         counts: loads.counts(),
         suspects: loads.suspects(now),
         going_on: loads.going_on(now),
@@ -131,7 +132,7 @@
     tell_peers(edge, packet, Reach::All);
 }
 
-fn tell_peers(edge: &Edge, packet: &Packet, reach: Reach) {
+pub(crate) fn tell_peers(edge: &Edge, packet: &Packet, reach: Reach) {
     let Some(bytes) = encode(packet) else { return };
     let peers = edge.peers.borrow();
     let Some(socket) = &peers.socket else { return };
@@ -190,6 +191,10 @@
             Ok(Packet::Ask(ask)) => follow::answer(&edge, &ask),
             Ok(Packet::Vouch(vouch)) => follow::take_vouch(&edge, vouch),
             Ok(Packet::Changes(changes)) => follow::take_changes(&edge, changes),
+            Ok(Packet::Place(ask)) => place::answer(&edge, &ask),
+            Ok(Packet::Placed(reply)) => place::take_reply(&edge, reply),
+            Ok(Packet::Counts(counts)) => place::hear_counts(&edge, counts),
+            Ok(Packet::Totals(totals)) => place::hear_totals(&edge, totals),
             Ok(Packet::Asked(asked)) => edge.peers.borrow_mut().hear_asked(asked, edge.now()),
             Err(error) => {
                 metrics::counter!("thistlesill_edge_datagrams_refused_total").increment(1);
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -17,6 +17,15 @@
     Vouch(Vouch),
     /// Changes of targets.
     Changes(Changes),
+    /// Asks the owner of a scope for a target.
+    Place(PlaceAsk),
+    /// The answer.
+    Placed(PlaceReply),
+    /// The sender's requests by target; goes to the owner whose targets' changed.
+    Counts(Counts),
+    /// All work at the targets of an owner; goes to those of its data centre, and to
+    /// the owners of others.
+    Totals(Totals),
     /// What callers ask the sender for; goes to the daemon that forms groups.
     Asked(AskedWork),
 }
@@ -44,6 +53,8 @@
     pub(crate) plans: bool,
     /// Whether any caller has sent a request since its start.
     pub(crate) busy: bool,
+    /// Whether it may own scopes: it does not stop, and has heard of its peers' load.
+    pub(crate) owns: bool,
     /// Its requests by target.
     pub(crate) counts: Vec<(InstanceId, Work)>,
     /// Targets that stopped answering it.
@@ -60,6 +71,57 @@
     pub(crate) targets: Option<KnownTargets>,
 }
 
+/// Asks for a target for one request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PlaceAsk {
+    pub(crate) from: NodeId,
+    /// Comes back in the answer.
+    pub(crate) id: u64,
+    pub(crate) service: ServiceName,
+    pub(crate) model: Option<Model>,
+    /// Tokens of the prompt.
+    pub(crate) prompt: u32,
+    /// The latency objective.
+    pub(crate) aim: Millis,
+    /// Whether the request may be told to come back.
+    pub(crate) first: bool,
+    /// Targets that it was sent to, and those that the asker passes over.
+    pub(crate) avoid: Vec<InstanceId>,
+}
+
+/// What an owner decided.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PlaceReply {
+    pub(crate) from: NodeId,
+    /// That of the question.
+    pub(crate) id: u64,
+    pub(crate) placed: Placed,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Placed {
+    /// To this target, which counts it from now on.
+    At(InstanceId),
+    /// Nowhere now: it would begin too late by this much.
+    Overloaded(Millis),
+    /// Nowhere: no target serves what it asks for.
+    Nobody,
+}
+
+/// A daemon's requests by target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Counts {
+    pub(crate) from: NodeId,
+    pub(crate) counts: Vec<(InstanceId, Work)>,
+}
+
+/// All work at some targets, as their owner knows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Totals {
+    pub(crate) list: Vec<(InstanceId, Work)>,
+}
+
 /// Says that a daemon knows all changes of targets up to a moment.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct KnownTargets {
--- /dev/null
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -0,0 +1,312 @@
+//! Where a request goes, as the owner of its scope decides.
+//!
+//! A daemon asks the owner with one datagram and has the answer in less than a
+//! millisecond. Without an answer in time it decides by itself, on what it was told
+//! of the load; the request is never lost, and at worst goes to a busier group.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use thistlesill_core::edge::Target;
+use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_policy::edge::load::{Knowledge, Work};
+use thistlesill_policy::edge::owner::{Answering, Scope};
+use tokio::sync::oneshot;
+
+use super::packet::{Counts, Packet, PlaceAsk, PlaceReply, Placed, Totals};
+use super::{Reach, link};
+use crate::state::{Asking, Choice, Edge};
+
+/// How long an owner's answer is awaited. It takes 0.5 ms; a daemon that shares an
+/// eighth of a core may be some milliseconds behind, and more would cost the request
+/// a good part of its objective.
+const ANSWER: Duration = Duration::from_millis(15);
+/// Time after its start in which a daemon has heard what its peers have under way.
+const LEARN: Millis = Millis::new(1_200);
+/// Between two tellings of all work at an owner's targets.
+const TELL: Duration = Duration::from_millis(250);
+/// How long what an owner told is believed: three tellings.
+const BELIEVE: Millis = Millis::new(800);
+/// Rounds of telling between two to the own data centre, where the totals are only
+/// needed when the owner does not answer.
+const NEAR_ROUNDS: u32 = 2;
+/// Targets that are told of in one datagram.
+const MAX_TOLD: usize = 100;
+
+/// Questions to owners that are under way, and who owns what.
+#[derive(Debug, Default)]
+pub(crate) struct Placing {
+    next: u64,
+    waiting: HashMap<u64, oneshot::Sender<Placed>>,
+    answering: Answering,
+    /// Owners as they were computed a moment ago.
+    owners: HashMap<Scope, Option<NodeId>>,
+}
+
+/// Whether this daemon may own scopes.
+pub(crate) fn may_own(edge: &Edge, now: Millis) -> bool {
+    edge.stopping.get().is_none() && now - edge.started >= LEARN
+}
+
+/// The owner of a scope, if one is known.
+fn owner(edge: &Edge, scope: &Scope) -> Option<NodeId> {
+    if let Some(known) = edge.placing.borrow().owners.get(scope) {
+        return known.clone();
+    }
+    let now = edge.now();
+    let settings = edge.settings();
+    let peers = edge.peers.borrow();
+    let own = settings.hall == scope.hall && may_own(edge, now);
+    let me = own.then_some(&settings.name);
+    let owner = scope.owner(peers.owners(&scope.hall, now).chain(me));
+    let owner = owner.cloned();
+    let owners = &mut edge.placing.borrow_mut().owners;
+    owners.insert(scope.clone(), owner.clone());
+    owner
+}
+
+/// Picks a target for a request, or has its owner do so.
+pub(crate) async fn pick(edge: &Edge, mut asking: Asking<'_>) -> Choice {
+    let settings = edge.settings();
+    let scope = Scope {
+        hall: settings.hall.clone(),
+        service: asking.service.name.clone(),
+        model: asking
+            .model
+            .cloned()
+            .filter(|_| asking.service.engine.is_some()),
+    };
+    let owner = owner(edge, &scope);
+    if owner.as_ref() == Some(&settings.name) {
+        asking.knowledge = Knowledge::Exact;
+        return edge.pick(&asking);
+    }
+    if let Some(owner) = owner
+        && let Some(choice) = ask(edge, &owner, &scope, &asking).await
+    {
+        return choice;
+    }
+    metrics::counter!("thistlesill_edge_placed_total", "by" => "self").increment(1);
+    edge.pick(&asking)
+}
+
+/// Asks an owner; `None` if it does not answer, or with a target that this daemon
+/// does not know.
+async fn ask(edge: &Edge, owner: &NodeId, scope: &Scope, asking: &Asking<'_>) -> Option<Choice> {
+    let now = edge.now();
+    if !edge.placing.borrow().answering.may_ask(owner, now) {
+        return None;
+    }
+    let (reply, answer) = oneshot::channel();
+    let id = edge.placing.borrow_mut().expect(reply);
+    let mut avoid = asking.tried.to_vec();
+    avoid.extend(edge.loads.borrow().suspects(now));
+    let question = PlaceAsk {
+        from: edge.settings().name.clone(),
+        id,
+        service: scope.service.clone(),
+        model: scope.model.clone(),
+        prompt: asking.prompt,
+        aim: asking.aim,
+        first: asking.first,
+        avoid,
+    };
+    link::tell(edge, owner, &Packet::Place(question));
+    let answer = tokio::time::timeout(ANSWER, answer).await;
+    edge.placing.borrow_mut().waiting.remove(&id);
+    let Ok(Ok(placed)) = answer else {
+        metrics::counter!("thistlesill_edge_owner_misses_total").increment(1);
+        edge.placing
+            .borrow_mut()
+            .answering
+            .missed(owner, edge.now());
+        return None;
+    };
+    metrics::counter!("thistlesill_edge_placed_total", "by" => "owner").increment(1);
+    match placed {
+        Placed::At(id) => known(edge, scope, &id).map(|t| Choice::Target(Box::new(t))),
+        Placed::Overloaded(late) => Some(Choice::Overloaded(late)),
+        // The owner may lag behind; this daemon may know better.
+        Placed::Nobody => None,
+    }
+}
+
+fn known(edge: &Edge, scope: &Scope, id: &InstanceId) -> Option<Target> {
+    let book = edge.book.borrow();
+    let serving = book.serving(&scope.service, scope.model.as_ref());
+    let target = serving.iter().find(|t| t.id == *id);
+    target.map(|t| Target::clone(t))
+}
+
+impl Placing {
+    fn expect(&mut self, reply: oneshot::Sender<Placed>) -> u64 {
+        self.next += 1;
+        self.waiting.insert(self.next, reply);
+        self.next
+    }
+
+    /// Forgets who owns what, so that it is computed from whom is heard now.
+    pub(crate) fn forget_owners(&mut self) {
+        self.owners.clear();
+    }
+}
+
+/// As owner: places a request of a peer.
+pub(crate) fn answer(edge: &Edge, ask: &PlaceAsk) {
+    let Some(catalog) = edge.catalog() else {
+        return;
+    };
+    let Some(service) = catalog.service(&ask.service) else {
+        return;
+    };
+    let choice = edge.pick(&Asking {
+        service,
+        model: ask.model.as_ref(),
+        prompt: ask.prompt,
+        aim: ask.aim,
+        tried: &ask.avoid,
+        first: ask.first,
+        knowledge: Knowledge::Exact,
+    });
+    let placed = match choice {
+        Choice::Target(target) => {
+            let until = edge.now() + edge.peers.borrow().trust();
+            let mut loads = edge.loads.borrow_mut();
+            loads.grant(&ask.from, &target.id, ask.prompt, until);
+            Placed::At(target.id.clone())
+        }
+        Choice::Overloaded(late) => Placed::Overloaded(late),
+        Choice::Nobody => Placed::Nobody,
+    };
+    let reply = PlaceReply {
+        from: edge.settings().name.clone(),
+        id: ask.id,
+        placed,
+    };
+    link::tell(edge, &ask.from, &Packet::Placed(reply));
+}
+
+/// Takes in an owner's answer.
+pub(crate) fn take_reply(edge: &Edge, reply: PlaceReply) {
+    let mut placing = edge.placing.borrow_mut();
+    placing.answering.answered(&reply.from);
+    // One that comes too late finds nobody waiting; the owner forgets the place with
+    // this daemon's next counts.
+    if let Some(waiting) = placing.waiting.remove(&reply.id) {
+        drop(waiting.send(reply.placed));
+    }
+}
+
+/// Tells the owner of a scope of this daemon's requests, one of which changed there.
+pub(crate) fn tell_counts(edge: &Edge, scope: &Scope) {
+    let settings = edge.settings();
+    let Some(owner) = owner(edge, scope).filter(|o| *o != settings.name) else {
+        return;
+    };
+    let counts = Counts {
+        from: settings.name.clone(),
+        counts: edge.loads.borrow().counts(),
+    };
+    link::tell(edge, &owner, &Packet::Counts(counts));
+}
+
+/// As owner: takes in a peer's requests.
+pub(crate) fn hear_counts(edge: &Edge, counts: Counts) {
+    let until = edge.now() + edge.peers.borrow().trust();
+    let list = counts.counts.into_iter().collect();
+    edge.loads.borrow_mut().hear(&counts.from, list, until);
+}
+
+/// Takes in what an owner told of the work at its targets.
+pub(crate) fn hear_totals(edge: &Edge, totals: Totals) {
+    let until = edge.now() + BELIEVE;
+    let mut loads = edge.loads.borrow_mut();
+    for (id, work) in totals.list {
+        loads.hear_total(id, work, until);
+    }
+}
+
+/// As owner: tells others of the work at its targets, for ever.
+pub(crate) async fn run(edge: std::rc::Rc<Edge>) {
+    let mut rounds = 0;
+    loop {
+        tokio::time::sleep(TELL).await;
+        edge.placing.borrow_mut().forget_owners();
+        if edge.busy.get() || edge.peers.borrow().any_busy() {
+            rounds += 1;
+            tell_totals(&edge, rounds % NEAR_ROUNDS == 0);
+        }
+    }
+}
+
+fn tell_totals(edge: &Edge, near: bool) {
+    let settings = edge.settings();
+    let Some(catalog) = edge.catalog() else {
+        return;
+    };
+    for service in catalog.services() {
+        let models = service.engine.as_ref().map(|e| &e.models);
+        let models = models.map_or_else(
+            || vec![None],
+            |models| models.iter().map(|m| Some(m.model.clone())).collect(),
+        );
+        for model in models {
+            let scope = Scope {
+                hall: settings.hall.clone(),
+                service: service.name.clone(),
+                model,
+            };
+            if owner(edge, &scope).as_ref() == Some(&settings.name) {
+                tell_scope(edge, &scope, near);
+            }
+        }
+    }
+}
+
+fn tell_scope(edge: &Edge, scope: &Scope, near: bool) {
+    let (own, far) = work_by_hall(edge, scope);
+    for hall in &far.halls {
+        let other = Scope {
+            hall: hall.clone(),
+            ..scope.clone()
+        };
+        if let Some(owner) = owner(edge, &other) {
+            tell_list(&own, |packet| link::tell(edge, &owner, packet));
+        }
+    }
+    if near {
+        let all = [own, far.list].concat();
+        tell_list(&all, |packet| link::tell_peers(edge, packet, Reach::Near));
+    }
+}
+
+/// Work at the targets of other data centres.
+#[derive(Debug, Default)]
+struct Far {
+    halls: Vec<HallId>,
+    list: Vec<(InstanceId, Work)>,
+}
+
+fn work_by_hall(edge: &Edge, scope: &Scope) -> (Vec<(InstanceId, Work)>, Far) {
+    let (book, loads, now) = (edge.book.borrow(), edge.loads.borrow(), edge.now());
+    let (mut own, mut far) = (Vec::new(), Far::default());
+    for target in book.serving(&scope.service, scope.model.as_ref()) {
+        let work = (target.id.clone(), loads.work(&target.id, now));
+        if target.hall == scope.hall {
+            own.push(work);
+            continue;
+        }
+        far.list.push(work);
+        if !far.halls.contains(&target.hall) {
+            far.halls.push(target.hall.clone());
+        }
+    }
+    (own, far)
+}
+
+fn tell_list(list: &[(InstanceId, Work)], tell: impl Fn(&Packet)) {
+    for part in list.chunks(MAX_TOLD) {
+        let list = part.to_vec();
+        tell(&Packet::Totals(Totals { list }));
+    }
+}
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -136,7 +136,7 @@
         give_way(&job).await;
     }
     loop {
-        let choice = job.pick(&tried);
+        let choice = job.pick(&tried).await;
         if tried.is_empty() {
             job.note_asked(!matches!(choice, Choice::Target(_)));
         }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -17,13 +17,15 @@
 use thistlesill_policy::edge::asked::AskedMeter;
 use thistlesill_policy::edge::book::TargetBook;
 use thistlesill_policy::edge::freshness::Freshness;
-use thistlesill_policy::edge::load::{LoadTable, Wanted};
+use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted};
+use thistlesill_policy::edge::owner::Scope;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::lanes::Lanes;
 use crate::lines::Lines;
 use crate::peers::packet::StoreUse;
+use crate::peers::place::{self, Placing};
 use crate::peers::{Peers, link};
 use thistlesill_policy::edge::feed::Feed;
 
@@ -58,8 +60,12 @@
     pub(crate) prompt: u32,
     /// The latency objective.
     pub(crate) aim: Millis,
-    /// Targets that it was sent to.
+    /// Targets that it was sent to, or that its daemon passes over.
     pub(crate) tried: &'a [InstanceId],
+    /// Whether it may be told to come back.
+    pub(crate) first: bool,
+    /// How well this daemon knows the load.
+    pub(crate) knowledge: Knowledge,
 }
 
 /// Where the next attempt of a request goes.
@@ -95,6 +101,7 @@
     /// The work that callers ask this daemon for.
     pub(crate) asked: RefCell<AskedMeter>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) placing: RefCell<Placing>,
     pub(crate) lanes: Lanes,
     pub(crate) lines: Lines,
     pub(crate) rng: RefCell<SmallRng>,
@@ -137,6 +144,7 @@
         Self {
             store: Store::new(settings.store, STORE_KEEP),
             peers: RefCell::new(Peers::default()),
+            placing: RefCell::new(Placing::default()),
             settings: RefCell::new(Rc::new(settings)),
             clock,
             boot: rand::random(),
@@ -270,13 +278,14 @@
             hall: &settings.hall,
         };
         let (loads, now) = (self.loads.borrow(), self.now());
-        if asking.tried.is_empty()
+        if asking.first
             && let Some(late) = loads.overload(&untried, &wanted, asking.aim, now)
         {
             return Choice::Overloaded(late);
         }
         let rng = &mut *self.rng.borrow_mut();
-        match loads.pick(&untried, &wanted, now, rng) {
+        let knowledge = asking.knowledge;
+        match loads.pick(&untried, &wanted, knowledge, now, rng) {
             Some(target) => Choice::Target(Box::new(target.clone())),
             None => Choice::Nobody,
         }
@@ -328,15 +337,19 @@
 pub(crate) struct InFlight {
     edge: Rc<Edge>,
     target: InstanceId,
+    scope: Scope,
     unread: u32,
 }
 
 impl InFlight {
-    pub(crate) fn new(edge: &Rc<Edge>, target: &InstanceId, prompt: u32) -> Self {
-        edge.loads.borrow_mut().begin(target, prompt);
+    pub(crate) fn new(edge: &Rc<Edge>, target: &Target, prompt: u32) -> Self {
+        edge.loads.borrow_mut().begin(&target.id, prompt);
+        let scope = Scope::of(target);
+        place::tell_counts(edge, &scope);
         Self {
             edge: edge.clone(),
-            target: target.clone(),
+            target: target.id.clone(),
+            scope,
             unread: prompt,
         }
     }
@@ -346,13 +359,19 @@
         let unread = std::mem::take(&mut self.unread);
         if unread > 0 {
             self.edge.loads.borrow_mut().read(&self.target, unread);
+            place::tell_counts(&self.edge, &self.scope);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.begun();
-        self.edge.loads.borrow_mut().end(&self.target);
+        let edge = &self.edge;
+        {
+            let mut loads = edge.loads.borrow_mut();
+            loads.read(&self.target, std::mem::take(&mut self.unread));
+            loads.end(&self.target);
+        }
+        place::tell_counts(edge, &self.scope);
     }
 }
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -9,3 +9,4 @@
 pub mod fleet;
 pub mod freshness;
 pub mod load;
+pub mod owner;
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -5,14 +5,15 @@
 //! over until they show some again.
 
 use std::collections::HashMap;
-use std::ops::Add;
+use std::ops::{Add, AddAssign, Sub};
 
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Engine, Target};
 use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 
-/// Targets of the own data centre that are drawn to pick the best of.
+/// Targets of the own data centre that are drawn to pick the best of, by a daemon
+/// that knows the load of the others only from what they told a while ago.
 const DRAWN_NEAR: usize = 4;
 /// Targets of other data centres that are drawn beside them. Their load is known
 /// less well, and daemons that know the same should not all pick the same one.
@@ -57,6 +58,35 @@
     pub unread: u32,
 }
 
+impl Work {
+    /// The larger of each part.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.max(other.requests),
+            unread: self.unread.max(other.unread),
+        }
+    }
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Work {
+    type Output = Self;
+
+    /// What is left, nothing at least.
+    fn sub(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            unread: self.unread.saturating_sub(other.unread),
+        }
+    }
+}
+
 impl Add for Work {
     type Output = Self;
 
@@ -117,6 +147,23 @@
 pub struct LoadTable {
     targets: HashMap<InstanceId, TargetLoad>,
     peers: HashMap<NodeId, PeerCounts>,
+    /// The sum of all peers' counts, by target: some hundred peers would be asked
+    /// for each of some ten targets at each request.
+    sums: HashMap<InstanceId, Work>,
+    /// When the first of the peers' counts ends.
+    ends: Option<Millis>,
+    /// All work at targets as their owners told of it, and until when it is believed.
+    told: HashMap<InstanceId, (Work, Millis)>,
+}
+
+/// How a target is picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The counts of the own data centre are exact: the best target is picked.
+    Exact,
+    /// They are old: the best of a few drawn ones is picked, since daemons that know
+    /// the same should not all pick the same one.
+    Old,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -216,8 +263,46 @@
 
     /// Takes in a peer's counts, to be believed until a moment.
     pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
-        self.peers
-            .insert(peer.clone(), PeerCounts { until, counts });
+        for (id, work) in &counts {
+            *self.sums.entry(id.clone()).or_default() += *work;
+        }
+        let news = PeerCounts { until, counts };
+        if let Some(old) = self.peers.insert(peer.clone(), news) {
+            self.subtract(&old);
+        }
+        self.ends = Some(self.ends.map_or(until, |ends| ends.min(until)));
+    }
+
+    /// Counts a request that a peer will send to a target, until it tells more.
+    pub fn grant(&mut self, peer: &NodeId, id: &InstanceId, unread: u32, until: Millis) {
+        let work = Work {
+            requests: 1,
+            unread,
+        };
+        let counts = self.peers.entry(peer.clone()).or_insert(PeerCounts {
+            until,
+            counts: HashMap::new(),
+        });
+        *counts.counts.entry(id.clone()).or_default() += work;
+        *self.sums.entry(id.clone()).or_default() += work;
+        self.ends = Some(self.ends.map_or(until, |ends| ends.min(until)));
+    }
+
+    /// Takes in all work at a target as its owner told of it, to be believed until a
+    /// moment.
+    pub fn hear_total(&mut self, id: InstanceId, work: Work, until: Millis) {
+        self.told.insert(id, (work, until));
+    }
+
+    fn subtract(&mut self, old: &PeerCounts) {
+        for (id, work) in &old.counts {
+            if let Some(sum) = self.sums.get_mut(id) {
+                *sum = *sum - *work;
+                if *sum == Work::default() {
+                    self.sums.remove(id);
+                }
+            }
+        }
     }
 
     /// This daemon's requests by target.
@@ -229,16 +314,39 @@
     /// Forgets targets that are gone and peers that fell silent.
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool, now: Millis) {
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
-        self.peers.retain(|_, p| now < p.until);
+        self.told.retain(|_, (_, until)| now < *until);
+        let over: Vec<NodeId> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now >= p.until)
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        for peer in over {
+            if let Some(old) = self.peers.remove(&peer) {
+                self.subtract(&old);
+            }
+        }
+        self.ends = self.peers.values().map(|p| p.until).min();
     }
 
     /// Work at a target, of this daemon and its peers.
+    ///
+    /// An owner's word counts where it tells of more: this daemon may not hear all
+    /// who have requests there.
     pub fn work(&self, id: &InstanceId, now: Millis) -> Work {
         let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
+        let counted = own + self.peers_work(id, now);
+        let told = self.told.get(id).filter(|(_, until)| now < *until);
+        told.map_or(counted, |(told, _)| counted.max(*told))
+    }
+
+    fn peers_work(&self, id: &InstanceId, now: Millis) -> Work {
+        if self.ends.is_none_or(|ends| now < ends) {
+            return self.sums.get(id).copied().unwrap_or_default();
+        }
         let fresh = self.peers.values().filter(|p| now < p.until);
-        fresh
-            .filter_map(|p| p.counts.get(id).copied())
-            .fold(own, Add::add)
+        let counts = fresh.filter_map(|p| p.counts.get(id).copied());
+        counts.fold(Work::default(), Add::add)
     }
 
     /// Requests at each target, of this daemon and its peers.
@@ -327,12 +435,13 @@
         !self.peers.is_empty()
     }
 
-    /// The best of a few targets drawn from `candidates`; those that are
-    /// passed over only if there is no other.
+    /// The best of `candidates`, as far as `knowledge` goes; those that are passed
+    /// over only if there is no other.
     pub fn pick<'a>(
         &self,
         candidates: &[&'a Target],
         wanted: &Wanted<'_>,
+        knowledge: Knowledge,
         now: Millis,
         rng: &mut impl rand::Rng,
     ) -> Option<&'a Target> {
@@ -347,7 +456,11 @@
         }
         let (near, far): (Vec<&Target>, Vec<&Target>) =
             pool.iter().copied().partition(|t| t.hall == *wanted.hall);
-        let mut drawn = draw(&near, DRAWN_NEAR, rng);
+        let drawn_near = match knowledge {
+            Knowledge::Exact => near.len(),
+            Knowledge::Old => DRAWN_NEAR,
+        };
+        let mut drawn = draw(&near, drawn_near, rng);
         drawn.extend(draw(&far, DRAWN_FAR, rng));
         let timed = drawn
             .into_iter()
@@ -365,7 +478,7 @@
 fn draw<'a>(pool: &[&'a Target], count: usize, rng: &mut impl rand::Rng) -> Vec<&'a Target> {
     let length = pool.len().max(1);
     let start = rng.random_range(0..length);
-    let stride = 1 + rng.random_range(0..(length / count).max(1));
+    let stride = 1 + rng.random_range(0..(length / count.max(1)).max(1));
     let drawn = (0..count.min(pool.len())).map(|i| pool[(start + i * stride) % length]);
     drawn.collect()
 }
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -18,5 +18,7 @@
 mod fleet_random;
 #[path = "edge/load.rs"]
 mod load;
+#[path = "edge/owner.rs"]
+mod owner;
 #[path = "edge/stage.rs"]
 mod stage;
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -8,7 +8,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 use thistlesill_core::{HallId, InstanceId, Millis};
 use thistlesill_fakes::engines::engine;
-use thistlesill_policy::edge::load::{LoadTable, Wanted, Work};
+use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
 
 const NOW: Millis = Millis::new(1_000_000);
 /// How long a peer's word is believed.
@@ -48,7 +48,8 @@
         hall: &hall,
     };
     let mut rng = SmallRng::seed_from_u64(5);
-    let picks = (0..40).filter_map(|_| loads.pick(&[&a, &b], &wanted, now, &mut rng));
+    let picks =
+        (0..40).filter_map(|_| loads.pick(&[&a, &b], &wanted, Knowledge::Old, now, &mut rng));
     picks.filter(|t| t.id.as_str() == "a").count()
 }
 
@@ -171,7 +172,7 @@
     let mut pick = |loads: &LoadTable| {
         let both = [&near, &far];
         loads
-            .pick(&both, &wanted, NOW, &mut rng)
+            .pick(&both, &wanted, Knowledge::Old, NOW, &mut rng)
             .map(|t| t.id.clone())
     };
     assert_eq!(pick(&loads), Some("a".into()));
