--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -226,7 +226,7 @@
 }
 
 /// Takes in another daemon's word for the catalog.
-pub(crate) fn take_vouch(edge: &Edge, vouch: Vouch) {
+pub(crate) fn take_vouch(edge: &Edge, vouch: &Vouch) {
     if edge.feed.borrow().version() < vouch.floor && !reads_targets(edge) {
         edge.targets_news.notify_one();
     }
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -189,7 +189,7 @@
         match postcard::from_bytes::<Packet>(&buffer[..length]) {
             Ok(Packet::Beat(beat)) => hear_beat(&edge, *beat, from),
             Ok(Packet::Ask(ask)) => follow::answer(&edge, &ask),
-            Ok(Packet::Vouch(vouch)) => follow::take_vouch(&edge, vouch),
+            Ok(Packet::Vouch(vouch)) => follow::take_vouch(&edge, &vouch),
             Ok(Packet::Changes(changes)) => follow::take_changes(&edge, changes),
             Ok(Packet::Place(ask)) => place::answer(&edge, &ask),
             Ok(Packet::Placed(reply)) => place::take_reply(&edge, reply),
