perf(edge): beats are rarer, since owners know the load

Cause: each daemon of hundreds heard some 250 beats a second, most of a daemon's work, for counts that owners now have exactly. Change: beats to the own data centre every 16 ms a daemon there (6.5 before) and at least 150 ms (60) apart, to others every 34 ms a daemon (10); the planner is told by all at least every 0.3 s, or 3.4 ms a daemon. What a peer told is believed for two and a quarter of these gaps, and far daemons count as living by the gap of far beats.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -22,9 +22,20 @@
 
 /// The shortest silence after which a peer counts as down.
 const SILENT: Millis = Millis::new(1_500);
+/// The shortest time between two beats of a daemon that has requests. Owners know
+/// the load exactly, so beats only tell who lives and what it suspects.
+const NEAR_LEAST: Millis = Millis::new(150);
+/// Between two beats to the own data centre, for each daemon there, in milliseconds:
+/// what a daemon hears of them stays at some sixty beats a second.
+const NEAR_EACH: u64 = 16;
 /// Between two beats to other data centres, for each daemon, in milliseconds:
-/// what a daemon hears of them stays at a hundred beats a second.
-const FAR_EACH: u64 = 10;
+/// what a daemon hears of them stays at thirty beats a second.
+const FAR_EACH: u64 = 34;
+/// Between two beats to a planner in another data centre, for each daemon, in
+/// tenths of a millisecond: it hears three hundred a second.
+const PLANNER_EACH: u64 = 34;
+/// The shortest time between two of these.
+const PLANNER_LEAST: Millis = Millis::new(300);
 /// After this silence the planner counts as down.
 const PLANNER_SILENT: Millis = Millis::new(1_200);
 /// After this silence a daemon is forgotten.
@@ -108,21 +119,37 @@
         near.count() + 1
     }
 
-    /// The time between two beats to other data centres. Their groups are used
-    /// when the near ones are busier, and bytes on the way there cost.
+    /// The time between two beats to the own data centre.
+    pub(crate) fn near_gap(&self, hall: &HallId) -> Millis {
+        NEAR_LEAST.max(Millis::new(NEAR_EACH * self.near(hall) as u64))
+    }
+
+    /// The time between two beats to other data centres. Bytes on the way there
+    /// cost, and only their owners, and the planner, need to know more.
     pub(crate) fn far_gap(&self) -> Millis {
         Millis::new(FAR_EACH * self.most() as u64)
     }
 
-    /// How long a peer's last beat is believed: two may come late in a row.
-    pub(crate) fn trust(&self) -> Millis {
-        let two = self.far_gap().get() * 9 / 4;
-        SILENT.max(Millis::new(two))
+    /// The time between two beats to the planner, wherever it is.
+    pub(crate) fn planner_gap(&self) -> Millis {
+        PLANNER_LEAST.max(Millis::new(PLANNER_EACH * self.most() as u64 / 10))
+    }
+
+    /// How long what a peer told is believed, by those that are told more often than
+    /// the rest: two beats may come late in a row.
+    pub(crate) fn trust(&self, hall: &HallId) -> Millis {
+        let gap = self.near_gap(hall).max(self.planner_gap());
+        SILENT.max(Millis::new(gap.get() * 9 / 4))
+    }
+
+    /// How long a peer of another data centre counts as living after its last beat.
+    fn far_trust(&self) -> Millis {
+        SILENT.max(Millis::new(self.far_gap().get() * 9 / 4))
     }
 
     /// How many peers were heard a moment ago.
     pub(crate) fn heard(&self, now: Millis) -> usize {
-        let trust = self.trust();
+        let trust = self.far_trust();
         self.known
             .values()
             .filter(|p| p.is_heard(now, trust))
@@ -145,29 +172,36 @@
         self.planner.as_ref().map(|(name, _)| name.clone())
     }
 
+    /// The planner, if it is in another data centre than `hall`.
+    pub(crate) fn far_planner(&self, hall: &HallId) -> Option<NodeId> {
+        let name = self.planner()?;
+        let far = self.known.get(&name).is_some_and(|p| p.hall != *hall);
+        far.then_some(name)
+    }
+
     /// Whether any peer has had a request.
     pub(crate) fn any_busy(&self) -> bool {
         self.known.values().any(|p| p.busy)
     }
 
     /// Targets that peers suspect.
-    pub(crate) fn suspects(&self, now: Millis) -> HashSet<InstanceId> {
-        let trust = self.trust();
+    pub(crate) fn suspects(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+        let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
     /// Targets whose streams are slow, as peers see it.
-    pub(crate) fn slow(&self, now: Millis) -> HashSet<InstanceId> {
-        let trust = self.trust();
+    pub(crate) fn slow(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+        let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.slow.iter().cloned()).collect()
     }
 
     /// Targets at which a peer has requests without suspecting them, or streams that
     /// go on.
-    pub(crate) fn working(&self, now: Millis) -> HashSet<InstanceId> {
-        let trust = self.trust();
+    pub(crate) fn working(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+        let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         let all = fresh.flat_map(Peer::working);
         all.cloned().collect()
@@ -193,6 +227,11 @@
         demand
     }
 
+    /// Whether the list of daemons in the store has been read.
+    pub(crate) const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Whether `me` comes first among all daemons that the store listed, whether they
     /// live or not.
     pub(crate) fn is_first_listed(&self, me: &NodeId) -> bool {
@@ -202,7 +241,7 @@
     /// Whether `me` comes first among the daemons of its data centre that
     /// are heard; those that cannot reach the store come last.
     pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
-        let trust = self.trust();
+        let trust = self.trust(hall);
         let near = self
             .known
             .iter()
@@ -211,21 +250,28 @@
         ranks.all(|rank| (away, me) < rank)
     }
 
-    /// The peers of a data centre that may own scopes.
-    pub(crate) fn owners(&self, hall: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
-        let trust = self.trust();
+    /// The peers of a data centre that may own scopes; `own` is this daemon's one.
+    pub(crate) fn owners(
+        &self,
+        hall: &HallId,
+        own: &HallId,
+        now: Millis,
+    ) -> impl Iterator<Item = &NodeId> {
+        let (near, far) = (self.trust(hall), self.far_trust());
         let all = self.known.iter();
+        let trust = if hall == own { near } else { far };
         let may = move |p: &Peer| p.owns && p.hall == *hall && p.is_heard(now, trust);
         all.filter(move |(_, p)| may(p)).map(|(name, _)| name)
     }
 
     /// A peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
-        let trust = self.trust();
+        let (near, far) = (self.trust(hall), self.far_trust());
+        let heard = |p: &Peer| p.is_heard(now, if p.hall == *hall { near } else { far });
         let readers = self
             .known
             .iter()
-            .filter(|(_, p)| p.store != StoreUse::Asks && p.is_heard(now, trust));
+            .filter(|(_, p)| p.store != StoreUse::Asks && heard(p));
         let best = readers.min_by_key(|(name, p)| (p.store, p.hall != *hall, (*name).clone()));
         best.map(|(name, _)| name.clone())
     }
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -11,12 +11,6 @@
 use crate::follow;
 use crate::state::Edge;
 
-/// The shortest time between two beats of a daemon that has requests: about
-/// as long as the target that was picked takes to begin.
-const BEAT: Duration = Duration::from_millis(60);
-/// Added for each peer of the data centre, so that what a daemon hears of them
-/// stays at about 150 beats a second however many there are.
-const NEAR_EACH: Duration = Duration::from_micros(6_500);
 /// The longest time between two beats of the daemon that forms groups: others
 /// take it for down after three of them.
 const PLANNER_BEAT: Millis = Millis::new(400);
@@ -39,16 +33,26 @@
         }
     }
     tokio::task::spawn_local(listen(edge.clone()));
-    let (mut told, mut far_told) = (Millis::ZERO, Millis::ZERO);
+    let (mut told, mut planner_told) = (Millis::ZERO, Millis::ZERO);
+    let mut far_told: Option<Millis> = None;
     loop {
         let (near, far) = gaps(&edge);
         tokio::time::sleep(near).await;
         let now = edge.now();
-        let due = now - far_told >= far;
-        if due {
-            far_told = now;
+        let planner_gap = edge.peers.borrow().planner_gap();
+        // The first one goes out when the list of daemons has been read.
+        let listed = edge.peers.borrow().is_listed();
+        if listed && far_told.is_none_or(|at| now - at >= far) {
+            far_told = Some(now);
+            planner_told = now;
+            tell_beat(&edge, Reach::All);
+        } else {
+            tell_beat(&edge, Reach::Near);
+            if now - planner_told >= planner_gap {
+                planner_told = now;
+                tell_far_planner(&edge);
+            }
         }
-        tell_beat(&edge, if due { Reach::All } else { Reach::Near });
         if now - told >= TELL_ASKED {
             told = now;
             tell_asked(&edge, now);
@@ -59,8 +63,7 @@
 /// The time until the next beat, to the peers of this data centre and to all.
 fn gaps(edge: &Edge) -> (Duration, Millis) {
     let peers = edge.peers.borrow();
-    let near = u32::try_from(peers.near(&edge.settings().hall)).unwrap_or(u32::MAX);
-    let near = BEAT.max(NEAR_EACH * near);
+    let near = peers.near_gap(&edge.settings().hall).duration();
     let near = if edge.active.get() == 0 {
         IDLE_BEAT.max(near)
     } else {
@@ -106,6 +109,15 @@
     }
 }
 
+/// Tells a planner in another data centre how this daemon is.
+fn tell_far_planner(edge: &Edge) {
+    let hall = edge.settings().hall.clone();
+    let planner = edge.peers.borrow().far_planner(&hall);
+    if let Some(planner) = planner.filter(|_| !edge.plans.get()) {
+        tell(edge, &planner, &beat(edge));
+    }
+}
+
 fn beat(edge: &Edge) -> Packet {
     let now = edge.now();
     let settings = edge.settings();
@@ -218,7 +230,7 @@
         edge.fleet_news.notify_one();
     }
     let counts = beat.counts.into_iter().collect();
-    let until = now + edge.peers.borrow().trust();
+    let until = now + edge.trust();
     edge.loads.borrow_mut().hear(&beat.from, counts, until);
     for target in &beat.dead {
         if edge.book.borrow().knows(target) {
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -58,7 +58,7 @@
     let peers = edge.peers.borrow();
     let own = settings.hall == scope.hall && may_own(edge, now);
     let me = own.then_some(&settings.name);
-    let owner = scope.owner(peers.owners(&scope.hall, now).chain(me));
+    let owner = scope.owner(peers.owners(&scope.hall, &settings.hall, now).chain(me));
     let owner = owner.cloned();
     let owners = &mut edge.placing.borrow_mut().owners;
     owners.insert(scope.clone(), owner.clone());
@@ -170,7 +170,7 @@
     });
     let placed = match choice {
         Choice::Target(target) => {
-            let until = edge.now() + edge.peers.borrow().trust();
+            let until = edge.now() + edge.trust();
             let mut loads = edge.loads.borrow_mut();
             loads.grant(&ask.from, &target.id, ask.prompt, until);
             Placed::At(target.id.clone())
@@ -212,7 +212,7 @@
 
 /// As owner: takes in a peer's requests.
 pub(crate) fn hear_counts(edge: &Edge, counts: Counts) {
-    let until = edge.now() + edge.peers.borrow().trust();
+    let until = edge.now() + edge.trust();
     let list = counts.counts.into_iter().collect();
     edge.loads.borrow_mut().hear(&counts.from, list, until);
 }
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -281,7 +281,11 @@
 
     /// Leaders whose streams are slow.
     fn slow(&self, now: Millis) -> HashSet<InstanceId> {
-        let mut slow = self.edge.peers.borrow().slow(now);
+        let mut slow = self
+            .edge
+            .peers
+            .borrow()
+            .slow(&self.edge.settings().hall, now);
         slow.extend(self.edge.loads.borrow().slow(now));
         slow
     }
@@ -289,7 +293,7 @@
     /// Leaders whose streams stand still.
     fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
         let (peers, loads) = (self.edge.peers.borrow(), self.edge.loads.borrow());
-        let mut stalled = peers.suspects(now);
+        let mut stalled = peers.suspects(&self.edge.settings().hall, now);
         stalled.extend(loads.suspects(now));
         stalled
     }
@@ -302,7 +306,12 @@
         let own = own.filter(|id| !loads.is_suspect(id, now));
         let mut working: HashSet<InstanceId> = own.collect();
         working.extend(loads.going_on(now));
-        working.extend(self.edge.peers.borrow().working(now));
+        working.extend(
+            self.edge
+                .peers
+                .borrow()
+                .working(&self.edge.settings().hall, now),
+        );
         working
     }
 
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// How long what a peer told is believed.
+    pub(crate) fn trust(&self) -> Millis {
+        self.peers.borrow().trust(&self.settings.borrow().hall)
+    }
+
     /// Whether requests with keys may pass now.
     pub(crate) fn is_fresh(&self) -> bool {
         let bound = self.settings.borrow().bounds.revoke;
