perf(edge): at the first start the catalog comes from the daemon that has it

Cause: each daemon asked the store three times: for a catalog that was not there yet, then for its change, then for a proof of it. Change: daemons wait 2.3 s for a peer's word; the one that is listed first, or forms groups, reads.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -41,6 +41,9 @@
 /// Time after the start in which the daemons find each other; all read the
 /// store once then, and none follows it yet.
 pub(crate) const FIND: Millis = Millis::new(1_300);
+/// At the first start of the whole system, how long a daemon waits for the first
+/// catalog from a peer: they find each other, and two of its questions follow.
+pub(crate) const FIRST_WORD: Millis = Millis::new(2_300);
 /// Changes in one datagram.
 const MAX_TOLD: usize = 24;
 
@@ -51,7 +54,12 @@
     if edge.plans.get() {
         return true;
     }
-    if now - edge.started < FIND {
+    let quiet = if settings.first_start {
+        FIRST_WORD
+    } else {
+        FIND
+    };
+    if now - edge.started < quiet {
         return false;
     }
     let apply = settings.bounds.apply.get() as f64;
@@ -230,16 +238,14 @@
     if edge.feed.borrow().version() < vouch.floor && !reads_targets(edge) {
         edge.targets_news.notify_one();
     }
-    let Some(own) = edge.catalog().map(|c| c.version) else {
-        return;
-    };
-    if vouch.catalog > own {
+    let own = edge.catalog().map(|c| c.version);
+    if own.is_none_or(|own| vouch.catalog > own) {
         let address = edge.peers.borrow().address(&vouch.from);
         edge.catalog_at.set(address);
         edge.catalog_news.notify_one();
         return;
     }
-    if vouch.catalog == own {
+    if own == Some(vouch.catalog) {
         edge.confirm(vouch.asked - vouch.age);
     }
 }
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -11,7 +11,9 @@
 use thistlesill_policy::edge::freshness::MARGIN;
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
-use crate::follow;
+use tokio::time::Instant;
+
+use crate::follow::{self, FIRST_WORD};
 use crate::peers::transfer;
 use crate::state::Edge;
 
@@ -36,6 +38,9 @@
     let mut version = None;
     let mut pause = PAUSE;
     let mut limit = READ;
+    if edge.settings().first_start {
+        await_word(&edge).await;
+    }
     loop {
         let known = edge.catalog.borrow().is_some();
         if known && !edge.reads.get() {
@@ -83,6 +88,31 @@
     }
 }
 
+/// At the first start of the whole system, waits until the daemon that will form
+/// groups has the catalog, and gets it from there. This takes one call of the store
+/// where each daemon made three: the catalog is not there yet at first, and its proof
+/// not when it comes.
+async fn await_word(edge: &Edge) {
+    let until = Instant::now() + FIRST_WORD.duration();
+    loop {
+        let leads = {
+            let peers = edge.peers.borrow();
+            edge.plans.get() || peers.is_first_listed(&edge.settings().name)
+        };
+        if leads || edge.catalog.borrow().is_some() || Instant::now() >= until {
+            return;
+        }
+        tokio::select! {
+            () = edge.catalog_news.notified() => {
+                if !fetch_catalog(edge).await {
+                    return;
+                }
+            }
+            () = tokio::time::sleep(IDLE) => {}
+        }
+    }
+}
+
 /// Gets the newer catalog that a peer told of from that peer; returns whether this
 /// worked. A call of the store a daemon for each new catalog cost 0.015 of worth on
 /// a calm day of 63 daemons.
