fix(edge): who asks a busy daemon for its catalog waits in line, and not all ask at once

Cause: daemons that start together asked for the catalog in the same millisecond, and those beyond eight were refused and read the store: 48 and 43 of 62 at two changes. Change: they wait in line; the first question of each daemon is at a drawn moment.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_policy::edge::feed::Change;
 
@@ -130,6 +131,9 @@
 pub(crate) async fn run(edge: Rc<Edge>) {
     let mut looks = 0;
     let mut targets = false;
+    // Daemons that start together would all ask at the same moment.
+    let phase = edge.rng.borrow_mut().random_range(0.0..1.0);
+    tokio::time::sleep(LOOK.mul_f64(phase * f64::from(ASK_LOOKS))).await;
     loop {
         tokio::time::sleep(LOOK).await;
         looks += 1;
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -4,8 +4,9 @@
 //! have it: at hundreds of daemons, a call of the store each would cost more than a
 //! second of all their callers' requests, and its bytes the same again.
 //!
-//! The exchange is one frame each way. A daemon that hands out as many as its
-//! connection bears closes further ones at once, and their daemons read the store.
+//! The exchange is one frame each way. Who comes while a daemon hands out as many as
+//! its connection bears waits in line, for as long as it likes; it can still read the
+//! store. Refusing instead had two thirds of 62 daemons read the store each time.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use futures_util::{SinkExt, StreamExt};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -27,6 +29,8 @@
 const MAX_AT_ONCE: usize = 8;
 /// Bytes of a catalog, at most; the operators' store takes no more in a row.
 const MAX_CATALOG: usize = 8 << 20;
+/// Daemons that wait in line or are served, at most; each takes a descriptor.
+const MAX_IN_LINE: usize = 256;
 /// Time for handing one out.
 const HAND_OUT: Duration = Duration::from_secs(2);
 /// The question, the only one there is.
@@ -67,10 +71,10 @@
             return;
         }
     };
-    let active = Rc::new(Cell::new(0));
+    let line = Rc::new(Line::default());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => begin(&edge, stream, &active),
+            Ok((stream, _)) => begin(&edge, stream, &line),
             Err(error) => {
                 log::debug!("transfer: a connection was not accepted: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -79,32 +83,51 @@
     }
 }
 
-fn begin(edge: &Rc<Edge>, stream: TcpStream, active: &Rc<Cell<usize>>) {
-    if active.get() >= MAX_AT_ONCE {
+/// Who is served, and who waits for it.
+#[derive(Debug)]
+struct Line {
+    length: Cell<usize>,
+    places: Semaphore,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Self {
+            length: Cell::new(0),
+            places: Semaphore::new(MAX_AT_ONCE),
+        }
+    }
+}
+
+fn begin(edge: &Rc<Edge>, stream: TcpStream, line: &Rc<Line>) {
+    if line.length.get() >= MAX_IN_LINE {
         metrics::counter!("thistlesill_edge_transfers_refused_total").increment(1);
         return;
     }
-    active.set(active.get() + 1);
-    let (edge, active) = (edge.clone(), active.clone());
+    line.length.set(line.length.get() + 1);
+    let (edge, line) = (edge.clone(), line.clone());
     tokio::task::spawn_local(async move {
         let until = Instant::now() + HAND_OUT;
-        match timeout_at(until, hand_out(&edge, stream)).await {
+        match timeout_at(until, hand_out(&edge, stream, &line)).await {
             Ok(Ok(())) => metrics::counter!("thistlesill_edge_transfers_total").increment(1),
             Ok(Err(error)) => log::debug!("transfer: not handed out: {error}"),
             Err(_) => log::debug!("transfer: not handed out in time"),
         }
-        active.set(active.get() - 1);
+        line.length.set(line.length.get() - 1);
     });
 }
 
-async fn hand_out(edge: &Edge, stream: TcpStream) -> Result<(), TransferError> {
+async fn hand_out(edge: &Edge, stream: TcpStream, line: &Line) -> Result<(), TransferError> {
+    let place = line.places.acquire().await;
     let mut frames = frames(stream);
     let question = next_frame(&mut frames).await?;
     let text = edge.catalog_text.borrow().clone();
     if question != QUESTION || text.is_empty() {
         return RefusedSnafu.fail();
     }
-    frames.send(text).await.context(ConnectionSnafu)
+    let sent = frames.send(text).await.context(ConnectionSnafu);
+    drop(place);
+    sent
 }
 
 /// Gets the catalog of the daemon at an address, within `limit`.
