--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -65,6 +65,12 @@
     owner
 }
 
+/// The owner of a target, if both are known.
+pub(crate) fn owner_of(edge: &Edge, target: &InstanceId) -> Option<NodeId> {
+    let scope = edge.book.borrow().find(target).map(Scope::of)?;
+    owner(edge, &scope)
+}
+
 /// Picks a target for a request, or has its owner do so.
 pub(crate) async fn pick(edge: &Edge, mut asking: Asking<'_>) -> Choice {
     let settings = edge.settings();
