perf(edge): the planner looks at the fleet at most every 20 ms

Cause: each beat with a suspicion had it go over all targets; hundreds of daemons send some every few milliseconds.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -23,6 +23,9 @@
 
 /// Between two looks at the fleet without news.
 const LOOK: Duration = Duration::from_millis(200);
+/// The shortest time between two looks. Each goes over all targets, and with hundreds
+/// of daemons every few milliseconds one of them suspects something.
+const LOOK_LEAST: Duration = Duration::from_millis(20);
 /// Time for an order; engines answer within some milliseconds.
 const ORDER: Duration = Duration::from_millis(400);
 /// Time for a probe; a live engine answers within some milliseconds.
@@ -68,6 +71,7 @@
     while !planner.must_end() {
         planner.tend_lease().await;
         planner.look();
+        tokio::time::sleep(LOOK_LEAST).await;
         tokio::select! {
             () = tokio::time::sleep(LOOK) => {}
             () = planner.edge.fleet_news.notified() => {}
