feat(edge): request lines tell who placed them; test(edge): an owner that freezes, datagrams that nobody sends

Frozen owner: four requests in a row are placed by their daemon and answered, the successor places after two seconds, the first owner again when it is back.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::peers::place;
 use crate::proxy::never;
 use crate::relay;
-use crate::state::{Asking, Choice, Edge, InFlight};
+use crate::state::{Asking, Choice, Edge, InFlight, PlacedBy};
 
 /// Time for a connection to a target; targets answer within a few
 /// milliseconds, so a longer wait means a lost packet or a dead machine.
@@ -86,7 +86,7 @@
     }
 
     /// Picks the next target of the request.
-    pub(crate) async fn pick(&self, tried: &[InstanceId]) -> Choice {
+    pub(crate) async fn pick(&self, tried: &[InstanceId]) -> (Choice, PlacedBy) {
         place::pick(
             &self.edge,
             Asking {
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -15,7 +15,7 @@
 
 use super::packet::{Counts, Packet, PlaceAsk, PlaceReply, Placed, Totals};
 use super::{Reach, link};
-use crate::state::{Asking, Choice, Edge};
+use crate::state::{Asking, Choice, Edge, PlacedBy};
 
 /// How long an owner's answer is awaited. It takes 0.5 ms; a daemon that shares an
 /// eighth of a core may be some milliseconds behind, and more would cost the request
@@ -72,7 +72,13 @@
 }
 
 /// Picks a target for a request, or has its owner do so.
-pub(crate) async fn pick(edge: &Edge, mut asking: Asking<'_>) -> Choice {
+pub(crate) async fn pick(edge: &Edge, asking: Asking<'_>) -> (Choice, PlacedBy) {
+    let (choice, by) = pick_or_ask(edge, asking).await;
+    metrics::counter!("thistlesill_edge_placed_total", "by" => by.name()).increment(1);
+    (choice, by)
+}
+
+async fn pick_or_ask(edge: &Edge, mut asking: Asking<'_>) -> (Choice, PlacedBy) {
     let settings = edge.settings();
     let scope = Scope {
         hall: settings.hall.clone(),
@@ -85,15 +91,14 @@
     let owner = owner(edge, &scope);
     if owner.as_ref() == Some(&settings.name) {
         asking.knowledge = Knowledge::Exact;
-        return edge.pick(&asking);
+        return (edge.pick(&asking), PlacedBy::Itself);
     }
     if let Some(owner) = owner
         && let Some(choice) = ask(edge, &owner, &scope, &asking).await
     {
-        return choice;
+        return (choice, PlacedBy::Owner);
     }
-    metrics::counter!("thistlesill_edge_placed_total", "by" => "self").increment(1);
-    edge.pick(&asking)
+    (edge.pick(&asking), PlacedBy::Alone)
 }
 
 /// Asks an owner; `None` if it does not answer, or with a target that this daemon
@@ -128,7 +133,6 @@
             .missed(owner, edge.now());
         return None;
     };
-    metrics::counter!("thistlesill_edge_placed_total", "by" => "owner").increment(1);
     match placed {
         Placed::At(id) => known(edge, scope, &id).map(|t| Choice::Target(Box::new(t))),
         Placed::Overloaded(late) => Some(Choice::Overloaded(late)),
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -136,7 +136,8 @@
         give_way(&job).await;
     }
     loop {
-        let choice = job.pick(&tried).await;
+        let (choice, by) = job.pick(&tried).await;
+        track.placed(by);
         if tried.is_empty() {
             job.note_asked(!matches!(choice, Choice::Target(_)));
         }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -270,7 +270,7 @@
         let mut again = self.may_go_on();
         while again {
             let job = self.job.clone();
-            let Choice::Target(target) = job.pick(&self.tried).await else {
+            let (Choice::Target(target), _) = job.pick(&self.tried).await else {
                 break;
             };
             if job.passage.customer.is_some() && !job.edge.is_fresh() {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -78,6 +78,28 @@
     Nobody,
 }
 
+/// Who chose the target of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlacedBy {
+    /// This daemon, which owns the scope.
+    Itself,
+    /// The owner of the scope.
+    Owner,
+    /// This daemon, since no owner is known or answered.
+    Alone,
+}
+
+impl PlacedBy {
+    /// The name in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Itself => "itself",
+            Self::Owner => "owner",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// All state of a daemon.
 pub(crate) struct Edge {
     pub(crate) settings: RefCell<Rc<EdgeSettings>>,
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -11,7 +11,7 @@
 
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
-use crate::state::Edge;
+use crate::state::{Edge, PlacedBy};
 
 /// A request under way; its last line is written when it ends or is dropped.
 pub(crate) struct Track {
@@ -24,6 +24,8 @@
     /// What decided the end, where its kind does not say it.
     why: Option<&'static str>,
     back: Option<Millis>,
+    /// Who chose the last target before the answer began.
+    placed: Option<PlacedBy>,
     /// The longest pause of a stream.
     pause: Option<Pause>,
     /// Times at which the stream was taken up elsewhere.
@@ -43,6 +45,7 @@
             first: None,
             why: None,
             back: None,
+            placed: None,
             pause: None,
             resumes: 0,
             ended: false,
@@ -54,6 +57,7 @@
         let mut rest = Self::new(edge, &self.id, self.arrived);
         rest.route.clone_from(&self.route);
         rest.version = self.version;
+        rest.placed = self.placed;
         self.ended = true;
         rest
     }
@@ -71,6 +75,11 @@
         metrics::histogram!("thistlesill_edge_first_piece_ms").record(took.get() as f64);
     }
 
+    /// Notes who chose a target.
+    pub(crate) const fn placed(&mut self, by: PlacedBy) {
+        self.placed = Some(by);
+    }
+
     /// Notes the longest pause of a stream that ends.
     pub(crate) fn paused(&mut self, pause: Pause) {
         metrics::histogram!("thistlesill_edge_longest_pause_ms").record(pause.length.get() as f64);
@@ -161,6 +170,7 @@
             .with("status", status)
             .maybe("route", self.route.as_deref())
             .maybe("target", target)
+            .maybe("placed", self.placed.map(PlacedBy::name))
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
             .maybe("targets_age_ms", self.edge.targets_age().map(Millis::get))
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -6,6 +6,8 @@
 mod calls;
 #[path = "it/keys.rs"]
 mod keys;
+#[path = "it/owners.rs"]
+mod owners;
 #[path = "it/silence.rs"]
 mod silence;
 #[path = "it/soak.rs"]
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/owners.rs
@@ -0,0 +1,79 @@
+//! Requests are placed by the owner of their scope, and without one.
+
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use thistlesill_platform_standin::world::World;
+
+use crate::support::{ask, sleep, stream, world};
+
+/// Daemons with even numbers are in one data centre, the others in another.
+const DAEMONS: u8 = 6;
+
+/// Sends a stream to a daemon and returns who placed it.
+async fn placed(world: &World, daemon: usize, id: &str) -> String {
+    let got = ask(world, daemon, stream(id)).await;
+    assert_eq!(got.status, 200, "{id} at daemon {daemon}");
+    // Lines are written out every tenth of a second.
+    sleep(250).await;
+    let lines = world.lines(daemon, &format!("ev=request id={id} "));
+    let line = lines.last().expect("a line tells of the request");
+    let placed = line.split("placed=").nth(1).unwrap_or_default();
+    placed.split(' ').next().unwrap_or_default().to_owned()
+}
+
+/// The daemon of the first data centre that owns the scope of streams.
+async fn find_owner(world: &World) -> usize {
+    let mut by = Vec::new();
+    for daemon in [0, 2, 4] {
+        by.push((daemon, placed(world, daemon, &format!("find-{daemon}")).await));
+    }
+    let owners: Vec<usize> = by
+        .iter()
+        .filter(|(_, by)| by == "itself")
+        .map(|(daemon, _)| *daemon)
+        .collect();
+    let others = by.iter().filter(|(_, by)| by == "owner").count();
+    assert_eq!((owners.len(), others), (1, 2), "{by:?}");
+    owners[0]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_placed_without_an_owner_that_froze_and_by_its_successor() {
+    let world = world(64, DAEMONS).await;
+    sleep(2_000).await;
+    let owner = find_owner(&world).await;
+    let other = (owner + 2) % usize::from(DAEMONS);
+    world.daemons[owner].signal(Signal::SIGSTOP);
+    let begun = Instant::now();
+    for number in 0..4 {
+        let by = placed(&world, other, &format!("frozen-{number}")).await;
+        assert!(by == "alone" || by == "itself", "{by}");
+    }
+    // An answer of the stand-in's engine takes less than half a second.
+    assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+    sleep(2_000).await;
+    let by = placed(&world, other, "succeeded").await;
+    assert!(by == "owner" || by == "itself", "{by}");
+    world.daemons[owner].signal(Signal::SIGCONT);
+    sleep(1_500).await;
+    assert_eq!(find_owner(&world).await, owner, "it is the same one again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn datagrams_that_nobody_sends_change_nothing() {
+    let world = world(65, DAEMONS).await;
+    sleep(2_000).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    for daemon in &world.daemons {
+        for length in [0, 1, 7, 300] {
+            for byte in [0, 1, 3, 5, 6, 7, 8, 255_u8] {
+                let sent = socket.send_to(&vec![byte; length], daemon.peers());
+                sent.expect("a datagram is sent");
+            }
+        }
+    }
+    let owner = find_owner(&world).await;
+    assert!(owner < usize::from(DAEMONS));
+}
