revert: owners pass over what several daemons suspect

Hypothesis: second attempts that go to another group that stands still are avoided when its owner hears of it from others. Conclusion: dropped; slow groups are suspected, too, and the others get their work.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -36,8 +36,6 @@
 const PLANNER_EACH: u64 = 34;
 /// The shortest time between two of these.
 const PLANNER_LEAST: Millis = Millis::new(300);
-/// Daemons that suspect a target, from which on its owner sends nobody there.
-const DOUBTS: usize = 2;
 /// After this silence the planner counts as down.
 const PLANNER_SILENT: Millis = Millis::new(1_200);
 /// After this silence a daemon is forgotten.
@@ -193,19 +191,6 @@
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
-    /// Targets that several peers suspect. One daemon's suspicion may be its own
-    /// connection's fault; a group that stands still has requests of several.
-    pub(crate) fn doubted(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
-        let trust = self.trust(hall);
-        let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
-        let mut counts: HashMap<&InstanceId, usize> = HashMap::new();
-        for id in fresh.flat_map(|p| &p.suspects) {
-            *counts.entry(id).or_default() += 1;
-        }
-        let doubted = counts.into_iter().filter(|(_, n)| *n >= DOUBTS);
-        doubted.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Targets whose streams are slow, as peers see it.
     pub(crate) fn slow(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
         let trust = self.trust(hall);
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::{InstanceId, Millis, NodeId};
+use thistlesill_core::{Millis, NodeId};
 use tokio::net::UdpSocket;
 
 use super::packet::{AskedWork, Beat, Packet};
@@ -100,21 +100,12 @@
     tell_peers(edge, &beat(edge), reach);
 }
 
-/// Tells the daemon that forms groups, and the owner of a target, at once that this
-/// one suspects the target: until the group has been probed, others send requests
-/// there.
-pub(crate) fn tell_suspects(edge: &Edge, target: &InstanceId) {
-    let me = edge.settings().name.clone();
+/// Tells the daemon that forms groups at once what this one suspects: until it
+/// has probed the group, others send requests there.
+pub(crate) fn tell_suspects(edge: &Edge) {
     let planner = edge.peers.borrow().planner();
-    let owner = place::owner_of(edge, target);
-    let beat = beat(edge);
-    for peer in planner
-        .iter()
-        .chain(owner.iter().filter(|o| planner.as_ref() != Some(o)))
-    {
-        if *peer != me {
-            tell(edge, peer, &beat);
-        }
+    if let Some(planner) = planner.filter(|_| !edge.plans.get()) {
+        tell(edge, &planner, &beat(edge));
     }
 }
 
@@ -243,7 +234,7 @@
     edge.loads.borrow_mut().hear(&beat.from, counts, until);
     for target in &beat.dead {
         if edge.book.borrow().knows(target) {
-            edge.pass_over(target, "it answered no probe of the planner");
+            edge.suspect(target, "it answered no probe of the planner");
         }
     }
 }
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -65,12 +65,6 @@
     owner
 }
 
-/// The owner of a target, if both are known.
-pub(crate) fn owner_of(edge: &Edge, target: &InstanceId) -> Option<NodeId> {
-    let scope = edge.book.borrow().find(target).map(Scope::of)?;
-    owner(edge, &scope)
-}
-
 /// Picks a target for a request, or has its owner do so.
 pub(crate) async fn pick(edge: &Edge, asking: Asking<'_>) -> (Choice, PlacedBy) {
     let (choice, by) = pick_or_ask(edge, asking).await;
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -299,10 +299,6 @@
             .filter(|t| !asking.tried.contains(&t.id))
             .collect();
         let settings = self.settings();
-        let untried = match asking.knowledge {
-            Knowledge::Exact => self.undoubted(untried),
-            Knowledge::Old => untried,
-        };
         let wanted = Wanted {
             engine: service.engine.as_ref(),
             prompt: asking.prompt,
@@ -322,19 +318,6 @@
         }
     }
 
-    /// Those of some targets that peers do not suspect, or all if there are none.
-    fn undoubted<'a>(&self, targets: Vec<&'a Target>) -> Vec<&'a Target> {
-        let doubted = self
-            .peers
-            .borrow()
-            .doubted(&self.settings().hall, self.now());
-        if targets.iter().all(|t| doubted.contains(&t.id)) {
-            return targets;
-        }
-        let sound = targets.into_iter().filter(|t| !doubted.contains(&t.id));
-        sound.collect()
-    }
-
     /// Notes a first attempt at a service.
     pub(crate) fn earn_retry(&self, service: &ServiceName) {
         let part = self.settings.borrow().bounds.retry_ratio * RATIO_USED;
@@ -361,23 +344,19 @@
         step(budget)
     }
 
-    /// Notes that a target stopped or failed, and tells who can do something about it.
+    /// Notes that a target stopped or failed, and tells the planner.
     pub(crate) fn suspect(&self, target: &InstanceId, why: &str) {
-        if self.pass_over(target, why) {
-            self.fleet_news.notify_one();
-            link::tell_suspects(self, target);
-        }
-    }
-
-    /// Passes a target over for a while; returns whether it was not yet.
-    pub(crate) fn pass_over(&self, target: &InstanceId, why: &str) -> bool {
         let news = self.loads.borrow_mut().suspect(target, self.now());
         self.lanes.forget(target);
         if news {
-            let line = self.lines.line("target_suspected").with("target", target);
-            line.with("why", why).write();
+            self.lines
+                .line("target_suspected")
+                .with("target", target)
+                .with("why", why)
+                .write();
+            self.fleet_news.notify_one();
+            link::tell_suspects(self);
         }
-        news
     }
 }
 
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -134,11 +134,6 @@
         self.targets.get(service)
     }
 
-    /// A target by its id.
-    pub fn find(&self, id: &InstanceId) -> Option<&Target> {
-        self.targets.values().find_map(|t| t.get(id))
-    }
-
     /// Whether a target is known.
     pub fn knows(&self, id: &InstanceId) -> bool {
         self.targets.values().any(|t| t.contains_key(id))
