fix(edge): a daemon that starts tells all others of itself as soon as it knows them

Change: the first beat goes out with the list, not with the first round; the test waits for the line, and each request has a second. Questions to owners whose requests ended are forgotten.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -6,6 +6,10 @@
 //! data centre reads, and at last each for itself. A question carries the asker's
 //! time and comes back with the answer, so a proof's age is right on the asker's
 //! clock however long the datagrams, or either process, were held up.
+//!
+//! Changes of targets go from the reader to all daemons; in a large fleet to some of
+//! each data centre, which pass them on there. Who misses some notices it by the
+//! versions, and asks whoever told of later ones.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -25,8 +25,8 @@
 const LEARN: Millis = Millis::new(1_200);
 /// Between two tellings of all work at an owner's targets.
 const TELL: Duration = Duration::from_millis(250);
-/// How long what an owner told is believed: three tellings.
-const BELIEVE: Millis = Millis::new(800);
+/// How long what an owner told is believed: two tellings to the own data centre.
+const BELIEVE: Millis = Millis::new(1_100);
 /// Rounds of telling between two to the own data centre, where the totals are only
 /// needed when the owner does not answer.
 const NEAR_ROUNDS: u32 = 2;
@@ -149,9 +149,11 @@
         self.next
     }
 
-    /// Forgets who owns what, so that it is computed from whom is heard now.
-    pub(crate) fn forget_owners(&mut self) {
+    /// Forgets who owns what, so that it is computed from whom is heard now, and
+    /// questions whose requests have ended meanwhile.
+    fn tidy(&mut self) {
         self.owners.clear();
+        self.waiting.retain(|_, reply| !reply.is_closed());
     }
 }
 
@@ -235,7 +237,7 @@
     let mut rounds = 0;
     loop {
         tokio::time::sleep(TELL).await;
-        edge.placing.borrow_mut().forget_owners();
+        edge.placing.borrow_mut().tidy();
         if edge.busy.get() || edge.peers.borrow().any_busy() {
             rounds += 1;
             tell_totals(&edge, rounds % NEAR_ROUNDS == 0);
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -15,7 +15,7 @@
 use thistlesill_core::table::{Txn, TxnResult};
 use thistlesill_platform::store::{Row, Table};
 
-use super::REMOVED;
+use super::{REMOVED, Reach, link};
 use crate::state::Edge;
 
 /// Time in which daemons that start together have written their rows.
@@ -46,6 +46,9 @@
         enlist(&edge).await;
         join(&edge).await;
     }
+    // What the others have under way is wanted for the first requests, and they answer
+    // with their next beats.
+    link::tell_beat(&edge, Reach::All);
     let mut looks = 0;
     loop {
         tokio::time::sleep(LOOK).await;
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -1,8 +1,8 @@
 //! Catalogs that daemons hand to each other over TCP.
 //!
 //! A new catalog reaches one daemon from the store and the others from daemons that
-//! have it: at hundreds of daemons, a call of the store each would cost more than a
-//! second of all their callers' requests, and its bytes the same again.
+//! have it: calls of the store are dear, and hundreds of daemons would make hundreds
+//! for each of the operators' changes.
 //!
 //! The exchange is one frame each way. Who comes while a daemon hands out as many as
 //! its connection bears waits in line, for as long as it likes; it can still read the
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -9,10 +9,9 @@
 use thistlesill_platform::catalog::decode_catalog;
 use thistlesill_platform::store::{CATALOG_KEY, Rows, StoreError, Table};
 use thistlesill_policy::edge::freshness::MARGIN;
-
-use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use tokio::time::Instant;
 
+use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::follow::{self, FIRST_WORD};
 use crate::peers::transfer;
 use crate::state::Edge;
@@ -114,8 +113,8 @@
 }
 
 /// Gets the newer catalog that a peer told of from that peer; returns whether this
-/// worked. A call of the store a daemon for each new catalog cost 0.015 of worth on
-/// a calm day of 63 daemons.
+/// worked. On a calm day of 63 daemons with one new catalog, 142 reads of it are left of
+/// 197.
 async fn fetch_catalog(edge: &Edge) -> bool {
     let Some(address) = edge.catalog_at.take() else {
         return false;
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -18,7 +18,7 @@
 /// fell silent kept all daemons sending to such targets for up to 6 s too long.
 const DRAIN_PART: f64 = 0.2;
 /// Between two batches of changes to targets, so that changes that belong
-/// together come as one; the planner does not wait.
+/// together come as one.
 const BATCH: Duration = Duration::from_millis(200);
 /// The same for the planner; with 40 ms its questions were a third of all calls of the
 /// store on a calm day of 63 daemons.
--- a/crates/thistlesill-edge/tests/it/owners.rs
+++ b/crates/thistlesill-edge/tests/it/owners.rs
@@ -15,14 +15,25 @@
 async fn placed(world: &World, daemon: usize, id: &str) -> String {
     let got = ask(world, daemon, stream(id)).await;
     assert_eq!(got.status, 200, "{id} at daemon {daemon}");
-    // Lines are written out every tenth of a second.
-    sleep(250).await;
-    let lines = world.lines(daemon, &format!("ev=request id={id} "));
-    let line = lines.last().expect("a line tells of the request");
+    let line = line(world, daemon, id).await;
     let placed = line.split("placed=").nth(1).unwrap_or_default();
     placed.split(' ').next().unwrap_or_default().to_owned()
 }
 
+/// The line about a request that ended; it is written out within a tenth of a second,
+/// later on a busy machine.
+async fn line(world: &World, daemon: usize, id: &str) -> String {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        let lines = world.lines(daemon, &format!("ev=request id={id} "));
+        if let Some(line) = lines.last() {
+            return line.clone();
+        }
+        assert!(Instant::now() < until, "no line tells of {id}");
+        sleep(50).await;
+    }
+}
+
 /// The daemon of the first data centre that owns the scope of streams.
 async fn find_owner(world: &World) -> usize {
     let mut by = Vec::new();
@@ -49,17 +60,13 @@
     let owner = find_owner(&world).await;
     let other = (owner + 2) % usize::from(DAEMONS);
     world.daemons[owner].signal(Signal::SIGSTOP);
-    let begun = Instant::now();
     for number in 0..4 {
+        let begun = Instant::now();
         let by = placed(&world, other, &format!("frozen-{number}")).await;
         assert!(by == "alone" || by == "itself", "{by}");
+        // An answer of the stand-in's engine takes a quarter of a second.
+        assert!(begun.elapsed() < Duration::from_secs(1), "{number}");
     }
-    // An answer of the stand-in's engine takes less than half a second.
-    assert!(
-        begun.elapsed() < Duration::from_secs(4),
-        "{:?}",
-        begun.elapsed()
-    );
     sleep(2_000).await;
     let by = placed(&world, other, "succeeded").await;
     assert!(by == "owner" || by == "itself", "{by}");
