fix(edge): a daemon that ceased to read the store still tells its proof

Cause: bursts of daemons that read the store in one second (61 and 84 of 295 before the first request). Suspected: they asked the first daemon of their data centre, which had ceased to read and told of it with its next beat, up to a second later. Change: it tells of it at once, and every daemon answers with the proof that it has, whose age is added up.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -161,10 +161,9 @@
         if edge.reads.replace(reads) != reads {
             edge.lines.line("store_reader").with("reads", reads).write();
             edge.reads_changed.notify_waiters();
-            if reads {
-                // The others there need not wait for the next beat to ask this one.
-                link::tell_beat(&edge, Reach::Near);
-            }
+            // The others there ask this one, or no longer, without waiting for its next
+            // beat: asking one that had ceased to read left 61 daemons without a proof.
+            link::tell_beat(&edge, Reach::Near);
         }
         if !edge.plans.get() && looks % ASK_LOOKS == 0 {
             ask(&edge);
@@ -220,13 +219,13 @@
     link::tell(edge, peer, &Packet::Ask(question));
 }
 
-/// Answers a question: as reader for the catalog, and with the changes that the asker
-/// lacks.
+/// Answers a question with this daemon's proof of the catalog, however it got it, and
+/// with the changes that the asker lacks.
 pub(crate) fn answer(edge: &Edge, ask: &Ask) {
     let now = edge.now();
     let catalog = edge.catalog().map(|c| c.version);
     let age = edge.fresh.get().age(now);
-    if let (true, Some(catalog), Some(age)) = (edge.reads.get(), catalog, age) {
+    if let (Some(catalog), Some(age)) = (catalog, age) {
         let vouch = Vouch {
             from: edge.settings().name.clone(),
             asked: ask.asked,
@@ -366,9 +365,9 @@
         }
         Pass::To(names) => {
             let packet = to(Pass::Nobody);
-            names
-                .iter()
-                .for_each(|name| link::tell(edge, name, &packet));
+            for name in names {
+                link::tell(edge, name, &packet);
+            }
         }
     }
 }
