refactor(policy): the load table in parts, one leader for its tests

Peers' counts with their sums, work and passes have files of their own (load.rs 523 to 381 lines); the end of the counts is kept in one place. The tests of load and of owners share the leader that each had spelled out. No behaviour changes.

--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -4,14 +4,20 @@
 //! peers told of theirs. Targets that stopped making progress are passed
 //! over until they show some again.
 
+mod pass;
+mod peers;
+mod work;
+
 use std::collections::HashMap;
-use std::ops::{Add, AddAssign, Sub};
 
 use rand::RngExt;
-use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Engine, Target};
 use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 
+use self::pass::Pass;
+use self::peers::PeerCounts;
+pub use self::work::Work;
+
 /// Targets of the own data centre that are drawn to pick the best of, by a daemon
 /// that knows the load of the others only from what they told a while ago.
 const DRAWN_NEAR: usize = 4;
@@ -49,55 +55,6 @@
 /// How long it is believed that a group is slow without another event.
 const SLOW_TRUST: Millis = Millis::new(2_500);
 
-/// Requests at a target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Work {
-    /// Requests that were sent and have not ended.
-    pub requests: u32,
-    /// Tokens of prompts whose answers have not begun.
-    pub unread: u32,
-}
-
-impl Work {
-    /// The larger of each part.
-    #[must_use]
-    pub fn max(self, other: Self) -> Self {
-        Self {
-            requests: self.requests.max(other.requests),
-            unread: self.unread.max(other.unread),
-        }
-    }
-}
-
-impl AddAssign for Work {
-    fn add_assign(&mut self, other: Self) {
-        *self = *self + other;
-    }
-}
-
-impl Sub for Work {
-    type Output = Self;
-
-    /// What is left, nothing at least.
-    fn sub(self, other: Self) -> Self {
-        Self {
-            requests: self.requests.saturating_sub(other.requests),
-            unread: self.unread.saturating_sub(other.unread),
-        }
-    }
-}
-
-impl Add for Work {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            unread: self.unread + other.unread,
-        }
-    }
-}
-
 /// A request that asks for a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -146,12 +103,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
     targets: HashMap<InstanceId, TargetLoad>,
-    peers: HashMap<NodeId, PeerCounts>,
-    /// The sum of all peers' counts, by target: some hundred peers would be asked
-    /// for each of some ten targets at each request.
-    sums: HashMap<InstanceId, Work>,
-    /// When the first of the peers' counts ends.
-    ends: Option<Millis>,
+    peers: PeerCounts,
     /// All work at targets as their owners told of it, and until when it is believed.
     told: HashMap<InstanceId, (Work, Millis)>,
 }
@@ -166,12 +118,6 @@
     Old,
 }
 
-#[derive(Debug, Clone, Default)]
-struct PeerCounts {
-    until: Millis,
-    counts: HashMap<InstanceId, Work>,
-}
-
 impl LoadTable {
     /// Notes that a request with a prompt of `unread` tokens was sent.
     pub fn begin(&mut self, id: &InstanceId, unread: u32) {
@@ -263,29 +209,12 @@
 
     /// Takes in a peer's counts, to be believed until a moment.
     pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
-        for (id, work) in &counts {
-            *self.sums.entry(id.clone()).or_default() += *work;
-        }
-        let news = PeerCounts { until, counts };
-        if let Some(old) = self.peers.insert(peer.clone(), news) {
-            self.subtract(&old);
-        }
-        self.ends = Some(self.ends.map_or(until, |ends| ends.min(until)));
+        self.peers.hear(peer, counts, until);
     }
 
     /// Counts a request that a peer will send to a target, until it tells more.
     pub fn grant(&mut self, peer: &NodeId, id: &InstanceId, unread: u32, until: Millis) {
-        let work = Work {
-            requests: 1,
-            unread,
-        };
-        let counts = self.peers.entry(peer.clone()).or_insert(PeerCounts {
-            until,
-            counts: HashMap::new(),
-        });
-        *counts.counts.entry(id.clone()).or_default() += work;
-        *self.sums.entry(id.clone()).or_default() += work;
-        self.ends = Some(self.ends.map_or(until, |ends| ends.min(until)));
+        self.peers.grant(peer, id, unread, until);
     }
 
     /// Takes in all work at a target as its owner told of it, to be believed until a
@@ -294,17 +223,6 @@
         self.told.insert(id, (work, until));
     }
 
-    fn subtract(&mut self, old: &PeerCounts) {
-        for (id, work) in &old.counts {
-            if let Some(sum) = self.sums.get_mut(id) {
-                *sum = *sum - *work;
-                if *sum == Work::default() {
-                    self.sums.remove(id);
-                }
-            }
-        }
-    }
-
     /// This daemon's requests by target.
     pub fn counts(&self) -> Vec<(InstanceId, Work)> {
         let busy = self.targets.iter().filter(|(_, l)| l.own.requests > 0);
@@ -315,18 +233,7 @@
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool, now: Millis) {
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
         self.told.retain(|_, (_, until)| now < *until);
-        let over: Vec<NodeId> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| now >= p.until)
-            .map(|(peer, _)| peer.clone())
-            .collect();
-        for peer in over {
-            if let Some(old) = self.peers.remove(&peer) {
-                self.subtract(&old);
-            }
-        }
-        self.ends = self.peers.values().map(|p| p.until).min();
+        self.peers.retain(now);
     }
 
     /// Work at a target, of this daemon and its peers.
@@ -335,28 +242,18 @@
     /// who have requests there.
     pub fn work(&self, id: &InstanceId, now: Millis) -> Work {
         let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
-        let counted = own + self.peers_work(id, now);
+        let counted = own + self.peers.work(id, now);
         let told = self.told.get(id).filter(|(_, until)| now < *until);
         told.map_or(counted, |(told, _)| counted.max(*told))
     }
 
-    fn peers_work(&self, id: &InstanceId, now: Millis) -> Work {
-        if self.ends.is_none_or(|ends| now < ends) {
-            return self.sums.get(id).copied().unwrap_or_default();
-        }
-        let fresh = self.peers.values().filter(|p| now < p.until);
-        let counts = fresh.filter_map(|p| p.counts.get(id).copied());
-        counts.fold(Work::default(), Add::add)
-    }
-
     /// Requests at each target, of this daemon and its peers.
     pub fn requests(&self, now: Millis) -> HashMap<InstanceId, u32> {
         let mut all: HashMap<InstanceId, u32> = HashMap::new();
         for (id, work) in self.counts() {
             *all.entry(id).or_default() += work.requests;
         }
-        let fresh = self.peers.values().filter(|p| now < p.until);
-        for (id, work) in fresh.flat_map(|p| &p.counts) {
+        for (id, work) in self.peers.counts(now) {
             *all.entry(id.clone()).or_default() += work.requests;
         }
         all
@@ -482,42 +379,3 @@
     let drawn = (0..count.min(pool.len())).map(|i| pool[(start + i * stride) % length]);
     drawn.collect()
 }
-
-/// What one pass of a group takes, in milliseconds.
-struct Pass {
-    /// Steps until the next event of each stream.
-    event: f64,
-    /// Reading the prompts that wait.
-    reading: f64,
-}
-
-impl Pass {
-    fn of(target: &Target, engine: &Engine, work: Work) -> Self {
-        let model = target.member.as_ref().and_then(|m| m.model.as_ref());
-        let pace = model.and_then(|m| engine.plan(m)).map_or(1.0, |p| p.pace);
-        let running = f64::from(work.requests.min(engine.slots));
-        let step = pace * (engine.step + engine.step_each * running);
-        Self {
-            event: step * f64::from(engine.stride.max(1)),
-            reading: pace * f64::from(work.unread) / engine.read_rate.max(1.0) * 1_000.0,
-        }
-    }
-
-    /// The longest usual pause between two events of a stream.
-    fn pause(&self) -> f64 {
-        self.event + self.reading
-    }
-
-    /// A usual answer, from its first event to its last.
-    fn answer(&self, engine: &Engine) -> f64 {
-        self.event / f64::from(engine.stride.max(1)) * engine.usual_answer
-    }
-
-    /// The time until one more request has its first event.
-    fn begin(&self, engine: &Engine, work: Work) -> f64 {
-        let slots = f64::from(engine.slots.max(1));
-        // Each `slots` requests in front end within about one answer.
-        let queue = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots * self.answer(engine);
-        self.reading + self.event + queue
-    }
-}
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -16,6 +16,8 @@
 mod fleet;
 #[path = "edge/fleet_random.rs"]
 mod fleet_random;
+#[path = "edge/leaders.rs"]
+mod leaders;
 #[path = "edge/load.rs"]
 mod load;
 #[path = "edge/owner.rs"]
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -1,42 +1,20 @@
 //! Which group gets a request, and when it is better told to come back.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 use thistlesill_core::{HallId, InstanceId, Millis};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
 
+use crate::leaders::leader;
+
 const NOW: Millis = Millis::new(1_000_000);
 /// How long a peer's word is believed.
 const TRUST: Millis = Millis::new(1_500);
 const AIM: Millis = Millis::new(300);
 
-fn leader(id: &str) -> Target {
-    Target {
-        id: id.into(),
-        service: "s".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
-        hall: "h".into(),
-        slots: 26,
-        leaving: false,
-        domain: Some("d".into()),
-        staged: Vec::new(),
-        member: Some(Membership {
-            of: GroupRef {
-                group: id.into(),
-                epoch: 1,
-            },
-            rank: 0,
-            state: MemberState::Open,
-            model: Some("large".into()),
-        }),
-    }
-}
-
 /// Picks among two groups many times and counts how often the first wins.
 fn wins(loads: &LoadTable, now: Millis) -> usize {
     let (a, b) = (leader("a"), leader("b"));
--- a/crates/thistlesill-policy/tests/edge/owner.rs
+++ b/crates/thistlesill-policy/tests/edge/owner.rs
@@ -1,17 +1,18 @@
 //! Which daemon places requests, and what that is worth under load.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
 
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
+use thistlesill_core::edge::Target;
 use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
 use thistlesill_policy::edge::owner::{Answering, Scope};
 
+use crate::leaders::leader;
+
 fn scope(model: &str) -> Scope {
     Scope {
         hall: "h".into(),
@@ -24,29 +25,6 @@
     (0..count).map(|i| format!("d{i}").into()).collect()
 }
 
-fn leader(number: usize) -> Target {
-    let id = format!("t{number}");
-    Target {
-        id: id.as_str().into(),
-        service: "s".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
-        hall: "h".into(),
-        slots: 26,
-        leaving: false,
-        domain: Some("d".into()),
-        staged: Vec::new(),
-        member: Some(Membership {
-            of: GroupRef {
-                group: id.as_str().into(),
-                epoch: 1,
-            },
-            rank: 0,
-            state: MemberState::Open,
-            model: Some("large".into()),
-        }),
-    }
-}
-
 quickcheck! {
     /// Whoever hears the same daemons, in whatever order, names the same owner.
     fn all_agree_on_the_owner(count: u8, turn: usize, model: String) -> bool {
@@ -157,7 +135,7 @@
 /// Sends ten seconds of requests to groups that read one prompt after the other, and
 /// returns how long each prompt waited behind others, in milliseconds, in order.
 fn waits(choosers: Choosers, seed: u64) -> Vec<u64> {
-    let groups: Vec<Target> = (0..GROUPS).map(leader).collect();
+    let groups: Vec<Target> = (0..GROUPS).map(|i| leader(&format!("t{i}"))).collect();
     let candidates: Vec<&Target> = groups.iter().collect();
     let (engine, hall, daemons) = (engine(), HallId::from("h"), names(DAEMONS));
     let mut rng = SmallRng::seed_from_u64(seed);
