--- a/crates/thistlesill-edge/tests/it/calls.rs
+++ b/crates/thistlesill-edge/tests/it/calls.rs
@@ -4,7 +4,9 @@
 //! callers were served: 11 a daemon at its start, one a daemon for each new catalog,
 //! and 1.2 a second for each reader of the catalog.
 
-use thistlesill_platform_standin::world::catalog;
+use thistlesill_platform_standin::store::{
+    CATALOG_QUESTION, CATALOG_READ, DAEMONS_READ, LEASE_READ,
+};
 
 use crate::support::{ask, read, sleep, world};
 
@@ -14,10 +16,10 @@
 async fn daemons_that_start_together_read_the_list_once_and_one_looks_for_the_lease() {
     let world = world(61, DAEMONS as u8).await;
     sleep(2_500).await;
-    let lists = world.store.asked("rows-get?table=daemons");
+    let lists = world.store.asked(DAEMONS_READ);
     assert!(lists <= DAEMONS, "{lists} reads of the list");
     // The first daemon of each data centre looks again if the first of all is slow.
-    let leases = world.store.asked("rows-get?table=leases");
+    let leases = world.store.asked(LEASE_READ);
     assert!(leases <= 3, "{leases} reads of the lease");
 }
 
@@ -25,16 +27,16 @@
 async fn a_new_catalog_goes_from_daemon_to_daemon() {
     let world = world(62, DAEMONS as u8).await;
     sleep(2_500).await;
-    let before = world.store.asked("rows-get?table=op");
+    let before = world.store.asked(CATALOG_READ);
     for version in [9, 10, 11] {
-        world.store.put("op", "config", &catalog(version, &["k1"]));
+        world.set_catalog(version, &["k1"]);
         sleep(1_500).await;
     }
     for daemon in 0..DAEMONS {
         let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
         assert_eq!(got.status, 401, "daemon {daemon}");
     }
-    let reads = world.store.asked("rows-get?table=op") - before;
+    let reads = world.store.asked(CATALOG_READ) - before;
     assert!(reads <= 3, "{reads} reads of the catalog");
 }
 
@@ -42,9 +44,9 @@
 async fn one_daemon_follows_the_catalog_for_all() {
     let world = world(63, DAEMONS as u8).await;
     sleep(2_500).await;
-    let before = world.store.asked("rows-feed?table=op");
+    let before = world.store.asked(CATALOG_QUESTION);
     sleep(4_000).await;
-    let questions = world.store.asked("rows-feed?table=op") - before;
+    let questions = world.store.asked(CATALOG_QUESTION) - before;
     // The settings have a catalog be in force within 2 s; a question waits for a
     // sixth of that.
     assert!(questions <= 14, "{questions} questions in 4 s");
--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -13,14 +13,14 @@
         ask(&world, 1, read("old").key(Some("k2"))).await.status,
         200
     );
-    world.store.put("op", "config", &catalog(5, &["k1"]));
+    world.set_catalog(5, &["k1"]);
     sleep(1_500).await;
     for daemon in 0..3 {
         let got = ask(&world, daemon, read("gone").key(Some("k2"))).await;
         assert_eq!(got.status, 401, "daemon {daemon}");
         assert_eq!(ask(&world, daemon, read("kept")).await.status, 200);
     }
-    world.store.put("op", "config", &catalog(4, &["k1", "k2"]));
+    world.set_catalog(4, &["k1", "k2"]);
     sleep(1_500).await;
     let got = ask(&world, 0, read("older").key(Some("k2"))).await;
     assert_eq!(got.status, 401, "an older catalog is not taken");
@@ -50,7 +50,7 @@
 async fn a_frozen_daemon_does_not_trust_its_proof_when_it_wakes() {
     let mut world = world(13, 2).await;
     world.daemons[0].signal(nix::sys::signal::Signal::SIGSTOP);
-    world.store.put("op", "config", &catalog(9, &["k1"]));
+    world.set_catalog(9, &["k1"]);
     sleep(3_500).await;
     let late = tokio::spawn({
         let address = world.daemons[0].callers();
@@ -101,7 +101,7 @@
     for reader in &readers {
         world.links[*reader].set(Harm::Silent);
     }
-    world.store.put("op", "config", &catalog(9, &["k1"]));
+    world.set_catalog(9, &["k1"]);
     // The settings allow two seconds.
     sleep(1_800).await;
     for daemon in (0..4).filter(|d| !readers.contains(d)) {
--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -23,7 +23,7 @@
 use futures_util::future::join_all;
 use thistlesill_platform_standin::link::{Harm, Link};
 use thistlesill_platform_standin::store::TARGETS_QUESTION;
-use thistlesill_platform_standin::world::{World, catalog};
+use thistlesill_platform_standin::world::World;
 
 use crate::support::{ask, planner, read, readers, sleep, world};
 
@@ -63,7 +63,7 @@
             link.hush("");
         }
     }
-    world.store.put("op", "config", &catalog(9, &["k1"]));
+    world.set_catalog(9, &["k1"]);
     // The settings allow two seconds.
     sleep(1_800).await;
     for daemon in (0..4).filter(|d| !readers.contains(d)) {
@@ -138,7 +138,7 @@
     for daemon in &others {
         world.links[*daemon].set(Harm::Silent);
     }
-    world.store.put("op", "config", &catalog(9, &["k1"]));
+    world.set_catalog(9, &["k1"]);
     // Two questions fail, and a pause begins.
     sleep(2_600).await;
     for daemon in &others {
