--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -14,7 +14,6 @@
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::asked::Asked;
 use thistlesill_policy::edge::attempt::Outcome;
-use thistlesill_policy::edge::load::Knowledge;
 use tokio::time::Instant;
 
 use crate::lanes::{Taken, most_idle};
@@ -96,7 +95,6 @@
                 aim: self.passage.route.aim,
                 tried,
                 first: tried.is_empty(),
-                knowledge: Knowledge::Old,
             },
         )
         .await
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -192,20 +192,16 @@
 /// there are some.
 fn ask_if_it_lasts(edge: &Edge, peer: &NodeId, newest: u64) {
     let (now, version) = (edge.now(), edge.feed.borrow().version());
-    match edge.lacks.get() {
-        Some(lack) if version < lack.version => {
-            if now - lack.since >= LACK {
-                edge.lacks.set(Some(Lack {
-                    version: newest,
-                    since: now,
-                }));
-                ask_peer(edge, peer);
-            }
-        }
-        _ => edge.lacks.set(Some(Lack {
-            version: newest,
-            since: now,
-        })),
+    let lack = edge.lacks.get().filter(|lack| version < lack.version);
+    if lack.is_some_and(|lack| now - lack.since < LACK) {
+        return;
+    }
+    edge.lacks.set(Some(Lack {
+        version: newest,
+        since: now,
+    }));
+    if lack.is_some() {
+        ask_peer(edge, peer);
     }
 }
 
@@ -281,8 +277,8 @@
             pass: pass.clone(),
         });
         match &relays {
-            Some(relays) => relays.iter().for_each(|to| link::tell(edge, to, &packet)),
-            None => link::tell_all(edge, &packet),
+            Some(relays) => link::tell_each(edge, relays, &packet),
+            None => link::tell_peers(edge, &packet, Reach::All),
         }
         (before, rest) = (until, later);
     }
@@ -363,11 +359,6 @@
                 }
             }
         }
-        Pass::To(names) => {
-            let packet = to(Pass::Nobody);
-            for name in names {
-                link::tell(edge, name, &packet);
-            }
-        }
+        Pass::To(names) => link::tell_each(edge, names, &to(Pass::Nobody)),
     }
 }
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -173,11 +173,9 @@
         self.planner.as_ref().map(|(name, _)| name.clone())
     }
 
-    /// The planner, if it is in another data centre than `hall`.
-    pub(crate) fn far_planner(&self, hall: &HallId) -> Option<NodeId> {
-        let name = self.planner()?;
-        let far = self.known.get(&name).is_some_and(|p| p.hall != *hall);
-        far.then_some(name)
+    /// Whether a peer is in another data centre than `hall`.
+    fn is_far(&self, name: &NodeId, hall: &HallId) -> bool {
+        self.known.get(name).is_some_and(|p| p.hall != *hall)
     }
 
     /// Whether any peer has had a request.
@@ -251,6 +249,13 @@
         ranks.all(|rank| (away, me) < rank)
     }
 
+    /// Tells which peers count as living: those of the own data centre `own` beat more
+    /// often than others.
+    fn lives<'a>(&self, own: &'a HallId, now: Millis) -> impl Fn(&Peer) -> bool + use<'a> {
+        let (near, far) = (self.trust(own), self.far_trust());
+        move |peer| peer.is_heard(now, if peer.hall == *own { near } else { far })
+    }
+
     /// The peers of a data centre that may own scopes; `own` is this daemon's one.
     pub(crate) fn owners(
         &self,
@@ -258,21 +263,19 @@
         own: &HallId,
         now: Millis,
     ) -> impl Iterator<Item = &NodeId> {
-        let (near, far) = (self.trust(hall), self.far_trust());
-        let all = self.known.iter();
-        let trust = if hall == own { near } else { far };
-        let may = move |p: &Peer| p.owns && p.hall == *hall && p.is_heard(now, trust);
-        all.filter(move |(_, p)| may(p)).map(|(name, _)| name)
+        let lives = self.lives(own, now);
+        let may = move |p: &Peer| p.owns && p.hall == *hall && lives(p);
+        let owners = self.known.iter().filter(move |(_, p)| may(p));
+        owners.map(|(name, _)| name)
     }
 
     /// A peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
-        let (near, far) = (self.trust(hall), self.far_trust());
-        let heard = |p: &Peer| p.is_heard(now, if p.hall == *hall { near } else { far });
+        let lives = self.lives(hall, now);
         let readers = self
             .known
             .iter()
-            .filter(|(_, p)| p.store != StoreUse::Asks && heard(p));
+            .filter(|(_, p)| p.store != StoreUse::Asks && lives(p));
         let best = readers.min_by_key(|(name, p)| (p.store, p.hall != *hall, (*name).clone()));
         best.map(|(name, _)| name.clone())
     }
@@ -330,10 +333,6 @@
         self.known.retain(|_, p| p.silence(now) < REMOVED);
     }
 
-    fn forget(&mut self, name: &NodeId) {
-        self.known.remove(name);
-    }
-
     fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) {
         self.list(beat.from.clone(), from, now);
         let Some(peer) = self.known.get_mut(&beat.from) else {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -1,5 +1,6 @@
 //! The socket for datagrams between daemons.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::packet::{AskedWork, Beat, Packet};
-use super::{Reach, place};
+use super::{Peers, Reach, place};
 use crate::follow;
 use crate::state::Edge;
 
@@ -78,10 +79,15 @@
     (near, far)
 }
 
+/// The daemon that forms groups, if it is another one.
+fn other_planner(edge: &Edge) -> Option<NodeId> {
+    let planner = edge.peers.borrow().planner();
+    planner.filter(|_| !edge.plans.get())
+}
+
 /// Tells the daemon that forms groups what callers ask this one for.
 fn tell_asked(edge: &Edge, now: Millis) {
-    let planner = edge.peers.borrow().planner();
-    let Some(planner) = planner.filter(|_| !edge.plans.get()) else {
+    let Some(planner) = other_planner(edge) else {
         return;
     };
     let work = edge.asked.borrow_mut().work(now);
@@ -103,17 +109,18 @@
 /// Tells the daemon that forms groups at once what this one suspects: until it
 /// has probed the group, others send requests there.
 pub(crate) fn tell_suspects(edge: &Edge) {
-    let planner = edge.peers.borrow().planner();
-    if let Some(planner) = planner.filter(|_| !edge.plans.get()) {
+    if let Some(planner) = other_planner(edge) {
         tell(edge, &planner, &beat(edge));
     }
 }
 
 /// Tells a planner in another data centre how this daemon is.
 fn tell_far_planner(edge: &Edge) {
-    let hall = edge.settings().hall.clone();
-    let planner = edge.peers.borrow().far_planner(&hall);
-    if let Some(planner) = planner.filter(|_| !edge.plans.get()) {
+    let Some(planner) = other_planner(edge) else {
+        return;
+    };
+    let far = edge.peers.borrow().is_far(&planner, &edge.settings().hall);
+    if far {
         tell(edge, &planner, &beat(edge));
     }
 }
@@ -139,34 +146,36 @@
     }))
 }
 
-/// Sends a datagram to all peers that may live.
-pub(crate) fn tell_all(edge: &Edge, packet: &Packet) {
-    tell_peers(edge, packet, Reach::All);
-}
-
+/// Sends a datagram to the peers within reach that may live.
 pub(crate) fn tell_peers(edge: &Edge, packet: &Packet, reach: Reach) {
-    let Some(bytes) = encode(packet) else { return };
-    let peers = edge.peers.borrow();
-    let Some(socket) = &peers.socket else { return };
-    let hall = edge.settings().hall.clone();
-    for address in peers.addresses(edge.now(), &hall, reach) {
-        metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
-        if let Err(error) = socket.try_send_to(&bytes, address) {
-            log::debug!("peers: {address}: {error}");
-        }
-    }
+    let (peers, hall) = (edge.peers.borrow(), edge.settings().hall.clone());
+    send(&peers, packet, peers.addresses(edge.now(), &hall, reach));
 }
 
 /// Sends a datagram to one peer.
 pub(crate) fn tell(edge: &Edge, to: &NodeId, packet: &Packet) {
-    let Some(bytes) = encode(packet) else { return };
+    tell_each(edge, std::slice::from_ref(to), packet);
+}
+
+/// Sends a datagram to some peers.
+pub(crate) fn tell_each(edge: &Edge, to: &[NodeId], packet: &Packet) {
     let peers = edge.peers.borrow();
-    let (Some(socket), Some(address)) = (&peers.socket, peers.address(to)) else {
+    send(
+        &peers,
+        packet,
+        to.iter().filter_map(|name| peers.address(name)),
+    );
+}
+
+fn send(peers: &Peers, packet: &Packet, to: impl Iterator<Item = SocketAddr>) {
+    let (Some(bytes), Some(socket)) = (encode(packet), &peers.socket) else {
         return;
     };
-    metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
-    if let Err(error) = socket.try_send_to(&bytes, address) {
-        log::debug!("peers: {address}: {error}");
+    for address in to {
+        metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
+        if let Err(error) = socket.try_send_to(&bytes, address) {
+            log::debug!("peers: {address}: {error}");
+        }
     }
 }
 
@@ -216,7 +225,7 @@
     }
 }
 
-fn hear_beat(edge: &Edge, beat: Beat, from: std::net::SocketAddr) {
+fn hear_beat(edge: &Edge, beat: Beat, from: SocketAddr) {
     let now = edge.now();
     if beat.from == edge.settings().name {
         return;
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -5,6 +5,7 @@
 //! of the load; the request is never lost, and at worst goes to a busier group.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use thistlesill_core::edge::Target;
@@ -72,27 +73,23 @@
     (choice, by)
 }
 
-async fn pick_or_ask(edge: &Edge, mut asking: Asking<'_>) -> (Choice, PlacedBy) {
+async fn pick_or_ask(edge: &Edge, asking: Asking<'_>) -> (Choice, PlacedBy) {
     let settings = edge.settings();
     let scope = Scope {
         hall: settings.hall.clone(),
         service: asking.service.name.clone(),
-        model: asking
-            .model
-            .cloned()
-            .filter(|_| asking.service.engine.is_some()),
+        model: asking.served_model().cloned(),
     };
     let owner = owner(edge, &scope);
     if owner.as_ref() == Some(&settings.name) {
-        asking.knowledge = Knowledge::Exact;
-        return (edge.pick(&asking), PlacedBy::Itself);
+        return (edge.pick(&asking, Knowledge::Exact), PlacedBy::Itself);
     }
     if let Some(owner) = owner
         && let Some(choice) = ask(edge, &owner, &scope, &asking).await
     {
         return (choice, PlacedBy::Owner);
     }
-    (edge.pick(&asking), PlacedBy::Alone)
+    (edge.pick(&asking, Knowledge::Old), PlacedBy::Alone)
 }
 
 /// Asks an owner; `None` if it does not answer, or with a target that this daemon
@@ -165,15 +162,15 @@
     let Some(service) = catalog.service(&ask.service) else {
         return;
     };
-    let choice = edge.pick(&Asking {
+    let asking = Asking {
         service,
         model: ask.model.as_ref(),
         prompt: ask.prompt,
         aim: ask.aim,
         tried: &ask.avoid,
         first: ask.first,
-        knowledge: Knowledge::Exact,
-    });
+    };
+    let choice = edge.pick(&asking, Knowledge::Exact);
     let placed = match choice {
         Choice::Target(target) => {
             let until = edge.now() + edge.trust();
@@ -233,7 +230,7 @@
 }
 
 /// As owner: tells others of the work at its targets, for ever.
-pub(crate) async fn run(edge: std::rc::Rc<Edge>) {
+pub(crate) async fn run(edge: Rc<Edge>) {
     let mut rounds = 0;
     loop {
         tokio::time::sleep(TELL).await;
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -153,8 +153,6 @@
         let txn = Txn::new().delete(key(&name));
         if let Err(error) = edge.store.txn(&txn, LIMIT).await {
             log::debug!("peers: {name} not removed: {error}");
-            continue;
         }
-        edge.peers.borrow_mut().forget(&name);
     }
 }
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -8,18 +8,18 @@
 //! its connection bears waits in line, for as long as it likes; it can still read the
 //! store. Refusing instead had two thirds of 62 daemons read the store each time.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use snafu::{OptionExt, ResultExt, Snafu};
+use thistlesill_net::peer::{Frames, frames};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::state::Edge;
 
@@ -52,15 +52,6 @@
     Late,
 }
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn frames(stream: TcpStream) -> Frames {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_CATALOG)
-        .new_codec();
-    Framed::new(stream, codec)
-}
-
 /// Hands the catalog to peers, for ever.
 pub(crate) async fn serve(edge: Rc<Edge>) {
     let address = edge.settings().peer_address();
@@ -83,28 +74,27 @@
     }
 }
 
-/// Who is served, and who waits for it.
+/// Who waits in line or is served, and who of them is served.
 #[derive(Debug)]
 struct Line {
-    length: Cell<usize>,
+    room: Arc<Semaphore>,
     places: Semaphore,
 }
 
 impl Default for Line {
     fn default() -> Self {
         Self {
-            length: Cell::new(0),
+            room: Arc::new(Semaphore::new(MAX_IN_LINE)),
             places: Semaphore::new(MAX_AT_ONCE),
         }
     }
 }
 
 fn begin(edge: &Rc<Edge>, stream: TcpStream, line: &Rc<Line>) {
-    if line.length.get() >= MAX_IN_LINE {
+    let Ok(room) = line.room.clone().try_acquire_owned() else {
         metrics::counter!("thistlesill_edge_transfers_refused_total").increment(1);
         return;
-    }
-    line.length.set(line.length.get() + 1);
+    };
     let (edge, line) = (edge.clone(), line.clone());
     tokio::task::spawn_local(async move {
         let until = Instant::now() + HAND_OUT;
@@ -113,13 +103,13 @@
             Ok(Err(error)) => log::debug!("transfer: not handed out: {error}"),
             Err(_) => log::debug!("transfer: not handed out in time"),
         }
-        line.length.set(line.length.get() - 1);
+        drop(room);
     });
 }
 
 async fn hand_out(edge: &Edge, stream: TcpStream, line: &Line) -> Result<(), TransferError> {
     let place = line.places.acquire().await;
-    let mut frames = frames(stream);
+    let mut frames = frames(stream, MAX_CATALOG);
     let question = next_frame(&mut frames).await?;
     let text = edge.catalog_text.borrow().clone();
     if question != QUESTION || text.is_empty() {
@@ -137,7 +127,7 @@
 ) -> Result<Bytes, TransferError> {
     let exchange = async {
         let stream = TcpStream::connect(address).await.context(ConnectionSnafu)?;
-        let mut frames = frames(stream);
+        let mut frames = frames(stream, MAX_CATALOG);
         let question = Bytes::from_static(QUESTION);
         frames.send(question).await.context(ConnectionSnafu)?;
         next_frame(&mut frames).await
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -285,11 +285,8 @@
 
     /// Leaders whose streams are slow.
     fn slow(&self, now: Millis) -> HashSet<InstanceId> {
-        let mut slow = self
-            .edge
-            .peers
-            .borrow()
-            .slow(&self.edge.settings().hall, now);
+        let hall = &self.edge.settings().hall;
+        let mut slow = self.edge.peers.borrow().slow(hall, now);
         slow.extend(self.edge.loads.borrow().slow(now));
         slow
     }
@@ -310,12 +307,8 @@
         let own = own.filter(|id| !loads.is_suspect(id, now));
         let mut working: HashSet<InstanceId> = own.collect();
         working.extend(loads.going_on(now));
-        working.extend(
-            self.edge
-                .peers
-                .borrow()
-                .working(&self.edge.settings().hall, now),
-        );
+        let hall = &self.edge.settings().hall;
+        working.extend(self.edge.peers.borrow().working(hall, now));
         working
     }
 
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -78,16 +78,21 @@
 }
 
 impl Pause {
-    /// The pause that ends now, at a target from which events were awaited since
-    /// `asked`, after the last ones were handed on.
-    fn seen(job: &Job, target: &Target, handed: Millis, asked: Millis) -> Self {
+    /// Notes a pause that ends now, if it is no shorter: at a target from which events
+    /// were awaited since `asked`, after the last ones were handed on.
+    fn note(&mut self, job: &Job, target: &Target, handed: Millis, asked: Millis) {
         let now = job.edge.now();
+        let length = now - handed;
+        if length < self.length {
+            return;
+        }
         let unread = job.edge.loads.borrow().work(&target.id, now).unread;
-        Self {
-            length: now - handed,
+        let seen = Self {
+            length,
             waited: now - asked,
             unread,
-        }
+        };
+        *self = (*self).max(seen);
     }
 }
 
@@ -236,8 +241,7 @@
                 Some(Ok(frame)) => {
                     source.note_event(&self.job);
                     if let Some(handed) = handed {
-                        let pause = Pause::seen(&self.job, &target, handed, asked);
-                        self.longest = self.longest.max(pause);
+                        self.longest.note(&self.job, &target, handed, asked);
                     }
                     if let Ok(data) = frame.into_data() {
                         source.flight.begun();
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -69,8 +69,13 @@
     pub(crate) tried: &'a [InstanceId],
     /// Whether it may be told to come back.
     pub(crate) first: bool,
-    /// How well this daemon knows the load.
-    pub(crate) knowledge: Knowledge,
+}
+
+impl Asking<'_> {
+    /// The model that decides which targets serve it.
+    pub(crate) fn served_model(&self) -> Option<&Model> {
+        self.model.filter(|_| self.service.engine.is_some())
+    }
 }
 
 /// Where the next attempt of a request goes.
@@ -155,9 +160,7 @@
     /// When the daemon started.
     pub(crate) started: Millis,
     /// Whether this daemon's last question about the catalog brought no answer.
-    pub(crate) away: Cell<bool>,
-    /// When a question about the catalog last brought no answer.
-    pub(crate) failed: Cell<Millis>,
+    pub(crate) away: Cell<Option<Millis>>,
     /// Whether this daemon reads the store for others.
     pub(crate) reads: Cell<bool>,
     /// The changes of targets that this daemon lacks.
@@ -207,8 +210,7 @@
             stop: Notify::new(),
             plans: Cell::new(false),
             started: clock.now(),
-            away: Cell::new(false),
-            failed: Cell::new(Millis::ZERO),
+            away: Cell::new(None),
             reads: Cell::new(false),
             lacks: Cell::new(None),
             feed: RefCell::new(Feed::default()),
@@ -252,7 +254,7 @@
     /// Whether the store did not answer this daemon a short time ago. A daemon that has
     /// ceased to ask does not notice that the store is back.
     pub(crate) fn is_away(&self) -> bool {
-        self.away.get() && self.now() - self.failed.get() < AWAY
+        self.away.get().is_some_and(|at| self.now() - at < AWAY)
     }
 
     /// What this daemon has to do with the store.
@@ -314,11 +316,10 @@
     }
 
     /// Picks the target for the next attempt of a request.
-    pub(crate) fn pick(&self, asking: &Asking<'_>) -> Choice {
+    pub(crate) fn pick(&self, asking: &Asking<'_>, knowledge: Knowledge) -> Choice {
         let service = asking.service;
         let book = self.book.borrow();
-        let model = asking.model.filter(|_| service.engine.is_some());
-        let serving = book.serving(&service.name, model);
+        let serving = book.serving(&service.name, asking.served_model());
         let untried: Vec<&Target> = serving
             .iter()
             .map(AsRef::as_ref)
@@ -337,7 +338,6 @@
             return Choice::Overloaded(late);
         }
         let rng = &mut *self.rng.borrow_mut();
-        let knowledge = asking.knowledge;
         match loads.pick(&untried, &wanted, knowledge, now, rng) {
             Some(target) => Choice::Target(Box::new(target.clone())),
             None => Choice::Nobody,
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -181,10 +181,10 @@
         edge.book.borrow_mut().store_answered(now);
     } else {
         edge.book.borrow_mut().store_failed();
-        edge.failed.set(now);
         edge.store_doubt.notify_waiters();
     }
-    if edge.away.replace(error.is_some()) == error.is_some() {
+    let was_away = edge.away.replace(error.map(|_| now)).is_some();
+    if was_away == error.is_some() {
         return;
     }
     let line = match error {
--- a/crates/thistlesill-net/src/peer.rs
+++ b/crates/thistlesill-net/src/peer.rs
@@ -164,7 +164,7 @@
             let stream = TcpStream::connect(address)
                 .await
                 .context(IoSnafu { address })?;
-            let mut frames = Framed::new(stream, codec());
+            let mut frames = frames(stream, MAX_FRAME);
             write(&mut frames, &self.key, ask).await?;
             read(&mut frames, &self.key).await
         };
@@ -211,18 +211,21 @@
 where
     F: Fn(StreamAsk) -> StreamReply,
 {
-    let mut frames = Framed::new(stream, codec());
+    let mut frames = frames(stream, MAX_FRAME);
     let ask: StreamAsk = read(&mut frames, key).await?;
     write(&mut frames, key, &reply(ask)).await
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec()
-}
+/// A connection that carries frames of a known length.
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+/// Frames of at most `most` bytes on a connection.
+pub fn frames(stream: TcpStream, most: usize) -> Frames {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(most)
+        .new_codec();
+    Framed::new(stream, codec)
+}
 
 async fn write<T: Serialize>(
     frames: &mut Frames,
