--- a/crates/thistlesill-core/src/edge/order.rs
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{GroupId, InstanceId, Model};
+use super::TargetId;
+use crate::{GroupId, Model};
 
 /// One forming of a group: its name and epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -23,7 +24,7 @@
         /// What it runs.
         model: Model,
         /// All members; the first leads.
-        members: Vec<InstanceId>,
+        members: Vec<TargetId>,
     },
     /// As leader: take requests.
     Open(GroupRef),
--- a/crates/thistlesill-core/src/edge/target.rs
+++ b/crates/thistlesill-core/src/edge/target.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::GroupRef;
-use crate::{DomainId, HallId, InstanceId, Model, ServiceName};
+use super::{GroupRef, TargetId};
+use crate::{DomainId, HallId, Model, ServiceName};
 
 /// How far a member of a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,8 +38,8 @@
 /// One life of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
-    /// Its id, new at every start.
-    pub id: InstanceId,
+    /// Which target it is, and which of its lives.
+    pub id: TargetId,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it takes requests and orders.
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -7,8 +7,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use thistlesill_core::edge::{RouteKind, Target};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{RouteKind, Target, TargetId};
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Passage;
@@ -51,7 +51,7 @@
     }
 
     /// Keeps a connection for the next request.
-    pub(crate) fn keep_lane(&self, target: &InstanceId, lane: Lane, keep: Option<Millis>) {
+    pub(crate) fn keep_lane(&self, target: &TargetId, lane: Lane, keep: Option<Millis>) {
         let daemons = self.edge.peers.borrow().most();
         let most = most_idle(self.passage.service.connections, daemons);
         let now = self.edge.now();
@@ -85,7 +85,7 @@
     }
 
     /// Picks the next target of the request.
-    pub(crate) async fn pick(&self, tried: &[InstanceId]) -> (Choice, PlacedBy) {
+    pub(crate) async fn pick(&self, tried: &[TargetId]) -> (Choice, PlacedBy) {
         place::pick(
             &self.edge,
             Asking {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -304,7 +304,7 @@
         .with("reads", edge.reads.get())
         .with("plans", edge.plans.get())
         .with("peers", edge.peers.borrow().heard(now))
-        .with("targets", edge.book.borrow().ids().count())
+        .with("targets", edge.book.borrow().count())
         .write();
 }
 
--- a/crates/thistlesill-edge/src/lanes.rs
+++ b/crates/thistlesill-edge/src/lanes.rs
@@ -3,8 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
-use thistlesill_core::edge::Target;
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_net::lane::{Lane, LaneError};
 use tokio::time::Instant;
 
@@ -37,12 +37,12 @@
 /// The unused connections, by target.
 #[derive(Debug, Default)]
 pub(crate) struct Lanes {
-    idle: RefCell<HashMap<InstanceId, Vec<Idle>>>,
+    idle: RefCell<HashMap<TargetId, Vec<Idle>>>,
 }
 
 impl Lanes {
     /// A connection that is ready, if one is kept.
-    fn take(&self, target: &InstanceId, now: Millis) -> Option<Lane> {
+    fn take(&self, target: &TargetId, now: Millis) -> Option<Lane> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(target)?;
         while let Some(last) = kept.pop() {
@@ -79,7 +79,7 @@
     /// are kept.
     pub(crate) fn keep(
         &self,
-        target: &InstanceId,
+        target: &TargetId,
         lane: Lane,
         keep: Option<Millis>,
         most: usize,
@@ -101,7 +101,7 @@
 
     /// Closes the unused connections to a target that failed on one: what
     /// silenced it may have silenced all of its age.
-    pub(crate) fn forget(&self, target: &InstanceId) {
+    pub(crate) fn forget(&self, target: &TargetId) {
         self.idle.borrow_mut().remove(target);
     }
 
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -14,7 +14,8 @@
 use std::rc::Rc;
 
 use rand::seq::IndexedRandom;
-use thistlesill_core::{HallId, InstanceId, Millis, Model, NodeId, ServiceName};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::fleet::Demand;
 use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
@@ -63,10 +64,10 @@
     store: StoreUse,
     busy: bool,
     owns: bool,
-    suspects: Vec<InstanceId>,
-    going_on: Vec<InstanceId>,
-    slow: Vec<InstanceId>,
-    busy_at: Vec<InstanceId>,
+    suspects: Vec<TargetId>,
+    going_on: Vec<TargetId>,
+    slow: Vec<TargetId>,
+    busy_at: Vec<TargetId>,
 }
 
 impl Peer {
@@ -78,8 +79,8 @@
         self.heard.is_none() || self.hall == *hall
     }
 
-    fn working(&self) -> impl Iterator<Item = &InstanceId> {
-        let sound = |id: &&InstanceId| !self.suspects.contains(id);
+    fn working(&self) -> impl Iterator<Item = &TargetId> {
+        let sound = |id: &&TargetId| !self.suspects.contains(id);
         self.busy_at.iter().filter(sound).chain(&self.going_on)
     }
 
@@ -105,7 +106,7 @@
     /// As planner: what callers ask the other daemons for, and when they told.
     asked: HashMap<NodeId, (Millis, AskedWork)>,
     /// As planner: targets that answered no probe.
-    pub(crate) dead: Vec<InstanceId>,
+    pub(crate) dead: Vec<TargetId>,
 }
 
 impl Peers {
@@ -184,14 +185,14 @@
     }
 
     /// Targets that peers suspect.
-    pub(crate) fn suspects(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+    pub(crate) fn suspects(&self, hall: &HallId, now: Millis) -> HashSet<TargetId> {
         let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.suspects.iter().cloned()).collect()
     }
 
     /// Targets whose streams are slow, as peers see it.
-    pub(crate) fn slow(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+    pub(crate) fn slow(&self, hall: &HallId, now: Millis) -> HashSet<TargetId> {
         let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         fresh.flat_map(|p| p.slow.iter().cloned()).collect()
@@ -199,7 +200,7 @@
 
     /// Targets at which a peer has requests without suspecting them, or streams that
     /// go on.
-    pub(crate) fn working(&self, hall: &HallId, now: Millis) -> HashSet<InstanceId> {
+    pub(crate) fn working(&self, hall: &HallId, now: Millis) -> HashSet<TargetId> {
         let trust = self.trust(hall);
         let fresh = self.known.values().filter(|p| p.is_heard(now, trust));
         let all = fresh.flat_map(Peer::working);
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,7 +1,8 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::{HallId, InstanceId, Millis, Model, NodeId, ServiceName};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::load::Work;
 use thistlesill_policy::lease::LeaseSeen;
@@ -56,17 +57,17 @@
     /// Whether it may own scopes: it does not stop, and has heard of its peers' load.
     pub(crate) owns: bool,
     /// Its requests by target.
-    pub(crate) counts: Vec<(InstanceId, Work)>,
+    pub(crate) counts: Vec<(TargetId, Work)>,
     /// Targets that stopped answering it.
-    pub(crate) suspects: Vec<InstanceId>,
+    pub(crate) suspects: Vec<TargetId>,
     /// Those of the suspected targets whose streams to the sender go on.
-    pub(crate) going_on: Vec<InstanceId>,
+    pub(crate) going_on: Vec<TargetId>,
     /// Targets whose streams are slow.
-    pub(crate) slow: Vec<InstanceId>,
+    pub(crate) slow: Vec<TargetId>,
     /// As planner: the lease.
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
-    pub(crate) dead: Vec<InstanceId>,
+    pub(crate) dead: Vec<TargetId>,
     /// What it read of the targets itself, if it did a short time ago.
     pub(crate) targets: Option<KnownTargets>,
 }
@@ -86,7 +87,7 @@
     /// Whether the request may be told to come back.
     pub(crate) first: bool,
     /// Targets that it was sent to, and those that the asker passes over.
-    pub(crate) avoid: Vec<InstanceId>,
+    pub(crate) avoid: Vec<TargetId>,
 }
 
 /// What an owner decided.
@@ -102,7 +103,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Placed {
     /// To this target, which counts it from now on.
-    At(InstanceId),
+    At(TargetId),
     /// Nowhere now: it would begin too late by this much.
     Overloaded(Millis),
     /// Nowhere: no target serves what it asks for.
@@ -113,13 +114,13 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Counts {
     pub(crate) from: NodeId,
-    pub(crate) counts: Vec<(InstanceId, Work)>,
+    pub(crate) counts: Vec<(TargetId, Work)>,
 }
 
 /// All work at some targets, as their owner knows it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Totals {
-    pub(crate) list: Vec<(InstanceId, Work)>,
+    pub(crate) list: Vec<(TargetId, Work)>,
 }
 
 /// Says that a daemon knows all changes of targets up to a moment.
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::Target;
-use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_policy::edge::load::{Knowledge, Work};
 use thistlesill_policy::edge::owner::{Answering, Scope};
 use tokio::sync::oneshot;
@@ -132,7 +132,7 @@
     }
 }
 
-fn known(edge: &Edge, scope: &Scope, id: &InstanceId) -> Option<Target> {
+fn known(edge: &Edge, scope: &Scope, id: &TargetId) -> Option<Target> {
     let book = edge.book.borrow();
     let serving = book.serving(&scope.service, scope.model.as_ref());
     let target = serving.iter().find(|t| t.id == *id);
@@ -287,10 +287,10 @@
 #[derive(Debug, Default)]
 struct Far {
     halls: Vec<HallId>,
-    list: Vec<(InstanceId, Work)>,
+    list: Vec<(TargetId, Work)>,
 }
 
-fn work_by_hall(edge: &Edge, scope: &Scope) -> (Vec<(InstanceId, Work)>, Far) {
+fn work_by_hall(edge: &Edge, scope: &Scope) -> (Vec<(TargetId, Work)>, Far) {
     let (book, loads, now) = (edge.book.borrow(), edge.loads.borrow(), edge.now());
     let (mut own, mut far) = (Vec::new(), Far::default());
     for target in book.serving(&scope.service, scope.model.as_ref()) {
@@ -307,7 +307,7 @@
     (own, far)
 }
 
-fn tell_list(list: &[(InstanceId, Work)], tell: impl Fn(&Packet)) {
+fn tell_list(list: &[(TargetId, Work)], tell: impl Fn(&Packet)) {
     for part in list.chunks(MAX_TOLD) {
         let list = part.to_vec();
         tell(&Packet::Totals(Totals { list }));
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use thistlesill_core::NodeId;
 use thistlesill_core::table::{Txn, TxnResult};
-use thistlesill_platform::store::{Row, Table};
+use thistlesill_platform::store::{Content, Row, Table};
 
 use super::{REMOVED, Reach, link};
 use crate::state::Edge;
@@ -133,14 +133,18 @@
 
 fn decode(edge: &Edge, row: &Row) -> Option<(NodeId, DaemonRow)> {
     let name = NodeId::from(row.key.as_str());
-    match serde_json::from_slice(row.value.as_ref()?) {
-        Ok(daemon) => Some((name, daemon)),
-        Err(error) => {
-            let line = edge.lines.line("daemon_refused").with("name", name);
-            line.with("why", error).write();
-            None
-        }
-    }
+    let decoded = match &row.value {
+        Content::Gone => return None,
+        Content::Unreadable(why) => Err(why.clone()),
+        Content::Bytes(bytes) => serde_json::from_slice(bytes).map_err(|e| e.to_string()),
+    };
+    decoded
+        .inspect_err(|why| {
+            let line = edge.lines.line("daemon_refused").with("name", &name);
+            line.with("why", why).write();
+        })
+        .ok()
+        .map(|daemon| (name, daemon))
 }
 
 /// As planner: removes the rows of daemons that have been silent for long.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::Order;
+use thistlesill_core::edge::{Order, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
-use thistlesill_core::{DomainId, HallId, InstanceId, Millis, ServiceName};
+use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
@@ -232,7 +232,7 @@
 
     /// Tells all daemons of targets that answered no probe; at once if one is
     /// news, since requests still go to its group.
-    fn tell_dead(&self, dead: Vec<InstanceId>) {
+    fn tell_dead(&self, dead: Vec<TargetId>) {
         let before = std::mem::replace(&mut self.edge.peers.borrow_mut().dead, dead);
         let news = {
             let peers = self.edge.peers.borrow();
@@ -284,7 +284,7 @@
     }
 
     /// Leaders whose streams are slow.
-    fn slow(&self, now: Millis) -> HashSet<InstanceId> {
+    fn slow(&self, now: Millis) -> HashSet<TargetId> {
         let hall = &self.edge.settings().hall;
         let mut slow = self.edge.peers.borrow().slow(hall, now);
         slow.extend(self.edge.loads.borrow().slow(now));
@@ -292,7 +292,7 @@
     }
 
     /// Leaders whose streams stand still.
-    fn stalled(&self, now: Millis) -> HashSet<InstanceId> {
+    fn stalled(&self, now: Millis) -> HashSet<TargetId> {
         let (peers, loads) = (self.edge.peers.borrow(), self.edge.loads.borrow());
         let mut stalled = peers.suspects(&self.edge.settings().hall, now);
         stalled.extend(loads.suspects(now));
@@ -301,11 +301,11 @@
 
     /// Leaders at which some daemon has requests without suspecting them, or streams
     /// that go on.
-    fn working(&self, now: Millis) -> HashSet<InstanceId> {
+    fn working(&self, now: Millis) -> HashSet<TargetId> {
         let loads = self.edge.loads.borrow();
         let own = loads.counts().into_iter().map(|(id, _)| id);
         let own = own.filter(|id| !loads.is_suspect(id, now));
-        let mut working: HashSet<InstanceId> = own.collect();
+        let mut working: HashSet<TargetId> = own.collect();
         working.extend(loads.going_on(now));
         let hall = &self.edge.settings().hall;
         working.extend(self.edge.peers.borrow().working(hall, now));
@@ -343,11 +343,10 @@
                         Err(error) => line.with("alive", false).with("why", error),
                     }
                     .write();
-                    let found = match report {
-                        Ok(report) if report.pace >= SLOW_PACE => Condition::Slow,
-                        Ok(_) => Condition::Sound,
-                        Err(_) => Condition::Silent,
-                    };
+                    let found = report.map_or(Condition::Silent, |report| {
+                        let (life, pace) = (report.incarnation, report.pace);
+                        Condition::of_answer(&target, life, pace, SLOW_PACE)
+                    });
                     planner.with_fleet(&service, |fleet, now| {
                         fleet.probed(&target, found, now);
                     });
@@ -363,7 +362,7 @@
         }
     }
 
-    fn note_order(&self, target: &InstanceId, order: &Order, reply: &str, why: &str) {
+    fn note_order(&self, target: &TargetId, order: &Order, reply: &str, why: &str) {
         metrics::counter!("thistlesill_edge_orders_total", "order" => order.name()).increment(1);
         let line = self.edge.lines.line("order");
         let line = line
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -9,8 +9,8 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use thistlesill_core::edge::{RouteKind, Target};
-use thistlesill_core::{ErrorKind, InstanceId, Millis};
+use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_net::lane::within;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Key, Passage, admit};
@@ -130,7 +130,7 @@
 async fn serve(job: Rc<Job>, mut track: Track) -> Response<OutBody> {
     let edge = &job.edge;
     let mut attempts = Attempts::default();
-    let mut tried: Vec<InstanceId> = Vec::new();
+    let mut tried: Vec<TargetId> = Vec::new();
     edge.earn_retry(&job.passage.service.name);
     if job.head.last_event.is_some() {
         give_way(&job).await;
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -11,8 +11,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use thistlesill_core::edge::{RouteKind, Target};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{RouteKind, Target, TargetId};
 use thistlesill_net::lane::Lane;
 use thistlesill_platform::caller;
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
@@ -116,7 +116,7 @@
     attempts: Attempts,
     cutter: Cutter,
     source: Option<Source>,
-    tried: Vec<InstanceId>,
+    tried: Vec<TargetId>,
     /// Whether a silent target is still waited for, since no other may or
     /// can take the stream.
     stay: bool,
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target};
-use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
+use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target, TargetId};
+use thistlesill_core::{Millis, Model, ServiceName};
 use thistlesill_net::clock::Clock;
 use thistlesill_platform::store::Store;
 use thistlesill_policy::budget::RetryBudget;
@@ -66,7 +66,7 @@
     /// The latency objective.
     pub(crate) aim: Millis,
     /// Targets that it was sent to, or that its daemon passes over.
-    pub(crate) tried: &'a [InstanceId],
+    pub(crate) tried: &'a [TargetId],
     /// Whether it may be told to come back.
     pub(crate) first: bool,
 }
@@ -371,7 +371,7 @@
     }
 
     /// Notes that a target stopped or failed, and tells the planner.
-    pub(crate) fn suspect(&self, target: &InstanceId, why: &str) {
+    pub(crate) fn suspect(&self, target: &TargetId, why: &str) {
         let news = self.loads.borrow_mut().suspect(target, self.now());
         self.lanes.forget(target);
         if news {
@@ -389,7 +389,7 @@
 /// Counts a request at a target for as long as it lives.
 pub(crate) struct InFlight {
     edge: Rc<Edge>,
-    target: InstanceId,
+    target: TargetId,
     scope: Scope,
     unread: u32,
 }
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use hyper::Response;
-use thistlesill_core::edge::Target;
-use thistlesill_core::{ErrorKind, InstanceId, Millis};
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::attempt::{Next, Outcome};
 
@@ -111,8 +111,8 @@
     /// Notes that a stream goes on at another target.
     pub(crate) fn resumed(
         &mut self,
-        from: &InstanceId,
-        to: &InstanceId,
+        from: &TargetId,
+        to: &TargetId,
         last: Option<&str>,
         why: &str,
     ) {
@@ -143,16 +143,16 @@
     }
 
     /// Ends the request with a target's answer.
-    pub(crate) fn ended(&mut self, status: u16, target: Option<&InstanceId>, bytes: usize) {
+    pub(crate) fn ended(&mut self, status: u16, target: Option<&TargetId>, bytes: usize) {
         self.end(status, target, bytes, "answered");
     }
 
     /// Ends the request with an answer that breaks off.
-    pub(crate) fn broke_off(&mut self, target: &InstanceId, bytes: usize, why: &str) {
+    pub(crate) fn broke_off(&mut self, target: &TargetId, bytes: usize, why: &str) {
         self.end(200, Some(target), bytes, why);
     }
 
-    fn end(&mut self, status: u16, target: Option<&InstanceId>, bytes: usize, what: &str) {
+    fn end(&mut self, status: u16, target: Option<&TargetId>, bytes: usize, what: &str) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -7,7 +7,7 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::Catalog;
 use thistlesill_platform::catalog::decode_catalog;
-use thistlesill_platform::store::{CATALOG_KEY, Rows, StoreError, Table};
+use thistlesill_platform::store::{CATALOG_KEY, Content, Rows, StoreError, Table};
 use thistlesill_policy::edge::freshness::MARGIN;
 use tokio::time::Instant;
 
@@ -199,10 +199,14 @@
 /// the newest that the store has.
 fn take_catalog(edge: &Edge, rows: &Rows) -> bool {
     let row = rows.rows.iter().rfind(|row| row.key == CATALOG_KEY);
-    let Some(bytes) = row.and_then(|row| row.value.as_deref()) else {
-        return edge.catalog.borrow().is_some();
-    };
-    decode_and_put(edge, bytes)
+    match row.map(|row| &row.value) {
+        None | Some(Content::Gone) => edge.catalog.borrow().is_some(),
+        Some(Content::Bytes(bytes)) => decode_and_put(edge, bytes),
+        Some(Content::Unreadable(why)) => {
+            note_refused(edge, why);
+            false
+        }
+    }
 }
 
 /// Takes in a catalog as the operators wrote it; returns whether it is sound.
@@ -213,16 +217,18 @@
             true
         }
         Err(error) => {
-            edge.lines
-                .line("catalog_refused")
-                .with("why", error)
-                .write();
-            metrics::counter!("thistlesill_edge_catalogs_refused_total").increment(1);
+            note_refused(edge, error);
             false
         }
     }
 }
 
+/// Notes a catalog that cannot be taken in; the one in force stays so.
+fn note_refused(edge: &Edge, why: impl std::fmt::Display) {
+    edge.lines.line("catalog_refused").with("why", why).write();
+    metrics::counter!("thistlesill_edge_catalogs_refused_total").increment(1);
+}
+
 fn put_catalog(edge: &Edge, catalog: Catalog, text: &[u8]) {
     let old = edge.catalog().map(|c| c.version);
     if old.is_some_and(|old| old >= catalog.version) {
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use thistlesill_core::InstanceId;
 use thistlesill_core::edge::Target;
-use thistlesill_platform::store::{Row, Rows, StoreError, Table};
+use thistlesill_platform::store::{Content, Row, Rows, StoreError, Table};
 use thistlesill_platform::target::decode_target;
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::feed::Change;
@@ -23,6 +24,9 @@
 /// The same for the planner; with 40 ms its questions were a third of all calls of the
 /// store on a calm day of 63 daemons.
 const PLANNER_BATCH: Duration = Duration::from_millis(120);
+/// Signs of the reason for which an entry is refused that its line holds: it quotes what
+/// another writer wrote.
+const MAX_WHY: usize = 120;
 
 /// Follows the targets' entries, for ever.
 pub(crate) async fn follow_targets(edge: Rc<Edge>) {
@@ -90,11 +94,7 @@
 /// Takes in what the store answered; returns whether all its changes are known
 /// now.
 fn take_targets(edge: &Edge, rows: &Rows, whole: bool) -> bool {
-    let changes: Vec<Change> = rows
-        .rows
-        .iter()
-        .filter_map(|row| decode(edge, row))
-        .collect();
+    let changes: Vec<Change> = rows.rows.iter().map(|row| decode(edge, row)).collect();
     if whole {
         return take_all_targets(edge, changes, rows.version);
     }
@@ -114,13 +114,10 @@
         return false;
     }
     edge.feed.borrow_mut().restart(version);
-    let listed = all.into_iter().filter_map(|change| match change.what {
-        Listing::Listed(target) => Some(*target),
-        Listing::Gone(_) => None,
-    });
+    let listings = all.into_iter().map(|change| change.what).collect();
     let (catalog, now) = (edge.catalog(), edge.now());
     let mut book = edge.book.borrow_mut();
-    book.replace(listed.collect(), catalog.as_deref(), now);
+    book.replace(listings, catalog.as_deref(), now);
     edge.learned.notify_waiters();
     edge.fleet_news.notify_one();
     true
@@ -135,6 +132,7 @@
         match listing {
             Listing::Listed(target) => note_target(edge, target),
             Listing::Gone(id) => edge.lines.line("target_gone").with("target", id).write(),
+            Listing::Unusable(id) => note_unusable(edge, id),
         }
     }
     let (catalog, now) = (edge.catalog(), edge.now());
@@ -144,27 +142,57 @@
     edge.fleet_news.notify_one();
 }
 
-fn decode(edge: &Edge, row: &Row) -> Option<Change> {
+/// Takes in a row of a target. One that is no sound entry, whoever wrote it, names no
+/// target to use on any daemon: had it been passed over, some daemons would have gone
+/// on with the entry before it, and others, who read all targets, not.
+fn decode(edge: &Edge, row: &Row) -> Change {
+    let instance = || InstanceId::from(row.key.as_str());
     let what = match &row.value {
-        None => Listing::Gone(row.key.as_str().into()),
-        Some(value) => match decode_target(&row.key, value) {
+        Content::Gone => Listing::Gone(instance()),
+        Content::Unreadable(why) => refuse(edge, instance(), "unreadable", why),
+        Content::Bytes(bytes) => match decode_target(&row.key, bytes) {
             Ok(target) => Listing::Listed(Box::new(target)),
-            Err(error) => {
-                edge.lines.line("target_refused").with("why", error).write();
-                metrics::counter!("thistlesill_edge_targets_refused_total").increment(1);
-                return None;
-            }
+            Err(error) => refuse(edge, instance(), "malformed", &error.text),
         },
     };
-    Some(Change {
+    Change {
         version: row.version,
         what,
-    })
+    }
+}
+
+/// Notes an entry that names no target to use.
+fn refuse(edge: &Edge, instance: InstanceId, cause: &'static str, why: &str) -> Listing {
+    metrics::counter!("thistlesill_edge_targets_refused_total", "cause" => cause).increment(1);
+    let line = edge.lines.line("target_refused").with("target", &instance);
+    let why = why.chars().take(MAX_WHY).collect::<String>();
+    line.with("cause", cause).with("why", why).write();
+    Listing::Unusable(instance)
+}
+
+/// Writes a line about a target that is used no longer, since its entry cannot be.
+fn note_unusable(edge: &Edge, instance: &InstanceId) {
+    if edge.book.borrow().life(instance).is_some() {
+        edge.lines
+            .line("target_unusable")
+            .with("target", instance)
+            .write();
+    }
 }
 
 /// Writes a line about a target's change if it changes who takes requests.
 fn note_target(edge: &Edge, target: &Target) {
     let book = edge.book.borrow();
+    if let Some(life) = book.life(target.id.instance())
+        && life.is_other_life_of(&target.id)
+    {
+        edge.lines
+            .line("target_restarted")
+            .with("target", &target.id)
+            .with("before", life.incarnation())
+            .with("now", target.id.incarnation())
+            .write();
+    }
     let old = book.of(&target.service).and_then(|t| t.get(&target.id));
     let leads = target.leads_open();
     if old.is_some_and(|old| old.leads_open() == leads && old.leaving == target.leaving) {
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -20,3 +20,5 @@
 mod streams;
 #[path = "it/support.rs"]
 mod support;
+#[path = "it/writers.rs"]
+mod writers;
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -0,0 +1,131 @@
+//! Targets that start again under their id, and entries of other writers.
+
+use serde_json::json;
+use thistlesill_platform_standin::targets::{PLAIN, POOL};
+use thistlesill_platform_standin::world::World;
+
+use crate::support::{ask, book, read, sleep, stream, world};
+
+const DAEMONS: usize = 4;
+
+/// Asks each daemon for both kinds of answers; all must come.
+async fn assert_all_serve(world: &World, when: &str) {
+    for daemon in 0..DAEMONS {
+        let plain = ask(world, daemon, read(&format!("{when}-plain-{daemon}"))).await;
+        assert_eq!(plain.status, 200, "{when}, daemon {daemon}");
+        let model = ask(world, daemon, stream(&format!("{when}-model-{daemon}"))).await;
+        assert_eq!(model.status, 200, "{when}, daemon {daemon}");
+    }
+}
+
+/// Puts rows of all sorts that are no sound entries among the targets'.
+fn write_garbage(world: &World) {
+    let store = &world.store;
+    store.put_bytes("servers", "x-bytes", b"\xff\xfe\x00");
+    store.put_bytes("servers", "x-empty", b"");
+    store.spoil("servers", "x-spoilt");
+    store.put(
+        "servers",
+        "x-fields",
+        &json!({"service": POOL, "state": "ready"}),
+    );
+    let entry = |state: &str, slots: serde_json::Value| {
+        json!({"service": PLAIN, "address": "127.0.0.1:9", "zone": "h", "slots": slots,
+               "state": state, "born": 1})
+    };
+    store.put("servers", "x-state", &entry("asleep", json!(6)));
+    store.put("servers", "x-type", &entry("ready", json!("six")));
+    store.put(
+        "servers",
+        "x-service",
+        &json!({"service": "nobody's", "address": "127.0.0.1:9",
+        "zone": "h", "slots": 6, "state": "ready", "born": 1}),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_other_writers_hide_no_target() {
+    let mut world = world(71, DAEMONS as u8).await;
+    write_garbage(&world);
+    sleep(1_000).await;
+    assert_all_serve(&world, "changed").await;
+    // One that starts now reads all entries at once.
+    world.daemons[1].kill().await;
+    world.daemons[1].start();
+    sleep(1_500).await;
+    assert_all_serve(&world, "started").await;
+    let refused = world.lines(1, "ev=target_refused");
+    assert!(refused.len() >= 6, "{refused:?}");
+    assert!(refused.iter().all(|line| line.len() < 400), "{refused:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_turned_into_garbage_takes_its_target_out_on_every_daemon() {
+    let mut world = world(72, DAEMONS as u8).await;
+    world.targets.leave_entry("p-0");
+    world.store.put_bytes("servers", "p-0", b"{\"service\":");
+    sleep(1_000).await;
+    // One has read the changes, the others heard of them; one reads all anew.
+    world.daemons[3].kill().await;
+    world.daemons[3].start();
+    sleep(1_500).await;
+    for daemon in 0..DAEMONS {
+        for turn in 0..4 {
+            let id = format!("once-{daemon}-{turn}");
+            let got = ask(&world, daemon, book(&id)).await;
+            assert_eq!(got.status, 200, "daemon {daemon}");
+            let runs = world.targets.ledger.runs(&id);
+            assert!(runs.iter().all(|r| r.target.as_str() == "p-1"), "{runs:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lease_that_another_writer_spoilt_is_taken_again() {
+    let world = world(73, DAEMONS as u8).await;
+    let before: usize = (0..DAEMONS)
+        .map(|d| world.lines(d, "ev=lease_gained").len())
+        .sum();
+    assert!(before > 0, "somebody forms groups");
+    for _ in 0..4 {
+        world.store.put_bytes("halls", "fleet/lease", b"\xff\xff");
+        world.store.put_bytes("halls", "fleet/term", b"nothing");
+        sleep(400).await;
+    }
+    // The lease runs 2 s; a member is lost, and only a planner replaces it.
+    sleep(4_000).await;
+    let (_, members) = world
+        .targets
+        .serving()
+        .into_iter()
+        .next()
+        .expect("a group serves");
+    world.targets.restart(members[1].as_str());
+    sleep(3_000).await;
+    assert_all_serve(&world, "spoilt").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_start_again_under_their_ids_serve_again() {
+    let world = world(74, DAEMONS as u8).await;
+    for round in 0..3 {
+        let (leader, members) = world
+            .targets
+            .serving()
+            .into_iter()
+            .next()
+            .expect("one serves");
+        let lost = if round == 1 { &leader } else { &members[1] };
+        world.targets.restart(lost.as_str());
+        world.targets.restart("p-0");
+        sleep(2_500).await;
+        assert_all_serve(&world, &format!("round-{round}")).await;
+    }
+    assert!(
+        world.targets.breaches().is_empty(),
+        "{:?}",
+        world.targets.breaches()
+    );
+    let noticed = (0..DAEMONS).all(|d| !world.lines(d, "ev=target_restarted").is_empty());
+    assert!(noticed, "all daemons know of the starts");
+}
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -2,13 +2,15 @@
 //!
 //! They keep the rules that a fleet's planner must never break and collect
 //! each breach: a member joins another group while its old leader serves, a
-//! leader opens without all members ready, an epoch is used twice.
+//! leader opens without all members ready, an epoch is used twice, an instance that has
+//! started again joins another group while the leader of its earlier life's serves.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 
 use thistlesill_core::edge::{
-    Engine, GroupRef, MemberState, Membership, ModelPlan, Order, OrderReply, Target,
+    Engine, GroupRef, Incarnation, MemberState, Membership, ModelPlan, Order, OrderReply, Target,
+    TargetId,
 };
 use thistlesill_core::{InstanceId, Millis, Model};
 
@@ -71,6 +73,8 @@
     /// Highest epoch seen.
     epoch: u64,
     members: Vec<InstanceId>,
+    /// The group of its life before this one.
+    before: Option<GroupRef>,
     joining: Option<(Model, Millis)>,
     opening: Option<Millis>,
     staging: Option<(Model, Millis)>,
@@ -102,8 +106,8 @@
     }
 
     /// Adds the engine with a number; eight numbers share a domain.
-    pub fn add(&mut self, number: usize) -> InstanceId {
-        let id = InstanceId::from(format!("i-{number:03}"));
+    pub fn add(&mut self, number: usize) -> TargetId {
+        let id = TargetId::from(format!("i-{number:03}"));
         let address = SocketAddr::from((Ipv4Addr::new(10, 0, 0, number as u8), 80));
         let target = Target {
             id: id.clone(),
@@ -123,17 +127,18 @@
             loaded: None,
             epoch: 0,
             members: Vec::new(),
+            before: None,
             joining: None,
             opening: None,
             staging: None,
             stalled: None,
         };
-        self.all.insert(id.clone(), engine);
+        self.all.insert(id.instance().clone(), engine);
         id
     }
 
     /// The targets as the list shows them.
-    pub fn listed(&self) -> HashMap<InstanceId, Target> {
+    pub fn listed(&self) -> HashMap<TargetId, Target> {
         let listed = self.all.values().filter(|e| e.listed);
         listed
             .map(|e| (e.target.id.clone(), e.target.clone()))
@@ -141,75 +146,110 @@
     }
 
     /// Whether an engine leads a group that serves and has all its members.
-    pub fn runs(&self, id: &InstanceId) -> bool {
+    pub fn runs(&self, id: &TargetId) -> bool {
         let leads = self
             .all
-            .get(id)
+            .get(id.instance())
             .is_some_and(|e| e.alive && e.target.leads_open());
         leads && !self.lacks_member(id)
     }
 
     /// Moves an engine to an address.
-    pub fn settle(&mut self, id: &InstanceId, address: SocketAddr) {
-        if let Some(engine) = self.all.get_mut(id) {
+    pub fn settle(&mut self, id: &TargetId, address: SocketAddr) {
+        if let Some(engine) = self.all.get_mut(id.instance()) {
             engine.target.address = address;
         }
     }
 
     /// Whether an engine answers.
-    pub fn is_alive(&self, id: &InstanceId) -> bool {
-        self.all.get(id).is_some_and(|e| e.alive)
+    pub fn is_alive(&self, id: &TargetId) -> bool {
+        self.all.get(id.instance()).is_some_and(|e| e.alive)
     }
 
     /// The leaders of groups that serve, with their groups' members.
-    pub fn serving(&self) -> Vec<(InstanceId, Vec<InstanceId>)> {
+    pub fn serving(&self) -> Vec<(TargetId, Vec<TargetId>)> {
         let open = self
             .all
             .values()
             .filter(|e| e.alive && e.target.leads_open());
-        open.map(|e| (e.target.id.clone(), e.members.clone()))
+        open.map(|e| (e.target.id.clone(), self.lives(&e.members)))
             .collect()
     }
 
+    /// The present lives of some instances.
+    fn lives(&self, instances: &[InstanceId]) -> Vec<TargetId> {
+        let engines = instances.iter().filter_map(|id| self.all.get(id));
+        engines.map(|e| e.target.id.clone()).collect()
+    }
+
     /// Leaders that serve but lack a member.
-    pub fn stalled(&self) -> HashSet<InstanceId> {
+    pub fn stalled(&self) -> HashSet<TargetId> {
         let open = self.all.values().filter(|e| e.target.leads_open());
         let lacking = open.filter(|e| e.stalled.is_some() || !e.alive);
         lacking.map(|e| e.target.id.clone()).collect()
     }
 
     /// Silences an engine for good; it stays in the list for a while.
-    pub fn kill(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.all.get_mut(id) {
+    pub fn kill(&mut self, id: &TargetId) {
+        if let Some(engine) = self.all.get_mut(id.instance()) {
             engine.alive = false;
         }
     }
 
+    /// Has an engine start again under its id: it holds what lies on its host and
+    /// knows nothing else. Returns its new life.
+    pub fn restart(&mut self, id: &TargetId, born: Incarnation) -> Option<TargetId> {
+        let engine = self.all.get_mut(id.instance())?;
+        let target = &mut engine.target;
+        let before = target.member.take().map(|m| m.of);
+        target.id = TargetId::new(id.instance().clone(), born);
+        target.leaving = false;
+        *engine = FakeEngine {
+            target: target.clone(),
+            alive: true,
+            listed: true,
+            loaded: None,
+            epoch: 0,
+            members: Vec::new(),
+            before,
+            joining: None,
+            opening: None,
+            staging: None,
+            stalled: None,
+        };
+        Some(engine.target.id.clone())
+    }
+
+    /// The present life of an engine.
+    pub fn life(&self, id: &TargetId) -> Option<TargetId> {
+        self.all.get(id.instance()).map(|e| e.target.id.clone())
+    }
+
     /// Takes an engine off the list, whether it lives or not.
-    pub fn unlist(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.all.get_mut(id) {
+    pub fn unlist(&mut self, id: &TargetId) {
+        if let Some(engine) = self.all.get_mut(id.instance()) {
             engine.listed = false;
         }
     }
 
     /// Has an engine say that it leaves.
-    pub fn leave(&mut self, id: &InstanceId) {
-        if let Some(engine) = self.all.get_mut(id) {
+    pub fn leave(&mut self, id: &TargetId) {
+        if let Some(engine) = self.all.get_mut(id.instance()) {
             engine.target.leaving = true;
         }
     }
 
     /// Lets time pass.
     pub fn advance(&mut self, now: Millis) {
-        let ids: Vec<InstanceId> = self.all.keys().cloned().collect();
+        let ids: Vec<TargetId> = self.all.values().map(|e| e.target.id.clone()).collect();
         for id in ids {
             self.advance_one(&id, now);
         }
     }
 
-    fn advance_one(&mut self, id: &InstanceId, now: Millis) {
+    fn advance_one(&mut self, id: &TargetId, now: Millis) {
         let lacks = self.lacks_member(id);
-        let Some(engine) = self.all.get_mut(id).filter(|e| e.alive) else {
+        let Some(engine) = self.all.get_mut(id.instance()).filter(|e| e.alive) else {
             return;
         };
         if let Some((model, _)) = engine.staging.take_if(|(_, at)| *at <= now) {
@@ -223,7 +263,8 @@
             member.model = Some(model.clone());
             engine.loaded = Some(model.clone());
             engine.target.staged = vec![model];
-            self.ready.insert((member.of.clone(), id.clone()));
+            self.ready
+                .insert((member.of.clone(), id.instance().clone()));
         }
         if engine.opening.take_if(|at| *at <= now).is_some() {
             member.state = MemberState::Open;
@@ -239,8 +280,8 @@
     }
 
     /// Whether a leader lacks a member of its group.
-    fn lacks_member(&self, id: &InstanceId) -> bool {
-        let Some(leader) = self.all.get(id) else {
+    fn lacks_member(&self, id: &TargetId) -> bool {
+        let Some(leader) = self.all.get(id.instance()) else {
             return false;
         };
         let Some(group) = leader.target.member.as_ref().map(|m| &m.of) else {
@@ -254,7 +295,7 @@
     }
 
     /// Gives an order to an engine.
-    pub fn order(&mut self, id: &InstanceId, order: &Order, now: Millis) -> OrderReply {
+    pub fn order(&mut self, id: &TargetId, order: &Order, now: Millis) -> OrderReply {
         if !self.is_alive(id) {
             return OrderReply::Unknown;
         }
@@ -264,7 +305,7 @@
             Order::Cut(group) | Order::Close(group) => self.close(id, group),
             Order::Leave(group) => self.leave_group(id, group),
             Order::Stage(model) => {
-                let Some(engine) = self.all.get_mut(id) else {
+                let Some(engine) = self.all.get_mut(id.instance()) else {
                     return OrderReply::Unknown;
                 };
                 engine.staging = Some((model.clone(), now + self.times.load));
@@ -275,24 +316,26 @@
 
     fn join(
         &mut self,
-        id: &InstanceId,
+        id: &TargetId,
         to: &GroupRef,
         model: &Model,
-        members: &[InstanceId],
+        members: &[TargetId],
         now: Millis,
     ) -> OrderReply {
+        let members: Vec<InstanceId> = members.iter().map(|m| m.instance().clone()).collect();
         let list = self
             .lists
             .entry(to.clone())
-            .or_insert_with(|| members.to_vec());
-        if list != members {
+            .or_insert_with(|| members.clone());
+        if *list != members {
             self.breaches
                 .push(format!("{} has two lists of members", to.group));
         }
-        let Some(engine) = self.all.get(id) else {
+        let Some(engine) = self.all.get(id.instance()) else {
             return OrderReply::Unknown;
         };
         let old = engine.target.member.as_ref().map(|m| m.of.clone());
+        let old = old.or_else(|| engine.before.clone().filter(|before| before != to));
         if old.as_ref() == Some(to) {
             return OrderReply::Taken;
         }
@@ -302,7 +345,7 @@
         if let Some(old) = old {
             self.check_left(id, &old);
         }
-        let Some(engine) = self.all.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id.instance()) else {
             return OrderReply::Unknown;
         };
         let time = if engine.loaded.as_ref() == Some(model) {
@@ -313,10 +356,12 @@
             self.times.load
         };
         engine.epoch = to.epoch;
-        engine.members = members.to_vec();
+        let rank = members.iter().position(|m| m == id.instance());
+        let rank = rank.unwrap_or(usize::MAX) as u32;
+        engine.members = members;
+        engine.before = None;
         engine.joining = Some((model.clone(), now + time));
         engine.opening = None;
-        let rank = members.iter().position(|m| m == id).unwrap_or(usize::MAX) as u32;
         engine.target.member = Some(Membership {
             of: to.clone(),
             rank,
@@ -327,7 +372,7 @@
     }
 
     /// A member may go only if its leader neither serves nor will.
-    fn check_left(&mut self, id: &InstanceId, old: &GroupRef) {
+    fn check_left(&mut self, id: &TargetId, old: &GroupRef) {
         let leader = self.lists.get(old).and_then(|list| list.first()).cloned();
         let leads = leader.and_then(|l| self.all.get(&l)).filter(|e| e.alive);
         let member = leads.and_then(|e| e.target.member.as_ref());
@@ -338,7 +383,7 @@
         }
     }
 
-    fn open(&mut self, id: &InstanceId, group: &GroupRef, now: Millis) -> OrderReply {
+    fn open(&mut self, id: &TargetId, group: &GroupRef, now: Millis) -> OrderReply {
         let members = self.lists.get(group).cloned().unwrap_or_default();
         let unready = members
             .iter()
@@ -347,7 +392,7 @@
             self.breaches
                 .push(format!("{} opens before {unready} is ready", group.group));
         }
-        let Some(engine) = self.all.get_mut(id) else {
+        let Some(engine) = self.all.get_mut(id.instance()) else {
             return OrderReply::Unknown;
         };
         match &engine.target.member {
@@ -360,8 +405,8 @@
         }
     }
 
-    fn close(&mut self, id: &InstanceId, group: &GroupRef) -> OrderReply {
-        let Some(engine) = self.all.get_mut(id) else {
+    fn close(&mut self, id: &TargetId, group: &GroupRef) -> OrderReply {
+        let Some(engine) = self.all.get_mut(id.instance()) else {
             return OrderReply::Unknown;
         };
         match &mut engine.target.member {
@@ -374,8 +419,8 @@
         }
     }
 
-    fn leave_group(&mut self, id: &InstanceId, group: &GroupRef) -> OrderReply {
-        let Some(engine) = self.all.get_mut(id) else {
+    fn leave_group(&mut self, id: &TargetId, group: &GroupRef) -> OrderReply {
+        let Some(engine) = self.all.get_mut(id.instance()) else {
             return OrderReply::Unknown;
         };
         match &engine.target.member {
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -4,11 +4,11 @@
 //! an entry that vanishes just after the store came back is kept for the time
 //! in which a living target writes itself in again.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{Catalog, Target};
+use thistlesill_core::edge::{Catalog, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
 
 /// Time in which living targets are listed again after the store returned.
@@ -17,7 +17,9 @@
 /// All targets that are known.
 #[derive(Debug, Clone, Default)]
 pub struct TargetBook {
-    targets: HashMap<ServiceName, HashMap<InstanceId, Target>>,
+    targets: HashMap<ServiceName, HashMap<TargetId, Target>>,
+    /// What each instance was last listed as.
+    lives: HashMap<InstanceId, Life>,
     /// Targets whose entries vanished while the store was in doubt, with the
     /// moment at which they are dropped.
     lapsed: HashMap<InstanceId, Millis>,
@@ -26,13 +28,34 @@
     serving: HashMap<ServiceName, HashMap<Option<Model>, Vec<Arc<Target>>>>,
 }
 
+/// What an instance was last listed as.
+#[derive(Debug, Clone)]
+struct Life {
+    service: ServiceName,
+    id: TargetId,
+}
+
 /// What a change of an entry means.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     /// A target is listed, or its entry changed.
     Listed(Box<Target>),
-    /// A target's entry is gone.
+    /// The entry of an instance is gone.
     Gone(InstanceId),
+    /// The entry of an instance became one that cannot be decoded. It names no target
+    /// to use, and nothing tells that the one it named before is still there.
+    Unusable(InstanceId),
+}
+
+impl Listing {
+    /// The instance whose entry changed.
+    #[must_use]
+    pub fn instance(&self) -> &InstanceId {
+        match self {
+            Self::Listed(target) => target.id.instance(),
+            Self::Gone(instance) | Self::Unusable(instance) => instance,
+        }
+    }
 }
 
 impl TargetBook {
@@ -61,20 +84,20 @@
         for change in changes {
             match change {
                 Listing::Listed(target) => self.list(*target),
-                Listing::Gone(id) => self.lapse(id, now),
+                Listing::Gone(instance) => self.lapse(instance, now),
+                Listing::Unusable(instance) => self.drop_instance(&instance),
             }
         }
         self.index(catalog);
     }
 
     /// Takes in all entries at once; what is missing in them is gone.
-    pub fn replace(&mut self, all: Vec<Target>, catalog: Option<&Catalog>, now: Millis) {
-        let known: Vec<InstanceId> = self.ids().cloned().collect();
-        let gone = known
-            .into_iter()
-            .filter(|id| all.iter().all(|t| t.id != *id));
+    pub fn replace(&mut self, all: Vec<Listing>, catalog: Option<&Catalog>, now: Millis) {
+        let listed: HashSet<&InstanceId> = all.iter().map(Listing::instance).collect();
+        let known = self.lives.keys();
+        let gone = known.filter(|instance| !listed.contains(instance)).cloned();
         let mut changes: Vec<Listing> = gone.map(Listing::Gone).collect();
-        changes.extend(all.into_iter().map(|t| Listing::Listed(Box::new(t))));
+        changes.extend(all);
         self.apply(changes, catalog, now);
     }
 
@@ -84,11 +107,10 @@
             .lapsed
             .iter()
             .filter(|(_, until)| **until <= now && self.steady.is_some())
-            .map(|(id, _)| id.clone())
+            .map(|(instance, _)| instance.clone())
             .collect();
-        for id in &due {
-            self.lapsed.remove(id);
-            self.drop_target(id);
+        for instance in &due {
+            self.drop_instance(instance);
         }
         if !due.is_empty() {
             self.index(catalog);
@@ -130,38 +152,54 @@
     }
 
     /// The targets of a service.
-    pub fn of(&self, service: &ServiceName) -> Option<&HashMap<InstanceId, Target>> {
+    pub fn of(&self, service: &ServiceName) -> Option<&HashMap<TargetId, Target>> {
         self.targets.get(service)
     }
 
-    /// Whether a target is known.
-    pub fn knows(&self, id: &InstanceId) -> bool {
-        self.targets.values().any(|t| t.contains_key(id))
+    /// Whether this life of a target is the one that is known.
+    pub fn knows(&self, id: &TargetId) -> bool {
+        self.life(id.instance()) == Some(id)
+    }
+
+    /// How many targets are known.
+    pub fn count(&self) -> usize {
+        self.lives.len()
     }
 
-    /// The ids of all targets.
-    pub fn ids(&self) -> impl Iterator<Item = &InstanceId> {
-        self.targets.values().flat_map(HashMap::keys)
+    /// Which life of an instance's target is known.
+    pub fn life(&self, instance: &InstanceId) -> Option<&TargetId> {
+        self.lives.get(instance).map(|life| &life.id)
     }
 
     fn list(&mut self, target: Target) {
-        self.lapsed.remove(&target.id);
+        let instance = target.id.instance().clone();
+        let life = Life {
+            service: target.service.clone(),
+            id: target.id.clone(),
+        };
+        // An earlier life, or the same one under another service.
+        self.drop_instance(&instance);
         let service = self.targets.entry(target.service.clone()).or_default();
         service.insert(target.id.clone(), target);
+        self.lives.insert(instance, life);
     }
 
-    fn lapse(&mut self, id: InstanceId, now: Millis) {
+    fn lapse(&mut self, instance: InstanceId, now: Millis) {
         let steady = self.steady.unwrap_or(now);
-        if now - steady < RELIST {
-            self.lapsed.insert(id, steady + RELIST);
-        } else {
-            self.drop_target(&id);
+        if now - steady >= RELIST {
+            self.drop_instance(&instance);
+        } else if self.lives.contains_key(&instance) {
+            self.lapsed.insert(instance, steady + RELIST);
         }
     }
 
-    fn drop_target(&mut self, id: &InstanceId) {
-        for targets in self.targets.values_mut() {
-            targets.remove(id);
+    fn drop_instance(&mut self, instance: &InstanceId) {
+        self.lapsed.remove(instance);
+        let Some(life) = self.lives.remove(instance) else {
+            return;
+        };
+        if let Some(targets) = self.targets.get_mut(&life.service) {
+            targets.remove(&life.id);
         }
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -19,7 +19,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use thistlesill_core::edge::{Engine, GroupRef, MemberState, Order, OrderReply, Target};
+use thistlesill_core::edge::{
+    Engine, GroupRef, Incarnation, MemberState, Order, OrderReply, Target, TargetId,
+};
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
@@ -72,7 +74,7 @@
     /// Give an order.
     Give {
         /// The engine.
-        target: InstanceId,
+        target: TargetId,
         /// Where it listens.
         address: SocketAddr,
         /// The order.
@@ -83,7 +85,7 @@
     /// Ask a target whether it lives.
     Probe {
         /// The target.
-        target: InstanceId,
+        target: TargetId,
         /// Where it listens.
         address: SocketAddr,
     },
@@ -93,17 +95,17 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FleetView<'a> {
     /// The targets of the service.
-    pub targets: &'a HashMap<InstanceId, Target>,
+    pub targets: &'a HashMap<TargetId, Target>,
     /// The service's engines.
     pub engine: &'a Engine,
     /// Leaders whose groups stand still, as the daemons see it.
-    pub stalled: &'a HashSet<InstanceId>,
+    pub stalled: &'a HashSet<TargetId>,
     /// Leaders whose streams are slow, as the daemons see it.
-    pub slow: &'a HashSet<InstanceId>,
+    pub slow: &'a HashSet<TargetId>,
     /// Leaders that still work for some daemon.
-    pub working: &'a HashSet<InstanceId>,
+    pub working: &'a HashSet<TargetId>,
     /// Requests at leaders, of all daemons.
-    pub requests: &'a HashMap<InstanceId, u32>,
+    pub requests: &'a HashMap<TargetId, u32>,
     /// The work that each model is asked for, over all daemons.
     pub demand: &'a Demand,
     /// The term of the lease.
@@ -121,6 +123,24 @@
     Slow,
     /// It did not answer.
     Silent,
+    /// It has started again and knows nothing of its group.
+    Restarted,
+}
+
+impl Condition {
+    /// What a target's answer says of it: the life that answered, and its pace as a
+    /// factor on its usual times; over `slow` it counts as slow.
+    #[must_use]
+    pub fn of_answer(target: &TargetId, answered: Incarnation, pace: f64, slow: f64) -> Self {
+        let told = answered != Incarnation::default();
+        if told && answered != target.incarnation() {
+            Self::Restarted
+        } else if pace >= slow {
+            Self::Slow
+        } else {
+            Self::Sound
+        }
+    }
 }
 
 /// The planner of one service's groups, while its daemon holds the lease.
@@ -144,32 +164,36 @@
     /// Since when each model would do with a group fewer.
     eased: BTreeMap<Model, Millis>,
     /// When an order was last given to a target, by its kind.
-    given: BTreeMap<(InstanceId, &'static str), Millis>,
-    avoid: BTreeMap<InstanceId, Millis>,
+    given: BTreeMap<(TargetId, &'static str), Millis>,
+    avoid: BTreeMap<TargetId, Millis>,
     /// Probes in a row that a target did not answer, and the last one's time.
-    silent: BTreeMap<InstanceId, (u32, Millis)>,
-    probed: BTreeMap<InstanceId, Millis>,
+    silent: BTreeMap<TargetId, (u32, Millis)>,
+    probed: BTreeMap<TargetId, Millis>,
     /// Targets that were much slower than usual when they were last asked.
-    slow: BTreeSet<InstanceId>,
+    slow: BTreeSet<TargetId>,
     /// Rounds of probes of a leader's group, and when they began.
-    rounds: BTreeMap<InstanceId, (u32, Millis)>,
+    rounds: BTreeMap<TargetId, (u32, Millis)>,
     /// When the members of a slow leader were last asked for their pace.
-    asked: BTreeMap<InstanceId, Millis>,
-    missing: BTreeMap<InstanceId, Millis>,
+    asked: BTreeMap<TargetId, Millis>,
+    missing: BTreeMap<TargetId, Millis>,
+    /// Lives of targets that are over, since their instances have started again.
+    ended: BTreeSet<TargetId>,
+    /// Who has shown itself as a member of each group.
+    rosters: BTreeMap<GroupRef, BTreeSet<TargetId>>,
     /// When each group was first seen.
     seen: BTreeMap<GroupRef, Millis>,
     /// The model of each target's last group: it joins another one of that model
     /// without taking over weights.
-    loaded: BTreeMap<InstanceId, Model>,
+    loaded: BTreeMap<TargetId, Model>,
     /// Who led each group when it was last seen.
-    leaders: BTreeMap<GroupRef, InstanceId>,
+    leaders: BTreeMap<GroupRef, TargetId>,
     /// The most targets that were seen.
     most: usize,
     /// When a target was last seen for the first time.
     grown: Millis,
-    addresses: BTreeMap<InstanceId, SocketAddr>,
+    addresses: BTreeMap<TargetId, SocketAddr>,
     /// Spares that were told to hold a model ready, and when.
-    staging: BTreeMap<InstanceId, (Model, Millis)>,
+    staging: BTreeMap<TargetId, (Model, Millis)>,
     /// Conversions of groups to short models that are under way.
     conversions: Vec<Conversion>,
     /// Since when each model has been so short that others give way.
@@ -200,7 +224,9 @@
                 free.extend(standing.members.iter().map(|m| m.id.clone()));
             }
         }
-        free.extend(survey.single.iter().map(|t| t.id.clone()));
+        let bound = self.bound(&survey);
+        let single = survey.single.iter().map(|t| &t.id);
+        free.extend(single.filter(|id| !bound.contains(id.instance())).cloned());
         self.tend_planned(view, now, &mut actions);
         self.ask_slow(view, &free, now, &mut actions);
         self.drop_taken(&mut free, view, now);
@@ -211,7 +237,7 @@
     }
 
     /// Takes in what became of an order.
-    pub fn answered(&mut self, target: &InstanceId, order: &Order, reply: OrderReply, now: Millis) {
+    pub fn answered(&mut self, target: &TargetId, order: &Order, reply: OrderReply, now: Millis) {
         match (order, reply) {
             (Order::Join { to, .. }, OrderReply::Taken) => {
                 if let Some(planned) = self.planned.get_mut(to) {
@@ -252,7 +278,7 @@
     }
 
     /// Takes in what a probe found of a target.
-    pub fn probed(&mut self, target: &InstanceId, found: Condition, now: Millis) {
+    pub fn probed(&mut self, target: &TargetId, found: Condition, now: Millis) {
         match found {
             Condition::Sound => {
                 self.silent.remove(target);
@@ -262,6 +288,9 @@
                 self.silent.remove(target);
                 self.slow.insert(target.clone());
             }
+            Condition::Restarted => {
+                self.ended.insert(target.clone());
+            }
             Condition::Silent => {
                 let silent = self.silent.entry(target.clone()).or_insert((0, now));
                 *silent = (silent.0 + 1, now);
@@ -269,36 +298,39 @@
         }
     }
 
-    /// Targets that answered no probe.
-    pub fn dead(&self) -> impl Iterator<Item = &InstanceId> {
-        let dead = self
-            .silent
-            .iter()
-            .filter(|(_, (probes, _))| *probes >= DEAD_PROBES);
-        dead.map(|(id, _)| id)
+    /// Listed targets that answered no probe or have started again, and the leaders
+    /// that still take requests for groups that lost a member.
+    pub fn broken(&self, targets: &HashMap<TargetId, Target>) -> Vec<TargetId> {
+        let broken = |t: &&Target| {
+            let group = t.member.as_ref().map(|m| &m.of);
+            self.is_dead(&t.id) || t.leads_open() && group.is_some_and(|g| self.lacks(g, targets))
+        };
+        let found = targets.values().filter(broken).map(|t| t.id.clone());
+        found.collect::<BTreeSet<_>>().into_iter().collect()
     }
 
-    /// Listed targets that answered no probe, and the leaders that still take
-    /// requests for groups with such members.
-    pub fn broken(&self, targets: &HashMap<InstanceId, Target>) -> Vec<InstanceId> {
-        let dead: Vec<&Target> = self.dead().filter_map(|id| targets.get(id)).collect();
-        let group = |target: &Target| target.member.as_ref().map(|m| m.of.clone());
-        let lost: BTreeSet<GroupRef> = dead.iter().filter_map(|t| group(t)).collect();
-        let leads = |t: &&Target| t.leads_open() && group(t).is_some_and(|g| lost.contains(&g));
-        let leaders = targets.values().filter(leads);
-        let all = dead.into_iter().chain(leaders).map(|t| t.id.clone());
-        all.collect::<BTreeSet<_>>().into_iter().collect()
+    fn is_dead(&self, id: &TargetId) -> bool {
+        let silent = self.silent.get(id);
+        silent.is_some_and(|(probes, _)| *probes >= DEAD_PROBES) || self.ended.contains(id)
     }
 
-    fn is_dead(&self, id: &InstanceId) -> bool {
-        self.silent
-            .get(id)
-            .is_some_and(|(probes, _)| *probes >= DEAD_PROBES)
+    /// Whether a member of a group is surely lost: it answers no probe, it has started
+    /// again, or it shows another group or none.
+    ///
+    /// A member whose entry is gone may live: it may leave without a word and work on,
+    /// or its entry lapsed with the store.
+    fn lacks(&self, group: &GroupRef, targets: &HashMap<TargetId, Target>) -> bool {
+        let elsewhere = |id: &TargetId| {
+            let of = |t: &Target| t.member.as_ref().is_none_or(|m| m.of != *group);
+            targets.get(id).is_some_and(of)
+        };
+        let lost = |id: &TargetId| self.is_dead(id) || elsewhere(id);
+        self.rosters.get(group).is_some_and(|r| r.iter().any(lost))
     }
 
     /// Follows the fleet without the lease, so that a planner that takes over
     /// knows who led which group.
-    pub fn watch(&mut self, targets: &HashMap<InstanceId, Target>, now: Millis) {
+    pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.planned.clear();
         self.remember(targets, now);
         for target in targets.values() {
@@ -319,12 +351,12 @@
     }
 
     /// Gives up a group that cannot be completed because of one member.
-    fn abandon(&mut self, group: &GroupRef, target: &InstanceId, now: Millis) {
+    fn abandon(&mut self, group: &GroupRef, target: &TargetId, now: Millis) {
         self.planned.remove(group);
         self.avoid.insert(target.clone(), now);
     }
 
-    fn remember(&mut self, targets: &HashMap<InstanceId, Target>, now: Millis) {
+    fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.avoid.retain(|_, at| now - *at < AVOID);
         self.silent.retain(|_, (_, at)| now - *at < DEAD);
         self.most = self.most.max(targets.len());
@@ -360,6 +392,10 @@
                 (None, _) => {}
             }
             self.seen.entry(member.of.clone()).or_insert(now);
+            let roster = self.rosters.entry(member.of.clone()).or_default();
+            if !roster.contains(&target.id) {
+                roster.insert(target.id.clone());
+            }
             if target.leads_open() && self.opening.get(&member.of) == Some(&0) {
                 self.opening.remove(&member.of);
             }
@@ -372,11 +408,13 @@
                 self.missing.entry(id.clone()).or_insert(now);
             }
         }
+        self.note_ended(targets);
         let shown: BTreeSet<&GroupRef> = targets
             .values()
             .filter_map(|t| Some(&t.member.as_ref()?.of))
             .collect();
         self.seen.retain(|group, _| shown.contains(group));
+        self.rosters.retain(|group, _| shown.contains(group));
         self.leaders.retain(|group, _| shown.contains(group));
         self.opening.retain(|group, _| shown.contains(group));
         self.left.retain(|group| shown.contains(group));
@@ -387,6 +425,21 @@
         let missing = &self.missing;
         self.addresses
             .retain(|id, _| targets.contains_key(id) || missing.contains_key(id));
+        let addresses = &self.addresses;
+        self.ended.retain(|id| addresses.contains_key(id));
+    }
+
+    /// Notes the lives that are over, since a later one of the same instance is listed.
+    fn note_ended(&mut self, targets: &HashMap<TargetId, Target>) {
+        if self.missing.keys().all(|id| self.ended.contains(id)) {
+            return;
+        }
+        let listed: HashSet<&InstanceId> = targets.keys().map(TargetId::instance).collect();
+        let over = self
+            .missing
+            .keys()
+            .filter(|id| listed.contains(id.instance()));
+        self.ended.extend(over.cloned());
     }
 
     /// Repeats joins that are still unanswered and drops what is complete or
@@ -413,20 +466,31 @@
         }
     }
 
-    fn is_usable(&self, id: &InstanceId, view: &FleetView<'_>) -> bool {
+    fn is_usable(&self, id: &TargetId, view: &FleetView<'_>) -> bool {
         let listed = view.targets.get(id).is_some_and(|t| !t.leaving);
         let sound = !self.is_dead(id) && !self.slow.contains(id);
         listed && sound && !self.avoid.contains_key(id)
     }
 
+    /// Instances that have started again while the group of their earlier life has not
+    /// ended: its leader may serve on until it has noticed.
+    fn bound(&self, survey: &Survey<'_>) -> HashSet<&InstanceId> {
+        let stands = |group: &&GroupRef| survey.groups.contains_key(*group);
+        let groups = self.rosters.keys().filter(stands);
+        let standing = groups.filter(|group| !self.void.contains(*group));
+        let members = standing.flat_map(|group| &self.rosters[group]);
+        let over = members.filter(|id| self.ended.contains(*id));
+        over.map(TargetId::instance).collect()
+    }
+
     /// Leaves only targets that can be planned with now.
-    fn drop_taken(&self, free: &mut BTreeSet<InstanceId>, view: &FleetView<'_>, now: Millis) {
+    fn drop_taken(&self, free: &mut BTreeSet<TargetId>, view: &FleetView<'_>, now: Millis) {
         for planned in self.planned.values() {
             for id in &planned.members {
                 free.remove(id);
             }
         }
-        let busy = |id: &InstanceId| {
+        let busy = |id: &TargetId| {
             let slot = (id.clone(), "stage");
             self.given.get(&slot).is_some_and(|at| now - *at < REPEAT)
         };
@@ -437,7 +501,7 @@
         self.counter += 1;
         let seen = view.targets.values().filter_map(|t| t.member.as_ref());
         let highest = seen.map(|m| m.of.epoch).max().unwrap_or(0);
-        let epoch = ((view.term << EPOCH_BITS) + self.counter).max(highest + 1);
+        let epoch = ((view.term << EPOCH_BITS) + self.counter).max(highest.saturating_add(1));
         self.counter = self
             .counter
             .max(epoch.saturating_sub(view.term << EPOCH_BITS));
--- a/crates/thistlesill-policy/src/edge/fleet/conversion.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -9,8 +9,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target};
-use thistlesill_core::{DomainId, InstanceId, Millis, Model};
+use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target, TargetId};
+use thistlesill_core::{DomainId, Millis, Model};
 
 use super::demand::{fair_groups, needed_groups, shortage};
 use super::forming::{BELOW_FAIR, by_domain};
@@ -34,7 +34,7 @@
     /// Groups that give way.
     groups: BTreeSet<GroupRef>,
     /// Targets that load the model's weights.
-    members: BTreeSet<InstanceId>,
+    members: BTreeSet<TargetId>,
 }
 
 /// What conversions can still use.
@@ -46,7 +46,7 @@
 }
 
 impl<'a> Room<'a> {
-    fn new(view: &FleetView<'a>, free: &BTreeSet<InstanceId>) -> Self {
+    fn new(view: &FleetView<'a>, free: &BTreeSet<TargetId>) -> Self {
         Self {
             idle: by_domain(view, free),
             given: BTreeSet::new(),
@@ -99,7 +99,7 @@
         &mut self,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
-        free: &BTreeSet<InstanceId>,
+        free: &BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target};
-use thistlesill_core::{DomainId, InstanceId, Millis, Model};
+use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target, TargetId};
+use thistlesill_core::{DomainId, Millis, Model};
 
 use super::demand::shortage;
 use super::loads::most_calm;
@@ -24,13 +24,13 @@
 /// A group that was decided on and is not yet shown by all its members.
 #[derive(Debug)]
 pub(super) struct Planned {
-    pub(super) members: Vec<InstanceId>,
+    pub(super) members: Vec<TargetId>,
     pub(super) model: Model,
     /// Members that took the order to join.
-    pub(super) taken: BTreeSet<InstanceId>,
+    pub(super) taken: BTreeSet<TargetId>,
     /// Whether it waits to be wanted once it is complete.
     pub(super) standby: bool,
-    unanswered: BTreeMap<InstanceId, u32>,
+    unanswered: BTreeMap<TargetId, u32>,
 }
 
 impl Planned {
@@ -53,7 +53,7 @@
     }
 
     /// Counts an order that got no answer, and returns how many did not.
-    pub(super) fn unanswered(&mut self, target: &InstanceId) -> u32 {
+    pub(super) fn unanswered(&mut self, target: &TargetId) -> u32 {
         let count = self.unanswered.entry(target.clone()).or_default();
         *count += 1;
         *count
@@ -67,7 +67,7 @@
     /// Whether the group needs no more orders: it takes requests, or it stands
     /// by.
     pub(super) fn is_done(&self, group: &GroupRef, view: &FleetView<'_>) -> bool {
-        let ready = |id: &InstanceId| {
+        let ready = |id: &TargetId| {
             let member = view.targets.get(id).and_then(|t| t.member.as_ref());
             member.is_some_and(|m| m.of == *group && m.state == MemberState::Ready)
         };
@@ -83,8 +83,8 @@
         &self,
         group: &GroupRef,
         view: &FleetView<'_>,
-    ) -> Vec<(InstanceId, Order)> {
-        let open = |id: &&InstanceId| !self.taken.contains(*id) && !shows(id, group, view);
+    ) -> Vec<(TargetId, Order)> {
+        let open = |id: &&TargetId| !self.taken.contains(*id) && !shows(id, group, view);
         let members = self.members.iter().filter(open);
         members.map(|id| (id.clone(), self.join(group))).collect()
     }
@@ -98,7 +98,7 @@
     }
 }
 
-fn shows(id: &InstanceId, group: &GroupRef, view: &FleetView<'_>) -> bool {
+fn shows(id: &TargetId, group: &GroupRef, view: &FleetView<'_>) -> bool {
     let member = view.targets.get(id).and_then(|t| t.member.as_ref());
     member.is_some_and(|m| m.of == *group)
 }
@@ -133,7 +133,7 @@
         &mut self,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
-        free: &mut BTreeSet<InstanceId>,
+        free: &mut BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
@@ -205,7 +205,7 @@
     fn best_candidate<'a>(
         &mut self,
         view: &FleetView<'a>,
-        free: &BTreeSet<InstanceId>,
+        free: &BTreeSet<TargetId>,
         counts: &BTreeMap<Model, usize>,
         now: Millis,
     ) -> Option<Candidate<'a>> {
@@ -329,7 +329,7 @@
 /// The targets of some ids, by domain.
 pub(super) fn by_domain<'a>(
     view: &FleetView<'a>,
-    ids: &BTreeSet<InstanceId>,
+    ids: &BTreeSet<TargetId>,
 ) -> BTreeMap<Option<&'a DomainId>, Vec<&'a Target>> {
     let mut domains: BTreeMap<Option<&DomainId>, Vec<&Target>> = BTreeMap::new();
     for target in ids.iter().filter_map(|id| view.targets.get(id)) {
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use thistlesill_core::edge::{GroupRef, Order, Target};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{GroupRef, Order, Target, TargetId};
 
 use super::survey::{Standing, Verdict};
 use super::{
@@ -119,7 +119,7 @@
     /// whether it was given.
     pub(super) fn give(
         &mut self,
-        target: InstanceId,
+        target: TargetId,
         address: SocketAddr,
         order: Order,
         why: &'static str,
@@ -144,7 +144,7 @@
     pub(super) fn ask_slow(
         &mut self,
         view: &FleetView<'_>,
-        free: &BTreeSet<InstanceId>,
+        free: &BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -9,8 +9,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{ModelPlan, Order, Target};
-use thistlesill_core::{DomainId, InstanceId, Millis, Model};
+use thistlesill_core::edge::{ModelPlan, Order, Target, TargetId};
+use thistlesill_core::{DomainId, Millis, Model};
 
 use super::demand::shortage;
 use super::forming::BELOW_FAIR;
@@ -108,7 +108,7 @@
         &mut self,
         view: &FleetView<'_>,
         survey: &Survey<'_>,
-        free: &BTreeSet<InstanceId>,
+        free: &BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -7,8 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target};
-use thistlesill_core::{DomainId, InstanceId, Millis, Model};
+use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target, TargetId};
+use thistlesill_core::{DomainId, Millis, Model};
 
 use super::demand::{announced_groups, fair_groups};
 use super::forming::{BELOW_FAIR, Planned};
@@ -162,7 +162,7 @@
     pub(super) fn form_standby(
         &mut self,
         view: &FleetView<'_>,
-        free: &mut BTreeSet<InstanceId>,
+        free: &mut BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use thistlesill_core::edge::{GroupRef, MemberState, Membership, ModelPlan, Target};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{GroupRef, MemberState, Membership, ModelPlan, Target, TargetId};
 
 use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, LEADER_WORKS, SHOW};
 
@@ -136,7 +136,7 @@
     }
 
     /// Whether a target has been off the list for so long that it is gone.
-    fn is_gone(&self, id: &InstanceId, now: Millis) -> bool {
+    fn is_gone(&self, id: &TargetId, now: Millis) -> bool {
         let missing = self.missing.get(id);
         missing.is_some_and(|since| now - *since >= LEADER_GONE)
     }
@@ -152,7 +152,7 @@
             return self.judge_leaderless(view, group, now);
         };
         let state = standing.leader_state().unwrap_or(MemberState::Broken);
-        let lost = standing.members.iter().any(|t| self.is_dead(&t.id));
+        let lost = self.lacks(group, view.targets);
         match state {
             MemberState::Broken => Verdict::Void,
             MemberState::Open if self.cut.contains(group) => Verdict::Wait,
@@ -239,7 +239,11 @@
             return Verdict::Void;
         }
         let leader = self.leaders.get(group);
-        let silent = |id: &InstanceId| self.is_dead(id) && !view.working.contains(id);
+        // Its process is another one, which knows nothing of the group.
+        if leader.is_some_and(|id| self.ended.contains(id)) {
+            return Verdict::Void;
+        }
+        let silent = |id: &TargetId| self.is_dead(id) && !view.working.contains(id);
         if leader.is_some_and(silent) {
             return Verdict::Void;
         }
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -11,8 +11,8 @@
 use std::collections::HashMap;
 
 use rand::RngExt;
-use thistlesill_core::edge::{Engine, Target};
-use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_core::edge::{Engine, Target, TargetId};
+use thistlesill_core::{HallId, Millis, NodeId};
 
 use self::pass::Pass;
 use self::peers::PeerCounts;
@@ -102,10 +102,10 @@
 /// What a daemon knows of all targets' load.
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
-    targets: HashMap<InstanceId, TargetLoad>,
+    targets: HashMap<TargetId, TargetLoad>,
     peers: PeerCounts,
     /// All work at targets as their owners told of it, and until when it is believed.
-    told: HashMap<InstanceId, (Work, Millis)>,
+    told: HashMap<TargetId, (Work, Millis)>,
 }
 
 /// How a target is picked.
@@ -120,33 +120,33 @@
 
 impl LoadTable {
     /// Notes that a request with a prompt of `unread` tokens was sent.
-    pub fn begin(&mut self, id: &InstanceId, unread: u32) {
+    pub fn begin(&mut self, id: &TargetId, unread: u32) {
         let own = &mut self.entry(id).own;
         own.requests += 1;
         own.unread += unread;
     }
 
     /// Notes that the prompt of a request was read.
-    pub fn read(&mut self, id: &InstanceId, unread: u32) {
+    pub fn read(&mut self, id: &TargetId, unread: u32) {
         let own = &mut self.entry(id).own;
         own.unread = own.unread.saturating_sub(unread);
     }
 
     /// Notes that a request at a target ended.
-    pub fn end(&mut self, id: &InstanceId) {
+    pub fn end(&mut self, id: &TargetId) {
         let own = &mut self.entry(id).own;
         own.requests = own.requests.saturating_sub(1);
     }
 
     /// Notes that a target sent something.
-    pub fn note_progress(&mut self, id: &InstanceId, now: Millis) {
+    pub fn note_progress(&mut self, id: &TargetId, now: Millis) {
         let load = self.entry(id);
         load.progress = now;
         load.suspect = Millis::ZERO;
     }
 
     /// Notes how long a request took.
-    pub fn note_time(&mut self, id: &InstanceId, took: Millis) {
+    pub fn note_time(&mut self, id: &TargetId, took: Millis) {
         let load = self.entry(id);
         let took = took.get() as f64;
         load.time = if load.time > 0.0 {
@@ -166,22 +166,22 @@
     }
 
     /// Targets whose streams are slow.
-    pub fn slow(&self, now: Millis) -> Vec<InstanceId> {
+    pub fn slow(&self, now: Millis) -> Vec<TargetId> {
         let slow = self.targets.iter().filter(|(_, l)| l.slowness(now) > 1.0);
         slow.map(|(id, _)| id.clone()).collect()
     }
 
-    fn slowness(&self, id: &InstanceId, now: Millis) -> f64 {
+    fn slowness(&self, id: &TargetId, now: Millis) -> f64 {
         self.targets.get(id).map_or(1.0, |l| l.slowness(now))
     }
 
     /// When the target last sent something to this daemon.
-    pub fn progress(&self, id: &InstanceId) -> Millis {
+    pub fn progress(&self, id: &TargetId) -> Millis {
         self.targets.get(id).map_or(Millis::ZERO, |l| l.progress)
     }
 
     /// Notes that a target failed or stopped; returns whether this is news.
-    pub fn suspect(&mut self, id: &InstanceId, now: Millis) -> bool {
+    pub fn suspect(&mut self, id: &TargetId, now: Millis) -> bool {
         let load = self.entry(id);
         let news = load.suspect <= now;
         load.suspect = now + SUSPECT;
@@ -189,48 +189,48 @@
     }
 
     /// Whether a target is passed over.
-    pub fn is_suspect(&self, id: &InstanceId, now: Millis) -> bool {
+    pub fn is_suspect(&self, id: &TargetId, now: Millis) -> bool {
         self.targets.get(id).is_some_and(|l| l.suspect > now)
     }
 
     /// Targets that are passed over now.
-    pub fn suspects(&self, now: Millis) -> Vec<InstanceId> {
+    pub fn suspects(&self, now: Millis) -> Vec<TargetId> {
         let found = self.targets.iter().filter(|(_, l)| l.suspect > now);
         found.map(|(id, _)| id.clone()).collect()
     }
 
     /// Targets that are passed over although this daemon's streams there go on: one
     /// that leaves accepts no connections while it works off what it has.
-    pub fn going_on(&self, now: Millis) -> Vec<InstanceId> {
+    pub fn going_on(&self, now: Millis) -> Vec<TargetId> {
         let found = self.targets.iter().filter(|(_, l)| l.suspect > now);
         let found = found.filter(|(_, l)| l.goes_on(now));
         found.map(|(id, _)| id.clone()).collect()
     }
 
     /// Takes in a peer's counts, to be believed until a moment.
-    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
+    pub fn hear(&mut self, peer: &NodeId, counts: HashMap<TargetId, Work>, until: Millis) {
         self.peers.hear(peer, counts, until);
     }
 
     /// Counts a request that a peer will send to a target, until it tells more.
-    pub fn grant(&mut self, peer: &NodeId, id: &InstanceId, unread: u32, until: Millis) {
+    pub fn grant(&mut self, peer: &NodeId, id: &TargetId, unread: u32, until: Millis) {
         self.peers.grant(peer, id, unread, until);
     }
 
     /// Takes in all work at a target as its owner told of it, to be believed until a
     /// moment.
-    pub fn hear_total(&mut self, id: InstanceId, work: Work, until: Millis) {
+    pub fn hear_total(&mut self, id: TargetId, work: Work, until: Millis) {
         self.told.insert(id, (work, until));
     }
 
     /// This daemon's requests by target.
-    pub fn counts(&self) -> Vec<(InstanceId, Work)> {
+    pub fn counts(&self) -> Vec<(TargetId, Work)> {
         let busy = self.targets.iter().filter(|(_, l)| l.own.requests > 0);
         busy.map(|(id, l)| (id.clone(), l.own)).collect()
     }
 
     /// Forgets targets that are gone and peers that fell silent.
-    pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool, now: Millis) {
+    pub fn retain(&mut self, known: impl Fn(&TargetId) -> bool, now: Millis) {
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
         self.told.retain(|_, (_, until)| now < *until);
         self.peers.retain(now);
@@ -240,7 +240,7 @@
     ///
     /// An owner's word counts where it tells of more: this daemon may not hear all
     /// who have requests there.
-    pub fn work(&self, id: &InstanceId, now: Millis) -> Work {
+    pub fn work(&self, id: &TargetId, now: Millis) -> Work {
         let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
         let counted = own + self.peers.work(id, now);
         let told = self.told.get(id).filter(|(_, until)| now < *until);
@@ -248,8 +248,8 @@
     }
 
     /// Requests at each target, of this daemon and its peers.
-    pub fn requests(&self, now: Millis) -> HashMap<InstanceId, u32> {
-        let mut all: HashMap<InstanceId, u32> = HashMap::new();
+    pub fn requests(&self, now: Millis) -> HashMap<TargetId, u32> {
+        let mut all: HashMap<TargetId, u32> = HashMap::new();
         for (id, work) in self.counts() {
             *all.entry(id).or_default() += work.requests;
         }
@@ -366,7 +366,7 @@
         best.map(|(_, target)| target)
     }
 
-    fn entry(&mut self, id: &InstanceId) -> &mut TargetLoad {
+    fn entry(&mut self, id: &TargetId) -> &mut TargetLoad {
         self.targets.entry(id.clone()).or_default()
     }
 }
--- a/crates/thistlesill-policy/src/edge/load/peers.rs
+++ b/crates/thistlesill-policy/src/edge/load/peers.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::ops::Add;
 
-use thistlesill_core::{InstanceId, Millis, NodeId};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{Millis, NodeId};
 
 use super::Work;
 
@@ -11,7 +12,7 @@
 #[derive(Debug, Clone, Default)]
 struct Told {
     until: Millis,
-    counts: HashMap<InstanceId, Work>,
+    counts: HashMap<TargetId, Work>,
 }
 
 /// All peers' requests by target.
@@ -22,7 +23,7 @@
 pub(super) struct PeerCounts {
     peers: HashMap<NodeId, Told>,
     /// The sum of all peers' counts, by target.
-    sums: HashMap<InstanceId, Work>,
+    sums: HashMap<TargetId, Work>,
     /// When the first of the counts ends; the sums hold until then.
     ends: Option<Millis>,
 }
@@ -33,7 +34,7 @@
     }
 
     /// Takes in a peer's counts in place of those that it told before.
-    pub(super) fn hear(&mut self, peer: &NodeId, counts: HashMap<InstanceId, Work>, until: Millis) {
+    pub(super) fn hear(&mut self, peer: &NodeId, counts: HashMap<TargetId, Work>, until: Millis) {
         for (id, work) in &counts {
             *self.sums.entry(id.clone()).or_default() += *work;
         }
@@ -45,7 +46,7 @@
     }
 
     /// Adds a request to a peer's counts.
-    pub(super) fn grant(&mut self, peer: &NodeId, id: &InstanceId, unread: u32, until: Millis) {
+    pub(super) fn grant(&mut self, peer: &NodeId, id: &TargetId, unread: u32, until: Millis) {
         let work = Work {
             requests: 1,
             unread,
@@ -70,7 +71,7 @@
     }
 
     /// Work at a target.
-    pub(super) fn work(&self, id: &InstanceId, now: Millis) -> Work {
+    pub(super) fn work(&self, id: &TargetId, now: Millis) -> Work {
         if self.ends.is_none_or(|ends| now < ends) {
             return self.sums.get(id).copied().unwrap_or_default();
         }
@@ -79,7 +80,7 @@
     }
 
     /// The counts of each peer.
-    pub(super) fn counts(&self, now: Millis) -> impl Iterator<Item = (&InstanceId, &Work)> {
+    pub(super) fn counts(&self, now: Millis) -> impl Iterator<Item = (&TargetId, &Work)> {
         self.fresh(now).flat_map(|told| &told.counts)
     }
 
--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thistlesill_core::chart::Chart;
 use thistlesill_core::row::{LeaseRow, TermRow, lease_key, term_key};
-use thistlesill_core::table::{Rows, Txn, TxnReply, TxnResult};
+use thistlesill_core::table::{Row, Rows, Txn, TxnReply, TxnResult};
 use thistlesill_core::{HallId, Millis, NodeId};
 
 use crate::charts::{LeaseEvent, LeaseState};
@@ -274,8 +274,9 @@
 
     fn decode(&self, rows: &Rows, now: Millis) -> Option<Known> {
         let lease = rows.find(&lease_key(&self.hall))?;
-        let row: LeaseRow = lease.decode().ok()?;
-        let term_version = rows.find(&term_key(&self.hall)).map_or(0, |r| r.version);
+        let term = rows.find(&term_key(&self.hall));
+        let row = lease.decode().unwrap_or_else(|_| self.unreadable(term));
+        let term_version = term.map_or(0, |r| r.version);
         let same = self.known.as_ref().filter(|k| k.version == lease.version);
         Some(Known {
             row,
@@ -285,6 +286,25 @@
         })
     }
 
+    /// What stands in for a lease that cannot be read, since another writer wrote there:
+    /// the last one that is known. It runs out like any other; taken for no lease at all,
+    /// it would never be replaced, and no group would be formed any more.
+    fn unreadable(&self, term: Option<&Row>) -> LeaseRow {
+        let told = term.and_then(|row| row.decode::<TermRow>().ok());
+        let known = self.known.as_ref().map(|k| k.row.clone());
+        let last = known.unwrap_or_else(|| LeaseRow {
+            holder: NodeId::default(),
+            term: 0,
+            beat: 0,
+            free: false,
+        });
+        LeaseRow {
+            term: told.map_or(0, |row| row.term).max(last.term),
+            free: false,
+            ..last
+        }
+    }
+
     fn may_take(&self, now: Millis) -> bool {
         let Some(known) = &self.known else {
             let courtesy = self.periods.courtesy;
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -22,5 +22,7 @@
 mod load;
 #[path = "edge/owner.rs"]
 mod owner;
+#[path = "edge/restarts.rs"]
+mod restarts;
 #[path = "edge/stage.rs"]
 mod stage;
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -86,6 +86,6 @@
 #[test]
 fn a_whole_read_drops_what_it_lacks() {
     let mut book = book();
-    book.replace(vec![target("c")], None, NOW + Millis::new(60_000));
+    book.replace(vec![listed("c")], None, NOW + Millis::new(60_000));
     assert!(book.knows(&"c".into()) && !book.knows(&"a".into()));
 }
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -422,8 +422,8 @@
 fn large_group(
     stage: &Stage,
 ) -> (
-    thistlesill_core::InstanceId,
-    Vec<thistlesill_core::InstanceId>,
+    thistlesill_core::edge::TargetId,
+    Vec<thistlesill_core::edge::TargetId>,
 ) {
     let serving = stage.engines.serving();
     serving
--- a/crates/thistlesill-policy/tests/edge/fleet_random.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet_random.rs
@@ -3,8 +3,10 @@
 
 use quickcheck::TestResult;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Incarnation, TargetId};
 use thistlesill_fakes::seeded;
 use thistlesill_policy::edge::fleet::FleetPlanner;
 
@@ -14,7 +16,7 @@
 const STEPS: u32 = 500;
 
 fn disturb(stage: &mut Stage, rng: &mut SmallRng) {
-    let mut ids: Vec<InstanceId> = stage.engines.listed().into_keys().collect();
+    let mut ids: Vec<TargetId> = stage.engines.listed().into_keys().collect();
     ids.sort();
     if ids.is_empty() {
         return;
@@ -51,6 +53,20 @@
     }
 }
 
+/// Now and then an engine starts again under its id, dead or alive; its clock may have
+/// jumped back. The draws are apart from the others, too.
+fn restart(stage: &mut Stage, rng: &mut SmallRng) {
+    if rng.random_range(0..60) > 0 {
+        return;
+    }
+    let mut ids: Vec<TargetId> = stage.engines.listed().into_keys().collect();
+    ids.sort();
+    if let Some(id) = ids.choose(rng) {
+        let born = Incarnation::new(rng.random_range(1..u64::MAX));
+        stage.engines.restart(id, born);
+    }
+}
+
 fn fate(rng: &mut SmallRng) -> Fate {
     match rng.random_range(0..20) {
         0 => Fate::Lost,
@@ -61,8 +77,13 @@
 }
 
 fn play(seed: u64) -> Stage {
+    play_with(seed, false)
+}
+
+fn play_with(seed: u64, restarts: bool) -> Stage {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut asking = SmallRng::seed_from_u64(!seed);
+    let mut starting = SmallRng::seed_from_u64(seed.rotate_left(32));
     let mut stage = Stage::new(6);
     for step in 0..STEPS {
         stage.now = stage.now + STEP;
@@ -72,6 +93,9 @@
         if step > 60 {
             disturb(&mut stage, &mut rng);
             turn_demand(&mut stage, &mut asking);
+            if restarts {
+                restart(&mut stage, &mut starting);
+            }
         }
         stage.look(|_| fate(&mut rng));
     }
@@ -86,6 +110,14 @@
             Some(breach) => TestResult::error(format!("seed {seed}: {breach}")),
         }
     }
+
+    fn none_does_where_engines_start_again_under_their_ids(seed: u64) -> TestResult {
+        let stage = play_with(seed, true);
+        match stage.engines.breaches.first() {
+            None => TestResult::passed(),
+            Some(breach) => TestResult::error(format!("seed {seed}: {breach}")),
+        }
+    }
 }
 
 /// Seeds that once broke a promise, with the cause.
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -4,7 +4,8 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::{HallId, InstanceId, Millis};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{HallId, Millis};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
 
@@ -166,7 +167,7 @@
 #[test]
 fn a_target_whose_streams_go_on_is_told_of_though_it_is_suspected() {
     let mut loads = LoadTable::default();
-    let id = InstanceId::from("t");
+    let id = TargetId::from("t");
     let now = Millis::new(10_000);
     loads.begin(&id, 100);
     loads.note_progress(&id, now);
--- a/crates/thistlesill-policy/tests/edge/owner.rs
+++ b/crates/thistlesill-policy/tests/edge/owner.rs
@@ -5,8 +5,8 @@
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use thistlesill_core::edge::Target;
-use thistlesill_core::{HallId, InstanceId, Millis, NodeId};
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
 use thistlesill_policy::edge::owner::{Answering, Scope};
@@ -57,7 +57,7 @@
             now = now + Millis::new(u64::from(unread % 300));
             let until = now + Millis::new(700);
             let name = NodeId::from(format!("p{peer}"));
-            let id = InstanceId::from(format!("t{target}"));
+            let id = TargetId::from(format!("t{target}"));
             let work = Work { requests: u32::from(kind), unread: u32::from(unread) };
             if kind % 3 == 0 {
                 loads.grant(&name, &id, u32::from(unread), until);
@@ -105,7 +105,7 @@
 #[test]
 fn what_an_owner_tells_counts_where_it_is_more_and_for_a_while() {
     let mut loads = LoadTable::default();
-    let id = InstanceId::from("t0");
+    let id = TargetId::from("t0");
     let now = Millis::new(5_000);
     let until = now + Millis::new(800);
     let work = |requests, unread| Work { requests, unread };
@@ -196,7 +196,7 @@
     let until = Millis::new(now) + Millis::new(1_500);
     for from in 0..tables.len() {
         if (now + from as u64 * TOLD / DAEMONS as u64).is_multiple_of(TOLD) {
-            let counts: HashMap<InstanceId, Work> = tables[from].counts().into_iter().collect();
+            let counts: HashMap<TargetId, Work> = tables[from].counts().into_iter().collect();
             for (to, table) in tables.iter_mut().enumerate() {
                 if to != from {
                     table.hear(&daemons[from], counts.clone(), until);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
-use thistlesill_core::edge::{Engine, Order, OrderReply, Target};
-use thistlesill_core::{InstanceId, Millis};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Engine, Order, OrderReply, Target, TargetId};
 use thistlesill_fakes::engines::{Engines, engine};
 use thistlesill_policy::edge::fleet::{
     Census, Condition, Demand, FleetAction, FleetPlanner, FleetView,
@@ -15,7 +15,7 @@
 /// An order that is carried out later.
 pub(crate) struct Late {
     at: Millis,
-    target: InstanceId,
+    target: TargetId,
     order: Order,
 }
 
@@ -27,17 +27,17 @@
     pub(crate) now: Millis,
     pub(crate) calm: bool,
     /// Leaders at which daemons have requests that make progress.
-    pub(crate) working: HashSet<InstanceId>,
+    pub(crate) working: HashSet<TargetId>,
     /// Requests at leaders.
-    pub(crate) requests: HashMap<InstanceId, u32>,
+    pub(crate) requests: HashMap<TargetId, u32>,
     /// The work that each model is asked for.
     pub(crate) demand: Demand,
     /// Targets that are slow.
-    pub(crate) slow: HashSet<InstanceId>,
+    pub(crate) slow: HashSet<TargetId>,
     /// Leaders whose streams are slow.
-    pub(crate) doubted: HashSet<InstanceId>,
+    pub(crate) doubted: HashSet<TargetId>,
     /// All orders that were given, with their times.
-    pub(crate) orders: Vec<(Millis, InstanceId, Order)>,
+    pub(crate) orders: Vec<(Millis, TargetId, Order)>,
     pub(crate) late: VecDeque<Late>,
     engine: Engine,
 }
@@ -159,7 +159,7 @@
     }
 
     /// When an order of this name was first given to a target.
-    pub(crate) fn given(&self, name: &str, target: &InstanceId) -> Option<Millis> {
+    pub(crate) fn given(&self, name: &str, target: &TargetId) -> Option<Millis> {
         let found = self
             .orders
             .iter()
--- a/crates/thistlesill-policy/tests/lease.rs
+++ b/crates/thistlesill-policy/tests/lease.rs
@@ -93,6 +93,32 @@
     assert_eq!(ended, vec![LeaseNews::Ended { term: 1 }]);
 }
 
+#[test]
+fn a_lease_that_cannot_be_read_runs_out_like_any_other() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    settle(&mut a, &mut table, START);
+    // Another writer, now and while somebody waits for the lease to run out.
+    let garbage = Txn::new().put("halls/h/lease", &"nothing");
+    table.txn(&garbage);
+    assert!(settle(&mut b, &mut table, at(2_000)).is_empty());
+    assert!(settle(&mut b, &mut table, at(9_900)).is_empty());
+    let gained = LeaseNews::Gained { term: 2 };
+    assert_eq!(settle(&mut b, &mut table, at(10_000)), vec![gained]);
+    assert_eq!(a.term(at(10_000)), None);
+}
+
+#[test]
+fn a_holder_whose_lease_was_overwritten_writes_it_again() {
+    let mut table = Table::default();
+    let mut a = lease("a");
+    settle(&mut a, &mut table, START);
+    table.txn(&Txn::new().put("halls/h/lease", &"nothing"));
+    assert!(settle(&mut a, &mut table, at(2_000)).is_empty());
+    assert_eq!(a.term(at(8_000)), Some(1), "it was renewed at 2 s");
+    assert_eq!(a.holder().map(ToString::to_string), Some("a".to_owned()));
+}
+
 #[test]
 fn renewal_keeps_others_out() {
     let mut table = Table::default();
