test(policy): changes kept of thousands of targets that change in seconds

Red: of_each_target_the_newest_change_is_kept_however_many_there_are (nothing is kept of the first 37,000 changes, though 4,000 targets are all there is to tell).

--- a/crates/thistlesill-policy/tests/edge/feed.rs
+++ b/crates/thistlesill-policy/tests/edge/feed.rs
@@ -1,5 +1,8 @@
 //! Daemons that read the store keep changes for those that follow them.
 
+use std::net::{Ipv4Addr, SocketAddr};
+
+use thistlesill_core::edge::Target;
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::feed::{Batch, Change, Feed};
 
@@ -10,6 +13,20 @@
     }
 }
 
+fn listed(number: u64) -> Listing {
+    Listing::Listed(Box::new(Target {
+        id: format!("t-{number}").into(),
+        service: "s".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
+        hall: "h".into(),
+        slots: 6,
+        leaving: false,
+        domain: None,
+        staged: Vec::new(),
+        member: None,
+    }))
+}
+
 #[test]
 fn an_empty_store_that_was_read_is_known() {
     let mut feed = Feed::default();
@@ -43,6 +60,28 @@
     assert!(kept > 100, "{kept}");
 }
 
+/// Thousands of targets that change several times in seconds, as groups are first formed.
+#[test]
+fn of_each_target_the_newest_change_is_kept_however_many_there_are() {
+    let mut feed = Feed::default();
+    feed.restart(0);
+    for version in 1..=40_000 {
+        let change = Change {
+            version,
+            what: listed(version % 4_000),
+        };
+        feed.extend(&[change], version);
+    }
+    let missed = feed.after(0).expect("all are kept");
+    assert_eq!(missed.len(), 4_000);
+    assert!(missed.iter().all(|c| c.version > 36_000));
+    assert_eq!(feed.after(39_990).map(|c| c.len()), Some(10));
+    assert_eq!(feed.newest(), 40_000);
+    // One that is gone and listed again counts as listed.
+    feed.extend(&[gone(40_001)], 40_001);
+    assert_eq!(feed.after(40_000), Some(vec![gone(40_001)]));
+}
+
 #[test]
 fn what_a_peer_told_is_not_undone_by_an_older_answer() {
     let mut feed = Feed::default();
