perf(policy): of each target's changes the newest is kept for daemons that lag

Cause: 3,000 changes were kept, whatever they were of; with thousands of targets that change three times in the first seconds every daemon fell behind them and read all targets. Change: a change takes the place of the one before it of the same target, so what is kept is bounded by the fleet and 3,000 entries that are gone.

--- a/crates/thistlesill-policy/src/edge/feed.rs
+++ b/crates/thistlesill-policy/src/edge/feed.rs
@@ -1,22 +1,21 @@
 //! The changes of targets, kept by daemons that read the store for those that
 //! follow them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
-use thistlesill_core::Millis;
+use thistlesill_core::{InstanceId, Millis};
 
 use super::book::Listing;
 
 /// Batches that are held back, at most; who misses more asks for them anyway.
 const MAX_HELD: usize = 32;
 
-/// Changes that are kept for daemons that missed them: three of each of a thousand
-/// targets. While groups are first formed each changes several times in seconds, and
-/// who lags behind what is kept reads all targets from the store; with 600, daemons of
-/// a fleet of 295 did so three times each. Each takes some 0.4 kB.
-const MAX_KEPT: usize = 3_000;
+/// Entries that are gone and kept for daemons that missed it. Of the others the newest
+/// change of each target is kept, some 0.4 kB: while groups are first formed each changes
+/// several times in seconds, and who lags behind what is kept reads all targets.
+const MAX_GONE: usize = 3_000;
 
 /// One change of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +39,9 @@
     pub steady: Option<Millis>,
 }
 
+/// A change's version and the instance that it is of.
+type Slot = (u64, InstanceId);
+
 /// The targets' changes that a reader keeps for others, and what it knows.
 #[derive(Debug, Default)]
 pub struct Feed {
@@ -49,7 +51,12 @@
     known: bool,
     /// All changes after this version are kept.
     floor: u64,
-    kept: VecDeque<Change>,
+    /// The newest change of each target, by version.
+    kept: BTreeMap<Slot, Listing>,
+    /// The version under which the change of each target is kept.
+    newest: HashMap<InstanceId, u64>,
+    /// Those of the kept changes by which an entry is gone.
+    gone: BTreeSet<Slot>,
     /// Batches that came before those that they follow: they take different ways.
     held: Vec<Batch>,
 }
@@ -69,7 +76,7 @@
     /// The version of the newest change; who knows the targets at this version
     /// or a later one lacks none of the changes that are known here.
     pub fn newest(&self) -> u64 {
-        let last = self.kept.back().map(|change| change.version);
+        let last = self.kept.last_key_value().map(|((version, _), _)| *version);
         last.unwrap_or_default().max(self.floor)
     }
 
@@ -128,25 +135,51 @@
         self.version = version;
         self.floor = version;
         self.kept.clear();
+        self.newest.clear();
+        self.gone.clear();
     }
 
     /// Takes in changes up to a version.
     pub fn extend(&mut self, changes: &[Change], version: u64) {
-        self.kept.extend(changes.iter().cloned());
+        for change in changes {
+            self.keep(change);
+        }
         self.version = self.version.max(version);
-        while self.kept.len() > MAX_KEPT {
-            if let Some(dropped) = self.kept.pop_front() {
-                self.floor = self.floor.max(dropped.version);
+        while self.gone.len() > MAX_GONE {
+            if let Some(slot) = self.gone.pop_first() {
+                self.floor = self.floor.max(slot.0);
+                self.newest.remove(&slot.1);
+                self.kept.remove(&slot);
             }
         }
     }
 
-    /// The changes after a version, if all of them are kept.
+    /// Keeps a change in place of the one before it of the same target: what the target
+    /// is now is all that those who missed both need.
+    fn keep(&mut self, change: &Change) {
+        let instance = change.what.instance();
+        if let Some(before) = self.newest.insert(instance.clone(), change.version) {
+            let slot = (before, instance.clone());
+            self.kept.remove(&slot);
+            self.gone.remove(&slot);
+        }
+        let slot = (change.version, instance.clone());
+        if !matches!(change.what, Listing::Listed(_)) {
+            self.gone.insert(slot.clone());
+        }
+        self.kept.insert(slot, change.what.clone());
+    }
+
+    /// The newest changes after a version, of all targets that changed, if all are kept.
     pub fn after(&self, version: u64) -> Option<Vec<Change>> {
         if version < self.floor {
             return None;
         }
-        let later = self.kept.iter().filter(|c| c.version > version);
-        Some(later.cloned().collect())
+        let first = (version.saturating_add(1), InstanceId::default());
+        let changes = self.kept.range(first..).map(|((version, _), what)| Change {
+            version: *version,
+            what: what.clone(),
+        });
+        Some(changes.collect())
     }
 }
