--- a/crates/thistlesill-edge/tests/it/starts.rs
+++ b/crates/thistlesill-edge/tests/it/starts.rs
@@ -1,6 +1,19 @@
 //! A daemon comes to know the targets however early it starts.
 
-use crate::support::{ask, early_world, read, stream};
+use std::time::Duration;
+
+use serde_json::json;
+use thistlesill_platform_standin::store::{CATALOG_READ, Mode, TARGETS_READ};
+use thistlesill_platform_standin::world::World;
+
+use crate::support::{ask, early_world, read, sleep, stream, world};
+
+/// Daemons in two data centres.
+const DAEMONS: usize = 12;
+/// Targets that are listed beside those that serve.
+const LISTED: usize = 1_200;
+/// The pages of the store in which they are read.
+const PAGES: usize = 3;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_that_read_an_empty_store_follow_the_targets_that_come() {
@@ -14,3 +27,67 @@
         assert_eq!(model.status, 200, "daemon {daemon}");
     }
 }
+
+/// Lists many targets of a service that nobody asks for.
+fn list_many(world: &World) {
+    for number in 0..LISTED {
+        let entry = json!({"service": "archive", "address": "127.0.0.1:9", "zone": "h",
+            "slots": 6, "state": "ready", "born": 1});
+        world
+            .store
+            .put("servers", &format!("a-{number:04}"), &entry);
+    }
+}
+
+async fn start_all_anew(world: &mut World) {
+    for daemon in &mut world.daemons {
+        daemon.kill().await;
+    }
+    for daemon in &mut world.daemons {
+        daemon.start();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_many_daemons_that_start_together_a_few_read_a_long_list() {
+    let mut world = world(75, DAEMONS as u8).await;
+    list_many(&world);
+    sleep(2_500).await;
+    let (targets, catalogs) = (
+        world.store.asked(TARGETS_READ),
+        world.store.asked(CATALOG_READ),
+    );
+    start_all_anew(&mut world).await;
+    world
+        .wait_until("all serve", Duration::from_secs(5), |got| got)
+        .await;
+    sleep(1_500).await;
+    // Two of each data centre, and whoever finds one of them slow.
+    let reads = world.store.asked(TARGETS_READ) - targets;
+    assert!(reads <= 5 * PAGES, "{reads} pages of targets");
+    let reads = world.store.asked(CATALOG_READ) - catalogs;
+    assert!(reads <= 8, "{reads} reads of the catalog");
+    // All know the whole list, whoever they have it from.
+    for daemon in 0..DAEMONS {
+        let source = world.lines(daemon, "ev=start_source");
+        assert_eq!(source.len(), 2, "{source:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_start_while_the_store_turns_them_away_do_not_crowd_it() {
+    let mut world = world(76, DAEMONS as u8).await;
+    list_many(&world);
+    sleep(2_500).await;
+    world.store.set_mode(Mode::Busy);
+    let before = world.store.asked("");
+    start_all_anew(&mut world).await;
+    sleep(4_000).await;
+    let calls = world.store.asked("") - before;
+    // Ten a second are for the two that read for others in each data centre.
+    assert!(calls <= 240, "{calls} calls in 4 s");
+    world.store.set_mode(Mode::Up);
+    world
+        .wait_until("all serve", Duration::from_secs(5), |got| got)
+        .await;
+}
