perf(edge): daemons that start learn from the daemon above them, not from the store

Cause: at a start each daemon read the list of daemons, the catalog and all targets, some several times; without the list each took itself for the first of its data centre and asked on every 150 ms while the store was busy, also for the lease. One that fell behind the kept changes read all targets from the store.

Change: the daemons of a data centre form a tree by their rank in the list; two read the store, each other asks the one above, which answers as soon as it knows (one frame: catalog with its proof's age, targets, version). Who is down is passed over; at last the store is read. Nobody is first of a data centre before the list was read; pauses between reads of the list grow and end when a peer is heard. Lists of targets are handed on, too.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -21,7 +21,7 @@
 
 use crate::lines::Line;
 use crate::state::Edge;
-use crate::{figures, follow, front, peers, planner, watch};
+use crate::{figures, follow, front, peers, planner, start, watch};
 
 /// Exit code for settings that do not pass their check.
 const BAD_SETTINGS: u8 = 2;
@@ -132,7 +132,7 @@
         return ExitCode::SUCCESS;
     }
     thistlesill_net::admin::install_logger();
-    match start(settings, path, options) {
+    match launch(settings, path, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("thistlesill-edge: {error}");
@@ -146,7 +146,7 @@
     decode_settings(&text).context(SettingsSnafu { path })
 }
 
-fn start(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
+fn launch(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -172,6 +172,7 @@
         .with("hall", &settings.hall)
         .with("boot", format!("{:016x}", edge.boot))
         .write();
+    tokio::task::spawn_local(start::run(edge.clone()));
     tokio::task::spawn_local(watch::follow_catalog(edge.clone()));
     tokio::task::spawn_local(watch::follow_targets(edge.clone()));
     tokio::task::spawn_local(peers::roster::run(edge.clone()));
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -20,6 +20,7 @@
 
 use crate::peers::packet::{Ask, Changes, KnownTargets, Packet, Pass, Vouch};
 use crate::peers::{Reach, link};
+use crate::start::Start;
 use crate::state::{Edge, Lack};
 use crate::watch;
 
@@ -77,7 +78,9 @@
         FIND
     };
     if now - edge.started < quiet {
-        return false;
+        // The others there have their proofs from it, and would else read the store
+        // before they have heard of another reader.
+        return edge.start.get() == Start::Reads && !settings.first_start;
     }
     let apply = settings.bounds.apply.get() as f64;
     let age = edge.fresh.get().age(now);
@@ -134,6 +137,10 @@
         (feed.is_known(), feed.version())
     };
     if !is_known {
+        // It starts, and would wait for the store.
+        let address = edge.peers.borrow().address(from);
+        edge.targets_at.set(address);
+        edge.targets_news.notify_one();
         return;
     }
     if version >= known.newest {
@@ -297,6 +304,8 @@
 /// Takes in another daemon's word for the catalog.
 pub(crate) fn take_vouch(edge: &Edge, vouch: &Vouch) {
     if edge.feed.borrow().version() < vouch.floor && !reads_targets(edge) {
+        let address = edge.peers.borrow().address(&vouch.from);
+        edge.targets_at.set(address);
         edge.targets_news.notify_one();
     }
     let own = edge.catalog().map(|c| c.version);
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod proxy;
 mod relay;
 mod reply;
+mod start;
 mod state;
 mod track;
 mod watch;
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -238,14 +238,36 @@
         self.listed && self.known.keys().all(|name| me < name)
     }
 
-    /// Whether `me` comes first among the daemons of its data centre that
-    /// are heard; those that cannot reach the store come last.
+    /// The rank of `me` among all daemons of its data centre that are known, whether they
+    /// live or not.
+    pub(crate) fn rank(&self, me: &NodeId, hall: &HallId) -> usize {
+        let near = self.known.iter().filter(|(_, p)| p.hall == *hall);
+        near.filter(|(name, _)| *name < me).count()
+    }
+
+    /// The address of the peer of a rank, in a data centre in which all with a smaller
+    /// rank than this daemon's are peers.
+    pub(crate) fn at_rank(&self, rank: usize, hall: &HallId) -> Option<SocketAddr> {
+        let near = self.known.iter().filter(|(_, p)| p.hall == *hall);
+        let mut near: Vec<(&NodeId, SocketAddr)> = near.map(|(n, p)| (n, p.address)).collect();
+        near.sort_unstable();
+        near.get(rank).map(|(_, address)| *address)
+    }
+
+    /// Whether `me` comes first among the daemons of its data centre that are heard, or
+    /// are listed and may be heard yet; those that cannot reach the store come last.
     pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
+        if !self.listed {
+            // Most of them are not known yet, and all would take themselves for the first:
+            // 894 calls of 12 daemons that start while the store turns them away for 4 s.
+            return false;
+        }
         let trust = self.trust(hall);
+        let present = |p: &Peer| p.silence(now) < trust;
         let near = self
             .known
             .iter()
-            .filter(|(_, p)| p.hall == *hall && p.is_heard(now, trust));
+            .filter(|(_, p)| p.hall == *hall && present(p));
         let mut ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
         ranks.all(|rank| (away, me) < rank)
     }
@@ -334,10 +356,12 @@
         self.known.retain(|_, p| p.silence(now) < REMOVED);
     }
 
-    fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) {
-        self.list(beat.from.clone(), from, now);
+    /// Takes in how a peer is; returns whether it was not known before.
+    fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) -> bool {
+        let is_new = !self.known.contains_key(&beat.from);
+        self.list(beat.from.clone(), from, beat.hall.clone(), now);
         let Some(peer) = self.known.get_mut(&beat.from) else {
-            return;
+            return is_new;
         };
         peer.heard = Some(now);
         peer.hall = beat.hall.clone();
@@ -355,12 +379,13 @@
         } else if self.planner().as_ref() == Some(&beat.from) {
             self.planner_ended = true;
         }
+        is_new
     }
 
-    fn list(&mut self, name: NodeId, address: SocketAddr, now: Millis) {
+    fn list(&mut self, name: NodeId, address: SocketAddr, hall: HallId, now: Millis) {
         let peer = self.known.entry(name).or_insert(Peer {
             address,
-            hall: HallId::default(),
+            hall,
             heard: None,
             listed: now,
             store: StoreUse::Asks,
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -230,7 +230,9 @@
     if beat.from == edge.settings().name {
         return;
     }
-    edge.peers.borrow_mut().hear(&beat, from, now);
+    if edge.peers.borrow_mut().hear(&beat, from, now) {
+        edge.peer_heard.notify_waiters();
+    }
     if let Some(known) = beat.targets {
         follow::hear_known(edge, &beat.from, known);
     }
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -10,9 +10,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use thistlesill_core::NodeId;
 use thistlesill_core::table::{Txn, TxnResult};
+use thistlesill_core::{HallId, NodeId};
 use thistlesill_platform::store::{Content, Row, Table};
 
 use super::{REMOVED, Reach, link};
@@ -27,13 +28,21 @@
 const REREAD_LOOKS: u32 = 10;
 /// Time for a call.
 const LIMIT: Duration = Duration::from_millis(1_000);
-/// After a call that failed.
+/// After a call that failed; the pause grows with each further one.
 const PAUSE: Duration = Duration::from_millis(400);
+/// The longest of these: a hundred daemons that start while the store turns them away
+/// make a hundred calls a second, and the first one that gets through wakes the others.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Each pause is drawn between this part of it and all of it, so that daemons that
+/// started together do not call together.
+const JITTER: f64 = 0.5;
 
 /// A daemon's row in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct DaemonRow {
     address: std::net::SocketAddr,
+    #[serde(default)]
+    hall: HallId,
 }
 
 /// Lists this daemon and reads the list of all, for ever.
@@ -75,12 +84,18 @@
 
 /// Reads the list, however often that takes.
 async fn join(edge: &Edge) -> Own {
+    let mut pause = PAUSE;
     loop {
         match edge.store.read(Table::Daemons, LIMIT).await {
             Ok(rows) => return take_all(edge, &rows.rows),
             Err(error) => log::debug!("peers: the list was not read: {error}"),
         }
-        tokio::time::sleep(PAUSE).await;
+        let part = edge.rng.borrow_mut().random_range(JITTER..1.0);
+        tokio::select! {
+            () = tokio::time::sleep(pause.mul_f64(part)) => {}
+            () = edge.peer_heard.notified() => {}
+        }
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
@@ -92,13 +107,14 @@
             continue;
         };
         if name != settings.name {
-            let now = edge.now();
-            edge.peers.borrow_mut().list(name, daemon.address, now);
+            let (now, mut peers) = (edge.now(), edge.peers.borrow_mut());
+            peers.list(name, daemon.address, daemon.hall, now);
         } else if daemon.address == settings.peer_address() {
             own = Own::Listed;
         }
     }
     edge.peers.borrow_mut().listed = true;
+    edge.listed.notify_waiters();
     own
 }
 
@@ -119,6 +135,7 @@
     let settings = edge.settings();
     let row = DaemonRow {
         address: settings.peer_address(),
+        hall: settings.hall.clone(),
     };
     let txn = Txn::new().put(key(&settings.name), &row);
     match edge.store.txn(&txn, LIMIT).await {
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -1,10 +1,12 @@
-//! Catalogs that daemons hand to each other over TCP.
+//! Catalogs and lists of targets that daemons hand to each other over TCP.
 //!
 //! A new catalog reaches one daemon from the store and the others from daemons that
 //! have it: calls of the store are dear, and hundreds of daemons would make hundreds
-//! for each of the operators' changes.
+//! for each of the operators' changes. A daemon that starts, or that missed more than is
+//! kept for it, has the list of all targets from a peer in the same way.
 //!
-//! The exchange is one frame each way. Who comes while a daemon hands out as many as
+//! The exchange is one frame each way. A daemon that starts itself says so in a frame
+//! more, and answers as soon as it knows what it is asked for. Who comes while a daemon hands out as many as
 //! its connection bears waits in line, for as long as it likes; it can still read the
 //! store. Refusing instead had two thirds of 62 daemons read the store each time.
 
@@ -15,7 +17,10 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::Target;
 use thistlesill_net::peer::{Frames, frames};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -27,18 +32,60 @@
 /// on a connection of 20 Mbit/s, so the last of these has it after one second, a
 /// quarter of the time in which it must be in force.
 const MAX_AT_ONCE: usize = 8;
-/// Bytes of a catalog, at most; the operators' store takes no more in a row.
-const MAX_CATALOG: usize = 8 << 20;
+/// Bytes of a frame, at most: a catalog, of which the operators' store takes 8 MB in a
+/// row at most, and 12,000 targets of 0.2 kB.
+const MAX_FRAME: usize = 12 << 20;
 /// Daemons that wait in line or are served, at most; each takes a descriptor.
 const MAX_IN_LINE: usize = 256;
 /// Time for handing one out.
 const HAND_OUT: Duration = Duration::from_secs(2);
-/// The question, the only one there is.
-const QUESTION: &[u8] = b"catalog";
+/// How long a daemon may take to say that it is there, as one that has just started does
+/// on an eighth of a core.
+const SAY: Duration = Duration::from_millis(150);
 /// After a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Why no catalog came.
+/// What a daemon is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum Question {
+    /// The catalog as the operators wrote it.
+    Catalog,
+    /// All that a daemon must know to serve.
+    State,
+    /// The list of all targets.
+    Targets,
+}
+
+/// What a daemon answers.
+#[derive(Debug, Serialize, Deserialize)]
+enum Answer {
+    /// It does not know yet, and will answer as soon as it does.
+    Soon,
+    /// The catalog, as the operators wrote it.
+    Catalog(Vec<u8>),
+    /// What it knows.
+    State(Box<State>),
+}
+
+/// What a daemon must know to serve, as a peer knows it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct State {
+    /// The catalog, as the operators wrote it; empty if it was not asked for or is not
+    /// there yet.
+    pub(crate) catalog: Vec<u8>,
+    /// How old the proof is that it is the newest.
+    pub(crate) proof: Option<Millis>,
+    /// All targets that are listed.
+    pub(crate) targets: Vec<Target>,
+    /// The store's version up to which all changes of targets are in the list.
+    pub(crate) version: u64,
+    /// How old the knowledge of the targets is.
+    pub(crate) age: Option<Millis>,
+    /// How long the store has answered without a break.
+    pub(crate) steady: Option<Millis>,
+}
+
+/// Why nothing came.
 #[derive(Debug, Snafu)]
 pub(crate) enum TransferError {
     /// The connection did not come up or broke off.
@@ -47,12 +94,15 @@
     /// The peer has none or hands out too many.
     #[snafu(display("the peer hands none out now"))]
     Refused,
+    /// What came cannot be decoded, or is not what was asked for.
+    #[snafu(display("the peer speaks otherwise"))]
+    Otherwise,
     /// It took too long.
-    #[snafu(display("no catalog in time"))]
+    #[snafu(display("no answer in time"))]
     Late,
 }
 
-/// Hands the catalog to peers, for ever.
+/// Hands what this daemon knows to peers, for ever.
 pub(crate) async fn serve(edge: Rc<Edge>) {
     let address = edge.settings().peer_address();
     let listener = match TcpListener::bind(address).await {
@@ -108,36 +158,127 @@
 }
 
 async fn hand_out(edge: &Edge, stream: TcpStream, line: &Line) -> Result<(), TransferError> {
-    let place = line.places.acquire().await;
-    let mut frames = frames(stream, MAX_CATALOG);
-    let question = next_frame(&mut frames).await?;
-    let text = edge.catalog_text.borrow().clone();
-    if question != QUESTION || text.is_empty() {
-        return RefusedSnafu.fail();
+    let mut frames = frames(stream, MAX_FRAME);
+    let question = postcard::from_bytes(&next_frame(&mut frames).await?);
+    let question = question.ok().context(OtherwiseSnafu)?;
+    if question != Question::Catalog && !knows(edge, question) {
+        send(&mut frames, &Answer::Soon).await?;
+        while !knows(edge, question) {
+            edge.learned.notified().await;
+        }
     }
-    let sent = frames.send(text).await.context(ConnectionSnafu);
+    let place = line.places.acquire().await;
+    let answer = match question {
+        Question::Catalog => {
+            let text = edge.catalog_text.borrow().to_vec();
+            (!text.is_empty()).then_some(Answer::Catalog(text))
+        }
+        Question::State => Some(Answer::State(Box::new(state(edge, true)))),
+        Question::Targets => Some(Answer::State(Box::new(state(edge, false)))),
+    };
+    let sent = send(&mut frames, &answer.context(RefusedSnafu)?).await;
     drop(place);
     sent
 }
 
+/// Whether this daemon knows what it is asked for. At the first start of the whole system
+/// the targets come before the catalog.
+fn knows(edge: &Edge, question: Question) -> bool {
+    let catalog = edge.catalog.borrow().is_some() || edge.settings().first_start;
+    edge.feed.borrow().is_known() && (catalog || question == Question::Targets)
+}
+
+fn state(edge: &Edge, with_catalog: bool) -> State {
+    let now = edge.now();
+    let book = edge.book.borrow();
+    let text = edge.catalog_text.borrow();
+    let known = with_catalog && edge.catalog.borrow().is_some();
+    State {
+        catalog: if known { text.to_vec() } else { Vec::new() },
+        proof: edge.fresh.get().age(now),
+        targets: book.listed().cloned().collect(),
+        version: edge.feed.borrow().version(),
+        age: edge.targets_age(),
+        steady: book.steady_for(now),
+    }
+}
+
 /// Gets the catalog of the daemon at an address, within `limit`.
 pub(crate) async fn fetch_catalog(
     address: SocketAddr,
     limit: Duration,
 ) -> Result<Bytes, TransferError> {
-    let exchange = async {
+    match ask(address, Question::Catalog, limit, limit).await? {
+        Answer::Catalog(text) => Ok(text.into()),
+        Answer::Soon | Answer::State(_) => OtherwiseSnafu.fail(),
+    }
+}
+
+/// Gets all that a daemon must know to serve from the daemon at an address, which has
+/// `limit` for it if it starts itself.
+pub(crate) async fn fetch_state(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<State, TransferError> {
+    into_state(ask(address, Question::State, SAY, limit).await?)
+}
+
+/// Gets the list of all targets from the daemon at an address, within `limit`.
+pub(crate) async fn fetch_targets(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<State, TransferError> {
+    into_state(ask(address, Question::Targets, limit, limit).await?)
+}
+
+fn into_state(answer: Answer) -> Result<State, TransferError> {
+    match answer {
+        Answer::State(state) => Ok(*state),
+        Answer::Soon | Answer::Catalog(_) => OtherwiseSnafu.fail(),
+    }
+}
+
+/// Asks the daemon at an address, which has `say` for its first word, and `limit` for
+/// what it is asked for.
+async fn ask(
+    address: SocketAddr,
+    question: Question,
+    say: Duration,
+    limit: Duration,
+) -> Result<Answer, TransferError> {
+    let start = Instant::now();
+    let first = async {
         let stream = TcpStream::connect(address).await.context(ConnectionSnafu)?;
-        let mut frames = frames(stream, MAX_CATALOG);
-        let question = Bytes::from_static(QUESTION);
-        frames.send(question).await.context(ConnectionSnafu)?;
-        next_frame(&mut frames).await
+        let mut frames = frames(stream, MAX_FRAME);
+        send(&mut frames, &question).await?;
+        let answer = next_answer(&mut frames).await?;
+        Ok((frames, answer))
     };
-    match timeout_at(Instant::now() + limit, exchange).await {
-        Ok(result) => result,
-        Err(_) => LateSnafu.fail(),
+    let (mut frames, answer) = in_time(start + say, first).await?;
+    match answer {
+        Answer::Soon => in_time(start + limit, next_answer(&mut frames)).await,
+        answer => Ok(answer),
     }
 }
 
+async fn in_time<T>(
+    until: Instant,
+    step: impl Future<Output = Result<T, TransferError>>,
+) -> Result<T, TransferError> {
+    timeout_at(until, step).await.ok().context(LateSnafu)?
+}
+
+async fn send<T: Serialize>(frames: &mut Frames, message: &T) -> Result<(), TransferError> {
+    let bytes = postcard::to_stdvec(message).ok().context(OtherwiseSnafu)?;
+    let bytes = Bytes::from(bytes);
+    frames.send(bytes).await.context(ConnectionSnafu)
+}
+
+async fn next_answer(frames: &mut Frames) -> Result<Answer, TransferError> {
+    let frame = next_frame(frames).await?;
+    postcard::from_bytes(&frame).ok().context(OtherwiseSnafu)
+}
+
 async fn next_frame(frames: &mut Frames) -> Result<Bytes, TransferError> {
     let frame = frames.next().await.context(RefusedSnafu)?;
     Ok(frame.context(ConnectionSnafu)?.freeze())
--- /dev/null
+++ b/crates/thistlesill-edge/src/start.rs
@@ -0,0 +1,145 @@
+//! How a daemon that starts comes to know the catalog and the targets.
+//!
+//! The first daemons of each data centre read the store; the others ask the daemon above
+//! them ([`thistlesill_policy::edge::start`]), which answers as soon as it knows. Who gets
+//! no answer reads the store after all, and goes on listening for a peer that knows.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use thistlesill_core::Millis;
+use thistlesill_policy::edge::start::{Source, source};
+
+use crate::peers::transfer::{self, State, TransferError};
+use crate::state::Edge;
+use crate::watch;
+
+/// How long a daemon waits for the store's list of daemons before it reads the store
+/// itself: one read when the store takes sixty times as long as usual.
+const LIST: Duration = Duration::from_millis(300);
+/// The same at the first start of the whole system, when daemons write their rows first.
+const FIRST_LIST: Duration = Duration::from_millis(1_500);
+/// How long a peer that starts itself is waited for: a read of 3,000 targets takes a
+/// small machine one second. It is still cheaper to wait on than a store that is busy.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time for a peer that knows, for a list of 3,000 targets on a line of 20 Mbit/s and
+/// seven others before it.
+const HAND_OUT: Duration = Duration::from_millis(1_500);
+
+/// Whether a daemon that starts still waits for peers, or reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Start {
+    /// It has not found out yet, or waits for a peer.
+    Waits,
+    /// It reads the store, for itself and for the daemons that ask it.
+    Reads,
+    /// It knows what a peer knew, or reads the store for itself.
+    Over,
+}
+
+/// Has this daemon know what it must to serve, or read the store for it.
+pub(crate) async fn run(edge: Rc<Edge>) {
+    let (by, next) = match await_list(&edge).await {
+        Source::Store => (None, Start::Reads),
+        Source::Peers(ranks) => (ask_above(&edge, &ranks).await, Start::Over),
+    };
+    let known = by.map_or_else(|| "store".to_owned(), |address| address.to_string());
+    edge.lines.line("start_source").with("from", known).write();
+    edge.start.set(next);
+    edge.start_over.notify_waiters();
+}
+
+/// Waits until the daemon may read the store, if it has not learned all before.
+pub(crate) async fn await_turn(edge: &Edge) {
+    while edge.start.get() == Start::Waits {
+        edge.start_over.notified().await;
+    }
+}
+
+/// Awaits the list of daemons, for a short time.
+async fn await_list(edge: &Edge) -> Source {
+    let limit = if edge.settings().first_start {
+        FIRST_LIST
+    } else {
+        LIST
+    };
+    let listed = async {
+        while !edge.peers.borrow().is_listed() {
+            edge.listed.notified().await;
+        }
+    };
+    // Whether it came or not: without it, this daemon knows of nobody above it.
+    drop(tokio::time::timeout(limit, listed).await);
+    let settings = edge.settings();
+    source(edge.peers.borrow().rank(&settings.name, &settings.hall))
+}
+
+/// Asks the daemons of some ranks one after the other; returns who answered.
+async fn ask_above(edge: &Edge, ranks: &[usize]) -> Option<SocketAddr> {
+    let hall = edge.settings().hall.clone();
+    for rank in ranks {
+        let address = edge.peers.borrow().at_rank(*rank, &hall);
+        let Some(address) = address else { continue };
+        let asked = edge.now();
+        match transfer::fetch_state(address, PATIENCE).await {
+            Ok(state) => {
+                if take_state(edge, state, asked) {
+                    return Some(address);
+                }
+            }
+            Err(error) => note_failed(edge, address, &error),
+        }
+    }
+    None
+}
+
+/// Has what this daemon lacks from a peer that told of it: the list of targets, since it
+/// missed changes that are not told one by one, or all, since the store was busy when it
+/// started. Returns whether that worked.
+pub(crate) async fn fetch_lack(edge: &Edge) -> bool {
+    let Some(address) = edge.targets_at.take() else {
+        return false;
+    };
+    let asked = edge.now();
+    let fetched = if edge.catalog.borrow().is_none() && !edge.settings().first_start {
+        transfer::fetch_state(address, HAND_OUT).await
+    } else {
+        transfer::fetch_targets(address, HAND_OUT).await
+    };
+    match fetched {
+        Ok(state) => take_state(edge, state, asked),
+        Err(error) => {
+            note_failed(edge, address, &error);
+            false
+        }
+    }
+}
+
+/// Notes that a peer did not hand out what it was asked for.
+pub(crate) fn note_failed(edge: &Edge, from: SocketAddr, why: &TransferError) {
+    metrics::counter!("thistlesill_edge_transfers_failed_total").increment(1);
+    let line = edge.lines.line("transfer_failed").with("from", from);
+    line.with("why", why).write();
+}
+
+/// Takes in what a peer knew when it answered the question of the moment `asked`; returns
+/// whether it knew enough.
+fn take_state(edge: &Edge, state: State, asked: Millis) -> bool {
+    let listings = watch::put_targets(edge, state.targets, state.version);
+    if let Some(steady) = state.steady.filter(|_| listings) {
+        edge.book.borrow_mut().store_steady(edge.now() - steady);
+    }
+    if let Some(age) = state.age.filter(|_| listings) {
+        edge.confirm_targets(asked - age);
+    }
+    if state.catalog.is_empty() {
+        return listings;
+    }
+    let taken = watch::put_text(edge, &state.catalog);
+    if let Some(proof) = state.proof.filter(|_| taken) {
+        // What is in force is that catalog or a later one, and there was none later then.
+        edge.confirm(asked - proof);
+    }
+    listings && taken
+}
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -27,6 +27,7 @@
 use crate::peers::packet::StoreUse;
 use crate::peers::place::{self, Placing};
 use crate::peers::{Peers, link};
+use crate::start::Start;
 use thistlesill_policy::edge::feed::Feed;
 
 /// Daemons that are assumed to share the retry budget until more are known;
@@ -128,6 +129,10 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     /// The catalog in force as the operators wrote it, for peers that lack it.
     pub(crate) catalog_text: RefCell<Bytes>,
+    /// Whether the daemon, which has just started, waits for peers.
+    pub(crate) start: Cell<Start>,
+    /// Where a peer is that knows changes of targets which are not told one by one.
+    pub(crate) targets_at: Cell<Option<SocketAddr>>,
     /// Where the newer catalog is that a peer told of.
     pub(crate) catalog_at: Cell<Option<SocketAddr>>,
     /// When the catalog in force was last known to be the newest.
@@ -167,6 +172,12 @@
     pub(crate) lacks: Cell<Option<Lack>>,
     /// The targets' changes, as far as they are known.
     pub(crate) feed: RefCell<Feed>,
+    /// Woken when a peer is heard of which this daemon knew nothing.
+    pub(crate) peer_heard: Notify,
+    /// Woken when the store's list of daemons has been read.
+    pub(crate) listed: Notify,
+    /// Woken when the daemon waits for no peer any more to learn what it must.
+    pub(crate) start_over: Notify,
     /// Woken when the daemon begins or ceases to read the store.
     pub(crate) reads_changed: Notify,
     /// Woken when the catalog or all targets have been read for the first time.
@@ -193,6 +204,8 @@
             boot: rand::random(),
             catalog: RefCell::new(None),
             catalog_text: RefCell::new(Bytes::new()),
+            start: Cell::new(Start::Waits),
+            targets_at: Cell::new(None),
             catalog_at: Cell::new(None),
             fresh: Cell::new(Freshness::default()),
             targets_fresh: Cell::new(Freshness::default()),
@@ -214,6 +227,9 @@
             reads: Cell::new(false),
             lacks: Cell::new(None),
             feed: RefCell::new(Feed::default()),
+            peer_heard: Notify::new(),
+            listed: Notify::new(),
+            start_over: Notify::new(),
             reads_changed: Notify::new(),
             learned: Notify::new(),
             catalog_news: Notify::new(),
--- a/crates/thistlesill-edge/src/watch.rs
+++ b/crates/thistlesill-edge/src/watch.rs
@@ -8,8 +8,8 @@
 use thistlesill_core::Millis;
 use thistlesill_platform::store::{StoreError, Table};
 
-pub(crate) use self::catalog::follow_catalog;
-pub(crate) use self::targets::{apply, follow_targets};
+pub(crate) use self::catalog::{follow_catalog, put_text};
+pub(crate) use self::targets::{apply, follow_targets, put_targets};
 use crate::follow;
 use crate::state::Edge;
 
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -14,6 +14,7 @@
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::follow::{self, FIRST_WORD};
 use crate::peers::transfer;
+use crate::start;
 use crate::state::Edge;
 
 /// Time for a read that shows whether the store is away, after a connection that
@@ -37,6 +38,7 @@
     let mut version = None;
     let mut pause = PAUSE;
     let mut limit = READ;
+    start::await_turn(&edge).await;
     if edge.settings().first_start {
         await_word(&edge).await;
     }
@@ -122,15 +124,13 @@
     let limit = edge.settings().bounds.apply.duration().mul_f64(FETCH_PART);
     match transfer::fetch_catalog(address, limit).await {
         Ok(text) => {
-            let taken = decode_and_put(edge, &text);
+            let taken = put_text(edge, &text);
             // The proof that goes with it.
             follow::ask(edge);
             taken
         }
         Err(error) => {
-            metrics::counter!("thistlesill_edge_transfers_failed_total").increment(1);
-            let line = edge.lines.line("transfer_failed").with("from", address);
-            line.with("why", error).write();
+            start::note_failed(edge, address, &error);
             false
         }
     }
@@ -142,6 +142,8 @@
 async fn pause_until_news(edge: &Edge, pause: Duration) {
     tokio::select! {
         () = tokio::time::sleep(pause) => {}
+        () = edge.listed.notified() => {}
+        () = edge.learned.notified() => {}
         () = edge.catalog_news.notified() => {
             if !fetch_catalog(edge).await {
                 tokio::time::sleep(PAUSE.min(pause)).await;
@@ -201,7 +203,7 @@
     let row = rows.rows.iter().rfind(|row| row.key == CATALOG_KEY);
     match row.map(|row| &row.value) {
         None | Some(Content::Gone) => edge.catalog.borrow().is_some(),
-        Some(Content::Bytes(bytes)) => decode_and_put(edge, bytes),
+        Some(Content::Bytes(bytes)) => put_text(edge, bytes),
         Some(Content::Unreadable(why)) => {
             note_refused(edge, why);
             false
@@ -210,7 +212,7 @@
 }
 
 /// Takes in a catalog as the operators wrote it; returns whether it is sound.
-fn decode_and_put(edge: &Edge, text: &[u8]) -> bool {
+pub(crate) fn put_text(edge: &Edge, text: &[u8]) -> bool {
     match decode_catalog(text) {
         Ok(catalog) => {
             put_catalog(edge, catalog, text);
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -11,8 +11,8 @@
 use thistlesill_policy::edge::feed::Change;
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
-use crate::follow;
 use crate::state::Edge;
+use crate::{follow, start};
 
 /// Part of the time after which a target that leaves gets no new requests for
 /// which a question about targets waits. With a wait of 8 s, a connection that
@@ -30,9 +30,13 @@
 
 /// Follows the targets' entries, for ever.
 pub(crate) async fn follow_targets(edge: Rc<Edge>) {
-    let mut whole = true;
+    start::await_turn(&edge).await;
+    let mut whole = !edge.feed.borrow().is_known();
     let mut pause = PAUSE;
     loop {
+        if whole && start::fetch_lack(&edge).await {
+            whole = false;
+        }
         if !whole && !follow::reads_targets(&edge) {
             tokio::select! {
                 () = edge.targets_news.notified() => whole = true,
@@ -67,7 +71,11 @@
                     AfterFailure::AskAgain => {}
                     AfterFailure::ReadWhole => whole = true,
                     AfterFailure::Wait => {
-                        tokio::time::sleep(pause).await;
+                        tokio::select! {
+                            () = tokio::time::sleep(pause) => {}
+                            () = edge.targets_news.notified() => {}
+                            () = edge.listed.notified() => {}
+                        }
                         pause = next_pause(&edge);
                     }
                 }
@@ -108,13 +116,24 @@
     true
 }
 
-/// Takes in a whole read, unless peers told of later changes meanwhile.
+/// Takes in a whole read.
 fn take_all_targets(edge: &Edge, all: Vec<Change>, version: u64) -> bool {
+    put_all(edge, all.into_iter().map(|c| c.what).collect(), version)
+}
+
+/// Takes in all targets as a peer knew them at a version of the store; returns whether
+/// they are news.
+pub(crate) fn put_targets(edge: &Edge, targets: Vec<Target>, version: u64) -> bool {
+    let listings = targets.into_iter().map(|t| Listing::Listed(Box::new(t)));
+    put_all(edge, listings.collect(), version)
+}
+
+/// Takes in all entries at a version, unless peers told of later changes meanwhile.
+fn put_all(edge: &Edge, listings: Vec<Listing>, version: u64) -> bool {
     if edge.feed.borrow().is_ahead_of(version) {
         return false;
     }
     edge.feed.borrow_mut().restart(version);
-    let listings = all.into_iter().map(|change| change.what).collect();
     let (catalog, now) = (edge.catalog(), edge.now());
     let mut book = edge.book.borrow_mut();
     book.replace(listings, catalog.as_deref(), now);
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -10,3 +10,4 @@
 pub mod freshness;
 pub mod load;
 pub mod owner;
+pub mod start;
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -161,6 +161,13 @@
         self.life(id.instance()) == Some(id)
     }
 
+    /// The targets as the store lists them, without those that are only kept since their
+    /// entries may have lapsed.
+    pub fn listed(&self) -> impl Iterator<Item = &Target> {
+        let all = self.targets.values().flat_map(HashMap::values);
+        all.filter(|t| !self.lapsed.contains_key(t.id.instance()))
+    }
+
     /// How many targets are known.
     pub fn count(&self) -> usize {
         self.lives.len()
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -26,3 +26,5 @@
 mod restarts;
 #[path = "edge/stage.rs"]
 mod stage;
+#[path = "edge/start.rs"]
+mod start;
