--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -1,10 +1,12 @@
 //! A key that was taken away opens nothing, whatever a daemon can reach.
 
+use std::time::{Duration, Instant};
+
 use thistlesill_platform_standin::link::Harm;
-use thistlesill_platform_standin::store::Mode;
+use thistlesill_platform_standin::store::{LEASE_READ, Mode};
 use thistlesill_platform_standin::world::catalog;
 
-use crate::support::{ask, book, read, readers, sleep, world};
+use crate::support::{ask, book, planner, read, readers, sleep, world};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_removed_key_is_refused_and_a_new_catalog_never_reverts() {
@@ -46,6 +48,38 @@
     }
 }
 
+/// How long the planner's lease outlasts it, and more: nobody forms groups any more.
+const OUTAGE_MS: u64 = 6_500;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_an_outage_all_daemons_have_a_proof_as_soon_as_one_of_them_has() {
+    let world = world(77, 10).await;
+    sleep(1_500).await;
+    let planner = planner(&world);
+    world.store.set_mode(Mode::Busy);
+    // Else all ask the one daemon that they know to read the store.
+    world.daemons[planner].signal(nix::sys::signal::Signal::SIGSTOP);
+    sleep(OUTAGE_MS - 1_500).await;
+    let looks = world.store.asked(LEASE_READ);
+    sleep(1_500).await;
+    let looks = world.store.asked(LEASE_READ) - looks;
+    world.store.set_mode(Mode::Up);
+    let back = Instant::now();
+    for daemon in (0..world.daemons.len()).filter(|d| *d != planner) {
+        while ask(&world, daemon, read(&format!("back-{daemon}")))
+            .await
+            .status
+            != 200
+        {
+            sleep(20).await;
+        }
+    }
+    let took = back.elapsed();
+    assert!(took < Duration::from_millis(800), "{took:?}");
+    // The first daemons of both data centres look for the lease, and no others.
+    assert!(looks <= 8, "{looks} reads of the lease in 1.5 s");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_daemon_does_not_trust_its_proof_when_it_wakes() {
     let mut world = world(13, 2).await;
