fix(edge): who has a proof again tells it at once, and who has none asks at once

Cause: a daemon that reads the store asked only the planner for proofs, also while the store did not answer it; after an outage in which the lease was lost each waited out its own pause of 2.4 s, though others had a proof. Every daemon looked for the lease five seconds after its holder fell silent, with the store away as well.

Change: a daemon whose questions fail asks any reader; one that the store answers again tells its data centre, and who hears of a reader without a young proof asks it; while the store is away only the first daemons of data centres look for the lease. A daemon that starts waits for the list of daemons, or a peer, up to 3 s before it reads the store.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -182,8 +182,9 @@
     let settings = edge.settings();
     let reader = {
         let peers = edge.peers.borrow();
-        // A daemon that reads the catalog itself asks for targets only.
-        if edge.reads.get() {
+        // A daemon that reads the catalog itself asks for targets only, unless the store
+        // does not answer it.
+        if edge.reads.get() && !edge.is_away() {
             peers.planner()
         } else {
             peers.reader(&settings.hall, edge.now())
@@ -212,6 +213,17 @@
     }
 }
 
+/// Takes in that a peer has begun to read the store: who has no young proof asks it at
+/// once. After an outage in which the planner was lost, daemons were without a proof for
+/// up to 2.4 s more, until each had asked the store itself.
+pub(crate) fn hear_reader(edge: &Edge, peer: &NodeId) {
+    let apply = edge.settings().bounds.apply.get() as f64;
+    let age = edge.fresh.get().age(edge.now());
+    if age.is_none_or(|age| age.get() as f64 > apply * HEAD_PART) {
+        ask_peer(edge, peer);
+    }
+}
+
 fn ask_peer(edge: &Edge, peer: &NodeId) {
     let settings = edge.settings();
     let question = Ask {
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -55,6 +55,17 @@
     All,
 }
 
+/// What a beat tells that is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum News {
+    /// Nothing of note.
+    Nothing,
+    /// There is a peer of which this daemon knew nothing.
+    Peer,
+    /// The peer has begun to read the store, or reads it again.
+    Reader,
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
@@ -356,12 +367,17 @@
         self.known.retain(|_, p| p.silence(now) < REMOVED);
     }
 
-    /// Takes in how a peer is; returns whether it was not known before.
-    fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) -> bool {
-        let is_new = !self.known.contains_key(&beat.from);
+    /// Takes in how a peer is; returns what is new of it.
+    fn hear(&mut self, beat: &Beat, from: SocketAddr, now: Millis) -> News {
+        let before = self.known.get(&beat.from).map(|p| p.store);
+        let news = match before {
+            None => News::Peer,
+            Some(before) if beat.store == StoreUse::Reads && before != beat.store => News::Reader,
+            Some(_) => News::Nothing,
+        };
         self.list(beat.from.clone(), from, beat.hall.clone(), now);
         let Some(peer) = self.known.get_mut(&beat.from) else {
-            return is_new;
+            return news;
         };
         peer.heard = Some(now);
         peer.hall = beat.hall.clone();
@@ -379,7 +395,7 @@
         } else if self.planner().as_ref() == Some(&beat.from) {
             self.planner_ended = true;
         }
-        is_new
+        news
     }
 
     fn list(&mut self, name: NodeId, address: SocketAddr, hall: HallId, now: Millis) {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::packet::{AskedWork, Beat, Packet};
-use super::{Peers, Reach, place};
+use super::{News, Peers, Reach, place};
 use crate::follow;
 use crate::state::Edge;
 
@@ -230,8 +230,11 @@
     if beat.from == edge.settings().name {
         return;
     }
-    if edge.peers.borrow_mut().hear(&beat, from, now) {
-        edge.peer_heard.notify_waiters();
+    let news = edge.peers.borrow_mut().hear(&beat, from, now);
+    match news {
+        News::Nothing => {}
+        News::Peer => edge.peer_heard.notify_waiters(),
+        News::Reader => follow::hear_reader(edge, &beat.from),
     }
     if let Some(known) = beat.targets {
         follow::hear_known(edge, &beat.from, known);
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -155,7 +155,9 @@
             return unknown && peers.is_first_listed(&self.edge.settings().name);
         }
         let silence = now - peers.planner_heard().unwrap_or(self.edge.started);
-        silence >= ORPHANED || follow::reads_for_others(&self.edge)
+        // While the store is away, hundreds that look for the lease find nothing.
+        let orphaned = silence >= ORPHANED && !self.edge.is_away();
+        orphaned || follow::reads_for_others(&self.edge)
     }
 
     /// Sends a transaction; what was certainly not done counts as refused.
--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -15,11 +15,10 @@
 use crate::state::Edge;
 use crate::watch;
 
-/// How long a daemon waits for the store's list of daemons before it reads the store
-/// itself: one read when the store takes sixty times as long as usual.
-const LIST: Duration = Duration::from_millis(300);
-/// The same at the first start of the whole system, when daemons write their rows first.
-const FIRST_LIST: Duration = Duration::from_millis(1_500);
+/// How long a daemon waits for the store's list of daemons, or for a peer that knows,
+/// before it reads the store itself. A store that does not answer this question hardly
+/// answers others.
+const LIST: Duration = Duration::from_millis(3_000);
 /// How long a peer that starts itself is waited for: a read of 3,000 targets takes a
 /// small machine one second. It is still cheaper to wait on than a store that is busy.
 const PATIENCE: Duration = Duration::from_millis(1_500);
@@ -59,18 +58,13 @@
 
 /// Awaits the list of daemons, for a short time.
 async fn await_list(edge: &Edge) -> Source {
-    let limit = if edge.settings().first_start {
-        FIRST_LIST
-    } else {
-        LIST
-    };
     let listed = async {
         while !edge.peers.borrow().is_listed() {
             edge.listed.notified().await;
         }
     };
     // Whether it came or not: without it, this daemon knows of nobody above it.
-    drop(tokio::time::timeout(limit, listed).await);
+    drop(tokio::time::timeout(LIST, listed).await);
     let settings = edge.settings();
     source(edge.peers.borrow().rank(&settings.name, &settings.hall))
 }
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -13,7 +13,7 @@
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::follow::{self, FIRST_WORD};
-use crate::peers::transfer;
+use crate::peers::{Reach, link, transfer};
 use crate::start;
 use crate::state::Edge;
 
@@ -189,6 +189,10 @@
     if was_away == error.is_some() {
         return;
     }
+    if error.is_none() {
+        // The others there ask this one, without waiting for its next beat.
+        link::tell_beat(edge, Reach::Near);
+    }
     let line = match error {
         None => edge.lines.line("store_regained"),
         Some(error) => edge.lines.line("store_lost").with("why", error),
