feat(cli): explain losses, one cause for each late or refused request

thistlesill explain losses reads the lines of any number of edge daemons and prints, by route and by second, how many requests were late or not served and why, one cause each out of a closed list. The request line of a late answer tells what was late, how long after its arrival it was sent, and the work at its target then.

--- a/crates/thistlesill-cli/src/commands.rs
+++ b/crates/thistlesill-cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod fleet;
+mod losses;
 mod settings;
 mod timeline;
 
@@ -38,6 +39,7 @@
         ThistlesillCmd::Drain(args) => fleet::drain(&open()?, &args.name, json).await,
         ThistlesillCmd::Explain(explain) => match explain.subcommand {
             ExplainCmd::Request(args) => timeline::explain(&open()?, &args.id, json).await,
+            ExplainCmd::Losses(args) => losses::show(&args.files, json),
             ExplainCmd::Group(args) => fleet::explain(&open()?, &args.name, json).await,
         },
         ThistlesillCmd::Timeline(args) => timeline::show(&open()?, args, json).await,
--- a/crates/thistlesill-cli/src/flags.rs
+++ b/crates/thistlesill-cli/src/flags.rs
@@ -20,6 +20,7 @@
     ///   thistlesill settings put tree.jsonc --note "new adapter for Lowell"
     ///   thistlesill settings get --resolved --hall concord --customer lowell
     ///   thistlesill explain group concord-1.3
+    ///   thistlesill explain losses edge-1.log edge-2.log
     ///   thistlesill timeline --request 5f0c... --svg request.svg
     cmd thistlesill {
         /// File with the fleet's addresses (default: thistlesill.jsonc).
@@ -85,6 +86,12 @@
                 /// The request's id, from the answer's x-request-id.
                 required id: String
             }
+            /// Why callers were served late or not at all, by the lines of edge daemons.
+            cmd losses {
+                /// Files with the lines of any number of daemons; without any, standard
+                /// input.
+                repeated files: PathBuf
+            }
             /// Why a group was formed, and what it waits for.
             cmd group {
                 /// The group's name.
@@ -123,6 +130,7 @@
     "status",
     "explain",
     "request",
+    "losses",
     "group",
     "timeline",
     "drain",
--- a/crates/thistlesill-cli/src/lib.rs
+++ b/crates/thistlesill-cli/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod explain;
 pub mod failure;
 pub mod flags;
+pub mod losses;
 pub mod picture;
 pub mod report;
--- /dev/null
+++ b/crates/thistlesill-cli/tests/losses.rs
@@ -0,0 +1,107 @@
+//! The cause of each late or refused request, by the lines of daemons.
+
+use thistlesill_cli::losses::{Cause, read};
+
+/// The only loss of a request with these lines.
+fn cause(lines: &str) -> Option<Cause> {
+    let losses = read(lines.lines());
+    assert_eq!(losses.unread, 0, "{lines}");
+    let route = losses.routes.get("r")?;
+    assert!(route.losses.values().sum::<u64>() <= 1);
+    route.losses.keys().next().copied()
+}
+
+fn end(rest: &str) -> String {
+    format!("t=100.250 ev=request id=a1 route=r {rest}")
+}
+
+#[test]
+fn answers_in_time_and_what_nobody_allows_are_no_losses() {
+    assert_eq!(cause(&end("outcome=answered status=200 took_ms=9")), None);
+    assert_eq!(cause(&end("outcome=unauthorized status=401")), None);
+}
+
+#[test]
+fn refusals_tell_whether_the_request_waited() {
+    let refused = |ms: u64| cause(&end(&format!("outcome=overloaded status=503 took_ms={ms}")));
+    assert_eq!(refused(3), Some(Cause::Overloaded));
+    assert_eq!(refused(1_039), Some(Cause::WaitedRefused));
+    assert_eq!(
+        cause(&end("outcome=no_group status=503")),
+        Some(Cause::NoGroup)
+    );
+    assert_eq!(
+        cause(&end("outcome=not_ready status=503")),
+        Some(Cause::NotReady)
+    );
+    assert_eq!(
+        cause(&end("outcome=target_refused status=503")),
+        Some(Cause::TargetShed)
+    );
+}
+
+#[test]
+fn a_late_first_event_is_explained_by_what_came_before() {
+    let late = "outcome=answered status=200 late=first first_ms=700";
+    let after = |why: &str| {
+        let failed = format!("t=100.1 ev=attempt_failed id=a1 target=i-1 why=\"{why}\" next=again");
+        cause(&format!("{failed}\n{}", end(late)))
+    };
+    assert_eq!(after("no answer begins"), Some(Cause::SilentTarget));
+    assert_eq!(after("connection lost = gone"), Some(Cause::TargetFailed));
+    let sent = |fields: &str| cause(&end(&format!("{late} {fields}")));
+    assert_eq!(sent("sent_ms=300 sent_unread=0"), Some(Cause::Waited));
+    assert_eq!(
+        sent("sent_ms=1 sent_unread=9000"),
+        Some(Cause::UnreadPrompts)
+    );
+    assert_eq!(sent("sent_ms=1 sent_unread=0"), Some(Cause::BusyTarget));
+}
+
+#[test]
+fn a_late_pause_is_the_targets_the_prompts_or_the_callers() {
+    let late = |fields: &str| cause(&end(&format!("outcome=answered late=pause {fields}")));
+    let waited = "pause_ms=350 pause_waited_ms=340";
+    assert_eq!(
+        late(&format!("{waited} resumes=1")),
+        Some(Cause::TargetLost)
+    );
+    assert_eq!(
+        late(&format!("{waited} pause_unread=800")),
+        Some(Cause::UnreadPrompts)
+    );
+    assert_eq!(late(waited), Some(Cause::BusyTarget));
+    assert_eq!(
+        late("pause_ms=350 pause_waited_ms=20"),
+        Some(Cause::SlowCaller)
+    );
+}
+
+#[test]
+fn lines_may_come_in_any_order_with_words_before_them() {
+    let resumed = "  12.5 edge-1 t=100.1 ev=stream_resumed id=a1 from=i-1 to=i-2";
+    let end = end("outcome=answered late=pause pause_ms=350 pause_waited_ms=340");
+    assert_eq!(cause(&format!("{end}\n{resumed}")), Some(Cause::TargetLost));
+}
+
+#[test]
+fn losses_are_counted_by_route_and_second_and_strange_lines_are_told() {
+    let lines = "t=100.9 ev=request id=a route=r outcome=no_group\n\
+                 t=101.0 ev=request id=b route=r outcome=no_group\n\
+                 t=101.2 ev=request id=c route=s outcome=answered\n\
+                 not a line\n\n";
+    let losses = read(lines.lines());
+    assert_eq!(losses.routes["r"].losses[&Cause::NoGroup], 2);
+    assert_eq!(losses.routes["s"].answered, 1);
+    assert_eq!(
+        losses.seconds.keys().copied().collect::<Vec<_>>(),
+        [100, 101]
+    );
+    assert_eq!(losses.unread, 1);
+    let table = losses.to_string();
+    assert!(
+        table.contains("r: 0 answered, 2 late or not served"),
+        "{table}"
+    );
+    assert!(table.contains("1 lines are no daemon's"), "{table}");
+}
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -233,7 +233,7 @@
     let news = edge.peers.borrow_mut().hear(&beat, from, now);
     match news {
         News::Nothing => {}
-        News::Peer => edge.peer_heard.notify_waiters(),
+        News::Peer => edge.peer_heard.notify_one(),
         News::Reader => follow::hear_reader(edge, &beat.from),
     }
     if let Some(known) = beat.targets {
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -5,8 +5,8 @@
 //! for each of the operators' changes. A daemon that starts, or that missed more than is
 //! kept for it, has the list of all targets from a peer in the same way.
 //!
-//! The exchange is one frame each way. A daemon that starts itself says so in a frame
-//! more, and answers as soon as it knows what it is asked for. Who comes while a daemon hands out as many as
+//! The exchange is one frame each way. A daemon that starts is told in a frame more that
+//! it will be answered, and is as soon as the other knows what it is asked for. Who comes while a daemon hands out as many as
 //! its connection bears waits in line, for as long as it likes; it can still read the
 //! store. Refusing instead had two thirds of 62 daemons read the store each time.
 
@@ -59,7 +59,7 @@
 /// What a daemon answers.
 #[derive(Debug, Serialize, Deserialize)]
 enum Answer {
-    /// It does not know yet, and will answer as soon as it does.
+    /// It is there, and the answer follows as soon as it knows it.
     Soon,
     /// The catalog, as the operators wrote it.
     Catalog(Vec<u8>),
@@ -161,11 +161,12 @@
     let mut frames = frames(stream, MAX_FRAME);
     let question = postcard::from_bytes(&next_frame(&mut frames).await?);
     let question = question.ok().context(OtherwiseSnafu)?;
-    if question != Question::Catalog && !knows(edge, question) {
+    if question == Question::State {
+        // What follows may take a second on its way.
         send(&mut frames, &Answer::Soon).await?;
-        while !knows(edge, question) {
-            edge.learned.notified().await;
-        }
+    }
+    while question != Question::Catalog && !knows(edge, question) {
+        edge.learned.notified().await;
     }
     let place = line.places.acquire().await;
     let answer = match question {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -154,6 +154,7 @@
                 .refuse(stale(attempts), None);
         }
         tried.push(target.id.clone());
+        track.sent(&target);
         let turn = Turn::after(attempts.sent, job.passage.route.attempts);
         let failure = match attempt(&job, &target, None, turn).await {
             Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -10,6 +10,7 @@
 
 use thistlesill_core::Millis;
 use thistlesill_policy::edge::start::{Source, source};
+use tokio::time::{Instant, sleep_until};
 
 use crate::peers::transfer::{self, State, TransferError};
 use crate::state::Edge;
@@ -39,12 +40,15 @@
 
 /// Has this daemon know what it must to serve, or read the store for it.
 pub(crate) async fn run(edge: Rc<Edge>) {
-    let (by, next) = match await_list(&edge).await {
-        Source::Store => (None, Start::Reads),
-        Source::Peers(ranks) => (ask_above(&edge, &ranks).await, Start::Over),
+    let (from, next) = match await_word(&edge).await {
+        Word::Told => ("a peer that told of itself".to_owned(), Start::Over),
+        Word::From(Source::Store) => ("store".to_owned(), Start::Reads),
+        Word::From(Source::Peers(ranks)) => match ask_above(&edge, &ranks).await {
+            Some(address) => (address.to_string(), Start::Over),
+            None => ("store, since no peer answered".to_owned(), Start::Over),
+        },
     };
-    let known = by.map_or_else(|| "store".to_owned(), |address| address.to_string());
-    edge.lines.line("start_source").with("from", known).write();
+    edge.lines.line("start_source").with("from", from).write();
     edge.start.set(next);
     edge.start_over.notify_waiters();
 }
@@ -56,17 +60,31 @@
     }
 }
 
-/// Awaits the list of daemons, for a short time.
-async fn await_list(edge: &Edge) -> Source {
-    let listed = async {
-        while !edge.peers.borrow().is_listed() {
-            edge.listed.notified().await;
+/// What a daemon that starts hears first.
+enum Word {
+    /// A peer that knows told of itself, and handed on what it knows.
+    Told,
+    /// The list of daemons, or nothing for too long: it learns all from there.
+    From(Source),
+}
+
+/// Awaits the list of daemons, or a peer that knows, for a short time.
+async fn await_word(edge: &Edge) -> Word {
+    let until = Instant::now() + LIST;
+    while !edge.peers.borrow().is_listed() {
+        tokio::select! {
+            () = edge.listed.notified() => {}
+            () = edge.targets_news.notified() => if fetch_lack(edge).await {
+                return Word::Told;
+            },
+            // Without the list, this daemon knows of nobody above it.
+            () = sleep_until(until) => return Word::From(Source::Store),
         }
-    };
-    // Whether it came or not: without it, this daemon knows of nobody above it.
-    drop(tokio::time::timeout(LIST, listed).await);
+    }
     let settings = edge.settings();
-    source(edge.peers.borrow().rank(&settings.name, &settings.hall))
+    Word::From(source(
+        edge.peers.borrow().rank(&settings.name, &settings.hall),
+    ))
 }
 
 /// Asks the daemons of some ranks one after the other; returns who answered.
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -8,11 +8,40 @@
 use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::attempt::{Next, Outcome};
+use thistlesill_policy::edge::load::Work;
 
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
 use crate::state::{Edge, PlacedBy};
 
+/// How a target stood when a request was sent there.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    /// How long after the request's arrival.
+    after: Millis,
+    /// The work there without this request, as far as it was known.
+    work: Work,
+}
+
+/// What of an answer came late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Late {
+    /// Its first piece, or all of a plain one.
+    First,
+    /// An event of a stream, after a pause.
+    Pause,
+}
+
+impl Late {
+    /// The name in logs.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Pause => "pause",
+        }
+    }
+}
+
 /// A request under way; its last line is written when it ends or is dropped.
 pub(crate) struct Track {
     edge: Rc<Edge>,
@@ -21,6 +50,11 @@
     route: Option<Rc<str>>,
     version: Option<u64>,
     first: Option<Millis>,
+    /// Its objective, and the longest pause in time.
+    aim: Option<Millis>,
+    most_pause: Option<Millis>,
+    /// How the last target stood when the request was sent there.
+    sent: Option<Sent>,
     /// What decided the end, where its kind does not say it.
     why: Option<&'static str>,
     back: Option<Millis>,
@@ -43,6 +77,9 @@
             route: None,
             version: None,
             first: None,
+            aim: None,
+            most_pause: None,
+            sent: None,
             why: None,
             back: None,
             placed: None,
@@ -58,6 +95,9 @@
         rest.route.clone_from(&self.route);
         rest.version = self.version;
         rest.placed = self.placed;
+        rest.aim = self.aim;
+        rest.most_pause = self.most_pause;
+        rest.sent = self.sent;
         self.ended = true;
         rest
     }
@@ -66,6 +106,31 @@
     pub(crate) fn admitted(&mut self, passage: &Passage) {
         self.route = Some(Rc::from(&*passage.route.name));
         self.version = Some(passage.version);
+        self.aim = Some(passage.route.aim);
+        self.most_pause = passage.route.pause;
+    }
+
+    /// Notes how a target stands to which the request is sent now.
+    pub(crate) fn sent(&mut self, target: &Target) {
+        let now = self.edge.now();
+        self.sent = Some(Sent {
+            after: now - self.arrived,
+            work: self.edge.loads.borrow().work(&target.id, now),
+        });
+    }
+
+    /// What of an answer came late, if anything did.
+    fn late(&self, took: Millis) -> Option<Late> {
+        let aim = self.aim?;
+        let first = self.first.unwrap_or(took);
+        let pause = self.pause.map_or(Millis::ZERO, |p| p.length);
+        if first > aim {
+            Some(Late::First)
+        } else if self.most_pause.is_some_and(|most| pause > most) {
+            Some(Late::Pause)
+        } else {
+            None
+        }
     }
 
     /// Notes that the first piece of the answer goes to the caller.
@@ -162,6 +227,9 @@
             .increment(1);
         metrics::histogram!("thistlesill_edge_request_ms").record(took.get() as f64);
         let age = self.edge.fresh.get().age(now);
+        let late = self.late(took);
+        // How the target stood explains why an answer came late; others do without.
+        let sent = self.sent.filter(|_| late.is_some());
         self.edge
             .lines
             .line("request")
@@ -179,6 +247,10 @@
             .maybe("pause_waited_ms", self.pause.map(|p| p.waited.get()))
             .maybe("pause_unread", self.pause.map(|p| p.unread))
             .maybe("resumes", Some(self.resumes).filter(|n| *n > 0))
+            .maybe("late", late.map(Late::name))
+            .maybe("sent_ms", sent.map(|s| s.after.get()))
+            .maybe("sent_unread", sent.map(|s| s.work.unread))
+            .maybe("sent_requests", sent.map(|s| s.work.requests))
             .maybe("why", self.why)
             .maybe("back_ms", self.back.map(Millis::get))
             .with("took_ms", took.get())
