--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -1,8 +1,12 @@
 //! Targets that start again under their id, and entries of other writers.
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use thistlesill_platform_standin::targets::{PLAIN, POOL};
 use thistlesill_platform_standin::world::World;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpStream, UdpSocket};
 
 use crate::support::{ask, book, read, sleep, stream, world};
 
@@ -129,3 +133,34 @@
     let noticed = (0..DAEMONS).all(|d| !world.lines(d, "ev=target_restarted").is_empty());
     assert!(noticed, "all daemons know of the starts");
 }
+
+/// Datagrams and connections of whoever speaks otherwise.
+#[tokio::test(flavor = "multi_thread")]
+async fn words_of_peers_that_cannot_be_read_change_nothing() {
+    let mut world = world(78, DAEMONS as u8).await;
+    let mut rng = SmallRng::seed_from_u64(78);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let peers = world.daemons[0].peers();
+    for round in 0..4_000_u32 {
+        // The first byte names a kind of message; all kinds come.
+        let length = rng.random_range(0..300);
+        let mut bytes: Vec<u8> = (0..length).map(|_| rng.random()).collect();
+        if let Some(first) = bytes.first_mut() {
+            *first = (round % 12) as u8;
+        }
+        drop(socket.send_to(&bytes, peers).await);
+        if round % 100 == 0 {
+            sleep(1).await;
+        }
+    }
+    // A frame that claims to be as long as can be, one that is cut off, and silence.
+    let mut kept = Vec::new();
+    for bytes in [&[0xff_u8; 8][..], &[0, 0, 0, 9, 1][..], &[][..]] {
+        let mut stream = TcpStream::connect(peers).await.expect("it listens");
+        drop(stream.write_all(bytes).await);
+        kept.push(stream);
+    }
+    sleep(500).await;
+    assert!(world.daemons[0].runs(), "the daemon ended");
+    assert_all_serve(&world, "told").await;
+}
