--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -162,6 +162,8 @@
     pub(crate) stop: Notify,
     /// Whether this daemon holds the lease to form groups.
     pub(crate) plans: Cell<bool>,
+    /// Whether it was last found that this daemon may own scopes.
+    pub(crate) owns: Cell<bool>,
     /// When the daemon started.
     pub(crate) started: Millis,
     /// Whether this daemon's last question about the catalog brought no answer.
@@ -222,6 +224,7 @@
             stopping: Cell::new(None),
             stop: Notify::new(),
             plans: Cell::new(false),
+            owns: Cell::new(false),
             started: clock.now(),
             away: Cell::new(None),
             reads: Cell::new(false),
