revert: daemons that start together have owners at once

Hypothesis: exact placement from the first request on has more of the callers served in time that come back together after a loss of power.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -75,8 +75,6 @@
     store: StoreUse,
     busy: bool,
     owns: bool,
-    /// When it started.
-    started: Millis,
     suspects: Vec<TargetId>,
     going_on: Vec<TargetId>,
     slow: Vec<TargetId>,
@@ -285,19 +283,6 @@
         ranks.all(|rank| (away, me) < rank)
     }
 
-    /// Whether a peer may own scopes.
-    fn owns(&self, name: &NodeId) -> bool {
-        self.known.get(name).is_some_and(|p| p.owns)
-    }
-
-    /// How long the peers of a data centre that were heard a moment ago have been up.
-    fn uptimes(&self, hall: &HallId, now: Millis) -> Vec<Millis> {
-        let trust = self.trust(hall);
-        let near = self.known.values();
-        let near = near.filter(|p| p.hall == *hall && p.is_heard(now, trust));
-        near.map(|p| now - p.started).collect()
-    }
-
     /// Tells which peers count as living: those of the own data centre `own` beat more
     /// often than others.
     fn lives<'a>(&self, own: &'a HallId, now: Millis) -> impl Fn(&Peer) -> bool + use<'a> {
@@ -399,7 +384,6 @@
         peer.store = beat.store;
         peer.busy = beat.busy;
         peer.owns = beat.owns;
-        peer.started = now - beat.uptime;
         peer.suspects.clone_from(&beat.suspects);
         peer.going_on.clone_from(&beat.going_on);
         peer.slow.clone_from(&beat.slow);
@@ -423,7 +407,6 @@
             store: StoreUse::Asks,
             busy: false,
             owns: false,
-            started: Millis::ZERO,
             suspects: Vec::new(),
             going_on: Vec::new(),
             slow: Vec::new(),
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -134,7 +134,6 @@
         hall: settings.hall.clone(),
         store: edge.store_use(),
         plans: edge.plans.get(),
-        uptime: now - edge.started,
         busy: edge.busy.get(),
         owns: place::may_own(edge, now),
         counts: loads.counts(),
@@ -231,12 +230,7 @@
     if beat.from == edge.settings().name {
         return;
     }
-    let owned = edge.peers.borrow().owns(&beat.from);
     let news = edge.peers.borrow_mut().hear(&beat, from, now);
-    if owned != beat.owns {
-        place::note_owners(edge);
-    }
-    place::tell_owning(edge);
     match news {
         News::Nothing => {}
         News::Peer => edge.peer_heard.notify_one(),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -52,8 +52,6 @@
     pub(crate) store: StoreUse,
     /// Whether it forms groups.
     pub(crate) plans: bool,
-    /// How long it has been up.
-    pub(crate) uptime: Millis,
     /// Whether any caller has sent a request since its start.
     pub(crate) busy: bool,
     /// Whether it may own scopes: it does not stop, and has heard of its peers' load.
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -11,7 +11,7 @@
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_policy::edge::load::{Knowledge, Work};
-use thistlesill_policy::edge::owner::{Answering, LEARN, Scope, has_learned};
+use thistlesill_policy::edge::owner::{Answering, Scope};
 use tokio::sync::oneshot;
 
 use super::packet::{Counts, Packet, PlaceAsk, PlaceReply, Placed, Totals};
@@ -22,6 +22,8 @@
 /// eighth of a core may be some milliseconds behind, and more would cost the request
 /// a good part of its objective.
 const ANSWER: Duration = Duration::from_millis(15);
+/// Time after its start in which a daemon has heard what its peers have under way.
+const LEARN: Millis = Millis::new(1_200);
 /// Between two tellings of all work at an owner's targets.
 const TELL: Duration = Duration::from_millis(250);
 /// How long what an owner told is believed: two tellings to the own data centre.
@@ -44,32 +46,7 @@
 
 /// Whether this daemon may own scopes.
 pub(crate) fn may_own(edge: &Edge, now: Millis) -> bool {
-    if edge.stopping.get().is_some() {
-        return false;
-    }
-    let uptime = now - edge.started;
-    if uptime >= LEARN {
-        return true;
-    }
-    let peers = edge.peers.borrow();
-    let hall = &edge.settings().hall;
-    // Before the list was read, a daemon knows of too few to judge by them.
-    peers.is_listed() && has_learned(uptime, peers.near(hall) - 1, &peers.uptimes(hall, now))
-}
-
-/// Notes that a peer began or ceased to own scopes.
-pub(crate) fn note_owners(edge: &Edge) {
-    edge.placing.borrow_mut().owners.clear();
-}
-
-/// Tells the data centre if this daemon has just begun to own scopes: until the others
-/// know, they choose alone.
-pub(crate) fn tell_owning(edge: &Edge) {
-    let owns = may_own(edge, edge.now());
-    if edge.owns.replace(owns) != owns {
-        edge.placing.borrow_mut().owners.clear();
-        link::tell_beat(edge, Reach::Near);
-    }
+    edge.stopping.get().is_none() && now - edge.started >= LEARN
 }
 
 /// The owner of a scope, if one is known.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -162,8 +162,6 @@
     pub(crate) stop: Notify,
     /// Whether this daemon holds the lease to form groups.
     pub(crate) plans: Cell<bool>,
-    /// Whether it was last found that this daemon may own scopes.
-    pub(crate) owns: Cell<bool>,
     /// When the daemon started.
     pub(crate) started: Millis,
     /// Whether this daemon's last question about the catalog brought no answer.
@@ -226,7 +224,6 @@
             stopping: Cell::new(None),
             stop: Notify::new(),
             plans: Cell::new(false),
-            owns: Cell::new(false),
             started: clock.now(),
             away: Cell::new(None),
             reads: Cell::new(false),
--- a/crates/thistlesill-policy/src/edge/owner.rs
+++ b/crates/thistlesill-policy/src/edge/owner.rs
@@ -79,21 +79,3 @@
         *silent = (silent.0 + 1, now);
     }
 }
-
-/// Time after its start in which a daemon has heard what its peers have under way.
-pub const LEARN: Millis = Millis::new(1_200);
-/// Part of the peers of its data centre that a daemon must have heard to judge by them.
-const HEARD_PART: f64 = 0.5;
-
-/// Whether a daemon knows what is under way at the targets of its data centre, where it
-/// has `near` peers, of whom those that it heard have been up for `uptimes`.
-///
-/// Load pattern: after a loss of power all daemons start at the same moment, and all
-/// callers come back within some tenths of a second. There is nothing under way that a
-/// daemon could not know of, so it need not wait to hear of it: daemons that choose alone
-/// in that time crowd the same groups.
-#[must_use]
-pub fn has_learned(uptime: Millis, near: usize, uptimes: &[Millis]) -> bool {
-    let heard = uptimes.len() as f64 >= near as f64 * HEARD_PART;
-    uptime >= LEARN || heard && uptimes.iter().all(|peer| *peer < LEARN)
-}
--- a/crates/thistlesill-policy/tests/edge/owner.rs
+++ b/crates/thistlesill-policy/tests/edge/owner.rs
@@ -9,7 +9,7 @@
 use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
-use thistlesill_policy::edge::owner::{Answering, LEARN, Scope, has_learned};
+use thistlesill_policy::edge::owner::{Answering, Scope};
 
 use crate::leaders::leader;
 
@@ -220,17 +220,3 @@
         assert!(after * 2 <= before, "seed {seed}: {before} and {after} ms");
     }
 }
-
-#[test]
-fn daemons_that_start_together_know_that_nothing_is_under_way() {
-    let ms = Millis::new;
-    let young = [ms(90), ms(120), ms(40)];
-    assert!(has_learned(ms(100), 6, &young), "half of them were heard");
-    assert!(!has_learned(ms(100), 7, &young), "too few were heard");
-    assert!(!has_learned(ms(100), 6, &[ms(90), ms(120), ms(9_000)]));
-    assert!(
-        has_learned(LEARN, 6, &[]),
-        "whoever there is has told by now"
-    );
-    assert!(has_learned(ms(20), 0, &[]), "there is nobody else");
-}
