--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -27,6 +27,12 @@
 /// seven others before it.
 const HAND_OUT: Duration = Duration::from_millis(1_500);
 
+/// Within this time of each other all daemons start after a loss of power, as the platform
+/// starts them; one of four found nobody listening above it, and read the store.
+const SPREAD: Millis = Millis::new(300);
+/// Between two rounds of questions to daemons that do not listen yet.
+const AGAIN: Duration = Duration::from_millis(40);
+
 /// Whether a daemon that starts still waits for peers, or reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Start {
@@ -87,8 +93,19 @@
     ))
 }
 
-/// Asks the daemons of some ranks one after the other; returns who answered.
+/// Asks the daemons of some ranks one after the other, and again as long as they may not
+/// listen yet; returns who answered.
 async fn ask_above(edge: &Edge, ranks: &[usize]) -> Option<SocketAddr> {
+    loop {
+        let answered = ask_each(edge, ranks).await;
+        if answered.is_some() || edge.now() - edge.started >= SPREAD {
+            return answered;
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+async fn ask_each(edge: &Edge, ranks: &[usize]) -> Option<SocketAddr> {
     let hall = edge.settings().hall.clone();
     for rank in ranks {
         let address = edge.peers.borrow().at_rank(*rank, &hall);
