--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -105,6 +105,7 @@
     }
 }
 
+/// Asks the daemons of some ranks one after the other; returns who answered.
 async fn ask_each(edge: &Edge, ranks: &[usize]) -> Option<SocketAddr> {
     let hall = edge.settings().hall.clone();
     for rank in ranks {
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -3,12 +3,13 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use thistlesill_core::Millis;
-use thistlesill_core::edge::Target;
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_policy::edge::book::{Listing, RELIST, TargetBook};
 
 const NOW: Millis = Millis::new(1_000_000);
 
-fn target(id: &str) -> Target {
+/// A target of a plain service.
+pub(crate) fn target(id: impl Into<TargetId>) -> Target {
     Target {
         id: id.into(),
         service: "s".into(),
--- a/crates/thistlesill-policy/tests/edge/feed.rs
+++ b/crates/thistlesill-policy/tests/edge/feed.rs
@@ -1,11 +1,10 @@
 //! Daemons that read the store keep changes for those that follow them.
 
-use std::net::{Ipv4Addr, SocketAddr};
-
-use thistlesill_core::edge::Target;
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::feed::{Batch, Change, Feed};
 
+use crate::book::target;
+
 fn gone(version: u64) -> Change {
     Change {
         version,
@@ -14,17 +13,7 @@
 }
 
 fn listed(number: u64) -> Listing {
-    Listing::Listed(Box::new(Target {
-        id: format!("t-{number}").into(),
-        service: "s".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
-        hall: "h".into(),
-        slots: 6,
-        leaving: false,
-        domain: None,
-        staged: Vec::new(),
-        member: None,
-    }))
+    Listing::Listed(Box::new(target(format!("t-{number}"))))
 }
 
 #[test]
--- a/crates/thistlesill-policy/tests/edge/restarts.rs
+++ b/crates/thistlesill-policy/tests/edge/restarts.rs
@@ -1,7 +1,5 @@
 //! Targets that start again under their id: what is remembered belongs to one life.
 
-use std::net::{Ipv4Addr, SocketAddr};
-
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{GroupRef, Incarnation, MemberState, Order, Target, TargetId};
 use thistlesill_policy::edge::book::{Listing, RELIST, TargetBook};
@@ -9,6 +7,7 @@
 use thistlesill_policy::edge::fleet::{Condition, FleetPlanner};
 use thistlesill_policy::edge::load::{LoadTable, Work};
 
+use crate::book::target;
 use crate::stage::{Fate, STEP, Stage};
 
 const NOW: Millis = Millis::new(1_000_000);
@@ -20,20 +19,6 @@
     TargetId::new(instance.into(), incarnation)
 }
 
-fn target(id: TargetId) -> Target {
-    Target {
-        id,
-        service: "s".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
-        hall: "h".into(),
-        slots: 6,
-        leaving: false,
-        domain: None,
-        staged: Vec::new(),
-        member: None,
-    }
-}
-
 fn listed(id: TargetId) -> Listing {
     Listing::Listed(Box::new(target(id)))
 }
