--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -56,6 +56,9 @@
     };
     edge.lines.line("start_source").with("from", from).write();
     edge.start.set(next);
+    // Found out later only, it would read the catalog a second time to begin with.
+    edge.reads
+        .set(next == Start::Reads && !edge.settings().first_start);
     edge.start_over.notify_waiters();
 }
 
