--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -11,6 +11,7 @@
 //! each data centre, which pass them on there. Who misses some notices it by the
 //! versions, and asks whoever told of later ones.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -85,14 +86,19 @@
         // before they have heard of another reader.
         return edge.start.get() == Start::Reads && !settings.first_start;
     }
-    let apply = settings.bounds.apply.get() as f64;
-    let age = edge.fresh.get().age(now);
-    let older_than = |part| age.is_none_or(|age| age.get() as f64 > apply * part);
-    if older_than(ALONE_PART) {
+    if proof_is_older(edge, ALONE_PART) {
         return true;
     }
     let goes_on = edge.reads.get() && !edge.peers.borrow().hears_planner(now);
-    (older_than(HEAD_PART) || goes_on) && reads_for_others(edge)
+    (proof_is_older(edge, HEAD_PART) || goes_on) && reads_for_others(edge)
+}
+
+/// Whether this daemon's proof of the catalog is older than a part of the time in which a
+/// new catalog must be in force.
+fn proof_is_older(edge: &Edge, part: f64) -> bool {
+    let apply = edge.settings().bounds.apply.get() as f64;
+    let age = edge.fresh.get().age(edge.now());
+    age.is_none_or(|age| age.get() as f64 > apply * part)
 }
 
 /// Whether other daemons depend on what this one reads.
@@ -141,9 +147,7 @@
     };
     if !is_known {
         // It starts, and would wait for the store.
-        let address = edge.peers.borrow().address(from);
-        edge.targets_at.set(address);
-        edge.targets_news.notify_one();
+        have_targets_of(edge, from);
         return;
     }
     if version >= known.newest {
@@ -202,27 +206,31 @@
 /// come by themselves within a short time: they take two steps more than the word that
 /// there are some.
 fn ask_if_it_lasts(edge: &Edge, peer: &NodeId, newest: u64) {
+    if lasts(edge, &edge.lacks, newest, LACK) {
+        ask_peer(edge, peer);
+    }
+}
+
+/// Notes that this daemon lacks changes up to a version, and returns whether it has lacked
+/// those that were noted for a time; then that time begins anew.
+fn lasts(edge: &Edge, noted: &Cell<Option<Lack>>, newest: u64, time: Millis) -> bool {
     let (now, version) = (edge.now(), edge.feed.borrow().version());
-    let lack = edge.lacks.get().filter(|lack| version < lack.version);
-    if lack.is_some_and(|lack| now - lack.since < LACK) {
-        return;
+    let lack = noted.get().filter(|lack| version < lack.version);
+    if lack.is_some_and(|lack| now - lack.since < time) {
+        return false;
     }
-    edge.lacks.set(Some(Lack {
+    noted.set(Some(Lack {
         version: newest,
         since: now,
     }));
-    if lack.is_some() {
-        ask_peer(edge, peer);
-    }
+    lack.is_some()
 }
 
 /// Takes in that a peer has begun to read the store: who has no young proof asks it at
 /// once. After an outage in which the planner was lost, daemons were without a proof for
 /// up to 2.4 s more, until each had asked the store itself.
 pub(crate) fn hear_reader(edge: &Edge, peer: &NodeId) {
-    let apply = edge.settings().bounds.apply.get() as f64;
-    let age = edge.fresh.get().age(edge.now());
-    if age.is_none_or(|age| age.get() as f64 > apply * HEAD_PART) {
+    if proof_is_older(edge, HEAD_PART) {
         ask_peer(edge, peer);
     }
 }
@@ -321,32 +329,26 @@
 /// lag behind it by some tenths of a second: each read all targets then, five times in
 /// half a minute before 3,000 of them.
 fn lags_for_long(edge: &Edge, floor: u64) -> bool {
-    let (now, version) = (edge.now(), edge.feed.borrow().version());
-    if version >= floor {
-        return false;
-    }
-    let gap = edge.gap.get().filter(|gap| version < gap.version);
-    let Some(gap) = gap else {
-        let gap = Lack {
-            version: floor,
-            since: now,
-        };
-        edge.gap.set(Some(gap));
-        return false;
-    };
-    let lasts = now - gap.since >= GAP;
-    if lasts {
+    let lags = edge.feed.borrow().version() < floor;
+    let long = lags && lasts(edge, &edge.gap, floor, GAP);
+    if long {
+        // The list of all targets is on its way; another gap is noted with the next word.
         edge.gap.set(None);
     }
-    lasts
+    long
+}
+
+/// Has the list of all targets be got from a peer that knows it.
+fn have_targets_of(edge: &Edge, peer: &NodeId) {
+    let address = edge.peers.borrow().address(peer);
+    edge.targets_at.set(address);
+    edge.targets_news.notify_one();
 }
 
 /// Takes in another daemon's word for the catalog.
 pub(crate) fn take_vouch(edge: &Edge, vouch: &Vouch) {
     if lags_for_long(edge, vouch.floor) && !reads_targets(edge) {
-        let address = edge.peers.borrow().address(&vouch.from);
-        edge.targets_at.set(address);
-        edge.targets_news.notify_one();
+        have_targets_of(edge, &vouch.from);
     }
     let own = edge.catalog().map(|c| c.version);
     if own.is_none_or(|own| vouch.catalog > own) {
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -104,7 +104,8 @@
 fn take_targets(edge: &Edge, rows: &Rows, whole: bool) -> bool {
     let changes: Vec<Change> = rows.rows.iter().map(|row| decode(edge, row)).collect();
     if whole {
-        return take_all_targets(edge, changes, rows.version);
+        let listings = changes.into_iter().map(|c| c.what).collect();
+        return put_all(edge, listings, rows.version);
     }
     let before = edge.feed.borrow().version();
     let changes = edge.feed.borrow().unknown(changes);
@@ -116,11 +117,6 @@
     true
 }
 
-/// Takes in a whole read.
-fn take_all_targets(edge: &Edge, all: Vec<Change>, version: u64) -> bool {
-    put_all(edge, all.into_iter().map(|c| c.what).collect(), version)
-}
-
 /// Takes in all targets as a peer knew them at a version of the store; returns whether
 /// they are news.
 pub(crate) fn put_targets(edge: &Edge, targets: Vec<Target>, version: u64) -> bool {
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -306,7 +306,9 @@
             self.is_dead(&t.id) || t.leads_open() && group.is_some_and(|g| self.lacks(g, targets))
         };
         let found = targets.values().filter(broken).map(|t| t.id.clone());
-        found.collect::<BTreeSet<_>>().into_iter().collect()
+        let mut found: Vec<TargetId> = found.collect();
+        found.sort_unstable();
+        found
     }
 
     fn is_dead(&self, id: &TargetId) -> bool {
