test(standins): a stopping router ends after its callers have read their answers

The router exits at the first tick at which its core has no request open, however much of the last answers its connections still hold. The stand-in's plain service takes bodies as large as the router does (64 kB before).

--- a/crates/thistlesill-standins/src/engine/handlers.rs
+++ b/crates/thistlesill-standins/src/engine/handlers.rs
@@ -26,6 +26,8 @@
 const QUEUE_LOOK: Duration = Duration::from_millis(2);
 /// Requests that wait in an engine at most.
 const MAX_WAITING: usize = 256;
+/// Bytes of a plain call's body at most.
+const MAX_BODY: usize = 64 << 20;
 
 /// The routes of a target.
 pub(super) fn router(engine: &Arc<Engine>) -> Router {
@@ -278,7 +280,10 @@
     let name = if key.is_empty() { request } else { key };
     *engine.counts().runs.entry(name).or_default() += 1;
     let path = req.uri().path().to_owned();
-    let body = req.payload().await.cloned().unwrap_or_default();
+    let Ok(body) = req.payload_with_max_size(MAX_BODY).await.cloned() else {
+        res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
+        return;
+    };
     let hold = req.query::<u64>("hold_ms").unwrap_or(5);
     tokio::time::sleep(Duration::from_millis(hold)).await;
     res.render(Json(serde_json::json!({
--- a/crates/thistlesill-standins/tests/it/stops.rs
+++ b/crates/thistlesill-standins/tests/it/stops.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use thistlesill_core::ErrorKind;
+use thistlesill_net::http::read_body;
 use thistlesill_standins::harness::{Caller, CallerError, Deployment, Kind};
 use thistlesill_standins::words;
 
 use crate::support::{MODEL, SERVERS, SOON, serving, serving_with, small};
 
+/// Bytes of an answer that fits into no buffers of a connection.
+const LONG_ANSWER: usize = 16 << 20;
+
 /// Callers behind a balancer: each request goes to a router whose health
 /// check passes; a request that a router refused as not run, or that could
 /// not be sent, goes to another one.
@@ -131,6 +135,27 @@
     assert!(deployment.wait_servers(SERVERS, SOON).await);
 }
 
+/// A caller may be slow to read: a router that has had all answers from its
+/// targets still has bytes of them that no caller has.
+#[tokio::test]
+async fn a_stopping_router_ends_after_its_callers_have_read_their_answers() {
+    let mut options = small();
+    options.limits.body_bytes = 2 * LONG_ANSWER;
+    let mut deployment = serving_with(options).await;
+    let caller = deployment.caller(0, "lowell");
+    let caller = caller.with_header("idempotency-key", "long");
+    let body = "a".repeat(LONG_ANSWER);
+    let answer = caller.post("/services/booking/bunks", body).await;
+    let answer = answer.expect("an answer's head");
+    deployment.router(0).stop();
+    // Much longer than the balancer's time, after which the router is idle.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let read = read_body(answer.into_body()).await;
+    let bytes = read.expect("the whole answer").len();
+    assert!(bytes > LONG_ANSWER, "{bytes}");
+    assert!(deployment.router(0).ended(SOON).await, "the router ends");
+}
+
 #[tokio::test]
 async fn changed_version_under_streams_cuts_nothing() {
     let deployment = serving().await;
