fix(router): a router that stops waits until its callers have read their answers

Cause: the process ended at the first tick at which its core had no request open.

Change: the loop's inbox is closed and what is in it refused as not run; then the server is stopped gracefully by its library, for what is left of the time to stop.

Ruled out: a target that cut its stream (the stand-in counted none; the text was whole).

--- a/crates/thistlesill-net/src/admin.rs
+++ b/crates/thistlesill-net/src/admin.rs
@@ -203,7 +203,7 @@
 ///
 /// If the address cannot be bound: a daemon without its port is of no use.
 pub async fn serve(address: SocketAddr, router: Router) {
-    serve_limited(address, router, &Limits::default()).await;
+    server(address, &Limits::default()).serve(router).await;
 }
 
 /// Connections that may wait to be accepted.
@@ -222,12 +222,12 @@
     TcpAcceptor::try_from(socket.listen(BACKLOG)?)
 }
 
-/// Serves routes at an address, with limits on what comes in, for ever.
+/// A server at an address, with limits on what comes in.
 ///
 /// # Panics
 ///
 /// If the address cannot be bound.
-pub async fn serve_limited(address: SocketAddr, router: Router, limits: &Limits) {
+pub fn server(address: SocketAddr, limits: &Limits) -> Server<TcpAcceptor> {
     let acceptor = listen(address).unwrap_or_else(|e| panic!("{address}: {e}"));
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_millis(limits.head_ms))
@@ -238,5 +238,5 @@
     server
         .http1_mut()
         .max_buf_size(limits.head_bytes.max(MIN_HEAD));
-    server.serve(router).await;
+    server
 }
--- a/crates/thistlesill-router/src/callers.rs
+++ b/crates/thistlesill-router/src/callers.rs
@@ -2,13 +2,16 @@
 //! their own paths, and the balancer's health check.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
 use rand::RngExt;
 use salvo::http::{ParseError, StatusCode};
 use salvo::hyper::{Method, Uri};
+
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, handler};
+use salvo::server::ServerHandle;
 use salvo::sse::{self, SseEvent};
 use salvo::writing::{Json, Text};
 use thistlesill_core::config::{DaemonConfig, Limits};
@@ -16,11 +19,12 @@
 use thistlesill_core::event_id::EventId;
 use thistlesill_core::seal::sha256_hex;
 use thistlesill_core::{CustomerId, ErrorKind, Millis, RequestId, ServiceName};
-use thistlesill_net::admin::{bearer, serve_limited, write_error};
+use thistlesill_net::admin::{bearer, server, write_error};
 use thistlesill_net::sync::Shelf;
 use thistlesill_policy::router::{Arrival, ResumePoint, Wanted};
 use thistlesill_policy::serving::GroupKey;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
 use crate::daemon::LoopEvent;
 use crate::openai::{self, Completion, Dialect};
@@ -43,22 +47,43 @@
 
 type Events = mpsc::UnboundedSender<LoopEvent>;
 
+/// The connections of callers.
+pub struct Callers {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Callers {
+    /// Waits until the callers have read their answers, for `limit` at most; new
+    /// connections are not accepted meanwhile.
+    ///
+    /// A process that ends with its last request cuts off the callers that are slower
+    /// to read than their targets were to answer: of 16 MiB none arrived whole.
+    pub async fn finish(self, limit: Duration) {
+        self.handle.stop_graceful(limit);
+        if let Err(error) = self.task.await {
+            log::error!("callers: the server ended early: {error}");
+        }
+    }
+}
+
 /// Serves callers in a task of its own.
 ///
 /// # Panics
 ///
-/// If the settings have no address for callers; their check sees to it.
-pub fn spawn(config: &DaemonConfig, shelf: Shelf, events: Events) {
+/// If the settings have no address for callers; their check sees to it. If that
+/// address cannot be bound.
+pub fn spawn(config: &DaemonConfig, shelf: Shelf, events: Events) -> Callers {
     let address = config.callers.expect("checked settings of a router");
     let shared = Arc::new(Shared {
         shelf,
         events,
         limits: config.limits,
     });
-    let limits = config.limits;
-    tokio::spawn(async move {
-        serve_limited(address, routes(&shared), &limits).await;
-    });
+    let server = server(address, &config.limits);
+    let handle = server.handle();
+    let task = tokio::spawn(async move { server.serve(routes(&shared)).await });
+    Callers { handle, task }
 }
 
 struct Shared {
--- a/crates/thistlesill-router/src/daemon.rs
+++ b/crates/thistlesill-router/src/daemon.rs
@@ -38,6 +38,8 @@
 
 /// Between two looks at the time.
 const TICK: Duration = Duration::from_millis(25);
+/// Time in which answers that were written arrive at callers that read them at once.
+const LAST_BYTES: Duration = Duration::from_millis(500);
 /// Bytes of an answer that is recorded for its key.
 const MAX_RECORDED: usize = 64 << 10;
 
@@ -116,6 +118,8 @@
     feed: SettingsFeed,
     events: mpsc::UnboundedSender<LoopEvent>,
     pending: HashMap<RequestId, Pending>,
+    /// When it was told to stop.
+    stopped: Option<Millis>,
     exit: bool,
 }
 
@@ -133,7 +137,7 @@
     let core = RouterCore::new(options(&config)).context(ChartsSnafu)?;
     let base = base::start(&config, &secrets).await.context(PeersSnafu)?;
     let (mut asked, mut datagrams) = (base.questions, base.datagrams);
-    callers::spawn(&config, base.feed.shelf.clone(), events.clone());
+    let callers = callers::spawn(&config, base.feed.shelf.clone(), events.clone());
     let mut daemon = Daemon {
         core,
         clock: Clock::new(),
@@ -144,6 +148,7 @@
         link: base.link,
         events,
         pending: HashMap::new(),
+        stopped: None,
         exit: false,
         config,
     };
@@ -160,7 +165,15 @@
             _ = tick.tick() => daemon.tick(),
         }
     }
-    log::info!("router: {} stopped", daemon.config.name);
+    // Who came in the meantime is refused as not run.
+    inbox.close();
+    while let Ok(event) = inbox.try_recv() {
+        daemon.take(event);
+    }
+    let (name, rest) = (daemon.config.name.clone(), daemon.rest());
+    drop(daemon);
+    callers.finish(rest).await;
+    log::info!("router: {name} stopped");
     Ok(())
 }
 
@@ -240,9 +253,19 @@
 
     fn stop(&mut self) {
         log::info!("router: {} is told to stop", self.config.name);
+        self.stopped.get_or_insert_with(|| self.clock.now());
         self.step(RouterEvent::Stop);
     }
 
+    /// What is left of the time to stop, for callers that are slow to read.
+    fn rest(&self) -> Duration {
+        let periods = &self.config.periods;
+        let limit = Millis::new(periods.balancer_ms + periods.stop_ms);
+        let begun = self.stopped.unwrap_or(Millis::ZERO);
+        let rest = limit - (self.clock.now() - begun);
+        rest.duration().max(LAST_BYTES)
+    }
+
     fn tick(&mut self) {
         self.step(RouterEvent::Tick);
         let take = self.settings_sink();
