test: a target that refuses is not asked first by every request

Its lines: both targets had learnt times of 17 and 18 ms; a refusal neither counts in them nor passes the target over, so each request went to the full one first and spent a retry; the fifth was denied.

--- a/crates/thistlesill-edge/tests/it/answers.rs
+++ b/crates/thistlesill-edge/tests/it/answers.rs
@@ -1,6 +1,9 @@
 //! Answers are the target's own and whole, and an error tells the truth about
 //! whether the request ran.
 
+use std::time::Duration;
+
+use thistlesill_platform_standin::link::Harm;
 use thistlesill_platform_standin::targets::Fault;
 
 use crate::support::{ask, book, read, sleep, world};
@@ -96,6 +99,25 @@
     }
 }
 
+/// The nearest target, by what was learnt of its times, takes no more requests: each one
+/// that is sent there first costs a retry, and the budget of them is small.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_refuses_is_not_asked_first_by_every_request() {
+    let world = world(82, 1).await;
+    world.targets.links[9].set(Harm::Delay(Duration::from_millis(30)));
+    for i in 0..6 {
+        let got = ask(&world, 0, read(&format!("before-{i}"))).await;
+        assert_eq!(got.status, 200);
+    }
+    world.targets.set_fault("p-0", Fault::Full);
+    let mut statuses = Vec::new();
+    for i in 0..20 {
+        statuses.push(ask(&world, 0, read(&format!("after-{i}"))).await.status);
+        sleep(20).await;
+    }
+    assert_eq!(statuses, [200; 20]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_over_the_limit_and_unknown_paths_get_their_status() {
     let world = world(5, 1).await;
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -188,6 +188,11 @@
         news
     }
 
+    /// Notes that a target answered a request without taking it.
+    pub fn note_refused(&mut self, id: &TargetId, now: Millis) {
+        self.note_progress(id, now);
+    }
+
     /// Whether a target is passed over.
     pub fn is_suspect(&self, id: &TargetId, now: Millis) -> bool {
         self.targets.get(id).is_some_and(|l| l.suspect > now)
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -4,7 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::TargetId;
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
@@ -176,3 +176,48 @@
     assert_eq!(loads.going_on(now + Millis::new(100)), [id]);
     assert!(loads.going_on(now + Millis::new(200)).is_empty());
 }
+
+/// A target that has no place for requests answers faster than any other, so what was
+/// learnt of its times kept it the best: all requests went there first, and the fifth
+/// retry of them was denied.
+#[test]
+fn a_target_that_refuses_is_passed_over_for_longer_each_time() {
+    let (a, b) = (TargetId::from("a"), TargetId::from("b"));
+    let mut loads = LoadTable::default();
+    loads.note_time(&a, Millis::new(10));
+    loads.note_time(&b, Millis::new(20));
+    let ms = |ms: u64| NOW + Millis::new(ms);
+    assert_eq!(plain_wins(&loads, NOW), 40);
+    loads.note_refused(&a, NOW);
+    assert_eq!(plain_wins(&loads, ms(50)), 0);
+    assert_eq!(plain_wins(&loads, ms(150)), 40, "it is asked again");
+    loads.note_refused(&a, ms(150));
+    assert_eq!(plain_wins(&loads, ms(150 + 150)), 0);
+    assert_eq!(plain_wins(&loads, ms(150 + 250)), 40);
+    // One that took a request starts anew.
+    loads.note_progress(&a, ms(400));
+    loads.note_refused(&a, ms(400));
+    assert_eq!(plain_wins(&loads, ms(550)), 40);
+    // It is asked all the same where there is no other.
+    loads.suspect(&b, ms(400));
+    assert_eq!(plain_wins(&loads, ms(420)), 40);
+}
+
+/// Of requests to plain targets, how many the first of two gets.
+fn plain_wins(loads: &LoadTable, now: Millis) -> usize {
+    let plain = |id: &str| Target {
+        member: None,
+        ..leader(id)
+    };
+    let (a, b) = (plain("a"), plain("b"));
+    let hall = HallId::from("h");
+    let wanted = Wanted {
+        engine: None,
+        prompt: 0,
+        hall: &hall,
+    };
+    let mut rng = SmallRng::seed_from_u64(5);
+    let picks =
+        (0..40).filter_map(|_| loads.pick(&[&a, &b], &wanted, Knowledge::Old, now, &mut rng));
+    picks.filter(|t| t.id.as_str() == "a").count()
+}
