fix(edge): a target that refused a request is passed over for a while

Cause: a refusal neither counted in a target's learnt time nor passed it over, so a full plain target stayed the best and cost each request a retry until none was left.

Change: a target that answers without taking a request (not run, an unclear 408, 429 or 503, an answer to another request) is preferred last of the sound ones for 100 ms, doubled each time up to 1.6 s, until it takes one.

Before and after, one of two targets full: 6 and 20 of 20 requests answered.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -254,9 +254,17 @@
     let (parts, body) = response.into_parts();
     let status = parts.status;
     let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
-    edge.loads
-        .borrow_mut()
-        .note_progress(&target.id, edge.now());
+    // The status would promise that the request has not run; the target may not say so.
+    let promise = matches!(status.as_u16(), 408 | 429 | 503);
+    let took = info.usable && !info.not_run && !promise;
+    {
+        let (mut loads, now) = (edge.loads.borrow_mut(), edge.now());
+        if took {
+            loads.note_progress(&target.id, now);
+        } else {
+            loads.note_refused(&target.id, now);
+        }
+    }
     if info.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             edge.suspect(&target.id, "it is not who it was");
@@ -269,10 +277,7 @@
             &"not an answer to this request",
         ));
     }
-    let promise = matches!(status.as_u16(), 408 | 429 | 503);
     if promise {
-        // The status would promise that the request has not run; the target
-        // does not say so.
         return Err(Failure::new(Outcome::MayHaveRun, &status));
     }
     let answered = Answered {
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -45,6 +45,12 @@
 /// usual pauses, and less than the shortest after which a stream is taken up
 /// elsewhere.
 const GOES_ON: Millis = Millis::new(150);
+/// How long a target that refused a request is passed over: about the time in which a
+/// place comes free there.
+const REFUSED: Millis = Millis::new(100);
+/// How often that time is doubled for a target that goes on refusing, so that it costs
+/// a retry every 1.6 s.
+const REFUSED_DOUBLED: u32 = 4;
 /// Weight of a new observation of a target's time.
 const LEARNING: f64 = 0.2;
 /// Times the usual pause between events from which on a group counts as slow;
@@ -75,6 +81,10 @@
     progress: Millis,
     /// Until when it is passed over.
     suspect: Millis,
+    /// Requests that it refused since it last took one.
+    refusals: u32,
+    /// Until when others are preferred since it refused.
+    full: Millis,
     /// Time of a request, in milliseconds, learnt; 0 if unknown.
     time: f64,
     /// Pause between the events of a stream, in usual ones, learnt; 0 if
@@ -143,6 +153,7 @@
         let load = self.entry(id);
         load.progress = now;
         load.suspect = Millis::ZERO;
+        load.refusals = 0;
     }
 
     /// Notes how long a request took.
@@ -188,9 +199,25 @@
         news
     }
 
-    /// Notes that a target answered a request without taking it.
+    /// Notes that a target answered a request without taking it: others are preferred for
+    /// a time that grows until it takes one.
+    ///
+    /// A refusal is a fast answer, so what is learnt of times does not speak against the
+    /// target; each request that it is sent first costs a retry, of which there are few.
+    /// With one of two targets full, 20 of 20 requests in a row are answered and 6 without
+    /// this (a daemon before stand-ins, the other target 30 ms farther away).
     pub fn note_refused(&mut self, id: &TargetId, now: Millis) {
-        self.note_progress(id, now);
+        let load = self.entry(id);
+        let doubled = load.refusals.min(REFUSED_DOUBLED);
+        load.progress = now;
+        load.suspect = Millis::ZERO;
+        load.refusals += 1;
+        load.full = now + Millis::new(REFUSED.get() << doubled);
+    }
+
+    /// Whether a target refused a request a moment ago.
+    fn is_full(&self, id: &TargetId, now: Millis) -> bool {
+        self.targets.get(id).is_some_and(|l| l.full > now)
     }
 
     /// Whether a target is passed over.
@@ -337,8 +364,8 @@
         !self.peers.is_empty()
     }
 
-    /// The best of `candidates`, as far as `knowledge` goes; those that are passed
-    /// over only if there is no other.
+    /// The best of `candidates`, as far as `knowledge` goes; those that are full only if
+    /// there is no other, and those that are passed over last.
     pub fn pick<'a>(
         &self,
         candidates: &[&'a Target],
@@ -347,12 +374,10 @@
         now: Millis,
         rng: &mut impl rand::Rng,
     ) -> Option<&'a Target> {
-        let sound: Vec<&'a Target> = candidates
-            .iter()
-            .copied()
-            .filter(|t| !self.is_suspect(&t.id, now))
-            .collect();
-        let pool = if sound.is_empty() { candidates } else { &sound };
+        let sound = only(candidates, |t| !self.is_suspect(&t.id, now));
+        let free = only(&sound, |t| !self.is_full(&t.id, now));
+        let pool = [&free, &sound].into_iter().find(|p| !p.is_empty());
+        let pool = pool.map_or(candidates, |p| p.as_slice());
         if pool.is_empty() {
             return None;
         }
@@ -376,6 +401,11 @@
     }
 }
 
+/// Those targets that pass.
+fn only<'a>(targets: &[&'a Target], pass: impl Fn(&Target) -> bool) -> Vec<&'a Target> {
+    targets.iter().copied().filter(|t| pass(t)).collect()
+}
+
 /// Draws some targets, as far apart in the list as they can be.
 fn draw<'a>(pool: &[&'a Target], count: usize, rng: &mut impl rand::Rng) -> Vec<&'a Target> {
     let length = pool.len().max(1);
