--- a/crates/thistlesill-policy/tests/edge/demand.rs
+++ b/crates/thistlesill-policy/tests/edge/demand.rs
@@ -1,7 +1,7 @@
 //! Groups follow the work that callers ask for.
 
 use thistlesill_core::Millis;
-use thistlesill_core::edge::Order;
+use thistlesill_core::edge::{GroupRef, Order};
 
 use crate::stage::Stage;
 
@@ -54,6 +54,35 @@
     stage.assert_sound();
 }
 
+/// Two models ask for more than there is, and the smaller one's places are full: two of
+/// its groups that had given way were opened again 1.3 s later, and gave way anew, four
+/// times in seven seconds, so that neither model had them.
+#[test]
+fn a_group_that_gave_way_is_not_opened_again_for_its_old_model() {
+    let mut stage = Stage::formed(6);
+    ask(&mut stage, 5.8, 0.8);
+    for _ in 0..30 {
+        for (leader, members) in stage.engines.serving() {
+            if members.len() == 2 {
+                stage.requests.insert(leader, 26);
+            }
+        }
+        stage.run(secs(1));
+    }
+    let mut gone: Vec<&GroupRef> = Vec::new();
+    let mut again = Vec::new();
+    for (_, _, order) in &stage.orders {
+        match order {
+            Order::Close(group) => gone.push(group),
+            Order::Open(group) if gone.contains(&group) => again.push(group),
+            _ => {}
+        }
+    }
+    assert_eq!(again, Vec::<&GroupRef>::new(), "opened after they closed");
+    assert!(stage.sizes().0 >= 8, "{:?}", stage.sizes());
+    stage.assert_sound();
+}
+
 #[test]
 fn groups_change_back_when_demand_returns() {
     let mut stage = Stage::formed(6);
