--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -254,7 +254,7 @@
     let (parts, body) = response.into_parts();
     let status = parts.status;
     let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
-    // The status would promise that the request has not run; the target may not say so.
+    // Statuses that promise a caller that its request has not run.
     let promise = matches!(status.as_u16(), 408 | 429 | 503);
     let took = info.usable && !info.not_run && !promise;
     {
@@ -278,6 +278,7 @@
         ));
     }
     if promise {
+        // The target itself does not say so.
         return Err(Failure::new(Outcome::MayHaveRun, &status));
     }
     let answered = Answered {
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -200,7 +200,7 @@
     short_since: BTreeMap<Model, Millis>,
     /// Groups that end so that another model gets their members.
     yielding: BTreeSet<GroupRef>,
-    /// When groups were told to end so that another model gets their members.
+    /// When groups that gave way were told to end; they stay closed for a while.
     gave_way: BTreeMap<GroupRef, Millis>,
     /// Whether a group waits to be formed until others have their weights.
     held_back: bool,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -376,8 +376,11 @@
     ) -> Option<&'a Target> {
         let sound = only(candidates, |t| !self.is_suspect(&t.id, now));
         let free = only(&sound, |t| !self.is_full(&t.id, now));
-        let pool = [&free, &sound].into_iter().find(|p| !p.is_empty());
-        let pool = pool.map_or(candidates, |p| p.as_slice());
+        let pool = match (free.is_empty(), sound.is_empty()) {
+            (false, _) => &free,
+            (true, false) => &sound,
+            (true, true) => candidates,
+        };
         if pool.is_empty() {
             return None;
         }
