--- a/crates/thistlesill-policy/tests/edge/demand.rs
+++ b/crates/thistlesill-policy/tests/edge/demand.rs
@@ -54,6 +54,17 @@
     stage.assert_sound();
 }
 
+/// Both models ask for more than there is: a change would cost both of them the groups
+/// for its time, and the model that gives could not do without.
+#[test]
+fn a_model_that_is_short_itself_gives_nothing() {
+    let mut stage = Stage::formed(6);
+    ask(&mut stage, 12.0, 4.0);
+    stage.run(secs(20));
+    assert_eq!(closed(&stage), 0);
+    assert_eq!(stage.sizes().1, 6);
+}
+
 /// Two models ask for more than there is, and the smaller one's places are full: two of
 /// its groups that had given way were opened again 1.3 s later, and gave way anew, four
 /// times in seven seconds, so that neither model had them.
