--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -1,16 +1,14 @@
 //! What callers ask of each model.
 //!
 //! Each daemon measures the work of the requests that come to it, in the unit
-//! that decides how many groups there should be: the part of one group, its time or its
-//! places, that the work would take up. The planner adds up what all daemons tell.
+//! that decides how many groups there should be: the part of one group's time
+//! that the work would take up. The planner adds up what all daemons tell.
 
 use std::collections::BTreeMap;
 
 use thistlesill_core::edge::Engine;
 use thistlesill_core::{Millis, Model, ServiceName};
 
-use super::fleet::USED;
-
 /// The time over which work is averaged, in milliseconds: long enough that some
 /// hundred requests count, and a quarter of what it takes to load weights, so
 /// that the average has followed before the weights are there.
@@ -37,45 +35,17 @@
 }
 
 impl Asked<'_> {
-    /// What the request takes up of a group; `None` if the service does not run the
-    /// model.
-    fn share(&self) -> Option<Share> {
-        let engine = self.engine;
-        let plan = engine.plan(self.model)?;
-        let read = f64::from(self.prompt) / engine.read_rate.max(1.0) * 1_000.0;
-        let answer = self.answer.map_or(engine.usual_answer, |t| t as f64);
-        let part = if self.refused { REFUSED_PART } else { 1.0 };
-        let scale = part * plan.pace;
-        Some(Share {
-            busy: scale * (read + answer * engine.step_each),
-            held: scale * answer * engine.step / f64::from(engine.slots.max(1)),
-        })
-    }
-}
-
-/// What requests take up of a group, in milliseconds of it.
-#[derive(Debug, Clone, Copy, Default)]
-struct Share {
-    /// Time in which nothing else is done: reading a prompt takes the whole group; of a
-    /// step that writes, what each running request adds.
-    busy: f64,
-    /// Time for which places are held by the rest of the steps, which all share: one
-    /// request that holds all places counts as the group.
-    held: f64,
-}
-
-impl Share {
-    /// The part of the group's time that counts, where it or its places are the
-    /// tighter limit.
+    /// The time of a group that the request takes up, in milliseconds; `None`
+    /// if the service does not run the model.
     ///
-    /// Requests that hold places for `held` do so for longer by what the group does for
-    /// others: with a part `b` of its time busy, the places held are `held / (1 - b)`.
-    /// They are to be [`USED`] of all, as the busy time is. Where time alone counted, short
-    /// prompts with long answers would hold 34 of 26 places (a played group); with places,
-    /// one model asked for four times as often on four deployments gave 0.013 more worth
-    /// (thirteen plays each, paired).
-    fn work(self) -> f64 {
-        self.busy.max(USED * self.busy + self.held)
+    /// Reading a prompt takes the whole group. Of a step that writes, only what
+    /// each running request adds counts: the rest is shared by all.
+    fn work(&self) -> Option<f64> {
+        let plan = self.engine.plan(self.model)?;
+        let read = f64::from(self.prompt) / self.engine.read_rate.max(1.0) * 1_000.0;
+        let answer = self.answer.map_or(self.engine.usual_answer, |t| t as f64);
+        let part = if self.refused { REFUSED_PART } else { 1.0 };
+        Some(part * plan.pace * (read + answer * self.engine.step_each))
     }
 }
 
@@ -85,17 +55,15 @@
 /// An average that forgets.
 #[derive(Debug, Clone, Copy, Default)]
 struct Average {
-    /// What requests of the last [`MEMORY`] take up.
-    sum: Share,
+    /// Work of the last [`MEMORY`], in milliseconds of a group.
+    sum: f64,
     at: Millis,
 }
 
 impl Average {
     fn decay(&mut self, now: Millis) {
         let passed = (now - self.at).get() as f64;
-        let left = (-passed / MEMORY).exp();
-        self.sum.busy *= left;
-        self.sum.held *= left;
+        self.sum *= (-passed / MEMORY).exp();
         self.at = now;
     }
 }
@@ -111,13 +79,12 @@
 impl AskedMeter {
     /// Notes a request that came or was turned away.
     pub fn note(&mut self, service: &ServiceName, asked: &Asked<'_>, now: Millis) {
-        let Some(share) = asked.share() else { return };
+        let Some(work) = asked.work() else { return };
         self.since.get_or_insert(now);
         let key = (service.clone(), asked.model.clone());
         let average = self.averages.entry(key).or_default();
         average.decay(now);
-        average.sum.busy += share.busy;
-        average.sum.held += share.held;
+        average.sum += work;
     }
 
     /// The work that is asked for now.
@@ -131,7 +98,7 @@
             average.decay(now);
         }
         let told = self.averages.iter().map(|(key, average)| {
-            let work = average.sum.work() / MEMORY / seen;
+            let work = average.sum / MEMORY / seen;
             (key.clone(), work)
         });
         told.filter(|(_, work)| *work >= LEAST).collect()
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -26,7 +26,7 @@
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
-pub use self::demand::{Demand, USED};
+pub use self::demand::Demand;
 use self::forming::Planned;
 use self::loads::LoadRate;
 use self::survey::{Survey, Verdict};
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -16,7 +16,7 @@
 const MOST_IN_GROUPS: f64 = 0.9;
 /// Part of a group's time that work may take up while answers begin in time:
 /// at 0.6 a prompt waits about as long as the reading of one other takes.
-pub const USED: f64 = 0.6;
+const USED: f64 = 0.6;
 
 /// The work that each model is asked for; 1 keeps one group fully busy.
 pub type Demand = BTreeMap<Model, f64>;
