--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -82,6 +82,25 @@
     stalled: Option<Millis>,
 }
 
+impl FakeEngine {
+    /// An engine that has just started and is listed.
+    const fn new(target: Target) -> Self {
+        Self {
+            target,
+            alive: true,
+            listed: true,
+            loaded: None,
+            epoch: 0,
+            members: Vec::new(),
+            before: None,
+            joining: None,
+            opening: None,
+            staging: None,
+            stalled: None,
+        }
+    }
+}
+
 /// A service's engines.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
@@ -120,19 +139,7 @@
             staged: Vec::new(),
             member: None,
         };
-        let engine = FakeEngine {
-            target,
-            alive: true,
-            listed: true,
-            loaded: None,
-            epoch: 0,
-            members: Vec::new(),
-            before: None,
-            joining: None,
-            opening: None,
-            staging: None,
-            stalled: None,
-        };
+        let engine = FakeEngine::new(target);
         self.all.insert(id.instance().clone(), engine);
         id
     }
@@ -200,24 +207,16 @@
     /// knows nothing else. Returns its new life.
     pub fn restart(&mut self, id: &TargetId, born: Incarnation) -> Option<TargetId> {
         let engine = self.all.get_mut(id.instance())?;
-        let target = &mut engine.target;
+        let mut target = engine.target.clone();
         let before = target.member.take().map(|m| m.of);
         target.id = TargetId::new(id.instance().clone(), born);
         target.leaving = false;
+        let life = target.id.clone();
         *engine = FakeEngine {
-            target: target.clone(),
-            alive: true,
-            listed: true,
-            loaded: None,
-            epoch: 0,
-            members: Vec::new(),
             before,
-            joining: None,
-            opening: None,
-            staging: None,
-            stalled: None,
+            ..FakeEngine::new(target)
         };
-        Some(engine.target.id.clone())
+        Some(life)
     }
 
     /// The present life of an engine.
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -23,7 +23,8 @@
     }
 }
 
-fn listed(id: &str) -> Listing {
+/// Its entry as the store lists it.
+pub(crate) fn listed(id: impl Into<TargetId>) -> Listing {
     Listing::Listed(Box::new(target(id)))
 }
 
--- a/crates/thistlesill-policy/tests/edge/demand.rs
+++ b/crates/thistlesill-policy/tests/edge/demand.rs
@@ -110,9 +110,7 @@
 fn a_lost_group_is_no_reason_for_a_change() {
     let mut stage = Stage::formed(6);
     ask(&mut stage, 3.5, 1.6);
-    let serving = stage.engines.serving();
-    let large = serving.iter().find(|(_, members)| members.len() == 4);
-    let (_, members) = large.expect("a large group").clone();
+    let (_, members) = stage.group_of(4);
     stage.engines.kill(&members[1]);
     stage.run(secs(20));
     assert_eq!(stage.sizes().0, 6);
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -71,7 +71,7 @@
 fn two_losses_in_a_row_are_replaced_by_spares_of_one_domain() {
     let mut stage = Stage::formed(1);
     for _ in 0..2 {
-        let (_, members) = large_group(&stage);
+        let (_, members) = stage.group_of(4);
         stage.engines.kill(&members[1]);
         stage.run(secs(4));
         assert_eq!(stage.sizes().0, 1, "{:?}", stage.orders);
@@ -90,7 +90,7 @@
     // The planner before may have told it to open, to be carried out late.
     let left = stage.orders.iter().filter(|(_, _, o)| o.name() == "leave");
     assert_eq!(left.count(), 1, "{:?}", stage.orders);
-    let (_, members) = large_group(&stage);
+    let (_, members) = stage.group_of(4);
     stage.engines.kill(&members[1]);
     stage.run(secs(4));
     assert_eq!(stage.sizes().0, 1, "{:?}", stage.orders);
@@ -103,7 +103,7 @@
     let census = stage.census();
     assert_eq!(census.idle(), 12);
     assert!(census.missing() < 1.0, "{census:?}");
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.kill(&leader);
     stage.engines.unlist(&leader);
     let census = stage.census();
@@ -132,7 +132,7 @@
 #[test]
 fn a_lost_member_is_replaced_by_a_spare_that_is_ready() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     let killed = stage.now;
     stage.engines.kill(&members[2]);
     stage.run(secs(4));
@@ -145,7 +145,7 @@
 #[test]
 fn a_slow_member_is_replaced_by_a_spare_and_used_again_when_it_is_sound() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     let slow = members[2].clone();
     stage.slow.insert(slow.clone());
     stage.doubted.insert(leader.clone());
@@ -171,7 +171,7 @@
 #[test]
 fn a_member_that_dies_in_a_slow_group_is_noticed_at_once() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     // Its streams are slow although all its members are sound.
     stage.doubted.insert(leader.clone());
     stage.run(secs(5));
@@ -185,7 +185,7 @@
 #[test]
 fn a_slow_group_goes_on_if_no_spare_can_take_a_place() {
     let mut stage = Stage::formed(1);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     let idle = stage.spares();
     for spare in &idle {
         stage.engines.kill(&spare.id);
@@ -201,7 +201,7 @@
 #[test]
 fn members_of_a_silent_leader_wait_until_it_is_off_the_list() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.kill(&leader);
     stage.run(secs(3));
     assert!(members.iter().all(|m| stage.given("join", m).is_none()));
@@ -213,7 +213,7 @@
 #[test]
 fn a_leader_that_vanishes_from_the_list_is_told_to_stop_first() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     // It still serves: nothing but the list forgot it.
     stage.engines.unlist(&leader);
     stage.run(secs(6));
@@ -228,7 +228,7 @@
 #[test]
 fn members_of_a_leader_that_refuses_orders_wait_while_it_works() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     // It has left the list and accepts no connection, but still works off
     // the requests that it has.
     stage.engines.unlist(&leader);
@@ -260,7 +260,7 @@
 #[test]
 fn members_of_a_leader_that_nobody_knows_wait_until_its_work_must_have_ended() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.unlist(&leader);
     stage.planner = FleetPlanner::default();
     stage.orders.clear();
@@ -276,7 +276,7 @@
     let mut stage = Stage::formed(6);
     let mut other = FleetPlanner::default();
     other.watch(&stage.engines.listed(), stage.now);
-    let (leader, _) = large_group(&stage);
+    let (leader, _) = stage.group_of(4);
     stage.engines.unlist(&leader);
     stage.planner = other;
     stage.term = 2;
@@ -344,7 +344,7 @@
     // A term that was lost and counted anew must not bring old epochs back.
     stage.planner = FleetPlanner::default();
     stage.term = 0;
-    let (_, members) = large_group(&stage);
+    let (_, members) = stage.group_of(4);
     stage.engines.kill(&members[1]);
     stage.run(secs(5));
     let least = stage.orders.iter().filter_map(|(_, _, o)| epoch(o)).min();
@@ -354,7 +354,7 @@
 #[test]
 fn a_leaving_member_ends_its_group_and_leaves_it_in_peace() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.leave(&members[3]);
     stage.run(secs(4));
     assert!(stage.given("close", &leader).is_some());
@@ -406,7 +406,7 @@
 #[test]
 fn a_model_that_has_enough_takes_no_targets_while_another_is_short() {
     let mut stage = Stage::formed(1);
-    let (leader, members) = large_group(&stage);
+    let (leader, members) = stage.group_of(4);
     for lost in [&leader, &members[1]] {
         stage.engines.kill(lost);
         stage.engines.unlist(lost);
@@ -419,19 +419,6 @@
     assert_eq!(small.count(), 0, "{:?}", stage.orders);
 }
 
-fn large_group(
-    stage: &Stage,
-) -> (
-    thistlesill_core::edge::TargetId,
-    Vec<thistlesill_core::edge::TargetId>,
-) {
-    let serving = stage.engines.serving();
-    serving
-        .into_iter()
-        .find(|(_, m)| m.len() == 4)
-        .expect("a large group serves")
-}
-
 fn epoch(order: &Order) -> Option<u64> {
     match order {
         Order::Join { to, .. } => Some(to.epoch),
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -4,7 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::edge::{Engine, Target, TargetId};
 use thistlesill_core::{HallId, Millis};
 use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted, Work};
@@ -18,18 +18,34 @@
 
 /// Picks among two groups many times and counts how often the first wins.
 fn wins(loads: &LoadTable, now: Millis) -> usize {
-    let (a, b) = (leader("a"), leader("b"));
-    let engine = engine();
+    wins_among(loads, [leader("a"), leader("b")], Some(&engine()), now)
+}
+
+/// Picks among two plain targets many times and counts how often the first wins.
+fn plain_wins(loads: &LoadTable, now: Millis) -> usize {
+    let plain = |id: &str| Target {
+        member: None,
+        ..leader(id)
+    };
+    wins_among(loads, [plain("a"), plain("b")], None, now)
+}
+
+fn wins_among(
+    loads: &LoadTable,
+    [first, second]: [Target; 2],
+    engine: Option<&Engine>,
+    now: Millis,
+) -> usize {
     let hall = HallId::from("h");
     let wanted = Wanted {
-        engine: Some(&engine),
+        engine,
         prompt: 1_000,
         hall: &hall,
     };
+    let both = [&first, &second];
     let mut rng = SmallRng::seed_from_u64(5);
-    let picks =
-        (0..40).filter_map(|_| loads.pick(&[&a, &b], &wanted, Knowledge::Old, now, &mut rng));
-    picks.filter(|t| t.id.as_str() == "a").count()
+    let picks = (0..40).filter_map(|_| loads.pick(&both, &wanted, Knowledge::Old, now, &mut rng));
+    picks.filter(|t| t.id == first.id).count()
 }
 
 #[test]
@@ -202,22 +218,3 @@
     loads.suspect(&b, ms(400));
     assert_eq!(plain_wins(&loads, ms(420)), 40);
 }
-
-/// Of requests to plain targets, how many the first of two gets.
-fn plain_wins(loads: &LoadTable, now: Millis) -> usize {
-    let plain = |id: &str| Target {
-        member: None,
-        ..leader(id)
-    };
-    let (a, b) = (plain("a"), plain("b"));
-    let hall = HallId::from("h");
-    let wanted = Wanted {
-        engine: None,
-        prompt: 0,
-        hall: &hall,
-    };
-    let mut rng = SmallRng::seed_from_u64(5);
-    let picks =
-        (0..40).filter_map(|_| loads.pick(&[&a, &b], &wanted, Knowledge::Old, now, &mut rng));
-    picks.filter(|t| t.id.as_str() == "a").count()
-}
--- a/crates/thistlesill-policy/tests/edge/restarts.rs
+++ b/crates/thistlesill-policy/tests/edge/restarts.rs
@@ -7,7 +7,7 @@
 use thistlesill_policy::edge::fleet::{Condition, FleetPlanner};
 use thistlesill_policy::edge::load::{LoadTable, Work};
 
-use crate::book::target;
+use crate::book::{listed, target};
 use crate::stage::{Fate, STEP, Stage};
 
 const NOW: Millis = Millis::new(1_000_000);
@@ -19,10 +19,6 @@
     TargetId::new(instance.into(), incarnation)
 }
 
-fn listed(id: TargetId) -> Listing {
-    Listing::Listed(Box::new(target(id)))
-}
-
 fn book() -> TargetBook {
     let mut book = TargetBook::default();
     book.store_answered(NOW);
@@ -152,17 +148,10 @@
     assert_eq!(of(Incarnation::default(), 1.0), Condition::Sound);
 }
 
-/// A group of the large model that serves: its leader and all members.
-fn large(stage: &Stage) -> (TargetId, Vec<TargetId>) {
-    let serving = stage.engines.serving().into_iter();
-    let mut large = serving.filter(|(_, members)| members.len() == 4);
-    large.next().expect("a large group serves")
-}
-
 #[test]
 fn a_group_whose_member_started_again_is_cut_and_replaced_at_once() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.restart(&members[2], AGAIN);
     stage.run(STEP);
     assert!(stage.given("cut", &leader).is_some(), "{:?}", stage.orders);
@@ -174,7 +163,7 @@
 #[test]
 fn a_leader_that_started_again_leaves_its_members_free() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     stage.engines.restart(&leader, AGAIN);
     // Some daemon has not noticed yet.
     stage.working.insert(leader.clone());
@@ -192,9 +181,7 @@
 #[test]
 fn an_instance_waits_for_the_end_of_the_group_of_its_earlier_life() {
     let mut stage = Stage::formed(1);
-    let serving = stage.engines.serving().into_iter();
-    let mut small = serving.filter(|(_, members)| members.len() == 2);
-    let (leader, members) = small.next().expect("a small group serves");
+    let (leader, members) = stage.group_of(2);
     // Full as it is, its model would have another group of one spare and the instance
     // that starts again.
     stage.requests.insert(leader.clone(), 26);
@@ -223,7 +210,7 @@
 #[test]
 fn a_group_whose_member_was_taken_by_a_late_order_is_cut() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     let stray = Order::Join {
         to: GroupRef {
             group: "g-new".into(),
@@ -240,7 +227,7 @@
 #[test]
 fn a_probe_tells_of_a_restart_before_the_list_does() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     stage
         .planner
         .probed(&members[1], Condition::Restarted, stage.now);
@@ -257,7 +244,7 @@
 #[test]
 fn a_join_of_the_earlier_life_that_comes_late_opens_nothing() {
     let mut stage = Stage::formed(2);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     let group = stage.engines.listed()[&leader]
         .member
         .clone()
@@ -285,7 +272,7 @@
 #[test]
 fn a_planner_that_takes_over_finds_restarts_of_before_its_lease() {
     let mut stage = Stage::formed(6);
-    let (leader, members) = large(&stage);
+    let (leader, members) = stage.group_of(4);
     let mut other = FleetPlanner::default();
     other.watch(&stage.engines.listed(), stage.now);
     stage.engines.restart(&members[3], AGAIN);
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -181,6 +181,13 @@
         targets.filter(|t| !serves(t)).collect()
     }
 
+    /// A group of some members that serves: its leader and all of them.
+    pub(crate) fn group_of(&self, size: usize) -> (TargetId, Vec<TargetId>) {
+        let mut serving = self.engines.serving().into_iter();
+        let group = serving.find(|(_, members)| members.len() == size);
+        group.expect("a group of that size serves")
+    }
+
     /// The groups that serve, by size.
     pub(crate) fn sizes(&self) -> (usize, usize) {
         let serving = self.engines.serving();
