refactor(edge): what daemons hand on is shared, not copied

The catalog and the packed list of targets were copied for each daemon that asked, and encoded byte by byte. The frames are the same (a length and the bytes).

--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -68,7 +68,7 @@
     /// It is there, and the answer follows as soon as it knows it.
     Soon,
     /// The catalog, as the operators wrote it.
-    Catalog(Vec<u8>),
+    Catalog(Bytes),
     /// What it knows.
     State(Box<State>),
 }
@@ -77,7 +77,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct State {
     /// [`Known`], encoded and compressed.
-    packed: Vec<u8>,
+    packed: Bytes,
     /// How old the proof is that the catalog is the newest.
     pub(crate) proof: Option<Millis>,
     /// How old the knowledge of the targets is.
@@ -91,7 +91,7 @@
 pub(crate) struct Known {
     /// The catalog, as the operators wrote it; empty if it is not there yet, or is so
     /// large that it is read from the store sooner.
-    pub(crate) catalog: Vec<u8>,
+    pub(crate) catalog: Bytes,
     /// All targets that are listed.
     pub(crate) targets: Vec<Target>,
     /// The store's version up to which all changes of targets are in the list.
@@ -123,7 +123,7 @@
 pub(crate) struct Packed {
     /// The versions of the targets and of the catalog, if there is one.
     of: (u64, Option<u64>),
-    bytes: Vec<u8>,
+    bytes: Bytes,
 }
 
 /// Why nothing came.
@@ -212,7 +212,7 @@
     let place = line.places.acquire().await;
     let answer = match question {
         Question::Catalog => {
-            let text = edge.catalog_text.borrow().to_vec();
+            let text = edge.catalog_text.borrow().clone();
             (!text.is_empty()).then_some(Answer::Catalog(text))
         }
         Question::State | Question::Targets => {
@@ -244,7 +244,7 @@
 }
 
 /// The catalog and the targets, encoded and compressed: 1,000 targets take some 30 kB.
-fn pack(edge: &Edge) -> Option<Vec<u8>> {
+fn pack(edge: &Edge) -> Option<Bytes> {
     let version = edge.feed.borrow().version();
     let of = (version, edge.catalog().map(|c| c.version));
     if let Some(packed) = edge.packed.borrow().as_ref().filter(|p| p.of == of) {
@@ -253,14 +253,14 @@
     let text = edge.catalog_text.borrow();
     let along = of.1.is_some() && text.len() <= MAX_ALONG;
     let known = Known {
-        catalog: if along { text.to_vec() } else { Vec::new() },
+        catalog: if along { text.clone() } else { Bytes::new() },
         targets: edge.book.borrow().listed().cloned().collect(),
         version,
     };
     let encoded = postcard::to_stdvec(&known)
         .inspect_err(|error| log::error!("transfer: targets were not encoded: {error}"))
         .ok()?;
-    let bytes = lz4_flex::block::compress_prepend_size(&encoded);
+    let bytes = Bytes::from(lz4_flex::block::compress_prepend_size(&encoded));
     edge.packed.replace(Some(Packed {
         of,
         bytes: bytes.clone(),
@@ -274,7 +274,7 @@
     limit: Duration,
 ) -> Result<Bytes, TransferError> {
     match ask(address, Question::Catalog, limit, limit).await? {
-        Answer::Catalog(text) => Ok(text.into()),
+        Answer::Catalog(text) => Ok(text),
         Answer::Soon | Answer::State(_) => OtherwiseSnafu.fail(),
     }
 }
