--- a/crates/thistlesill-router/src/callers.rs
+++ b/crates/thistlesill-router/src/callers.rs
@@ -1,6 +1,8 @@
 //! What callers meet: the `OpenAI` completion protocol, plain services under
 //! their own paths, and the balancer's health check.
 
+mod head;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,16 +11,14 @@
 use rand::RngExt;
 use salvo::http::{ParseError, StatusCode};
 use salvo::hyper::{Method, Uri};
-
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, handler};
 use salvo::server::ServerHandle;
 use salvo::sse::{self, SseEvent};
 use salvo::writing::{Json, Text};
 use thistlesill_core::config::{DaemonConfig, Limits};
 use thistlesill_core::error::ErrorBody;
-use thistlesill_core::event_id::EventId;
 use thistlesill_core::seal::sha256_hex;
-use thistlesill_core::{CustomerId, ErrorKind, Millis, RequestId, ServiceName};
+use thistlesill_core::{CustomerId, ErrorKind, RequestId, ServiceName};
 use thistlesill_net::admin::{bearer, server, write_error};
 use thistlesill_net::sync::Shelf;
 use thistlesill_policy::router::{Arrival, ResumePoint, Wanted};
@@ -26,22 +26,11 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 
+use self::head::{Head, bad, resume_point, text_header};
 use crate::daemon::LoopEvent;
 use crate::openai::{self, Completion, Dialect};
 use crate::pending::{Asked, CallerGuard, Pending, PlainAsk, Reply, StreamEnd, WholeReply};
 
-/// Header with the caller's idempotency key.
-const KEY_HEADER: &str = "idempotency-key";
-/// Characters of an idempotency key at most.
-const MAX_KEY: usize = 128;
-/// Header with the caller's deadline in milliseconds.
-const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// Header with the caller's priority.
-const PRIORITY_HEADER: &str = "x-priority";
-/// Header that marks a request as not repeatable.
-const REPEATABLE_HEADER: &str = "x-repeatable";
-/// Header with the id of the last event that the caller has.
-const LAST_EVENT_HEADER: &str = "last-event-id";
 /// Header with the request's id, on every answer.
 const REQUEST_HEADER: &str = "x-request-id";
 
@@ -413,68 +402,6 @@
     }
 }
 
-/// The headers that matter to every request.
-struct Head {
-    deadline: Option<Millis>,
-    priority: Option<u8>,
-    repeatable: Option<bool>,
-    key: Option<String>,
-}
-
-impl Head {
-    fn read(req: &Request) -> Result<Self, ErrorBody> {
-        Ok(Self {
-            deadline: parsed(req, DEADLINE_HEADER)?.map(Millis::new),
-            priority: parsed(req, PRIORITY_HEADER)?,
-            repeatable: parsed(req, REPEATABLE_HEADER)?,
-            key: idempotency_key(req)?,
-        })
-    }
-}
-
-fn parsed<T: std::str::FromStr>(req: &Request, name: &str) -> Result<Option<T>, ErrorBody> {
-    let Some(text) = text_header(req, name) else {
-        return Ok(None);
-    };
-    let value = text.trim().parse();
-    value.map(Some).map_err(|_| {
-        bad(&format!(
-            "the header `{name}` has a value that is not understood"
-        ))
-    })
-}
-
-fn idempotency_key(req: &Request) -> Result<Option<String>, ErrorBody> {
-    let Some(key) = text_header(req, KEY_HEADER) else {
-        return Ok(None);
-    };
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
-    if key.is_empty() || key.len() > MAX_KEY || !key.chars().all(plain) {
-        let text = "an Idempotency-Key has 1 to 128 letters, digits, `-`, `_`, `.` or `:`";
-        return Err(bad(text));
-    }
-    Ok(Some(key))
-}
-
-fn resume_point(req: &Request) -> Result<Option<EventId>, ErrorBody> {
-    let Some(text) = text_header(req, LAST_EVENT_HEADER) else {
-        return Ok(None);
-    };
-    let id = text.parse::<EventId>();
-    id.map(Some)
-        .map_err(|e| bad(&format!("the header `{LAST_EVENT_HEADER}`: {e}")))
-}
-
-fn text_header(req: &Request, name: &str) -> Option<String> {
-    let value = req.headers().get(name)?;
-    // A value that is no text must not pass for a missing one.
-    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
-}
-
-fn bad(text: &str) -> ErrorBody {
-    ErrorBody::new(ErrorKind::BadRequest, None).message(text)
-}
-
 fn body_error(error: &ParseError) -> ErrorBody {
     let kind = match error {
         ParseError::PayloadTooLarge => ErrorKind::BodyTooLarge,
--- a/crates/thistlesill-router/src/daemon.rs
+++ b/crates/thistlesill-router/src/daemon.rs
@@ -13,7 +13,6 @@
 use thistlesill_core::error::ErrorBody;
 use thistlesill_core::event_id::EventId;
 use thistlesill_core::message::PeerBody;
-use thistlesill_core::row::Outcome;
 use thistlesill_core::settings::Tree;
 use thistlesill_core::{ErrorKind, Millis, Model, RequestId};
 use thistlesill_net::admin::{AdminAsk, AdminReply, Question};
@@ -33,15 +32,14 @@
 use tokio::sync::mpsc;
 
 use crate::callers;
-use crate::pending::{Asked, Pending, Reply, Running, StreamEnd, WholeReply};
+use crate::pending::{Asked, Pending, Reply, Running};
+use crate::reply::{outcome_of, whole_reply};
 use crate::send;
 
 /// Between two looks at the time.
 const TICK: Duration = Duration::from_millis(25);
 /// Time in which answers that were written arrive at callers that read them at once.
 const LAST_BYTES: Duration = Duration::from_millis(500);
-/// Bytes of an answer that is recorded for its key.
-const MAX_RECORDED: usize = 64 << 10;
 
 /// Why a router could not start.
 #[derive(Debug, Snafu)]
@@ -434,81 +432,3 @@
         }
     }
 }
-
-/// The caller's whole answer.
-fn whole_reply(request: RequestId, pending: &Pending, ending: Ending) -> WholeReply {
-    match (ending, &pending.asked) {
-        (
-            Ending::Streamed {
-                text,
-                count,
-                reason,
-                key,
-            },
-            Asked::Completion(ask),
-        ) => WholeReply {
-            status: 200,
-            media: "application/json".to_owned(),
-            body: Bytes::from(ask.whole(request, &text, count, &reason)),
-            end: Some(StreamEnd {
-                id: Some(EventId {
-                    request,
-                    group: key.group,
-                    epoch: key.epoch,
-                    offset: count,
-                }),
-                reason: reason.to_string(),
-                text: None,
-            }),
-        },
-        (Ending::Recorded(outcome), asked) => recorded_reply(outcome, asked),
-        (Ending::Whole | Ending::Streamed { .. }, _) => plain_reply(pending),
-    }
-}
-
-fn recorded_reply(outcome: Outcome, asked: &Asked) -> WholeReply {
-    let body = outcome.body.unwrap_or_default();
-    let end = match asked {
-        Asked::Completion(ask) => Some(StreamEnd {
-            id: None,
-            reason: "stop".to_owned(),
-            text: ask.text_of(&body),
-        }),
-        Asked::Plain(_) => None,
-    };
-    WholeReply {
-        status: outcome.status,
-        media: outcome.media,
-        body: Bytes::from(body),
-        end,
-    }
-}
-
-fn plain_reply(pending: &Pending) -> WholeReply {
-    match &pending.answer {
-        Some(answer) => WholeReply {
-            status: answer.status().as_u16(),
-            media: send::media_of(answer),
-            body: answer.body().clone(),
-            end: None,
-        },
-        None => WholeReply {
-            status: ErrorKind::Internal.answer().status,
-            media: "text/plain".to_owned(),
-            body: Bytes::new(),
-            end: None,
-        },
-    }
-}
-
-/// What to record for a key; `None` if the answer is too large or no text.
-fn outcome_of(whole: &WholeReply) -> Option<Outcome> {
-    let fits = whole.body.len() <= MAX_RECORDED;
-    let body = String::from_utf8(whole.body.to_vec()).ok();
-    let body = body.filter(|_| fits)?;
-    Some(Outcome {
-        status: whole.status,
-        media: whole.media.clone(),
-        body: Some(body),
-    })
-}
--- a/crates/thistlesill-router/src/lib.rs
+++ b/crates/thistlesill-router/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod daemon;
 pub mod openai;
 mod pending;
+mod reply;
 mod send;
