--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod forming;
 mod loads;
+mod memory;
 mod orders;
 mod spares;
 mod standby;
@@ -19,9 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use thistlesill_core::edge::{
-    Engine, GroupRef, Incarnation, MemberState, Order, OrderReply, Target, TargetId,
-};
+use thistlesill_core::edge::{Engine, GroupRef, Incarnation, Order, OrderReply, Target, TargetId};
 use thistlesill_core::{GroupId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
@@ -332,120 +331,12 @@
         self.rosters.get(group).is_some_and(|r| r.iter().any(lost))
     }
 
-    /// Follows the fleet without the lease, so that a planner that takes over
-    /// knows who led which group.
-    pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
-        self.planned.clear();
-        self.remember(targets, now);
-        for target in targets.values() {
-            let Some(member) = target.member.as_ref().filter(|m| m.rank == 0) else {
-                continue;
-            };
-            match member.state {
-                // The planner that forms the group may have told it to open.
-                MemberState::Ready => {
-                    self.opening.entry(member.of.clone()).or_insert(1);
-                }
-                MemberState::Open => {
-                    self.opening.remove(&member.of);
-                }
-                _ => {}
-            }
-        }
-    }
-
     /// Gives up a group that cannot be completed because of one member.
     fn abandon(&mut self, group: &GroupRef, target: &TargetId, now: Millis) {
         self.planned.remove(group);
         self.avoid.insert(target.clone(), now);
     }
 
-    fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
-        self.avoid.retain(|_, at| now - *at < AVOID);
-        self.silent.retain(|_, (_, at)| now - *at < DEAD);
-        self.most = self.most.max(targets.len());
-        self.given.retain(|_, at| now - *at < AVOID);
-        self.rounds.retain(|_, (_, at)| now - *at < PROBE_REST);
-        self.asked.retain(|_, at| now - *at < PROBE_REST);
-        self.probed.retain(|_, at| now - *at < AVOID);
-        self.staging.retain(|id, (model, at)| {
-            let target = targets.get(id);
-            let waits = target.is_some_and(|t| !t.staged.contains(model));
-            waits && now - *at < STAGING
-        });
-        for target in targets.values() {
-            if self
-                .addresses
-                .insert(target.id.clone(), target.address)
-                .is_none()
-            {
-                self.grown = now;
-            }
-            self.missing.remove(&target.id);
-            let Some(member) = &target.member else {
-                continue;
-            };
-            match (&member.model, member.state) {
-                (Some(model), _) => {
-                    self.loaded.insert(target.id.clone(), model.clone());
-                }
-                // It takes over weights and does not say which.
-                (None, MemberState::Joining) => {
-                    self.loaded.remove(&target.id);
-                }
-                (None, _) => {}
-            }
-            self.seen.entry(member.of.clone()).or_insert(now);
-            let roster = self.rosters.entry(member.of.clone()).or_default();
-            if !roster.contains(&target.id) {
-                roster.insert(target.id.clone());
-            }
-            if target.leads_open() && self.opening.get(&member.of) == Some(&0) {
-                self.opening.remove(&member.of);
-            }
-            if member.rank == 0 {
-                self.leaders.insert(member.of.clone(), target.id.clone());
-            }
-        }
-        for id in self.addresses.keys() {
-            if !targets.contains_key(id) {
-                self.missing.entry(id.clone()).or_insert(now);
-            }
-        }
-        self.note_ended(targets);
-        let shown: BTreeSet<&GroupRef> = targets
-            .values()
-            .filter_map(|t| Some(&t.member.as_ref()?.of))
-            .collect();
-        self.seen.retain(|group, _| shown.contains(group));
-        self.rosters.retain(|group, _| shown.contains(group));
-        self.leaders.retain(|group, _| shown.contains(group));
-        self.opening.retain(|group, _| shown.contains(group));
-        self.left.retain(|group| shown.contains(group));
-        self.cut.retain(|group| shown.contains(group));
-        self.missing.retain(|_, since| now - *since < FORGET);
-        self.slow.retain(|id| targets.contains_key(id));
-        self.loaded.retain(|id, _| targets.contains_key(id));
-        let missing = &self.missing;
-        self.addresses
-            .retain(|id, _| targets.contains_key(id) || missing.contains_key(id));
-        let addresses = &self.addresses;
-        self.ended.retain(|id| addresses.contains_key(id));
-    }
-
-    /// Notes the lives that are over, since a later one of the same instance is listed.
-    fn note_ended(&mut self, targets: &HashMap<TargetId, Target>) {
-        if self.missing.keys().all(|id| self.ended.contains(id)) {
-            return;
-        }
-        let listed: HashSet<&InstanceId> = targets.keys().map(TargetId::instance).collect();
-        let over = self
-            .missing
-            .keys()
-            .filter(|id| listed.contains(id.instance()));
-        self.ended.extend(over.cloned());
-    }
-
     /// Repeats joins that are still unanswered and drops what is complete or
     /// can no longer become so.
     fn tend_planned(&mut self, view: &FleetView<'_>, now: Millis, actions: &mut Vec<FleetAction>) {
@@ -515,9 +406,3 @@
         }
     }
 }
-
-/// How long a spare may take until it shows the weights that it was told to
-/// load: the longest load of the known engines, beside several others.
-const STAGING: Millis = Millis::new(60_000);
-/// How long targets that are gone are remembered.
-const FORGET: Millis = Millis::new(30_000);
