--- a/crates/thistlesill-policy/src/edge/fleet/conversion.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -331,9 +331,9 @@
     /// them, even if all models must do with less than they need.
     ///
     /// Where a short model gave way to a shorter one, both were without the groups during the
-    /// change. With one model asked for four times as often for 11 s, worth is 0.029, 0.005
-    /// and 0.004 higher on three deployments if short models give nothing (four plays each,
-    /// paired; errors of 0.007 to 0.008).
+    /// change. With one model asked for four times as often for 11 s, worth is 0.023, 0.012
+    /// and 0.007 higher on three deployments if short models give nothing and groups that
+    /// gave way stay closed (four plays each, paired; errors of 0.007 to 0.008).
     fn can_spare(
         &self,
         view: &FleetView<'_>,
