feat(edge): a line for each request that was lost with its target

Cause looked for: targets end one after the other, and no line tells whether the same request was there each time, since each try of a caller has another id, and a stream that breaks off leaves no line of its own attempt. Three hypotheses stay apart only by that: one request ends them, targets end by themselves and requests are bystanders, or retries multiply beyond their budget.

--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -6,6 +6,7 @@
 
 mod bounds;
 mod catalog;
+mod fingerprint;
 mod incarnation;
 mod order;
 mod target;
@@ -14,6 +15,7 @@
 pub use catalog::{
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
 };
+pub use fingerprint::Fingerprint;
 pub use incarnation::{Incarnation, TargetId};
 pub use order::{GroupRef, Order, OrderReply};
 pub use target::{MemberState, Membership, Target};
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use thistlesill_core::Millis;
-use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::edge::{Fingerprint, RouteKind, Target, TargetId};
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Passage;
@@ -84,6 +85,20 @@
             .note(&service.name, &asked, now);
     }
 
+    /// What tells whether the same request came before.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let customer = self.passage.customer.as_ref();
+        let customer = customer.map_or("", thistlesill_core::CustomerId::as_str);
+        let host = self.headers.get(HOST).map_or(&b""[..], |h| h.as_bytes());
+        Fingerprint::of(&[
+            customer.as_bytes(),
+            self.method.as_str().as_bytes(),
+            host,
+            self.uri.to_string().as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Picks the next target of the request.
     pub(crate) async fn pick(&self, tried: &[TargetId]) -> (Choice, PlacedBy) {
         place::pick(
@@ -225,12 +240,27 @@
         Err(LaneError::Late) => Err(Failure::new(Outcome::Late, &"no answer in time")),
         Err(error) if error.is_unsent() => Err(Failure::new(Outcome::NotSent, &error)),
         Err(error) => {
-            edge.suspect(&target.id, "connection lost");
+            note_lost(job, target, "connection lost");
             Err(Failure::new(Outcome::MayHaveRun, &error))
         }
     }
 }
 
+/// Notes that the connection to a target ended while a request was there.
+pub(crate) fn note_lost(job: &Job, target: &Target, why: &str) {
+    let edge = &job.edge;
+    let beside = edge.loads.borrow().work(&target.id, edge.now()).requests;
+    edge.lines
+        .line("lost_with_target")
+        .with("id", &job.head.id)
+        .with("target", &target.id)
+        .with("why", why)
+        .with("print", job.fingerprint())
+        .with("requests", beside)
+        .write();
+    edge.suspect(&target.id, why);
+}
+
 /// Ends when a plain request on a kept connection has had no answer for as long as
 /// one may take: only time tells that a connection fell silent. After all kept ones
 /// did, 6 of 6 requests are answered in time, and none without this (a daemon before
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -17,7 +17,7 @@
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::attempt::{Answered, Failure, Job, LAST_ANSWER, Turn, attempt};
+use crate::attempt::{Answered, Failure, Job, LAST_ANSWER, Turn, attempt, note_lost};
 use crate::daemon;
 use crate::relay;
 use crate::reply::{self, OutBody};
@@ -265,7 +265,7 @@
     let body = match read {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
-            edge.suspect(&target.id, "the answer broke off");
+            note_lost(job, &target, "the answer broke off");
             return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
         Err(_) => {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -20,7 +20,7 @@
 
 use self::cutter::Cutter;
 pub(crate) use self::passing::pass_on;
-use crate::attempt::{Answered, Job, Turn, attempt};
+use crate::attempt::{Answered, Job, Turn, attempt, note_lost};
 use crate::proxy::{never, settle, sleep_to};
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::state::{Choice, InFlight};
@@ -265,7 +265,10 @@
             _ => "the stream broke off",
         };
         if let Some(source) = &self.source {
-            self.job.edge.suspect(&source.target.id, why);
+            match stop {
+                Stop::Stalled => self.job.edge.suspect(&source.target.id, why),
+                _ => note_lost(&self.job, &source.target, why),
+            }
         }
         if stop == Stop::Broken {
             self.source = None;
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout_at;
 
 use super::Source;
-use crate::attempt::{Answered, Job};
+use crate::attempt::{Answered, Job, note_lost};
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::track::Track;
 
@@ -54,7 +54,10 @@
                     self.track.ended(200, Some(target), self.bytes);
                     return Ok(None);
                 }
-                Some(Err(_)) => return Err(self.break_off("broke_off")),
+                Some(Err(_)) => {
+                    note_lost(&self.job, &self.source.target, "the answer broke off");
+                    return Err(self.break_off("broke_off"));
+                }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.bytes += data.len();
