test: a request that ends the targets which run it

Symptom: callers of one model are refused for seconds while targets end one after the other, each under the same request, which comes again with another id at any daemon. Stand-in targets end under such a request.

--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/fatal.rs
@@ -0,0 +1,142 @@
+//! A request can end each target that runs it.
+//!
+//! Callers sent such a request again and again. Each time it got a new id, a daemon sent
+//! it to a target, the target ended with all that ran there, and the daemon sent it to the
+//! next one: every try of the caller began its count of attempts anew, and no daemon knew
+//! what another had seen. Six targets ended within 1.6 s, eighteen in twelve seconds, and
+//! of forty-five requests a second for that model none was served. The lines that settled
+//! it are those of the targets' last requests, which share one fingerprint:
+//!
+//! ```text
+//! ev=lost_with_target target=A why="the stream broke off" print=P requests=19
+//! ev=lost_with_target target=B why="the stream broke off" print=P requests=23
+//! ev=lost_with_target target=C why="connection lost" print=P requests=21
+//! ```
+
+use std::time::{Duration, Instant};
+
+use thistlesill_platform_standin::caller::{Ask, Got, call};
+use thistlesill_platform_standin::ledger::Run;
+use thistlesill_platform_standin::targets::FATAL;
+use thistlesill_platform_standin::world::{SECOND_KEY, World};
+
+use crate::support::{ask, read, sleep, world};
+
+/// Targets that may end under a request before it is known for what it is.
+const KNOWN_AFTER: usize = 3;
+/// The operators' bound: so many more may get it later, once a daemon that is in touch
+/// with the others has had this time.
+const MOST_LATER: usize = 3;
+const IN_TOUCH: Duration = Duration::from_secs(3);
+/// Between two tries of its caller.
+const GAP: u64 = 150;
+
+/// A request that ends its targets.
+fn fatal(id: impl Into<String>) -> Ask {
+    Ask::new(id, "POST", "/read/x").body(FATAL)
+}
+
+/// The runs that count against the operators' bound.
+fn later(runs: &[Run]) -> usize {
+    let mut begun: Vec<Instant> = runs.iter().map(|run| run.at).collect();
+    begun.sort_unstable();
+    let Some(known) = begun.get(KNOWN_AFTER - 1) else {
+        return 0;
+    };
+    begun.iter().filter(|at| **at > *known + IN_TOUCH).count()
+}
+
+/// Sends the request through the daemons in turn, a number of times.
+async fn repeat(world: &World, name: &str, times: usize) -> Vec<Got> {
+    let mut all = Vec::new();
+    for i in 0..times {
+        let daemon = i % world.daemons.len();
+        all.push(ask(world, daemon, fatal(format!("{name}-{i}"))).await);
+        sleep(GAP).await;
+    }
+    all
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_its_targets_is_soon_sent_to_none() {
+    let world = world(83, 3).await;
+    repeat(&world, "again", 45).await;
+    let runs = world.targets.ledger.runs_of_body(FATAL);
+    let ended = world.targets.restarts();
+    assert!(
+        later(&runs) <= MOST_LATER,
+        "{} runs, {} of them late, {ended} targets ended",
+        runs.len(),
+        later(&runs)
+    );
+    let refused = ask(&world, 0, fatal("refused")).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.retry_after().is_some_and(|s| s > 0.0));
+    assert!(world.targets.ledger.runs("refused").is_empty());
+    // What the line says of it leads to those that ended.
+    let lines = world.lines(0, "id=refused");
+    assert!(
+        lines.iter().any(|l| l.contains("outcome=withheld")),
+        "{lines:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn other_requests_and_the_same_body_of_another_customer_are_served() {
+    let world = world(84, 2).await;
+    repeat(&world, "before", 20).await;
+    for i in 0..10 {
+        let other = ask(&world, i % 2, read(&format!("other-{i}"))).await;
+        assert_eq!(other.status, 200, "{other:?}");
+        let mut same = fatal(format!("same-{i}"));
+        same.key = Some(SECOND_KEY.to_owned());
+        let same = ask(&world, i % 2, same).await;
+        assert_eq!(same.status, 200, "{same:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_learns_of_it_from_the_others() {
+    let mut world = world(85, 3).await;
+    repeat(&world, "before", 12).await;
+    world.daemons[2].kill().await;
+    world.daemons[2].start();
+    tokio::time::sleep(IN_TOUCH).await;
+    let before = world.targets.restarts();
+    let got = ask(&world, 2, fatal("anew")).await;
+    assert_eq!(world.targets.restarts(), before, "{got:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn it_is_known_after_all_daemons_were_lost_at_once() {
+    let mut world = world(86, 3).await;
+    repeat(&world, "before", 12).await;
+    for daemon in &mut world.daemons {
+        daemon.kill().await;
+    }
+    for daemon in &mut world.daemons {
+        daemon.start();
+    }
+    tokio::time::sleep(IN_TOUCH).await;
+    let before = world.targets.restarts();
+    for daemon in 0..3 {
+        let got = ask(&world, daemon, fatal(format!("anew-{daemon}"))).await;
+        assert_eq!(world.targets.restarts(), before, "{got:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_that_may_run_once_is_withheld_too_and_its_refusals_are_true() {
+    let world = world(87, 2).await;
+    for i in 0..30 {
+        let ask = Ask::new(format!("once-{i}"), "POST", "/book/x").body(FATAL);
+        let got = call(world.daemons[i % 2].callers(), &ask).await;
+        let got = got.unwrap_or_else(|e| panic!("{}: {e}", ask.id));
+        let runs = world.targets.ledger.runs(&ask.id).len();
+        assert!(runs <= 1, "{} ran {runs} times", ask.id);
+        assert!(got.status != 503 || runs == 0, "{got:?}");
+        sleep(GAP).await;
+    }
+    let runs = world.targets.ledger.runs_of_body(FATAL);
+    assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
+}
