fix(edge): a request that ends its targets is withheld by all daemons

Callers saw: refusals of one model for seconds, streams that broke off, targets that ended one after the other.

Cause: what a daemon knows of a request's attempts ends with the try of its caller. The same request comes again with another id, at any daemon, and begins anew: each try is sent to as many targets as its route allows, and each of them ends.

Ruled out: targets that end by themselves (the same fingerprint is at each that ended), the retry budget (each try stays far within it).

Change: requests are known by a fingerprint of customer, method, host, path and body. Whoever loses a target under one tells all daemons; after three targets in a row, without a good end between, all withhold it for 10 s, then one daemon tries it once, and after each trial that ends a target it is withheld eight times as long. A good end anywhere clears it.

--- a/crates/thistlesill-cli/src/losses.rs
+++ b/crates/thistlesill-cli/src/losses.rs
@@ -26,6 +26,8 @@
     Overloaded,
     /// It was refused after it had waited.
     WaitedRefused,
+    /// Targets were lost under it one after the other, and it is withheld.
+    Withheld,
     /// Its target refused it without having run it.
     TargetShed,
     /// It was sent to a target that answered nothing, and went elsewhere afterwards.
@@ -57,6 +59,7 @@
             Self::NoGroup => "no group",
             Self::Overloaded => "refused at once",
             Self::WaitedRefused => "waited and refused",
+            Self::Withheld => "withheld",
             Self::TargetShed => "shed by target",
             Self::SilentTarget => "silent target",
             Self::TargetFailed => "failed target",
@@ -189,6 +192,7 @@
         "no_group" => Some(Cause::NoGroup),
         "overloaded" if number(end, "took_ms") >= WAITED_MS => Some(Cause::WaitedRefused),
         "overloaded" => Some(Cause::Overloaded),
+        "withheld" => Some(Cause::Withheld),
         "target_refused" => Some(Cause::TargetShed),
         "sent_unknown" | "broke_off" | "late_answer" => Some(Cause::Lost),
         "caller_left" => Some(Cause::CallerLeft),
--- a/crates/thistlesill-core/src/error.rs
+++ b/crates/thistlesill-core/src/error.rs
@@ -93,6 +93,8 @@
     Overloaded = "overloaded", 503, No, SOON, "All groups are at their limit.";
     /// No complete group serves the model now.
     NoGroup = "no_group", 503, No, LATER, "No complete group serves this model now.";
+    /// Targets were lost under this request, one after the other.
+    Withheld = "withheld", 503, No, LATER, "Targets were lost while they ran this request; it is withheld for a while.";
     /// The daemon is stopping or has no settings yet.
     NotReady = "not_ready", 503, No, SOON, "This entry instance takes no requests now.";
     /// The deadline passed before anything was sent.
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to have a target answer a request.
 
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Fingerprint, RouteKind, Target, TargetId};
@@ -20,6 +22,7 @@
 use crate::lanes::{Taken, most_idle};
 use crate::peers::place;
 use crate::proxy::never;
+use crate::quarantine;
 use crate::relay;
 use crate::state::{Asking, Choice, Edge, InFlight, PlacedBy};
 
@@ -42,9 +45,38 @@
     pub(crate) arrived: Millis,
     /// When the final answer is due.
     pub(crate) until: Instant,
+    /// Its fingerprint, once it was needed.
+    print: OnceCell<Fingerprint>,
+    /// Whether this is the trial of a request that was withheld.
+    pub(crate) trial: Cell<bool>,
+}
+
+/// A request as its caller sent it.
+pub(crate) struct Arrival {
+    pub(crate) head: CallerHead,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) at: Millis,
 }
 
 impl Job {
+    /// A request that may pass.
+    pub(crate) fn new(edge: Rc<Edge>, passage: Passage, arrival: Arrival) -> Self {
+        Self {
+            until: Instant::now() + passage.limit.duration(),
+            headers: caller::forwarded(&arrival.parts.headers),
+            edge,
+            passage,
+            head: arrival.head,
+            method: arrival.parts.method,
+            uri: arrival.parts.uri,
+            body: arrival.body,
+            arrived: arrival.at,
+            print: OnceCell::new(),
+            trial: Cell::new(false),
+        }
+    }
+
     /// Time left to the request.
     fn left(&self) -> Millis {
         let gone = self.edge.now() - self.arrived;
@@ -86,7 +118,11 @@
     }
 
     /// What tells whether the same request came before.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    pub(crate) fn print(&self) -> Fingerprint {
+        *self.print.get_or_init(|| self.fingerprint())
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
         let customer = self.passage.customer.as_ref();
         let customer = customer.map_or("", thistlesill_core::CustomerId::as_str);
         let host = self.headers.get(HOST).map_or(&b""[..], |h| h.as_bytes());
@@ -255,9 +291,10 @@
         .with("id", &job.head.id)
         .with("target", &target.id)
         .with("why", why)
-        .with("print", job.fingerprint())
+        .with("print", job.print())
         .with("requests", beside)
         .write();
+    quarantine::note_lost(job, &target.id);
     edge.suspect(&target.id, why);
 }
 
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -21,7 +21,7 @@
 
 use crate::lines::Line;
 use crate::state::Edge;
-use crate::{figures, follow, front, peers, planner, start, watch};
+use crate::{figures, follow, front, peers, planner, quarantine, start, watch};
 
 /// Exit code for settings that do not pass their check.
 const BAD_SETTINGS: u8 = 2;
@@ -180,6 +180,8 @@
     tokio::task::spawn_local(peers::transfer::serve(edge.clone()));
     tokio::task::spawn_local(peers::place::run(edge.clone()));
     tokio::task::spawn_local(follow::run(edge.clone()));
+    tokio::task::spawn_local(quarantine::run(edge.clone()));
+    tokio::task::spawn_local(quarantine::keep(edge.clone()));
     if options.parts != Parts::Serve {
         tokio::task::spawn_local(planner::run(edge.clone(), charts));
     }
@@ -205,6 +207,7 @@
         sweep(&edge);
         if rounds % SLOW_SWEEPS == 0 {
             edge.lanes.sweep(edge.now());
+            edge.cases.retain(edge.now());
             if rounds % STATUS_SWEEPS == 0 {
                 note_status(&edge);
             }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod planner;
 mod proxy;
+mod quarantine;
 mod relay;
 mod reply;
 mod start;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -10,6 +10,7 @@
 use super::packet::{AskedWork, Beat, Packet};
 use super::{News, Peers, Reach, place};
 use crate::follow;
+use crate::quarantine;
 use crate::state::Edge;
 
 /// The longest time between two beats of the daemon that forms groups: others
@@ -143,6 +144,7 @@
         lease: peers.shown.clone(),
         dead: peers.dead.clone(),
         targets: follow::known_targets(edge, now),
+        verdicts: edge.cases.digest(),
     }))
 }
 
@@ -216,6 +218,9 @@
             Ok(Packet::Placed(reply)) => place::take_reply(&edge, reply),
             Ok(Packet::Counts(counts)) => place::hear_counts(&edge, counts),
             Ok(Packet::Totals(totals)) => place::hear_totals(&edge, totals),
+            Ok(Packet::Lost(lost)) => quarantine::hear_lost(&edge, &lost),
+            Ok(Packet::Verdicts(verdicts)) => quarantine::hear_verdicts(&edge, &verdicts),
+            Ok(Packet::AskVerdicts(peer)) => quarantine::answer(&edge, &peer),
             Ok(Packet::Asked(asked)) => edge.peers.borrow_mut().hear_asked(asked, edge.now()),
             Err(error) => {
                 metrics::counter!("thistlesill_edge_datagrams_refused_total").increment(1);
@@ -239,6 +244,7 @@
     if let Some(known) = beat.targets {
         follow::hear_known(edge, &beat.from, known);
     }
+    quarantine::hear_digest(edge, &beat.from, beat.verdicts);
     let doubt = !beat.suspects.is_empty() || !beat.slow.is_empty();
     if doubt && edge.plans.get() {
         edge.fleet_news.notify_one();
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,10 +1,11 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::TargetId;
+use thistlesill_core::edge::{Fingerprint, TargetId};
 use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::edge::quarantine::Verdict;
 use thistlesill_policy::lease::LeaseSeen;
 
 /// One datagram.
@@ -29,6 +30,12 @@
     Totals(Totals),
     /// What callers ask the sender for; goes to the daemon that forms groups.
     Asked(AskedWork),
+    /// Targets that the sender lost, and the requests that were there; goes to all.
+    Lost(Vec<(Fingerprint, TargetId)>),
+    /// What was decided of requests that end targets; goes to all, or to who asked.
+    Verdicts(Vec<Verdict>),
+    /// Asks for all verdicts, for this daemon.
+    AskVerdicts(NodeId),
 }
 
 /// What a daemon has to do with the store; in the order in which others prefer
@@ -70,6 +77,8 @@
     pub(crate) dead: Vec<TargetId>,
     /// What it read of the targets itself, if it did a short time ago.
     pub(crate) targets: Option<KnownTargets>,
+    /// Digest of the verdicts that it knows; 0 without any.
+    pub(crate) verdicts: u64,
 }
 
 /// Asks for a target for one request.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -17,8 +17,9 @@
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::attempt::{Answered, Failure, Job, LAST_ANSWER, Turn, attempt, note_lost};
+use crate::attempt::{Answered, Arrival, Failure, Job, LAST_ANSWER, Turn, attempt, note_lost};
 use crate::daemon;
+use crate::quarantine;
 use crate::relay;
 use crate::reply::{self, OutBody};
 use crate::state::{Choice, Edge};
@@ -59,18 +60,13 @@
         let why = "the daemon stops before it would end";
         return track.because(why).refuse(ErrorKind::NotReady, None);
     }
-    let limit = passage.limit.duration();
-    let job = Rc::new(Job {
-        headers: caller::forwarded(&parts.headers),
-        edge,
-        passage,
+    let request = Arrival {
         head,
-        method: parts.method,
-        uri: parts.uri,
+        parts,
         body,
-        arrived,
-        until: Instant::now() + limit,
-    });
+        at: arrived,
+    };
+    let job = Rc::new(Job::new(edge, passage, request));
     serve(job, track).await
 }
 
@@ -136,6 +132,16 @@
         give_way(&job).await;
     }
     loop {
+        // A request that ends its targets comes again with another id at any daemon: in
+        // seven seconds it ended 57 targets, and 3 with this (three daemons, two targets).
+        if let Some(left) = quarantine::withheld(&job) {
+            track.withheld(job.print());
+            return if attempts.may_have_run {
+                track.refuse(ErrorKind::SentUnknown, None)
+            } else {
+                track.refuse(ErrorKind::Withheld, Some(left))
+            };
+        }
         let (choice, by) = job.pick(&tried).await;
         track.placed(by);
         if tried.is_empty() {
@@ -279,6 +285,9 @@
     edge.loads
         .borrow_mut()
         .note_time(&target.id, now - job.arrived);
+    if status.is_success() {
+        quarantine::note_good(job);
+    }
     if !info.closing {
         job.keep_lane(&target.id, lane, info.keep);
     }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -11,8 +11,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use thistlesill_core::Millis;
 use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_net::lane::Lane;
 use thistlesill_platform::caller;
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
@@ -22,6 +22,7 @@
 pub(crate) use self::passing::pass_on;
 use crate::attempt::{Answered, Job, Turn, attempt, note_lost};
 use crate::proxy::{never, settle, sleep_to};
+use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::state::{Choice, InFlight};
 use crate::track::Track;
@@ -275,8 +276,14 @@
             self.cutter.drop_partial();
         }
         let mut again = self.may_go_on();
+        let mut end = "broke_off";
         while again {
             let job = self.job.clone();
+            if quarantine::withheld(&job).is_some() {
+                self.track.withheld(job.print());
+                end = ErrorKind::Withheld.name();
+                break;
+            }
             let (Choice::Target(target), _) = job.pick(&self.tried).await else {
                 break;
             };
@@ -309,7 +316,7 @@
             self.stay = true;
             return Ok(());
         }
-        Err(self.break_off("broke_off"))
+        Err(self.break_off(end))
     }
 
     /// Whether another attempt is allowed.
@@ -328,6 +335,7 @@
         if let Some(source) = self.source.take() {
             self.track.paused(self.longest);
             self.track.ended(200, Some(&source.target.id), bytes);
+            quarantine::note_good(&self.job);
             if !source.closing {
                 self.job
                     .keep_lane(&source.target.id, source.lane, source.keep);
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -11,6 +11,7 @@
 
 use super::Source;
 use crate::attempt::{Answered, Job, note_lost};
+use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::track::Track;
 
@@ -52,6 +53,7 @@
                 None => {
                     let target = &self.source.target.id;
                     self.track.ended(200, Some(target), self.bytes);
+                    quarantine::note_good(&self.job);
                     return Ok(None);
                 }
                 Some(Err(_)) => {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -28,6 +28,7 @@
 use crate::peers::place::{self, Placing};
 use crate::peers::transfer::Packed;
 use crate::peers::{Peers, link};
+use crate::quarantine::Cases;
 use crate::start::Start;
 use thistlesill_policy::edge::feed::Feed;
 
@@ -151,6 +152,8 @@
     pub(crate) asked: RefCell<AskedMeter>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placing: RefCell<Placing>,
+    /// Requests that end targets.
+    pub(crate) cases: Cases,
     pub(crate) lanes: Lanes,
     pub(crate) lines: Lines,
     pub(crate) rng: RefCell<SmallRng>,
@@ -204,6 +207,7 @@
             store: Store::new(settings.store, STORE_KEEP),
             peers: RefCell::new(Peers::default()),
             placing: RefCell::new(Placing::default()),
+            cases: Cases::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock,
             boot: rand::random(),
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use hyper::Response;
-use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::edge::{Fingerprint, Target, TargetId};
 use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::attempt::{Next, Outcome};
@@ -64,6 +64,8 @@
     pause: Option<Pause>,
     /// Times at which the stream was taken up elsewhere.
     resumes: u32,
+    /// Its fingerprint, if it is withheld.
+    print: Option<Fingerprint>,
     ended: bool,
 }
 
@@ -85,6 +87,7 @@
             placed: None,
             pause: None,
             resumes: 0,
+            print: None,
             ended: false,
         }
     }
@@ -194,6 +197,11 @@
             .write();
     }
 
+    /// Notes that the request is withheld, and what leads to the losses under it.
+    pub(crate) const fn withheld(&mut self, print: Fingerprint) {
+        self.print = Some(print);
+    }
+
     /// Notes what decides the end, where its kind does not say it.
     pub(crate) fn because(&mut self, why: &'static str) -> &mut Self {
         self.why = Some(why);
@@ -252,6 +260,7 @@
             .maybe("sent_unread", sent.map(|s| s.work.unread))
             .maybe("sent_requests", sent.map(|s| s.work.requests))
             .maybe("why", self.why)
+            .maybe("print", self.print)
             .maybe("back_ms", self.back.map(Millis::get))
             .with("took_ms", took.get())
             .with("bytes", bytes)
--- a/crates/thistlesill-edge/tests/it/fatal.rs
+++ b/crates/thistlesill-edge/tests/it/fatal.rs
@@ -73,7 +73,8 @@
     assert_eq!(refused.status, 503, "{refused:?}");
     assert!(refused.retry_after().is_some_and(|s| s > 0.0));
     assert!(world.targets.ledger.runs("refused").is_empty());
-    // What the line says of it leads to those that ended.
+    // Lines are written in batches.
+    sleep(300).await;
     let lines = world.lines(0, "id=refused");
     assert!(
         lines.iter().any(|l| l.contains("outcome=withheld")),
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -10,4 +10,5 @@
 pub mod freshness;
 pub mod load;
 pub mod owner;
+pub mod quarantine;
 pub mod start;
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/quarantine.rs
@@ -0,0 +1,265 @@
+//! Requests that end the targets which run them.
+//!
+//! Load pattern: one request that ends each target which begins it comes again every few
+//! tenths of a second, with another id, at any daemon, beside some twenty others at each
+//! target. Only its content tells that it came before, and only together do daemons see
+//! that target after target ended under it. So each tells all others under which requests
+//! a target was lost; after the third target in a row such a request is withheld.
+//!
+//! A loss is weak evidence: all that ran at the target were lost with it. Whatever runs to
+//! a good end is cleared at once, wherever it ran. What is withheld is tried once after a
+//! while, by one daemon, and again much later if that ends a target, too: wrong knowledge
+//! goes away by itself, and a right one costs three targets in the first hour.
+
+use std::collections::HashMap;
+
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Fingerprint, TargetId};
+
+/// Targets that are lost in a row under a request before it is withheld. One or two can be
+/// lost for other reasons, or for another request that ran there: what shares a target with
+/// a fatal one is sent elsewhere, and may meet it once more.
+const LOST: usize = 3;
+/// For how long a request is withheld at first: longer than a target takes to start again,
+/// so that a request that was at all targets of a small service when these fell is served
+/// soon after they are back.
+const FIRST: Millis = Millis::new(10_000);
+/// How many times longer it is withheld after each trial that ended a target.
+const LONGER: u32 = 8;
+/// The longest of these times: two more trials of it a day cost less than a request that is
+/// withheld for what was mended meanwhile.
+const LONGEST: Millis = Millis::new(12 * 3_600_000);
+/// How long a trial may take before there is another one: longer than callers wait for
+/// answers.
+const TRIAL: Millis = Millis::new(10_000);
+/// How long a loss is remembered under a request that is not withheld.
+const REMEMBERED: Millis = Millis::new(300_000);
+/// How long a request that was withheld is remembered after it may be tried, and one that
+/// was cleared: longer than daemons can be apart without having forgotten each other.
+const KEPT: Millis = Millis::new(600_000);
+/// Requests that are remembered, at most; each takes some 200 bytes. The oldest that are not
+/// withheld go first.
+const MAX_KNOWN: usize = 4_096;
+
+/// What may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against sending it.
+    Free,
+    /// It was withheld for long enough: it may be sent once, as a trial.
+    Trial,
+    /// It is withheld for this time more.
+    Withheld(Millis),
+    /// It is being tried; all but that trial are withheld for this time more.
+    Tried(Millis),
+}
+
+/// What daemons tell each other of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The request.
+    pub print: Fingerprint,
+    /// Counts the verdicts on it; a later one replaces earlier ones.
+    pub round: u32,
+    /// How often it was withheld in a row; 0 if it was cleared.
+    pub level: u32,
+    /// How long it is withheld yet.
+    pub left: Millis,
+}
+
+/// What is known of a request.
+#[derive(Debug, Clone, Default)]
+struct Case {
+    /// Targets lost under it since it last ran to a good end; [`LOST`] at most.
+    lost: Vec<TargetId>,
+    round: u32,
+    level: u32,
+    /// Until when it is withheld.
+    until: Millis,
+    /// Whether it is withheld since it is being tried.
+    trial: bool,
+    /// When it is forgotten.
+    forget: Millis,
+}
+
+impl Case {
+    fn verdict(&self, print: Fingerprint, now: Millis) -> Verdict {
+        Verdict {
+            print,
+            round: self.round,
+            level: self.level,
+            left: self.until - now,
+        }
+    }
+
+    fn is_withheld(&self, now: Millis) -> bool {
+        self.level > 0 && now < self.until
+    }
+
+    /// Begins a further verdict.
+    fn decide(&mut self, level: u32, left: Millis, now: Millis) {
+        self.round += 1;
+        self.level = level;
+        self.until = now + left;
+        self.trial = false;
+        self.lost.clear();
+        self.forget = self.until + KEPT;
+    }
+}
+
+/// The requests under which targets were lost.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    cases: HashMap<Fingerprint, Case>,
+}
+
+impl Quarantine {
+    /// Whether nothing is known of any request, so that none needs a fingerprint.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// What may be done with a request.
+    #[must_use]
+    pub fn standing(&self, print: Fingerprint, now: Millis) -> Standing {
+        match self.cases.get(&print) {
+            Some(case) if case.is_withheld(now) && case.trial => Standing::Tried(case.until - now),
+            Some(case) if case.is_withheld(now) => Standing::Withheld(case.until - now),
+            Some(case) if case.level > 0 => Standing::Trial,
+            _ => Standing::Free,
+        }
+    }
+
+    /// Notes that a request is tried now. Until that has an outcome others withhold it.
+    pub fn begin_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
+        let case = self.cases.get_mut(&print)?;
+        case.decide(case.level, TRIAL, now);
+        case.trial = true;
+        Some(case.verdict(print, now))
+    }
+
+    /// Notes that a target was lost while it had a request; returns the verdict if the
+    /// request is withheld from now on.
+    pub fn note_lost(
+        &mut self,
+        print: Fingerprint,
+        target: &TargetId,
+        now: Millis,
+    ) -> Option<Verdict> {
+        self.make_room(print);
+        let case = self.cases.entry(print).or_default();
+        if case.is_withheld(now) && !case.trial {
+            // It was sent before that was known.
+            return None;
+        }
+        case.forget = case.forget.max(now + REMEMBERED);
+        if !case.lost.contains(target) {
+            case.lost.push(target.clone());
+        }
+        if case.level == 0 && case.lost.len() < LOST {
+            return None;
+        }
+        let level = case.level + 1;
+        case.decide(level, time_of(level), now);
+        Some(case.verdict(print, now))
+    }
+
+    /// Notes that a request ran to a good end; returns what is to be told if anything
+    /// spoke against it. One that was never withheld is forgotten.
+    pub fn note_good(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
+        let case = self.cases.get_mut(&print)?;
+        if case.round == 0 {
+            self.cases.remove(&print);
+            return Some(Verdict {
+                print,
+                round: 0,
+                level: 0,
+                left: Millis::ZERO,
+            });
+        }
+        if case.level == 0 && case.lost.is_empty() {
+            return None;
+        }
+        case.decide(0, Millis::ZERO, now);
+        Some(case.verdict(print, now))
+    }
+
+    /// Takes in what another daemon told; returns whether it is news.
+    pub fn hear(&mut self, told: Verdict, now: Millis) -> bool {
+        let known = self.cases.get(&told.print);
+        if told.round == 0 {
+            let cleared = known.is_some_and(|case| case.round == 0);
+            return cleared && self.cases.remove(&told.print).is_some();
+        }
+        let (round, level, until) =
+            known.map_or((0, 0, Millis::ZERO), |c| (c.round, c.level, c.until));
+        // Two daemons may decide at the same moment; the stricter verdict holds for both.
+        let stricter = (told.level, now + told.left) > (level, until);
+        let is_news = told.round > round || (told.round == round && stricter);
+        if !is_news {
+            return false;
+        }
+        self.make_room(told.print);
+        let case = self.cases.entry(told.print).or_default();
+        case.decide(told.level, told.left, now);
+        case.round = told.round;
+        true
+    }
+
+    /// A number that two daemons share if they know the same verdicts; 0 without any.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let judged = self.cases.iter().filter(|(_, case)| case.round > 0);
+        let numbers = judged.map(|(print, case)| {
+            let mut bytes = print.number().to_le_bytes().to_vec();
+            bytes.extend(case.round.to_le_bytes());
+            bytes.extend(case.level.to_le_bytes());
+            rapidhash_v3(&bytes)
+        });
+        numbers.fold(0, |all, number| all ^ number)
+    }
+
+    /// All verdicts that are remembered, those with the most time left first.
+    #[must_use]
+    pub fn verdicts(&self, now: Millis) -> Vec<Verdict> {
+        let judged = self.cases.iter().filter(|(_, case)| case.round > 0);
+        let mut all: Vec<Verdict> = judged.map(|(p, case)| case.verdict(*p, now)).collect();
+        all.sort_unstable_by_key(|v| std::cmp::Reverse((v.left, v.print)));
+        all
+    }
+
+    /// How many requests are withheld.
+    #[must_use]
+    pub fn withheld(&self, now: Millis) -> usize {
+        let all = self.cases.values();
+        all.filter(|case| case.is_withheld(now)).count()
+    }
+
+    /// Forgets what is out of time.
+    pub fn retain(&mut self, now: Millis) {
+        self.cases.retain(|_, case| now < case.forget);
+    }
+
+    /// Forgets the oldest case if there are too many for another one.
+    fn make_room(&mut self, print: Fingerprint) {
+        if self.cases.len() < MAX_KNOWN || self.cases.contains_key(&print) {
+            return;
+        }
+        let oldest = self
+            .cases
+            .iter()
+            .min_by_key(|(print, case)| (case.level > 0, case.forget, **print));
+        if let Some(print) = oldest.map(|(print, _)| *print) {
+            self.cases.remove(&print);
+        }
+    }
+}
+
+/// For how long a request is withheld that was withheld so often in a row.
+fn time_of(level: u32) -> Millis {
+    let longer = u64::from(LONGER).saturating_pow(level.saturating_sub(1));
+    Millis::new(FIRST.get().saturating_mul(longer)).min(LONGEST)
+}
--- /dev/null
+++ b/crates/thistlesill-policy/tests/edge/quarantine.rs
@@ -0,0 +1,202 @@
+//! Requests that end the targets which run them are withheld; all others are not.
+
+use quickcheck::quickcheck;
+use thistlesill_core::Millis;
+use thistlesill_core::edge::{Fingerprint, TargetId};
+use thistlesill_policy::edge::quarantine::{Quarantine, Standing, Verdict};
+
+const START: Millis = Millis::new(1_000_000);
+
+fn print(number: u32) -> Fingerprint {
+    Fingerprint::of(&[&number.to_le_bytes()])
+}
+
+fn target(number: u32) -> TargetId {
+    TargetId::from(format!("t{number}"))
+}
+
+fn after(ms: u64) -> Millis {
+    START + Millis::new(ms)
+}
+
+/// What is known after targets were lost under a request, a tenth of a second apart.
+fn lost(print: Fingerprint, targets: std::ops::Range<u32>) -> (Quarantine, Option<Verdict>) {
+    let mut known = Quarantine::default();
+    let mut verdict = None;
+    for number in targets {
+        verdict = known.note_lost(print, &target(number), after(100 * u64::from(number)));
+    }
+    (known, verdict)
+}
+
+#[test]
+fn the_third_target_that_is_lost_under_a_request_withholds_it() {
+    let (known, verdict) = lost(print(1), 0..2);
+    assert_eq!(verdict, None);
+    assert_eq!(known.standing(print(1), after(300)), Standing::Free);
+    let (known, verdict) = lost(print(1), 0..3);
+    assert!(verdict.is_some_and(|v| v.level == 1));
+    assert!(matches!(
+        known.standing(print(1), after(300)),
+        Standing::Withheld(_)
+    ));
+    assert_eq!(known.standing(print(2), after(300)), Standing::Free);
+}
+
+#[test]
+fn one_life_of_a_target_counts_once_however_many_requests_it_took_along() {
+    let mut known = Quarantine::default();
+    for _ in 0..5 {
+        assert_eq!(known.note_lost(print(1), &target(7), START), None);
+    }
+    assert_eq!(known.standing(print(1), START), Standing::Free);
+}
+
+#[test]
+fn what_ran_beside_it_and_ends_well_elsewhere_is_free_again() {
+    let (fatal, mut known) = (print(0), Quarantine::default());
+    // Twenty others at the first target, three of which meet it at the second one again.
+    for other in 0..=20 {
+        known.note_lost(print(other), &target(0), START);
+    }
+    for other in 0..=3 {
+        known.note_lost(print(other), &target(1), after(300));
+    }
+    for other in 1..=20 {
+        assert!(known.note_good(print(other), after(900)).is_some());
+    }
+    assert!(known.note_lost(fatal, &target(2), after(1_000)).is_some());
+    for other in 1..=20 {
+        // A later loss of another kind starts from nothing.
+        assert_eq!(
+            known.note_lost(print(other), &target(9), after(2_000)),
+            None
+        );
+        assert_eq!(known.standing(print(other), after(2_000)), Standing::Free);
+    }
+}
+
+#[test]
+fn it_is_tried_once_after_a_while_and_much_later_the_next_time() {
+    let (mut known, _) = lost(print(1), 0..3);
+    let (mut sent, mut now) = (3, after(300));
+    let hour = now + Millis::new(3_600_000);
+    while now < hour {
+        now = now + Millis::new(100);
+        match known.standing(print(1), now) {
+            Standing::Free => panic!("it is free although it ended {sent} targets"),
+            Standing::Trial => {
+                sent += 1;
+                assert!(known.begin_trial(print(1), now).is_some());
+                assert!(matches!(known.standing(print(1), now), Standing::Tried(_)));
+                let verdict = known.note_lost(print(1), &target(sent), now);
+                assert!(verdict.is_some(), "the trial ended a target");
+            }
+            Standing::Withheld(_) | Standing::Tried(_) => {}
+        }
+    }
+    assert_eq!(sent, 3 + 3, "ten seconds, eighty, and eleven minutes later");
+}
+
+#[test]
+fn a_trial_that_ends_well_clears_it_everywhere() {
+    let (mut here, verdict) = lost(print(1), 0..3);
+    let mut there = Quarantine::default();
+    assert!(there.hear(verdict.expect("it is withheld"), after(300)));
+    let later = after(11_000);
+    let trial = here.begin_trial(print(1), later).expect("it may be tried");
+    assert!(there.hear(trial, later));
+    assert!(matches!(
+        there.standing(print(1), later),
+        Standing::Withheld(_)
+    ));
+    let good = here.note_good(print(1), later).expect("that is news");
+    assert!(there.hear(good, later));
+    for known in [&here, &there] {
+        assert_eq!(known.standing(print(1), later), Standing::Free);
+    }
+    // A daemon that was apart and tells the old verdict changes nothing.
+    assert!(!there.hear(verdict.expect("it was withheld"), later));
+    assert_eq!(here.digest(), there.digest());
+}
+
+#[test]
+fn a_trial_without_an_outcome_is_followed_by_another() {
+    let (mut known, _) = lost(print(1), 0..3);
+    known.begin_trial(print(1), after(11_000));
+    assert_eq!(known.standing(print(1), after(60_000)), Standing::Trial);
+}
+
+#[test]
+fn losses_of_what_was_on_its_way_withhold_it_no_longer() {
+    let (mut known, verdict) = lost(print(1), 0..3);
+    for number in 3..9 {
+        assert_eq!(known.note_lost(print(1), &target(number), after(400)), None);
+    }
+    assert_eq!(known.verdicts(after(200)), Vec::from_iter(verdict));
+}
+
+#[test]
+fn losses_are_forgotten_in_time() {
+    let (mut known, _) = lost(print(1), 0..2);
+    known.retain(after(400_000));
+    assert!(known.is_empty());
+}
+
+#[test]
+fn a_good_end_of_one_that_was_never_withheld_clears_it_at_peers_and_is_not_kept() {
+    let (mut here, _) = lost(print(1), 0..2);
+    let (mut there, _) = lost(print(1), 0..2);
+    let good = here.note_good(print(1), after(500)).expect("that is news");
+    assert!(there.hear(good, after(500)));
+    assert!(here.is_empty() && there.is_empty());
+}
+
+#[test]
+fn memory_is_bounded_and_what_is_withheld_is_kept_longest() {
+    let (mut known, _) = lost(print(0), 0..3);
+    for number in 1..20_000 {
+        known.note_lost(print(number), &target(number), after(1_000));
+    }
+    assert!(matches!(
+        known.standing(print(0), after(1_000)),
+        Standing::Withheld(_)
+    ));
+    let mut many = Quarantine::default();
+    for number in 0..20_000 {
+        for lost in 0..3 {
+            many.note_lost(print(number), &target(lost), after(1_000));
+        }
+    }
+    assert!(many.verdicts(after(1_000)).len() <= 4_096);
+}
+
+quickcheck! {
+    /// Whatever daemons decide and in whichever order they hear of it, they come to know
+    /// the same.
+    fn daemons_that_hear_each_other_come_to_agree(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut daemons = vec![Quarantine::default(); 3];
+        let mut now = START;
+        for (daemon, request, what) in steps {
+            now = now + Millis::new(700);
+            let print = print(u32::from(request % 3));
+            let known = &mut daemons[usize::from(daemon % 3)];
+            match what % 8 {
+                0 => drop(known.note_good(print, now)),
+                1 if known.standing(print, now) == Standing::Trial => {
+                    drop(known.begin_trial(print, now));
+                }
+                _ => drop(known.note_lost(print, &target(u32::from(what)), now)),
+            }
+        }
+        for _ in 0..3 {
+            for from in 0..3 {
+                let told = daemons[from].verdicts(now);
+                for to in &mut daemons {
+                    told.iter().for_each(|verdict| drop(to.hear(*verdict, now)));
+                }
+            }
+        }
+        daemons.iter().all(|d| d.digest() == daemons[0].digest())
+    }
+}
