--- a/crates/thistlesill-net/tests/clock.rs
+++ b/crates/thistlesill-net/tests/clock.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use thistlesill_core::Millis;
-use thistlesill_net::clock::Clock;
+use thistlesill_net::clock::{Alarm, Clock};
 
 /// Two clocks that a test moves.
 macro_rules! clocks {
@@ -52,3 +52,30 @@
     );
     assert!(clock.suspended() < Millis::new(100));
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_wait_ends_when_its_moment_has_passed_while_the_machine_was_suspended() {
+    clocks!(BOOT, STEADY);
+    let clock = Clock::reading(|| read(&BOOT), || read(&STEADY));
+    let alarm = Alarm::new(clock);
+    let at = clock.now() + Millis::new(5_000);
+    let wait = alarm.until(at);
+    tokio::pin!(wait);
+    let soon = Duration::from_millis(20);
+    assert!(tokio::time::timeout(soon, &mut wait).await.is_err());
+    assert_eq!(alarm.look(), None);
+    go_on(&BOOT, 4_000);
+    assert_eq!(alarm.look(), Some(Millis::new(4_000)));
+    assert!(tokio::time::timeout(soon, &mut wait).await.is_err());
+    go_on(&BOOT, 1_000);
+    assert_eq!(alarm.look(), Some(Millis::new(1_000)));
+    let ended = tokio::time::timeout(soon, &mut wait).await;
+    assert!(ended.is_ok(), "it waits by the steady clock");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_step_that_was_done_is_not_late() {
+    let alarm = Alarm::new(Clock::new());
+    let done = alarm.in_time(Millis::ZERO, async { 7 }).await;
+    assert_eq!(done, Some(7));
+}
