fix(edge): requests end in time, and kept connections are dropped, after a suspension

Cause: a request's end, and each wait for a target, was an instant of the steady clock, so a daemon that was suspended went on with requests that were long over, and used connections that had ended meanwhile.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -4,6 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::lanes::{Taken, most_idle};
+use crate::peers::place;
+use crate::proxy::never;
+use crate::quarantine;
+use crate::relay;
+use crate::state::{Asking, Choice, Edge, InFlight, PlacedBy};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,21 +23,13 @@
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::asked::Asked;
 use thistlesill_policy::edge::attempt::Outcome;
-use tokio::time::Instant;
-
-use crate::lanes::{Taken, most_idle};
-use crate::peers::place;
-use crate::proxy::never;
-use crate::quarantine;
-use crate::relay;
-use crate::state::{Asking, Choice, Edge, InFlight, PlacedBy};
 
 /// Time for a connection to a target; targets answer within a few
 /// milliseconds, so a longer wait means a lost packet or a dead machine.
 const CONNECT: Duration = Duration::from_millis(250);
 /// Added to the end of a request's time before an attempt is given up, so
 /// that an answer that a target sends at the very end still arrives.
-pub(crate) const LAST_ANSWER: Duration = Duration::from_millis(60);
+const LAST_ANSWER: Millis = Millis::new(60);
 
 /// A request that passed, and all that is needed to send it.
 pub(crate) struct Job {
@@ -44,7 +42,7 @@
     pub(crate) body: Bytes,
     pub(crate) arrived: Millis,
     /// When the final answer is due.
-    pub(crate) until: Instant,
+    pub(crate) due: Millis,
     /// Its fingerprint, once it was needed.
     print: OnceCell<Fingerprint>,
     /// Whether this is the trial of a request that was withheld.
@@ -63,7 +61,7 @@
     /// A request that may pass.
     pub(crate) fn new(edge: Rc<Edge>, passage: Passage, arrival: Arrival) -> Self {
         Self {
-            until: Instant::now() + passage.limit.duration(),
+            due: arrival.at + passage.limit,
             headers: caller::forwarded(&arrival.parts.headers),
             edge,
             passage,
@@ -79,8 +77,12 @@
 
     /// Time left to the request.
     fn left(&self) -> Millis {
-        let gone = self.edge.now() - self.arrived;
-        self.passage.limit - gone
+        self.due - self.edge.now()
+    }
+
+    /// When the last bytes of an answer may come.
+    pub(crate) fn last_answer(&self) -> Millis {
+        self.due + LAST_ANSWER
     }
 
     /// Keeps a connection for the next request.
@@ -238,7 +240,7 @@
     let edge = &job.edge;
     let flight = InFlight::new(edge, target, job.prompt());
     let sent = edge.now();
-    let connect = within(CONNECT).min(job.until);
+    let connect = within(CONNECT.min(job.left().duration()));
     // A kept connection may just be closing, or have fallen silent; a request
     // that may run only once, or has no further attempt, would then be lost. What
     // silenced one target's may have silenced the next one's, too.
@@ -252,7 +254,8 @@
     };
     let request = job.request(target, last_event);
     let answer = {
-        let send = lane.send(request, job.until + LAST_ANSWER);
+        let last = job.last_answer();
+        let send = lane.send(request, within((last - sent).duration()));
         tokio::pin!(send);
         let patience = async {
             if turn == Turn::Last {
@@ -265,6 +268,7 @@
         };
         tokio::select! {
             answer = &mut send => answer,
+            () = edge.alarm.until(last) => Err(LaneError::Late),
             () = patience => {
                 edge.suspect(&target.id, "no answer begins");
                 return Err(Failure::new(Outcome::MayHaveRun, &"no answer begins"));
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -204,6 +204,7 @@
             () = tokio::time::sleep(SWEEP) => {}
         }
         rounds += 1;
+        note_suspended(&edge);
         sweep(&edge);
         if rounds % SLOW_SWEEPS == 0 {
             edge.lanes.sweep(edge.now());
@@ -325,6 +326,17 @@
     line
 }
 
+/// Notes that the machine was suspended. What was kept open may have ended meanwhile, and
+/// nobody hears of it on a connection that nobody uses.
+fn note_suspended(edge: &Edge) {
+    if let Some(time) = edge.alarm.look() {
+        edge.lanes.clear();
+        edge.store.drop_idle();
+        let line = edge.lines.line("suspended").with("for_ms", time.get());
+        line.with("active", edge.active.get()).write();
+    }
+}
+
 /// Housekeeping: drops what is out of time and writes out the lines.
 fn sweep(edge: &Edge) {
     let now = edge.now();
--- a/crates/thistlesill-edge/src/lanes.rs
+++ b/crates/thistlesill-edge/src/lanes.rs
@@ -105,6 +105,11 @@
         self.idle.borrow_mut().remove(target);
     }
 
+    /// Closes all unused connections.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections that are out of time.
     pub(crate) fn sweep(&self, now: Millis) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -15,9 +15,9 @@
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Key, Passage, admit};
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{Answered, Arrival, Failure, Job, LAST_ANSWER, Turn, attempt, note_lost};
+use crate::attempt::{Answered, Arrival, Failure, Job, Turn, attempt, note_lost};
 use crate::daemon;
 use crate::quarantine;
 use crate::relay;
@@ -266,15 +266,15 @@
         target,
         flight,
     } = answered;
-    let read = timeout_at(job.until + LAST_ANSWER, body.collect()).await;
+    let read = edge.alarm.in_time(job.last_answer(), body.collect()).await;
     drop(flight);
     let body = match read {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) => {
             note_lost(job, &target, "the answer broke off");
             return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
-        Err(_) => {
+        None => {
             return Err(Failure::new(
                 Outcome::Late,
                 &"the answer did not end in time",
@@ -314,9 +314,3 @@
 pub(crate) async fn never() {
     std::future::pending::<()>().await;
 }
-
-/// Sleeps until a moment on the daemon's own clock.
-pub(crate) async fn sleep_to(edge: &Edge, at: Millis) {
-    let wait = at - edge.now();
-    sleep_until(Instant::now() + wait.duration()).await;
-}
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -16,12 +16,11 @@
 use thistlesill_net::lane::Lane;
 use thistlesill_platform::caller;
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
-use tokio::time::sleep_until;
 
 use self::cutter::Cutter;
 pub(crate) use self::passing::pass_on;
 use crate::attempt::{Answered, Job, Turn, attempt, note_lost};
-use crate::proxy::{never, settle, sleep_to};
+use crate::proxy::{never, settle};
 use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::state::{Choice, InFlight};
@@ -58,7 +57,7 @@
         if due <= job.edge.now() {
             return;
         }
-        sleep_to(&job.edge, due).await;
+        job.edge.alarm.until(due).await;
     }
 }
 
@@ -254,7 +253,7 @@
                 None if self.cutter.is_partial() => Some(Stop::Broken),
                 None => Some(Stop::Ended),
             },
-            () = sleep_until(self.job.until) => Some(Stop::Late),
+            () = job.edge.alarm.until(job.due) => Some(Stop::Late),
             () = stalled => Some(Stop::Stalled),
         }
     }
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -7,7 +7,6 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use thistlesill_platform::caller;
-use tokio::time::timeout_at;
 
 use super::Source;
 use crate::attempt::{Answered, Job, note_lost};
@@ -45,8 +44,9 @@
     /// The next piece of the answer; `None` at its end.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         loop {
-            let frame = timeout_at(self.job.until, self.source.body.frame());
-            let Ok(frame) = frame.await else {
+            let alarm = &self.job.edge.alarm;
+            let frame = alarm.in_time(self.job.due, self.source.body.frame());
+            let Some(frame) = frame.await else {
                 return Err(self.break_off("late_answer"));
             };
             match frame {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target, TargetId};
 use thistlesill_core::{Millis, Model, ServiceName};
-use thistlesill_net::clock::Clock;
+use thistlesill_net::clock::{Alarm, Clock};
 use thistlesill_platform::store::Store;
 use thistlesill_policy::budget::RetryBudget;
 use thistlesill_policy::edge::asked::AskedMeter;
@@ -126,6 +126,8 @@
 pub(crate) struct Edge {
     pub(crate) settings: RefCell<Rc<EdgeSettings>>,
     pub(crate) clock: Clock,
+    /// Ends waits for moments of that clock.
+    pub(crate) alarm: Alarm,
     pub(crate) boot: u64,
     pub(crate) store: Store,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
@@ -210,6 +212,7 @@
             cases: Cases::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock,
+            alarm: Alarm::new(clock),
             boot: rand::random(),
             catalog: RefCell::new(None),
             catalog_text: RefCell::new(Bytes::new()),
--- a/crates/thistlesill-policy/tests/edge/quarantine.rs
+++ b/crates/thistlesill-policy/tests/edge/quarantine.rs
@@ -181,19 +181,20 @@
             now = now + Millis::new(700);
             let print = print(u32::from(request % 3));
             let known = &mut daemons[usize::from(daemon % 3)];
-            match what % 8 {
-                0 => drop(known.note_good(print, now)),
-                1 if known.standing(print, now) == Standing::Trial => {
-                    drop(known.begin_trial(print, now));
-                }
-                _ => drop(known.note_lost(print, &target(u32::from(what)), now)),
-            }
+            let is_trial = known.standing(print, now) == Standing::Trial;
+            let _ = match what % 8 {
+                0 => known.note_good(print, now),
+                1 if is_trial => known.begin_trial(print, now),
+                _ => known.note_lost(print, &target(u32::from(what)), now),
+            };
         }
         for _ in 0..3 {
             for from in 0..3 {
                 let told = daemons[from].verdicts(now);
                 for to in &mut daemons {
-                    told.iter().for_each(|verdict| drop(to.hear(*verdict, now)));
+                    for verdict in &told {
+                        to.hear(*verdict, now);
+                    }
                 }
             }
         }
