--- a/crates/thistlesill-edge/tests/it/fatal.rs
+++ b/crates/thistlesill-edge/tests/it/fatal.rs
@@ -13,14 +13,16 @@
 //! ev=lost_with_target target=C why="connection lost" print=P requests=21
 //! ```
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use thistlesill_platform_standin::caller::{Ask, Got, call};
+use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::ledger::Run;
 use thistlesill_platform_standin::targets::FATAL;
 use thistlesill_platform_standin::world::{SECOND_KEY, World};
 
-use crate::support::{ask, read, sleep, world};
+use crate::support::{ask, read, sleep, stream, world};
 
 /// Targets that may end under a request before it is known for what it is.
 const KNOWN_AFTER: usize = 3;
@@ -99,7 +101,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_starts_learns_of_it_from_the_others() {
     let mut world = world(85, 3).await;
-    repeat(&world, "before", 12).await;
+    repeat(&world, "before", 20).await;
     world.daemons[2].kill().await;
     world.daemons[2].start();
     tokio::time::sleep(IN_TOUCH).await;
@@ -111,7 +113,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn it_is_known_after_all_daemons_were_lost_at_once() {
     let mut world = world(86, 3).await;
-    repeat(&world, "before", 12).await;
+    repeat(&world, "before", 20).await;
     for daemon in &mut world.daemons {
         daemon.kill().await;
     }
@@ -141,3 +143,45 @@
     let runs = world.targets.ledger.runs_of_body(FATAL);
     assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_ran_beside_it_are_served() {
+    let world = world(88, 2).await;
+    let addresses: Vec<_> = world.daemons.iter().map(Daemon::callers).collect();
+    let others: Vec<_> = (0..12)
+        .map(|i| {
+            let address = addresses[i % 2];
+            tokio::spawn(async move { served_in_the_end(address, i).await })
+        })
+        .collect();
+    for i in 0..20 {
+        let ask = stream(&format!("fatal-{i}")).model("small").body(FATAL);
+        // It ends in whichever way; its targets' other streams count.
+        drop(call(addresses[i % 2], &ask).await);
+        sleep(GAP).await;
+    }
+    for other in others {
+        let tries = other.await.expect("the task ends");
+        assert!(tries.is_some(), "a stream beside it was never served");
+    }
+    let runs = world.targets.ledger.runs_of_body(FATAL);
+    assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
+    assert!(world.targets.breaches().is_empty());
+}
+
+/// Asks for a stream again and again, as a caller does whose stream broke off; returns
+/// how many tries it took.
+async fn served_in_the_end(address: SocketAddr, number: usize) -> Option<usize> {
+    for tries in 1..=40 {
+        let ask = stream(&format!("beside-{number}-{tries}")).model("small");
+        let ask = ask.body(format!("prompt {number}"));
+        if call(address, &ask)
+            .await
+            .is_ok_and(|got| got.whole && got.status == 200)
+        {
+            return Some(tries);
+        }
+        sleep(GAP).await;
+    }
+    None
+}
