fix(policy): what was only lost beside a fatal request is soon tried and cleared

Cause: a loss tells nothing of which request ended the target, and where a model has few groups the same ones meet again. Change: withheld requests are tried after 1 s, one at a time over all daemons; a good end clears the request, and a trial that ends its target clears all that were lost beside it only; then it is withheld for two minutes, and ten times as long after each further trial. Ruled out: a higher count of lost targets (costs targets, and the same ones still meet).

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -177,6 +177,12 @@
     }
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        quarantine::end_trial(self);
+    }
+}
+
 /// A target's answer whose head has arrived.
 pub(crate) struct Answered {
     pub(crate) status: StatusCode,
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -120,13 +120,29 @@
             let line = edge.lines.line("withheld_tried").with("id", &job.head.id);
             line.with("print", print).write();
             if let Some(verdict) = verdict {
-                edge.cases.tell_verdict(verdict);
+                // At once: another daemon may be about to try it, too.
+                link::tell_peers(edge, &Packet::Verdicts(vec![verdict]), Reach::All);
             }
             None
         }
     }
 }
 
+/// Notes that a request that may have been on trial is over.
+pub(crate) fn end_trial(job: &Job) {
+    if !job.trial.get() {
+        return;
+    }
+    let edge = &job.edge;
+    let verdict = {
+        let mut known = edge.cases.known.borrow_mut();
+        known.end_trial(job.print(), edge.now())
+    };
+    if let Some(verdict) = verdict {
+        edge.cases.tell_verdict(verdict);
+    }
+}
+
 /// Notes that a target was lost while it had a request.
 pub(crate) fn note_lost(job: &Job, target: &TargetId) {
     let (edge, print) = (&job.edge, job.print());
@@ -281,6 +297,7 @@
                 round: kept.round,
                 level: kept.level,
                 left: Millis::new(kept.until.saturating_sub(wall)),
+                trial: false,
             };
             if edge.cases.known.borrow_mut().hear(verdict, edge.now()) {
                 note_verdict(edge, &verdict, "the store");
--- a/crates/thistlesill-policy/src/edge/quarantine.rs
+++ b/crates/thistlesill-policy/src/edge/quarantine.rs
@@ -6,10 +6,12 @@
 //! that target after target ended under it. So each tells all others under which requests
 //! a target was lost; after the third target in a row such a request is withheld.
 //!
-//! A loss is weak evidence: all that ran at the target were lost with it. Whatever runs to
-//! a good end is cleared at once, wherever it ran. What is withheld is tried once after a
-//! while, by one daemon, and again much later if that ends a target, too: wrong knowledge
-//! goes away by itself, and a right one costs three targets in the first hour.
+//! A loss is weak evidence: all that ran at the target were lost with it, and where a model
+//! has few groups the same ones meet again and again. So what is withheld is soon tried, one
+//! request at a time over all daemons: what runs to a good end is cleared at once, and if
+//! the trial ends its target, all that were only lost beside that request are cleared. Then
+//! it is withheld for long, and tried again much later: wrong knowledge goes away by
+//! itself, and a right one costs three more targets in the first hour.
 
 use std::collections::HashMap;
 
@@ -22,18 +24,25 @@
 /// lost for other reasons, or for another request that ran there: what shares a target with
 /// a fatal one is sent elsewhere, and may meet it once more.
 const LOST: usize = 3;
-/// For how long a request is withheld at first: longer than a target takes to start again,
-/// so that a request that was at all targets of a small service when these fell is served
-/// soon after they are back.
-const FIRST: Millis = Millis::new(10_000);
-/// How many times longer it is withheld after each trial that ended a target.
-const LONGER: u32 = 8;
+/// For how long a request is withheld before it is first tried: about as long as another
+/// group takes to form, and short against the time that the callers of what was only lost
+/// beside it wait.
+const FIRST: Millis = Millis::new(1_000);
+/// For how long it is withheld after its first trial ended a target.
+const SECOND: Millis = Millis::new(120_000);
+/// How many times longer it is withheld after each further one.
+const LONGER: u32 = 10;
 /// The longest of these times: two more trials of it a day cost less than a request that is
 /// withheld for what was mended meanwhile.
 const LONGEST: Millis = Millis::new(12 * 3_600_000);
 /// How long a trial may take before there is another one: longer than callers wait for
 /// answers.
 const TRIAL: Millis = Millis::new(10_000);
+/// When the caller of a request may come back that waits for the trial of another one: it
+/// takes some tenths of a second until that ends its target.
+const TURN: Millis = Millis::new(300);
+/// Targets that are remembered of a request.
+const MAX_LOST: usize = 8;
 /// How long a loss is remembered under a request that is not withheld.
 const REMEMBERED: Millis = Millis::new(300_000);
 /// How long a request that was withheld is remembered after it may be tried, and one that
@@ -67,12 +76,14 @@
     pub level: u32,
     /// How long it is withheld yet.
     pub left: Millis,
+    /// Whether that is since it is being tried.
+    pub trial: bool,
 }
 
 /// What is known of a request.
 #[derive(Debug, Clone, Default)]
 struct Case {
-    /// Targets lost under it since it last ran to a good end; [`LOST`] at most.
+    /// Targets lost under it since it last ran to a good end; [`MAX_LOST`] at most.
     lost: Vec<TargetId>,
     round: u32,
     level: u32,
@@ -91,6 +102,17 @@
             round: self.round,
             level: self.level,
             left: self.until - now,
+            trial: self.trial,
+        }
+    }
+
+    fn is_tried(&self, now: Millis) -> bool {
+        self.trial && self.is_withheld(now)
+    }
+
+    fn note_lost(&mut self, target: &TargetId) {
+        if self.lost.len() < MAX_LOST && !self.lost.contains(target) {
+            self.lost.push(target.clone());
         }
     }
 
@@ -104,7 +126,9 @@
         self.level = level;
         self.until = now + left;
         self.trial = false;
-        self.lost.clear();
+        if level == 0 {
+            self.lost.clear();
+        }
         self.forget = self.until + KEPT;
     }
 }
@@ -126,13 +150,20 @@
     #[must_use]
     pub fn standing(&self, print: Fingerprint, now: Millis) -> Standing {
         match self.cases.get(&print) {
-            Some(case) if case.is_withheld(now) && case.trial => Standing::Tried(case.until - now),
+            Some(case) if case.is_tried(now) => Standing::Tried(case.until - now),
             Some(case) if case.is_withheld(now) => Standing::Withheld(case.until - now),
+            Some(case) if case.level > 0 && self.is_trial_on(now) => Standing::Withheld(TURN),
             Some(case) if case.level > 0 => Standing::Trial,
             _ => Standing::Free,
         }
     }
 
+    /// Whether any request is being tried. Two of them could meet at one target, and which
+    /// of them ended it would not be known.
+    fn is_trial_on(&self, now: Millis) -> bool {
+        self.cases.values().any(|case| case.is_tried(now))
+    }
+
     /// Notes that a request is tried now. Until that has an outcome others withhold it.
     pub fn begin_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
         let case = self.cases.get_mut(&print)?;
@@ -141,6 +172,14 @@
         Some(case.verdict(print, now))
     }
 
+    /// Notes that a trial ended without an outcome, as when its caller left; returns what is
+    /// to be told if it was still on.
+    pub fn end_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
+        let case = self.cases.get_mut(&print).filter(|c| c.is_tried(now))?;
+        case.decide(case.level, FIRST, now);
+        Some(case.verdict(print, now))
+    }
+
     /// Notes that a target was lost while it had a request; returns the verdict if the
     /// request is withheld from now on.
     pub fn note_lost(
@@ -151,20 +190,38 @@
     ) -> Option<Verdict> {
         self.make_room(print);
         let case = self.cases.entry(print).or_default();
+        case.note_lost(target);
+        case.forget = case.forget.max(now + REMEMBERED);
         if case.is_withheld(now) && !case.trial {
             // It was sent before that was known.
             return None;
         }
-        case.forget = case.forget.max(now + REMEMBERED);
-        if !case.lost.contains(target) {
-            case.lost.push(target.clone());
-        }
         if case.level == 0 && case.lost.len() < LOST {
             return None;
         }
         let level = case.level + 1;
         case.decide(level, time_of(level), now);
-        Some(case.verdict(print, now))
+        let verdict = case.verdict(print, now);
+        self.clear_beside(&verdict, now);
+        Some(verdict)
+    }
+
+    /// Clears what was only lost beside a request whose trial ended its target.
+    fn clear_beside(&mut self, verdict: &Verdict, now: Millis) {
+        let fatal = self.cases.get(&verdict.print);
+        let Some(fatal) = fatal.filter(|_| verdict.level > 1 && !verdict.trial) else {
+            return;
+        };
+        let lost = fatal.lost.clone();
+        let beside = |case: &Case| case.lost.iter().all(|target| lost.contains(target));
+        let suspected = |case: &Case| case.level < 2 && !case.lost.is_empty();
+        self.cases
+            .retain(|_, case| case.round > 0 || !(suspected(case) && beside(case)));
+        for (print, case) in &mut self.cases {
+            if *print != verdict.print && suspected(case) && beside(case) {
+                case.decide(0, Millis::ZERO, now);
+            }
+        }
     }
 
     /// Notes that a request ran to a good end; returns what is to be told if anything
@@ -178,6 +235,7 @@
                 round: 0,
                 level: 0,
                 left: Millis::ZERO,
+                trial: false,
             });
         }
         if case.level == 0 && case.lost.is_empty() {
@@ -206,6 +264,8 @@
         let case = self.cases.entry(told.print).or_default();
         case.decide(told.level, told.left, now);
         case.round = told.round;
+        case.trial = told.trial;
+        self.clear_beside(&told, now);
         true
     }
 
@@ -260,6 +320,9 @@
 
 /// For how long a request is withheld that was withheld so often in a row.
 fn time_of(level: u32) -> Millis {
-    let longer = u64::from(LONGER).saturating_pow(level.saturating_sub(1));
-    Millis::new(FIRST.get().saturating_mul(longer)).min(LONGEST)
+    let Some(further) = level.checked_sub(2) else {
+        return FIRST;
+    };
+    let longer = u64::from(LONGER).saturating_pow(further);
+    Millis::new(SECOND.get().saturating_mul(longer)).min(LONGEST)
 }
--- a/crates/thistlesill-policy/tests/edge/quarantine.rs
+++ b/crates/thistlesill-policy/tests/edge/quarantine.rs
@@ -95,7 +95,11 @@
             Standing::Withheld(_) | Standing::Tried(_) => {}
         }
     }
-    assert_eq!(sent, 3 + 3, "ten seconds, eighty, and eleven minutes later");
+    assert_eq!(
+        sent,
+        3 + 3,
+        "a second, two minutes, and twenty minutes later"
+    );
 }
 
 #[test]
@@ -103,12 +107,12 @@
     let (mut here, verdict) = lost(print(1), 0..3);
     let mut there = Quarantine::default();
     assert!(there.hear(verdict.expect("it is withheld"), after(300)));
-    let later = after(11_000);
+    let later = after(2_000);
     let trial = here.begin_trial(print(1), later).expect("it may be tried");
     assert!(there.hear(trial, later));
     assert!(matches!(
         there.standing(print(1), later),
-        Standing::Withheld(_)
+        Standing::Tried(_)
     ));
     let good = here.note_good(print(1), later).expect("that is news");
     assert!(there.hear(good, later));
@@ -120,10 +124,56 @@
     assert_eq!(here.digest(), there.digest());
 }
 
+/// Where a model has one group only, all who ask for it meet the fatal request each time.
+#[test]
+fn trials_follow_each_other_and_the_one_that_ends_a_target_clears_the_others() {
+    let mut known = Quarantine::default();
+    let mut now = START;
+    for number in 0..3 {
+        for request in 0..13 {
+            known.note_lost(print(request), &target(number), now);
+        }
+        now = now + Millis::new(400);
+    }
+    assert_eq!(known.withheld(now), 13);
+    now = now + Millis::new(1_000);
+    for innocent in 1..4 {
+        assert_eq!(known.standing(print(innocent), now), Standing::Trial);
+        known.begin_trial(print(innocent), now);
+        for waiting in (0..13).filter(|w| *w != innocent && !(1..innocent).contains(w)) {
+            assert!(matches!(
+                known.standing(print(waiting), now),
+                Standing::Withheld(_)
+            ));
+        }
+        now = now + Millis::new(500);
+        assert!(known.note_good(print(innocent), now).is_some());
+    }
+    known.begin_trial(print(0), now);
+    now = now + Millis::new(300);
+    assert!(known.note_lost(print(0), &target(3), now).is_some());
+    assert!(matches!(
+        known.standing(print(0), now + Millis::new(100_000)),
+        Standing::Withheld(_)
+    ));
+    for innocent in 1..13 {
+        assert_eq!(known.standing(print(innocent), now), Standing::Free);
+    }
+}
+
+#[test]
+fn a_trial_whose_caller_left_is_soon_followed_by_another() {
+    let (mut known, _) = lost(print(1), 0..3);
+    known.begin_trial(print(1), after(2_000));
+    assert!(known.end_trial(print(1), after(2_100)).is_some());
+    assert_eq!(known.end_trial(print(1), after(2_100)), None);
+    assert_eq!(known.standing(print(1), after(4_000)), Standing::Trial);
+}
+
 #[test]
 fn a_trial_without_an_outcome_is_followed_by_another() {
     let (mut known, _) = lost(print(1), 0..3);
-    known.begin_trial(print(1), after(11_000));
+    known.begin_trial(print(1), after(2_000));
     assert_eq!(known.standing(print(1), after(60_000)), Standing::Trial);
 }
 
