--- a/crates/thistlesill-policy/src/edge/quarantine.rs
+++ b/crates/thistlesill-policy/src/edge/quarantine.rs
@@ -15,7 +15,6 @@
 
 use std::collections::HashMap;
 
-use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Fingerprint, TargetId};
@@ -273,13 +272,7 @@
     #[must_use]
     pub fn digest(&self) -> u64 {
         let judged = self.cases.iter().filter(|(_, case)| case.round > 0);
-        let numbers = judged.map(|(print, case)| {
-            let mut bytes = print.number().to_le_bytes().to_vec();
-            bytes.extend(case.round.to_le_bytes());
-            bytes.extend(case.level.to_le_bytes());
-            rapidhash_v3(&bytes)
-        });
-        numbers.fold(0, |all, number| all ^ number)
+        judged.fold(0, |all, (print, case)| all ^ number_of(*print, case))
     }
 
     /// All verdicts that are remembered, those with the most time left first.
@@ -326,3 +319,10 @@
     let longer = u64::from(LONGER).saturating_pow(further);
     Millis::new(SECOND.get().saturating_mul(longer)).min(LONGEST)
 }
+
+/// A number for a verdict. Fingerprints are spread evenly already, and it is computed for
+/// each verdict with each beat.
+fn number_of(print: Fingerprint, case: &Case) -> u64 {
+    let odd = (u64::from(case.round) << 32 | u64::from(case.level)) << 1 | 1;
+    (print.number() as u64).wrapping_mul(odd)
+}
