--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -133,7 +133,7 @@
     }
     loop {
         // A request that ends its targets comes again with another id at any daemon: in
-        // seven seconds it ended 57 targets, and 3 with this (three daemons, two targets).
+        // seven seconds it ended 57 targets, and 4 with this (three daemons, two targets).
         if let Some(left) = quarantine::withheld(&job) {
             track.withheld(job.print());
             return if attempts.may_have_run {
