--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -33,8 +33,6 @@
 const STATUS_SWEEPS: u32 = 50;
 /// Time in which connections without a request are closed.
 const CLOSE: Millis = Millis::new(150);
-/// Kept of the time before a stopping process is killed.
-const STOP_MARGIN: Millis = Millis::new(400);
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -273,12 +271,7 @@
         edge.stop.notify_waiters();
     }
     let done = edge.active.get() == 0 && !edge.plans.get();
-    gone >= grace(edge) || (done && gone >= BALANCER + CLOSE)
-}
-
-/// Time in which a daemon that was told to stop ends.
-pub(crate) fn grace(edge: &Edge) -> Millis {
-    edge.settings().bounds.grace - STOP_MARGIN
+    gone >= edge.grace() || (done && gone >= BALANCER + CLOSE)
 }
 
 /// Takes in a changed settings file; a bad one changes nothing.
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod follow;
 mod front;
+mod job;
 mod lanes;
 mod lines;
 mod peers;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -17,8 +17,8 @@
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{Answered, Arrival, Failure, Job, Turn, attempt, note_lost};
-use crate::daemon;
+use crate::attempt::{Answered, Failure, Turn, attempt};
+use crate::job::{Arrival, Job};
 use crate::quarantine;
 use crate::relay;
 use crate::reply::{self, OutBody};
@@ -75,7 +75,7 @@
 fn fits_stop(edge: &Edge, limit: Millis) -> bool {
     edge.stopping.get().is_none_or(|since| {
         let gone = edge.now() - since;
-        admission::may_still_take(gone, limit, daemon::grace(edge))
+        admission::may_still_take(gone, limit, edge.grace())
     })
 }
 
@@ -271,7 +271,7 @@
     let body = match read {
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) => {
-            note_lost(job, &target, "the answer broke off");
+            quarantine::note_lost(job, &target, "the answer broke off");
             return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
         None => {
@@ -309,8 +309,3 @@
         }
     }
 }
-
-/// Sleeps for ever; for waits that have no end of their own.
-pub(crate) async fn never() {
-    std::future::pending::<()>().await;
-}
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -10,14 +10,14 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{Fingerprint, TargetId};
+use thistlesill_core::edge::{Fingerprint, Target, TargetId};
 use thistlesill_core::table::{Row, Txn, TxnResult};
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_net::clock::Clock;
 use thistlesill_policy::edge::quarantine::{Quarantine, Standing, Verdict};
 use tokio::sync::Notify;
 
-use crate::attempt::Job;
+use crate::job::Job;
 use crate::peers::packet::Packet;
 use crate::peers::{Reach, link};
 use crate::start::{self, Start};
@@ -143,14 +143,24 @@
     }
 }
 
-/// Notes that a target was lost while it had a request.
-pub(crate) fn note_lost(job: &Job, target: &TargetId) {
+/// Notes that the connection to a target ended while a request was there.
+pub(crate) fn note_lost(job: &Job, target: &Target, why: &str) {
     let (edge, print) = (&job.edge, job.print());
+    let beside = edge.loads.borrow().work(&target.id, edge.now()).requests;
+    edge.lines
+        .line("lost_with_target")
+        .with("id", &job.head.id)
+        .with("target", &target.id)
+        .with("why", why)
+        .with("print", print)
+        .with("requests", beside)
+        .write();
+    edge.suspect(&target.id, why);
     let verdict = {
         let mut known = edge.cases.known.borrow_mut();
-        known.note_lost(print, target, edge.now())
+        known.note_lost(print, &target.id, edge.now())
     };
-    let loss = (print, target.clone());
+    let loss = (print, target.id.clone());
     edge.cases.untold.borrow_mut().lost.push(loss);
     edge.cases.news.notify_one();
     if let Some(verdict) = verdict {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -4,6 +4,7 @@
 mod cutter;
 mod passing;
 
+use std::future::pending;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -19,8 +20,9 @@
 
 use self::cutter::Cutter;
 pub(crate) use self::passing::pass_on;
-use crate::attempt::{Answered, Job, Turn, attempt, note_lost};
-use crate::proxy::{never, settle};
+use crate::attempt::{Answered, Turn, attempt};
+use crate::job::Job;
+use crate::proxy::settle;
 use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::state::{Choice, InFlight};
@@ -38,7 +40,7 @@
 pub(crate) async fn stall(job: &Job, target: &Target, first: bool) {
     let route = &job.passage.route;
     let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
-        return never().await;
+        return pending::<()>().await;
     };
     let least = if first {
         part(route.aim, FIRST_PART)
@@ -231,7 +233,7 @@
         let (asked, handed) = (job.edge.now(), self.handed);
         let stalled = async {
             if stay {
-                never().await;
+                pending::<()>().await;
             }
             stall(&job, &target, first).await;
         };
@@ -267,7 +269,7 @@
         if let Some(source) = &self.source {
             match stop {
                 Stop::Stalled => self.job.edge.suspect(&source.target.id, why),
-                _ => note_lost(&self.job, &source.target, why),
+                _ => quarantine::note_lost(&self.job, &source.target, why),
             }
         }
         if stop == Stop::Broken {
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -9,7 +9,8 @@
 use thistlesill_platform::caller;
 
 use super::Source;
-use crate::attempt::{Answered, Job, note_lost};
+use crate::attempt::Answered;
+use crate::job::Job;
 use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
 use crate::track::Track;
@@ -57,7 +58,7 @@
                     return Ok(None);
                 }
                 Some(Err(_)) => {
-                    note_lost(&self.job, &self.source.target, "the answer broke off");
+                    quarantine::note_lost(&self.job, &self.source.target, "the answer broke off");
                     return Err(self.break_off("broke_off"));
                 }
                 Some(Ok(frame)) => {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -57,6 +57,8 @@
 /// daemons that had once been refused never read the targets again, at an age of what
 /// they knew of up to 29 s (295 daemons, a calm day).
 const AWAY: Millis = Millis::new(5_000);
+/// Kept of the time before a stopping process is killed.
+const STOP_MARGIN: Millis = Millis::new(400);
 /// Time in which a daemon that has just started hears of its peers' load.
 const BLIND: Millis = Millis::new(400);
 
@@ -326,6 +328,11 @@
         self.targets_fresh.get().age(self.now())
     }
 
+    /// Time in which the daemon ends once it was told to stop.
+    pub(crate) fn grace(&self) -> Millis {
+        self.settings.borrow().bounds.grace - STOP_MARGIN
+    }
+
     /// Whether the balancer may send new callers here.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.catalog.borrow().is_some();
