--- a/crates/thistlesill-cli/tests/losses.rs
+++ b/crates/thistlesill-cli/tests/losses.rs
@@ -38,6 +38,10 @@
         cause(&end("outcome=target_refused status=503")),
         Some(Cause::TargetShed)
     );
+    assert_eq!(
+        cause(&end("outcome=withheld status=503 print=0a1b")),
+        Some(Cause::Withheld)
+    );
 }
 
 #[test]
