--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -6,7 +6,6 @@
 
 mod bounds;
 mod catalog;
-mod fingerprint;
 mod incarnation;
 mod order;
 mod target;
@@ -15,7 +14,6 @@
 pub use catalog::{
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
 };
-pub use fingerprint::Fingerprint;
 pub use incarnation::{Incarnation, TargetId};
 pub use order::{GroupRef, Order, OrderReply};
 pub use target::{MemberState, Membership, Target};
--- a/crates/thistlesill-core/src/edge/fingerprint.rs
+++ b/crates/thistlesill-core/src/fingerprint.rs
@@ -1,10 +1,13 @@
-//! What makes two requests the same one for the targets that run them.
+//! What makes two requests the same one for the targets that run them, and what daemons
+//! tell each other of one that ends its targets.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::Millis;
+
 /// Bytes of a fingerprint: a caller cannot find another customer's request that has the
 /// same one, and two of millions do not share one by chance.
 const LENGTH: usize = 16;
@@ -43,3 +46,18 @@
         f.write_str(&hex::encode(self.0))
     }
 }
+
+/// What daemons tell each other of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The request.
+    pub print: Fingerprint,
+    /// Counts the verdicts on it; a later one replaces earlier ones.
+    pub round: u32,
+    /// How often it was withheld in a row; 0 if it was cleared.
+    pub level: u32,
+    /// How long it is withheld yet.
+    pub left: Millis,
+    /// Whether that is since it is being tried.
+    pub trial: bool,
+}
--- a/crates/thistlesill-core/src/lib.rs
+++ b/crates/thistlesill-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod edge;
 pub mod error;
 pub mod event_id;
+pub mod fingerprint;
 pub mod jsonc;
 pub mod message;
 pub mod name;
@@ -22,6 +23,7 @@
 pub mod timeline;
 
 pub use error::ErrorKind;
+pub use fingerprint::{Fingerprint, Verdict};
 pub use name::{
     Adapter, CustomerId, DomainId, Generation, GroupId, HallId, InstanceId, Model, NodeId,
     RegionId, RequestId, ServiceName, Version,
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,11 +1,10 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{Fingerprint, TargetId};
-use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{Fingerprint, HallId, Millis, Model, NodeId, ServiceName, Verdict};
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::load::Work;
-use thistlesill_policy::edge::quarantine::Verdict;
 use thistlesill_policy::lease::LeaseSeen;
 
 /// One datagram.
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{Fingerprint, Target, TargetId};
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::table::{Row, Txn, TxnResult};
-use thistlesill_core::{Millis, NodeId};
+use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
-use thistlesill_policy::edge::quarantine::{Quarantine, Standing, Verdict};
+use thistlesill_policy::quarantine::{Quarantine, Standing};
 use tokio::sync::Notify;
 
 use crate::job::Job;
@@ -46,7 +46,7 @@
 /// What this daemon knows of requests that end targets, and has not told yet.
 #[derive(Debug, Default)]
 pub(crate) struct Cases {
-    known: RefCell<Quarantine>,
+    known: RefCell<Quarantine<TargetId>>,
     untold: RefCell<Untold>,
     unwritten: RefCell<Vec<Verdict>>,
     /// Woken when there is something to tell.
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use hyper::Response;
-use thistlesill_core::edge::{Fingerprint, Target, TargetId};
-use thistlesill_core::{ErrorKind, Millis};
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::{ErrorKind, Fingerprint, Millis};
 use thistlesill_policy::edge::admission::Passage;
 use thistlesill_policy::edge::attempt::{Next, Outcome};
 use thistlesill_policy::edge::load::Work;
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -10,5 +10,4 @@
 pub mod freshness;
 pub mod load;
 pub mod owner;
-pub mod quarantine;
 pub mod start;
--- a/crates/thistlesill-policy/src/lib.rs
+++ b/crates/thistlesill-policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod planner;
 pub mod prefix;
 pub mod presence;
+pub mod quarantine;
 pub mod router;
 pub mod serving;
 pub mod share;
--- a/crates/thistlesill-policy/src/edge/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -15,9 +15,7 @@
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-use thistlesill_core::Millis;
-use thistlesill_core::edge::{Fingerprint, TargetId};
+use thistlesill_core::{Fingerprint, Millis, Verdict};
 
 /// Targets that are lost in a row under a request before it is withheld. One or two can be
 /// lost for other reasons, or for another request that ran there: what shares a target with
@@ -64,26 +62,11 @@
     Tried(Millis),
 }
 
-/// What daemons tell each other of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// The request.
-    pub print: Fingerprint,
-    /// Counts the verdicts on it; a later one replaces earlier ones.
-    pub round: u32,
-    /// How often it was withheld in a row; 0 if it was cleared.
-    pub level: u32,
-    /// How long it is withheld yet.
-    pub left: Millis,
-    /// Whether that is since it is being tried.
-    pub trial: bool,
-}
-
 /// What is known of a request.
-#[derive(Debug, Clone, Default)]
-struct Case {
+#[derive(Debug, Clone)]
+struct Case<T> {
     /// Targets lost under it since it last ran to a good end; [`MAX_LOST`] at most.
-    lost: Vec<TargetId>,
+    lost: Vec<T>,
     round: u32,
     level: u32,
     /// Until when it is withheld.
@@ -94,7 +77,20 @@
     forget: Millis,
 }
 
-impl Case {
+impl<T> Default for Case<T> {
+    fn default() -> Self {
+        Self {
+            lost: Vec::new(),
+            round: 0,
+            level: 0,
+            until: Millis::ZERO,
+            trial: false,
+            forget: Millis::ZERO,
+        }
+    }
+}
+
+impl<T: Clone + PartialEq> Case<T> {
     fn verdict(&self, print: Fingerprint, now: Millis) -> Verdict {
         Verdict {
             print,
@@ -109,7 +105,7 @@
         self.trial && self.is_withheld(now)
     }
 
-    fn note_lost(&mut self, target: &TargetId) {
+    fn note_lost(&mut self, target: &T) {
         if self.lost.len() < MAX_LOST && !self.lost.contains(target) {
             self.lost.push(target.clone());
         }
@@ -132,13 +128,21 @@
     }
 }
 
-/// The requests under which targets were lost.
-#[derive(Debug, Clone, Default)]
-pub struct Quarantine {
-    cases: HashMap<Fingerprint, Case>,
+/// The requests under which targets were lost; `T` names one life of a target.
+#[derive(Debug, Clone)]
+pub struct Quarantine<T> {
+    cases: HashMap<Fingerprint, Case<T>>,
+}
+
+impl<T> Default for Quarantine<T> {
+    fn default() -> Self {
+        Self {
+            cases: HashMap::new(),
+        }
+    }
 }
 
-impl Quarantine {
+impl<T: Clone + PartialEq> Quarantine<T> {
     /// Whether nothing is known of any request, so that none needs a fingerprint.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -181,12 +185,7 @@
 
     /// Notes that a target was lost while it had a request; returns the verdict if the
     /// request is withheld from now on.
-    pub fn note_lost(
-        &mut self,
-        print: Fingerprint,
-        target: &TargetId,
-        now: Millis,
-    ) -> Option<Verdict> {
+    pub fn note_lost(&mut self, print: Fingerprint, target: &T, now: Millis) -> Option<Verdict> {
         self.make_room(print);
         let case = self.cases.entry(print).or_default();
         case.note_lost(target);
@@ -212,8 +211,8 @@
             return;
         };
         let lost = fatal.lost.clone();
-        let beside = |case: &Case| case.lost.iter().all(|target| lost.contains(target));
-        let suspected = |case: &Case| case.level < 2 && !case.lost.is_empty();
+        let beside = |case: &Case<T>| case.lost.iter().all(|target| lost.contains(target));
+        let suspected = |case: &Case<T>| case.level < 2 && !case.lost.is_empty();
         self.cases
             .retain(|_, case| case.round > 0 || !(suspected(case) && beside(case)));
         for (print, case) in &mut self.cases {
@@ -322,7 +321,7 @@
 
 /// A number for a verdict. Fingerprints are spread evenly already, and it is computed for
 /// each verdict with each beat.
-fn number_of(print: Fingerprint, case: &Case) -> u64 {
+fn number_of<T>(print: Fingerprint, case: &Case<T>) -> u64 {
     let odd = (u64::from(case.round) << 32 | u64::from(case.level)) << 1 | 1;
     (print.number() as u64).wrapping_mul(odd)
 }
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -22,8 +22,6 @@
 mod load;
 #[path = "edge/owner.rs"]
 mod owner;
-#[path = "edge/quarantine.rs"]
-mod quarantine;
 #[path = "edge/restarts.rs"]
 mod restarts;
 #[path = "edge/stage.rs"]
--- a/crates/thistlesill-policy/tests/edge/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -1,9 +1,9 @@
 //! Requests that end the targets which run them are withheld; all others are not.
 
 use quickcheck::quickcheck;
-use thistlesill_core::Millis;
-use thistlesill_core::edge::{Fingerprint, TargetId};
-use thistlesill_policy::edge::quarantine::{Quarantine, Standing, Verdict};
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{Fingerprint, Millis, Verdict};
+use thistlesill_policy::quarantine::{Quarantine, Standing};
 
 const START: Millis = Millis::new(1_000_000);
 
@@ -20,7 +20,10 @@
 }
 
 /// What is known after targets were lost under a request, a tenth of a second apart.
-fn lost(print: Fingerprint, targets: std::ops::Range<u32>) -> (Quarantine, Option<Verdict>) {
+fn lost(
+    print: Fingerprint,
+    targets: std::ops::Range<u32>,
+) -> (Quarantine<TargetId>, Option<Verdict>) {
     let mut known = Quarantine::default();
     let mut verdict = None;
     for number in targets {
