test(replay): a request that ends the groups of the OpenAI interface's router

Symptom: the same prompt, asked again with other ids at two routers, ends 27 groups in 75 s: each request has its own count of attempts.

--- a/crates/thistlesill-replay/tests/it/requests.rs
+++ b/crates/thistlesill-replay/tests/it/requests.rs
@@ -1,9 +1,10 @@
 //! Answers are true and whole, and retries are bounded, under load and
 //! failures.
 
-use thistlesill_core::{CustomerId, ErrorKind, Millis};
+use thistlesill_core::timeline::Happening;
+use thistlesill_core::{CustomerId, ErrorKind, GroupId, Millis, RequestId};
 use thistlesill_policy::router::Arrival;
-use thistlesill_replay::stage::{Answer, Power};
+use thistlesill_replay::stage::{Answer, Power, Stage};
 
 use crate::support::{assert_answers_true, chat, load, options, place, root, serving, tree};
 
@@ -146,3 +147,55 @@
         sends.len()
     );
 }
+
+/// Ends the leader of each group that gets a request within a second of its arrival, and
+/// has it start anew; returns how many these were.
+fn end_its_leaders(stage: &mut Stage, request: RequestId) -> usize {
+    let mut ended = 0;
+    let end = stage.elapsed() + Millis::new(1_000);
+    while stage.elapsed() < end {
+        let sent = stage.records().iter().filter_map(|r| match &r.what {
+            Happening::Sent {
+                request: of, group, ..
+            } if *of == request => Some(group.clone()),
+            _ => None,
+        });
+        let sent: Vec<GroupId> = sent.collect();
+        for group in &sent[ended..] {
+            let servers = &stage.router(0).roster().servers;
+            let server = servers.iter().find(|s| s.key.group == *group);
+            if let Some(leader) = server.and_then(|s| s.members.first()) {
+                let leader = leader.instance.to_string();
+                stage.power(&leader, Power::Off);
+                stage.power(&leader, Power::On);
+            }
+        }
+        ended = sent.len();
+        stage.step();
+    }
+    ended
+}
+
+/// Callers sent a request that ends each group which runs it again and again, with another
+/// id; each time it was sent to as many groups as it may have attempts.
+#[test]
+fn a_request_that_ends_its_groups_is_soon_sent_to_none() {
+    let mut stage = serving(options(), 2);
+    let mut ended = 0;
+    for n in 0..25 {
+        let fatal = Arrival {
+            body: "fatal".to_owned(),
+            ..chat(1_000 + n)
+        };
+        let request = fatal.request;
+        stage.ask((n % 2) as usize, fatal, 200, Millis::new(20_000));
+        ended += end_its_leaders(&mut stage, request);
+        stage.run(Millis::new(2_000));
+    }
+    assert!(ended <= 3 + 1, "{ended} groups ended");
+    stage.run(Millis::new(30_000));
+    stage.ask(0, chat(1), 20, Millis::new(20_000));
+    stage.run(Millis::new(10_000));
+    assert_eq!(stage.answer(chat(1).request), Some(&Answer::Whole));
+    assert_answers_true(&stage);
+}
