--- a/crates/thistlesill-edge/tests/it/streams.rs
+++ b/crates/thistlesill-edge/tests/it/streams.rs
@@ -54,6 +54,34 @@
     assert_eq!(pieces, all().len(), "{}", got.body);
 }
 
+/// After all daemons had started again, callers asked for the same groups at once, and first
+/// events were later than the objective. Each request was given up at its target for another
+/// one before its daemon knew whether it had a retry left: of 323 such requests 135 ended
+/// with "it may have run" while their targets were about to answer.
+///
+/// ```text
+/// ev=attempt_failed outcome=may_have_run why="no answer begins" next=fail:sent_unknown
+/// ```
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_target_is_waited_for_if_no_retry_is_left() {
+    let world = world(89, 1).await;
+    for (leader, _) in world.targets.serving() {
+        world.targets.set_fault(leader.as_str(), Fault::SlowStart);
+    }
+    let address = world.daemons[0].callers();
+    let asked: Vec<_> = (0..16)
+        .map(|i| {
+            let stream = stream(&format!("late-{i}")).model("small");
+            tokio::spawn(async move { call(address, &stream).await })
+        })
+        .collect();
+    for one in asked {
+        let got = one.await.expect("the task ends").expect("an answer");
+        assert_eq!(got.status, 200, "{got:?}");
+        assert_eq!(got.events(), all());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_its_caller_takes_up_again_gives_way_to_others() {
     let world = world(24, 1).await;
