fix(edge): a late stream is left only for another target

Cause: a stream whose target was silent for the objective was given up there before its daemon knew whether it had a retry left or another target; without either its caller was told that it may have run, while the target was about to answer. Change: it is left when another target may get it, or when the daemon that forms groups finds its target dead. Before: 16 of 16 streams of two groups that begin 1.2 s late end with 502; after: all are served.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
-use thistlesill_core::edge::{RouteKind, Target};
+use thistlesill_core::edge::{RouteKind, Target, TargetId};
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::Outcome;
@@ -21,6 +21,9 @@
 /// milliseconds, so a longer wait means a lost packet or a dead machine.
 const CONNECT: Duration = Duration::from_millis(250);
 
+/// Between two looks whether a late stream may be asked for elsewhere.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// A target's answer whose head has arrived.
 pub(crate) struct Answered {
     pub(crate) status: StatusCode,
@@ -78,6 +81,7 @@
 pub(crate) async fn attempt(
     job: &Rc<Job>,
     target: &Target,
+    tried: &[TargetId],
     last_event: Option<&str>,
     turn: Turn,
 ) -> Result<Answered, Failure> {
@@ -106,7 +110,7 @@
                 pending::<()>().await;
             }
             tokio::select! {
-                () = relay::stall(job, target, true) => {}
+                () = leave_late(job, target, tried) => {}
                 () = silence(job, kept) => {}
             }
         };
@@ -130,6 +134,19 @@
     }
 }
 
+/// Ends when a stream is better asked for elsewhere than awaited: its target is silent for
+/// too long, and another one may get it, or this one is known to be dead. Left without
+/// either, 16 of 16 streams of two groups that began 1.2 s late ended as "it may have run";
+/// with this all are served (a daemon before stand-ins).
+async fn leave_late(job: &Job, target: &Target, tried: &[TargetId]) {
+    let edge = &job.edge;
+    relay::stall(job, target, true).await;
+    edge.suspect(&target.id, "no answer begins");
+    while !job.may_go_elsewhere(tried) && !edge.peers.borrow().is_dead(&target.id) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Ends when a plain request on a kept connection has had no answer for as long as
 /// one may take: only time tells that a connection fell silent. After all kept ones
 /// did, 6 of 6 requests are answered in time, and none without this (a daemon before
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -146,6 +146,17 @@
         .await
     }
 
+    /// Whether it may be sent to another target than those that it was sent to.
+    pub(crate) fn may_go_elsewhere(&self, tried: &[TargetId]) -> bool {
+        let service = &self.passage.service;
+        let model = self
+            .head
+            .model
+            .as_ref()
+            .filter(|_| service.engine.is_some());
+        self.edge.may_go_elsewhere(service, model, tried)
+    }
+
     /// Whether the request may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.passage.route.may_repeat()
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -118,6 +118,8 @@
     asked: HashMap<NodeId, (Millis, AskedWork)>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<TargetId>,
+    /// The same as another planner told last.
+    told_dead: Vec<TargetId>,
 }
 
 impl Peers {
@@ -185,6 +187,11 @@
         self.planner.as_ref().map(|(name, _)| name.clone())
     }
 
+    /// Whether the daemon that forms groups found a target dead.
+    pub(crate) fn is_dead(&self, target: &TargetId) -> bool {
+        self.dead.contains(target) || self.told_dead.contains(target)
+    }
+
     /// Whether a peer is in another data centre than `hall`.
     fn is_far(&self, name: &NodeId, hall: &HallId) -> bool {
         self.known.get(name).is_some_and(|p| p.hall != *hall)
@@ -392,6 +399,7 @@
             self.planner = Some((beat.from.clone(), now));
             self.planner_ended = false;
             self.heard_lease.clone_from(&beat.lease);
+            self.told_dead.clone_from(&beat.dead);
         } else if self.planner().as_ref() == Some(&beat.from) {
             self.planner_ended = true;
         }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -162,7 +162,7 @@
         tried.push(target.id.clone());
         track.sent(&target);
         let turn = Turn::after(attempts.sent, job.passage.route.attempts);
-        let failure = match attempt(&job, &target, None, turn).await {
+        let failure = match attempt(&job, &target, &tried, None, turn).await {
             Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
                 Ok(response) => return response,
                 Err(failure) => failure,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -294,7 +294,7 @@
             self.tried.push(target.id.clone());
             let last_event = self.cutter.last().or(job.head.last_event.as_deref());
             let turn = Turn::after(self.attempts.sent, job.passage.route.attempts);
-            match attempt(&job, &target, last_event, turn).await {
+            match attempt(&job, &target, &self.tried, last_event, turn).await {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.first().cloned().unwrap_or_default();
                     self.track.resumed(&from, &target.id, last_event, why);
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -396,6 +396,20 @@
         spent
     }
 
+    /// Whether a further attempt may be made now, and there is a target for it.
+    pub(crate) fn may_go_elsewhere(
+        &self,
+        service: &Service,
+        model: Option<&Model>,
+        tried: &[TargetId],
+    ) -> bool {
+        let has_retry = self.with_budget(&service.name, |budget| budget.has_retry());
+        let (book, loads, now) = (self.book.borrow(), self.loads.borrow(), self.now());
+        let serving = book.serving(&service.name, model);
+        let sound = |t: &&Target| !tried.contains(&t.id) && !loads.is_suspect(&t.id, now);
+        has_retry && serving.iter().map(AsRef::as_ref).any(|t| sound(&t))
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, step: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let daemons = self.peers.borrow().most().max(FEWEST_DAEMONS);
         let most = self.settings.borrow().bounds.retry_slack * SLACK_USED / daemons as f64;
--- a/crates/thistlesill-policy/src/budget.rs
+++ b/crates/thistlesill-policy/src/budget.rs
@@ -57,9 +57,14 @@
         self.saved = (self.saved + part).min(self.most);
     }
 
+    /// Whether there is a retry in the budget.
+    pub fn has_retry(&self) -> bool {
+        self.saved >= 1.0
+    }
+
     /// Takes a retry out of the budget, if there is one.
     pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.saved -= 1.0;
