--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -132,29 +132,23 @@
 
     /// Picks the next target of the request.
     pub(crate) async fn pick(&self, tried: &[TargetId]) -> (Choice, PlacedBy) {
-        place::pick(
-            &self.edge,
-            Asking {
-                service: &self.passage.service,
-                model: self.head.model.as_ref(),
-                prompt: self.prompt(),
-                aim: self.passage.route.aim,
-                tried,
-                first: tried.is_empty(),
-            },
-        )
-        .await
+        place::pick(&self.edge, self.asking(tried)).await
     }
 
     /// Whether it may be sent to another target than those that it was sent to.
     pub(crate) fn may_go_elsewhere(&self, tried: &[TargetId]) -> bool {
-        let service = &self.passage.service;
-        let model = self
-            .head
-            .model
-            .as_ref()
-            .filter(|_| service.engine.is_some());
-        self.edge.may_go_elsewhere(service, model, tried)
+        self.edge.may_go_elsewhere(&self.asking(tried))
+    }
+
+    fn asking<'a>(&'a self, tried: &'a [TargetId]) -> Asking<'a> {
+        Asking {
+            service: &self.passage.service,
+            model: self.head.model.as_ref(),
+            prompt: self.prompt(),
+            aim: self.passage.route.aim,
+            tried,
+            first: tried.is_empty(),
+        }
     }
 
     /// Whether the request may run more than once.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -81,6 +81,13 @@
     pub(crate) fn served_model(&self) -> Option<&Model> {
         self.model.filter(|_| self.service.engine.is_some())
     }
+
+    /// The targets that serve it and that it was not sent to.
+    fn untried<'a>(&'a self, book: &'a TargetBook) -> impl Iterator<Item = &'a Target> {
+        let serving = book.serving(&self.service.name, self.served_model());
+        let serving = serving.iter().map(AsRef::as_ref);
+        serving.filter(|t| !self.tried.contains(&t.id))
+    }
 }
 
 /// Where the next attempt of a request goes.
@@ -356,12 +363,7 @@
     pub(crate) fn pick(&self, asking: &Asking<'_>, knowledge: Knowledge) -> Choice {
         let service = asking.service;
         let book = self.book.borrow();
-        let serving = book.serving(&service.name, asking.served_model());
-        let untried: Vec<&Target> = serving
-            .iter()
-            .map(AsRef::as_ref)
-            .filter(|t| !asking.tried.contains(&t.id))
-            .collect();
+        let untried: Vec<&Target> = asking.untried(&book).collect();
         let settings = self.settings();
         let wanted = Wanted {
             engine: service.engine.as_ref(),
@@ -397,17 +399,11 @@
     }
 
     /// Whether a further attempt may be made now, and there is a target for it.
-    pub(crate) fn may_go_elsewhere(
-        &self,
-        service: &Service,
-        model: Option<&Model>,
-        tried: &[TargetId],
-    ) -> bool {
-        let has_retry = self.with_budget(&service.name, |budget| budget.has_retry());
+    pub(crate) fn may_go_elsewhere(&self, asking: &Asking<'_>) -> bool {
+        let has_retry = self.with_budget(&asking.service.name, |budget| budget.has_retry());
         let (book, loads, now) = (self.book.borrow(), self.loads.borrow(), self.now());
-        let serving = book.serving(&service.name, model);
-        let sound = |t: &&Target| !tried.contains(&t.id) && !loads.is_suspect(&t.id, now);
-        has_retry && serving.iter().map(AsRef::as_ref).any(|t| sound(&t))
+        let mut untried = asking.untried(&book);
+        has_retry && untried.any(|t| !loads.is_suspect(&t.id, now))
     }
 
     fn with_budget<T>(&self, service: &ServiceName, step: impl FnOnce(&mut RetryBudget) -> T) -> T {
