--- a/crates/thistlesill-policy/src/router/core/fatal.rs
+++ b/crates/thistlesill-policy/src/router/core/fatal.rs
@@ -25,12 +25,18 @@
 }
 
 impl RouterCore {
-    /// For how long a request is withheld, if it is; one that may be tried is tried then.
-    pub(super) fn withheld(&mut self, arrival: &Arrival, now: Millis) -> Option<Millis> {
+    /// The fingerprint of a request, if any request is suspected; usually none is, and none
+    /// has to be computed.
+    fn suspected(&self, arrival: &Arrival) -> Option<Fingerprint> {
         if self.quarantine.is_empty() {
             return None;
         }
-        let print = fingerprint(arrival)?;
+        fingerprint(arrival)
+    }
+
+    /// For how long a request is withheld, if it is; one that may be tried is tried then.
+    pub(super) fn withheld(&mut self, arrival: &Arrival, now: Millis) -> Option<Millis> {
+        let print = self.suspected(arrival)?;
         match self.quarantine.standing(print, now) {
             Standing::Free => None,
             Standing::Withheld(left) | Standing::Tried(left) => Some(left),
@@ -60,7 +66,7 @@
 
     /// Notes that a request ran to a good end.
     pub(super) fn ran_well(&mut self, arrival: &Arrival, now: Millis) {
-        if let Some(print) = fingerprint(arrival).filter(|_| !self.quarantine.is_empty()) {
+        if let Some(print) = self.suspected(arrival) {
             let verdict = self.quarantine.note_good(print, now);
             self.untold.verdicts.extend(verdict);
         }
@@ -68,7 +74,7 @@
 
     /// Notes that a request is over; what was a trial without an outcome may be tried again.
     pub(super) fn is_over(&mut self, arrival: &Arrival, now: Millis) {
-        if let Some(print) = fingerprint(arrival).filter(|_| !self.quarantine.is_empty()) {
+        if let Some(print) = self.suspected(arrival) {
             let verdict = self.quarantine.end_trial(print, now);
             self.untold.verdicts.extend(verdict);
         }
