--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -12,7 +12,7 @@
 
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use thistlesill_core::table::{Txn, TxnResult};
+use thistlesill_core::table::Txn;
 use thistlesill_core::{HallId, NodeId};
 use thistlesill_platform::store::{Content, Row, Table};
 
@@ -138,14 +138,7 @@
         hall: settings.hall.clone(),
     };
     let txn = Txn::new().put(key(&settings.name), &row);
-    match edge.store.txn(&txn, LIMIT).await {
-        Ok(TxnResult::Replied(_)) => true,
-        Ok(TxnResult::Unknown) => false,
-        Err(error) => {
-            log::debug!("peers: not listed: {error}");
-            false
-        }
-    }
+    edge.write(&txn, LIMIT, "peers: not listed").await
 }
 
 fn decode(edge: &Edge, row: &Row) -> Option<(NodeId, DaemonRow)> {
@@ -172,8 +165,7 @@
     let silent = edge.peers.borrow().silent_for(REMOVED, edge.now());
     for name in silent {
         let txn = Txn::new().delete(key(&name));
-        if let Err(error) = edge.store.txn(&txn, LIMIT).await {
-            log::debug!("peers: {name} not removed: {error}");
-        }
+        // What stays is removed at the next look.
+        edge.write(&txn, LIMIT, "peers: a row not removed").await;
     }
 }
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::table::{Row, Txn, TxnResult};
+use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
 use thistlesill_policy::quarantine::{Quarantine, Standing};
@@ -325,9 +325,8 @@
 /// Removes a row that tells nothing any more; one that stays is removed at a later start.
 async fn remove_row(edge: &Edge, key: &str) {
     let txn = Txn::new().delete(key.to_owned());
-    if let Err(error) = edge.store.txn(&txn, LIMIT).await {
-        log::debug!("quarantine: {key} not removed: {error}");
-    }
+    edge.write(&txn, LIMIT, "quarantine: a row not removed")
+        .await;
 }
 
 /// Writes a verdict; returns whether it is in the store. It is the same whenever it is
@@ -345,12 +344,5 @@
         };
         Txn::new().put(key, &row)
     };
-    match edge.store.txn(&txn, LIMIT).await {
-        Ok(TxnResult::Replied(_)) => true,
-        Ok(TxnResult::Unknown) => false,
-        Err(error) => {
-            log::debug!("quarantine: not written: {error}");
-            false
-        }
-    }
+    edge.write(&txn, LIMIT, "quarantine: not written").await
 }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target, TargetId};
+use thistlesill_core::table::{Txn, TxnResult};
 use thistlesill_core::{Millis, Model, ServiceName};
 use thistlesill_net::clock::{Alarm, Clock};
 use thistlesill_platform::store::Store;
@@ -290,6 +291,19 @@
         }
     }
 
+    /// Writes rows of the system's own under no condition; returns whether the store said
+    /// that it did. `failed` begins the line about a call that did nothing.
+    pub(crate) async fn write(&self, txn: &Txn, limit: Duration, failed: &str) -> bool {
+        match self.store.txn(txn, limit).await {
+            Ok(TxnResult::Replied(_)) => true,
+            Ok(TxnResult::Unknown) => false,
+            Err(error) => {
+                log::debug!("{failed}: {error}");
+                false
+            }
+        }
+    }
+
     /// Whether the store did not answer this daemon a short time ago. A daemon that has
     /// ceased to ask does not notice that the store is back.
     pub(crate) fn is_away(&self) -> bool {
