test(edge): the daemon that reads all entries at its start has no peer to tell it

Seen once: no entry was refused on the daemon that started. Cause: a peer's beat came 2 ms after its start, before the store's list of daemons, so it had all targets from that peer and read no entry itself (start_source from="a peer that told of itself"); that is as meant. With its link to the store 150 ms slower the test fails 3 of 3 times on older code, too. The other daemons are down now when it starts; all checks stay as they are.

--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -53,10 +53,17 @@
     write_garbage(&world);
     sleep(1_000).await;
     assert_all_serve(&world, "changed").await;
-    // One that starts now reads all entries at once.
-    world.daemons[1].kill().await;
+    // One that starts alone reads all entries at once; a peer whose beat comes before the
+    // store's answer would tell it all but those that are refused.
+    for daemon in &mut world.daemons {
+        daemon.kill().await;
+    }
     world.daemons[1].start();
     sleep(1_500).await;
+    for other in [0, 2, 3] {
+        world.daemons[other].start();
+    }
+    sleep(1_500).await;
     assert_all_serve(&world, "started").await;
     let refused = world.lines(1, "ev=target_refused");
     assert!(refused.len() >= 6, "{refused:?}");
