fix(edge): four more waits end by the daemon's clock

The waits of a stream that gives way, of requests for a daemon that starts, and of a daemon for its list or its first catalog went by the steady clock, as requests' ends did: after a suspension they went on for what was left of them. What still goes by it are the bounds of single calls and of transfers, and the age of unused connections to the store, which are closed after a suspension. Without one nothing changes; 58 tests of the daemon pass.

--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -15,7 +15,7 @@
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Key, Passage, admit};
 use thistlesill_policy::edge::attempt::{Attempts, Next, Outcome, after};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, Failure, Turn, attempt};
 use crate::job::{Arrival, Job};
@@ -34,11 +34,12 @@
 const LATEST: Millis = Millis::new(2_000);
 /// How long a stream that its caller takes up again gives way to others: well
 /// below the two seconds after which callers leave a stream that says nothing.
-const GIVE_WAY: Duration = Duration::from_millis(1_000);
+const GIVE_WAY: Millis = Millis::new(1_000);
 /// Between two looks for room.
 const LOOK: Duration = Duration::from_millis(40);
 /// Time for a caller's body after its head.
 const BODY_TIME: Duration = Duration::from_secs(10);
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
     let arrived = edge.now();
@@ -186,9 +187,9 @@
 /// those that can still be in time; after a kill of many daemons hundreds of
 /// such streams come at once.
 async fn give_way(job: &Job) {
-    let until = Instant::now() + GIVE_WAY;
+    let until = job.edge.now() + GIVE_WAY;
     let (service, model) = (&job.passage.service, job.head.model.as_ref());
-    while Instant::now() < until && !job.edge.has_room(service, model) {
+    while job.edge.now() < until && !job.edge.has_room(service, model) {
         tokio::time::sleep(LOOK).await;
     }
 }
--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -10,7 +10,6 @@
 
 use thistlesill_core::Millis;
 use thistlesill_policy::edge::start::{Source, source};
-use tokio::time::{Instant, sleep_until};
 
 use crate::peers::transfer::{self, State, TransferError};
 use crate::state::Edge;
@@ -19,7 +18,7 @@
 /// How long a daemon waits for the store's list of daemons, or for a peer that knows,
 /// before it reads the store itself. A store that does not answer this question hardly
 /// answers others.
-const LIST: Duration = Duration::from_millis(3_000);
+const LIST: Millis = Millis::new(3_000);
 /// How long a peer that starts itself is waited for: a read of 3,000 targets takes a
 /// small machine one second. It is still cheaper to wait on than a store that is busy.
 const PATIENCE: Duration = Duration::from_millis(1_500);
@@ -79,7 +78,7 @@
 
 /// Awaits the list of daemons, or a peer that knows, for a short time.
 async fn await_word(edge: &Edge) -> Word {
-    let until = Instant::now() + LIST;
+    let until = edge.now() + LIST;
     while !edge.peers.borrow().is_listed() {
         tokio::select! {
             () = edge.listed.notified() => {}
@@ -87,7 +86,7 @@
                 return Word::Told;
             },
             // Without the list, this daemon knows of nobody above it.
-            () = sleep_until(until) => return Word::From(Source::Store),
+            () = edge.alarm.until(until) => return Word::From(Source::Store),
         }
     }
     let settings = edge.settings();
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -21,7 +21,6 @@
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted};
 use thistlesill_policy::edge::owner::Scope;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
 
 use crate::lanes::Lanes;
 use crate::lines::Lines;
@@ -46,7 +45,7 @@
 /// How long a request waits for a daemon that has just started: about four reads
 /// of the store at its usual 4 ms and their way there and back. When they take
 /// longer the store is slow or away, and the caller is told to come back.
-const FIRST_READS: Duration = Duration::from_millis(90);
+const FIRST_READS: Millis = Millis::new(90);
 
 /// How long an unused connection to the store is kept: longer than a daemon that
 /// forms groups or reads for others leaves one unused (it writes the lease every
@@ -283,9 +282,10 @@
     /// Waits until the catalog and the targets have been read, for a short
     /// time at most: callers connect as soon as a daemon listens again.
     pub(crate) async fn wait_to_learn(&self) {
-        let until = Instant::now() + FIRST_READS;
+        let until = self.now() + FIRST_READS;
         while !self.has_learned() {
-            if timeout_at(until, self.learned.notified()).await.is_err() {
+            let learned = self.learned.notified();
+            if self.alarm.in_time(until, learned).await.is_none() {
                 return;
             }
         }
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -9,7 +9,6 @@
 use thistlesill_platform::catalog::decode_catalog;
 use thistlesill_platform::store::{CATALOG_KEY, Content, Rows, StoreError, Table};
 use thistlesill_policy::edge::freshness::MARGIN;
-use tokio::time::Instant;
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::follow::{self, FIRST_WORD};
@@ -94,13 +93,13 @@
 /// where each daemon made three: the catalog is not there yet at first, and its proof
 /// not when it comes.
 async fn await_word(edge: &Edge) {
-    let until = Instant::now() + FIRST_WORD.duration();
+    let until = edge.now() + FIRST_WORD;
     loop {
         let leads = {
             let peers = edge.peers.borrow();
             edge.plans.get() || peers.is_first_listed(&edge.settings().name)
         };
-        if leads || edge.catalog.borrow().is_some() || Instant::now() >= until {
+        if leads || edge.catalog.borrow().is_some() || edge.now() >= until {
             return;
         }
         tokio::select! {
