feat(edge): lines tell which limits targets name and what they are sent

A target may name in its answers how many requests a second it takes from all daemons together. No line told that one was heard, nor what a daemon sent there, so three causes of an excess could not be told apart. The header is decoded (one plain decimal number; anything else is noted and counts as none) and noted; no decision uses it yet.

--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod catalog;
 mod incarnation;
+mod limit;
 mod order;
 mod target;
 
@@ -15,5 +16,6 @@
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
 };
 pub use incarnation::{Incarnation, TargetId};
+pub use limit::{NoLimit, RateLimit};
 pub use order::{GroupRef, Order, OrderReply};
 pub use target::{MemberState, Membership, Target};
--- /dev/null
+++ b/crates/thistlesill-core/src/edge/limit.rs
@@ -0,0 +1,56 @@
+//! How many requests a target takes.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The requests a second that a target takes from all daemons together.
+///
+/// It is finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RateLimit(f64);
+
+impl RateLimit {
+    /// A limit in requests a second; `None` if the number is negative, infinite or none.
+    #[must_use]
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+/// A number that is no limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoLimit;
+
+impl fmt::Display for NoLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a limit is finite and not negative")
+    }
+}
+
+impl TryFrom<f64> for RateLimit {
+    type Error = NoLimit;
+
+    fn try_from(per_second: f64) -> Result<Self, NoLimit> {
+        Self::new(per_second).ok_or(NoLimit)
+    }
+}
+
+impl From<RateLimit> for f64 {
+    fn from(limit: RateLimit) -> Self {
+        limit.0
+    }
+}
+
+impl fmt::Display for RateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -13,6 +13,7 @@
 
 use crate::job::Job;
 use crate::lanes::Taken;
+use crate::limits;
 use crate::quarantine;
 use crate::relay;
 use crate::state::InFlight;
@@ -101,6 +102,7 @@
         }
     };
     let request = job.request(target, last_event);
+    limits::note_sent(job, target);
     let answer = {
         let last = job.last_answer();
         let send = lane.send(request, within((last - sent).duration()));
@@ -170,6 +172,7 @@
     let (parts, body) = response.into_parts();
     let status = parts.status;
     let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
+    limits::note_answer(job, target, &info);
     if let Some(refusal) = refusal(&info, status) {
         edge.loads.borrow_mut().note_refused(&target.id, edge.now());
         if info.not_run && status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -339,5 +339,6 @@
     }
     let book = edge.book.borrow();
     edge.loads.borrow_mut().retain(|id| book.knows(id), now);
+    edge.limits.retain(|id| book.knows(id));
     edge.lines.flush();
 }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod job;
 mod lanes;
+mod limits;
 mod lines;
 mod peers;
 mod planner;
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 
 use crate::lanes::Lanes;
+use crate::limits::Limits;
 use crate::lines::Lines;
 use crate::peers::packet::StoreUse;
 use crate::peers::place::{self, Placing};
@@ -165,6 +166,8 @@
     pub(crate) placing: RefCell<Placing>,
     /// Requests that end targets.
     pub(crate) cases: Cases,
+    /// Limits that targets named.
+    pub(crate) limits: Limits,
     pub(crate) lanes: Lanes,
     pub(crate) lines: Lines,
     pub(crate) rng: RefCell<SmallRng>,
@@ -219,6 +222,7 @@
             peers: RefCell::new(Peers::default()),
             placing: RefCell::new(Placing::default()),
             cases: Cases::default(),
+            limits: Limits::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock,
             alarm: Alarm::new(clock),
