--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -13,8 +13,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use thistlesill_platform_standin::caller::{Ask, Got, call};
 use thistlesill_platform_standin::daemon::Daemon;
+use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{read, sleep, stream, world};
@@ -128,3 +130,108 @@
     let served = all.len() - refused.len();
     assert!(served >= 12, "only {served} of {} are served", all.len());
 }
+
+/// Who grants a target's requests is one of the daemons of its data centre, which all go
+/// away here in turn: killed, frozen and stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_holds_while_daemons_are_killed_frozen_and_stopped() {
+    let mut world = world(93, 6).await;
+    press(&world, 30, Duration::from_secs(2), read).await;
+    world.targets.name_limit("p-0", Some("1.5"));
+    let named = Instant::now();
+    let addresses: Vec<SocketAddr> = world.daemons.iter().map(Daemon::callers).collect();
+    let calls = tokio::spawn(async move {
+        press_at(&addresses, 30, Duration::from_secs(18), read).await;
+    });
+    sleep(2_000).await;
+    for daemon in [0, 2, 4] {
+        world.daemons[daemon].kill().await;
+        sleep(700).await;
+        world.daemons[daemon].start();
+        sleep(700).await;
+    }
+    for daemon in [4, 2, 0] {
+        world.daemons[daemon].signal(Signal::SIGSTOP);
+        sleep(2_000).await;
+        world.daemons[daemon].signal(Signal::SIGCONT);
+    }
+    world.daemons[2].signal(Signal::SIGTERM);
+    world.daemons[2].ended().await;
+    world.daemons[2].start();
+    calls.await.expect("the task ends");
+    let most = most_in_window(&world, "p-0", named + HEARD);
+    assert!(
+        most <= allowed(1.5),
+        "{most} requests in 4 s, 6 are allowed"
+    );
+    let all = world.targets.ledger.starts_at("p-0");
+    let since = all.iter().filter(|at| **at > named + HEARD).count();
+    assert!(since >= 5, "only {since} requests in 17 s, 25 are allowed");
+}
+
+/// The runs at a target within a time from now on, while callers ask for it.
+async fn runs_within(world: &World, target: &str, time: Duration) -> usize {
+    let before = world.targets.ledger.starts_at(target).len();
+    press(world, 20, time, read).await;
+    world.targets.ledger.starts_at(target).len() - before
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_rise_fall_and_are_lifted() {
+    let world = world(94, 4).await;
+    // All requests need the other target.
+    world.targets.leave("p-1");
+    sleep(1_500).await;
+    let time = Duration::from_secs(4);
+    for (limit, least, most) in [("2", 5, 8), ("6", 14, 24), ("1", 2, 4)] {
+        world.targets.name_limit("p-0", Some(limit));
+        // The next answer tells of it; one is granted in two seconds at least.
+        press(&world, 20, Duration::from_millis(2_500), read).await;
+        let runs = runs_within(&world, "p-0", time).await;
+        assert!((least..=most).contains(&runs), "{limit} a second: {runs}");
+    }
+    world.targets.name_limit("p-0", None);
+    press(&world, 20, Duration::from_millis(2_500), read).await;
+    let runs = runs_within(&world, "p-0", time).await;
+    assert!(runs >= 75, "lifted: {runs} of 80");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_life_of_a_target_is_not_held_to_the_limit_of_the_one_before() {
+    let world = world(95, 4).await;
+    world.targets.leave("p-1");
+    world.targets.name_limit("p-0", Some("0.5"));
+    press(&world, 20, Duration::from_secs(3), read).await;
+    world.targets.restart("p-0");
+    sleep(1_000).await;
+    let runs = runs_within(&world, "p-0", Duration::from_secs(2)).await;
+    assert!(runs >= 36, "{runs} of 40");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_keep_to_a_limit_too() {
+    let world = world(96, 4).await;
+    press(&world, 20, Duration::from_secs(1), read).await;
+    world.targets.set_fault("p-1", Fault::LoseAnswers);
+    world.targets.name_limit("p-0", Some("2.5"));
+    let named = Instant::now();
+    press(&world, 30, Duration::from_secs(8), read).await;
+    let most = most_in_window(&world, "p-0", named + HEARD);
+    assert!(
+        most <= allowed(2.5),
+        "{most} requests in 4 s, 10 are allowed"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_cannot_be_read_is_noted_and_counts_as_none() {
+    let world = world(97, 2).await;
+    world.targets.leave("p-1");
+    sleep(1_500).await;
+    world.targets.name_limit("p-0", Some("-1"));
+    let runs = runs_within(&world, "p-0", Duration::from_secs(2)).await;
+    assert!(runs >= 36, "{runs} of 40");
+    sleep(300).await;
+    let lines = world.lines(0, "ev=limit_unreadable");
+    assert!(lines.iter().any(|l| l.contains("text=-1")), "{lines:?}");
+}
