--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -206,6 +206,7 @@
                 continue;
             };
             let demand = self.demand(&service.name, now);
+            let rooms = HashMap::new();
             let view = FleetView {
                 targets,
                 engine,
@@ -214,6 +215,7 @@
                 working: &working,
                 requests: &requests,
                 demand: &demand,
+                rooms: &rooms,
                 term,
                 calm,
             };
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -107,6 +107,9 @@
     pub requests: &'a HashMap<TargetId, u32>,
     /// The work that each model is asked for, over all daemons.
     pub demand: &'a Demand,
+    /// Leaders that name a limit, with the part of their groups' usual work that it
+    /// leaves: less than 1.
+    pub rooms: &'a HashMap<TargetId, f64>,
     /// The term of the lease.
     pub term: u64,
     /// Whether no caller has sent a request yet; loads are cheap until then.
--- a/crates/thistlesill-policy/tests/edge/demand.rs
+++ b/crates/thistlesill-policy/tests/edge/demand.rs
@@ -1,7 +1,7 @@
 //! Groups follow the work that callers ask for.
 
 use thistlesill_core::Millis;
-use thistlesill_core::edge::{GroupRef, Order};
+use thistlesill_core::edge::{GroupRef, Order, TargetId};
 
 use crate::stage::Stage;
 
@@ -124,3 +124,37 @@
         assert_eq!(target.staged, ["large".into()], "{target:?}");
     }
 }
+
+/// The leaders of the groups of the large model that take requests.
+fn large_leaders(stage: &Stage) -> Vec<TargetId> {
+    let groups = stage.engines.serving().into_iter();
+    let large = groups.filter(|(_, members)| members.len() == 4);
+    large.map(|(leader, _)| leader).collect()
+}
+
+/// A group whose leader names a limit serves less than one without: others are needed for
+/// the rest, and the group itself stays as it is.
+#[test]
+fn groups_are_formed_for_the_work_that_limits_leave() {
+    let mut stage = Stage::formed(6);
+    ask(&mut stage, 3.4, 1.0);
+    stage.run(secs(10));
+    let (before, _) = stage.sizes();
+    let leaders = large_leaders(&stage);
+    stage.rooms = leaders
+        .iter()
+        .take(4)
+        .map(|id| (id.clone(), 0.25))
+        .collect();
+    stage.run(secs(40));
+    let (after, small) = stage.sizes();
+    assert!(after > before, "{after} large groups, {before} before");
+    assert!(small >= 1, "{small} small groups");
+    for leader in &leaders {
+        assert!(
+            large_leaders(&stage).contains(leader),
+            "{leader:?} was replaced"
+        );
+    }
+    stage.assert_sound();
+}
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -32,6 +32,8 @@
     pub(crate) requests: HashMap<TargetId, u32>,
     /// The work that each model is asked for.
     pub(crate) demand: Demand,
+    /// Parts of leaders' usual work that their limits leave.
+    pub(crate) rooms: HashMap<TargetId, f64>,
     /// Targets that are slow.
     pub(crate) slow: HashSet<TargetId>,
     /// Leaders whose streams are slow.
@@ -53,6 +55,7 @@
             working: HashSet::new(),
             requests: HashMap::new(),
             demand: Demand::new(),
+            rooms: HashMap::new(),
             slow: HashSet::new(),
             doubted: HashSet::new(),
             orders: Vec::new(),
@@ -94,6 +97,7 @@
             working: &self.working,
             requests: &self.requests,
             demand: &self.demand,
+            rooms: &self.rooms,
             term: self.term,
             calm: self.calm,
         };
@@ -144,6 +148,7 @@
             working: &self.working,
             requests: &self.requests,
             demand: &self.demand,
+            rooms: &self.rooms,
             term: self.term,
             calm: self.calm,
         })
