--- a/crates/thistlesill-core/src/edge/target.rs
+++ b/crates/thistlesill-core/src/edge/target.rs
@@ -64,4 +64,9 @@
         let open = |m: &Membership| m.rank == 0 && m.state == MemberState::Open;
         self.member.as_ref().is_some_and(open)
     }
+
+    /// The model that its group runs.
+    pub fn model(&self) -> Option<&Model> {
+        self.member.as_ref()?.model.as_ref()
+    }
 }
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::edge::{RateLimit, Target, TargetId};
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_platform::caller::{AnswerHead, LimitHeader};
 use thistlesill_policy::edge::limit::{Grant, Heard, LimitReport, LimitTable, ToldLimit};
@@ -54,6 +54,13 @@
         self.table.borrow().is_spent(id, now)
     }
 
+    /// The targets that name a limit, with it.
+    pub(crate) fn limits(&self) -> Vec<(TargetId, RateLimit)> {
+        let table = self.table.borrow();
+        let limits = table.limits().map(|(id, limit)| (id.clone(), limit));
+        limits.collect()
+    }
+
     /// The targets that may not be sent a request now.
     pub(crate) fn spent(&self, now: Millis) -> Vec<TargetId> {
         self.table.borrow().spent(now)
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Order, TargetId};
+use thistlesill_core::edge::{Order, RateLimit, Target, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
 use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
@@ -13,7 +13,9 @@
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
 use thistlesill_policy::edge::admission::BALANCER;
-use thistlesill_policy::edge::fleet::{Condition, Demand, FleetAction, FleetPlanner, FleetView};
+use thistlesill_policy::edge::fleet::{
+    Condition, Demand, FleetAction, FleetPlanner, FleetView, room,
+};
 use thistlesill_policy::lease::{Lease, LeaseNews, LeasePeriods, LeaseStep};
 
 use crate::figures;
@@ -206,7 +208,7 @@
                 continue;
             };
             let demand = self.demand(&service.name, now);
-            let rooms = HashMap::new();
+            let rooms = self.rooms(&service.name, targets);
             let view = FleetView {
                 targets,
                 engine,
@@ -287,6 +289,22 @@
         demand
     }
 
+    /// Leaders that name a limit, with the part of their usual work that it leaves.
+    fn rooms(
+        &self,
+        service: &ServiceName,
+        targets: &HashMap<TargetId, Target>,
+    ) -> HashMap<TargetId, f64> {
+        let asked = self.edge.asked.borrow();
+        let room = |(id, limit): (TargetId, RateLimit)| {
+            let model = targets.get(&id)?.model()?;
+            let each = asked.each(service, model)?;
+            Some((id, room(limit, each)))
+        };
+        let limits = self.edge.limits.limits();
+        limits.into_iter().filter_map(room).collect()
+    }
+
     /// Leaders whose streams are slow.
     fn slow(&self, now: Millis) -> HashSet<TargetId> {
         let hall = &self.edge.settings().hall;
--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -35,6 +35,11 @@
 }
 
 impl Asked<'_> {
+    /// The part of the request that counts.
+    const fn part(&self) -> f64 {
+        if self.refused { REFUSED_PART } else { 1.0 }
+    }
+
     /// The time of a group that the request takes up, in milliseconds; `None`
     /// if the service does not run the model.
     ///
@@ -44,8 +49,7 @@
         let plan = self.engine.plan(self.model)?;
         let read = f64::from(self.prompt) / self.engine.read_rate.max(1.0) * 1_000.0;
         let answer = self.answer.map_or(self.engine.usual_answer, |t| t as f64);
-        let part = if self.refused { REFUSED_PART } else { 1.0 };
-        Some(part * plan.pace * (read + answer * self.engine.step_each))
+        Some(self.part() * plan.pace * (read + answer * self.engine.step_each))
     }
 }
 
@@ -57,13 +61,17 @@
 struct Average {
     /// Work of the last [`MEMORY`], in milliseconds of a group.
     sum: f64,
+    /// Requests of that time.
+    requests: f64,
     at: Millis,
 }
 
 impl Average {
     fn decay(&mut self, now: Millis) {
         let passed = (now - self.at).get() as f64;
-        self.sum *= (-passed / MEMORY).exp();
+        let kept = (-passed / MEMORY).exp();
+        self.sum *= kept;
+        self.requests *= kept;
         self.at = now;
     }
 }
@@ -85,6 +93,14 @@
         let average = self.averages.entry(key).or_default();
         average.decay(now);
         average.sum += work;
+        average.requests += asked.part();
+    }
+
+    /// The time of a group that one request of a model takes up, in milliseconds; `None`
+    /// if none came.
+    pub fn each(&self, service: &ServiceName, model: &Model) -> Option<f64> {
+        let average = self.averages.get(&(service.clone(), model.clone()))?;
+        (average.requests > 0.0).then(|| average.sum / average.requests)
     }
 
     /// The work that is asked for now.
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -25,7 +25,7 @@
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
-pub use self::demand::Demand;
+pub use self::demand::{Demand, room};
 use self::forming::Planned;
 use self::loads::LoadRate;
 use self::survey::{Survey, Verdict};
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -92,10 +92,7 @@
     }
 
     fn count_open(&self, view: &FleetView<'_>, plan: &ModelPlan) -> ModelCensus {
-        let leads = |t: &&Target| {
-            let member = t.member.as_ref();
-            t.leads_open() && member.is_some_and(|m| m.model.as_ref() == Some(&plan.model))
-        };
+        let leads = |t: &&Target| t.leads_open() && t.model() == Some(&plan.model);
         ModelCensus {
             model: plan.model.clone(),
             open: view.targets.values().filter(leads).count(),
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use thistlesill_core::Model;
-use thistlesill_core::edge::{Engine, ModelPlan};
+use thistlesill_core::edge::{Engine, ModelPlan, RateLimit};
 
 use super::FleetView;
 
@@ -69,7 +69,24 @@
 /// The targets that a model's work calls for.
 fn needed(view: &FleetView<'_>, plan: &ModelPlan) -> f64 {
     let work = view.demand.get(&plan.model).copied().unwrap_or(0.0);
-    work / USED * f64::from(plan.size)
+    (work / USED + lacking(view, plan)) * f64::from(plan.size)
+}
+
+/// The groups of a model that the limits of its leaders take away, in whole groups. Each
+/// group counted as whole, work beyond the limits had no group that was formed for it.
+fn lacking(view: &FleetView<'_>, plan: &ModelPlan) -> f64 {
+    let limited = view.rooms.iter().filter(|(id, _)| {
+        let leader = view.targets.get(*id);
+        leader.is_some_and(|t| t.leads_open() && t.model() == Some(&plan.model))
+    });
+    limited.map(|(_, room)| (1.0 - room).clamp(0.0, 1.0)).sum()
+}
+
+/// The part of its group's usual work that a leader's limit leaves.
+///
+/// `work` is the time of the group that its requests take up, in milliseconds each.
+pub fn room(limit: RateLimit, work: f64) -> f64 {
+    (limit.get() * work / 1_000.0 / USED).min(1.0)
 }
 
 /// A model's announced part of the targets' work.
--- a/crates/thistlesill-policy/tests/edge/asked.rs
+++ b/crates/thistlesill-policy/tests/edge/asked.rs
@@ -83,3 +83,14 @@
     meter.note(&"s".into(), &asked, start());
     assert!(meter.work(start()).is_empty());
 }
+
+#[test]
+fn the_work_of_one_request_is_known_whether_some_are_turned_away_or_not() {
+    let mut meter = AskedMeter::default();
+    let (service, model) = (ServiceName::from("s"), Model::from("large"));
+    assert_eq!(meter.each(&service, &model), None);
+    let now = ask(&mut meter, start(), Millis::new(2_000), false);
+    ask(&mut meter, now, Millis::new(2_000), true);
+    let each = meter.each(&service, &model).expect("requests came");
+    assert_near(each, WORK);
+}
