fix(policy): one rule for what frees a target of its group

What was seen: targets in two groups. A successor opened a group that its predecessor had cut, whose members then carried out the predecessor's late joins; and members of a leader that was cut off and served were taken for idle 2.8 s after its entry had lapsed.

Cause: each path that frees a member had a proof of its own, and some had none: silence, probes without an answer, a time. What a predecessor may have ordered counted nowhere.

Rule, in release.rs and used by all paths: a target joins another group only if it shows none, or its last group's leader ended it, left it, is broken or is another process. Members of a leader that cannot be told leave the group themselves, and not before joins to it can no longer arrive late. A group opens only if this planner formed it and gave no member a later join; what a predecessor left ready is formed anew (its members then refuse the predecessor's late joins by their epochs). Lives that begin while their last leader may serve on wait for it; a planner that has just started takes them from their own start times.

Ways weighed: waiting out 12 s (downtime of each group after each succession), intents in the store before each order (a write a join, none while it is away), joins under an expected count of orders (the entry shows an old count): the successor's own epoch costs a leave and joins of 0.2 s.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -9,6 +9,7 @@
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
 use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
+use thistlesill_net::clock::Clock;
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
@@ -219,6 +220,7 @@
                 demand: &demand,
                 rooms: &rooms,
                 term,
+                wall: Clock::wall(),
                 calm,
             };
             let actions = fleet.step(&view, now);
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod memory;
 mod orders;
+mod release;
 mod spares;
 mod standby;
 mod survey;
@@ -46,6 +47,8 @@
 /// How long a leader that leaves may work off what it has; the platform's longest
 /// time for it.
 const LEADER_WORKS: Millis = Millis::new(10_000);
+/// How long after it was given an order may be carried out: the platform's longest time.
+const LATE_ORDER: Millis = Millis::new(12_000);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
 const SHOW: Millis = Millis::new(2_000);
@@ -112,6 +115,8 @@
     pub rooms: &'a HashMap<TargetId, f64>,
     /// The term of the lease.
     pub term: u64,
+    /// The time of day, in Unix milliseconds.
+    pub wall: u64,
     /// Whether no caller has sent a request yet; loads are cheap until then.
     pub calm: bool,
 }
@@ -149,6 +154,8 @@
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
     counter: u64,
+    /// When it first looked at the list.
+    began: Option<Millis>,
     planned: BTreeMap<GroupRef, Planned>,
     /// Groups whose leader took an order to break off.
     cut: BTreeSet<GroupRef>,
@@ -157,6 +164,10 @@
     opening: BTreeMap<GroupRef, u32>,
     /// Doubtful groups whose leader has left them.
     left: BTreeSet<GroupRef>,
+    /// Groups that this planner formed in its present term.
+    formed: BTreeSet<GroupRef>,
+    /// The highest epoch of the joins that each target was given in that term.
+    joined: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last look.
     void: BTreeSet<GroupRef>,
     /// Groups that are complete and not wanted, as of the last look.
@@ -180,6 +191,9 @@
     missing: BTreeMap<TargetId, Millis>,
     /// Lives of targets that are over, since their instances have started again.
     ended: BTreeSet<TargetId>,
+    /// Lives of members whose last group's leader may serve on, by instance, with the moment
+    /// at which it must have ended: another life of the instance waits for that.
+    waiting: BTreeMap<InstanceId, (TargetId, Millis)>,
     /// Who has shown itself as a member of each group.
     rosters: BTreeMap<GroupRef, BTreeSet<TargetId>>,
     /// When each group was first seen.
@@ -228,9 +242,11 @@
                 free.extend(standing.members.iter().map(|m| m.id.clone()));
             }
         }
-        let bound = self.bound(&survey);
+        let bound = self.bound(&survey, now);
         let single = survey.single.iter().map(|t| &t.id);
-        free.extend(single.filter(|id| !bound.contains(id.instance())).cloned());
+        let fresh =
+            |id: &&TargetId| bound.contains(id.instance()) || self.may_be_bound(view, id, now);
+        free.extend(single.filter(|id| !fresh(id)).cloned());
         self.tend_planned(view, now, &mut actions);
         self.ask_slow(view, &free, now, &mut actions);
         self.drop_taken(&mut free, view, now);
@@ -265,10 +281,10 @@
                     *open = open.saturating_sub(1);
                 }
             }
-            (
-                Order::Leave(group),
-                OrderReply::Taken | OrderReply::Refused | OrderReply::Elsewhere,
-            ) => {
+            // A member that left shows it in its entry.
+            (Order::Leave(group), OrderReply::Taken | OrderReply::Elsewhere)
+                if self.leaders.get(group) == Some(target) =>
+            {
                 self.left.insert(group.clone());
             }
             (_, OrderReply::Refused) => {
@@ -372,13 +388,16 @@
 
     /// Instances that have started again while the group of their earlier life has not
     /// ended: its leader may serve on until it has noticed.
-    fn bound(&self, survey: &Survey<'_>) -> HashSet<&InstanceId> {
+    fn bound(&self, survey: &Survey<'_>, now: Millis) -> HashSet<&InstanceId> {
         let stands = |group: &&GroupRef| survey.groups.contains_key(*group);
         let groups = self.rosters.keys().filter(stands);
         let standing = groups.filter(|group| !self.void.contains(*group));
         let members = standing.flat_map(|group| &self.rosters[group]);
         let over = members.filter(|id| self.ended.contains(*id));
-        over.map(TargetId::instance).collect()
+        let again = |life: &&TargetId| !survey.single.iter().any(|t| t.id == **life);
+        let waiting = self.waiting.values().filter(|(_, until)| now < *until);
+        let waiting = waiting.map(|(life, _)| life).filter(again);
+        over.chain(waiting).map(TargetId::instance).collect()
     }
 
     /// Leaves only targets that can be planned with now.
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -171,8 +171,10 @@
             let (id, address) = (target.id.clone(), target.address);
             let order = planned.join(&group);
             self.given.remove(&(id.clone(), order.name()));
+            self.note_join(&id, &group);
             self.give(id, address, order, why, now, actions);
         }
+        self.formed.insert(group.clone());
         self.planned.insert(group, planned);
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -18,6 +18,8 @@
     /// knows who led which group.
     pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.planned.clear();
+        self.formed.clear();
+        self.joined.clear();
         self.remember(targets, now);
         for target in targets.values() {
             let Some(member) = target.member.as_ref().filter(|m| m.rank == 0) else {
@@ -38,6 +40,7 @@
 
     /// Takes in how the fleet stands, and forgets what has become old.
     pub(super) fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
+        self.began.get_or_insert(now);
         self.avoid.retain(|_, at| now - *at < AVOID);
         self.silent.retain(|_, (_, at)| now - *at < DEAD);
         self.most = self.most.max(targets.len());
@@ -94,11 +97,17 @@
             .values()
             .filter_map(|t| Some(&t.member.as_ref()?.of))
             .collect();
+        self.hold_vanished(&shown, now);
         self.seen.retain(|group, _| shown.contains(group));
         self.rosters.retain(|group, _| shown.contains(group));
         self.leaders.retain(|group, _| shown.contains(group));
         self.opening.retain(|group, _| shown.contains(group));
         self.left.retain(|group| shown.contains(group));
+        let planned = &self.planned;
+        self.formed
+            .retain(|group| shown.contains(group) || planned.contains_key(group));
+        self.waiting.retain(|_, (_, until)| now < *until);
+        self.joined.retain(|id, _| targets.contains_key(id));
         self.cut.retain(|group| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
         self.slow.retain(|id| targets.contains_key(id));
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -57,6 +57,7 @@
                     self.give_lost_leader(group, order, now, actions);
                 }
             }
+            Verdict::Release => self.release(group, standing, now, actions),
             Verdict::Dismiss => {
                 let order = Order::Close(group.clone());
                 self.give_lost_leader(group, order, now, actions);
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -149,7 +149,8 @@
             let state = t.member.as_ref().map(|m| m.state);
             state == Some(MemberState::Ready) && !t.leaving && !self.is_dead(&t.id)
         });
-        ready && standing.leader.is_some() && standing.plan(view).is_some_and(whole)
+        let sound = ready && self.is_current(group, standing);
+        sound && standing.leader.is_some() && standing.plan(view).is_some_and(whole)
     }
 
     /// Whether a target waits in a group that stands by.
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -24,6 +24,8 @@
     Retire,
     /// It has ended, but its leader could be opened again by a late order.
     Dissolve,
+    /// Its leader cannot be told to end it: its members must leave it.
+    Release,
     /// Its leader must end what runs; the group then stands by.
     Rest,
     /// Its leader must end what runs; its members go to a model that is short.
@@ -126,11 +128,16 @@
         now: Millis,
     ) -> Verdict {
         let verdict = self.judge_state(view, group, standing, now);
-        let doubtful = self.opening.contains_key(group) && !self.left.contains(group);
+        let doubtful = self.may_open_late(group, standing);
         let leader = self.leaders.get(group);
         let silent = leader.is_some_and(|id| self.is_dead(id) || self.is_gone(id, now));
+        let verdict = match verdict {
+            Verdict::Void | Verdict::Standby if doubtful && silent => Verdict::Release,
+            Verdict::Void | Verdict::Standby if doubtful => Verdict::Dissolve,
+            verdict => verdict,
+        };
         match verdict {
-            Verdict::Void | Verdict::Standby if doubtful && !silent => Verdict::Dissolve,
+            Verdict::Release if self.may_join_late(group, now) => Verdict::Stop,
             verdict => verdict,
         }
     }
@@ -219,7 +226,13 @@
         let young = self.seen.get(group).is_none_or(|at| now - *at < SHOW);
         let plan = standing.model().and_then(|model| view.engine.plan(model));
         match plan {
-            Some(plan) if standing.members.len() >= plan.size as usize && ready => Verdict::Open,
+            Some(plan) if standing.members.len() >= plan.size as usize && ready => {
+                if self.is_current(group, standing) {
+                    Verdict::Open
+                } else {
+                    Verdict::Void
+                }
+            }
             // While it loads, a member does not say what it will run.
             _ if young || !ready => Verdict::Wait,
             _ => Verdict::Void,
@@ -228,14 +241,14 @@
 
     /// A group whose leader is not listed. The leader may still serve: it may
     /// be leaving without a word, or be cut off from the store. So it is told
-    /// to stop, and its members stay with it until it has answered or has
-    /// been silent for so long that it must be gone.
+    /// to stop, and its members stay with it until it has answered or they have left.
     fn judge_leaderless(&self, view: &FleetView<'_>, group: &GroupRef, now: Millis) -> Verdict {
         if self.planned.contains_key(group) {
             return Verdict::Wait;
         }
         // The leader has ended it, or has left it.
-        if self.cut.contains(group) || self.left.contains(group) {
+        let left = self.left.contains(group) || self.is_left_by_leader(view, group);
+        if left || self.cut.contains(group) {
             return Verdict::Void;
         }
         let leader = self.leaders.get(group);
@@ -245,7 +258,7 @@
         }
         let silent = |id: &TargetId| self.is_dead(id) && !view.working.contains(id);
         if leader.is_some_and(silent) {
-            return Verdict::Void;
+            return Verdict::Release;
         }
         let missing = leader.and_then(|id| self.missing.get(id));
         let since = missing
@@ -258,7 +271,7 @@
         match now - since {
             time if time < LEADER_ENDS => Verdict::Dismiss,
             time if time < gone => Verdict::Stop,
-            _ => Verdict::Void,
+            _ => Verdict::Release,
         }
     }
 }
