perf(policy): members wait only for joins that may really be late

A group that this planner formed knows which of its joins got no answer; all its members waited for 12 s after it was formed, when its leader fell silent.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -166,6 +166,8 @@
     left: BTreeSet<GroupRef>,
     /// Groups that this planner formed in its present term.
     formed: BTreeSet<GroupRef>,
+    /// When a join of each group last got no answer.
+    unanswered: BTreeMap<GroupRef, Millis>,
     /// The highest epoch of the joins that each target was given in that term.
     joined: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last look.
@@ -265,6 +267,7 @@
                 }
             }
             (Order::Join { to, .. }, OrderReply::Unknown) => {
+                self.unanswered.insert(to.clone(), now);
                 let tries = self.planned.get_mut(to).map_or(0, |p| p.unanswered(target));
                 if tries >= forming::MAX_TRIES {
                     self.abandon(to, target, now);
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::{AVOID, DEAD, FleetPlanner, PROBE_REST};
+use super::{AVOID, DEAD, FleetPlanner, LATE_ORDER, PROBE_REST};
 
 /// How long a spare may take until it shows the weights that it was told to
 /// load: the longest load of the known engines, beside several others.
@@ -107,6 +107,7 @@
         self.formed
             .retain(|group| shown.contains(group) || planned.contains_key(group));
         self.waiting.retain(|_, (_, until)| now < *until);
+        self.unanswered.retain(|_, at| now - *at < LATE_ORDER);
         self.joined.retain(|id, _| targets.contains_key(id));
         self.cut.retain(|group| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -46,10 +46,15 @@
         (told || others) && !self.left.contains(group)
     }
 
-    /// Whether a join of a group may be carried out late and bring a member back that left.
+    /// Whether a join of a group may be carried out late and bring a member back that left:
+    /// one without an answer, or any of another planner's.
     pub(super) fn may_join_late(&self, group: &GroupRef, now: Millis) -> bool {
-        let seen = self.seen.get(group);
-        seen.is_none_or(|at| now - *at < LATE_ORDER)
+        let given = if self.formed.contains(group) {
+            self.unanswered.get(group)
+        } else {
+            self.seen.get(group)
+        };
+        given.is_some_and(|at| now - *at < LATE_ORDER)
     }
 
     /// Whether a group's leader shows that it leads it no longer.
