--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -68,14 +68,7 @@
 
 /// The most runs that began at a target within one window since a moment.
 fn most_in_window(world: &World, target: &str, since: Instant) -> usize {
-    let mut starts = world.targets.ledger.starts_at(target);
-    starts.retain(|at| *at > since);
-    let in_window = |from: &Instant| {
-        let until = *from + WINDOW;
-        let there = starts.iter().filter(|at| *at >= from && **at < until);
-        there.count()
-    };
-    starts.iter().map(in_window).max().unwrap_or(0)
+    world.targets.ledger.most_at(target, since, WINDOW)
 }
 
 /// The most runs that a limit allows within one window; a part of one counts as one.
