--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Limits {
     table: RefCell<LimitTable>,
+    /// Targets whose limits could not be read.
+    unreadable: RefCell<BTreeSet<TargetId>>,
     /// Targets of whose limits the other daemons are to be told.
     untold: RefCell<BTreeSet<TargetId>>,
     /// Woken when there are such.
@@ -95,25 +97,35 @@
     if info.rate == LimitHeader::Foreign {
         return;
     }
-    if let LimitHeader::Unreadable(text) = &info.rate {
-        let text: String = text.chars().take(MAX_NOTED).collect();
-        let line = edge.lines.line("limit_unreadable");
-        line.with("target", &target.id)
-            .with("id", &job.head.id)
-            .with("text", text)
-            .write();
-    }
+    note_unreadable(job, target, &info.rate);
     let report = LimitReport {
         limit: info.rate.limit(),
         from: sent,
         until: edge.now(),
     };
-    if take_report(edge, &target.id, report, &job.head.id) == Heard::Nothing {
+    let heard = take_report(edge, &target.id, report, &job.head.id);
+    if matches!(heard, Heard::News(_)) {
+        let mut untold = edge.limits.untold.borrow_mut();
+        untold.insert(target.id.clone());
+        edge.limits.news.notify_one();
+    }
+}
+
+/// Notes once that a target's limit cannot be read, until one can.
+fn note_unreadable(job: &Job, target: &Target, rate: &LimitHeader) {
+    let mut unreadable = job.edge.limits.unreadable.borrow_mut();
+    let LimitHeader::Unreadable(text) = rate else {
+        unreadable.remove(&target.id);
         return;
+    };
+    if unreadable.insert(target.id.clone()) {
+        let text: String = text.chars().take(MAX_NOTED).collect();
+        let line = job.edge.lines.line("limit_unreadable");
+        line.with("target", &target.id)
+            .with("id", &job.head.id)
+            .with("text", text)
+            .write();
     }
-    let mut untold = edge.limits.untold.borrow_mut();
-    untold.insert(target.id.clone());
-    edge.limits.news.notify_one();
 }
 
 /// Takes in a report; `from` is the request or the daemon that it came from.
@@ -306,6 +318,8 @@
 /// Housekeeping: takes up and leaves targets as their keeper, and forgets those that are
 /// gone.
 pub(crate) fn sweep(edge: &Edge) {
+    let mut unreadable = edge.limits.unreadable.borrow_mut();
+    unreadable.retain(|id| edge.book.borrow().knows(id));
     if edge.limits.table.borrow().is_empty() {
         return;
     }
