fix(policy): a lease that ran out while the store was away is taken at its return

What was seen: no planner for 2.6 s after the store's return, and no group repaired. Cause: who had asked for the lease without an answer forgot since when its holder had not renewed it, and counted its whole length once more. Now that is kept with the row that was read. Safe as before: the length counts from when the row was seen unchanged, and the write is on its version.

--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -220,7 +220,9 @@
         if ours {
             return self.granted();
         }
-        // Our write did not take effect. In doubt over a renewal, the lease
+        // Our write did not take effect. Since when the row stands as it was read is kept: a
+        // lease that ran out while the store was away is taken at its return, and not after
+        // its length once more (2.6 s without a planner). In doubt over a renewal, the lease
         // is still ours as long as the term is; it is renewed at once, since
         // much of its length is gone.
         if self.state == LeaseState::Doubting && !other_term {
@@ -244,6 +246,9 @@
             }
             TxnResult::Replied(TxnReply::Refused { .. }) if self.state == LeaseState::Asking => {
                 self.looked = None;
+                // The row is another one than was known.
+                self.known = None;
+                self.vacant = None;
                 self.denied(before)
             }
             // A refused renewal may have met an earlier one of ours that
@@ -393,10 +398,6 @@
         let held = matches!(self.state, LeaseState::Renewing | LeaseState::Doubting);
         self.apply(LeaseEvent::Denied);
         self.valid = Millis::ZERO;
-        if !held {
-            self.known = None;
-            self.vacant = None;
-        }
         match term {
             Some(term) if held => LeaseNews::Ended { term },
             _ => LeaseNews::None,
