perf: a planner's successor hears which of its joins may be late

Beats of the planner now name the groups of which a join got no answer; a successor waits for those and for groups that came after the last word.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -14,9 +14,9 @@
 use std::rc::Rc;
 
 use rand::seq::IndexedRandom;
-use thistlesill_core::edge::TargetId;
+use thistlesill_core::edge::{GroupRef, TargetId};
 use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
-use thistlesill_policy::edge::fleet::Demand;
+use thistlesill_policy::edge::fleet::{Demand, LateJoins};
 use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
 
@@ -120,6 +120,10 @@
     pub(crate) dead: Vec<TargetId>,
     /// The same as another planner told last.
     told_dead: Vec<TargetId>,
+    /// As planner: groups whose members may be joined late.
+    pub(crate) late: Vec<GroupRef>,
+    /// The same as another planner told last.
+    pub(crate) told_late: Option<LateJoins>,
 }
 
 impl Peers {
@@ -407,6 +411,8 @@
             self.planner_ended = false;
             self.heard_lease.clone_from(&beat.lease);
             self.told_dead.clone_from(&beat.dead);
+            let groups = beat.late.clone();
+            self.told_late = Some(LateJoins { groups, at: now });
         } else if self.planner().as_ref() == Some(&beat.from) {
             self.planner_ended = true;
         }
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -197,7 +197,7 @@
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
         let book = edge.book.borrow();
-        let mut dead = Vec::new();
+        let (mut dead, mut late) = (Vec::new(), Vec::new());
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
@@ -205,7 +205,8 @@
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(service.name.clone()).or_default();
             let Some(term) = term else {
-                fleet.watch(targets, now);
+                let told = edge.peers.borrow().told_late.clone();
+                fleet.watch(targets, told.as_ref(), now);
                 continue;
             };
             let demand = self.demand(&service.name, now);
@@ -226,6 +227,7 @@
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
             dead.extend(fleet.broken(targets));
+            late.extend(fleet.late_joins(now));
             drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
@@ -235,6 +237,7 @@
         for target in &dead {
             edge.suspect(target, "it or a member of its group answered no probe");
         }
+        edge.peers.borrow_mut().late = late;
         self.tell_dead(dead);
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -29,6 +29,7 @@
 pub use self::demand::{Demand, room};
 use self::forming::Planned;
 use self::loads::LoadRate;
+pub use self::release::LateJoins;
 use self::survey::{Survey, Verdict};
 
 /// Bits of an epoch that count the groups within a term.
@@ -49,6 +50,9 @@
 const LEADER_WORKS: Millis = Millis::new(10_000);
 /// How long after it was given an order may be carried out: the platform's longest time.
 const LATE_ORDER: Millis = Millis::new(12_000);
+/// Time after a join in which its planner has told all others if it got no answer: the
+/// longest wait for one, and three of a planner's beats.
+const TOLD_AFTER: Millis = Millis::new(1_600);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
 const SHOW: Millis = Millis::new(2_000);
@@ -166,8 +170,10 @@
     left: BTreeSet<GroupRef>,
     /// Groups that this planner formed in its present term.
     formed: BTreeSet<GroupRef>,
-    /// When a join of each group last got no answer.
+    /// When a join of each group last got no answer, this planner's or its predecessor's.
     unanswered: BTreeMap<GroupRef, Millis>,
+    /// When the planner before this one last told of such joins.
+    told: Option<Millis>,
     /// The highest epoch of the joins that each target was given in that term.
     joined: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last look.
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,6 +5,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
+use super::release::LateJoins;
 use super::{AVOID, DEAD, FleetPlanner, LATE_ORDER, PROBE_REST};
 
 /// How long a spare may take until it shows the weights that it was told to
@@ -15,8 +16,18 @@
 
 impl FleetPlanner {
     /// Follows the fleet without the lease, so that a planner that takes over
-    /// knows who led which group.
-    pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
+    /// knows who led which group, and which joins got no answer as its predecessor told.
+    pub fn watch(
+        &mut self,
+        targets: &HashMap<TargetId, Target>,
+        told: Option<&LateJoins>,
+        now: Millis,
+    ) {
+        if let Some(told) = told {
+            let late = told.groups.iter().map(|group| (group.clone(), told.at));
+            self.unanswered.extend(late);
+            self.told = Some(told.at);
+        }
         self.planned.clear();
         self.formed.clear();
         self.joined.clear();
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -18,11 +18,24 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Order, TargetId};
 
 use super::survey::Standing;
-use super::{FleetAction, FleetPlanner, FleetView, LATE_ORDER, LEADER_WORKS};
+use super::{FleetAction, FleetPlanner, FleetView, LATE_ORDER, LEADER_WORKS, TOLD_AFTER};
 
 /// How far the clock of a target may be off, by which it tells when it started.
 const CLOCK_JUMP: Millis = Millis::new(5_000);
 
+/// Groups that a planner tells of at once. With more, their members may be released early by
+/// a successor, if its predecessor is lost while as many joins are under way.
+const MAX_TOLD: usize = 200;
+
+/// The joins without an answer of the planner that holds the lease, as another one heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LateJoins {
+    /// The groups to be joined.
+    pub groups: Vec<GroupRef>,
+    /// When that was heard.
+    pub at: Millis,
+}
+
 impl FleetPlanner {
     /// Notes that a target was given a join, which may be carried out at any later time.
     pub(super) fn note_join(&mut self, target: &TargetId, group: &GroupRef) {
@@ -46,15 +59,24 @@
         (told || others) && !self.left.contains(group)
     }
 
+    /// The groups of which a join may be carried out late.
+    pub fn late_joins(&self, now: Millis) -> Vec<GroupRef> {
+        let late = self.unanswered.iter();
+        let late = late.filter(|(_, at)| now - **at < LATE_ORDER);
+        late.map(|(group, _)| group.clone())
+            .take(MAX_TOLD)
+            .collect()
+    }
+
     /// Whether a join of a group may be carried out late and bring a member back that left:
-    /// one without an answer, or any of another planner's.
+    /// one without an answer, or one of another planner's that had not told of it yet.
     pub(super) fn may_join_late(&self, group: &GroupRef, now: Millis) -> bool {
-        let given = if self.formed.contains(group) {
-            self.unanswered.get(group)
-        } else {
-            self.seen.get(group)
-        };
-        given.is_some_and(|at| now - *at < LATE_ORDER)
+        let is_late = |at: &Millis| now - *at < LATE_ORDER;
+        let seen = self.seen.get(group).filter(|at| {
+            let told = self.told.is_some_and(|told| told - **at >= TOLD_AFTER);
+            !told && !self.formed.contains(group)
+        });
+        seen.is_some_and(is_late) || self.unanswered.get(group).is_some_and(is_late)
     }
 
     /// Whether a group's leader shows that it leads it no longer.
--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -3,14 +3,14 @@
 //! The planner is the one that ships. What it does not see is drawn from a seed: orders that
 //! are lost, late, doubled or unanswered, engines that are cut off and serve on, lapsed
 //! entries, engines that start again, and successors, most of them just after orders to
-//! join, half of which have not watched the list before.
+//! join, half of which have not watched the list and heard the planner before.
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Incarnation, Order, TargetId};
-use thistlesill_policy::edge::fleet::FleetPlanner;
+use thistlesill_policy::edge::fleet::{FleetPlanner, LateJoins};
 
 use crate::stage::{Fate, STEP, Stage};
 
@@ -22,6 +22,8 @@
 const STEPS: u32 = 600;
 /// Steps before anything goes wrong: groups are formed.
 const CALM: u32 = 80;
+/// Steps between two beats of the planner.
+const BEAT_STEPS: u32 = 4;
 /// How far the clocks of targets are off at most, in milliseconds.
 const CLOCK_OFF: u64 = 4_000;
 /// Fabric domains, small so that many states are met in a run.
@@ -35,6 +37,10 @@
     cuts: Vec<(TargetId, Millis)>,
     /// Orders to join that were given before this step.
     joins: usize,
+    /// A planner without the lease, which hears the one that holds it.
+    watcher: FleetPlanner,
+    /// What it heard last.
+    told: Option<LateJoins>,
 }
 
 impl Search {
@@ -44,6 +50,8 @@
             rng: SmallRng::seed_from_u64(seed),
             cuts: Vec::new(),
             joins: 0,
+            watcher: FleetPlanner::default(),
+            told: None,
         }
     }
 
@@ -73,6 +81,14 @@
         }
         let rng = &mut self.rng;
         self.stage.look(|order| fate(order, rng));
+        let stage = &self.stage;
+        if number.is_multiple_of(BEAT_STEPS) {
+            let groups = stage.planner.late_joins(stage.now);
+            let at = stage.now;
+            self.told = Some(LateJoins { groups, at });
+        }
+        let listed = stage.engines.listed();
+        self.watcher.watch(&listed, self.told.as_ref(), stage.now);
     }
 
     fn disturb(&mut self) {
@@ -129,11 +145,14 @@
         if !self.one_in(chance) {
             return;
         }
-        let mut successor = FleetPlanner::default();
-        if self.one_in(2) {
-            successor.watch(&self.stage.engines.listed(), self.stage.now);
-        }
-        self.stage.planner = successor;
+        let watcher = std::mem::take(&mut self.watcher);
+        let watched = self.one_in(2);
+        self.stage.planner = if watched {
+            watcher
+        } else {
+            FleetPlanner::default()
+        };
+        self.told = None;
         self.stage.term += 1;
     }
 }
@@ -170,3 +189,10 @@
     let shown = &broken[..broken.len().min(5)];
     assert!(broken.is_empty(), "{} of {seeds}: {shown:#?}", broken.len());
 }
+
+/// A target starts again and knows no epoch; a join that was given to its earlier life takes
+/// it, while the leader of that life's last group is cut off and serves.
+#[test]
+fn a_late_join_takes_no_life_that_has_just_begun() {
+    assert_eq!(play(1530), None);
+}
