--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -12,12 +12,12 @@
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::Outcome;
 
+use crate::flight::InFlight;
 use crate::job::Job;
 use crate::lanes::Taken;
 use crate::limits;
 use crate::quarantine;
 use crate::relay;
-use crate::state::InFlight;
 
 /// Time for a connection to a target; targets answer within a few
 /// milliseconds, so a longer wait means a lost packet or a dead machine.
--- /dev/null
+++ b/crates/thistlesill-edge/src/flight.rs
@@ -0,0 +1,52 @@
+//! Requests under way at targets, as this daemon and the owners count them.
+
+use std::rc::Rc;
+
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_policy::edge::owner::Scope;
+
+use crate::peers::place;
+use crate::state::Edge;
+
+/// Counts a request at a target for as long as it lives.
+pub(crate) struct InFlight {
+    edge: Rc<Edge>,
+    target: TargetId,
+    scope: Scope,
+    unread: u32,
+}
+
+impl InFlight {
+    pub(crate) fn new(edge: &Rc<Edge>, target: &Target, prompt: u32) -> Self {
+        edge.loads.borrow_mut().begin(&target.id, prompt);
+        let scope = Scope::of(target);
+        place::tell_counts(edge, &scope);
+        Self {
+            edge: edge.clone(),
+            target: target.id.clone(),
+            scope,
+            unread: prompt,
+        }
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(crate) fn begun(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.edge.loads.borrow_mut().read(&self.target, unread);
+            place::tell_counts(&self.edge, &self.scope);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let edge = &self.edge;
+        {
+            let mut loads = edge.loads.borrow_mut();
+            loads.read(&self.target, std::mem::take(&mut self.unread));
+            loads.end(&self.target);
+        }
+        place::tell_counts(edge, &self.scope);
+    }
+}
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 pub mod daemon;
 mod figures;
+mod flight;
 mod follow;
 mod front;
 mod job;
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -21,11 +21,12 @@
 use self::cutter::Cutter;
 pub(crate) use self::passing::pass_on;
 use crate::attempt::{Answered, Turn, attempt};
+use crate::flight::InFlight;
 use crate::job::Job;
 use crate::proxy::settle;
 use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
-use crate::state::{Choice, InFlight};
+use crate::state::Choice;
 use crate::track::Track;
 
 /// Part of the longest pause in time after which a silent target counts as
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -19,14 +19,13 @@
 use thistlesill_policy::edge::book::TargetBook;
 use thistlesill_policy::edge::freshness::Freshness;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted};
-use thistlesill_policy::edge::owner::Scope;
 use tokio::sync::Notify;
 
 use crate::lanes::Lanes;
 use crate::limits::Limits;
 use crate::lines::Lines;
 use crate::peers::packet::StoreUse;
-use crate::peers::place::{self, Placing};
+use crate::peers::place::Placing;
 use crate::peers::transfer::Packed;
 use crate::peers::{Peers, link};
 use crate::quarantine::Cases;
@@ -462,46 +461,3 @@
         }
     }
 }
-
-/// Counts a request at a target for as long as it lives.
-pub(crate) struct InFlight {
-    edge: Rc<Edge>,
-    target: TargetId,
-    scope: Scope,
-    unread: u32,
-}
-
-impl InFlight {
-    pub(crate) fn new(edge: &Rc<Edge>, target: &Target, prompt: u32) -> Self {
-        edge.loads.borrow_mut().begin(&target.id, prompt);
-        let scope = Scope::of(target);
-        place::tell_counts(edge, &scope);
-        Self {
-            edge: edge.clone(),
-            target: target.id.clone(),
-            scope,
-            unread: prompt,
-        }
-    }
-
-    /// Notes that the target has read the prompt.
-    pub(crate) fn begun(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        if unread > 0 {
-            self.edge.loads.borrow_mut().read(&self.target, unread);
-            place::tell_counts(&self.edge, &self.scope);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let edge = &self.edge;
-        {
-            let mut loads = edge.loads.borrow_mut();
-            loads.read(&self.target, std::mem::take(&mut self.unread));
-            loads.end(&self.target);
-        }
-        place::tell_counts(edge, &self.scope);
-    }
-}
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -24,8 +24,9 @@
         now: Millis,
     ) {
         if let Some(told) = told {
-            let late = told.groups.iter().map(|group| (group.clone(), told.at));
-            self.unanswered.extend(late);
+            for group in &told.groups {
+                self.unanswered.entry(group.clone()).or_insert(told.at);
+            }
             self.told = Some(told.at);
         }
         self.planned.clear();
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -24,6 +24,8 @@
 mod load;
 #[path = "edge/owner.rs"]
 mod owner;
+#[path = "edge/release.rs"]
+mod release;
 #[path = "edge/restarts.rs"]
 mod restarts;
 #[path = "edge/search.rs"]
