perf: whoever has watched tells which joins may be late

Beats of every daemon that knows of all late joins now name them, and one that starts has them 1.6 s later.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -120,9 +120,10 @@
     pub(crate) dead: Vec<TargetId>,
     /// The same as another planner told last.
     told_dead: Vec<TargetId>,
-    /// As planner: groups whose members may be joined late.
-    pub(crate) late: Vec<GroupRef>,
-    /// The same as another planner told last.
+    /// Groups whose members may be joined late, if this daemon knows of all.
+    pub(crate) late: Option<Vec<GroupRef>>,
+    /// The same as another daemon told last: the planner, or any while this one has not
+    /// watched for long.
     pub(crate) told_late: Option<LateJoins>,
 }
 
@@ -406,13 +407,17 @@
         peer.going_on.clone_from(&beat.going_on);
         peer.slow.clone_from(&beat.slow);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
+        if let Some(late) = &beat.late
+            && (beat.plans || self.late.is_none())
+        {
+            let groups = late.clone();
+            self.told_late = Some(LateJoins { groups, at: now });
+        }
         if beat.plans {
             self.planner = Some((beat.from.clone(), now));
             self.planner_ended = false;
             self.heard_lease.clone_from(&beat.lease);
             self.told_dead.clone_from(&beat.dead);
-            let groups = beat.late.clone();
-            self.told_late = Some(LateJoins { groups, at: now });
         } else if self.planner().as_ref() == Some(&beat.from) {
             self.planner_ended = true;
         }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -81,8 +81,8 @@
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<TargetId>,
-    /// As planner: groups whose members may be joined late.
-    pub(crate) late: Vec<GroupRef>,
+    /// Groups whose members may be joined late; `None` if it does not know of all.
+    pub(crate) late: Option<Vec<GroupRef>>,
     /// What it read of the targets itself, if it did a short time ago.
     pub(crate) targets: Option<KnownTargets>,
     /// Digest of the verdicts that it knows; 0 without any.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -198,15 +198,21 @@
         let requests = edge.loads.borrow().requests(now);
         let book = edge.book.borrow();
         let (mut dead, mut late) = (Vec::new(), Vec::new());
+        let mut knows = true;
+        let told = edge.peers.borrow_mut().told_late.take();
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
             };
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(service.name.clone()).or_default();
+            if let Some(told) = &told {
+                fleet.hear_late(told);
+            }
             let Some(term) = term else {
-                let told = edge.peers.borrow().told_late.clone();
-                fleet.watch(targets, told.as_ref(), now);
+                fleet.watch(targets, now);
+                knows &= fleet.knows_late_joins(now);
+                late.extend(fleet.late_joins(now));
                 continue;
             };
             let demand = self.demand(&service.name, now);
@@ -227,6 +233,7 @@
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
             dead.extend(fleet.broken(targets));
+            knows &= fleet.knows_late_joins(now);
             late.extend(fleet.late_joins(now));
             drop(fleets);
             for action in actions {
@@ -237,7 +244,7 @@
         for target in &dead {
             edge.suspect(target, "it or a member of its group answered no probe");
         }
-        edge.peers.borrow_mut().late = late;
+        edge.peers.borrow_mut().late = knows.then_some(late);
         self.tell_dead(dead);
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,7 +5,6 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::release::LateJoins;
 use super::{AVOID, DEAD, FleetPlanner, LATE_ORDER, PROBE_REST};
 
 /// How long a spare may take until it shows the weights that it was told to
@@ -16,19 +15,8 @@
 
 impl FleetPlanner {
     /// Follows the fleet without the lease, so that a planner that takes over
-    /// knows who led which group, and which joins got no answer as its predecessor told.
-    pub fn watch(
-        &mut self,
-        targets: &HashMap<TargetId, Target>,
-        told: Option<&LateJoins>,
-        now: Millis,
-    ) {
-        if let Some(told) = told {
-            for group in &told.groups {
-                self.unanswered.entry(group.clone()).or_insert(told.at);
-            }
-            self.told = Some(told.at);
-        }
+    /// knows who led which group.
+    pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.planned.clear();
         self.formed.clear();
         self.joined.clear();
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -27,7 +27,10 @@
 /// a successor, if its predecessor is lost while as many joins are under way.
 const MAX_TOLD: usize = 200;
 
-/// The joins without an answer of the planner that holds the lease, as another one heard.
+/// Groups of which a join may be carried out late, as another daemon told.
+///
+/// The planner tells, and whoever has watched for so long that it knows of all; joins of
+/// other groups that they saw are not late.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LateJoins {
     /// The groups to be joined.
@@ -61,11 +64,26 @@
 
     /// The groups of which a join may be carried out late.
     pub fn late_joins(&self, now: Millis) -> Vec<GroupRef> {
-        let late = self.unanswered.iter();
-        let late = late.filter(|(_, at)| now - **at < LATE_ORDER);
-        late.map(|(group, _)| group.clone())
-            .take(MAX_TOLD)
-            .collect()
+        let known = self.unanswered.keys().chain(self.seen.keys());
+        let late: BTreeSet<&GroupRef> = known.filter(|g| self.may_join_late(g, now)).collect();
+        late.into_iter().take(MAX_TOLD).cloned().collect()
+    }
+
+    /// Takes in which joins may be late, as another daemon told.
+    pub fn hear_late(&mut self, told: &LateJoins) {
+        for group in &told.groups {
+            self.unanswered.entry(group.clone()).or_insert(told.at);
+        }
+        self.told = self.told.max(Some(told.at));
+    }
+
+    /// Whether this planner knows of all late joins: it has watched for so long, or heard
+    /// one that has.
+    pub fn knows_late_joins(&self, now: Millis) -> bool {
+        self.began.is_some_and(|at| {
+            let heard = self.told.is_some_and(|told| told - at >= TOLD_AFTER);
+            heard || now - at >= LATE_ORDER
+        })
     }
 
     /// Whether a join of a group may be carried out late and bring a member back that left:
--- a/crates/thistlesill-policy/tests/edge/fleet.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet.rs
@@ -83,7 +83,7 @@
 fn a_planner_that_takes_over_has_doubtful_groups_end_before_it_uses_them() {
     let mut stage = Stage::formed(1);
     let mut other = FleetPlanner::default();
-    other.watch(&stage.engines.listed(), None, stage.now);
+    other.watch(&stage.engines.listed(), stage.now);
     stage.planner = other;
     stage.term = 2;
     stage.run(secs(2));
@@ -277,7 +277,7 @@
 fn a_planner_that_takes_over_knows_who_led() {
     let mut stage = Stage::formed(6);
     let mut other = FleetPlanner::default();
-    other.watch(&stage.engines.listed(), None, stage.now);
+    other.watch(&stage.engines.listed(), stage.now);
     let (leader, _) = stage.group_of(4);
     stage.engines.unlist(&leader);
     stage.planner = other;
--- a/crates/thistlesill-policy/tests/edge/fleet_random.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet_random.rs
@@ -29,7 +29,7 @@
         3 => {
             // The new planner has watched the list like every daemon.
             let mut other = FleetPlanner::default();
-            other.watch(&stage.engines.listed(), None, stage.now);
+            other.watch(&stage.engines.listed(), stage.now);
             stage.planner = other;
             stage.term += 1;
         }
--- a/crates/thistlesill-policy/tests/edge/restarts.rs
+++ b/crates/thistlesill-policy/tests/edge/restarts.rs
@@ -274,9 +274,9 @@
     let mut stage = Stage::formed(6);
     let (leader, members) = stage.group_of(4);
     let mut other = FleetPlanner::default();
-    other.watch(&stage.engines.listed(), None, stage.now);
+    other.watch(&stage.engines.listed(), stage.now);
     stage.engines.restart(&members[3], AGAIN);
-    other.watch(&stage.engines.listed(), None, stage.now);
+    other.watch(&stage.engines.listed(), stage.now);
     stage.planner = other;
     stage.term += 1;
     stage.run(STEP);
--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -39,8 +39,6 @@
     joins: usize,
     /// A planner without the lease, which hears the one that holds it.
     watcher: FleetPlanner,
-    /// What it heard last.
-    told: Option<LateJoins>,
 }
 
 impl Search {
@@ -51,7 +49,6 @@
             cuts: Vec::new(),
             joins: 0,
             watcher: FleetPlanner::default(),
-            told: None,
         }
     }
 
@@ -81,14 +78,27 @@
         }
         let rng = &mut self.rng;
         self.stage.look(|order| fate(order, rng));
-        let stage = &self.stage;
         if number.is_multiple_of(BEAT_STEPS) {
-            let groups = stage.planner.late_joins(stage.now);
-            let at = stage.now;
-            self.told = Some(LateJoins { groups, at });
+            self.beat();
+        }
+        let listed = self.stage.engines.listed();
+        self.watcher.watch(&listed, self.stage.now);
+    }
+
+    /// The planner and the watcher tell each other of late joins, if they know.
+    fn beat(&mut self) {
+        let at = self.stage.now;
+        let told = |planner: &FleetPlanner| {
+            let groups = planner.late_joins(at);
+            let knows = planner.knows_late_joins(at);
+            knows.then_some(LateJoins { groups, at })
+        };
+        let (by_planner, by_watcher) = (told(&self.stage.planner), told(&self.watcher));
+        if let Some(told) = &by_planner {
+            self.watcher.hear_late(told);
+        } else if let Some(told) = &by_watcher {
+            self.stage.planner.hear_late(told);
         }
-        let listed = stage.engines.listed();
-        self.watcher.watch(&listed, self.told.as_ref(), stage.now);
     }
 
     fn disturb(&mut self) {
@@ -145,14 +155,13 @@
         if !self.one_in(chance) {
             return;
         }
-        let watcher = std::mem::take(&mut self.watcher);
+        // The one that has watched, or one that has just started beside it.
         let watched = self.one_in(2);
         self.stage.planner = if watched {
-            watcher
+            std::mem::take(&mut self.watcher)
         } else {
             FleetPlanner::default()
         };
-        self.told = None;
         self.stage.term += 1;
     }
 }
