perf(policy): looks go over young groups only

Each daemon went over all groups at each look, to tell which joins may be late, and over all rosters, to find groups that vanished; two lookups by name each. Now over those seen less than 12 s ago, and over rosters only when there are more of them than groups shown. What is waited for is dropped by time in one place, and told from what is listed by a lookup.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -250,7 +250,7 @@
                 free.extend(standing.members.iter().map(|m| m.id.clone()));
             }
         }
-        let bound = self.bound(&survey, now);
+        let bound = self.bound(view, &survey);
         let single = survey.single.iter().map(|t| &t.id);
         let fresh =
             |id: &&TargetId| bound.contains(id.instance()) || self.may_be_bound(view, id, now);
@@ -397,15 +397,14 @@
 
     /// Instances that have started again while the group of their earlier life has not
     /// ended: its leader may serve on until it has noticed.
-    fn bound(&self, survey: &Survey<'_>, now: Millis) -> HashSet<&InstanceId> {
+    fn bound(&self, view: &FleetView<'_>, survey: &Survey<'_>) -> HashSet<&InstanceId> {
         let stands = |group: &&GroupRef| survey.groups.contains_key(*group);
         let groups = self.rosters.keys().filter(stands);
         let standing = groups.filter(|group| !self.void.contains(*group));
         let members = standing.flat_map(|group| &self.rosters[group]);
         let over = members.filter(|id| self.ended.contains(*id));
-        let again = |life: &&TargetId| !survey.single.iter().any(|t| t.id == **life);
-        let waiting = self.waiting.values().filter(|(_, until)| now < *until);
-        let waiting = waiting.map(|(life, _)| life).filter(again);
+        let waiting = self.waiting.values().map(|(life, _)| life);
+        let waiting = waiting.filter(|life| !view.targets.contains_key(*life));
         over.chain(waiting).map(TargetId::instance).collect()
     }
 
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -64,7 +64,9 @@
 
     /// The groups of which a join may be carried out late.
     pub fn late_joins(&self, now: Millis) -> Vec<GroupRef> {
-        let known = self.unanswered.keys().chain(self.seen.keys());
+        let young = self.seen.iter().filter(|(_, at)| now - **at < LATE_ORDER);
+        let young = young.map(|(group, _)| group);
+        let known = self.unanswered.keys().chain(young);
         let late: BTreeSet<&GroupRef> = known.filter(|g| self.may_join_late(g, now)).collect();
         late.into_iter().take(MAX_TOLD).cloned().collect()
     }
@@ -109,6 +111,10 @@
     /// One that starts again knows of no group that it could leave, and the leader serves on
     /// until it notices.
     pub(super) fn hold_vanished(&mut self, shown: &BTreeSet<&GroupRef>, now: Millis) {
+        // Each shown group has a roster, and most looks find no other one.
+        if self.rosters.len() == shown.len() {
+            return;
+        }
         let until = now + LEADER_WORKS;
         let ended = |group: &GroupRef| {
             let leader = self.leaders.get(group);
