refactor: one way each to tell a target's model, that it is elsewhere, and who may own

Twins of what the last changes added: the model of a target's group was spelled out in four places, whether a target shows another group in two, which peers may own scopes in two, what a look notes of late joins in two, and the set-up of two tests. Behaviour is unchanged.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -340,7 +340,6 @@
     }
     let book = edge.book.borrow();
     edge.loads.borrow_mut().retain(|id| book.knows(id), now);
-    drop(book);
     limits::sweep(edge);
     edge.lines.flush();
 }
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -318,12 +318,12 @@
 /// Housekeeping: takes up and leaves targets as their keeper, and forgets those that are
 /// gone.
 pub(crate) fn sweep(edge: &Edge) {
+    let book = edge.book.borrow();
     let mut unreadable = edge.limits.unreadable.borrow_mut();
-    unreadable.retain(|id| edge.book.borrow().knows(id));
+    unreadable.retain(|id| book.knows(id));
     if edge.limits.table.borrow().is_empty() {
         return;
     }
-    let book = edge.book.borrow();
     let targets: Vec<&Target> = {
         let table = edge.limits.table.borrow();
         table.targets().filter_map(|id| book.target(id)).collect()
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -309,17 +309,19 @@
         own: &HallId,
         now: Millis,
     ) -> impl Iterator<Item = &NodeId> {
-        let lives = self.lives(own, now);
-        let may = move |p: &Peer| p.owns && p.hall == *hall && lives(p);
-        let owners = self.known.iter().filter(move |(_, p)| may(p));
+        let owners = self.able(own, now).filter(|(_, p)| p.hall == *hall);
         owners.map(|(name, _)| name)
     }
 
     /// The peers of all data centres that may own scopes; `own` is this daemon's one.
     pub(crate) fn all_owners(&self, own: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
+        self.able(own, now).map(|(name, _)| name)
+    }
+
+    /// The peers that may own scopes, wherever they are.
+    fn able(&self, own: &HallId, now: Millis) -> impl Iterator<Item = (&NodeId, &Peer)> {
         let lives = self.lives(own, now);
-        let owners = self.known.iter().filter(move |(_, p)| p.owns && lives(p));
-        owners.map(|(name, _)| name)
+        self.known.iter().filter(move |(_, p)| p.owns && lives(p))
     }
 
     /// A peer that reads the store, of the same data centre if there is one.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -200,6 +200,10 @@
         let (mut dead, mut late) = (Vec::new(), Vec::new());
         let mut knows = true;
         let told = edge.peers.borrow_mut().told_late.take();
+        let mut note_late = |fleet: &FleetPlanner| {
+            knows &= fleet.knows_late_joins(now);
+            late.extend(fleet.late_joins(now));
+        };
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
@@ -211,8 +215,7 @@
             }
             let Some(term) = term else {
                 fleet.watch(targets, now);
-                knows &= fleet.knows_late_joins(now);
-                late.extend(fleet.late_joins(now));
+                note_late(fleet);
                 continue;
             };
             let demand = self.demand(&service.name, now);
@@ -233,8 +236,7 @@
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
             dead.extend(fleet.broken(targets));
-            knows &= fleet.knows_late_joins(now);
-            late.extend(fleet.late_joins(now));
+            note_late(fleet);
             drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -351,11 +351,7 @@
     /// A member whose entry is gone may live: it may leave without a word and work on,
     /// or its entry lapsed with the store.
     fn lacks(&self, group: &GroupRef, targets: &HashMap<TargetId, Target>) -> bool {
-        let elsewhere = |id: &TargetId| {
-            let of = |t: &Target| t.member.as_ref().is_none_or(|m| m.of != *group);
-            targets.get(id).is_some_and(of)
-        };
-        let lost = |id: &TargetId| self.is_dead(id) || elsewhere(id);
+        let lost = |id: &TargetId| self.is_dead(id) || is_elsewhere(id, group, targets);
         self.rosters.get(group).is_some_and(|r| r.iter().any(lost))
     }
 
@@ -436,3 +432,9 @@
         }
     }
 }
+
+/// Whether a listed target shows another group than this one, or none.
+fn is_elsewhere(id: &TargetId, group: &GroupRef, targets: &HashMap<TargetId, Target>) -> bool {
+    let of = |t: &Target| t.member.as_ref().is_none_or(|m| m.of != *group);
+    targets.get(id).is_some_and(of)
+}
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -316,7 +316,7 @@
     }
 
     fn warmth(&self, target: &Target, plan: &ModelPlan) -> Warmth {
-        let shown = target.member.as_ref().and_then(|m| m.model.as_ref());
+        let shown = target.model();
         let last = shown.or_else(|| self.loaded.get(&target.id));
         if last == Some(&plan.model) {
             Warmth::Loaded
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -18,7 +18,9 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Order, TargetId};
 
 use super::survey::Standing;
-use super::{FleetAction, FleetPlanner, FleetView, LATE_ORDER, LEADER_WORKS, TOLD_AFTER};
+use super::{
+    FleetAction, FleetPlanner, FleetView, LATE_ORDER, LEADER_WORKS, TOLD_AFTER, is_elsewhere,
+};
 
 /// How far the clock of a target may be off, by which it tells when it started.
 const CLOCK_JUMP: Millis = Millis::new(5_000);
@@ -102,8 +104,7 @@
     /// Whether a group's leader shows that it leads it no longer.
     pub(super) fn is_left_by_leader(&self, view: &FleetView<'_>, group: &GroupRef) -> bool {
         let leader = self.leaders.get(group);
-        let listed = leader.and_then(|id| view.targets.get(id));
-        listed.is_some_and(|t| t.member.as_ref().is_none_or(|m| m.of != *group))
+        leader.is_some_and(|id| is_elsewhere(id, group, view.targets))
     }
 
     /// Notes the members of groups that nobody shows any more and whose leaders may serve on.
--- a/crates/thistlesill-policy/src/edge/load/pass.rs
+++ b/crates/thistlesill-policy/src/edge/load/pass.rs
@@ -14,7 +14,7 @@
 
 impl Pass {
     pub(super) fn of(target: &Target, engine: &Engine, work: Work) -> Self {
-        let model = target.member.as_ref().and_then(|m| m.model.as_ref());
+        let model = target.model();
         let pace = model.and_then(|m| engine.plan(m)).map_or(1.0, |p| p.pace);
         let running = f64::from(work.requests.min(engine.slots));
         let step = pace * (engine.step + engine.step_each * running);
--- a/crates/thistlesill-policy/src/edge/owner.rs
+++ b/crates/thistlesill-policy/src/edge/owner.rs
@@ -35,11 +35,10 @@
     /// The scope that a target belongs to.
     #[must_use]
     pub fn of(target: &Target) -> Self {
-        let member = target.member.as_ref();
         Self {
             hall: target.hall.clone(),
             service: target.service.clone(),
-            model: member.and_then(|m| m.model.clone()),
+            model: target.model().cloned(),
         }
     }
 
--- a/crates/thistlesill-policy/tests/lease.rs
+++ b/crates/thistlesill-policy/tests/lease.rs
@@ -93,11 +93,8 @@
     assert_eq!(ended, vec![LeaseNews::Ended { term: 1 }]);
 }
 
-/// The store was away for longer than the lease lasts. Whoever had asked for it meanwhile,
-/// without an answer, forgot since when the holder had not renewed it, and waited for its
-/// whole length once more: no group was repaired for 2.6 s after the store's return.
-#[test]
-fn a_lease_that_ran_out_while_the_store_was_away_is_taken_at_its_return() {
+/// A lease that `a` holds and has not renewed, and that `b` asked for without an answer.
+fn asked_in_an_outage() -> (Table, Lease, Lease) {
     let mut table = Table::default();
     let (mut a, mut b) = (lease("a"), lease("b"));
     settle(&mut a, &mut table, START);
@@ -105,6 +102,15 @@
     let (step, _) = b.tick(at(8_100));
     assert!(matches!(step, LeaseStep::Send(_)), "{step:?}");
     b.done(&TxnResult::Unknown, at(8_600));
+    (table, a, b)
+}
+
+/// The store was away for longer than the lease lasts. Whoever had asked for it meanwhile,
+/// without an answer, forgot since when the holder had not renewed it, and waited for its
+/// whole length once more: no group was repaired for 2.6 s after the store's return.
+#[test]
+fn a_lease_that_ran_out_while_the_store_was_away_is_taken_at_its_return() {
+    let (mut table, a, mut b) = asked_in_an_outage();
     let (step, _) = b.tick(at(8_700));
     assert!(matches!(step, LeaseStep::Read), "{step:?}");
     b.read(None, at(9_200));
@@ -116,13 +122,7 @@
 /// The same, but the holder renewed it just before: its length counts from there.
 #[test]
 fn a_lease_that_was_renewed_meanwhile_is_not_taken() {
-    let mut table = Table::default();
-    let (mut a, mut b) = (lease("a"), lease("b"));
-    settle(&mut a, &mut table, START);
-    settle(&mut b, &mut table, START);
-    let (step, _) = b.tick(at(8_100));
-    assert!(matches!(step, LeaseStep::Send(_)), "{step:?}");
-    b.done(&TxnResult::Unknown, at(8_600));
+    let (mut table, mut a, mut b) = asked_in_an_outage();
     settle(&mut a, &mut table, at(2_000));
     assert!(settle(&mut b, &mut table, at(11_300)).is_empty());
     assert!(settle(&mut b, &mut table, at(19_200)).is_empty());
