refactor(edge): one piece of code for questions to owners and to keepers

Questions to keepers of limits had a copy of what questions to owners of scopes have: numbers, who waits, the 15 ms. The copy lacked its clearing, so a question whose caller left while it was under way stayed for ever; now both are cleared.

--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -4,8 +4,8 @@
 //! of its scope, grants its requests one by one, and tells all daemons of the limit every
 //! two seconds, for those that missed it or have started since.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,11 +14,12 @@
 use thistlesill_platform::caller::{AnswerHead, LimitHeader};
 use thistlesill_policy::edge::limit::{Grant, Heard, LimitReport, LimitTable, ToldLimit};
 use thistlesill_policy::edge::owner::Scope;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::job::Job;
 use crate::peers::packet::{GrantAsk, GrantReply, Packet, Permit, ToldLimits};
 use crate::peers::place;
+use crate::peers::questions::{self, Questions};
 use crate::peers::{Reach, link};
 use crate::state::Edge;
 
@@ -27,8 +28,6 @@
 const GATHER: Duration = Duration::from_millis(50);
 /// Between two tellings of a keeper to all daemons: 50 bytes for each limited target.
 const TELL: Millis = Millis::new(2_000);
-/// How long a keeper's answer is awaited, as an owner's is.
-const ANSWER: Duration = Duration::from_millis(15);
 /// How long a target is passed over whose keeper does not answer or is not known.
 const UNKEPT: Millis = Millis::new(250);
 /// Targets that are told of in one datagram.
@@ -46,8 +45,7 @@
     untold: RefCell<BTreeSet<TargetId>>,
     /// Woken when there are such.
     news: Notify,
-    next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<GrantReply>>>,
+    questions: RefCell<Questions<GrantReply>>,
 }
 
 impl Limits {
@@ -82,13 +80,6 @@
     pub(crate) fn take(&self, id: &TargetId, now: Millis) -> Grant {
         self.table.borrow_mut().take(id, now)
     }
-
-    fn expect(&self, reply: oneshot::Sender<GrantReply>) -> u64 {
-        let id = self.next.get() + 1;
-        self.next.set(id);
-        self.waiting.borrow_mut().insert(id, reply);
-        id
-    }
 }
 
 /// Notes what an answer to a request that was `sent` says of its target's limit.
@@ -193,8 +184,7 @@
         tend(edge, target);
         return edge.limits.take(&target.id, edge.now());
     }
-    let (reply, answer) = oneshot::channel();
-    let id = edge.limits.expect(reply);
+    let (id, answer) = edge.limits.questions.borrow_mut().begin();
     let known = edge.limits.table.borrow().told(&target.id, edge.now());
     let ask = GrantAsk {
         from: me,
@@ -203,9 +193,7 @@
         known,
     };
     link::tell(edge, &keeper, &Packet::AskGrant(ask));
-    let answer = tokio::time::timeout(ANSWER, answer).await;
-    edge.limits.waiting.borrow_mut().remove(&id);
-    let Ok(Ok(reply)) = answer else {
+    let Some(reply) = questions::in_time(answer).await else {
         return Grant::NotKept;
     };
     if let Some(told) = &reply.known {
@@ -239,12 +227,10 @@
     link::tell(edge, &ask.from, &Packet::Grant(reply));
 }
 
-/// Takes in a keeper's answer; for one that comes too late nobody waits.
+/// Takes in a keeper's answer.
 pub(crate) fn take_reply(edge: &Edge, reply: GrantReply) {
-    let waiting = edge.limits.waiting.borrow_mut().remove(&reply.id);
-    if let Some(waiting) = waiting {
-        drop(waiting.send(reply));
-    }
+    let mut questions = edge.limits.questions.borrow_mut();
+    questions.answered(reply.id, reply);
 }
 
 /// Takes in what a peer tells of limits, and tells it what is known to be newer.
@@ -318,6 +304,7 @@
 /// Housekeeping: takes up and leaves targets as their keeper, and forgets those that are
 /// gone.
 pub(crate) fn sweep(edge: &Edge) {
+    edge.limits.questions.borrow_mut().tidy();
     let book = edge.book.borrow();
     let mut unreadable = edge.limits.unreadable.borrow_mut();
     unreadable.retain(|id| book.knows(id));
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -6,6 +6,7 @@
 pub(crate) mod link;
 pub(crate) mod packet;
 pub(crate) mod place;
+pub(crate) mod questions;
 pub(crate) mod roster;
 pub(crate) mod transfer;
 
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -13,17 +13,13 @@
 use thistlesill_policy::edge::limit::Grant;
 use thistlesill_policy::edge::load::{Knowledge, Work};
 use thistlesill_policy::edge::owner::{Answering, Scope};
-use tokio::sync::oneshot;
 
 use super::packet::{Counts, Packet, Permit, PlaceAsk, PlaceReply, Placed, Totals};
+use super::questions::{self, Questions};
 use super::{Reach, link};
 use crate::limits;
 use crate::state::{Asking, Choice, Edge, PlacedBy};
 
-/// How long an owner's answer is awaited. It takes 0.5 ms; a daemon that shares an
-/// eighth of a core may be some milliseconds behind, and more would cost the request
-/// a good part of its objective.
-const ANSWER: Duration = Duration::from_millis(15);
 /// Time after its start in which a daemon has heard what its peers have under way.
 const LEARN: Millis = Millis::new(1_200);
 /// Between two tellings of all work at an owner's targets.
@@ -33,8 +29,8 @@
 /// Rounds of telling between two to the own data centre, where the totals are only
 /// needed when the owner does not answer.
 const NEAR_ROUNDS: u32 = 2;
-/// Targets whose keepers may deny a request before it is refused: each asks for up to
-/// [`ANSWER`] more of its time.
+/// Targets whose keepers may deny a request before it is refused: each may cost the time
+/// of a question.
 const MAX_DENIED: usize = 4;
 /// Targets that are told of in one datagram.
 const MAX_TOLD: usize = 100;
@@ -42,8 +38,7 @@
 /// Questions to owners that are under way, and who owns what.
 #[derive(Debug, Default)]
 pub(crate) struct Placing {
-    next: u64,
-    waiting: HashMap<u64, oneshot::Sender<Placed>>,
+    questions: Questions<Placed>,
     answering: Answering,
     /// Owners as they were computed a moment ago.
     owners: HashMap<Scope, Option<NodeId>>,
@@ -133,8 +128,7 @@
     if !edge.placing.borrow().answering.may_ask(owner, now) {
         return None;
     }
-    let (reply, answer) = oneshot::channel();
-    let id = edge.placing.borrow_mut().expect(reply);
+    let (id, answer) = edge.placing.borrow_mut().questions.begin();
     let mut avoid = asking.tried.to_vec();
     avoid.extend(edge.loads.borrow().suspects(now));
     avoid.extend(edge.limits.spent(now));
@@ -149,9 +143,7 @@
         avoid,
     };
     link::tell(edge, owner, &Packet::Place(question));
-    let answer = tokio::time::timeout(ANSWER, answer).await;
-    edge.placing.borrow_mut().waiting.remove(&id);
-    let Ok(Ok(placed)) = answer else {
+    let Some(placed) = questions::in_time(answer).await else {
         metrics::counter!("thistlesill_edge_owner_misses_total").increment(1);
         edge.placing
             .borrow_mut()
@@ -180,17 +172,11 @@
 }
 
 impl Placing {
-    fn expect(&mut self, reply: oneshot::Sender<Placed>) -> u64 {
-        self.next += 1;
-        self.waiting.insert(self.next, reply);
-        self.next
-    }
-
     /// Forgets who owns what, so that it is computed from whom is heard now, and
-    /// questions whose requests have ended meanwhile.
+    /// questions that nobody waits for.
     fn tidy(&mut self) {
         self.owners.clear();
-        self.waiting.retain(|_, reply| !reply.is_closed());
+        self.questions.tidy();
     }
 }
 
@@ -239,11 +225,9 @@
 pub(crate) fn take_reply(edge: &Edge, reply: PlaceReply) {
     let mut placing = edge.placing.borrow_mut();
     placing.answering.answered(&reply.from);
-    // One that comes too late finds nobody waiting; the owner forgets the place with
-    // this daemon's next counts.
-    if let Some(waiting) = placing.waiting.remove(&reply.id) {
-        drop(waiting.send(reply.placed));
-    }
+    // Of one that comes too late the owner forgets the place with this daemon's next
+    // counts.
+    placing.questions.answered(reply.id, reply.placed);
 }
 
 /// Tells the owner of a scope of this daemon's requests, one of which changed there.
