test(policy): two trials at once condemn what ran beside a fatal request

Trace: two daemons began trials of a fatal request and of one that ran beside it at the same moment, before either had heard of the other's; the target ended with both on it, and both were withheld for two minutes.

--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -254,3 +254,48 @@
         daemons.iter().all(|d| d.digest() == daemons[0].digest())
     }
 }
+
+/// Two daemons each began the trial of another request at the same moment, before either had
+/// heard of the other's. One of the two ended its target with both on it, and the other one
+/// was withheld for two minutes as if it had:
+///
+/// ```text
+/// edge-0 ev=withheld_tried id=beside-2-16 print=2c65…    (at 5.20 s)
+/// edge-1 ev=withheld_tried id=fatal-15 print=78a6…       (at 5.20 s)
+/// edge-1 ev=request_withheld print=78a6… from=fatal-15 round=3 level=2 for_ms=120000
+/// edge-0 ev=request_withheld print=2c65… from=beside-2-16 round=3 level=2 for_ms=120000
+/// ```
+#[test]
+fn two_trials_at_once_do_not_condemn_what_ran_beside_a_fatal_request() {
+    let (fatal, beside) = (print(0), print(1));
+    let mut known = Quarantine::default();
+    for number in 0..3 {
+        for request in [fatal, beside] {
+            known.note_lost(request, &target(number), after(100 * u64::from(number)));
+        }
+    }
+    let (mut a, mut b) = (known.clone(), known);
+    let tried = after(1_300);
+    assert_eq!(a.standing(beside, tried), Standing::Trial);
+    assert_eq!(b.standing(fatal, tried), Standing::Trial);
+    let by_a = a.begin_trial(beside, tried).expect("it is withheld");
+    let by_b = b.begin_trial(fatal, tried).expect("it is withheld");
+    // Each hears of the other's trial some milliseconds later.
+    a.hear(by_b, after(1_303));
+    b.hear(by_a, after(1_303));
+    let ended = after(1_320);
+    let by_a = a.note_lost(beside, &target(9), ended);
+    let by_b = b.note_lost(fatal, &target(9), ended);
+    if let Some(verdict) = by_b {
+        a.hear(verdict, after(1_323));
+    }
+    if let Some(verdict) = by_a {
+        b.hear(verdict, after(1_323));
+    }
+    // A fatal request is withheld for two minutes; this one may be tried again soon.
+    let left = match a.standing(beside, after(1_330)) {
+        Standing::Withheld(left) | Standing::Tried(left) => left,
+        Standing::Free | Standing::Trial => Millis::ZERO,
+    };
+    assert!(left <= Millis::new(15_000), "withheld for {left}");
+}
