--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -26,6 +26,10 @@
 const BEAT_STEPS: u32 = 4;
 /// How far the clocks of targets are off at most, in milliseconds.
 const CLOCK_OFF: u64 = 4_000;
+/// How far back a breach is explained.
+const SHOWN: Millis = Millis::new(30_000);
+/// The begin of each note of a succession.
+const SUCCESSION: &str = "a planner takes over, term";
 /// Fabric domains, small so that many states are met in a run.
 const DOMAINS: usize = 3;
 
@@ -121,6 +125,7 @@
             && let Some(id) = self.draw()
         {
             self.stage.engines.unlist(&id);
+            self.stage.note(format!("{id} leaves the list"));
             let time = self.time();
             self.cuts.push((id, now + time));
         }
@@ -131,6 +136,7 @@
             let off = self.rng.random_range(0..2 * CLOCK_OFF);
             let born = self.stage.wall() + off - CLOCK_OFF;
             self.stage.engines.restart(&id, Incarnation::new(born));
+            self.stage.note(format!("{id} starts again, born {born}"));
         }
         if self.one_in(40)
             && let Some(id) = self.draw()
@@ -163,6 +169,22 @@
             FleetPlanner::default()
         };
         self.stage.term += 1;
+        let (term, knows) = (
+            self.stage.term,
+            self.stage.planner.knows_late_joins(self.stage.now),
+        );
+        self.stage.note(format!(
+            "{SUCCESSION} {term}, watched {watched}, knows late joins {knows}"
+        ));
+    }
+
+    /// The breach, and what happened before to the engines and groups that it names.
+    fn explain(&self, breach: &str) -> String {
+        let mut names: Vec<&str> = breach.split([' ', '#']).collect();
+        names.retain(|name| name.starts_with("i-") || name.starts_with('g'));
+        names.push(SUCCESSION);
+        let events = self.stage.events_of(&names, SHOWN).join("\n");
+        format!("{breach}\n{events}")
     }
 }
 
@@ -184,7 +206,8 @@
     for number in 0..STEPS {
         search.step(number);
         if let Some(breach) = search.stage.engines.breaches.first() {
-            return Some(format!("seed {seed}, step {number}: {breach}"));
+            let told = search.explain(breach);
+            return Some(format!("seed {seed}, step {number}: {told}"));
         }
     }
     None
@@ -196,7 +219,8 @@
     let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
     let broken: Vec<String> = (0..seeds).filter_map(play).collect();
     let shown = &broken[..broken.len().min(5)];
-    assert!(broken.is_empty(), "{} of {seeds}: {shown:#?}", broken.len());
+    let shown = shown.join("\n\n");
+    assert!(broken.is_empty(), "{} of {seeds}: {shown}", broken.len());
 }
 
 /// A target starts again and knows no epoch; a join that was given to its earlier life takes
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -45,6 +45,8 @@
     pub(crate) late: VecDeque<Late>,
     /// Engines that no order and no probe reaches.
     pub(crate) cut: HashSet<TargetId>,
+    /// What happened to engines and to the planner, in the order of time.
+    events: Vec<(Millis, String)>,
     engine: Engine,
 }
 
@@ -65,6 +67,7 @@
             orders: Vec::new(),
             late: VecDeque::new(),
             cut: HashSet::new(),
+            events: Vec::new(),
             engine: engine(),
         }
     }
@@ -116,6 +119,7 @@
                     } else {
                         fate(&order)
                     };
+                    self.note(format!("{target} {order:?} {fate:?}"));
                     let reply = match fate {
                         Fate::Done => self.engines.order(&target, &order, self.now),
                         Fate::Lost => OrderReply::Unknown,
@@ -154,6 +158,18 @@
         WALL + self.now.get()
     }
 
+    /// Notes something that happened now.
+    pub(crate) fn note(&mut self, event: String) {
+        self.events.push((self.now, event));
+    }
+
+    /// What happened in some time until now that names one of these.
+    pub(crate) fn events_of(&self, names: &[&str], time: Millis) -> Vec<String> {
+        let recent = self.events.iter().filter(|(at, _)| self.now - *at <= time);
+        let named = recent.filter(|(_, event)| names.iter().any(|name| event.contains(name)));
+        named.map(|(at, event)| format!("{at} {event}")).collect()
+    }
+
     /// Has an order carried out later.
     fn hold(&mut self, target: &TargetId, order: &Order, after: Millis) {
         self.late.push_back(Late {
@@ -167,12 +183,14 @@
     pub(crate) fn cut_off(&mut self, id: &TargetId) {
         self.engines.unlist(id);
         self.cut.insert(id.clone());
+        self.note(format!("{id} is cut off"));
     }
 
     /// Ends that.
     pub(crate) fn heal(&mut self, id: &TargetId) {
         self.engines.relist(id);
         self.cut.remove(id);
+        self.note(format!("{id} is reached again"));
     }
 
     /// How the planner says that the fleet stands.
@@ -198,7 +216,9 @@
         let (due, rest): (VecDeque<Late>, _) = late.into_iter().partition(|l| l.at <= self.now);
         self.late = rest;
         for late in due {
-            self.engines.order(&late.target, &late.order, self.now);
+            let reply = self.engines.order(&late.target, &late.order, self.now);
+            let (target, order) = (late.target, late.order);
+            self.note(format!("{target} {order:?} late: {reply:?}"));
         }
     }
 
