fix(policy): a late join is refused by a target that has started again

What callers saw: a member of a serving group joined another one; the streams of its group stood still for 5 s and were broken off.

Cause: a join without an answer may be carried out 12 s later, and a target that started again in between has forgotten which epochs it saw, so it took the join of its earlier life while that life's leader served.

Change: a join names how many orders its target took in its present life; one that took another number refuses it. The planner counts the orders that it gives, and asks a target after a succession or an order without an answer. A first order names 0 and is good for the next life too: its target is kept out of other groups for the 12 s in which it may arrive.

Why it holds: a count only rises within a life, so no life that took another order since takes the join, and a new life has taken none.

Two directed tests are new; without the count, or without the wait, each is red.

--- a/crates/thistlesill-core/src/edge/order.rs
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -25,6 +25,9 @@
         model: Model,
         /// All members; the first leads.
         members: Vec<TargetId>,
+        /// Orders that the target took before in its present life. One that took another
+        /// number of them refuses the join.
+        taken: u64,
     },
     /// As leader: take requests.
     Open(GroupRef),
@@ -55,9 +58,11 @@
 /// What became of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
-    /// It is begun or already holds.
-    Taken,
-    /// It does not fit the engine's state.
+    /// It is begun.
+    Begun,
+    /// What it asks for holds, and nothing is under way.
+    Held,
+    /// It does not fit the engine's state, or the engine took other orders than it names.
     Unfit,
     /// The engine has seen a higher epoch.
     Outdated,
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -375,16 +375,22 @@
                         Ok(report) => line
                             .with("alive", true)
                             .with("running", report.running)
-                            .with("pace", report.pace),
+                            .with("pace", report.pace)
+                            .with("taken", report.taken),
                         Err(error) => line.with("alive", false).with("why", error),
                     }
                     .write();
-                    let found = report.map_or(Condition::Silent, |report| {
+                    let found = report.as_ref().map_or(Condition::Silent, |report| {
                         let (life, pace) = (report.incarnation, report.pace);
                         Condition::of_answer(&target, life, pace, SLOW_PACE)
                     });
                     planner.with_fleet(&service, |fleet, now| {
                         fleet.probed(&target, found, now);
+                        if let Ok(report) = &report
+                            && found != Condition::Restarted
+                        {
+                            fleet.counted(&target, report.taken, now);
+                        }
                     });
                 }
             }
@@ -407,7 +413,13 @@
             .with("reply", reply)
             .with("why", why);
         match order {
-            Order::Join { to, model, members } => line
+            Order::Join {
+                to,
+                model,
+                members,
+                taken,
+            } => line
+                .with("taken", taken)
                 .with("group", &to.group)
                 .with("epoch", to.epoch)
                 .with("model", model)
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -72,6 +72,8 @@
     loaded: Option<Model>,
     /// Highest epoch seen.
     epoch: u64,
+    /// Orders that it took in its present life.
+    taken: u64,
     members: Vec<InstanceId>,
     /// The group of its life before this one.
     before: Option<GroupRef>,
@@ -91,6 +93,7 @@
             listed: true,
             loaded: None,
             epoch: 0,
+            taken: 0,
             members: Vec::new(),
             before: None,
             joining: None,
@@ -305,8 +308,26 @@
         if !self.is_alive(id) {
             return OrderReply::Unknown;
         }
+        let reply = self.carry_out(id, order, now);
+        if reply == OrderReply::Begun
+            && let Some(engine) = self.all.get_mut(id.instance())
+        {
+            engine.taken += 1;
+        }
+        reply
+    }
+
+    /// How many orders an engine took in its present life.
+    pub fn taken(&self, id: &TargetId) -> u64 {
+        self.all.get(id.instance()).map_or(0, |e| e.taken)
+    }
+
+    fn carry_out(&mut self, id: &TargetId, order: &Order, now: Millis) -> OrderReply {
         match order {
-            Order::Join { to, model, members } => self.join(id, to, model, members, now),
+            Order::Join { taken, .. } if *taken != self.taken(id) => OrderReply::Unfit,
+            Order::Join {
+                to, model, members, ..
+            } => self.join(id, to, model, members, now),
             Order::Open(group) => self.open(id, group, now),
             Order::Cut(group) | Order::Close(group) => self.close(id, group),
             Order::Leave(group) => self.leave_group(id, group),
@@ -315,7 +336,7 @@
                     return OrderReply::Unknown;
                 };
                 engine.staging = Some((model.clone(), now + self.times.load));
-                OrderReply::Taken
+                OrderReply::Begun
             }
         }
     }
@@ -343,7 +364,7 @@
         let old = engine.target.member.as_ref().map(|m| m.of.clone());
         let old = old.or_else(|| engine.before.clone().filter(|before| before != to));
         if old.as_ref() == Some(to) {
-            return OrderReply::Taken;
+            return OrderReply::Held;
         }
         if to.epoch < engine.epoch {
             return OrderReply::Outdated;
@@ -374,7 +395,7 @@
             state: MemberState::Joining,
             model: None,
         });
-        OrderReply::Taken
+        OrderReply::Begun
     }
 
     /// A member may go only if its leader neither serves nor will.
@@ -404,9 +425,9 @@
         match &engine.target.member {
             Some(m) if m.of == *group && m.rank == 0 && m.state == MemberState::Ready => {
                 engine.opening.get_or_insert(now + self.times.form);
-                OrderReply::Taken
+                OrderReply::Begun
             }
-            Some(m) if m.of == *group && m.state == MemberState::Open => OrderReply::Taken,
+            Some(m) if m.of == *group && m.state == MemberState::Open => OrderReply::Held,
             _ => OrderReply::Unfit,
         }
     }
@@ -419,7 +440,7 @@
             Some(m) if m.of == *group && m.rank == 0 => {
                 m.state = MemberState::Ready;
                 engine.opening = None;
-                OrderReply::Taken
+                OrderReply::Begun
             }
             _ => OrderReply::Unfit,
         }
@@ -434,9 +455,10 @@
                 engine.target.member = None;
                 engine.joining = None;
                 engine.opening = None;
+                engine.taken += 1;
             }
             _ => {}
         }
-        OrderReply::Taken
+        OrderReply::Held
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod orders;
 mod release;
+mod revisions;
 mod spares;
 mod standby;
 mod survey;
@@ -30,6 +31,7 @@
 use self::forming::Planned;
 use self::loads::LoadRate;
 pub use self::release::LateJoins;
+use self::revisions::Revisions;
 use self::survey::{Survey, Verdict};
 
 /// Bits of an epoch that count the groups within a term.
@@ -160,6 +162,9 @@
     counter: u64,
     /// When it first looked at the list.
     began: Option<Millis>,
+    /// The term in which it plans.
+    term: Option<u64>,
+    revisions: Revisions,
     planned: BTreeMap<GroupRef, Planned>,
     /// Groups whose leader took an order to break off.
     cut: BTreeSet<GroupRef>,
@@ -234,6 +239,7 @@
 impl FleetPlanner {
     /// Looks at the fleet and decides what to do next.
     pub fn step(&mut self, view: &FleetView<'_>, now: Millis) -> Vec<FleetAction> {
+        self.enter_term(view, now);
         self.remember(view.targets, now);
         let survey = Survey::new(view);
         let mut actions = Vec::new();
@@ -243,6 +249,12 @@
         for (group, standing) in &survey.groups {
             let verdict = self.judge(view, group, standing, now);
             self.carry_out(view, group, standing, verdict, now, &mut actions);
+            if verdict != Verdict::Serve && !view.calm {
+                // Its members may soon join another group.
+                for member in &standing.members {
+                    self.ask_taken(member, now, &mut actions);
+                }
+            }
             if verdict == Verdict::Void {
                 self.void.insert(group.clone());
             }
@@ -266,22 +278,23 @@
 
     /// Takes in what became of an order.
     pub fn answered(&mut self, target: &TargetId, order: &Order, reply: OrderReply, now: Millis) {
+        self.revisions.note_reply(target, order, reply);
         match (order, reply) {
-            (Order::Join { to, .. }, OrderReply::Taken) => {
+            (Order::Join { to, .. }, OrderReply::Begun | OrderReply::Held) => {
                 if let Some(planned) = self.planned.get_mut(to) {
                     planned.taken.insert(target.clone());
                 }
             }
-            (Order::Join { to, .. }, OrderReply::Unknown) => {
+            (Order::Join { to, taken, .. }, OrderReply::Unknown) => {
                 self.unanswered.insert(to.clone(), now);
-                let tries = self.planned.get_mut(to).map_or(0, |p| p.unanswered(target));
-                if tries >= forming::MAX_TRIES {
-                    self.abandon(to, target, now);
-                }
+                self.revisions.note_late_join(target, to, *taken, now);
+                self.count_try(to, target, now);
             }
+            // It may have taken another order since its orders were counted.
+            (Order::Join { to, .. }, OrderReply::Unfit) => self.count_try(to, target, now),
             (Order::Join { to, .. }, _) => self.abandon(to, target, now),
             // A leader that refuses connections may still work off what it has.
-            (Order::Cut(group), OrderReply::Taken | OrderReply::Elsewhere) => {
+            (Order::Cut(group), OrderReply::Begun | OrderReply::Held | OrderReply::Elsewhere) => {
                 self.cut.insert(group.clone());
             }
             (Order::Open(_), OrderReply::Unknown) => {}
@@ -291,7 +304,7 @@
                 }
             }
             // A member that left shows it in its entry.
-            (Order::Leave(group), OrderReply::Taken | OrderReply::Elsewhere)
+            (Order::Leave(group), OrderReply::Begun | OrderReply::Held | OrderReply::Elsewhere)
                 if self.leaders.get(group) == Some(target) =>
             {
                 self.left.insert(group.clone());
@@ -299,13 +312,18 @@
             (_, OrderReply::Refused) => {
                 self.silent.insert(target.clone(), (DEAD_PROBES, now));
             }
-            (_, OrderReply::Taken | OrderReply::Unknown) => {}
+            (_, OrderReply::Begun | OrderReply::Held | OrderReply::Unknown) => {}
             (_, _) => {
                 self.avoid.insert(target.clone(), now);
             }
         }
     }
 
+    /// Takes in how many orders a target reports to have taken in its present life.
+    pub fn counted(&mut self, target: &TargetId, taken: u64, now: Millis) {
+        self.revisions.note_reported(target, taken, now);
+    }
+
     /// Takes in what a probe found of a target.
     pub fn probed(&mut self, target: &TargetId, found: Condition, now: Millis) {
         match found {
@@ -355,6 +373,17 @@
         self.rosters.get(group).is_some_and(|r| r.iter().any(lost))
     }
 
+    /// Counts a join that was not taken; after several ones its group is given up.
+    fn count_try(&mut self, group: &GroupRef, target: &TargetId, now: Millis) {
+        let tries = self
+            .planned
+            .get_mut(group)
+            .map_or(0, |p| p.note_try(target));
+        if tries >= forming::MAX_TRIES {
+            self.abandon(group, target, now);
+        }
+    }
+
     /// Gives up a group that cannot be completed because of one member.
     fn abandon(&mut self, group: &GroupRef, target: &TargetId, now: Millis) {
         self.planned.remove(group);
@@ -378,10 +407,9 @@
                 self.abandon(&group, &lost, now);
                 continue;
             }
-            for (id, order) in planned.unjoined(&group, view) {
-                let address = view.targets[&id].address;
-                self.give(id, address, order, "the group is formed", now, actions);
-            }
+            let invited = planned.unjoined(&group, view);
+            let why = "the group is formed";
+            self.invite(&group, &invited, why, view, now, actions);
         }
     }
 
@@ -415,7 +443,8 @@
             let slot = (id.clone(), "stage");
             self.given.get(&slot).is_some_and(|at| now - *at < REPEAT)
         };
-        free.retain(|id| self.is_usable(id, view) && !busy(id));
+        let exposed = |id: &TargetId| self.revisions.is_exposed(id, now);
+        free.retain(|id| self.is_usable(id, view) && !busy(id) && !exposed(id));
     }
 
     fn next_group(&mut self, view: &FleetView<'_>) -> GroupRef {
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -11,6 +11,8 @@
 use super::survey::Survey;
 use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
 
+/// The kind of order by which a target joins a group.
+const JOIN: &str = "join";
 /// Times that a join is given before its target is passed over.
 pub(super) const MAX_TRIES: u32 = 4;
 /// Above this shortage a model's groups may use the last spares of a domain.
@@ -30,7 +32,8 @@
     pub(super) taken: BTreeSet<TargetId>,
     /// Whether it waits to be wanted once it is complete.
     pub(super) standby: bool,
-    unanswered: BTreeMap<TargetId, u32>,
+    /// Joins that a member did not take.
+    tries: BTreeMap<TargetId, u32>,
 }
 
 impl Planned {
@@ -40,7 +43,7 @@
             model: plan.model.clone(),
             taken: BTreeSet::new(),
             standby: false,
-            unanswered: BTreeMap::new(),
+            tries: BTreeMap::new(),
         }
     }
 
@@ -52,9 +55,9 @@
         }
     }
 
-    /// Counts an order that got no answer, and returns how many did not.
-    pub(super) fn unanswered(&mut self, target: &TargetId) -> u32 {
-        let count = self.unanswered.entry(target.clone()).or_default();
+    /// Counts a join that a member did not take, and returns how many it did not.
+    pub(super) fn note_try(&mut self, target: &TargetId) -> u32 {
+        let count = self.tries.entry(target.clone()).or_default();
         *count += 1;
         *count
     }
@@ -78,22 +81,19 @@
         leader.is_some_and(|t| shows(&t.id, group, view) && t.leads_open())
     }
 
-    /// The joins of members that neither show the group nor took the order.
-    pub(super) fn unjoined(
-        &self,
-        group: &GroupRef,
-        view: &FleetView<'_>,
-    ) -> Vec<(TargetId, Order)> {
+    /// The members that neither show the group nor took the order to join it.
+    pub(super) fn unjoined(&self, group: &GroupRef, view: &FleetView<'_>) -> Vec<TargetId> {
         let open = |id: &&TargetId| !self.taken.contains(*id) && !shows(id, group, view);
-        let members = self.members.iter().filter(open);
-        members.map(|id| (id.clone(), self.join(group))).collect()
+        self.members.iter().filter(open).cloned().collect()
     }
 
-    fn join(&self, group: &GroupRef) -> Order {
+    /// The order to join, for a member that has taken some orders before.
+    fn join(&self, group: &GroupRef, taken: u64) -> Order {
         Order::Join {
             to: group.clone(),
             model: self.model.clone(),
             members: self.members.clone(),
+            taken,
         }
     }
 }
@@ -167,15 +167,42 @@
         view: &FleetView<'_>,
     ) {
         let group = self.next_group(view);
-        for target in members {
-            let (id, address) = (target.id.clone(), target.address);
-            let order = planned.join(&group);
-            self.given.remove(&(id.clone(), order.name()));
-            self.note_join(&id, &group);
-            self.give(id, address, order, why, now, actions);
+        let invited: Vec<TargetId> = members.iter().map(|t| t.id.clone()).collect();
+        for id in &invited {
+            self.given.remove(&(id.clone(), JOIN));
         }
         self.formed.insert(group.clone());
-        self.planned.insert(group, planned);
+        self.planned.insert(group.clone(), planned);
+        self.invite(&group, &invited, why, view, now, actions);
+    }
+
+    /// Gives members of a planned group the order to join it. One of which it is not known
+    /// how many orders it took is asked for that first.
+    pub(super) fn invite(
+        &mut self,
+        group: &GroupRef,
+        members: &[TargetId],
+        why: &'static str,
+        view: &FleetView<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for target in members.iter().filter_map(|id| view.targets.get(id)) {
+            let id = &target.id;
+            if view.calm && target.member.is_none() && self.revisions.of(id).is_none() {
+                // Almost certainly none yet; if it did, it refuses and is asked.
+                self.revisions.note_started(id);
+            }
+            let Some(taken) = self.revisions.of(id) else {
+                self.ask_taken(target, now, actions);
+                continue;
+            };
+            let Some(order) = self.planned.get(group).map(|p| p.join(group, taken)) else {
+                return;
+            };
+            self.note_join(id, group);
+            self.give(id.clone(), target.address, order, why, now, actions);
+        }
     }
 
     /// Groups of each model that serve or will serve.
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,11 +5,13 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::{AVOID, DEAD, FleetPlanner, LATE_ORDER, PROBE_REST};
+use super::{AVOID, DEAD, FleetPlanner, FleetView, LATE_ORDER, PROBE_REST};
 
 /// How long a spare may take until it shows the weights that it was told to
 /// load: the longest load of the known engines, beside several others.
 const STAGING: Millis = Millis::new(60_000);
+/// The first term of the lease; no planner was before.
+const FIRST_TERM: u64 = 1;
 /// How long targets that are gone are remembered.
 const FORGET: Millis = Millis::new(30_000);
 
@@ -17,6 +19,7 @@
     /// Follows the fleet without the lease, so that a planner that takes over
     /// knows who led which group.
     pub fn watch(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
+        self.term = None;
         self.planned.clear();
         self.formed.clear();
         self.joined.clear();
@@ -38,6 +41,20 @@
         }
     }
 
+    /// Notes the term in which the planner plans; in an earlier one, or before, others did.
+    pub(super) fn enter_term(&mut self, view: &FleetView<'_>, now: Millis) {
+        if self.term != Some(view.term) {
+            self.term = Some(view.term);
+            self.revisions.begin_term(view.term <= FIRST_TERM, now);
+            return;
+        }
+        let appeared = |id: &&TargetId| !self.addresses.contains_key(*id);
+        let started: Vec<TargetId> = view.targets.keys().filter(appeared).cloned().collect();
+        for id in &started {
+            self.revisions.note_started(id);
+        }
+    }
+
     /// Takes in how the fleet stands, and forgets what has become old.
     pub(super) fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.began.get_or_insert(now);
@@ -109,6 +126,7 @@
         self.waiting.retain(|_, (_, until)| now < *until);
         self.unanswered.retain(|_, at| now - *at < LATE_ORDER);
         self.joined.retain(|id, _| targets.contains_key(id));
+        self.revisions.retain(|id| targets.contains_key(id), now);
         self.cut.retain(|group| shown.contains(group));
         self.missing.retain(|_, since| now - *since < FORGET);
         self.slow.retain(|id| targets.contains_key(id));
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -132,6 +132,7 @@
             return false;
         }
         self.given.insert(slot, now);
+        self.revisions.note_given(&target, now);
         actions.push(FleetAction::Give {
             target,
             address,
@@ -156,6 +157,18 @@
         }
     }
 
+    /// Asks a target how many orders it took, unless that is known.
+    pub(super) fn ask_taken(
+        &mut self,
+        target: &Target,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if self.revisions.needs_report(&target.id, now) {
+            self.probe(target, PROBE_GAP, now, actions);
+        }
+    }
+
     /// Probes a target unless that was done less than `gap` ago.
     fn probe(&mut self, target: &Target, gap: Millis, now: Millis, actions: &mut Vec<FleetAction>) {
         let last = self.probed.get(&target.id);
--- a/crates/thistlesill-policy/tests/edge/release.rs
+++ b/crates/thistlesill-policy/tests/edge/release.rs
@@ -1,7 +1,7 @@
 //! No target is in two groups, whatever arrives late and whoever is cut off.
 
 use thistlesill_core::Millis;
-use thistlesill_core::edge::Order;
+use thistlesill_core::edge::{Incarnation, Order, TargetId};
 use thistlesill_policy::edge::fleet::FleetPlanner;
 
 use crate::stage::{Fate, STEP, Stage};
@@ -64,3 +64,79 @@
         assert_eq!(stage.sizes(), (6, 6));
     }
 }
+
+/// A member was given a join of another group that got no answer, then joined the group that
+/// serves, and started again. The new life knew no epoch and took the late join, while its
+/// leader, which no order reached, served.
+#[test]
+fn a_join_that_was_given_to_an_earlier_life_is_refused_by_a_later_one() {
+    let mut stage = Stage::formed(6);
+    let (leader, members) = stage.group_of(4);
+    stage.slow.insert(members[2].clone());
+    stage.doubted.insert(leader.clone());
+    let member = members[1].clone();
+    while stage.given("join", &member).is_none() {
+        stage.step(|order| match order {
+            Order::Join { .. } => Fate::Late(secs(9)),
+            _ => Fate::Done,
+        });
+    }
+    let given = stage.now;
+    stage.planner = FleetPlanner::default();
+    stage.term = 2;
+    stage.slow.clear();
+    stage.doubted.clear();
+    stage.run(secs(4));
+    let serving = stage.engines.serving();
+    let serves = serving.iter().any(|(_, all)| all.contains(&member));
+    assert!(serves, "{:?}", stage.orders);
+    let born = Incarnation::new(stage.wall());
+    stage.engines.restart(&member, born).expect("it is known");
+    while stage.now < given + secs(11) {
+        stage.step(|order| match order {
+            Order::Cut(_) => Fate::Lost,
+            _ => Fate::Done,
+        });
+    }
+    stage.assert_sound();
+    stage.run(secs(20));
+    stage.assert_sound();
+    assert_eq!(stage.sizes(), (6, 6));
+}
+
+/// The same, of a target whose first order got no answer: a life that has taken none either
+/// is as good as the one that the order was meant for.
+#[test]
+fn a_first_order_without_an_answer_keeps_its_target_out_of_other_groups() {
+    let mut stage = Stage::new(2);
+    stage.engines.times.load = Millis::new(500);
+    let mut first = None;
+    for _ in 0..20 {
+        stage.step(|order| match order {
+            Order::Join { to, members, .. } if members.len() == 2 && first.is_none() => {
+                first = Some((to.clone(), members.clone()));
+                Fate::Late(secs(9))
+            }
+            _ => Fate::Done,
+        });
+        if first.is_some() {
+            break;
+        }
+    }
+    let (group, members) = first.expect("a small group is formed");
+    // The group is given up, and so is another one of the domain: two targets are left.
+    for lost in [&members[1], &TargetId::from("i-007")] {
+        stage.engines.kill(lost);
+        stage.engines.unlist(lost);
+    }
+    let others = |stage: &Stage| {
+        let joins = stage.orders.iter().filter(|(_, id, _)| *id == members[0]);
+        let other = joins.filter(|(_, _, o)| matches!(o, Order::Join { to, .. } if *to != group));
+        other.count()
+    };
+    stage.run(secs(11));
+    assert_eq!(others(&stage), 0, "{:?}", stage.orders);
+    stage.run(secs(10));
+    assert!(others(&stage) > 0, "{:?}", stage.orders);
+    stage.assert_sound();
+}
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -86,13 +86,18 @@
     pub(crate) fn run(&mut self, time: Millis) {
         let end = self.now + time;
         while self.now < end {
-            self.now = self.now + STEP;
-            self.engines.advance(self.now);
-            self.carry_out_late();
-            self.look(|_| Fate::Done);
+            self.step(|_| Fate::Done);
         }
     }
 
+    /// Lets one step of time pass; `fate` says what becomes of each order.
+    pub(crate) fn step(&mut self, fate: impl FnMut(&Order) -> Fate) {
+        self.now = self.now + STEP;
+        self.engines.advance(self.now);
+        self.carry_out_late();
+        self.look(fate);
+    }
+
     /// One look of the planner; `fate` says what becomes of each order.
     pub(crate) fn look(&mut self, mut fate: impl FnMut(&Order) -> Fate) {
         let targets = self.engines.listed();
@@ -148,6 +153,10 @@
                         false => Condition::Silent,
                     };
                     self.planner.probed(&target, found, self.now);
+                    if reached && self.engines.life(&target).as_ref() == Some(&target) {
+                        let taken = self.engines.taken(&target);
+                        self.planner.counted(&target, taken, self.now);
+                    }
                 }
             }
         }
