fix(policy): two trials at once condemn neither request

What callers saw: a harmless request that ran beside one that ends its targets was refused for two minutes at all daemons; seen once, in the process test streams_that_ran_beside_it_are_served, beside other load.

Cause: two daemons each began the trial of another request before either heard of the other's. The target ended under both, and each took that for proof against its own.

Change: a trial that ended its target proves nothing while another request on trial may have ended the same one; both keep their level and are tried again, one after the other in the order of their fingerprints. A daemon that heard of the other trial later corrects its verdict, and that counts for more than one decided at the same time.

--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -12,6 +12,9 @@
 //! the trial ends its target, all that were only lost beside that request are cleared. Then
 //! it is withheld for long, and tried again much later: wrong knowledge goes away by
 //! itself, and a right one costs three more targets in the first hour.
+//!
+//! Two daemons may begin trials at the same moment. If a target ends under both, either of
+//! the two requests may have ended it, so both are tried again, one after the other.
 
 use std::collections::HashMap;
 
@@ -25,6 +28,9 @@
 /// group takes to form, and short against the time that the callers of what was only lost
 /// beside it wait.
 const FIRST: Millis = Millis::new(1_000);
+/// For how long the second one of two requests is withheld that were tried at once and are
+/// tried again: long enough for the trial of the first one.
+const SECOND_IN_TURN: Millis = Millis::new(2_500);
 /// For how long it is withheld after its first trial ended a target.
 const SECOND: Millis = Millis::new(120_000);
 /// How many times longer it is withheld after each further one.
@@ -73,6 +79,8 @@
     until: Millis,
     /// Whether it is withheld since it is being tried.
     trial: bool,
+    /// The target that its last trial ended.
+    ended: Option<T>,
     /// When it is forgotten.
     forget: Millis,
 }
@@ -85,6 +93,7 @@
             level: 0,
             until: Millis::ZERO,
             trial: false,
+            ended: None,
             forget: Millis::ZERO,
         }
     }
@@ -126,6 +135,13 @@
         }
         self.forget = self.until + KEPT;
     }
+
+    /// Begins a further verdict that also replaces one which another daemon decided at the
+    /// same time, knowing less.
+    fn reconsider(&mut self, level: u32, left: Millis, now: Millis) {
+        self.round += 1;
+        self.decide(level, left, now);
+    }
 }
 
 /// The requests under which targets were lost; `T` names one life of a target.
@@ -197,6 +213,14 @@
         if case.level == 0 && case.lost.len() < LOST {
             return None;
         }
+        if case.is_tried(now) {
+            case.ended = Some(target.clone());
+            let rivals = self.rivals(print, target, now);
+            if !rivals.is_empty() {
+                return self.repeat_trials(print, &rivals, now);
+            }
+        }
+        let case = self.cases.get_mut(&print)?;
         let level = case.level + 1;
         case.decide(level, time_of(level), now);
         let verdict = case.verdict(print, now);
@@ -204,6 +228,42 @@
         Some(verdict)
     }
 
+    /// Other requests on trial that may have ended a target under a request on trial.
+    fn rivals(&self, print: Fingerprint, target: &T, now: Millis) -> Vec<Fingerprint> {
+        let may_have = |case: &Case<T>| case.is_tried(now) || case.ended.as_ref() == Some(target);
+        let others = self.cases.iter().filter(|(other, _)| **other != print);
+        let rivals = others.filter(|(_, case)| may_have(case));
+        rivals.map(|(other, _)| *other).collect()
+    }
+
+    /// Has a request tried again that was on trial together with others, and so those of
+    /// them that were found to have ended the target; returns the request's verdict.
+    ///
+    /// The one with the lowest fingerprint is tried first, so that all daemons have them
+    /// tried in the same order.
+    fn repeat_trials(
+        &mut self,
+        print: Fingerprint,
+        rivals: &[Fingerprint],
+        now: Millis,
+    ) -> Option<Verdict> {
+        let time_of_trial = |one: Fingerprint| {
+            let is_first = one <= print && rivals.iter().all(|rival| one <= *rival);
+            if is_first { FIRST } else { SECOND_IN_TURN }
+        };
+        for rival in rivals {
+            if let Some(case) = self.cases.get_mut(rival)
+                && !case.is_tried(now)
+                && case.level > 1
+            {
+                case.reconsider(case.level - 1, time_of_trial(*rival), now);
+            }
+        }
+        let case = self.cases.get_mut(&print)?;
+        case.reconsider(case.level, time_of_trial(print), now);
+        Some(case.verdict(print, now))
+    }
+
     /// Clears what was only lost beside a request whose trial ended its target.
     fn clear_beside(&mut self, verdict: &Verdict, now: Millis) {
         let fatal = self.cases.get(&verdict.print);
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -299,3 +299,87 @@
     };
     assert!(left <= Millis::new(15_000), "withheld for {left}");
 }
+
+/// What one daemon broadcasts of its trial, in this order.
+struct Broadcast {
+    trial: Verdict,
+    lost: Fingerprint,
+    verdict: Option<Verdict>,
+}
+
+impl Broadcast {
+    /// Delivers the messages with these numbers to another daemon.
+    fn deliver(&self, to: &mut Quarantine<TargetId>, part: std::ops::Range<usize>, now: Millis) {
+        for message in part {
+            match message {
+                0 => drop(to.hear(self.trial, now)),
+                1 => drop(to.note_lost(self.lost, &target(9), now)),
+                _ => drop(self.verdict.map(|v| to.hear(v, now))),
+            }
+        }
+    }
+}
+
+/// The same, whichever of the other daemon's messages arrive before a daemon sees its own
+/// trial end the target: the one request is withheld for long after a trial of its own, and
+/// the other one is served.
+#[test]
+fn two_trials_at_once_are_told_apart_by_further_ones_however_late_daemons_hear_of_them() {
+    for early in 0..=3 {
+        let (fatal, beside) = (print(0), print(1));
+        let mut known = Quarantine::default();
+        for number in 0..3 {
+            for request in [fatal, beside] {
+                known.note_lost(request, &target(number), after(100 * u64::from(number)));
+            }
+        }
+        let (mut a, mut b) = (known.clone(), known);
+        let mut now = after(1_300);
+        let trial = a.begin_trial(beside, now).expect("it is withheld");
+        let mut by_a = Broadcast {
+            trial,
+            lost: beside,
+            verdict: None,
+        };
+        let trial = b.begin_trial(fatal, now).expect("it is withheld");
+        let mut by_b = Broadcast {
+            trial,
+            lost: fatal,
+            verdict: None,
+        };
+        now = after(1_320);
+        by_a.verdict = a.note_lost(beside, &target(9), now);
+        by_a.deliver(&mut b, 0..early, now);
+        by_b.verdict = b.note_lost(fatal, &target(9), now);
+        by_a.deliver(&mut b, early..3, now);
+        by_b.deliver(&mut a, 0..3, now);
+        // Daemons whose digests differ ask each other for their verdicts.
+        for _ in 0..2 {
+            for verdict in a.verdicts(now) {
+                b.hear(verdict, now);
+            }
+            for verdict in b.verdicts(now) {
+                a.hear(verdict, now);
+            }
+        }
+        assert_eq!(a.digest(), b.digest(), "{early} messages came early");
+        let end = now + Millis::new(20_000);
+        while now < end {
+            now = now + Millis::new(100);
+            for request in [fatal, beside] {
+                if a.standing(request, now) == Standing::Trial {
+                    a.begin_trial(request, now);
+                    let _ = match request == fatal {
+                        true => a.note_lost(request, &target(10), now),
+                        false => a.note_good(request, now),
+                    };
+                }
+            }
+        }
+        assert_eq!(a.standing(beside, now), Standing::Free, "{early}");
+        let Standing::Withheld(left) = a.standing(fatal, now) else {
+            panic!("the fatal request is free after {early} messages came early");
+        };
+        assert!(left > Millis::new(90_000), "withheld for {left}");
+    }
+}
