perf(edge): only three daemons of a data centre watch the fleets for the planner

Cause: every daemon went over all targets at each look, five times a second and at each change, to be ready to take over: work that grew with daemons times targets.

The others forget what they knew and count as just started if they plan. What only a planner needs (suspects, streams, demand) is gathered by the planner alone.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -286,14 +286,20 @@
             // 894 calls of 12 daemons that start while the store turns them away for 4 s.
             return false;
         }
+        self.ahead(me, away, hall, now) == 0
+    }
+
+    /// How many daemons of its data centre come before `me` among those that are heard, or
+    /// are listed and may be heard yet; those that cannot reach the store come last.
+    pub(crate) fn ahead(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> usize {
         let trust = self.trust(hall);
         let present = |p: &Peer| p.silence(now) < trust;
         let near = self
             .known
             .iter()
             .filter(|(_, p)| p.hall == *hall && present(p));
-        let mut ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
-        ranks.all(|rank| (away, me) < rank)
+        let ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
+        ranks.filter(|rank| *rank < (away, me)).count()
     }
 
     /// Tells which peers count as living: those of the own data centre `own` beat more
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Order, RateLimit, Target, TargetId};
+use thistlesill_core::edge::{Catalog, GroupRef, Order, RateLimit, Target, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
 use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
@@ -46,6 +46,9 @@
 /// Without a holder for this long, every daemon looks for the lease: the first
 /// ones of the data centres have had time for two takeovers.
 const ORPHANED: Millis = Millis::new(5_000);
+/// Daemons of each data centre that watch the fleets, to take over from the planner with
+/// what they saw.
+const SUCCESSORS: usize = 3;
 /// Between two lines about how a fleet stands.
 const CENSUS: Millis = Millis::new(1_000);
 
@@ -183,27 +186,75 @@
         }
     }
 
-    /// Looks at all fleets and does what they need.
+    /// Looks at all fleets and does what this daemon's part in them needs.
     fn look(self: &Rc<Self>) {
-        let edge = &self.edge;
-        let now = edge.now();
-        let Some(catalog) = edge.catalog() else {
+        let now = self.edge.now();
+        let Some(catalog) = self.edge.catalog() else {
             return;
         };
-        let term = self.lease.borrow().term(now);
+        let (dead, late) = match self.lease.borrow().term(now) {
+            Some(term) => self.plan(&catalog, term, now),
+            None if self.may_succeed(now) => (Vec::new(), self.watch(&catalog, now)),
+            None => {
+                // What it knew would be too old when it begins to watch again.
+                self.fleets.borrow_mut().clear();
+                (Vec::new(), None)
+            }
+        };
+        for target in &dead {
+            self.edge
+                .suspect(target, "it or a member of its group answered no probe");
+        }
+        self.edge.peers.borrow_mut().late = late;
+        self.tell_dead(dead);
+    }
+
+    /// Whether this daemon is one of those that would plan if the planner were lost. Only
+    /// these go over all targets at each look.
+    fn may_succeed(&self, now: Millis) -> bool {
+        let (settings, peers) = (self.edge.settings(), self.edge.peers.borrow());
+        let away = self.edge.is_away();
+        !peers.is_listed() || peers.ahead(&settings.name, away, &settings.hall, now) < SUCCESSORS
+    }
+
+    /// Follows the fleets without the lease; returns which groups may be joined late, if it
+    /// knows of all.
+    fn watch(&self, catalog: &Catalog, now: Millis) -> Option<Vec<GroupRef>> {
+        let told = self.edge.peers.borrow_mut().told_late.take();
+        let book = self.edge.book.borrow();
+        let mut fleets = self.fleets.borrow_mut();
+        let mut late = Some(Vec::new());
+        for service in catalog.services().filter(|s| s.engine.is_some()) {
+            let Some(targets) = book.of(&service.name) else {
+                continue;
+            };
+            let fleet = fleets.entry(service.name.clone()).or_default();
+            if let Some(told) = &told {
+                fleet.hear_late(told);
+            }
+            fleet.watch(targets, now);
+            late = add_late_joins(late, fleet, now);
+        }
+        late
+    }
+
+    /// Decides what all fleets need; returns targets that answered no probe, and which
+    /// groups may be joined late, if it knows of all.
+    fn plan(
+        self: &Rc<Self>,
+        catalog: &Catalog,
+        term: u64,
+        now: Millis,
+    ) -> (Vec<TargetId>, Option<Vec<GroupRef>>) {
+        let edge = &self.edge;
         let stalled = self.stalled(now);
         let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
         let slow = self.slow(now);
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
-        let book = edge.book.borrow();
-        let (mut dead, mut late) = (Vec::new(), Vec::new());
-        let mut knows = true;
         let told = edge.peers.borrow_mut().told_late.take();
-        let mut note_late = |fleet: &FleetPlanner| {
-            knows &= fleet.knows_late_joins(now);
-            late.extend(fleet.late_joins(now));
-        };
+        let book = edge.book.borrow();
+        let (mut dead, mut late) = (Vec::new(), Some(Vec::new()));
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
@@ -213,11 +264,6 @@
             if let Some(told) = &told {
                 fleet.hear_late(told);
             }
-            let Some(term) = term else {
-                fleet.watch(targets, now);
-                note_late(fleet);
-                continue;
-            };
             let demand = self.demand(&service.name, now);
             let rooms = self.rooms(&service.name, targets);
             let view = FleetView {
@@ -236,18 +282,13 @@
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
             dead.extend(fleet.broken(targets));
-            note_late(fleet);
+            late = add_late_joins(late, fleet, now);
             drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
             }
         }
-        drop(book);
-        for target in &dead {
-            edge.suspect(target, "it or a member of its group answered no probe");
-        }
-        edge.peers.borrow_mut().late = knows.then_some(late);
-        self.tell_dead(dead);
+        (dead, late)
     }
 
     /// Tells all daemons of targets that answered no probe; at once if one is
@@ -432,3 +473,14 @@
         .write();
     }
 }
+
+/// Adds the late joins of a fleet to those of others, if all are known.
+fn add_late_joins(
+    late: Option<Vec<GroupRef>>,
+    fleet: &FleetPlanner,
+    now: Millis,
+) -> Option<Vec<GroupRef>> {
+    let mut late = late.filter(|_| fleet.knows_late_joins(now))?;
+    late.extend(fleet.late_joins(now));
+    Some(late)
+}
