refactor: the field's terms for what fleets and quarantine receive, and for their times

| before | now | | --- | --- | | Quarantine::hear, FleetPlanner::hear_late | receive, receive_late_joins | | tend_planned, told (planner) | advance_planned, announced | | FIRST, SECOND, LONGER, LONGEST | FIRST_HOLD, SECOND_HOLD, HOLD_FACTOR, MAX_HOLD | | TRIAL, TURN, REMEMBERED, KEPT, LOST | TRIAL_TIMEOUT, TRIAL_RETRY_AFTER, LOSS_RETENTION, VERDICT_RETENTION, LOSSES_UNTIL_WITHHELD | | REPEAT, AVOID, LATE_ORDER, TOLD_AFTER | ORDER_RETRY_INTERVAL, AVOID_TIME, LATE_ORDER_TIMEOUT, JOIN_ANNOUNCE_DELAY | | LEADER_ENDS, LEADER_GONE, LEADER_WORKS | LEADER_CLOSE_TIMEOUT, LEADER_GONE_TIMEOUT, LEADER_DRAIN_TIMEOUT | | SHOW, SETTLE, DEAD | MEMBERS_SHOW_TIMEOUT, DOMAIN_SETTLE_TIME, DEAD_TARGET_RETENTION | | PROBE_REST, SLOW_GAP, PROBE_GAP | PROBE_ROUND_INTERVAL, SLOW_PROBE_INTERVAL, PROBE_INTERVAL | | Order::Join.taken | orders_taken |

--- a/crates/thistlesill-core/src/edge/order.rs
+++ b/crates/thistlesill-core/src/edge/order.rs
@@ -27,7 +27,7 @@
         members: Vec<TargetId>,
         /// Orders that the target took before in its present life. One that took another
         /// number of them refuses the join.
-        taken: u64,
+        orders_taken: u64,
     },
     /// As leader: take requests.
     Open(GroupRef),
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -230,7 +230,7 @@
             };
             let fleet = fleets.entry(service.name.clone()).or_default();
             if let Some(told) = &told {
-                fleet.hear_late(told);
+                fleet.receive_late_joins(told);
             }
             fleet.watch(targets, now);
             late = add_late_joins(late, fleet, now);
@@ -262,7 +262,7 @@
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(service.name.clone()).or_default();
             if let Some(told) = &told {
-                fleet.hear_late(told);
+                fleet.receive_late_joins(told);
             }
             let demand = self.demand(&service.name, now);
             let rooms = self.rooms(&service.name, targets);
@@ -417,7 +417,7 @@
                             .with("alive", true)
                             .with("running", report.running)
                             .with("pace", report.pace)
-                            .with("taken", report.taken),
+                            .with("orders_taken", report.orders_taken),
                         Err(error) => line.with("alive", false).with("why", error),
                     }
                     .write();
@@ -430,7 +430,7 @@
                         if let Ok(report) = &report
                             && found != Condition::Restarted
                         {
-                            fleet.counted(&target, report.taken, now);
+                            fleet.counted(&target, report.orders_taken, now);
                         }
                     });
                 }
@@ -458,9 +458,9 @@
                 to,
                 model,
                 members,
-                taken,
+                orders_taken,
             } => line
-                .with("taken", taken)
+                .with("orders_taken", orders_taken)
                 .with("group", &to.group)
                 .with("epoch", to.epoch)
                 .with("model", model)
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -236,7 +236,7 @@
     let now = edge.now();
     let mut known = edge.cases.known.borrow_mut();
     for verdict in verdicts {
-        if known.hear(*verdict, now) && verdict.round > 0 {
+        if known.receive(*verdict, now) && verdict.round > 0 {
             note_verdict(edge, verdict, "a peer");
         }
     }
@@ -309,7 +309,7 @@
                 left: Millis::new(kept.until.saturating_sub(wall)),
                 trial: false,
             };
-            if edge.cases.known.borrow_mut().hear(verdict, edge.now()) {
+            if edge.cases.known.borrow_mut().receive(verdict, edge.now()) {
                 note_verdict(edge, &verdict, "the store");
             }
         }
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -73,7 +73,7 @@
     /// Highest epoch seen.
     epoch: u64,
     /// Orders that it took in its present life.
-    taken: u64,
+    orders_taken: u64,
     members: Vec<InstanceId>,
     /// The group of its life before this one.
     before: Option<GroupRef>,
@@ -93,7 +93,7 @@
             listed: true,
             loaded: None,
             epoch: 0,
-            taken: 0,
+            orders_taken: 0,
             members: Vec::new(),
             before: None,
             joining: None,
@@ -312,19 +312,21 @@
         if reply == OrderReply::Begun
             && let Some(engine) = self.all.get_mut(id.instance())
         {
-            engine.taken += 1;
+            engine.orders_taken += 1;
         }
         reply
     }
 
     /// How many orders an engine took in its present life.
-    pub fn taken(&self, id: &TargetId) -> u64 {
-        self.all.get(id.instance()).map_or(0, |e| e.taken)
+    pub fn orders_taken(&self, id: &TargetId) -> u64 {
+        self.all.get(id.instance()).map_or(0, |e| e.orders_taken)
     }
 
     fn carry_out(&mut self, id: &TargetId, order: &Order, now: Millis) -> OrderReply {
         match order {
-            Order::Join { taken, .. } if *taken != self.taken(id) => OrderReply::Unfit,
+            Order::Join { orders_taken, .. } if *orders_taken != self.orders_taken(id) => {
+                OrderReply::Unfit
+            }
             Order::Join {
                 to, model, members, ..
             } => self.join(id, to, model, members, now),
@@ -455,7 +457,7 @@
                 engine.target.member = None;
                 engine.joining = None;
                 engine.opening = None;
-                engine.taken += 1;
+                engine.orders_taken += 1;
             }
             _ => {}
         }
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -38,43 +38,43 @@
 const EPOCH_BITS: u32 = 20;
 /// An order without effect is given again after this time; an engine takes
 /// some milliseconds, and its entry some more.
-const REPEAT: Millis = Millis::new(700);
+const ORDER_RETRY_INTERVAL: Millis = Millis::new(700);
 /// How long a target that left orders unanswered or refused them is not
 /// planned with.
-const AVOID: Millis = Millis::new(4_000);
+const AVOID_TIME: Millis = Millis::new(4_000);
 /// How long a leader that is no longer listed may go on with what runs.
-const LEADER_ENDS: Millis = Millis::new(800);
+const LEADER_CLOSE_TIMEOUT: Millis = Millis::new(800);
 /// How long a leader may be missing from the list and answer no order before
 /// its group counts as ended: several orders went unanswered by then.
-const LEADER_GONE: Millis = Millis::new(2_800);
+const LEADER_GONE_TIMEOUT: Millis = Millis::new(2_800);
 /// How long a leader that leaves may work off what it has; the platform's longest
 /// time for it.
-const LEADER_WORKS: Millis = Millis::new(10_000);
+const LEADER_DRAIN_TIMEOUT: Millis = Millis::new(10_000);
 /// How long after it was given an order may be carried out: the platform's longest time.
-const LATE_ORDER: Millis = Millis::new(12_000);
-/// Time after a join in which its planner has told all others if it got no answer: the
+const LATE_ORDER_TIMEOUT: Millis = Millis::new(12_000);
+/// Time after a join in which its planner has announced that it got no answer: the
 /// longest wait for one, and three of a planner's beats.
-const TOLD_AFTER: Millis = Millis::new(1_600);
+const JOIN_ANNOUNCE_DELAY: Millis = Millis::new(1_600);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
-const SHOW: Millis = Millis::new(2_000);
+const MEMBERS_SHOW_TIMEOUT: Millis = Millis::new(2_000);
 /// After a target appeared, how long others may follow that belong to the
 /// same domain.
-const SETTLE: Millis = Millis::new(600);
+const DOMAIN_SETTLE_TIME: Millis = Millis::new(600);
 /// How long a target that answered no probe counts as dead without another
 /// probe.
-const DEAD: Millis = Millis::new(8_000);
+const DEAD_TARGET_RETENTION: Millis = Millis::new(8_000);
 /// Probes in a row without an answer after which a target counts as dead.
 const DEAD_PROBES: u32 = 2;
 /// Rounds of probes of one group; members that answered all of them live, and
 /// the group stands still for another reason.
 const PROBE_ROUNDS: u32 = 4;
 /// After the first of these rounds, when more may follow.
-const PROBE_REST: Millis = Millis::new(2_000);
+const PROBE_ROUND_INTERVAL: Millis = Millis::new(2_000);
 /// Between two probes of an idle target that was slow.
-const SLOW_GAP: Millis = Millis::new(1_000);
+const SLOW_PROBE_INTERVAL: Millis = Millis::new(1_000);
 /// Between two probes of one target.
-const PROBE_GAP: Millis = Millis::new(140);
+const PROBE_INTERVAL: Millis = Millis::new(140);
 
 /// What the planner wants done next.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -145,8 +145,8 @@
     /// factor on its usual times; over `slow` it counts as slow.
     #[must_use]
     pub fn of_answer(target: &TargetId, answered: Incarnation, pace: f64, slow: f64) -> Self {
-        let told = answered != Incarnation::default();
-        if told && answered != target.incarnation() {
+        let is_named = answered != Incarnation::default();
+        if is_named && answered != target.incarnation() {
             Self::Restarted
         } else if pace >= slow {
             Self::Slow
@@ -177,8 +177,8 @@
     formed: BTreeSet<GroupRef>,
     /// When a join of each group last got no answer, this planner's or its predecessor's.
     unanswered: BTreeMap<GroupRef, Millis>,
-    /// When the planner before this one last told of such joins.
-    told: Option<Millis>,
+    /// When such joins of other planners were last announced.
+    announced: Option<Millis>,
     /// The highest epoch of the joins that each target was given in that term.
     joined: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last look.
@@ -267,7 +267,7 @@
         let fresh =
             |id: &&TargetId| bound.contains(id.instance()) || self.may_be_bound(view, id, now);
         free.extend(single.filter(|id| !fresh(id)).cloned());
-        self.tend_planned(view, now, &mut actions);
+        self.advance_planned(view, now, &mut actions);
         self.ask_slow(view, &free, now, &mut actions);
         self.drop_taken(&mut free, view, now);
         self.form(view, &survey, &mut free, now, &mut actions);
@@ -285,9 +285,15 @@
                     planned.taken.insert(target.clone());
                 }
             }
-            (Order::Join { to, taken, .. }, OrderReply::Unknown) => {
+            (
+                Order::Join {
+                    to, orders_taken, ..
+                },
+                OrderReply::Unknown,
+            ) => {
                 self.unanswered.insert(to.clone(), now);
-                self.revisions.note_late_join(target, to, *taken, now);
+                self.revisions
+                    .note_late_join(target, to, *orders_taken, now);
                 self.count_try(to, target, now);
             }
             // It may have taken another order since its orders were counted.
@@ -320,8 +326,8 @@
     }
 
     /// Takes in how many orders a target reports to have taken in its present life.
-    pub fn counted(&mut self, target: &TargetId, taken: u64, now: Millis) {
-        self.revisions.note_reported(target, taken, now);
+    pub fn counted(&mut self, target: &TargetId, orders_taken: u64, now: Millis) {
+        self.revisions.note_reported(target, orders_taken, now);
     }
 
     /// Takes in what a probe found of a target.
@@ -392,7 +398,12 @@
 
     /// Repeats joins that are still unanswered and drops what is complete or
     /// can no longer become so.
-    fn tend_planned(&mut self, view: &FleetView<'_>, now: Millis, actions: &mut Vec<FleetAction>) {
+    fn advance_planned(
+        &mut self,
+        view: &FleetView<'_>,
+        now: Millis,
+        actions: &mut Vec<FleetAction>,
+    ) {
         let groups: Vec<GroupRef> = self.planned.keys().cloned().collect();
         for group in groups {
             let Some(planned) = self.planned.get(&group) else {
@@ -441,7 +452,9 @@
         }
         let busy = |id: &TargetId| {
             let slot = (id.clone(), "stage");
-            self.given.get(&slot).is_some_and(|at| now - *at < REPEAT)
+            self.given
+                .get(&slot)
+                .is_some_and(|at| now - *at < ORDER_RETRY_INTERVAL)
         };
         let exposed = |id: &TargetId| self.revisions.is_exposed(id, now);
         free.retain(|id| self.is_usable(id, view) && !busy(id) && !exposed(id));
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -9,7 +9,7 @@
 use super::demand::shortage;
 use super::loads::most_calm;
 use super::survey::Survey;
-use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
+use super::{DOMAIN_SETTLE_TIME, FleetAction, FleetPlanner, FleetView};
 
 /// The kind of order by which a target joins a group.
 const JOIN: &str = "join";
@@ -88,12 +88,12 @@
     }
 
     /// The order to join, for a member that has taken some orders before.
-    fn join(&self, group: &GroupRef, taken: u64) -> Order {
+    fn join(&self, group: &GroupRef, orders_taken: u64) -> Order {
         Order::Join {
             to: group.clone(),
             model: self.model.clone(),
             members: self.members.clone(),
-            taken,
+            orders_taken,
         }
     }
 }
@@ -151,7 +151,7 @@
             let why = "the model is short of groups";
             self.give_joins(planned, &best.members, why, now, actions, view);
         }
-        if view.calm && !self.held_back && now - self.grown >= SETTLE {
+        if view.calm && !self.held_back && now - self.grown >= DOMAIN_SETTLE_TIME {
             self.form_standby(view, free, now, actions);
         }
     }
@@ -264,7 +264,7 @@
 
     fn is_allowed(&mut self, view: &FleetView<'_>, candidate: &Candidate<'_>, now: Millis) -> bool {
         let largest = view.engine.models.iter().map(|m| m.size as usize).max();
-        let settled = now - self.grown >= SETTLE;
+        let settled = now - self.grown >= DOMAIN_SETTLE_TIME;
         // Until all domains are listed, none is filled up.
         let early = Some(candidate.members.len()) != largest || candidate.left < SPARES;
         if view.calm && !settled && early {
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,7 +5,10 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::{AVOID, DEAD, FleetPlanner, FleetView, LATE_ORDER, PROBE_REST};
+use super::{
+    AVOID_TIME, DEAD_TARGET_RETENTION, FleetPlanner, FleetView, LATE_ORDER_TIMEOUT,
+    PROBE_ROUND_INTERVAL,
+};
 
 /// How long a spare may take until it shows the weights that it was told to
 /// load: the longest load of the known engines, beside several others.
@@ -58,13 +61,15 @@
     /// Takes in how the fleet stands, and forgets what has become old.
     pub(super) fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
         self.began.get_or_insert(now);
-        self.avoid.retain(|_, at| now - *at < AVOID);
-        self.silent.retain(|_, (_, at)| now - *at < DEAD);
+        self.avoid.retain(|_, at| now - *at < AVOID_TIME);
+        self.silent
+            .retain(|_, (_, at)| now - *at < DEAD_TARGET_RETENTION);
         self.most = self.most.max(targets.len());
-        self.given.retain(|_, at| now - *at < AVOID);
-        self.rounds.retain(|_, (_, at)| now - *at < PROBE_REST);
-        self.asked.retain(|_, at| now - *at < PROBE_REST);
-        self.probed.retain(|_, at| now - *at < AVOID);
+        self.given.retain(|_, at| now - *at < AVOID_TIME);
+        self.rounds
+            .retain(|_, (_, at)| now - *at < PROBE_ROUND_INTERVAL);
+        self.asked.retain(|_, at| now - *at < PROBE_ROUND_INTERVAL);
+        self.probed.retain(|_, at| now - *at < AVOID_TIME);
         self.staging.retain(|id, (model, at)| {
             let target = targets.get(id);
             let waits = target.is_some_and(|t| !t.staged.contains(model));
@@ -124,7 +129,8 @@
         self.formed
             .retain(|group| shown.contains(group) || planned.contains_key(group));
         self.waiting.retain(|_, (_, until)| now < *until);
-        self.unanswered.retain(|_, at| now - *at < LATE_ORDER);
+        self.unanswered
+            .retain(|_, at| now - *at < LATE_ORDER_TIMEOUT);
         self.joined.retain(|id, _| targets.contains_key(id));
         self.revisions.retain(|id| targets.contains_key(id), now);
         self.cut.retain(|group| shown.contains(group));
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -8,7 +8,8 @@
 
 use super::survey::{Standing, Verdict};
 use super::{
-    FleetAction, FleetPlanner, FleetView, PROBE_GAP, PROBE_REST, PROBE_ROUNDS, REPEAT, SLOW_GAP,
+    FleetAction, FleetPlanner, FleetView, ORDER_RETRY_INTERVAL, PROBE_INTERVAL,
+    PROBE_ROUND_INTERVAL, PROBE_ROUNDS, SLOW_PROBE_INTERVAL,
 };
 
 impl FleetPlanner {
@@ -128,7 +129,11 @@
         actions: &mut Vec<FleetAction>,
     ) -> bool {
         let slot = (target.clone(), order.name());
-        if self.given.get(&slot).is_some_and(|at| now - *at < REPEAT) {
+        if self
+            .given
+            .get(&slot)
+            .is_some_and(|at| now - *at < ORDER_RETRY_INTERVAL)
+        {
             return false;
         }
         self.given.insert(slot, now);
@@ -153,7 +158,7 @@
         let slow = self.slow.iter().filter(|id| free.contains(*id));
         let slow: Vec<&Target> = slow.filter_map(|id| view.targets.get(id)).collect();
         for target in slow {
-            self.probe(target, SLOW_GAP, now, actions);
+            self.probe(target, SLOW_PROBE_INTERVAL, now, actions);
         }
     }
 
@@ -165,7 +170,7 @@
         actions: &mut Vec<FleetAction>,
     ) {
         if self.revisions.needs_report(&target.id, now) {
-            self.probe(target, PROBE_GAP, now, actions);
+            self.probe(target, PROBE_INTERVAL, now, actions);
         }
     }
 
@@ -212,7 +217,7 @@
             return;
         };
         let rounds = self.rounds.entry(leader.id.clone()).or_insert((0, now));
-        if now - rounds.1 >= PROBE_REST {
+        if now - rounds.1 >= PROBE_ROUND_INTERVAL {
             *rounds = (0, now);
         }
         if rounds.0 >= PROBE_ROUNDS {
@@ -237,7 +242,7 @@
         let probes = actions.len();
         for member in &standing.members {
             if view.targets.contains_key(&member.id) {
-                self.probe(member, PROBE_GAP, now, actions);
+                self.probe(member, PROBE_INTERVAL, now, actions);
             }
         }
         actions.len() > probes
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -19,7 +19,8 @@
 
 use super::survey::Standing;
 use super::{
-    FleetAction, FleetPlanner, FleetView, LATE_ORDER, LEADER_WORKS, TOLD_AFTER, is_elsewhere,
+    FleetAction, FleetPlanner, FleetView, JOIN_ANNOUNCE_DELAY, LATE_ORDER_TIMEOUT,
+    LEADER_DRAIN_TIMEOUT, is_elsewhere,
 };
 
 /// How far the clock of a target may be off, by which it tells when it started.
@@ -27,9 +28,9 @@
 
 /// Groups that a planner tells of at once. With more, their members may be released early by
 /// a successor, if its predecessor is lost while as many joins are under way.
-const MAX_TOLD: usize = 200;
+const MAX_ANNOUNCED: usize = 200;
 
-/// Groups of which a join may be carried out late, as another daemon told.
+/// Groups of which a join may be carried out late, as another daemon announced.
 ///
 /// The planner tells, and whoever has watched for so long that it knows of all; joins of
 /// other groups that they saw are not late.
@@ -58,45 +59,52 @@
 
     /// Whether an order that was given before could open a group that does not serve.
     pub(super) fn may_open_late(&self, group: &GroupRef, standing: &Standing<'_>) -> bool {
-        let told = self.opening.contains_key(group);
+        let ordered = self.opening.contains_key(group);
         let broken = standing.leader_state() == Some(MemberState::Broken);
         let others = !self.formed.contains(group) && !broken;
-        (told || others) && !self.left.contains(group)
+        (ordered || others) && !self.left.contains(group)
     }
 
     /// The groups of which a join may be carried out late.
     pub fn late_joins(&self, now: Millis) -> Vec<GroupRef> {
-        let young = self.seen.iter().filter(|(_, at)| now - **at < LATE_ORDER);
+        let young = self
+            .seen
+            .iter()
+            .filter(|(_, at)| now - **at < LATE_ORDER_TIMEOUT);
         let young = young.map(|(group, _)| group);
         let known = self.unanswered.keys().chain(young);
         let late: BTreeSet<&GroupRef> = known.filter(|g| self.may_join_late(g, now)).collect();
-        late.into_iter().take(MAX_TOLD).cloned().collect()
+        late.into_iter().take(MAX_ANNOUNCED).cloned().collect()
     }
 
-    /// Takes in which joins may be late, as another daemon told.
-    pub fn hear_late(&mut self, told: &LateJoins) {
-        for group in &told.groups {
-            self.unanswered.entry(group.clone()).or_insert(told.at);
+    /// Applies another daemon's announcement of the joins that may be late.
+    pub fn receive_late_joins(&mut self, announced: &LateJoins) {
+        for group in &announced.groups {
+            self.unanswered.entry(group.clone()).or_insert(announced.at);
         }
-        self.told = self.told.max(Some(told.at));
+        self.announced = self.announced.max(Some(announced.at));
     }
 
     /// Whether this planner knows of all late joins: it has watched for so long, or heard
     /// one that has.
     pub fn knows_late_joins(&self, now: Millis) -> bool {
         self.began.is_some_and(|at| {
-            let heard = self.told.is_some_and(|told| told - at >= TOLD_AFTER);
-            heard || now - at >= LATE_ORDER
+            let announced = self
+                .announced
+                .is_some_and(|last| last - at >= JOIN_ANNOUNCE_DELAY);
+            announced || now - at >= LATE_ORDER_TIMEOUT
         })
     }
 
     /// Whether a join of a group may be carried out late and bring a member back that left:
-    /// one without an answer, or one of another planner's that had not told of it yet.
+    /// one without an answer, or one of another planner that had not announced it yet.
     pub(super) fn may_join_late(&self, group: &GroupRef, now: Millis) -> bool {
-        let is_late = |at: &Millis| now - *at < LATE_ORDER;
+        let is_late = |at: &Millis| now - *at < LATE_ORDER_TIMEOUT;
         let seen = self.seen.get(group).filter(|at| {
-            let told = self.told.is_some_and(|told| told - **at >= TOLD_AFTER);
-            !told && !self.formed.contains(group)
+            let announced = self
+                .announced
+                .is_some_and(|last| last - **at >= JOIN_ANNOUNCE_DELAY);
+            !announced && !self.formed.contains(group)
         });
         seen.is_some_and(is_late) || self.unanswered.get(group).is_some_and(is_late)
     }
@@ -116,7 +124,7 @@
         if self.rosters.len() == shown.len() {
             return;
         }
-        let until = now + LEADER_WORKS;
+        let until = now + LEADER_DRAIN_TIMEOUT;
         let ended = |group: &GroupRef| {
             let leader = self.leaders.get(group);
             let over = leader.is_some_and(|id| self.ended.contains(id));
@@ -132,9 +140,11 @@
     /// Whether a target in no group may have started again a moment ago, as a member of a
     /// group whose leader serves on: a planner that has just started cannot know.
     pub(super) fn may_be_bound(&self, view: &FleetView<'_>, id: &TargetId, now: Millis) -> bool {
-        let knows = self.began.is_some_and(|at| now - at >= LEADER_WORKS);
+        let knows = self
+            .began
+            .is_some_and(|at| now - at >= LEADER_DRAIN_TIMEOUT);
         let age = view.wall.abs_diff(id.incarnation().get());
-        !view.calm && !knows && age < (LEADER_WORKS + CLOCK_JUMP).get()
+        !view.calm && !knows && age < (LEADER_DRAIN_TIMEOUT + CLOCK_JUMP).get()
     }
 
     /// Has the members of a group leave it whose leader cannot be told to end it.
--- a/crates/thistlesill-policy/src/edge/fleet/revisions.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/revisions.rs
@@ -12,7 +12,7 @@
 use thistlesill_core::edge::{GroupRef, Order, OrderReply, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::LATE_ORDER;
+use super::LATE_ORDER_TIMEOUT;
 
 /// How old a target's report of itself may be.
 const REPORT_AGE: Millis = Millis::new(400);
@@ -35,7 +35,7 @@
     pub(super) fn begin_term(&mut self, is_first: bool, now: Millis) {
         self.known.clear();
         if !is_first {
-            self.inherited = now + LATE_ORDER;
+            self.inherited = now + LATE_ORDER_TIMEOUT;
         }
     }
 
@@ -115,6 +115,7 @@
     pub(super) fn retain(&mut self, is_listed: impl Fn(&TargetId) -> bool, now: Millis) {
         self.known.retain(|id, _| is_listed(id));
         self.ordered.retain(|_, at| now - *at < REPORT_AGE);
-        self.unguarded.retain(|_, (_, at)| now - *at < LATE_ORDER);
+        self.unguarded
+            .retain(|_, (_, at)| now - *at < LATE_ORDER_TIMEOUT);
     }
 }
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -16,7 +16,7 @@
 use super::forming::BELOW_FAIR;
 use super::loads::most_calm;
 use super::survey::Survey;
-use super::{FleetAction, FleetPlanner, FleetView, SETTLE};
+use super::{DOMAIN_SETTLE_TIME, FleetAction, FleetPlanner, FleetView};
 
 /// How much more another model must need a target than the one whose weights
 /// it holds before it loads the other's: a load takes a while, and the model
@@ -112,7 +112,7 @@
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
-        let settled = now - self.grown >= SETTLE;
+        let settled = now - self.grown >= DOMAIN_SETTLE_TIME;
         let late = settled && !self.held_back && self.loading(view) < most_calm(view.engine);
         if view.calm && !late {
             return;
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -5,7 +5,10 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, ModelPlan, Target, TargetId};
 
-use super::{FleetPlanner, FleetView, LEADER_ENDS, LEADER_GONE, LEADER_WORKS, SHOW};
+use super::{
+    FleetPlanner, FleetView, LEADER_CLOSE_TIMEOUT, LEADER_DRAIN_TIMEOUT, LEADER_GONE_TIMEOUT,
+    MEMBERS_SHOW_TIMEOUT,
+};
 
 /// What a group needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -145,7 +148,7 @@
     /// Whether a target has been off the list for so long that it is gone.
     fn is_gone(&self, id: &TargetId, now: Millis) -> bool {
         let missing = self.missing.get(id);
-        missing.is_some_and(|since| now - *since >= LEADER_GONE)
+        missing.is_some_and(|since| now - *since >= LEADER_GONE_TIMEOUT)
     }
 
     fn judge_state(
@@ -223,7 +226,10 @@
         if self.standby.contains(group) {
             return Verdict::Standby;
         }
-        let young = self.seen.get(group).is_none_or(|at| now - *at < SHOW);
+        let young = self
+            .seen
+            .get(group)
+            .is_none_or(|at| now - *at < MEMBERS_SHOW_TIMEOUT);
         let plan = standing.model().and_then(|model| view.engine.plan(model));
         match plan {
             Some(plan) if standing.members.len() >= plan.size as usize && ready => {
@@ -267,9 +273,9 @@
             .unwrap_or(now);
         // A planner that has just started does not know who led, and can tell no
         // leader to stop: a target was in two groups on 1 of 120 drawn days.
-        let gone = leader.map_or(LEADER_WORKS, |_| LEADER_GONE);
+        let gone = leader.map_or(LEADER_DRAIN_TIMEOUT, |_| LEADER_GONE_TIMEOUT);
         match now - since {
-            time if time < LEADER_ENDS => Verdict::Dismiss,
+            time if time < LEADER_CLOSE_TIMEOUT => Verdict::Dismiss,
             time if time < gone => Verdict::Stop,
             _ => Verdict::Release,
         }
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -23,34 +23,34 @@
 /// Targets that are lost in a row under a request before it is withheld. One or two can be
 /// lost for other reasons, or for another request that ran there: what shares a target with
 /// a fatal one is sent elsewhere, and may meet it once more.
-const LOST: usize = 3;
+const LOSSES_UNTIL_WITHHELD: usize = 3;
 /// For how long a request is withheld before it is first tried: about as long as another
 /// group takes to form, and short against the time that the callers of what was only lost
 /// beside it wait.
-const FIRST: Millis = Millis::new(1_000);
+const FIRST_HOLD: Millis = Millis::new(1_000);
 /// For how long the second one of two requests is withheld that were tried at once and are
 /// tried again: long enough for the trial of the first one.
-const SECOND_IN_TURN: Millis = Millis::new(2_500);
+const REPEATED_TRIAL_HOLD: Millis = Millis::new(2_500);
 /// For how long it is withheld after its first trial ended a target.
-const SECOND: Millis = Millis::new(120_000);
+const SECOND_HOLD: Millis = Millis::new(120_000);
 /// How many times longer it is withheld after each further one.
-const LONGER: u32 = 10;
+const HOLD_FACTOR: u32 = 10;
 /// The longest of these times: two more trials of it a day cost less than a request that is
 /// withheld for what was mended meanwhile.
-const LONGEST: Millis = Millis::new(12 * 3_600_000);
+const MAX_HOLD: Millis = Millis::new(12 * 3_600_000);
 /// How long a trial may take before there is another one: longer than callers wait for
 /// answers.
-const TRIAL: Millis = Millis::new(10_000);
+const TRIAL_TIMEOUT: Millis = Millis::new(10_000);
 /// When the caller of a request may come back that waits for the trial of another one: it
 /// takes some tenths of a second until that ends its target.
-const TURN: Millis = Millis::new(300);
+const TRIAL_RETRY_AFTER: Millis = Millis::new(300);
 /// Targets that are remembered of a request.
 const MAX_LOST: usize = 8;
 /// How long a loss is remembered under a request that is not withheld.
-const REMEMBERED: Millis = Millis::new(300_000);
+const LOSS_RETENTION: Millis = Millis::new(300_000);
 /// How long a request that was withheld is remembered after it may be tried, and one that
 /// was cleared: longer than daemons can be apart without having forgotten each other.
-const KEPT: Millis = Millis::new(600_000);
+const VERDICT_RETENTION: Millis = Millis::new(600_000);
 /// Requests that are remembered, at most; each takes some 200 bytes. The oldest that are not
 /// withheld go first.
 const MAX_KNOWN: usize = 4_096;
@@ -133,7 +133,7 @@
         if level == 0 {
             self.lost.clear();
         }
-        self.forget = self.until + KEPT;
+        self.forget = self.until + VERDICT_RETENTION;
     }
 
     /// Begins a further verdict that also replaces one which another daemon decided at the
@@ -171,7 +171,9 @@
         match self.cases.get(&print) {
             Some(case) if case.is_tried(now) => Standing::Tried(case.until - now),
             Some(case) if case.is_withheld(now) => Standing::Withheld(case.until - now),
-            Some(case) if case.level > 0 && self.is_trial_on(now) => Standing::Withheld(TURN),
+            Some(case) if case.level > 0 && self.is_trial_on(now) => {
+                Standing::Withheld(TRIAL_RETRY_AFTER)
+            }
             Some(case) if case.level > 0 => Standing::Trial,
             _ => Standing::Free,
         }
@@ -186,7 +188,7 @@
     /// Notes that a request is tried now. Until that has an outcome others withhold it.
     pub fn begin_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
         let case = self.cases.get_mut(&print)?;
-        case.decide(case.level, TRIAL, now);
+        case.decide(case.level, TRIAL_TIMEOUT, now);
         case.trial = true;
         Some(case.verdict(print, now))
     }
@@ -195,7 +197,7 @@
     /// to be told if it was still on.
     pub fn end_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
         let case = self.cases.get_mut(&print).filter(|c| c.is_tried(now))?;
-        case.decide(case.level, FIRST, now);
+        case.decide(case.level, FIRST_HOLD, now);
         Some(case.verdict(print, now))
     }
 
@@ -205,12 +207,12 @@
         self.make_room(print);
         let case = self.cases.entry(print).or_default();
         case.note_lost(target);
-        case.forget = case.forget.max(now + REMEMBERED);
+        case.forget = case.forget.max(now + LOSS_RETENTION);
         if case.is_withheld(now) && !case.trial {
             // It was sent before that was known.
             return None;
         }
-        if case.level == 0 && case.lost.len() < LOST {
+        if case.level == 0 && case.lost.len() < LOSSES_UNTIL_WITHHELD {
             return None;
         }
         if case.is_tried(now) {
@@ -249,7 +251,11 @@
     ) -> Option<Verdict> {
         let time_of_trial = |one: Fingerprint| {
             let is_first = one <= print && rivals.iter().all(|rival| one <= *rival);
-            if is_first { FIRST } else { SECOND_IN_TURN }
+            if is_first {
+                FIRST_HOLD
+            } else {
+                REPEATED_TRIAL_HOLD
+            }
         };
         for rival in rivals {
             if let Some(case) = self.cases.get_mut(rival)
@@ -303,27 +309,27 @@
         Some(case.verdict(print, now))
     }
 
-    /// Takes in what another daemon told; returns whether it is news.
-    pub fn hear(&mut self, told: Verdict, now: Millis) -> bool {
-        let known = self.cases.get(&told.print);
-        if told.round == 0 {
+    /// Applies a verdict that another daemon broadcast; returns whether it changed anything.
+    pub fn receive(&mut self, received: Verdict, now: Millis) -> bool {
+        let known = self.cases.get(&received.print);
+        if received.round == 0 {
             let cleared = known.is_some_and(|case| case.round == 0);
-            return cleared && self.cases.remove(&told.print).is_some();
+            return cleared && self.cases.remove(&received.print).is_some();
         }
         let (round, level, until) =
             known.map_or((0, 0, Millis::ZERO), |c| (c.round, c.level, c.until));
         // Two daemons may decide at the same moment; the stricter verdict holds for both.
-        let stricter = (told.level, now + told.left) > (level, until);
-        let is_news = told.round > round || (told.round == round && stricter);
-        if !is_news {
+        let stricter = (received.level, now + received.left) > (level, until);
+        let is_newer = received.round > round || (received.round == round && stricter);
+        if !is_newer {
             return false;
         }
-        self.make_room(told.print);
-        let case = self.cases.entry(told.print).or_default();
-        case.decide(told.level, told.left, now);
-        case.round = told.round;
-        case.trial = told.trial;
-        self.clear_beside(&told, now);
+        self.make_room(received.print);
+        let case = self.cases.entry(received.print).or_default();
+        case.decide(received.level, received.left, now);
+        case.round = received.round;
+        case.trial = received.trial;
+        self.clear_beside(&received, now);
         true
     }
 
@@ -373,10 +379,10 @@
 /// For how long a request is withheld that was withheld so often in a row.
 fn time_of(level: u32) -> Millis {
     let Some(further) = level.checked_sub(2) else {
-        return FIRST;
+        return FIRST_HOLD;
     };
-    let longer = u64::from(LONGER).saturating_pow(further);
-    Millis::new(SECOND.get().saturating_mul(longer)).min(LONGEST)
+    let longer = u64::from(HOLD_FACTOR).saturating_pow(further);
+    Millis::new(SECOND_HOLD.get().saturating_mul(longer)).min(MAX_HOLD)
 }
 
 /// A number for a verdict. Fingerprints are spread evenly already, and it is computed for
--- a/crates/thistlesill-policy/src/router/core/fatal.rs
+++ b/crates/thistlesill-policy/src/router/core/fatal.rs
@@ -89,7 +89,7 @@
             self.quarantine.note_lost(*print, &key, now);
         }
         for verdict in &told.verdicts {
-            self.quarantine.hear(*verdict, now);
+            self.quarantine.receive(*verdict, now);
         }
     }
 
--- a/crates/thistlesill-policy/tests/edge/restarts.rs
+++ b/crates/thistlesill-policy/tests/edge/restarts.rs
@@ -218,7 +218,7 @@
         },
         model: "large".into(),
         members: vec!["i-999".into(), members[1].clone()],
-        taken: stage.engines.taken(&members[1]),
+        orders_taken: stage.engines.orders_taken(&members[1]),
     };
     stage.engines.order(&members[1], &stray, stage.now);
     stage.run(STEP);
@@ -255,7 +255,7 @@
         to: group.clone(),
         model: "large".into(),
         members: members.clone(),
-        taken: 0,
+        orders_taken: 0,
     };
     let new = stage.engines.restart(&leader, AGAIN).expect("known");
     // The new life knows no epoch and takes it.
--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -99,9 +99,9 @@
         };
         let (by_planner, by_watcher) = (told(&self.stage.planner), told(&self.watcher));
         if let Some(told) = &by_planner {
-            self.watcher.hear_late(told);
+            self.watcher.receive_late_joins(told);
         } else if let Some(told) = &by_watcher {
-            self.stage.planner.hear_late(told);
+            self.stage.planner.receive_late_joins(told);
         }
     }
 
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -154,7 +154,7 @@
                     };
                     self.planner.probed(&target, found, self.now);
                     if reached && self.engines.life(&target).as_ref() == Some(&target) {
-                        let taken = self.engines.taken(&target);
+                        let taken = self.engines.orders_taken(&target);
                         self.planner.counted(&target, taken, self.now);
                     }
                 }
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -109,21 +109,21 @@
 fn a_trial_that_ends_well_clears_it_everywhere() {
     let (mut here, verdict) = lost(print(1), 0..3);
     let mut there = Quarantine::default();
-    assert!(there.hear(verdict.expect("it is withheld"), after(300)));
+    assert!(there.receive(verdict.expect("it is withheld"), after(300)));
     let later = after(2_000);
     let trial = here.begin_trial(print(1), later).expect("it may be tried");
-    assert!(there.hear(trial, later));
+    assert!(there.receive(trial, later));
     assert!(matches!(
         there.standing(print(1), later),
         Standing::Tried(_)
     ));
     let good = here.note_good(print(1), later).expect("that is news");
-    assert!(there.hear(good, later));
+    assert!(there.receive(good, later));
     for known in [&here, &there] {
         assert_eq!(known.standing(print(1), later), Standing::Free);
     }
     // A daemon that was apart and tells the old verdict changes nothing.
-    assert!(!there.hear(verdict.expect("it was withheld"), later));
+    assert!(!there.receive(verdict.expect("it was withheld"), later));
     assert_eq!(here.digest(), there.digest());
 }
 
@@ -201,7 +201,7 @@
     let (mut here, _) = lost(print(1), 0..2);
     let (mut there, _) = lost(print(1), 0..2);
     let good = here.note_good(print(1), after(500)).expect("that is news");
-    assert!(there.hear(good, after(500)));
+    assert!(there.receive(good, after(500)));
     assert!(here.is_empty() && there.is_empty());
 }
 
@@ -246,7 +246,7 @@
                 let told = daemons[from].verdicts(now);
                 for to in &mut daemons {
                     for verdict in &told {
-                        to.hear(*verdict, now);
+                        to.receive(*verdict, now);
                     }
                 }
             }
@@ -281,16 +281,16 @@
     let by_a = a.begin_trial(beside, tried).expect("it is withheld");
     let by_b = b.begin_trial(fatal, tried).expect("it is withheld");
     // Each hears of the other's trial some milliseconds later.
-    a.hear(by_b, after(1_303));
-    b.hear(by_a, after(1_303));
+    a.receive(by_b, after(1_303));
+    b.receive(by_a, after(1_303));
     let ended = after(1_320);
     let by_a = a.note_lost(beside, &target(9), ended);
     let by_b = b.note_lost(fatal, &target(9), ended);
     if let Some(verdict) = by_b {
-        a.hear(verdict, after(1_323));
+        a.receive(verdict, after(1_323));
     }
     if let Some(verdict) = by_a {
-        b.hear(verdict, after(1_323));
+        b.receive(verdict, after(1_323));
     }
     // A fatal request is withheld for two minutes; this one may be tried again soon.
     let left = match a.standing(beside, after(1_330)) {
@@ -312,9 +312,9 @@
     fn deliver(&self, to: &mut Quarantine<TargetId>, part: std::ops::Range<usize>, now: Millis) {
         for message in part {
             match message {
-                0 => drop(to.hear(self.trial, now)),
+                0 => drop(to.receive(self.trial, now)),
                 1 => drop(to.note_lost(self.lost, &target(9), now)),
-                _ => drop(self.verdict.map(|v| to.hear(v, now))),
+                _ => drop(self.verdict.map(|v| to.receive(v, now))),
             }
         }
     }
@@ -356,10 +356,10 @@
         // Daemons whose digests differ ask each other for their verdicts.
         for _ in 0..2 {
             for verdict in a.verdicts(now) {
-                b.hear(verdict, now);
+                b.receive(verdict, now);
             }
             for verdict in b.verdicts(now) {
-                a.hear(verdict, now);
+                a.receive(verdict, now);
             }
         }
         assert_eq!(a.digest(), b.digest(), "{early} messages came early");
