--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -15,9 +15,9 @@
 use std::rc::Rc;
 
 use rand::seq::IndexedRandom;
-use thistlesill_core::edge::TargetId;
+use thistlesill_core::edge::{GroupRef, TargetId};
 use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
-use thistlesill_policy::edge::fleet::Demand;
+use thistlesill_policy::edge::fleet::{Demand, LateJoins};
 use thistlesill_policy::lease::LeaseSeen;
 use tokio::net::UdpSocket;
 
@@ -121,6 +121,11 @@
     pub(crate) dead: Vec<TargetId>,
     /// The same as another planner told last.
     told_dead: Vec<TargetId>,
+    /// Groups whose members may be joined late, if this daemon knows of all.
+    pub(crate) late: Option<Vec<GroupRef>>,
+    /// The same as another daemon told last: the planner, or any while this one has not
+    /// watched for long.
+    pub(crate) told_late: Option<LateJoins>,
 }
 
 impl Peers {
@@ -411,6 +416,12 @@
         peer.going_on.clone_from(&beat.going_on);
         peer.slow.clone_from(&beat.slow);
         peer.busy_at = beat.counts.iter().map(|(id, _)| id.clone()).collect();
+        if let Some(late) = &beat.late
+            && (beat.plans || self.late.is_none())
+        {
+            let groups = late.clone();
+            self.told_late = Some(LateJoins { groups, at: now });
+        }
         if beat.plans {
             self.planner = Some((beat.from.clone(), now));
             self.planner_ended = false;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -144,6 +144,7 @@
         slow: loads.slow(now),
         lease: peers.shown.clone(),
         dead: peers.dead.clone(),
+        late: peers.late.clone(),
         targets: follow::known_targets(edge, now),
         verdicts: edge.cases.digest(),
     }))
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,7 +1,7 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::TargetId;
+use thistlesill_core::edge::{GroupRef, TargetId};
 use thistlesill_core::{Fingerprint, HallId, Millis, Model, NodeId, ServiceName, Verdict};
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::limit::{Grant, ToldLimit};
@@ -81,6 +81,8 @@
     pub(crate) lease: Option<LeaseSeen>,
     /// As planner: targets that answered no probe.
     pub(crate) dead: Vec<TargetId>,
+    /// Groups whose members may be joined late; `None` if it does not know of all.
+    pub(crate) late: Option<Vec<GroupRef>>,
     /// What it read of the targets itself, if it did a short time ago.
     pub(crate) targets: Option<KnownTargets>,
     /// Digest of the verdicts that it knows; 0 without any.
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Catalog, Order, RateLimit, Target, TargetId};
+use thistlesill_core::edge::{Catalog, GroupRef, Order, RateLimit, Target, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
 use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
@@ -192,17 +192,20 @@
         let Some(catalog) = self.edge.catalog() else {
             return;
         };
-        let mut dead = Vec::new();
-        match self.lease.borrow().term(now) {
-            Some(term) => dead = self.plan(&catalog, term, now),
-            None if self.may_succeed(now) => self.watch(&catalog, now),
-            // What it knew would be too old when it begins to watch again.
-            None => self.fleets.borrow_mut().clear(),
-        }
+        let (dead, late) = match self.lease.borrow().term(now) {
+            Some(term) => self.plan(&catalog, term, now),
+            None if self.may_succeed(now) => (Vec::new(), self.watch(&catalog, now)),
+            None => {
+                // What it knew would be too old when it begins to watch again.
+                self.fleets.borrow_mut().clear();
+                (Vec::new(), None)
+            }
+        };
         for target in &dead {
             self.edge
                 .suspect(target, "it or a member of its group answered no probe");
         }
+        self.edge.peers.borrow_mut().late = late;
         self.tell_dead(dead);
     }
 
@@ -214,34 +217,53 @@
         !peers.is_listed() || peers.ahead(&settings.name, away, &settings.hall, now) < SUCCESSORS
     }
 
-    /// Follows the fleets without the lease.
-    fn watch(&self, catalog: &Catalog, now: Millis) {
+    /// Follows the fleets without the lease; returns which groups may be joined late, if it
+    /// knows of all.
+    fn watch(&self, catalog: &Catalog, now: Millis) -> Option<Vec<GroupRef>> {
+        let told = self.edge.peers.borrow_mut().told_late.take();
         let book = self.edge.book.borrow();
         let mut fleets = self.fleets.borrow_mut();
+        let mut late = Some(Vec::new());
         for service in catalog.services().filter(|s| s.engine.is_some()) {
-            if let Some(targets) = book.of(&service.name) {
-                let fleet = fleets.entry(service.name.clone()).or_default();
-                fleet.watch(targets, now);
+            let Some(targets) = book.of(&service.name) else {
+                continue;
+            };
+            let fleet = fleets.entry(service.name.clone()).or_default();
+            if let Some(told) = &told {
+                fleet.receive_late_joins(told);
             }
+            fleet.watch(targets, now);
+            late = add_late_joins(late, fleet, now);
         }
+        late
     }
 
-    /// Does what all fleets need; returns targets that answered no probe.
-    fn plan(self: &Rc<Self>, catalog: &Catalog, term: u64, now: Millis) -> Vec<TargetId> {
+    /// Decides what all fleets need; returns targets that answered no probe, and which
+    /// groups may be joined late, if it knows of all.
+    fn plan(
+        self: &Rc<Self>,
+        catalog: &Catalog,
+        term: u64,
+        now: Millis,
+    ) -> (Vec<TargetId>, Option<Vec<GroupRef>>) {
         let edge = &self.edge;
         let stalled = self.stalled(now);
         let calm = !edge.busy.get() && !edge.peers.borrow().any_busy();
         let slow = self.slow(now);
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
+        let told = edge.peers.borrow_mut().told_late.take();
         let book = edge.book.borrow();
-        let mut dead = Vec::new();
+        let (mut dead, mut late) = (Vec::new(), Some(Vec::new()));
         for service in catalog.services() {
             let (Some(engine), Some(targets)) = (&service.engine, book.of(&service.name)) else {
                 continue;
             };
             let mut fleets = self.fleets.borrow_mut();
             let fleet = fleets.entry(service.name.clone()).or_default();
+            if let Some(told) = &told {
+                fleet.receive_late_joins(told);
+            }
             let demand = self.demand(&service.name, now);
             let rooms = self.rooms(&service.name, targets);
             let view = FleetView {
@@ -260,12 +282,13 @@
             let actions = fleet.step(&view, now);
             self.note_census(&service.name, fleet, &view, now);
             dead.extend(fleet.broken(targets));
+            late = add_late_joins(late, fleet, now);
             drop(fleets);
             for action in actions {
                 self.act(&service.name, action);
             }
         }
-        dead
+        (dead, late)
     }
 
     /// Tells all daemons of targets that answered no probe; at once if one is
@@ -450,3 +473,14 @@
         .write();
     }
 }
+
+/// Adds the late joins of a fleet to those of others, if all are known.
+fn add_late_joins(
+    late: Option<Vec<GroupRef>>,
+    fleet: &FleetPlanner,
+    now: Millis,
+) -> Option<Vec<GroupRef>> {
+    let mut late = late.filter(|_| fleet.knows_late_joins(now))?;
+    late.extend(fleet.late_joins(now));
+    Some(late)
+}
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -30,6 +30,7 @@
 pub use self::demand::{Demand, room};
 use self::forming::Planned;
 use self::loads::LoadRate;
+pub use self::release::LateJoins;
 use self::revisions::Revisions;
 use self::survey::{Survey, Verdict};
 
@@ -51,6 +52,9 @@
 const LEADER_DRAIN_TIMEOUT: Millis = Millis::new(10_000);
 /// How long after it was given an order may be carried out: the platform's longest time.
 const LATE_ORDER_TIMEOUT: Millis = Millis::new(12_000);
+/// Time after a join in which its planner has announced that it got no answer: the
+/// longest wait for one, and three of a planner's beats.
+const JOIN_ANNOUNCE_DELAY: Millis = Millis::new(1_600);
 /// How long the members of a group that another planner formed may take to
 /// show themselves.
 const MEMBERS_SHOW_TIMEOUT: Millis = Millis::new(2_000);
@@ -171,6 +175,10 @@
     left: BTreeSet<GroupRef>,
     /// Groups that this planner formed in its present term.
     formed: BTreeSet<GroupRef>,
+    /// When a join of each group last got no answer, this planner's or its predecessor's.
+    unanswered: BTreeMap<GroupRef, Millis>,
+    /// When such joins of other planners were last announced.
+    announced: Option<Millis>,
     /// The highest epoch of the joins that each target was given in that term.
     joined: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last look.
@@ -283,6 +291,7 @@
                 },
                 OrderReply::Unknown,
             ) => {
+                self.unanswered.insert(to.clone(), now);
                 self.revisions
                     .note_late_join(target, to, *orders_taken, now);
                 self.count_try(to, target, now);
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -5,7 +5,10 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Target, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
-use super::{AVOID_TIME, DEAD_TARGET_RETENTION, FleetPlanner, FleetView, PROBE_ROUND_INTERVAL};
+use super::{
+    AVOID_TIME, DEAD_TARGET_RETENTION, FleetPlanner, FleetView, LATE_ORDER_TIMEOUT,
+    PROBE_ROUND_INTERVAL,
+};
 
 /// How long a spare may take until it shows the weights that it was told to
 /// load: the longest load of the known engines, beside several others.
@@ -126,6 +129,8 @@
         self.formed
             .retain(|group| shown.contains(group) || planned.contains_key(group));
         self.waiting.retain(|_, (_, until)| now < *until);
+        self.unanswered
+            .retain(|_, at| now - *at < LATE_ORDER_TIMEOUT);
         self.joined.retain(|id, _| targets.contains_key(id));
         self.revisions.retain(|id| targets.contains_key(id), now);
         self.cut.retain(|group| shown.contains(group));
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -18,11 +18,30 @@
 use thistlesill_core::edge::{GroupRef, MemberState, Order, TargetId};
 
 use super::survey::Standing;
-use super::{FleetAction, FleetPlanner, FleetView, LEADER_DRAIN_TIMEOUT, is_elsewhere};
+use super::{
+    FleetAction, FleetPlanner, FleetView, JOIN_ANNOUNCE_DELAY, LATE_ORDER_TIMEOUT,
+    LEADER_DRAIN_TIMEOUT, is_elsewhere,
+};
 
 /// How far the clock of a target may be off, by which it tells when it started.
 const CLOCK_JUMP: Millis = Millis::new(5_000);
 
+/// Groups that a planner tells of at once. With more, their members may be released early by
+/// a successor, if its predecessor is lost while as many joins are under way.
+const MAX_ANNOUNCED: usize = 200;
+
+/// Groups of which a join may be carried out late, as another daemon announced.
+///
+/// The planner tells, and whoever has watched for so long that it knows of all; joins of
+/// other groups that they saw are not late.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LateJoins {
+    /// The groups to be joined.
+    pub groups: Vec<GroupRef>,
+    /// When that was heard.
+    pub at: Millis,
+}
+
 impl FleetPlanner {
     /// Notes that a target was given a join, which may be carried out at any later time.
     pub(super) fn note_join(&mut self, target: &TargetId, group: &GroupRef) {
@@ -46,6 +65,50 @@
         (ordered || others) && !self.left.contains(group)
     }
 
+    /// The groups of which a join may be carried out late.
+    pub fn late_joins(&self, now: Millis) -> Vec<GroupRef> {
+        let young = self
+            .seen
+            .iter()
+            .filter(|(_, at)| now - **at < LATE_ORDER_TIMEOUT);
+        let young = young.map(|(group, _)| group);
+        let known = self.unanswered.keys().chain(young);
+        let late: BTreeSet<&GroupRef> = known.filter(|g| self.may_join_late(g, now)).collect();
+        late.into_iter().take(MAX_ANNOUNCED).cloned().collect()
+    }
+
+    /// Applies another daemon's announcement of the joins that may be late.
+    pub fn receive_late_joins(&mut self, announced: &LateJoins) {
+        for group in &announced.groups {
+            self.unanswered.entry(group.clone()).or_insert(announced.at);
+        }
+        self.announced = self.announced.max(Some(announced.at));
+    }
+
+    /// Whether this planner knows of all late joins: it has watched for so long, or heard
+    /// one that has.
+    pub fn knows_late_joins(&self, now: Millis) -> bool {
+        self.began.is_some_and(|at| {
+            let announced = self
+                .announced
+                .is_some_and(|last| last - at >= JOIN_ANNOUNCE_DELAY);
+            announced || now - at >= LATE_ORDER_TIMEOUT
+        })
+    }
+
+    /// Whether a join of a group may be carried out late and bring a member back that left:
+    /// one without an answer, or one of another planner that had not announced it yet.
+    pub(super) fn may_join_late(&self, group: &GroupRef, now: Millis) -> bool {
+        let is_late = |at: &Millis| now - *at < LATE_ORDER_TIMEOUT;
+        let seen = self.seen.get(group).filter(|at| {
+            let announced = self
+                .announced
+                .is_some_and(|last| last - **at >= JOIN_ANNOUNCE_DELAY);
+            !announced && !self.formed.contains(group)
+        });
+        seen.is_some_and(is_late) || self.unanswered.get(group).is_some_and(is_late)
+    }
+
     /// Whether a group's leader shows that it leads it no longer.
     pub(super) fn is_left_by_leader(&self, view: &FleetView<'_>, group: &GroupRef) -> bool {
         let leader = self.leaders.get(group);
--- a/crates/thistlesill-policy/src/edge/fleet/survey.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/survey.rs
@@ -134,10 +134,14 @@
         let doubtful = self.may_open_late(group, standing);
         let leader = self.leaders.get(group);
         let silent = leader.is_some_and(|id| self.is_dead(id) || self.is_gone(id, now));
-        match verdict {
+        let verdict = match verdict {
             Verdict::Void | Verdict::Standby if doubtful && silent => Verdict::Release,
             Verdict::Void | Verdict::Standby if doubtful => Verdict::Dissolve,
             verdict => verdict,
+        };
+        match verdict {
+            Verdict::Release if self.may_join_late(group, now) => Verdict::Stop,
+            verdict => verdict,
         }
     }
 
--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -3,14 +3,14 @@
 //! The planner is the one that ships. What it does not see is drawn from a seed: orders that
 //! are lost, late, doubled or unanswered, engines that are cut off and serve on, lapsed
 //! entries, engines that start again, and successors, most of them just after orders to
-//! join, half of which have not watched the list before.
+//! join, half of which have not watched the list and heard the planner before.
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Incarnation, Order, TargetId};
-use thistlesill_policy::edge::fleet::FleetPlanner;
+use thistlesill_policy::edge::fleet::{FleetPlanner, LateJoins};
 
 use crate::stage::{Fate, STEP, Stage};
 
@@ -22,6 +22,8 @@
 const STEPS: u32 = 600;
 /// Steps before anything goes wrong: groups are formed.
 const CALM: u32 = 80;
+/// Steps between two beats of the planner.
+const BEAT_STEPS: u32 = 4;
 /// How far the clocks of targets are off at most, in milliseconds.
 const CLOCK_OFF: u64 = 4_000;
 /// How far back a breach is explained.
@@ -39,7 +41,7 @@
     cuts: Vec<(TargetId, Millis)>,
     /// Orders to join that were given before this step.
     joins: usize,
-    /// A planner without the lease.
+    /// A planner without the lease, which hears the one that holds it.
     watcher: FleetPlanner,
 }
 
@@ -80,10 +82,29 @@
         }
         let rng = &mut self.rng;
         self.stage.look(|order| fate(order, rng));
+        if number.is_multiple_of(BEAT_STEPS) {
+            self.beat();
+        }
         let listed = self.stage.engines.listed();
         self.watcher.watch(&listed, self.stage.now);
     }
 
+    /// The planner and the watcher tell each other of late joins, if they know.
+    fn beat(&mut self) {
+        let at = self.stage.now;
+        let told = |planner: &FleetPlanner| {
+            let groups = planner.late_joins(at);
+            let knows = planner.knows_late_joins(at);
+            knows.then_some(LateJoins { groups, at })
+        };
+        let (by_planner, by_watcher) = (told(&self.stage.planner), told(&self.watcher));
+        if let Some(told) = &by_planner {
+            self.watcher.receive_late_joins(told);
+        } else if let Some(told) = &by_watcher {
+            self.stage.planner.receive_late_joins(told);
+        }
+    }
+
     fn disturb(&mut self) {
         let now = self.stage.now;
         let healed: Vec<_> = self
@@ -148,9 +169,13 @@
             FleetPlanner::default()
         };
         self.stage.term += 1;
-        let term = self.stage.term;
-        self.stage
-            .note(format!("{SUCCESSION} {term}, watched {watched}"));
+        let (term, knows) = (
+            self.stage.term,
+            self.stage.planner.knows_late_joins(self.stage.now),
+        );
+        self.stage.note(format!(
+            "{SUCCESSION} {term}, watched {watched}, knows late joins {knows}"
+        ));
     }
 
     /// The breach, and what happened before to the engines and groups that it names.
