perf(policy): a life that appears in a planner's own term is used at once

Cause: after a succession every life that took no order waited 12 s for a first order of the predecessor's.

Change: a life that is listed for the first time under this planner does not wait if its instance was a member 12 s ago or was never listed by a planner that has watched for 12 s.

Tests: without the change each of the two new ones is red. The joins' entry of a late order holds its time alone, which is all that was read of it.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -292,8 +292,7 @@
                 OrderReply::Unknown,
             ) => {
                 self.unanswered.insert(to.clone(), now);
-                self.revisions
-                    .note_late_join(target, to, *orders_taken, now);
+                self.revisions.note_late_join(target, *orders_taken, now);
                 self.count_try(to, target, now);
             }
             // It may have taken another order since its orders were counted.
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -53,8 +53,11 @@
         }
         let appeared = |id: &&TargetId| !self.addresses.contains_key(*id);
         let started: Vec<TargetId> = view.targets.keys().filter(appeared).cloned().collect();
+        let has_watched = self.began.is_some_and(|at| now - at >= LATE_ORDER_TIMEOUT);
         for id in &started {
-            self.revisions.note_started(id);
+            let mut earlier = self.addresses.keys().map(TargetId::instance);
+            let is_new = has_watched && !earlier.any(|instance| instance == id.instance());
+            self.revisions.note_appeared(id, is_new, now);
         }
     }
 
@@ -82,6 +85,7 @@
                 .is_none()
             {
                 self.grown = now;
+                self.revisions.note_listed(&target.id);
             }
             self.missing.remove(&target.id);
             let Some(member) = &target.member else {
@@ -97,6 +101,7 @@
                 }
                 (None, _) => {}
             }
+            self.revisions.note_member(&target.id, now);
             self.seen.entry(member.of.clone()).or_insert(now);
             let roster = self.rosters.entry(member.of.clone()).or_default();
             if !roster.contains(&target.id) {
--- a/crates/thistlesill-policy/src/edge/fleet/revisions.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/revisions.rs
@@ -7,9 +7,9 @@
 //! an earlier life without any order; such joins are remembered for as long as they may
 //! arrive.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use thistlesill_core::edge::{GroupRef, Order, OrderReply, TargetId};
+use thistlesill_core::edge::{Order, OrderReply, TargetId};
 use thistlesill_core::{InstanceId, Millis};
 
 use super::LATE_ORDER_TIMEOUT;
@@ -17,17 +17,25 @@
 /// How old a target's report of itself may be.
 const REPORT_AGE: Millis = Millis::new(400);
 
+/// How long an instance is remembered whose entry is gone, or shows no group.
+const ENGAGED_RETENTION: Millis = Millis::new(30_000);
+
 /// The number of orders that each target has taken, as far as it is known.
 #[derive(Debug, Default)]
 pub(super) struct Revisions {
     known: BTreeMap<TargetId, u64>,
     /// When a target was last given an order.
     ordered: BTreeMap<TargetId, Millis>,
-    /// Joins without an answer to lives that had taken no order: the group, and when the
-    /// last one was given.
-    unguarded: BTreeMap<InstanceId, (GroupRef, Millis)>,
+    /// When a join to a life that had taken no order last got no answer.
+    unguarded: BTreeMap<InstanceId, Millis>,
     /// Until when a predecessor's joins of that kind may arrive.
     inherited: Millis,
+    /// Since when the last life of an instance is known to have taken an order, and when it
+    /// was last seen.
+    engaged: BTreeMap<InstanceId, (Millis, Millis)>,
+    /// Lives to which no predecessor gave an order, and whose instances had none of such
+    /// joins under way.
+    cleared: BTreeSet<TargetId>,
 }
 
 impl Revisions {
@@ -44,6 +52,33 @@
         self.known.insert(target.clone(), 0);
     }
 
+    /// Notes a life that was listed for the first time in this planner's term.
+    ///
+    /// A join that an earlier life may have been given as its first order is too old to
+    /// arrive if that life was seen to have taken one long enough ago, or if there was no
+    /// earlier life (`is_new`).
+    pub(super) fn note_appeared(&mut self, target: &TargetId, is_new: bool, now: Millis) {
+        self.note_started(target);
+        let engaged = self.engaged.get(target.instance());
+        let long_ago = engaged.is_some_and(|(since, _)| now - *since >= LATE_ORDER_TIMEOUT);
+        if is_new || long_ago {
+            self.cleared.insert(target.clone());
+        }
+    }
+
+    /// Notes a life that is listed for the first time.
+    pub(super) fn note_listed(&mut self, target: &TargetId) {
+        self.engaged.remove(target.instance());
+    }
+
+    /// Notes that a target is a member of a group, so that it has taken an order.
+    pub(super) fn note_member(&mut self, target: &TargetId, now: Millis) {
+        match self.engaged.get_mut(target.instance()) {
+            Some((_, seen)) => *seen = now,
+            None => drop(self.engaged.insert(target.instance().clone(), (now, now))),
+        }
+    }
+
     /// The number of orders that a target has taken.
     pub(super) fn of(&self, target: &TargetId) -> Option<u64> {
         self.known.get(target).copied()
@@ -78,16 +113,9 @@
     }
 
     /// Takes in a join without an answer, which named `taken` orders.
-    pub(super) fn note_late_join(
-        &mut self,
-        target: &TargetId,
-        to: &GroupRef,
-        taken: u64,
-        now: Millis,
-    ) {
+    pub(super) fn note_late_join(&mut self, target: &TargetId, taken: u64, now: Millis) {
         if taken == 0 {
-            let late = (to.clone(), now);
-            self.unguarded.insert(target.instance().clone(), late);
+            self.unguarded.insert(target.instance().clone(), now);
         }
     }
 
@@ -104,18 +132,22 @@
         }
     }
 
-    /// Whether a later life of a target might take a join of another group than the ones
-    /// that it is given from now on.
+    /// Whether a later life of a target might take a join that an earlier one was given, so
+    /// that the target must not join another group yet.
     pub(super) fn is_exposed(&self, target: &TargetId, now: Millis) -> bool {
         let unguarded = self.unguarded.contains_key(target.instance());
-        unguarded || now < self.inherited && self.of(target) == Some(0)
+        let inherits = now < self.inherited && !self.cleared.contains(target);
+        unguarded || inherits && self.of(target) == Some(0)
     }
 
     /// Forgets targets that are gone and joins that can no longer arrive.
     pub(super) fn retain(&mut self, is_listed: impl Fn(&TargetId) -> bool, now: Millis) {
         self.known.retain(|id, _| is_listed(id));
+        self.cleared.retain(|id| is_listed(id));
+        self.engaged
+            .retain(|_, (_, seen)| now - *seen < ENGAGED_RETENTION);
         self.ordered.retain(|_, at| now - *at < REPORT_AGE);
         self.unguarded
-            .retain(|_, (_, at)| now - *at < LATE_ORDER_TIMEOUT);
+            .retain(|_, at| now - *at < LATE_ORDER_TIMEOUT);
     }
 }
--- a/crates/thistlesill-policy/tests/edge/release.rs
+++ b/crates/thistlesill-policy/tests/edge/release.rs
@@ -140,3 +140,48 @@
     assert!(others(&stage) > 0, "{:?}", stage.orders);
     stage.assert_sound();
 }
+
+/// After an outage of the store most targets of a data centre started again under a planner
+/// that had just taken over; they idled for 12 s, though their earlier lives had been members
+/// of groups for long, so that no first order of theirs could still arrive.
+#[test]
+fn targets_that_start_again_under_a_new_planner_are_used_at_once() {
+    let mut stage = Stage::formed(6);
+    let mut successor = FleetPlanner::default();
+    for _ in 0..130 {
+        stage.step(|_| Fate::Done);
+        successor.watch(&stage.engines.listed(), stage.now);
+    }
+    stage.planner = successor;
+    stage.term = 2;
+    stage.run(secs(2));
+    let (leader, members) = stage.group_of(4);
+    for id in [&leader, &members[1], &members[2], &members[3]] {
+        let born = Incarnation::new(stage.wall());
+        stage.engines.restart(id, born).expect("it is known");
+    }
+    stage.run(secs(4));
+    stage.assert_sound();
+    assert_eq!(stage.sizes(), (6, 6));
+}
+
+/// The same, of instances that nobody has seen before: they have no earlier life.
+#[test]
+fn instances_that_join_the_list_under_a_new_planner_are_used_at_once() {
+    let mut stage = Stage::formed(2);
+    stage.engines.times.load = Millis::new(500);
+    let mut successor = FleetPlanner::default();
+    for _ in 0..130 {
+        stage.step(|_| Fate::Done);
+        successor.watch(&stage.engines.listed(), stage.now);
+    }
+    stage.planner = successor;
+    stage.term = 2;
+    stage.demand.insert("large".into(), 6.0);
+    stage.run(secs(2));
+    let added: Vec<TargetId> = (16..24).map(|number| stage.engines.add(number)).collect();
+    stage.run(secs(4));
+    let joined = added.iter().filter(|id| stage.given("join", id).is_some());
+    assert!(joined.count() >= 4, "{:?}", stage.orders);
+    stage.assert_sound();
+}
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -369,10 +369,11 @@
             for request in [fatal, beside] {
                 if a.standing(request, now) == Standing::Trial {
                     a.begin_trial(request, now);
-                    let _ = match request == fatal {
-                        true => a.note_lost(request, &target(10), now),
-                        false => a.note_good(request, now),
-                    };
+                    if request == fatal {
+                        a.note_lost(request, &target(10), now);
+                    } else {
+                        a.note_good(request, now);
+                    }
                 }
             }
         }
