--- a/crates/thistlesill-policy/tests/edge/release.rs
+++ b/crates/thistlesill-policy/tests/edge/release.rs
@@ -10,6 +10,17 @@
     Millis::new(s * 1_000)
 }
 
+/// Has a planner that watched for 13 s take over.
+fn hand_over(stage: &mut Stage) {
+    let mut successor = FleetPlanner::default();
+    for _ in 0..130 {
+        stage.step(|_| Fate::Done);
+        successor.watch(&stage.engines.listed(), stage.now);
+    }
+    stage.planner = successor;
+    stage.term = 2;
+}
+
 /// A planner cut a group with a slow member, gave its members joins of another one that were
 /// not answered, and was killed. Its successor saw the old group whole and ready, and opened
 /// it; then the joins took effect at its leader and members, while it served.
@@ -147,13 +158,7 @@
 #[test]
 fn targets_that_start_again_under_a_new_planner_are_used_at_once() {
     let mut stage = Stage::formed(6);
-    let mut successor = FleetPlanner::default();
-    for _ in 0..130 {
-        stage.step(|_| Fate::Done);
-        successor.watch(&stage.engines.listed(), stage.now);
-    }
-    stage.planner = successor;
-    stage.term = 2;
+    hand_over(&mut stage);
     stage.run(secs(2));
     let (leader, members) = stage.group_of(4);
     for id in [&leader, &members[1], &members[2], &members[3]] {
@@ -170,13 +175,7 @@
 fn instances_that_join_the_list_under_a_new_planner_are_used_at_once() {
     let mut stage = Stage::formed(2);
     stage.engines.times.load = Millis::new(500);
-    let mut successor = FleetPlanner::default();
-    for _ in 0..130 {
-        stage.step(|_| Fate::Done);
-        successor.watch(&stage.engines.listed(), stage.now);
-    }
-    stage.planner = successor;
-    stage.term = 2;
+    hand_over(&mut stage);
     stage.demand.insert("large".into(), 6.0);
     stage.run(secs(2));
     let added: Vec<TargetId> = (16..24).map(|number| stage.engines.add(number)).collect();
