refactor(policy): lives that appear are noted in the pass that finds them

A planner went over all targets twice at each look, once to find lives that it had not seen and once to remember them, and for each new life over all that it remembers. The first pass is gone, and other lives of an instance are found by the order of ids, with the check that TargetId has already. Decisions are the same.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -239,8 +239,8 @@
 impl FleetPlanner {
     /// Looks at the fleet and decides what to do next.
     pub fn step(&mut self, view: &FleetView<'_>, now: Millis) -> Vec<FleetAction> {
-        self.enter_term(view, now);
-        self.remember(view.targets, now);
+        let plans = self.enter_term(view, now);
+        self.remember(view.targets, plans, now);
         let survey = Survey::new(view);
         let mut actions = Vec::new();
         let mut free = BTreeSet::new();
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -26,7 +26,7 @@
         self.planned.clear();
         self.formed.clear();
         self.joined.clear();
-        self.remember(targets, now);
+        self.remember(targets, false, now);
         for target in targets.values() {
             let Some(member) = target.member.as_ref().filter(|m| m.rank == 0) else {
                 continue;
@@ -45,24 +45,45 @@
     }
 
     /// Notes the term in which the planner plans; in an earlier one, or before, others did.
-    pub(super) fn enter_term(&mut self, view: &FleetView<'_>, now: Millis) {
-        if self.term != Some(view.term) {
+    /// Returns whether it planned in this term before.
+    pub(super) fn enter_term(&mut self, view: &FleetView<'_>, now: Millis) -> bool {
+        let goes_on = self.term == Some(view.term);
+        if !goes_on {
             self.term = Some(view.term);
             self.revisions.begin_term(view.term <= FIRST_TERM, now);
-            return;
         }
-        let appeared = |id: &&TargetId| !self.addresses.contains_key(*id);
-        let started: Vec<TargetId> = view.targets.keys().filter(appeared).cloned().collect();
-        let has_watched = self.began.is_some_and(|at| now - at >= LATE_ORDER_TIMEOUT);
-        for id in &started {
-            let mut earlier = self.addresses.keys().map(TargetId::instance);
-            let is_new = has_watched && !earlier.any(|instance| instance == id.instance());
-            self.revisions.note_appeared(id, is_new, now);
+        goes_on
+    }
+
+    /// Notes a life that is listed for the first time; `plans` tells whether this planner
+    /// alone gave orders since the last look.
+    fn note_listed(&mut self, target: &TargetId, plans: bool, now: Millis) {
+        self.grown = now;
+        if plans {
+            let has_watched = self.began.is_some_and(|at| now - at >= LATE_ORDER_TIMEOUT);
+            let is_new = has_watched && !self.knows_other_life(target);
+            self.revisions.note_appeared(target, is_new, now);
         }
+        self.revisions.note_listed(target);
+    }
+
+    /// Whether another life of a target's instance is remembered.
+    fn knows_other_life(&self, target: &TargetId) -> bool {
+        // Lives of one instance follow each other in the order of ids.
+        let first = TargetId::from(target.instance().clone());
+        let lives = self.addresses.range(first..).map(|(id, _)| id);
+        let mut lives = lives.take_while(|id| id.instance() == target.instance());
+        lives.any(|id| id.is_other_life_of(target))
     }
 
-    /// Takes in how the fleet stands, and forgets what has become old.
-    pub(super) fn remember(&mut self, targets: &HashMap<TargetId, Target>, now: Millis) {
+    /// Takes in how the fleet stands, and forgets what has become old; `plans` tells whether
+    /// this planner alone gave orders since the last look.
+    pub(super) fn remember(
+        &mut self,
+        targets: &HashMap<TargetId, Target>,
+        plans: bool,
+        now: Millis,
+    ) {
         self.began.get_or_insert(now);
         self.avoid.retain(|_, at| now - *at < AVOID_TIME);
         self.silent
@@ -84,8 +105,7 @@
                 .insert(target.id.clone(), target.address)
                 .is_none()
             {
-                self.grown = now;
-                self.revisions.note_listed(&target.id);
+                self.note_listed(&target.id, plans, now);
             }
             self.missing.remove(&target.id);
             let Some(member) = &target.member else {
--- a/crates/thistlesill-policy/tests/edge/search.rs
+++ b/crates/thistlesill-policy/tests/edge/search.rs
@@ -206,8 +206,8 @@
     for number in 0..STEPS {
         search.step(number);
         if let Some(breach) = search.stage.engines.breaches.first() {
-            let told = search.explain(breach);
-            return Some(format!("seed {seed}, step {number}: {told}"));
+            let cause = search.explain(breach);
+            return Some(format!("seed {seed}, step {number}: {cause}"));
         }
     }
     None
