--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -76,6 +76,21 @@
     (limit * WINDOW.as_secs_f64()).ceil() as usize
 }
 
+/// When requests began at a target since a moment, and which daemons sent them.
+fn account(world: &World, target: &str, since: Instant) -> String {
+    let starts = world.targets.ledger.starts_at(target);
+    let after = starts
+        .iter()
+        .filter_map(|at| at.checked_duration_since(since));
+    let begun: Vec<String> = after
+        .map(|time| format!("{} ms", time.as_millis()))
+        .collect();
+    let lines = (0..world.daemons.len()).flat_map(|daemon| world.lines(daemon, "ev=limit_sent"));
+    let mut lines: Vec<String> = lines.filter(|line| line.contains(target)).collect();
+    lines.sort_unstable();
+    format!("begun at {}\n{}", begun.join(", "), lines.join("\n"))
+}
+
 /// The instance that leads the group of the large model.
 fn large_leader(world: &World) -> String {
     let groups = world.targets.serving();
@@ -155,7 +170,8 @@
     let most = most_in_window(&world, "p-0", named + HEARD);
     assert!(
         most <= allowed(1.5),
-        "{most} requests in 4 s, 6 are allowed"
+        "{most} requests in 4 s, 6 are allowed\n{}",
+        account(&world, "p-0", named)
     );
     let all = world.targets.ledger.starts_at("p-0");
     let since = all.iter().filter(|at| **at > named + HEARD).count();
