fix(edge): a grant that was not used at once runs out

Seen once: 7 requests in 4 s at a target that allows 6, while daemons were killed, frozen and stopped. A keeper grants 1.5 a second 0.7 s apart, so a window holds six only as long as no request begins more than 0.2 s after its grant; but a daemon used a grant however long its connection took (0.25 s are allowed), or after it woke from a freeze with the keeper's answer in its socket.

Now a grant may be used for 0.1 s after it was asked for, looked at right before the request is sent, and the burst that a keeper may save is 0.1 s (0.2) of the limit: 0.1 + 0.95 x 4.1 s is within 4 s at any limit. A request without a grant is held back as well when a limit was named after its target was picked. Test: every use of valid grants in every window.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -11,6 +11,7 @@
 use thistlesill_net::lane::{Lane, LaneError, within};
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::Outcome;
+use thistlesill_policy::edge::limit::Clearance;
 
 use crate::flight::InFlight;
 use crate::job::Job;
@@ -83,6 +84,7 @@
 pub(crate) async fn attempt(
     job: &Rc<Job>,
     target: &Target,
+    clearance: Clearance,
     tried: &[TargetId],
     last_event: Option<&str>,
     turn: Turn,
@@ -102,6 +104,10 @@
             return Err(Failure::new(Outcome::NotSent, &error));
         }
     };
+    if !limits::is_cleared(edge, target, clearance) {
+        job.keep_lane(&target.id, lane, None);
+        return Err(Failure::new(Outcome::NotSent, &"its grant ran out"));
+    }
     let request = job.request(target, last_event);
     limits::note_sent(job, target);
     let answer = {
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -18,7 +18,7 @@
 use crate::lanes::most_idle;
 use crate::peers::place;
 use crate::quarantine;
-use crate::state::{Asking, Choice, Edge, PlacedBy};
+use crate::state::{Asking, Edge, Pick};
 
 /// Added to the end of a request's time before an attempt is given up, so
 /// that an answer that a target sends at the very end still arrives.
@@ -131,7 +131,7 @@
     }
 
     /// Picks the next target of the request.
-    pub(crate) async fn pick(&self, tried: &[TargetId]) -> (Choice, PlacedBy) {
+    pub(crate) async fn pick(&self, tried: &[TargetId]) -> Pick {
         place::pick(&self.edge, self.asking(tried)).await
     }
 
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -12,7 +12,9 @@
 use thistlesill_core::edge::{RateLimit, Target, TargetId};
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_platform::caller::{AnswerHead, LimitHeader};
-use thistlesill_policy::edge::limit::{Grant, Heard, LimitReport, LimitTable, ToldLimit};
+use thistlesill_policy::edge::limit::{
+    Clearance, Grant, Heard, LimitReport, LimitTable, ToldLimit,
+};
 use thistlesill_policy::edge::owner::Scope;
 use tokio::sync::Notify;
 
@@ -49,6 +51,11 @@
 }
 
 impl Limits {
+    /// Whether a target names a limit.
+    fn is_limited(&self, id: &TargetId) -> bool {
+        self.table.borrow().limit(id).is_some()
+    }
+
     /// Whether a target may not be sent a request now.
     pub(crate) fn is_spent(&self, id: &TargetId, now: Millis) -> bool {
         self.table.borrow().is_spent(id, now)
@@ -154,24 +161,42 @@
     place::owner(edge, &scope).or_else(|| place::owner_anywhere(edge, &scope))
 }
 
-/// Whether a request may be sent to a target that was picked for it, and for which `permit`
-/// was given with the pick. If not, the target is passed over for a time.
-pub(crate) async fn may_send(edge: &Edge, target: &Target, permit: Permit) -> bool {
-    let limited = edge.limits.table.borrow().limit(&target.id).is_some();
+/// Clears a request for a target that was picked for it at the moment `asked`, with
+/// `permit`. Without a grant, the target is passed over for a time.
+pub(crate) async fn clear(
+    edge: &Edge,
+    target: &Target,
+    permit: Permit,
+    asked: Millis,
+) -> Option<Clearance> {
     match permit {
-        Permit::Given => return true,
-        Permit::NotNeeded if !limited => return true,
+        Permit::Given => return Some(Clearance::granted(asked)),
+        Permit::NotNeeded if !edge.limits.is_limited(&target.id) => {
+            return Some(Clearance::Unlimited);
+        }
         Permit::NotNeeded | Permit::Needed => {}
     }
+    let asked = edge.now();
     let wait = match grant(edge, target).await {
-        Grant::Unlimited | Grant::Granted => return true,
+        Grant::Unlimited | Grant::Granted => return Some(Clearance::granted(asked)),
         Grant::Spent(wait) => wait.max(Millis::new(1)),
         Grant::NotKept => UNKEPT,
     };
     metrics::counter!("thistlesill_edge_limit_denied_total").increment(1);
     let until = edge.now() + wait;
     edge.limits.table.borrow_mut().note_spent(&target.id, until);
-    false
+    None
+}
+
+/// Whether a request that was cleared for a target may still be sent there. A connection
+/// may have taken long to come up, or the daemon may have been frozen with the grant in hand.
+pub(crate) fn is_cleared(edge: &Edge, target: &Target, clearance: Clearance) -> bool {
+    let limited = edge.limits.is_limited(&target.id);
+    let holds = clearance.holds(limited, edge.now());
+    if !holds {
+        metrics::counter!("thistlesill_edge_grants_expired_total").increment(1);
+    }
+    holds
 }
 
 /// Takes a grant, or asks the target's keeper for one.
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -10,7 +10,7 @@
 
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
-use thistlesill_policy::edge::limit::Grant;
+use thistlesill_policy::edge::limit::{Clearance, Grant};
 use thistlesill_policy::edge::load::{Knowledge, Work};
 use thistlesill_policy::edge::owner::{Answering, Scope};
 
@@ -18,7 +18,7 @@
 use super::questions::{self, Questions};
 use super::{Reach, link};
 use crate::limits;
-use crate::state::{Asking, Choice, Edge, PlacedBy};
+use crate::state::{Asking, Choice, Edge, Pick, PlacedBy};
 
 /// Time after its start in which a daemon has heard what its peers have under way.
 const LEARN: Millis = Millis::new(1_200);
@@ -78,21 +78,32 @@
 
 /// Picks a target for a request, or has its owner do so; one that names a limit only with
 /// a grant of its keeper.
-pub(crate) async fn pick(edge: &Edge, asking: Asking<'_>) -> (Choice, PlacedBy) {
+pub(crate) async fn pick(edge: &Edge, asking: Asking<'_>) -> Pick {
     let mut by = PlacedBy::Alone;
     for _ in 0..MAX_DENIED {
         let (choice, permit, placed) = pick_or_ask(edge, &asking).await;
+        let asked = edge.now();
         by = placed;
-        let denied = match &choice {
-            Choice::Target(target) => !limits::may_send(edge, target, permit).await,
-            Choice::Overloaded(_) | Choice::Spent(_) | Choice::Nobody => false,
+        let clearance = match &choice {
+            Choice::Target(target) => limits::clear(edge, target, permit, asked).await,
+            Choice::Overloaded(_) | Choice::Spent(_) | Choice::Nobody => {
+                Some(Clearance::Unlimited)
+            }
         };
-        if !denied {
+        if let Some(clearance) = clearance {
             metrics::counter!("thistlesill_edge_placed_total", "by" => by.name()).increment(1);
-            return (choice, by);
+            return Pick {
+                choice,
+                by,
+                clearance,
+            };
         }
     }
-    (Choice::Spent(Millis::ZERO), by)
+    Pick {
+        choice: Choice::Spent(Millis::ZERO),
+        by,
+        clearance: Clearance::Unlimited,
+    }
 }
 
 async fn pick_or_ask(edge: &Edge, asking: &Asking<'_>) -> (Choice, Permit, PlacedBy) {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -22,7 +22,7 @@
 use crate::quarantine;
 use crate::relay;
 use crate::reply::{self, OutBody};
-use crate::state::{Choice, Edge};
+use crate::state::{Choice, Edge, Pick};
 use crate::track::Track;
 
 /// Answers of plain services up to this size are read whole before the first
@@ -143,7 +143,11 @@
                 track.refuse(ErrorKind::Withheld, Some(left))
             };
         }
-        let (choice, by) = job.pick(&tried).await;
+        let Pick {
+            choice,
+            by,
+            clearance,
+        } = job.pick(&tried).await;
         track.placed(by);
         if tried.is_empty() {
             job.note_asked(!matches!(choice, Choice::Target(_)));
@@ -168,7 +172,7 @@
         tried.push(target.id.clone());
         track.sent(&target);
         let turn = Turn::after(attempts.sent, job.passage.route.attempts);
-        let failure = match attempt(&job, &target, &tried, None, turn).await {
+        let failure = match attempt(&job, &target, clearance, &tried, None, turn).await {
             Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
                 Ok(response) => return response,
                 Err(failure) => failure,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -286,7 +286,8 @@
                 end = ErrorKind::Withheld.name();
                 break;
             }
-            let (Choice::Target(target), _) = job.pick(&self.tried).await else {
+            let pick = job.pick(&self.tried).await;
+            let Choice::Target(target) = pick.choice else {
                 break;
             };
             if job.passage.customer.is_some() && !job.edge.is_fresh() {
@@ -295,7 +296,8 @@
             self.tried.push(target.id.clone());
             let last_event = self.cutter.last().or(job.head.last_event.as_deref());
             let turn = Turn::after(self.attempts.sent, job.passage.route.attempts);
-            match attempt(&job, &target, &self.tried, last_event, turn).await {
+            let clearance = pick.clearance;
+            match attempt(&job, &target, clearance, &self.tried, last_event, turn).await {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.first().cloned().unwrap_or_default();
                     self.track.resumed(&from, &target.id, last_event, why);
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -19,6 +19,7 @@
 use thistlesill_policy::edge::book::TargetBook;
 use thistlesill_policy::edge::freshness::Freshness;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted};
+use thistlesill_policy::edge::limit::Clearance;
 use tokio::sync::Notify;
 
 use crate::lanes::Lanes;
@@ -104,6 +105,14 @@
 
 /// Changes of targets that a daemon heard of and does not have.
 #[derive(Debug, Clone, Copy)]
+/// What was decided on the next attempt of a request.
+pub(crate) struct Pick {
+    pub(crate) choice: Choice,
+    pub(crate) by: PlacedBy,
+    /// Until when the request may be sent to the chosen target.
+    pub(crate) clearance: Clearance,
+}
+
 pub(crate) struct Lack {
     /// Their newest version.
     pub(crate) version: u64,
--- a/crates/thistlesill-policy/src/edge/limit.rs
+++ b/crates/thistlesill-policy/src/edge/limit.rs
@@ -11,11 +11,14 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{RateLimit, TargetId};
 
-/// Part of a limit that is granted. With what may be saved it comes to the limit in any
-/// four seconds, and never to more.
+/// Part of a limit that is granted. With what may be saved and the time for which a grant
+/// may wait it comes to the limit in any four seconds, and never to more.
 const GRANTED: f64 = 0.95;
 /// Time whose requests may be saved up, in seconds, for callers that come together.
-const SAVED: f64 = 0.2;
+const SAVED: f64 = 0.1;
+/// How long a grant may be used after it was asked for. One that a frozen daemon or a slow
+/// connection held back would fall into the same window as grants that were given later.
+const GRANT_VALIDITY: Millis = Millis::new(100);
 /// The lowest rate at which requests are granted, in requests a second: only an answer
 /// tells that a limit was lifted, also one of zero.
 const LEAST: f64 = 0.05;
@@ -121,6 +124,32 @@
 /// Requests that a keeper may still grant.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Savings {
+/// Until when a request that a target was picked for may be sent there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Clearance {
+    /// For as long as the target names no limit.
+    Unlimited,
+    /// Until this moment.
+    Until(Millis),
+}
+
+impl Clearance {
+    /// The clearance by a grant that was asked for at a moment.
+    #[must_use]
+    pub fn granted(asked: Millis) -> Self {
+        Self::Until(asked + GRANT_VALIDITY)
+    }
+
+    /// Whether the request may be sent now to a target that names a limit or none.
+    #[must_use]
+    pub fn holds(self, limited: bool, now: Millis) -> bool {
+        match self {
+            Self::Unlimited => !limited,
+            Self::Until(end) => now <= end,
+        }
+    }
+}
+
     /// Part of the limit that this keeper may grant.
     part: f64,
     requests: f64,
--- a/crates/thistlesill-policy/tests/edge/limit.rs
+++ b/crates/thistlesill-policy/tests/edge/limit.rs
@@ -2,7 +2,9 @@
 
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Incarnation, RateLimit, TargetId};
-use thistlesill_policy::edge::limit::{Grant, Heard, LimitReport, LimitTable, ToldLimit};
+use thistlesill_policy::edge::limit::{
+    Clearance, Grant, Heard, LimitReport, LimitTable, ToldLimit,
+};
 
 /// The time over which what is granted is held against a limit, in milliseconds.
 const WINDOW: u64 = 4_000;
@@ -109,6 +111,39 @@
     }
 }
 
+/// How long a grant may be used after it was asked for, in milliseconds.
+fn validity() -> u64 {
+    let clearance = Clearance::granted(ms(10));
+    let late = (0..WINDOW).find(|late| !clearance.holds(true, ms(10 + late)));
+    late.expect("a grant runs out") - 1
+}
+
+/// A daemon that is frozen with a grant in hand, or whose connection comes up late, begins
+/// its request in a window in which the keeper grants as many as the limit.
+#[test]
+fn grants_used_at_any_moment_while_they_are_valid_keep_to_the_limit() {
+    for named in [0.25, 0.5, 1.0, 1.5, 1.6, 2.0, 5.0, 10.0, 40.0, 250.0] {
+        let mut table = heard(&[report(named, 0, 10)]);
+        table.keep(&target(), 1.0, ms(10));
+        let granted = granted(&mut table, 10, 40_010);
+        let span = WINDOW + validity();
+        let used = |from: u64| {
+            let there = granted.iter().filter(|at| (from..from + span).contains(*at));
+            there.count()
+        };
+        let most = granted.iter().map(|from| used(*from)).max();
+        let allowed = (named * WINDOW as f64 / 1_000.0).ceil() as usize;
+        let most = most.unwrap_or(0);
+        assert!(most <= allowed, "{named}: {most} of {allowed}");
+    }
+}
+
+#[test]
+fn a_request_that_needed_no_grant_is_held_back_when_a_limit_is_named() {
+    assert!(Clearance::Unlimited.holds(false, ms(10)));
+    assert!(!Clearance::Unlimited.holds(true, ms(10)));
+}
+
 #[test]
 fn nothing_is_saved_up_while_nobody_asks() {
     let mut table = heard(&[report(1.5, 0, 10)]);
