--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -4,6 +4,8 @@
 mod answers;
 #[path = "it/calls.rs"]
 mod calls;
+#[path = "it/evacuation.rs"]
+mod evacuation;
 #[path = "it/fatal.rs"]
 mod fatal;
 #[path = "it/keys.rs"]
