feat(edge): the targets of an evacuated data centre get no requests

Cause: no daemon read the operators' rows that evacuate a data centre.

Daemons that read the store take the list from there; every answer to a question about the catalog's proof carries it, with the version of the store at which it held, and so does what a daemon that starts has from a peer. The list of targets that serve leaves those out, so no choice can fall on them, and what was chosen before is looked at again right before it is sent. A daemon of such a data centre asks an owner elsewhere. The planner leaves groups there as they are and counts neither them nor their targets.

--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -6,6 +6,7 @@
 
 mod bounds;
 mod catalog;
+mod evacuation;
 mod incarnation;
 mod limit;
 mod order;
@@ -16,6 +17,7 @@
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
 };
 pub use incarnation::{Incarnation, TargetId};
+pub use evacuation::Evacuations;
 pub use limit::{NoLimit, RateLimit};
 pub use order::{GroupRef, Order, OrderReply};
 pub use target::{MemberState, Membership, Target};
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::limits;
 use crate::quarantine;
 use crate::relay;
+use crate::state::Edge;
 
 /// Time for a connection to a target; targets answer within a few
 /// milliseconds, so a longer wait means a lost packet or a dead machine.
@@ -104,9 +105,9 @@
             return Err(Failure::new(Outcome::NotSent, &error));
         }
     };
-    if !limits::is_cleared(edge, target, clearance) {
+    if let Some(why) = held_back(edge, target, clearance) {
         job.keep_lane(&target.id, lane, None);
-        return Err(Failure::new(Outcome::NotSent, &"its grant ran out"));
+        return Err(Failure::new(Outcome::NotSent, &why));
     }
     let request = job.request(target, last_event);
     limits::note_sent(job, target);
@@ -143,6 +144,17 @@
     }
 }
 
+/// Why a request that a target was picked for is not sent there after all.
+fn held_back(edge: &Edge, target: &Target, clearance: Clearance) -> Option<&'static str> {
+    if edge.book.borrow().is_evacuated(&target.hall) {
+        Some("its data centre is evacuated")
+    } else if !limits::is_cleared(edge, target, clearance) {
+        Some("its grant ran out")
+    } else {
+        None
+    }
+}
+
 /// Ends when a stream is better asked for elsewhere than awaited: its target is silent for
 /// too long, and another one may get it, or this one is known to be dead. Left without
 /// either, 16 of 16 streams of two groups that began 1.2 s late ended as "it may have run";
--- /dev/null
+++ b/crates/thistlesill-edge/src/evacuation.rs
@@ -0,0 +1,56 @@
+//! Takes in which data centres are evacuated.
+
+use thistlesill_core::edge::Evacuations;
+use thistlesill_platform::store::{Content, Rows, evacuated_hall};
+use thistlesill_policy::edge::evacuation::{EvacuationChange, EvacuationTable, ListedHall};
+
+use crate::state::Edge;
+
+/// Takes in what the store answered about the operators' rows, all of them if `whole`.
+pub(crate) fn take_rows(edge: &Edge, rows: &Rows, whole: bool) {
+    let listed = rows.rows.iter().filter_map(|row| {
+        let hall = evacuated_hall(&row.key)?;
+        // Whatever a row holds, the operators wrote it.
+        let evacuated = row.value != Content::Gone;
+        Some(ListedHall { hall, evacuated })
+    });
+    let listed: Vec<ListedHall> = listed.collect();
+    let changes = {
+        let mut table = edge.evacuations.borrow_mut();
+        if whole {
+            table.replace(EvacuationTable::whole(&listed, rows.version))
+        } else {
+            table.apply(&listed, rows.version)
+        }
+    };
+    put(edge, &changes);
+}
+
+/// Takes in the list as a peer knows it.
+pub(crate) fn replace(edge: &Edge, list: Evacuations) {
+    let changes = edge.evacuations.borrow_mut().replace(list);
+    put(edge, &changes);
+}
+
+/// Has changes of the list be in force.
+fn put(edge: &Edge, changes: &[EvacuationChange]) {
+    if changes.is_empty() {
+        return;
+    }
+    let table = edge.evacuations.borrow();
+    let known = table.known();
+    for change in changes {
+        let (event, hall) = match change {
+            EvacuationChange::Begun(hall) => ("evacuation_begun", hall),
+            EvacuationChange::Ended(hall) => ("evacuation_ended", hall),
+        };
+        let line = edge.lines.line(event).with("hall", hall);
+        line.with("version", known.version).write();
+    }
+    metrics::gauge!("thistlesill_edge_evacuated_halls").set(known.halls.len() as f64);
+    let catalog = edge.catalog();
+    edge.book
+        .borrow_mut()
+        .evacuate(&known.halls, catalog.as_deref());
+    edge.fleet_news.notify_one();
+}
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -19,6 +19,7 @@
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_policy::edge::feed::{Batch, Change};
 
+use crate::evacuation;
 use crate::peers::packet::{Ask, Changes, KnownTargets, Packet, Pass, Vouch};
 use crate::peers::{Reach, link};
 use crate::start::Start;
@@ -258,6 +259,7 @@
             catalog,
             age,
             floor: edge.feed.borrow().floor(),
+            evacuated: edge.evacuations.borrow().known().clone(),
         };
         link::tell(edge, &ask.from, &Packet::Vouch(vouch));
     }
@@ -347,6 +349,7 @@
 
 /// Takes in another daemon's word for the catalog.
 pub(crate) fn take_vouch(edge: &Edge, vouch: &Vouch) {
+    evacuation::replace(edge, vouch.evacuated.clone());
     if lags_for_long(edge, vouch.floor) && !reads_targets(edge) {
         have_targets_of(edge, &vouch.from);
     }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 pub mod daemon;
+mod evacuation;
 mod figures;
 mod flight;
 mod follow;
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -1,7 +1,7 @@
 //! Datagrams between daemons.
 
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{GroupRef, TargetId};
+use thistlesill_core::edge::{Evacuations, GroupRef, TargetId};
 use thistlesill_core::{Fingerprint, HallId, Millis, Model, NodeId, ServiceName, Verdict};
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::limit::{Grant, ToldLimit};
@@ -246,3 +246,5 @@
     /// These daemons.
     To(Vec<NodeId>),
 }
+    /// The data centres that are evacuated, as of that proof or later.
+    pub(crate) evacuated: Evacuations,
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_policy::edge::limit::{Clearance, Grant};
@@ -81,8 +82,8 @@
 pub(crate) async fn pick(edge: &Edge, asking: Asking<'_>) -> Pick {
     let mut by = PlacedBy::Alone;
     for _ in 0..MAX_DENIED {
-        let (choice, permit, placed) = pick_or_ask(edge, &asking).await;
         let asked = edge.now();
+        let (choice, permit, placed) = pick_or_ask(edge, &asking).await;
         by = placed;
         let clearance = match &choice {
             Choice::Target(target) => limits::clear(edge, target, permit, asked).await,
@@ -109,7 +110,7 @@
 async fn pick_or_ask(edge: &Edge, asking: &Asking<'_>) -> (Choice, Permit, PlacedBy) {
     let settings = edge.settings();
     let scope = Scope {
-        hall: settings.hall.clone(),
+        hall: serving_hall(edge, asking),
         service: asking.service.name.clone(),
         model: asking.served_model().cloned(),
     };
@@ -127,6 +128,20 @@
     (choice, Permit::NotNeeded, PlacedBy::Alone)
 }
 
+/// The data centre whose owner places a request: this daemon's, or while that one is
+/// evacuated another, drawn by the targets that serve there. An owner knows the load of its
+/// own data centre exactly, and of others only what was told.
+fn serving_hall(edge: &Edge, asking: &Asking<'_>) -> HallId {
+    let hall = edge.settings().hall.clone();
+    let book = edge.book.borrow();
+    if !book.is_evacuated(&hall) {
+        return hall;
+    }
+    let serving = book.serving(&asking.service.name, asking.served_model());
+    let drawn = serving.choose(&mut *edge.rng.borrow_mut());
+    drawn.map_or(hall, |target| target.hall.clone())
+}
+
 /// Asks an owner; `None` if it does not answer, or with a target that this daemon
 /// does not know.
 async fn ask(
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 use thistlesill_core::Millis;
-use thistlesill_core::edge::Target;
+use thistlesill_core::edge::{Evacuations, Target};
 use thistlesill_net::peer::{Frames, frames};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -84,6 +84,8 @@
     pub(crate) age: Option<Millis>,
     /// How long the store has answered without a break.
     pub(crate) steady: Option<Millis>,
+    /// The data centres that are evacuated.
+    pub(crate) evacuated: Evacuations,
 }
 
 /// The catalog and the targets, as a peer knows them.
@@ -240,6 +242,7 @@
         proof: edge.fresh.get().age(now),
         age: edge.targets_age(),
         steady: edge.book.borrow().steady_for(now),
+        evacuated: edge.evacuations.borrow().known().clone(),
     })
 }
 
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -253,6 +253,7 @@
         let working = self.working(now);
         let requests = edge.loads.borrow().requests(now);
         let told = edge.peers.borrow_mut().told_late.take();
+        let evacuations = edge.evacuations.borrow();
         let book = edge.book.borrow();
         let (mut dead, mut late) = (Vec::new(), Some(Vec::new()));
         for service in catalog.services() {
@@ -275,6 +276,7 @@
                 requests: &requests,
                 demand: &demand,
                 rooms: &rooms,
+                evacuated: &evacuations.known().halls,
                 term,
                 wall: Clock::wall(),
                 calm,
--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -11,6 +11,7 @@
 use thistlesill_core::Millis;
 use thistlesill_policy::edge::start::{Source, source};
 
+use crate::evacuation;
 use crate::peers::transfer::{self, State, TransferError};
 use crate::state::Edge;
 use crate::watch;
@@ -165,6 +166,7 @@
             return false;
         }
     };
+    evacuation::replace(edge, state.evacuated.clone());
     let is_news = watch::put_targets(edge, known.targets, known.version);
     if let Some(steady) = state.steady.filter(|_| is_news) {
         edge.book.borrow_mut().store_steady(edge.now() - steady);
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -17,6 +17,7 @@
 use thistlesill_policy::budget::RetryBudget;
 use thistlesill_policy::edge::asked::AskedMeter;
 use thistlesill_policy::edge::book::TargetBook;
+use thistlesill_policy::edge::evacuation::EvacuationTable;
 use thistlesill_policy::edge::freshness::Freshness;
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, Wanted};
 use thistlesill_policy::edge::limit::Clearance;
@@ -172,6 +173,8 @@
     pub(crate) loads: RefCell<LoadTable>,
     /// The work that callers ask this daemon for.
     pub(crate) asked: RefCell<AskedMeter>,
+    /// Data centres whose targets get no requests.
+    pub(crate) evacuations: RefCell<EvacuationTable>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placing: RefCell<Placing>,
     /// Requests that end targets.
@@ -254,6 +257,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             retries: RefCell::new(HashMap::new()),
             active: Cell::new(0),
+            evacuations: RefCell::new(EvacuationTable::default()),
             busy: Cell::new(false),
             stopping: Cell::new(None),
             stop: Notify::new(),
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -11,6 +11,7 @@
 use thistlesill_policy::edge::freshness::MARGIN;
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
+use crate::evacuation;
 use crate::follow::{self, FIRST_WORD};
 use crate::peers::{Reach, link, transfer};
 use crate::start;
@@ -63,6 +64,7 @@
                 // is in force was the newest when the question was sent.
                 let newest = version.is_none() || rows.rows.is_empty();
                 if take_catalog(&edge, &rows) && newest {
+                evacuation::take_rows(&edge, &rows, version.is_none());
                     edge.confirm(asked);
                 }
                 version = Some(rows.version);
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Has an engine tell another data centre as its own.
+    pub fn place_in(&mut self, id: &TargetId, hall: &str) {
+        if let Some(engine) = self.all.get_mut(id.instance()) {
+            engine.target.hall = hall.into();
+        }
+    }
+
     /// Whether an engine answers.
     pub fn is_alive(&self, id: &TargetId) -> bool {
         self.all.get(id.instance()).is_some_and(|e| e.alive)
--- a/crates/thistlesill-policy/examples/looks.rs
+++ b/crates/thistlesill-policy/examples/looks.rs
@@ -49,7 +49,7 @@
     let mut planner = FleetPlanner::default();
     let engine = engine();
     let (none, no_requests, no_rooms) = (HashSet::new(), HashMap::new(), HashMap::new());
-    let demand = Demand::new();
+    let (demand, nowhere) = (Demand::new(), BTreeSet::new());
     time(|now| {
         let view = FleetView {
             targets,
@@ -60,6 +60,7 @@
             requests: &no_requests,
             demand: &demand,
             rooms: &no_rooms,
+            evacuated: &nowhere,
             term: 1,
             wall: 0,
             calm: false,
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -5,6 +5,7 @@
 pub mod asked;
 pub mod attempt;
 pub mod book;
+pub mod evacuation;
 pub mod feed;
 pub mod fleet;
 pub mod freshness;
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -4,12 +4,12 @@
 //! an entry that vanishes just after the store came back is kept for the time
 //! in which a living target writes itself in again.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Catalog, Target, TargetId};
-use thistlesill_core::{InstanceId, Millis, Model, ServiceName};
+use thistlesill_core::{HallId, InstanceId, Millis, Model, ServiceName};
 
 /// Time in which living targets are listed again after the store returned.
 pub const RELIST: Millis = Millis::new(2_300);
@@ -25,6 +25,8 @@
     lapsed: HashMap<InstanceId, Millis>,
     /// Since when the store has answered without a break.
     steady: Option<Millis>,
+    /// Data centres whose targets get no requests.
+    evacuated: BTreeSet<HallId>,
     serving: HashMap<ServiceName, HashMap<Option<Model>, Vec<Arc<Target>>>>,
 }
 
@@ -142,6 +144,17 @@
         !due.is_empty()
     }
 
+    /// Takes in the data centres whose targets get no requests.
+    pub fn evacuate(&mut self, halls: &BTreeSet<HallId>, catalog: Option<&Catalog>) {
+        self.evacuated.clone_from(halls);
+        self.index(catalog);
+    }
+
+    /// Whether the targets of a data centre get no requests.
+    pub fn is_evacuated(&self, hall: &HallId) -> bool {
+        self.evacuated.contains(hall)
+    }
+
     /// Sorts the targets anew by what they serve.
     pub fn index(&mut self, catalog: Option<&Catalog>) {
         self.serving.clear();
@@ -150,7 +163,8 @@
                 .and_then(|c| c.service(service))
                 .is_some_and(|s| s.engine.is_some());
             let by_model = self.serving.entry(service.clone()).or_default();
-            for target in targets.values().filter(|t| !t.leaving) {
+            let usable = |t: &&Target| !t.leaving && !self.evacuated.contains(&t.hall);
+            for target in targets.values().filter(usable) {
                 let model = match (&target.member, grouped) {
                     (Some(member), true) if target.leads_open() => member.model.clone(),
                     (_, true) => continue,
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 use thistlesill_core::edge::{Engine, GroupRef, Incarnation, Order, OrderReply, Target, TargetId};
-use thistlesill_core::{GroupId, InstanceId, Millis, Model};
+use thistlesill_core::{GroupId, HallId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
@@ -119,6 +119,8 @@
     /// Leaders that name a limit, with the part of their groups' usual work that it
     /// leaves: less than 1.
     pub rooms: &'a HashMap<TargetId, f64>,
+    /// Data centres whose targets get no requests.
+    pub evacuated: &'a BTreeSet<HallId>,
     /// The term of the lease.
     pub term: u64,
     /// The time of day, in Unix milliseconds.
@@ -127,6 +129,13 @@
     pub calm: bool,
 }
 
+impl FleetView<'_> {
+    /// Whether a target gets no requests, since its data centre is evacuated.
+    fn is_evacuated(&self, target: &Target) -> bool {
+        self.evacuated.contains(&target.hall)
+    }
+}
+
 /// What a probe found of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
@@ -218,6 +227,9 @@
     leaders: BTreeMap<GroupRef, TargetId>,
     /// The most targets that were seen.
     most: usize,
+    /// The most targets that groups may be formed of, as of the last look: those of data
+    /// centres that are evacuated do not count.
+    usable: usize,
     /// When a target was last seen for the first time.
     grown: Millis,
     addresses: BTreeMap<TargetId, SocketAddr>,
@@ -242,6 +254,8 @@
         let plans = self.enter_term(view, now);
         self.remember(view.targets, plans, now);
         let survey = Survey::new(view);
+        let evacuated = view.targets.values().filter(|t| view.is_evacuated(t));
+        self.usable = self.most.saturating_sub(evacuated.count());
         let mut actions = Vec::new();
         let mut free = BTreeSet::new();
         self.void.clear();
@@ -270,6 +284,8 @@
         self.advance_planned(view, now, &mut actions);
         self.ask_slow(view, &free, now, &mut actions);
         self.drop_taken(&mut free, view, now);
+        // Its groups stay as they are until it is taken back.
+        free.retain(|id| view.targets.get(id).is_none_or(|t| !view.is_evacuated(t)));
         self.form(view, &survey, &mut free, now, &mut actions);
         self.stage(view, &survey, &free, now, &mut actions);
         self.convert(view, &survey, &free, now, &mut actions);
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -96,7 +96,7 @@
         ModelCensus {
             model: plan.model.clone(),
             open: view.targets.values().filter(leads).count(),
-            fair: fair_groups(view, plan, self.most),
+            fair: fair_groups(view, plan, self.usable),
             work: view.demand.get(&plan.model).copied().unwrap_or(0.0),
         }
     }
--- a/crates/thistlesill-policy/src/edge/fleet/conversion.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -95,7 +95,7 @@
         groups: usize,
     ) -> bool {
         let groups = groups as f64;
-        let missing = fair_groups(view, plan, self.most) - groups;
+        let missing = fair_groups(view, plan, self.usable) - groups;
         missing >= CONVERT_MISSING && needed_groups(view, plan) >= CONVERT_SHORT * groups
     }
 
@@ -286,7 +286,7 @@
         };
         let plans = view.engine.models.iter().filter(short);
         plans.max_by(|a, b| {
-            let short = |plan| shortage(view, plan, count(plan), self.most);
+            let short = |plan| shortage(view, plan, count(plan), self.usable);
             short(a).total_cmp(&short(b))
         })
     }
@@ -321,6 +321,9 @@
     ) -> Option<&'a Target> {
         let plan = standing.plan(view)?;
         let leader = standing.leader.filter(|t| t.leads_open())?;
+        if view.is_evacuated(leader) {
+            return None;
+        }
         let sound = |t: &Target| self.is_usable(&t.id, view) && t.domain == leader.domain;
         let whole = standing.members.iter().all(|t| sound(t));
         let gives = plan.model != short.model && self.can_spare(view, plan, counts) >= 1;
@@ -341,7 +344,7 @@
         counts: &BTreeMap<Model, usize>,
     ) -> usize {
         let groups = counts.get(&plan.model).copied().unwrap_or(0);
-        let own = fair_groups(view, plan, self.most).max(needed_groups(view, plan));
+        let own = fair_groups(view, plan, self.usable).max(needed_groups(view, plan));
         let keeps = (own / BELOW_FAIR).ceil() as usize;
         groups.saturating_sub(keeps.max(1))
     }
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -216,7 +216,8 @@
             *counts.entry(planned.model.clone()).or_default() += 1;
         }
         for (group, standing) in &survey.groups {
-            let dead = standing.leader.is_some_and(|t| self.is_dead(&t.id));
+            let useless = |t: &Target| self.is_dead(&t.id) || view.is_evacuated(t);
+            let dead = standing.leader.is_some_and(useless);
             let ends = self.cut.contains(group)
                 || self.standby.contains(group)
                 || self.void.contains(group)
@@ -243,7 +244,7 @@
         for targets in domains.values() {
             for plan in &view.engine.models {
                 let groups = counts.get(&plan.model).copied().unwrap_or(0);
-                let shortage = shortage(view, plan, groups, self.most);
+                let shortage = shortage(view, plan, groups, self.usable);
                 found.extend(self.candidate(plan, targets, shortage));
             }
         }
@@ -255,7 +256,7 @@
         });
         let short = view.engine.models.iter().any(|plan| {
             let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            shortage(view, plan, groups, self.most) > BELOW_FAIR
+            shortage(view, plan, groups, self.usable) > BELOW_FAIR
         });
         // What a short model lacks is not used up for one that has enough.
         found.retain(|c| !short || view.calm || c.shortage > BELOW_FAIR);
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -168,7 +168,7 @@
         let counts = self.count_groups(view, survey);
         let short = view.engine.models.iter().map(|plan| {
             let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            let short = shortage(view, plan, groups, self.most);
+            let short = shortage(view, plan, groups, self.usable);
             (&plan.model, short.min(MOST_SHORT))
         });
         let mut holdings = Holdings {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -70,12 +70,12 @@
         let requests = sound.filter_map(|t| view.requests.get(&t.id)).sum::<u32>();
         let slots = f64::from(view.engine.slots.max(1));
         let busy = (f64::from(requests) / (slots * BUSY)).ceil() as usize;
-        let fair = fair_groups(view, plan, self.most) / BELOW_FAIR;
+        let fair = fair_groups(view, plan, self.usable) / BELOW_FAIR;
         let fair = (fair.ceil() as usize).max(1);
         let fewer = groups.saturating_sub(1) as f64;
         // Below what was announced groups end only for a model that is short:
         // demand may return sooner than they could.
-        let least = announced_groups(view.engine, plan, self.most) / BELOW_FAIR;
+        let least = announced_groups(view.engine, plan, self.usable) / BELOW_FAIR;
         let least = fair.max(least.ceil() as usize);
         Supply {
             groups,
@@ -94,7 +94,9 @@
         let missing = supply.wanted.saturating_sub(supply.groups);
         let groups = survey.groups.iter().filter(|(group, standing)| {
             let model = standing.plan(view).map(|p| &p.model);
+            let away = standing.leader.is_some_and(|t| view.is_evacuated(t));
             let waits = self.standby.contains(*group) && !self.gave_way.contains_key(*group);
+            let waits = waits && !away;
             waits && model == Some(&plan.model)
         });
         let opened: Vec<GroupRef> = groups.map(|(g, _)| g.clone()).take(missing).collect();
@@ -207,6 +209,7 @@
     let view = *view;
     survey.groups.iter().filter(move |(_, standing)| {
         let model = standing.plan(&view).map(|p| &p.model);
-        standing.leader.is_some_and(Target::leads_open) && model == Some(&plan.model)
+        let serves = |t: &Target| t.leads_open() && !view.is_evacuated(t);
+        standing.leader.is_some_and(serves) && model == Some(&plan.model)
     })
 }
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -8,6 +8,10 @@
 mod attempt;
 #[path = "edge/book.rs"]
 mod book;
+#[path = "edge/evacuated_groups.rs"]
+mod evacuated_groups;
+#[path = "edge/evacuation.rs"]
+mod evacuation;
 #[path = "edge/demand.rs"]
 mod demand;
 #[path = "edge/feed.rs"]
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -1,9 +1,9 @@
 //! A planner before fake engines, in virtual time.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
-use thistlesill_core::Millis;
 use thistlesill_core::edge::{Engine, Order, OrderReply, Target, TargetId};
+use thistlesill_core::{HallId, Millis};
 use thistlesill_fakes::engines::{Engines, engine};
 use thistlesill_policy::edge::fleet::{
     Census, Condition, Demand, FleetAction, FleetPlanner, FleetView,
@@ -36,6 +36,8 @@
     pub(crate) demand: Demand,
     /// Parts of leaders' usual work that their limits leave.
     pub(crate) rooms: HashMap<TargetId, f64>,
+    /// Data centres that are evacuated.
+    pub(crate) evacuated: BTreeSet<HallId>,
     /// Targets that are slow.
     pub(crate) slow: HashSet<TargetId>,
     /// Leaders whose streams are slow.
@@ -62,6 +64,7 @@
             requests: HashMap::new(),
             demand: Demand::new(),
             rooms: HashMap::new(),
+            evacuated: BTreeSet::new(),
             slow: HashSet::new(),
             doubted: HashSet::new(),
             orders: Vec::new(),
@@ -111,6 +114,7 @@
             requests: &self.requests,
             demand: &self.demand,
             rooms: &self.rooms,
+            evacuated: &self.evacuated,
             term: self.term,
             wall: self.wall(),
             calm: self.calm,
@@ -214,6 +218,7 @@
             requests: &self.requests,
             demand: &self.demand,
             rooms: &self.rooms,
+            evacuated: &self.evacuated,
             term: self.term,
             wall: self.wall(),
             calm: self.calm,
