--- a/crates/thistlesill-edge/tests/it/evacuation.rs
+++ b/crates/thistlesill-edge/tests/it/evacuation.rs
@@ -7,13 +7,18 @@
 use thistlesill_platform_standin::caller::{Ask, Got, call};
 use thistlesill_platform_standin::link::Harm;
 use thistlesill_platform_standin::targets::Fault;
-use thistlesill_platform_standin::world::World;
+use thistlesill_platform_standin::world::{WARMUP_RATE, World};
 
 use crate::support::{ask, planner, read, sleep, stream, world};
 
 /// The time in which an evacuation, or its end, is in force on all daemons.
 const IN_FORCE: Duration = Duration::from_secs(1);
 
+const SECOND: Duration = Duration::from_secs(1);
+/// The most requests that a target may get in a second while it warms up: half more than it
+/// takes, and five.
+pub(crate) const WARMUP_BOUND: usize = (WARMUP_RATE * 1.5) as usize + 5;
+
 /// A deployment with a plain target in each of two data centres; all others are in `h`.
 async fn two_halls(net: u8, daemons: u8) -> World {
     let world = world(net, daemons).await;
@@ -152,6 +157,26 @@
     assert_eq!(runs_in_hall(&world, since), 0);
 }
 
+/// Its entry tells only later that it warms up again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_is_taken_back_gets_no_more_than_one_that_warms_up() {
+    let world = two_halls(117, 6).await;
+    evacuate(&world, "h");
+    sleep(1_000).await;
+    let since = Instant::now();
+    withdraw(&world, "h");
+    let targets = world.targets.clone();
+    let warms = tokio::spawn(async move {
+        sleep(400).await;
+        targets.warm_up("p-0", Duration::from_millis(2_600));
+    });
+    press(&world, Duration::from_secs(3)).await;
+    warms.await.expect("the task ends");
+    let most = world.targets.ledger.most_at("p-0", since, SECOND);
+    assert!(most <= WARMUP_BOUND, "{most} requests in a second");
+    assert!(most >= 5, "only {most} requests in a second");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_evacuation_that_is_withdrawn_and_given_again_at_once_is_in_force() {
     let world = two_halls(116, 6).await;
--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -19,6 +19,7 @@
 use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
+use crate::evacuation::WARMUP_BOUND;
 use crate::support::{read, sleep, stream, world};
 
 /// The time over which what a target got is held against its limit.
@@ -217,6 +218,25 @@
     assert!(runs >= 36, "{runs} of 40");
 }
 
+/// All daemons know from its entry that it warms up, and send it together what it takes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_warms_up_gets_no_more_than_its_service_says() {
+    let world = world(98, 6).await;
+    press(&world, 60, Duration::from_secs(1), read).await;
+    world.targets.warm_up("p-0", Duration::from_secs(3));
+    let since = Instant::now() + HEARD;
+    press(&world, 60, Duration::from_millis(2_800), read).await;
+    let most = world
+        .targets
+        .ledger
+        .most_at("p-0", since, Duration::from_secs(1));
+    assert!(most <= WARMUP_BOUND, "{most} requests in a second");
+    assert!(most >= 5, "only {most} requests in a second");
+    sleep(1_000).await;
+    let runs = runs_within(&world, "p-0", Duration::from_secs(2)).await;
+    assert!(runs >= 15, "{runs} of 40 requests once it is warm");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn retries_keep_to_a_limit_too() {
     let world = world(96, 4).await;
