feat(edge): targets that warm up are limited as those that name a limit

Cause: nothing read for how long a target warms up after its start, nor what it takes meanwhile. The grants of decision 11 do both: the limit that its service names holds for the time that its entry tells, by every way there and over all daemons; of a limit that the target names as well the lower one holds. What a data centre holds that is taken back counts as warming up at once, since its entries tell so later. All daemons know it from entries, so nothing is announced.

--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -15,9 +15,10 @@
 pub use bounds::{Bounds, EdgeSettings};
 pub use catalog::{
     Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
+    Warmup,
 };
-pub use incarnation::{Incarnation, TargetId};
 pub use evacuation::Evacuations;
+pub use incarnation::{Incarnation, TargetId};
 pub use limit::{NoLimit, RateLimit};
 pub use order::{GroupRef, Order, OrderReply};
 pub use target::{MemberState, Membership, Target};
--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::RateLimit;
 use crate::{CustomerId, Millis, Model, ServiceName};
 
 /// What may be repeated of a route's requests.
@@ -107,6 +108,15 @@
     }
 }
 
+/// How targets warm up after they have started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warmup {
+    /// How long it takes.
+    pub time: Millis,
+    /// Requests a second that a target takes meanwhile, from all daemons together.
+    pub limit: RateLimit,
+}
+
 /// A service that routes lead to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -114,6 +124,8 @@
     pub name: ServiceName,
     /// Connections that each of its targets accepts from all callers.
     pub connections: u32,
+    /// How its targets warm up, if they take fewer requests until then.
+    pub warmup: Option<Warmup>,
     /// Figures of its engines, if it runs models.
     pub engine: Option<Engine>,
 }
--- a/crates/thistlesill-core/src/edge/target.rs
+++ b/crates/thistlesill-core/src/edge/target.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{GroupRef, TargetId};
-use crate::{DomainId, HallId, Model, ServiceName};
+use crate::{DomainId, HallId, Millis, Model, ServiceName};
 
 /// How far a member of a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,8 @@
     pub slots: u32,
     /// Whether it is about to leave and takes no new work.
     pub leaving: bool,
+    /// How much longer it warmed up when it described itself.
+    pub warmup: Millis,
     /// Its fabric domain, if it runs models.
     pub domain: Option<DomainId>,
     /// Models whose weights lie on its host.
--- a/crates/thistlesill-edge/src/evacuation.rs
+++ b/crates/thistlesill-edge/src/evacuation.rs
@@ -4,6 +4,7 @@
 use thistlesill_platform::store::{Content, Rows, evacuated_hall};
 use thistlesill_policy::edge::evacuation::{EvacuationChange, EvacuationTable, ListedHall};
 
+use crate::limits;
 use crate::state::Edge;
 
 /// Takes in what the store answered about the operators' rows, all of them if `whole`.
@@ -48,6 +49,11 @@
         line.with("version", known.version).write();
     }
     metrics::gauge!("thistlesill_edge_evacuated_halls").set(known.halls.len() as f64);
+    for change in changes {
+        if let EvacuationChange::Ended(hall) = change {
+            limits::note_taken_back(edge, hall);
+        }
+    }
     let catalog = edge.catalog();
     edge.book
         .borrow_mut()
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use thistlesill_core::edge::{RateLimit, Target, TargetId};
-use thistlesill_core::{Millis, NodeId};
+use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_platform::caller::{AnswerHead, LimitHeader};
 use thistlesill_policy::edge::limit::{
     Clearance, Grant, Heard, LimitReport, LimitTable, ToldLimit,
@@ -51,9 +51,9 @@
 }
 
 impl Limits {
-    /// Whether a target names a limit.
-    fn is_limited(&self, id: &TargetId) -> bool {
-        self.table.borrow().limit(id).is_some()
+    /// Whether a target has a limit now.
+    fn is_limited(&self, id: &TargetId, now: Millis) -> bool {
+        self.table.borrow().limit_at(id, now).is_some()
     }
 
     /// Whether a target may not be sent a request now.
@@ -141,9 +141,53 @@
     heard
 }
 
-/// Notes that a request is sent to a target, if that names a limit.
+/// Notes that a target warms up for a time, if its service says what it takes meanwhile.
+///
+/// All daemons know this from the target's entry, so nothing is announced.
+pub(crate) fn note_warmup(edge: &Edge, target: &Target, time: Millis) {
+    let catalog = edge.catalog();
+    let service = catalog.as_ref().and_then(|c| c.service(&target.service));
+    let Some(warmup) = service.and_then(|s| s.warmup) else {
+        return;
+    };
+    if time == Millis::ZERO {
+        return;
+    }
+    let until = edge.now() + time;
+    {
+        let mut table = edge.limits.table.borrow_mut();
+        table.note_warmup(&target.id, warmup.limit, until);
+    }
+    tend(edge, target);
+}
+
+/// Notes all targets that warm up.
+pub(crate) fn note_warmups(edge: &Edge) {
+    let book = edge.book.borrow();
+    for target in book.listed().filter(|t| t.warmup > Millis::ZERO) {
+        note_warmup(edge, target, target.warmup);
+    }
+}
+
+/// Notes that the targets of a data centre that is taken back may warm up although their
+/// entries do not say so yet.
+pub(crate) fn note_taken_back(edge: &Edge, hall: &HallId) {
+    let Some(catalog) = edge.catalog() else {
+        return;
+    };
+    let book = edge.book.borrow();
+    for target in book.listed().filter(|t| t.hall == *hall) {
+        let service = catalog.service(&target.service);
+        if let Some(warmup) = service.and_then(|s| s.warmup) {
+            note_warmup(edge, target, warmup.time);
+        }
+    }
+}
+
+/// Notes that a request is sent to a target, if that has a limit.
 pub(crate) fn note_sent(job: &Job, target: &Target) {
-    let limit = job.edge.limits.table.borrow().limit(&target.id);
+    let now = job.edge.now();
+    let limit = job.edge.limits.table.borrow().limit_at(&target.id, now);
     if let Some(limit) = limit {
         metrics::counter!("thistlesill_edge_limited_sent_total").increment(1);
         let line = job.edge.lines.line("limit_sent");
@@ -171,7 +215,7 @@
 ) -> Option<Clearance> {
     match permit {
         Permit::Given => return Some(Clearance::granted(asked)),
-        Permit::NotNeeded if !edge.limits.is_limited(&target.id) => {
+        Permit::NotNeeded if !edge.limits.is_limited(&target.id, edge.now()) => {
             return Some(Clearance::Unlimited);
         }
         Permit::NotNeeded | Permit::Needed => {}
@@ -191,8 +235,8 @@
 /// Whether a request that was cleared for a target may still be sent there. A connection
 /// may have taken long to come up, or the daemon may have been frozen with the grant in hand.
 pub(crate) fn is_cleared(edge: &Edge, target: &Target, clearance: Clearance) -> bool {
-    let limited = edge.limits.is_limited(&target.id);
-    let holds = clearance.holds(limited, edge.now());
+    let now = edge.now();
+    let holds = clearance.holds(edge.limits.is_limited(&target.id, now), now);
     if !holds {
         metrics::counter!("thistlesill_edge_grants_expired_total").increment(1);
     }
--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -13,6 +13,7 @@
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::evacuation;
 use crate::follow::{self, FIRST_WORD};
+use crate::limits;
 use crate::peers::{Reach, link, transfer};
 use crate::start;
 use crate::state::Edge;
@@ -63,8 +64,8 @@
                 // a whole read, or an answer without changes, shows that what
                 // is in force was the newest when the question was sent.
                 let newest = version.is_none() || rows.rows.is_empty();
-                if take_catalog(&edge, &rows) && newest {
                 evacuation::take_rows(&edge, &rows, version.is_none());
+                if take_catalog(&edge, &rows) && newest {
                     edge.confirm(asked);
                 }
                 version = Some(rows.version);
@@ -251,6 +252,9 @@
     let catalog = Rc::new(catalog);
     edge.catalog.replace(Some(catalog.clone()));
     edge.book.borrow_mut().index(Some(&catalog));
+    if old.is_none() {
+        limits::note_warmups(edge);
+    }
     edge.learned.notify_waiters();
     edge.fleet_news.notify_one();
 }
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -12,7 +12,7 @@
 
 use super::{AfterFailure, IDLE, PAUSE, READ, SLACK, after_failure, next_pause, note_failure};
 use crate::state::Edge;
-use crate::{follow, start};
+use crate::{follow, limits, start};
 
 /// Part of the time after which a target that leaves gets no new requests for
 /// which a question about targets waits. With a wait of 8 s, a connection that
@@ -147,8 +147,10 @@
     }
     edge.feed.borrow_mut().restart(version);
     let (catalog, now) = (edge.catalog(), edge.now());
-    let mut book = edge.book.borrow_mut();
-    book.replace(listings, catalog.as_deref(), now);
+    edge.book
+        .borrow_mut()
+        .replace(listings, catalog.as_deref(), now);
+    limits::note_warmups(edge);
     edge.learned.notify_waiters();
     edge.fleet_news.notify_one();
     true
@@ -166,6 +168,11 @@
             Listing::Unusable(id) => note_unusable(edge, id),
         }
     }
+    for listing in &listings {
+        if let Listing::Listed(target) = listing {
+            limits::note_warmup(edge, target, target.warmup);
+        }
+    }
     let (catalog, now) = (edge.catalog(), edge.now());
     edge.book
         .borrow_mut()
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -138,6 +138,7 @@
             hall: "h".into(),
             slots: 26,
             leaving: false,
+            warmup: Millis::ZERO,
             domain: Some(format!("d-{}", number / 8).into()),
             staged: Vec::new(),
             member: None,
--- a/crates/thistlesill-policy/examples/looks.rs
+++ b/crates/thistlesill-policy/examples/looks.rs
@@ -104,6 +104,7 @@
         hall: "h".into(),
         slots: 26,
         leaving: false,
+        warmup: Millis::ZERO,
         domain: Some(format!("d-{}", number / DOMAIN).into()),
         staged: vec!["large".into()],
         member: Some(Membership {
--- a/crates/thistlesill-policy/src/edge/limit.rs
+++ b/crates/thistlesill-policy/src/edge/limit.rs
@@ -4,6 +4,9 @@
 //! a share of it for each daemon would be none at all. One daemon, the keeper, grants the
 //! target's requests one by one; whoever sends one has a grant for it, whichever way it
 //! came there. Without a keeper nothing is sent, since the others may have one.
+//!
+//! A target that warms up takes as many requests a second as its service says, and is
+//! limited in the same way for as long as that lasts.
 
 use std::collections::HashMap;
 
@@ -121,9 +124,6 @@
     NotKept,
 }
 
-/// Requests that a keeper may still grant.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Savings {
 /// Until when a request that a target was picked for may be sent there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Clearance {
@@ -150,6 +150,9 @@
     }
 }
 
+/// Requests that a keeper may still grant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Savings {
     /// Part of the limit that this keeper may grant.
     part: f64,
     requests: f64,
@@ -185,10 +188,19 @@
     }
 }
 
-/// What a daemon knows of a target that names or named a limit.
-#[derive(Debug, Clone)]
+/// The limit of a target that warms up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct WarmupLimit {
+    limit: RateLimit,
+    until: Millis,
+}
+
+/// What a daemon knows of a target that names or named a limit, or warms up.
+#[derive(Debug, Clone, Default)]
 struct Limited {
-    report: LimitReport,
+    /// What the target last named.
+    report: Option<LimitReport>,
+    warmup: Option<WarmupLimit>,
     /// As keeper: what may be granted.
     savings: Option<Savings>,
     /// Until when no grant is to be had, as its keeper said.
@@ -196,9 +208,30 @@
 }
 
 impl Limited {
+    /// The limit that the target names.
+    fn named(&self) -> Option<RateLimit> {
+        self.report?.limit
+    }
+
+    /// The limit that holds now.
+    fn limit(&self, now: Millis) -> Option<RateLimit> {
+        let warmup = self.warmup.filter(|w| now < w.until).map(|w| w.limit);
+        match (self.named(), warmup) {
+            (Some(named), Some(warmup)) if warmup < named => Some(warmup),
+            (Some(named), _) => Some(named),
+            (None, warmup) => warmup,
+        }
+    }
+
+    /// Whether nothing limits the target, and nothing has for long.
+    fn is_over(&self, now: Millis) -> bool {
+        let lifted = |r: LimitReport| r.limit.is_none() && now - r.until >= REMEMBERED;
+        self.report.is_none_or(lifted) && self.warmup.is_none_or(|w| now >= w.until)
+    }
+
     /// Time until a request may be sent; zero if one may now, as far as is known.
     fn wait(&self, now: Millis) -> Millis {
-        match (self.report.limit, &self.savings) {
+        match (self.limit(now), &self.savings) {
             (None, _) => Millis::ZERO,
             (Some(limit), Some(savings)) => savings.wait(limit, now),
             (Some(_), None) => self.spent - now,
@@ -215,28 +248,23 @@
 impl LimitTable {
     /// Takes in what an answer said of its target.
     pub fn hear(&mut self, id: &TargetId, report: LimitReport) -> Heard {
-        let Some(known) = self.targets.get_mut(id) else {
+        let Some(known) = self.targets.get(id).and_then(|limited| limited.report) else {
             if report.limit.is_none() {
                 return Heard::Nothing;
             }
-            let limited = Limited {
-                report,
-                savings: None,
-                spent: Millis::ZERO,
-            };
-            self.targets.insert(id.clone(), limited);
+            self.entry(id).report = Some(report);
             return Heard::News(None);
         };
-        let before = known.report.limit;
-        if !report.supersedes(&known.report) {
-            let outdated = known.report.is_after(&report) && before != report.limit;
+        let before = known.limit;
+        if !report.supersedes(&known) {
+            let outdated = known.is_after(&report) && before != report.limit;
             return if outdated {
                 Heard::Outdated
             } else {
                 Heard::Nothing
             };
         }
-        known.report = report;
+        self.entry(id).report = Some(report);
         if before == report.limit {
             Heard::Nothing
         } else {
@@ -244,23 +272,34 @@
         }
     }
 
-    /// A target's limit.
+    /// Notes that a target warms up until a moment, and takes `limit` until then.
+    pub fn note_warmup(&mut self, id: &TargetId, limit: RateLimit, until: Millis) {
+        self.entry(id).warmup = Some(WarmupLimit { limit, until });
+    }
+
+    /// The limit that a target names.
     pub fn limit(&self, id: &TargetId) -> Option<RateLimit> {
-        self.targets.get(id)?.report.limit
+        self.targets.get(id)?.named()
+    }
+
+    /// The limit that holds for a target now: the one that it names, or the one for as long
+    /// as it warms up if that is lower.
+    pub fn limit_at(&self, id: &TargetId, now: Millis) -> Option<RateLimit> {
+        self.targets.get(id)?.limit(now)
     }
 
     /// The targets that name a limit, with it.
     pub fn limits(&self) -> impl Iterator<Item = (&TargetId, RateLimit)> {
         let all = self.targets.iter();
-        all.filter_map(|(id, limited)| Some((id, limited.report.limit?)))
+        all.filter_map(|(id, limited)| Some((id, limited.named()?)))
     }
 
-    /// The targets that name or named a limit.
+    /// The targets that name or named a limit, or warm up.
     pub fn targets(&self) -> impl Iterator<Item = &TargetId> {
         self.targets.keys()
     }
 
-    /// Whether no target names or named a limit.
+    /// Whether no target names or named a limit, and none warms up.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
@@ -274,8 +313,9 @@
         let Some(limited) = self.targets.get_mut(id) else {
             return;
         };
+        let limit = limited.limit(now);
         let savings = limited.savings.get_or_insert(Savings::begin(part, now));
-        if let Some(limit) = limited.report.limit {
+        if let Some(limit) = limit {
             savings.requests = savings.saved(limit, now);
         }
         savings.at = now;
@@ -294,7 +334,7 @@
         let Some(limited) = self.targets.get_mut(id) else {
             return Grant::Unlimited;
         };
-        let Some(limit) = limited.report.limit else {
+        let Some(limit) = limited.limit(now) else {
             return Grant::Unlimited;
         };
         let Some(savings) = &mut limited.savings else {
@@ -336,23 +376,24 @@
 
     /// What to tell of a target.
     pub fn told(&self, id: &TargetId, now: Millis) -> Option<ToldLimit> {
-        let limited = self.targets.get(id)?;
-        Some(ToldLimit::new(id, &limited.report, now))
+        let report = self.targets.get(id)?.report?;
+        Some(ToldLimit::new(id, &report, now))
     }
 
     /// As keeper: what to tell of the targets that this daemon keeps.
     pub fn told_kept(&self, now: Millis) -> Vec<ToldLimit> {
         let kept = self.targets.iter().filter(|(_, l)| l.savings.is_some());
-        kept.map(|(id, l)| ToldLimit::new(id, &l.report, now))
+        kept.filter_map(|(id, l)| Some(ToldLimit::new(id, &l.report?, now)))
             .collect()
     }
 
     /// Forgets targets that are gone, and limits that were lifted long ago.
     pub fn retain(&mut self, known: impl Fn(&TargetId) -> bool, now: Millis) {
-        self.targets.retain(|id, limited| {
-            let report = &limited.report;
-            let lifted = report.limit.is_none() && now - report.until >= REMEMBERED;
-            known(id) && !lifted
-        });
+        self.targets
+            .retain(|id, limited| known(id) && !limited.is_over(now));
+    }
+
+    fn entry(&mut self, id: &TargetId) -> &mut Limited {
+        self.targets.entry(id.clone()).or_default()
     }
 }
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -53,6 +53,7 @@
     catalog.add_service(Service {
         name: "s".into(),
         connections: 10,
+        warmup: None,
         engine: None,
     });
     catalog.add_key("k1", "customer".into(), Some(1));
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -22,6 +22,7 @@
         member: None,
     }
 }
+        warmup: Millis::ZERO,
 
 /// Its entry as the store lists it.
 pub(crate) fn listed(id: impl Into<TargetId>) -> Listing {
--- a/crates/thistlesill-policy/tests/edge/leaders.rs
+++ b/crates/thistlesill-policy/tests/edge/leaders.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use thistlesill_core::Millis;
 use thistlesill_core::edge::{GroupRef, MemberState, Membership, Target};
 
 /// The leader of an open group of the larger model.
@@ -13,6 +14,7 @@
         hall: "h".into(),
         slots: 26,
         leaving: false,
+        warmup: Millis::ZERO,
         domain: Some("d".into()),
         staged: Vec::new(),
         member: Some(Membership {
--- a/crates/thistlesill-policy/tests/edge/limit.rs
+++ b/crates/thistlesill-policy/tests/edge/limit.rs
@@ -220,6 +220,34 @@
     assert_eq!(limit(&other), None);
 }
 
+#[test]
+fn a_target_that_warms_up_is_limited_for_as_long_as_that_lasts() {
+    let rate = RateLimit::new(4.0).expect("a limit");
+    let mut table = LimitTable::default();
+    table.note_warmup(&target(), rate, ms(10_000));
+    assert_eq!(table.limit_at(&target(), ms(9_999)), Some(rate));
+    assert_eq!(limit(&table), None, "it names none");
+    assert!(table.told(&target(), ms(20)).is_none());
+    table.keep(&target(), 1.0, ms(10));
+    let granted = granted(&mut table, 10, 10_000);
+    let most = most_in_window(&granted);
+    assert!((14..=16).contains(&most), "{most}");
+    assert_eq!(table.take(&target(), ms(10_000)), Grant::Unlimited);
+    table.retain(|_| true, ms(10_000));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn the_lower_one_of_a_named_limit_and_of_a_warm_up_holds() {
+    let rate = RateLimit::new(4.0).expect("a limit");
+    for (named, lower) in [(1.0, 1.0), (9.0, 4.0)] {
+        let mut table = heard(&[report(named, 0, 10)]);
+        table.note_warmup(&target(), rate, ms(5_000));
+        let limit = |at| table.limit_at(&target(), ms(at)).map(RateLimit::get);
+        assert_eq!((limit(4_000), limit(5_000)), (Some(lower), Some(named)));
+    }
+}
+
 #[test]
 fn a_limit_that_was_lifted_is_forgotten_after_a_while() {
     let mut table = heard(&[report(2.0, 0, 10), report(None, 10, 20)]);
