perf(policy): a change of a target sorts that target only

Each batch of changes had a daemon go over all targets and copy those that serve: before 2,793 targets with thousands of changes at a start, in each of 984 daemons. Now a target is taken out of those that serve and put back where it belongs; all are sorted anew with another catalog or an evacuation only. Test: 4,000 drawn changes give the same as sorting all.

--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -27,6 +27,11 @@
     steady: Option<Millis>,
     /// Data centres whose targets get no requests.
     evacuated: BTreeSet<HallId>,
+    /// The catalog by which the targets are sorted.
+    sorted_by: Option<u64>,
+    /// Services whose targets serve in groups, by that catalog.
+    grouped: HashSet<ServiceName>,
+    /// The targets that take requests, sorted by id.
     serving: HashMap<ServiceName, HashMap<Option<Model>, Vec<Arc<Target>>>>,
 }
 
@@ -90,7 +95,7 @@
                 Listing::Unusable(instance) => self.drop_instance(&instance),
             }
         }
-        self.index(catalog);
+        self.index_if_changed(catalog);
     }
 
     /// Takes in all entries at once; what is missing in them is gone.
@@ -138,9 +143,7 @@
         for instance in &due {
             self.drop_instance(instance);
         }
-        if !due.is_empty() {
-            self.index(catalog);
-        }
+        self.index_if_changed(catalog);
         !due.is_empty()
     }
 
@@ -157,23 +160,17 @@
 
     /// Sorts the targets anew by what they serve.
     pub fn index(&mut self, catalog: Option<&Catalog>) {
+        self.sorted_by = catalog.map(|c| c.version);
+        let services = catalog.into_iter().flat_map(Catalog::services);
+        let grouped = services.filter(|s| s.engine.is_some());
+        self.grouped = grouped.map(|s| s.name.clone()).collect();
         self.serving.clear();
-        for (service, targets) in &self.targets {
-            let grouped = catalog
-                .and_then(|c| c.service(service))
-                .is_some_and(|s| s.engine.is_some());
-            let by_model = self.serving.entry(service.clone()).or_default();
-            let usable = |t: &&Target| !t.leaving && !self.evacuated.contains(&t.hall);
-            for target in targets.values().filter(usable) {
-                let model = match (&target.member, grouped) {
-                    (Some(member), true) if target.leads_open() => member.model.clone(),
-                    (_, true) => continue,
-                    (_, false) => None,
-                };
-                by_model
-                    .entry(model)
-                    .or_default()
-                    .push(Arc::new(target.clone()));
+        let all = self.targets.values().flat_map(HashMap::values);
+        for target in all {
+            if let Some(model) = served(target, &self.evacuated, &self.grouped) {
+                let service = self.serving.entry(target.service.clone()).or_default();
+                let targets = service.entry(model).or_default();
+                targets.push(Arc::new(target.clone()));
             }
         }
         for targets in self.serving.values_mut().flat_map(HashMap::values_mut) {
@@ -181,6 +178,38 @@
         }
     }
 
+    /// Sorts the targets anew if another catalog is in force; changes of single targets keep
+    /// their order.
+    fn index_if_changed(&mut self, catalog: Option<&Catalog>) {
+        if catalog.map(|c| c.version) != self.sorted_by {
+            self.index(catalog);
+        }
+    }
+
+    /// Adds a target to those that take requests, if it does.
+    fn serve(&mut self, target: &Target) {
+        if let Some(model) = served(target, &self.evacuated, &self.grouped) {
+            let service = self.serving.entry(target.service.clone()).or_default();
+            let targets = service.entry(model).or_default();
+            let at = targets.partition_point(|t| t.id < target.id);
+            targets.insert(at, Arc::new(target.clone()));
+        }
+    }
+
+    /// Takes a target out of those that take requests.
+    fn stop_serving(&mut self, target: &Target) {
+        let Some(model) = served(target, &self.evacuated, &self.grouped) else {
+            return;
+        };
+        let service = self.serving.get_mut(&target.service);
+        let Some(targets) = service.and_then(|models| models.get_mut(&model)) else {
+            return;
+        };
+        if let Ok(at) = targets.binary_search_by(|t| t.id.cmp(&target.id)) {
+            targets.remove(at);
+        }
+    }
+
     /// The targets that take requests for a service, for a model if it runs
     /// models.
     pub fn serving(&self, service: &ServiceName, model: Option<&Model>) -> &[Arc<Target>] {
@@ -230,6 +259,7 @@
         };
         // An earlier life, or the same one under another service.
         self.drop_instance(&instance);
+        self.serve(&target);
         let service = self.targets.entry(target.service.clone()).or_default();
         service.insert(target.id.clone(), target);
         self.lives.insert(instance, life);
@@ -249,8 +279,26 @@
         let Some(life) = self.lives.remove(instance) else {
             return;
         };
-        if let Some(targets) = self.targets.get_mut(&life.service) {
-            targets.remove(&life.id);
+        let targets = self.targets.get_mut(&life.service);
+        if let Some(target) = targets.and_then(|targets| targets.remove(&life.id)) {
+            self.stop_serving(&target);
         }
     }
 }
+
+/// What a target takes requests for: a model if its service runs models. `None` if it takes
+/// none.
+fn served(
+    target: &Target,
+    evacuated: &BTreeSet<HallId>,
+    grouped: &HashSet<ServiceName>,
+) -> Option<Option<Model>> {
+    if target.leaving || evacuated.contains(&target.hall) {
+        return None;
+    }
+    if !grouped.contains(&target.service) {
+        return Some(None);
+    }
+    let member = target.member.as_ref().filter(|_| target.leads_open())?;
+    Some(member.model.clone())
+}
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -2,8 +2,13 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use thistlesill_core::Millis;
-use thistlesill_core::edge::{Target, TargetId};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use thistlesill_core::edge::{
+    Catalog, GroupRef, Incarnation, Limits, MemberState, Membership, Service, Target, TargetId,
+};
+use thistlesill_core::{HallId, Millis};
+use thistlesill_fakes::engines::engine;
 use thistlesill_policy::edge::book::{Listing, RELIST, TargetBook};
 
 const NOW: Millis = Millis::new(1_000_000);
@@ -17,12 +22,12 @@
         hall: "h".into(),
         slots: 6,
         leaving: false,
+        warmup: Millis::ZERO,
         domain: None,
         staged: Vec::new(),
         member: None,
     }
 }
-        warmup: Millis::ZERO,
 
 /// Its entry as the store lists it.
 pub(crate) fn listed(id: impl Into<TargetId>) -> Listing {
@@ -92,3 +97,79 @@
     book.replace(vec![listed("c")], None, NOW + Millis::new(60_000));
     assert!(book.knows(&"c".into()) && !book.knows(&"a".into()));
 }
+
+const HALLS: [&str; 2] = ["h", "other"];
+
+/// A catalog with a plain service and one that runs models.
+fn catalog(version: u64) -> Catalog {
+    let limits = Limits {
+        head_bytes: 0,
+        body_bytes: 0,
+        idle: Millis::ZERO,
+    };
+    let mut catalog = Catalog::new(version, limits);
+    for (name, engine) in [("s", None), ("pool", Some(engine()))] {
+        catalog.add_service(Service {
+            name: name.into(),
+            connections: 10,
+            warmup: None,
+            engine,
+        });
+    }
+    catalog
+}
+
+/// A target that may be in a group, lead it, leave, and lie in either data centre.
+fn drawn(rng: &mut SmallRng) -> Target {
+    let id = format!("i-{}", rng.random_range(0..12));
+    let life = Incarnation::new(rng.random_range(0..2));
+    let states = [MemberState::Open, MemberState::Ready, MemberState::Broken];
+    let member = rng.random_bool(0.8).then(|| Membership {
+        of: GroupRef {
+            group: "g".into(),
+            epoch: 1,
+        },
+        rank: rng.random_range(0..2),
+        state: states[rng.random_range(0..3)],
+        model: Some(["large", "small"][rng.random_range(0..2)].into()),
+    });
+    Target {
+        id: TargetId::new(id.into(), life),
+        service: ["s", "pool"][rng.random_range(0..2)].into(),
+        hall: HALLS[rng.random_range(0..2)].into(),
+        leaving: rng.random_bool(0.2),
+        member,
+        ..target("")
+    }
+}
+
+#[test]
+fn targets_that_change_one_by_one_serve_as_those_that_are_read_at_once() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut book = TargetBook::default();
+    book.store_answered(NOW);
+    let later = NOW + RELIST;
+    for round in 0..4_000 {
+        let catalog = catalog(round / 500);
+        let change = match rng.random_range(0..6) {
+            0 => Listing::Gone(format!("i-{}", rng.random_range(0..12)).into()),
+            1 => Listing::Unusable(format!("i-{}", rng.random_range(0..12)).into()),
+            _ => Listing::Listed(Box::new(drawn(&mut rng))),
+        };
+        book.apply(vec![change], Some(&catalog), later);
+        let evacuated = HALLS.iter().filter(|_| round % 40 >= 30);
+        let evacuated = evacuated.take(1).map(|hall| HallId::from(*hall)).collect();
+        if round % 10 == 0 {
+            book.evacuate(&evacuated, Some(&catalog));
+        }
+        let mut whole = book.clone();
+        whole.index(Some(&catalog));
+        for service in ["s", "pool"] {
+            for model in [None, Some("large".into()), Some("small".into())] {
+                let service = service.into();
+                let one = book.serving(&service, model.as_ref());
+                assert_eq!(one, whole.serving(&service, model.as_ref()));
+            }
+        }
+    }
+}
