--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -210,6 +210,7 @@
             edge.cases.retain(edge.now());
             if rounds % STATUS_SWEEPS == 0 {
                 note_status(&edge);
+                note_traffic(&edge);
             }
             if let Some(handle) = &handle {
                 handle.run_upkeep();
@@ -307,6 +308,15 @@
         .write();
 }
 
+/// Writes a line about what was sent to peers: messages and bytes of each kind.
+fn note_traffic(edge: &Edge) {
+    let mut line = edge.lines.line("traffic");
+    for (kind, sent) in edge.traffic.by_kind() {
+        line = line.with(kind, format_args!("{}/{}", sent.messages, sent.bytes));
+    }
+    line.write();
+}
+
 /// Adds to a line, and to the figures, how often the store was called and what for.
 fn note_store_calls<'a>(edge: &Edge, line: Line<'a>) -> Line<'a> {
     let mut line = line.with("store_calls", edge.store.calls());
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -8,6 +8,7 @@
 pub(crate) mod place;
 pub(crate) mod questions;
 pub(crate) mod roster;
+pub(crate) mod traffic;
 pub(crate) mod transfer;
 
 use std::collections::{HashMap, HashSet};
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::packet::{AskedWork, Beat, Packet};
-use super::{News, Peers, Reach, place};
+use super::{News, Reach, place};
 use crate::follow;
 use crate::limits;
 use crate::quarantine;
@@ -109,6 +109,12 @@
 }
 
 /// Tells the daemon that forms groups at once what this one suspects: until it
+/// Tells the daemon that forms groups at once what this one suspects: until it
+/// Tells daemons at some addresses, known or not, how this one is.
+pub(crate) fn tell_beat_to(edge: &Edge, addresses: &[SocketAddr]) {
+    send(edge, &beat(edge), addresses.iter().copied());
+}
+
 /// has probed the group, others send requests there.
 pub(crate) fn tell_suspects(edge: &Edge) {
     if let Some(planner) = other_planner(edge) {
@@ -153,7 +159,7 @@
 /// Sends a datagram to the peers within reach that may live.
 pub(crate) fn tell_peers(edge: &Edge, packet: &Packet, reach: Reach) {
     let (peers, hall) = (edge.peers.borrow(), edge.settings().hall.clone());
-    send(&peers, packet, peers.addresses(edge.now(), &hall, reach));
+    send(edge, packet, peers.addresses(edge.now(), &hall, reach));
 }
 
 /// Sends a datagram to one peer.
@@ -164,25 +170,25 @@
 /// Sends a datagram to some peers.
 pub(crate) fn tell_each(edge: &Edge, to: &[NodeId], packet: &Packet) {
     let peers = edge.peers.borrow();
-    send(
-        &peers,
-        packet,
-        to.iter().filter_map(|name| peers.address(name)),
-    );
+    let to = to.iter().filter_map(|name| peers.address(name));
+    send(edge, packet, to);
 }
 
-fn send(peers: &Peers, packet: &Packet, to: impl Iterator<Item = SocketAddr>) {
-    let (Some(bytes), Some(socket)) = (encode(packet), &peers.socket) else {
+fn send(edge: &Edge, packet: &Packet, to: impl Iterator<Item = SocketAddr>) {
+    let socket = edge.peers.borrow().socket.clone();
+    let (Some(bytes), Some(socket)) = (encode(packet), socket) else {
         return;
     };
+    let mut count = 0;
     for address in to {
-        metrics::counter!("thistlesill_edge_datagrams_sent_total").increment(1);
+        count += 1;
         if let Err(error) = socket.try_send_to(&bytes, address) {
             log::debug!("peers: {address}: {error}");
         }
     }
 }
 
+    edge.traffic.note(packet.kind(), count, bytes.len());
 fn encode(packet: &Packet) -> Option<Vec<u8>> {
     match postcard::to_stdvec(packet) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM => Some(bytes),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -44,6 +44,29 @@
     Grant(GrantReply),
 }
 
+impl Packet {
+    /// The kind's name in logs and metrics.
+    pub(crate) const fn kind(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "beat",
+            Self::Ask(_) => "ask",
+            Self::Vouch(_) => "vouch",
+            Self::Changes(_) => "changes",
+            Self::Place(_) => "place",
+            Self::Placed(_) => "placed",
+            Self::Counts(_) => "counts",
+            Self::Totals(_) => "totals",
+            Self::Asked(_) => "asked",
+            Self::Lost(_) => "lost",
+            Self::Verdicts(_) => "verdicts",
+            Self::AskVerdicts(_) => "ask_verdicts",
+            Self::Limits(_) => "limits",
+            Self::AskGrant(_) => "ask_grant",
+            Self::Grant(_) => "grant",
+        }
+    }
+}
+
 /// What a daemon has to do with the store; in the order in which others prefer
 /// to depend on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -224,6 +247,8 @@
     pub(crate) age: Millis,
     /// Who knows the targets at an older version must read them whole.
     pub(crate) floor: u64,
+    /// The data centres that are evacuated, as of that proof or later.
+    pub(crate) evacuated: Evacuations,
 }
 
 /// Changes of targets on their way.
@@ -246,5 +271,3 @@
     /// These daemons.
     To(Vec<NodeId>),
 }
-    /// The data centres that are evacuated, as of that proof or later.
-    pub(crate) evacuated: Evacuations,
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -222,7 +222,14 @@
             Some(Answer::State(Box::new(state)))
         }
     };
-    let sent = send(&mut frames, &answer.context(RefusedSnafu)?).await;
+    let answer = answer.context(RefusedSnafu)?;
+    let (kind, bytes) = match &answer {
+        Answer::Soon => ("transfer_soon", 0),
+        Answer::Catalog(text) => ("transfer_catalog", text.len()),
+        Answer::State(state) => ("transfer_state", state.packed.len()),
+    };
+    edge.traffic.note(kind, 1, bytes);
+    let sent = send(&mut frames, &answer).await;
     drop(place);
     sent
 }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -28,6 +28,7 @@
 use crate::lines::Lines;
 use crate::peers::packet::StoreUse;
 use crate::peers::place::Placing;
+use crate::peers::traffic::Traffic;
 use crate::peers::transfer::Packed;
 use crate::peers::{Peers, link};
 use crate::quarantine::Cases;
@@ -179,6 +180,8 @@
     pub(crate) placing: RefCell<Placing>,
     /// Requests that end targets.
     pub(crate) cases: Cases,
+    /// What was sent to peers.
+    pub(crate) traffic: Traffic,
     /// Limits that targets named.
     pub(crate) limits: Limits,
     pub(crate) lanes: Lanes,
@@ -236,6 +239,7 @@
             placing: RefCell::new(Placing::default()),
             cases: Cases::default(),
             limits: Limits::default(),
+            traffic: Traffic::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock,
             alarm: Alarm::new(clock),
