--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -14,6 +14,8 @@
 mod limits;
 #[path = "it/owners.rs"]
 mod owners;
+#[path = "it/seeds.rs"]
+mod seeds;
 #[path = "it/silence.rs"]
 mod silence;
 #[path = "it/soak.rs"]
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -14,6 +14,12 @@
     World::start(program, &folder, net, daemons).await
 }
 
+/// The same, with daemons that find each other through two seeds and one that is down.
+pub(crate) async fn seeded_world(net: u8, daemons: u8) -> World {
+    let (program, folder) = place(net);
+    World::start_seeded(program, &folder, net, daemons, 2).await
+}
+
 /// The same, with daemons that read the store while it is still empty.
 pub(crate) async fn early_world(net: u8, daemons: u8) -> World {
     let (program, folder) = place(net);
