--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -111,7 +111,10 @@
     let changes = edge.feed.borrow().unknown(changes);
     edge.feed.borrow_mut().extend(&changes, rows.version);
     if !changes.is_empty() {
-        follow::tell_changes(edge, before, &changes, rows.version);
+        // Who reads for itself alone has fallen behind, and the others know all of it.
+        if follow::reads_for_others(edge) {
+            follow::tell_changes(edge, before, &changes, rows.version);
+        }
         apply(edge, changes.into_iter().map(|c| c.what).collect());
     }
     true
