--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -14,8 +14,7 @@
 
 pub use bounds::{Bounds, EdgeSettings};
 pub use catalog::{
-    Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare,
-    Warmup,
+    Catalog, Engine, KeyHolder, Limits, ModelPlan, Route, RouteKind, Service, TargetShare, Warmup,
 };
 pub use evacuation::Evacuations;
 pub use incarnation::{Incarnation, TargetId};
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -87,9 +87,7 @@
         by = placed;
         let clearance = match &choice {
             Choice::Target(target) => limits::clear(edge, target, permit, asked).await,
-            Choice::Overloaded(_) | Choice::Spent(_) | Choice::Nobody => {
-                Some(Clearance::Unlimited)
-            }
+            Choice::Overloaded(_) | Choice::Spent(_) | Choice::Nobody => Some(Clearance::Unlimited),
         };
         if let Some(clearance) = clearance {
             metrics::counter!("thistlesill_edge_placed_total", "by" => by.name()).increment(1);
--- a/crates/thistlesill-edge/tests/it/seeds.rs
+++ b/crates/thistlesill-edge/tests/it/seeds.rs
@@ -26,7 +26,11 @@
 async fn knows(world: &World, daemon: usize, peers: usize) {
     let word = format!("peers={peers} ");
     for _ in 0..120 {
-        if world.lines(daemon, &word).iter().any(|l| l.contains("ev=status")) {
+        if world
+            .lines(daemon, &word)
+            .iter()
+            .any(|l| l.contains("ev=status"))
+        {
             return;
         }
         sleep(100).await;
@@ -86,5 +90,7 @@
     sleep(300).await;
     let serves = |good| good;
     let time = Duration::from_millis(2_700);
-    world.wait_until("all daemons answer again", time, serves).await;
+    world
+        .wait_until("all daemons answer again", time, serves)
+        .await;
 }
--- a/crates/thistlesill-policy/tests/edge/evacuated_groups.rs
+++ b/crates/thistlesill-policy/tests/edge/evacuated_groups.rs
@@ -60,7 +60,10 @@
         let groups = stage.engines.serving().into_iter();
         groups.filter(|(l, _)| there.contains(l)).count()
     };
-    assert!(serving(&stage) < count, "a lost group is not replaced there");
+    assert!(
+        serving(&stage) < count,
+        "a lost group is not replaced there"
+    );
     stage.evacuated.clear();
     stage.run(secs(20));
     assert_eq!(serving(&stage), count);
--- a/crates/thistlesill-policy/tests/edge/limit.rs
+++ b/crates/thistlesill-policy/tests/edge/limit.rs
@@ -128,7 +128,9 @@
         let granted = granted(&mut table, 10, 40_010);
         let span = WINDOW + validity();
         let used = |from: u64| {
-            let there = granted.iter().filter(|at| (from..from + span).contains(*at));
+            let there = granted
+                .iter()
+                .filter(|at| (from..from + span).contains(*at));
             there.count()
         };
         let most = granted.iter().map(|from| used(*from)).max();
