perf(edge): each kind of beat keeps its own gap, whatever the data centre's size

One loop slept for the gap between beats to the own data centre before it looked at the others: 3.2 s where that has 200 daemons. So the daemon that forms groups, taken for lost after 1.2 s of silence, was silent for 3.2 s, which had the first daemons of the data centres look for its lease and others read the store; and what callers ask for came every 3.2 s where it is believed for 3.5. When to tell is apart from I/O now.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -47,9 +47,12 @@
 const PLANNER_SILENT: Millis = Millis::new(1_200);
 /// After this silence a daemon is forgotten.
 const REMOVED: Millis = Millis::new(40_000);
-/// How long what a daemon told of its callers is believed: it tells once a
-/// second, and two datagrams may be lost.
-const ASKED_TRUST: Millis = Millis::new(3_500);
+/// The shortest time between two accounts of what callers ask a daemon for: groups follow
+/// it within seconds.
+const ASKED_LEAST: Millis = Millis::new(1_000);
+/// Between two of them, for each daemon, in tenths of a millisecond: the daemon that forms
+/// groups hears 660 a second.
+const ASKED_EACH: u64 = 15;
 
 /// Which peers a datagram goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -167,6 +170,16 @@
         PLANNER_LEAST.max(Millis::new(PLANNER_EACH * self.most() as u64 / 10))
     }
 
+    /// The time between two accounts of what callers ask a daemon for.
+    pub(crate) fn asked_gap(&self) -> Millis {
+        ASKED_LEAST.max(Millis::new(ASKED_EACH * self.most() as u64 / 10))
+    }
+
+    /// How long such an account is believed: two of them may be lost.
+    fn asked_trust(&self) -> Millis {
+        Millis::new(self.asked_gap().get() * 7 / 2)
+    }
+
     /// How long what a peer told is believed, by those that are told more often than
     /// the rest: two beats may come late in a row.
     pub(crate) fn trust(&self, hall: &HallId) -> Millis {
@@ -245,15 +258,14 @@
     /// Takes in what callers ask a peer for.
     pub(crate) fn hear_asked(&mut self, asked: AskedWork, now: Millis) {
         self.asked.insert(asked.from.clone(), (now, asked));
-        self.asked.retain(|_, (at, _)| now - *at < ASKED_TRUST);
+        let trust = self.asked_trust();
+        self.asked.retain(|_, (at, _)| now - *at < trust);
     }
 
     /// What callers ask the peers for, of one service.
     pub(crate) fn demand(&self, service: &ServiceName, now: Millis) -> Demand {
-        let fresh = self
-            .asked
-            .values()
-            .filter(|(at, _)| now - *at < ASKED_TRUST);
+        let trust = self.asked_trust();
+        let fresh = self.asked.values().filter(|(at, _)| now - *at < trust);
         let all = fresh.flat_map(|(_, asked)| &asked.work);
         let mut demand = Demand::new();
         for (_, model, work) in all.filter(|(name, _, _)| name == service) {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use thistlesill_core::{Millis, NodeId};
+use thistlesill_policy::edge::beats::{BeatGaps, BeatSchedule, DueBeat};
 use tokio::net::UdpSocket;
 
 use super::packet::{AskedWork, Beat, Packet};
@@ -18,10 +18,7 @@
 /// take it for down after three of them.
 const PLANNER_BEAT: Millis = Millis::new(400);
 /// Between two beats of a daemon without requests.
-const IDLE_BEAT: Duration = Duration::from_millis(300);
-/// Between two tellings of what callers ask for: groups follow it within
-/// seconds, and a hundred daemons tell one.
-const TELL_ASKED: Millis = Millis::new(1_000);
+const IDLE_BEAT: Millis = Millis::new(300);
 /// Bytes of a datagram, at most.
 pub(crate) const MAX_DATAGRAM: usize = 8 * 1024;
 
@@ -37,49 +34,39 @@
 /// Sends and takes in datagrams, for ever.
 pub(crate) async fn run(edge: Rc<Edge>) {
     tokio::task::spawn_local(listen(edge.clone()));
-    let (mut told, mut planner_told) = (Millis::ZERO, Millis::ZERO);
-    let mut far_told: Option<Millis> = None;
+    let mut schedule = BeatSchedule::new(edge.now());
     loop {
-        let (near, far) = gaps(&edge);
-        tokio::time::sleep(near).await;
-        let now = edge.now();
-        let planner_gap = edge.peers.borrow().planner_gap();
-        // The first one goes out when the list of daemons has been read.
         let listed = edge.peers.borrow().is_listed();
-        if listed && far_told.is_none_or(|at| now - at >= far) {
-            far_told = Some(now);
-            planner_told = now;
-            tell_beat(&edge, Reach::All);
-        } else {
-            tell_beat(&edge, Reach::Near);
-            if now - planner_told >= planner_gap {
-                planner_told = now;
-                tell_far_planner(&edge);
+        match schedule.next(&gaps(&edge), listed, edge.now()) {
+            DueBeat::All => tell_beat(&edge, Reach::All),
+            DueBeat::Near => tell_beat(&edge, Reach::Near),
+            DueBeat::Planner => tell_far_planner(&edge),
+            DueBeat::Asked => tell_asked(&edge),
+            // The gaps change with the requests, the list and the lease.
+            DueBeat::Wait(until) => {
+                let look = edge.now() + IDLE_BEAT;
+                edge.alarm.until(until.min(look)).await;
             }
         }
-        if now - told >= TELL_ASKED {
-            told = now;
-            tell_asked(&edge, now);
-        }
     }
 }
 
-/// The time until the next beat, to the peers of this data centre and to all.
-fn gaps(edge: &Edge) -> (Duration, Millis) {
+/// The times between two beats.
+fn gaps(edge: &Edge) -> BeatGaps {
     let peers = edge.peers.borrow();
-    let near = peers.near_gap(&edge.settings().hall).duration();
-    let near = if edge.active.get() == 0 {
-        IDLE_BEAT.max(near)
-    } else {
-        near
-    };
-    let far = peers.far_gap();
-    let far = if edge.plans.get() {
-        far.min(PLANNER_BEAT)
-    } else {
-        far
-    };
-    (near, far)
+    let near = peers.near_gap(&edge.settings().hall);
+    let idle = edge.active.get() == 0;
+    let all = peers.far_gap();
+    BeatGaps {
+        near: if idle { IDLE_BEAT.max(near) } else { near },
+        all: if edge.plans.get() {
+            all.min(PLANNER_BEAT)
+        } else {
+            all
+        },
+        planner: peers.planner_gap(),
+        asked: peers.asked_gap(),
+    }
 }
 
 /// The daemon that forms groups, if it is another one.
@@ -89,11 +76,11 @@
 }
 
 /// Tells the daemon that forms groups what callers ask this one for.
-fn tell_asked(edge: &Edge, now: Millis) {
+fn tell_asked(edge: &Edge) {
     let Some(planner) = other_planner(edge) else {
         return;
     };
-    let work = edge.asked.borrow_mut().work(now);
+    let work = edge.asked.borrow_mut().work(edge.now());
     let work = work.into_iter();
     let work = work.map(|((service, model), work)| (service, model, work as f32));
     let from = edge.settings().name.clone();
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod asked;
 pub mod attempt;
+pub mod beats;
 pub mod book;
 pub mod evacuation;
 pub mod feed;
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -167,7 +167,7 @@
         self.serving.clear();
         let all = self.targets.values().flat_map(HashMap::values);
         for target in all {
-            if let Some(model) = served(target, &self.evacuated, &self.grouped) {
+            if let Serves::Requests(model) = served(target, &self.evacuated, &self.grouped) {
                 let service = self.serving.entry(target.service.clone()).or_default();
                 let targets = service.entry(model).or_default();
                 targets.push(Arc::new(target.clone()));
@@ -188,7 +188,7 @@
 
     /// Adds a target to those that take requests, if it does.
     fn serve(&mut self, target: &Target) {
-        if let Some(model) = served(target, &self.evacuated, &self.grouped) {
+        if let Serves::Requests(model) = served(target, &self.evacuated, &self.grouped) {
             let service = self.serving.entry(target.service.clone()).or_default();
             let targets = service.entry(model).or_default();
             let at = targets.partition_point(|t| t.id < target.id);
@@ -198,7 +198,7 @@
 
     /// Takes a target out of those that take requests.
     fn stop_serving(&mut self, target: &Target) {
-        let Some(model) = served(target, &self.evacuated, &self.grouped) else {
+        let Serves::Requests(model) = served(target, &self.evacuated, &self.grouped) else {
             return;
         };
         let service = self.serving.get_mut(&target.service);
@@ -286,19 +286,24 @@
     }
 }
 
-/// What a target takes requests for: a model if its service runs models. `None` if it takes
-/// none.
-fn served(
-    target: &Target,
-    evacuated: &BTreeSet<HallId>,
-    grouped: &HashSet<ServiceName>,
-) -> Option<Option<Model>> {
+/// What a target takes requests for.
+enum Serves {
+    /// Nothing.
+    Nothing,
+    /// Requests; for this model if its service runs models.
+    Requests(Option<Model>),
+}
+
+/// What a target takes requests for.
+fn served(target: &Target, evacuated: &BTreeSet<HallId>, grouped: &HashSet<ServiceName>) -> Serves {
     if target.leaving || evacuated.contains(&target.hall) {
-        return None;
+        return Serves::Nothing;
     }
     if !grouped.contains(&target.service) {
-        return Some(None);
+        return Serves::Requests(None);
+    }
+    match &target.member {
+        Some(member) if target.leads_open() => Serves::Requests(member.model.clone()),
+        _ => Serves::Nothing,
     }
-    let member = target.member.as_ref().filter(|_| target.leads_open())?;
-    Some(member.model.clone())
 }
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -6,6 +6,8 @@
 mod asked;
 #[path = "edge/attempt.rs"]
 mod attempt;
+#[path = "edge/beats.rs"]
+mod beats;
 #[path = "edge/book.rs"]
 mod book;
 #[path = "edge/demand.rs"]
--- a/crates/thistlesill-policy/tests/edge/evacuated_groups.rs
+++ b/crates/thistlesill-policy/tests/edge/evacuated_groups.rs
@@ -1,7 +1,7 @@
 //! What a planner does with the groups of data centres that are evacuated.
 
-use thistlesill_core::Millis;
 use thistlesill_core::edge::TargetId;
+use thistlesill_core::{DomainId, Millis};
 
 use crate::stage::Stage;
 
@@ -16,8 +16,8 @@
     let mut stage = Stage::formed(6);
     let listed = stage.engines.listed();
     let there = listed.values().filter(|t| {
-        let domain = t.domain.as_ref().map(|d| d.as_str());
-        domain.is_some_and(|d| d.ends_with('0') || d.ends_with('1'))
+        let domain = t.domain.as_ref().map_or("", DomainId::as_str);
+        domain.ends_with('0') || domain.ends_with('1')
     });
     let there: Vec<TargetId> = there.map(|t| t.id.clone()).collect();
     assert!(!there.is_empty() && there.len() < listed.len());
--- a/crates/thistlesill-policy/tests/edge/spread.rs
+++ b/crates/thistlesill-policy/tests/edge/spread.rs
@@ -32,7 +32,9 @@
             let near: Vec<NodeId> = near.map(|(n, _)| n.clone()).collect();
             for (first, rest) in parts(&near) {
                 tell(&hall, first);
-                rest.iter().for_each(|name| tell(&hall, name));
+                for name in rest {
+                    tell(&hall, name);
+                }
             }
         }
     }
