test(edge): a daemon that looks at the targets itself reads no catalog

Fails: 5 reads of the operators' table beside 20 questions about targets in 5 s. At full size each of 984 daemons read 82 kB six times before the first request.

--- a/crates/thistlesill-edge/tests/it/calls.rs
+++ b/crates/thistlesill-edge/tests/it/calls.rs
@@ -40,6 +40,28 @@
     assert!(reads <= 3, "{reads} reads of the catalog");
 }
 
+/// Of 984 daemons each read the whole catalog whenever it looked at the targets itself: six
+/// times before the first request, 0.6 GB in all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_looks_at_the_targets_itself_reads_no_catalog() {
+    let mut world = world(64, DAEMONS as u8).await;
+    sleep(2_000).await;
+    // Beats of the planner come every 0.4 s, so what this daemon knows is often too old.
+    world.daemons[5].kill().await;
+    world.daemons[5].set_bound("drainMs", 300);
+    world.daemons[5].start();
+    sleep(5_500).await;
+    let lines = world.lines(5, "ev=status");
+    let last = lines.last().expect("it tells how it is");
+    let calls = |name: &str| {
+        let count = last.split(&format!(" {name}=")).nth(1);
+        let count = count.and_then(|rest| rest.split(' ').next()?.parse::<u32>().ok());
+        count.unwrap_or(0)
+    };
+    assert!(calls("await_targets") >= 3, "{last}");
+    assert!(calls("read_operators") <= 1, "{last}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn one_daemon_follows_the_catalog_for_all() {
     let world = world(63, DAEMONS as u8).await;
