--- a/crates/thistlesill-edge/src/watch/catalog.rs
+++ b/crates/thistlesill-edge/src/watch/catalog.rs
@@ -49,7 +49,8 @@
             version = None;
             tokio::select! {
                 () = edge.catalog_news.notified() => if fetch_catalog(&edge).await { continue },
-                () = edge.reads_changed.notified() => {}
+                // It may only have begun to read the targets.
+                () = edge.reads_changed.notified() => continue,
                 () = tokio::time::sleep(IDLE) => continue,
             }
         }
