perf(edge): what a daemon was told of the targets' age holds once it has caught up

While targets change all the time a daemon lags by the time that changes take on their way, so each word of their newest version came too early and proved nothing: known targets seemed 3.7 s old, and daemons read the store. Words that come too early are kept until their changes are there. Test: five changes behind for 200 changes.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -138,19 +138,16 @@
 /// Takes in how much of the targets a peer knows: as much as this daemon, or
 /// changes that it missed.
 pub(crate) fn hear_known(edge: &Edge, from: &NodeId, known: KnownTargets) {
-    let (is_known, version) = {
-        let feed = edge.feed.borrow();
-        (feed.is_known(), feed.version())
-    };
-    if !is_known {
+    if !edge.feed.borrow().is_known() {
         // It starts, and would wait for the store.
         have_targets_of(edge, from);
         return;
     }
-    if version >= known.newest {
-        edge.confirm_targets(edge.now() - known.age);
-    } else {
-        ask_if_it_lasts(edge, from, known.newest);
+    let at = edge.now() - known.age;
+    let proved = edge.feed.borrow_mut().claim(known.newest, at);
+    match proved {
+        Some(at) => edge.confirm_targets(at),
+        None => ask_if_it_lasts(edge, from, known.newest),
     }
 }
 
@@ -379,6 +376,10 @@
         take_next(edge, batch);
         next = edge.feed.borrow_mut().next_held();
     }
+    let reached = edge.feed.borrow_mut().reached();
+    if let Some(at) = reached {
+        edge.confirm_targets(at);
+    }
     let held = edge.feed.borrow().held();
     if let Some(newest) = held {
         ask_if_it_lasts(edge, &from, newest);
--- a/crates/thistlesill-policy/src/edge/feed.rs
+++ b/crates/thistlesill-policy/src/edge/feed.rs
@@ -12,6 +12,9 @@
 /// Batches that are held back, at most; who misses more asks for them anyway.
 const MAX_HELD: usize = 32;
 
+/// Claims that wait for their changes, at most: those of some seconds.
+const MAX_CLAIMS: usize = 16;
+
 /// Entries that are gone and kept for daemons that missed it. Of the others the newest
 /// change of each target is kept, some 0.4 kB: while groups are first formed each changes
 /// several times in seconds, and who lags behind what is kept reads all targets.
@@ -59,6 +62,15 @@
     gone: BTreeSet<Slot>,
     /// Batches that came before those that they follow: they take different ways.
     held: Vec<Batch>,
+    /// Versions that a peer knew to be the newest at a moment, and that are not known yet.
+    claims: Vec<Claim>,
+}
+
+/// Says that there was no change after a version at a moment.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    version: u64,
+    at: Millis,
 }
 
 impl Feed {
@@ -129,6 +141,30 @@
         self.held.iter().map(|batch| batch.after).max()
     }
 
+    /// Takes in that a version was the newest at a moment; returns that moment if all changes
+    /// up to it are known.
+    ///
+    /// While targets change all the time a daemon is always some tenths of a second behind
+    /// what it is told of. Without its claims being kept, what it knew seemed to grow old, and
+    /// each of 984 daemons read the store six times before the first request.
+    pub fn claim(&mut self, version: u64, at: Millis) -> Option<Millis> {
+        if self.known && version <= self.version {
+            return Some(at);
+        }
+        if self.claims.len() == MAX_CLAIMS {
+            self.claims.remove(0);
+        }
+        self.claims.push(Claim { version, at });
+        None
+    }
+
+    /// The latest moment of the claims whose changes have come since; they are forgotten.
+    pub fn reached(&mut self) -> Option<Millis> {
+        let version = self.version;
+        let reached = self.claims.extract_if(.., |claim| claim.version <= version);
+        reached.map(|claim| claim.at).max()
+    }
+
     /// Starts anew at a version, after a whole read.
     pub fn restart(&mut self, version: u64) {
         self.known = true;
--- a/crates/thistlesill-policy/tests/edge/feed.rs
+++ b/crates/thistlesill-policy/tests/edge/feed.rs
@@ -1,5 +1,6 @@
 //! Daemons that read the store keep changes for those that follow them.
 
+use thistlesill_core::Millis;
 use thistlesill_policy::edge::book::Listing;
 use thistlesill_policy::edge::feed::{Batch, Change, Feed};
 
@@ -139,3 +140,39 @@
     }
     assert!((1..100).contains(&taken), "{taken}");
 }
+
+fn ms(ms: u64) -> Millis {
+    Millis::new(ms)
+}
+
+/// Before the first requests targets change five times as often as changes take on their way.
+#[test]
+fn who_is_always_a_little_behind_knows_how_old_its_knowledge_is() {
+    let mut feed = Feed::default();
+    feed.restart(0);
+    let mut age = 0;
+    for now in 1..200 {
+        // The reader is five changes ahead of what has come here.
+        let proved = feed.claim(now + 5, ms(now));
+        assert_eq!(proved, None);
+        feed.extend(&[gone(now)], now);
+        let reached = feed.reached();
+        age = reached.map_or(age + 1, |at| now - at.get());
+        assert!(age <= 5 || now < 10, "{age} at {now}");
+    }
+    assert_eq!(feed.claim(199, ms(500)), Some(ms(500)));
+}
+
+#[test]
+fn a_claim_whose_changes_are_missing_proves_nothing() {
+    let mut feed = Feed::default();
+    assert_eq!(feed.claim(0, ms(10)), None, "nothing is known yet");
+    feed.restart(10);
+    for version in 11..40 {
+        assert_eq!(feed.claim(version, ms(version)), None);
+    }
+    assert_eq!(feed.reached(), None);
+    feed.extend(&[gone(25)], 25);
+    assert_eq!(feed.reached(), Some(ms(25)));
+    assert_eq!(feed.reached(), None, "each holds once");
+}
