fix(edge): delegates of a data centre ask the reader, not each other; names of the field

A daemon did not count itself among the first of its data centre, so two delegates asked each other until their proofs were old, 2 s of the 5 allowed. Who asks whom is apart from I/O now; test with 200 daemons. With it names: delegate for head, seeds and time-outs for introduction, say and again.

--- a/crates/thistlesill-edge/src/evacuation.rs
+++ b/crates/thistlesill-edge/src/evacuation.rs
@@ -24,17 +24,17 @@
             table.apply(&listed, rows.version)
         }
     };
-    put(edge, &changes);
+    apply(edge, &changes);
 }
 
 /// Takes in the list as a peer knows it.
 pub(crate) fn replace(edge: &Edge, list: Evacuations) {
     let changes = edge.evacuations.borrow_mut().replace(list);
-    put(edge, &changes);
+    apply(edge, &changes);
 }
 
 /// Has changes of the list be in force.
-fn put(edge: &Edge, changes: &[EvacuationChange]) {
+fn apply(edge: &Edge, changes: &[EvacuationChange]) {
     if changes.is_empty() {
         return;
     }
--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -37,7 +37,7 @@
 const ALONE_PART: f64 = 0.72;
 /// Part of that time after which a daemon of a large fleet asks the daemon that reads the
 /// store, and no longer one of its data centre that asks that.
-const HEADLESS_PART: f64 = 0.4;
+const DELEGATE_PROOF_PART: f64 = 0.4;
 /// The same for the first daemon of a data centre, which then reads for the others
 /// there. A proof is usually at most half of that time old: two questions of the
 /// daemon that forms groups, and the time between two of this one's.
@@ -186,14 +186,15 @@
     let settings = edge.settings();
     let reader = {
         let (peers, now) = (edge.peers.borrow(), edge.now());
-        let asks_head = spread::asks_head(peers.most()) && !proof_is_older(edge, HEADLESS_PART);
-        let head = asks_head.then(|| peers.head(&settings.name, &settings.hall, now));
+        let asks_delegate =
+            spread::asks_delegate(peers.most()) && !proof_is_older(edge, DELEGATE_PROOF_PART);
+        let delegate = asks_delegate.then(|| peers.delegate(&settings, now));
         // A daemon that reads the catalog itself asks for targets only, unless the store
         // does not answer it.
         if edge.reads.get() && !edge.is_away() {
             peers.planner()
-        } else if let Some(head) = head.flatten() {
-            Some(head)
+        } else if let Some(delegate) = delegate.flatten() {
+            Some(delegate)
         } else {
             peers.reader(&settings.hall, now)
         }
@@ -278,18 +279,18 @@
         Some(_) => missed[part - 1].version,
         None => newest,
     };
-    tell_parts(edge, to, &Pass::Nobody, ask.targets, &missed[..part], until);
+    send_changes(edge, to, &Pass::Nobody, ask.targets, &missed[..part], until);
 }
 
 /// As reader: tells all daemons what changed.
 pub(crate) fn tell_changes(edge: &Edge, before: u64, changes: &[Change], after: u64) {
     let (to, pass) = receivers(edge);
-    tell_parts(edge, &to, &pass, before, changes, after);
+    send_changes(edge, &to, &pass, before, changes, after);
 }
 
 /// Tells some daemons of the changes from one version to another, in as many datagrams as
 /// they need; of none as well, since that proves something.
-fn tell_parts(
+fn send_changes(
     edge: &Edge,
     to: &[NodeId],
     pass: &Pass,
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -16,8 +16,8 @@
 use std::rc::Rc;
 
 use rand::seq::IndexedRandom;
-use thistlesill_core::edge::{GroupRef, TargetId};
-use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName, rendezvous};
+use thistlesill_core::edge::{EdgeSettings, GroupRef, TargetId};
+use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::fleet::{Demand, LateJoins};
 use thistlesill_policy::edge::spread;
 use thistlesill_policy::lease::LeaseSeen;
@@ -341,17 +341,19 @@
         own: &HallId,
         now: Millis,
     ) -> impl Iterator<Item = &NodeId> {
-        let owners = self.able(own, now).filter(|(_, p)| p.hall == *hall);
+        let owners = self
+            .well_connected(own, now)
+            .filter(|(_, p)| p.hall == *hall);
         owners.map(|(name, _)| name)
     }
 
     /// The peers of all data centres that may own scopes; `own` is this daemon's one.
     pub(crate) fn all_owners(&self, own: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
-        self.able(own, now).map(|(name, _)| name)
+        self.well_connected(own, now).map(|(name, _)| name)
     }
 
     /// The peers that may own scopes, wherever they are.
-    fn able(&self, own: &HallId, now: Millis) -> impl Iterator<Item = (&NodeId, &Peer)> {
+    fn well_connected(&self, own: &HallId, now: Millis) -> impl Iterator<Item = (&NodeId, &Peer)> {
         let lives = self.lives(own, now);
         self.known.iter().filter(move |(_, p)| p.owns && lives(p))
     }
@@ -367,22 +369,19 @@
         best.map(|(name, _)| name.clone())
     }
 
-    /// One of the first daemons of a data centre, other than `me`, which are drawn by name so
-    /// that each is asked by a part of the others.
-    pub(crate) fn head(&self, me: &NodeId, hall: &HallId, now: Millis) -> Option<NodeId> {
+    /// The daemon of its data centre that the one with these settings asks; `None` if it is
+    /// one of those that ask the reader of the store.
+    pub(crate) fn delegate(&self, settings: &EdgeSettings, now: Millis) -> Option<NodeId> {
+        let (me, hall) = (&settings.name, &settings.hall);
         let lives = self.lives(hall, now);
         let near = self
             .known
             .iter()
             .filter(|(_, p)| p.hall == *hall && lives(p));
         let present = near.filter(|(_, p)| p.store != StoreUse::Away);
-        let present: Vec<(&NodeId, u32)> = present.map(|(name, p)| (name, p.link)).collect();
-        let mut names = spread::able(&present);
-        names.sort_unstable();
-        names.truncate(spread::HEADS);
-        let head = rendezvous::first(names.iter().copied(), me.as_str()).cloned();
-        // Who is one of them asks the reader of the store.
-        head.filter(|_| !names.contains(&me))
+        let present = present.map(|(name, p)| (name, p.link));
+        let all: Vec<(&NodeId, u32)> = present.chain([(me, settings.link)]).collect();
+        spread::delegate(me, &all).cloned()
     }
 
     /// Some peers of each data centre, drawn among those that are heard.
@@ -398,7 +397,7 @@
             halls.entry(&peer.hall).or_default().push((name, peer.link));
         }
         let drawn = halls.into_values().flat_map(|there| {
-            let able = spread::able(&there);
+            let able = spread::well_connected(&there);
             able.sample(rng, count).copied().collect::<Vec<_>>()
         });
         drawn.cloned().collect()
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -32,16 +32,16 @@
 /// that were apart for long have forgotten each other.
 const REREAD_LOOKS: u32 = 10;
 /// Daemons of each data centre that are found in the store.
-const INTRODUCERS: usize = 2;
+const LISTED_PER_HALL: usize = 2;
 /// How long the seeds are asked before the store is: they start within some tenths of a second
 /// of each other, and wait for each other's beats before they answer.
-const INTRODUCTION: Millis = Millis::new(2_000);
+const SEEDS_TIMEOUT: Millis = Millis::new(2_000);
 /// Time for a list of daemons, with hundreds of others that ask for it.
-const MEMBERS: Duration = Duration::from_millis(1_500);
+const MEMBERS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after its list in which all that started with a daemon have told all seeds.
-const SETTLED: Duration = Duration::from_millis(1_500);
+const SECOND_JOIN_DELAY: Duration = Duration::from_millis(1_500);
 /// Between two rounds of questions to seeds that do not listen yet.
-const AGAIN: Duration = Duration::from_millis(100);
+const SEEDS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for a call.
 const LIMIT: Duration = Duration::from_millis(1_000);
 /// After a call that failed; the pause grows with each further one.
@@ -65,7 +65,7 @@
 pub(crate) async fn run(edge: Rc<Edge>) {
     let seeds = edge.settings().seed_addresses();
     let seeded = !seeds.is_empty();
-    if !introduce(&edge, &seeds).await {
+    if !join_by_seeds(&edge, &seeds).await {
         join_by_store(&edge, seeded).await;
     }
     // What the others have under way is wanted for the first requests, and they answer
@@ -73,9 +73,9 @@
     link::tell_beat(&edge, Reach::All);
     if seeded {
         // Of two daemons that asked different seeds neither may know the other yet.
-        tokio::time::sleep(SETTLED).await;
-        introduce(&edge, &seeds).await;
-        if is_introducer(&edge) {
+        tokio::time::sleep(SECOND_JOIN_DELAY).await;
+        join_by_seeds(&edge, &seeds).await;
+        if is_listed_in_store(&edge) {
             enlist(&edge).await;
         }
     }
@@ -84,14 +84,14 @@
         tokio::time::sleep(LOOK).await;
         looks += 1;
         if seeded {
-            introduce(&edge, &seeds).await;
+            join_by_seeds(&edge, &seeds).await;
         }
         let alone = edge.peers.borrow().heard(edge.now()) == 0;
         if alone || edge.plans.get() || looks % REREAD_LOOKS == 0 {
             remove_silent(&edge).await;
             edge.peers.borrow_mut().forget_silent(edge.now());
             let missing = join(&edge).await == Own::Missing;
-            if missing && (!seeded || is_introducer(&edge)) {
+            if missing && (!seeded || is_listed_in_store(&edge)) {
                 enlist(&edge).await;
             }
         }
@@ -99,39 +99,39 @@
 }
 
 /// Whether this daemon is one of those that are found in the store.
-fn is_introducer(edge: &Edge) -> bool {
+fn is_listed_in_store(edge: &Edge) -> bool {
     let settings = edge.settings();
     let rank = edge.peers.borrow().rank(&settings.name, &settings.hall);
-    rank < INTRODUCERS
+    rank < LISTED_PER_HALL
 }
 
 /// Tells daemons at some addresses of this one, and has the list of all from one of them;
 /// returns whether any answered.
-async fn introduce(edge: &Edge, addresses: &[SocketAddr]) -> bool {
+async fn join_by_seeds(edge: &Edge, addresses: &[SocketAddr]) -> bool {
     if addresses.is_empty() {
         return false;
     }
-    let (until, me) = (edge.now() + INTRODUCTION, Member::own(&edge.settings()));
+    let (until, me) = (edge.now() + SEEDS_TIMEOUT, Member::own(&edge.settings()));
     while edge.now() < until {
         // Those that start as well may not listen yet.
         link::tell_beat_to(edge, addresses);
         // All ask the same one first, so that its list is whole.
         for address in addresses {
-            match transfer::fetch_members(*address, me.clone(), MEMBERS).await {
+            match transfer::fetch_members(*address, me.clone(), MEMBERS_TIMEOUT).await {
                 Ok(members) => {
-                    put_members(edge, &members);
+                    apply_members(edge, &members);
                     return true;
                 }
                 Err(error) => log::debug!("peers: {address} hands out no list: {error}"),
             }
         }
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(SEEDS_RETRY_INTERVAL).await;
     }
     false
 }
 
 /// Takes in the daemons that a peer knows.
-fn put_members(edge: &Edge, members: &[Member]) {
+fn apply_members(edge: &Edge, members: &[Member]) {
     let (me, now) = (edge.settings().name.clone(), edge.now());
     {
         let mut peers = edge.peers.borrow_mut();
@@ -149,7 +149,7 @@
     if seeded {
         join(edge).await;
         let listed = edge.peers.borrow().all_addresses();
-        if introduce(edge, &listed).await {
+        if join_by_seeds(edge, &listed).await {
             return;
         }
     }
--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -52,9 +52,9 @@
 /// on an eighth of a core.
 const SAY: Duration = Duration::from_millis(150);
 /// The same for a seed, which all daemons of a fleet may ask at once.
-const SAY_TO_MANY: Duration = Duration::from_millis(500);
+const SEED_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after its start in which a daemon has heard of those that start with it.
-const GATHER: Millis = Millis::new(700);
+const START_SPREAD: Millis = Millis::new(700);
 /// After a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -266,7 +266,7 @@
     if let Question::Members(member) = &question {
         edge.peers.borrow_mut().note_member(member, edge.now());
         // Daemons that start together have told of themselves by then.
-        edge.alarm.until(edge.started + GATHER).await;
+        edge.alarm.until(edge.started + START_SPREAD).await;
     }
     let place = line.places.acquire().await;
     let answer = match question {
@@ -389,7 +389,7 @@
     limit: Duration,
 ) -> Result<Vec<Member>, TransferError> {
     let question = Question::Members(member);
-    match ask(address, question, SAY_TO_MANY, limit).await? {
+    match ask(address, question, SEED_REPLY_TIMEOUT, limit).await? {
         Answer::Members(list) => unpack(&list),
         Answer::Soon | Answer::State(_) | Answer::Catalog(_) => OtherwiseSnafu.fail(),
     }
--- a/crates/thistlesill-policy/src/edge/spread.rs
+++ b/crates/thistlesill-policy/src/edge/spread.rs
@@ -6,7 +6,7 @@
 //! Each daemon so gets a change once for each of the few, whatever the size of the fleet, and
 //! next to nothing crosses between data centres.
 
-use thistlesill_core::{HallId, NodeId};
+use thistlesill_core::{HallId, NodeId, rendezvous};
 
 /// Daemons up to which the reader of the targets tells all of them itself; with more it tells
 /// some of each data centre.
@@ -27,11 +27,11 @@
 /// a larger fleet the first daemons of each data centre do, and the others ask those.
 const ASK_DIRECTLY: usize = 256;
 /// First daemons of a data centre whom the others ask.
-pub const HEADS: usize = 2;
+const DELEGATES: usize = 2;
 
 /// Whether a daemon of a fleet of so many asks a first daemon of its data centre.
 #[must_use]
-pub const fn asks_head(daemons: usize) -> bool {
+pub const fn asks_delegate(daemons: usize) -> bool {
     daemons > ASK_DIRECTLY
 }
 
@@ -41,10 +41,24 @@
 /// Who passes changes on to 200 others at once sends 400 kB; on a line of 20 Mbit/s a part of
 /// that is lost, and daemons knew a fifth of the targets that changed 5 s before.
 #[must_use]
-pub fn able<'a>(daemons: &[(&'a NodeId, u32)]) -> Vec<&'a NodeId> {
+pub fn well_connected<'a>(daemons: &[(&'a NodeId, u32)]) -> Vec<&'a NodeId> {
     let best = daemons.iter().map(|(_, link)| *link).max().unwrap_or(0);
-    let able = daemons.iter().filter(|(_, link)| *link >= best / 2);
-    able.map(|(name, _)| *name).collect()
+    let found = daemons.iter().filter(|(_, link)| *link >= best / 2);
+    found.map(|(name, _)| *name).collect()
+}
+
+/// The daemon that `me` asks among those of its data centre, itself among them, with what
+/// their connections bear; `None` if it is one of those that are asked. Each of them is asked
+/// by a part of the others.
+#[must_use]
+pub fn delegate<'a>(me: &NodeId, near: &[(&'a NodeId, u32)]) -> Option<&'a NodeId> {
+    let mut names = well_connected(near);
+    names.sort_unstable();
+    names.truncate(DELEGATES);
+    if names.contains(&me) {
+        return None;
+    }
+    rendezvous::first(names.into_iter(), me.as_str())
 }
 
 /// Whether a daemon is of the data centre `own`, as far as is known. It may not have been
--- a/crates/thistlesill-policy/tests/edge/spread.rs
+++ b/crates/thistlesill-policy/tests/edge/spread.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 
 use thistlesill_core::{HallId, NodeId};
-use thistlesill_policy::edge::spread::{RELAYS, able, has_relays, is_near, parts};
+use thistlesill_policy::edge::spread::{
+    RELAYS, delegate, has_relays, is_near, parts, well_connected,
+};
 
 const HALLS: usize = 5;
 
@@ -67,7 +69,34 @@
     let names: Vec<NodeId> = (0..4).map(|n| NodeId::from(format!("edge-{n}"))).collect();
     let links = [20, 1_000, 600, 400];
     let daemons: Vec<_> = names.iter().zip(links).collect();
-    assert_eq!(able(&daemons), [&names[1], &names[2]]);
+    assert_eq!(well_connected(&daemons), [&names[1], &names[2]]);
     let unknown: Vec<_> = names.iter().map(|name| (name, 0)).collect();
-    assert_eq!(able(&unknown).len(), 4, "none is known to bear less");
+    assert_eq!(
+        well_connected(&unknown).len(),
+        4,
+        "none is known to bear less"
+    );
+}
+
+/// Two that asked each other would both wait until their proofs were old.
+#[test]
+fn delegates_ask_the_reader_and_all_others_ask_delegates() {
+    let names: Vec<NodeId> = (0..200)
+        .map(|n| NodeId::from(format!("edge-{n:03}")))
+        .collect();
+    let link = |n: usize| if n >= 190 { 1_000 } else { 20 };
+    let near: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(n, name)| (name, link(n)))
+        .collect();
+    let mut asked: HashMap<&NodeId, usize> = HashMap::new();
+    for name in &names {
+        match delegate(name, &near) {
+            Some(delegate) => *asked.entry(delegate).or_default() += 1,
+            None => assert!(near[190..192].iter().any(|(n, _)| *n == name), "{name}"),
+        }
+    }
+    assert_eq!(asked.len(), 2, "{asked:?}");
+    assert!(asked.values().all(|count| *count >= 60), "{asked:?}");
 }
