--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -173,3 +173,20 @@
         }
     }
 }
+
+#[test]
+fn targets_of_an_evacuated_data_centre_get_nothing_until_it_is_taken_back() {
+    let mut book = book();
+    let elsewhere = Target {
+        hall: "other".into(),
+        ..target("c")
+    };
+    book.apply(vec![Listing::Listed(Box::new(elsewhere))], None, NOW);
+    book.evacuate(&["h".into()].into(), None);
+    assert_eq!(count(&book), 1);
+    // One that appears there meanwhile, and one whose entry changes.
+    book.apply(vec![listed("d"), listed("a")], None, NOW);
+    assert_eq!(count(&book), 1);
+    book.evacuate(&[].into(), None);
+    assert_eq!(count(&book), 4);
+}
