refactor(edge): roles of daemons apart, one filter for living peers, right names

Living peers are filtered in one place of three, the list of daemons is noted in one of two, metrics of a kind of message are looked up once and not with each datagram, and a delegate is computed only where it is asked. The doc of the reader's part of a proof's age follows the part that it refers to again. Behaviour unchanged.

--- a/crates/thistlesill-edge/src/follow.rs
+++ b/crates/thistlesill-edge/src/follow.rs
@@ -35,13 +35,13 @@
 /// daemon without a younger proof reads the store itself. A reader's proof is
 /// up to half that time old; the rest is for the read.
 const ALONE_PART: f64 = 0.72;
-/// Part of that time after which a daemon of a large fleet asks the daemon that reads the
-/// store, and no longer one of its data centre that asks that.
-const DELEGATE_PROOF_PART: f64 = 0.4;
 /// The same for the first daemon of a data centre, which then reads for the others
 /// there. A proof is usually at most half of that time old: two questions of the
 /// daemon that forms groups, and the time between two of this one's.
 const HEAD_PART: f64 = 0.56;
+/// Part of that time after which a daemon of a large fleet asks the daemon that reads the
+/// store, and no longer one of its data centre that asks that.
+const DELEGATE_PROOF_PART: f64 = 0.4;
 /// Part of the time after which a target that leaves gets no new requests. When
 /// its knowledge of the targets is older, a daemon on which others depend reads
 /// them from the store, although a planner is heard: the planner may be cut off
@@ -186,14 +186,14 @@
     let settings = edge.settings();
     let reader = {
         let (peers, now) = (edge.peers.borrow(), edge.now());
-        let asks_delegate =
-            spread::asks_delegate(peers.most()) && !proof_is_older(edge, DELEGATE_PROOF_PART);
-        let delegate = asks_delegate.then(|| peers.delegate(&settings, now));
         // A daemon that reads the catalog itself asks for targets only, unless the store
         // does not answer it.
         if edge.reads.get() && !edge.is_away() {
             peers.planner()
-        } else if let Some(delegate) = delegate.flatten() {
+        } else if spread::asks_delegate(peers.most())
+            && !proof_is_older(edge, DELEGATE_PROOF_PART)
+            && let Some(delegate) = peers.delegate(&settings, now)
+        {
             Some(delegate)
         } else {
             peers.reader(&settings.hall, now)
@@ -268,18 +268,15 @@
     if !feed.is_known() || ask.targets >= feed.version() {
         return;
     }
-    let Some(missed) = feed.after(ask.targets) else {
+    let Some(mut missed) = feed.after(ask.targets) else {
         return;
     };
+    let whole = missed.len() <= MAX_ANSWERED;
+    missed.truncate(MAX_ANSWERED);
+    let last = missed.last().map(|c| c.version);
+    let after = last.filter(|_| !whole).unwrap_or(feed.version());
     let to = std::slice::from_ref(&ask.from);
-    let newest = feed.version();
-    drop(feed);
-    let part = missed.len().min(MAX_ANSWERED);
-    let until = match missed.get(part) {
-        Some(_) => missed[part - 1].version,
-        None => newest,
-    };
-    send_changes(edge, to, &Pass::Nobody, ask.targets, &missed[..part], until);
+    send_changes(edge, to, &Pass::Nobody, ask.targets, &missed, after);
 }
 
 /// As reader: tells all daemons what changed.
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -7,6 +7,7 @@
 pub(crate) mod packet;
 pub(crate) mod place;
 pub(crate) mod questions;
+mod roles;
 pub(crate) mod roster;
 pub(crate) mod traffic;
 pub(crate) mod transfer;
@@ -15,8 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use rand::seq::IndexedRandom;
-use thistlesill_core::edge::{EdgeSettings, GroupRef, TargetId};
+use thistlesill_core::edge::{GroupRef, TargetId};
 use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::fleet::{Demand, LateJoins};
 use thistlesill_policy::edge::spread;
@@ -278,133 +278,6 @@
         demand
     }
 
-    /// Whether the list of daemons in the store has been read.
-    pub(crate) const fn is_listed(&self) -> bool {
-        self.listed
-    }
-
-    /// Whether `me` comes first among all daemons that the store listed, whether they
-    /// live or not.
-    pub(crate) fn is_first_listed(&self, me: &NodeId) -> bool {
-        self.listed && self.known.keys().all(|name| me < name)
-    }
-
-    /// The rank of `me` among all daemons of its data centre that are known, whether they
-    /// live or not.
-    pub(crate) fn rank(&self, me: &NodeId, hall: &HallId) -> usize {
-        let near = self.known.iter().filter(|(_, p)| p.hall == *hall);
-        near.filter(|(name, _)| *name < me).count()
-    }
-
-    /// The address of the peer of a rank, in a data centre in which all with a smaller
-    /// rank than this daemon's are peers.
-    pub(crate) fn at_rank(&self, rank: usize, hall: &HallId) -> Option<SocketAddr> {
-        let near = self.known.iter().filter(|(_, p)| p.hall == *hall);
-        let mut near: Vec<(&NodeId, SocketAddr)> = near.map(|(n, p)| (n, p.address)).collect();
-        near.sort_unstable();
-        near.get(rank).map(|(_, address)| *address)
-    }
-
-    /// Whether `me` comes first among the daemons of its data centre that are heard, or
-    /// are listed and may be heard yet; those that cannot reach the store come last.
-    pub(crate) fn is_first(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> bool {
-        if !self.listed {
-            // Most of them are not known yet, and all would take themselves for the first:
-            // 894 calls of 12 daemons that start while the store turns them away for 4 s.
-            return false;
-        }
-        self.ahead(me, away, hall, now) == 0
-    }
-
-    /// How many daemons of its data centre come before `me` among those that are heard, or
-    /// are listed and may be heard yet; those that cannot reach the store come last.
-    pub(crate) fn ahead(&self, me: &NodeId, away: bool, hall: &HallId, now: Millis) -> usize {
-        let trust = self.trust(hall);
-        let present = |p: &Peer| p.silence(now) < trust;
-        let near = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.hall == *hall && present(p));
-        let ranks = near.map(|(name, p)| (p.store == StoreUse::Away, name));
-        ranks.filter(|rank| *rank < (away, me)).count()
-    }
-
-    /// Tells which peers count as living: those of the own data centre `own` beat more
-    /// often than others.
-    fn lives<'a>(&self, own: &'a HallId, now: Millis) -> impl Fn(&Peer) -> bool + use<'a> {
-        let (near, far) = (self.trust(own), self.far_trust());
-        move |peer| peer.is_heard(now, if peer.hall == *own { near } else { far })
-    }
-
-    /// The peers of a data centre that may own scopes; `own` is this daemon's one.
-    pub(crate) fn owners(
-        &self,
-        hall: &HallId,
-        own: &HallId,
-        now: Millis,
-    ) -> impl Iterator<Item = &NodeId> {
-        let owners = self
-            .well_connected(own, now)
-            .filter(|(_, p)| p.hall == *hall);
-        owners.map(|(name, _)| name)
-    }
-
-    /// The peers of all data centres that may own scopes; `own` is this daemon's one.
-    pub(crate) fn all_owners(&self, own: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
-        self.well_connected(own, now).map(|(name, _)| name)
-    }
-
-    /// The peers that may own scopes, wherever they are.
-    fn well_connected(&self, own: &HallId, now: Millis) -> impl Iterator<Item = (&NodeId, &Peer)> {
-        let lives = self.lives(own, now);
-        self.known.iter().filter(move |(_, p)| p.owns && lives(p))
-    }
-
-    /// A peer that reads the store, of the same data centre if there is one.
-    pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
-        let lives = self.lives(hall, now);
-        let readers = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.store != StoreUse::Asks && lives(p));
-        let best = readers.min_by_key(|(name, p)| (p.store, p.hall != *hall, (*name).clone()));
-        best.map(|(name, _)| name.clone())
-    }
-
-    /// The daemon of its data centre that the one with these settings asks; `None` if it is
-    /// one of those that ask the reader of the store.
-    pub(crate) fn delegate(&self, settings: &EdgeSettings, now: Millis) -> Option<NodeId> {
-        let (me, hall) = (&settings.name, &settings.hall);
-        let lives = self.lives(hall, now);
-        let near = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.hall == *hall && lives(p));
-        let present = near.filter(|(_, p)| p.store != StoreUse::Away);
-        let present = present.map(|(name, p)| (name, p.link));
-        let all: Vec<(&NodeId, u32)> = present.chain([(me, settings.link)]).collect();
-        spread::delegate(me, &all).cloned()
-    }
-
-    /// Some peers of each data centre, drawn among those that are heard.
-    pub(crate) fn draw_by_hall(
-        &self,
-        count: usize,
-        now: Millis,
-        rng: &mut impl rand::Rng,
-    ) -> Vec<NodeId> {
-        let trust = self.far_trust();
-        let mut halls: HashMap<&HallId, Vec<(&NodeId, u32)>> = HashMap::new();
-        for (name, peer) in self.known.iter().filter(|(_, p)| p.is_heard(now, trust)) {
-            halls.entry(&peer.hall).or_default().push((name, peer.link));
-        }
-        let drawn = halls.into_values().flat_map(|there| {
-            let able = spread::well_connected(&there);
-            able.sample(rng, count).copied().collect::<Vec<_>>()
-        });
-        drawn.cloned().collect()
-    }
-
     /// Changes whenever [`Peers::members`] would name other daemons.
     pub(crate) const fn revision(&self) -> u64 {
         self.revision
@@ -418,8 +291,7 @@
     /// The daemons that live as far as is known, with `edge`'s own.
     fn members(&self, edge: &Edge) -> Vec<Member> {
         let (now, settings) = (edge.now(), edge.settings());
-        let peers = self.known.iter().filter(|(_, p)| p.silence(now) < REMOVED);
-        let peers = peers.map(|(name, p)| Member {
+        let peers = self.alive(now).map(|(name, p)| Member {
             name: name.clone(),
             address: p.address,
             hall: p.hall.clone(),
@@ -437,10 +309,15 @@
         }
     }
 
+    /// The peers that may live.
+    fn alive(&self, now: Millis) -> impl Iterator<Item = (&NodeId, &Peer)> {
+        let alive = move |p: &Peer| p.silence(now) < REMOVED;
+        self.known.iter().filter(move |(_, p)| alive(p))
+    }
+
     /// The names of all peers that may live.
     pub(crate) fn living(&self, now: Millis) -> Vec<NodeId> {
-        let alive = self.known.iter().filter(|(_, p)| p.silence(now) < REMOVED);
-        alive.map(|(name, _)| name.clone()).collect()
+        self.alive(now).map(|(name, _)| name.clone()).collect()
     }
 
     /// The names of the peers of a data centre.
@@ -461,10 +338,9 @@
         hall: &HallId,
         reach: Reach,
     ) -> impl Iterator<Item = SocketAddr> {
-        let wanted = move |p: &&Peer| reach == Reach::All || p.is_near(hall);
-        let peers = self.known.values().filter(wanted);
-        let alive = peers.filter(move |p| p.silence(now) < REMOVED);
-        alive.map(|p| p.address)
+        let wanted = move |p: &Peer| reach == Reach::All || p.is_near(hall);
+        let peers = self.alive(now).filter(move |(_, p)| wanted(p));
+        peers.map(|(_, p)| p.address)
     }
 
     fn silent_for(&self, time: Millis, now: Millis) -> Vec<NodeId> {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -236,16 +236,12 @@
         return;
     }
     let news = edge.peers.borrow_mut().hear(&beat, from, now);
-    match news {
-        News::Nothing => {}
-        News::Peer => {
-            edge.peer_heard.notify_one();
-            limits::tell_new_peer(edge, &beat.from);
-            if beat.store == StoreUse::Reads {
-                follow::hear_reader(edge, &beat.from);
-            }
-        }
-        News::Reader => follow::hear_reader(edge, &beat.from),
+    if news == News::Peer {
+        edge.peer_heard.notify_one();
+        limits::tell_new_peer(edge, &beat.from);
+    }
+    if news != News::Nothing && beat.store == StoreUse::Reads {
+        follow::hear_reader(edge, &beat.from);
     }
     if let Some(known) = beat.targets {
         follow::hear_known(edge, &beat.from, known);
--- a/crates/thistlesill-edge/src/peers/roster.rs
+++ b/crates/thistlesill-edge/src/peers/roster.rs
@@ -158,8 +158,13 @@
         for member in members.iter().filter(|m| m.name != me) {
             peers.note_member(member, now);
         }
-        peers.listed = true;
     }
+    note_listed(edge);
+}
+
+/// Notes that this daemon has a list of the others.
+fn note_listed(edge: &Edge) {
+    edge.peers.borrow_mut().listed = true;
     edge.listed.notify_waiters();
 }
 
@@ -223,8 +228,7 @@
             own = Own::Listed;
         }
     }
-    edge.peers.borrow_mut().listed = true;
-    edge.listed.notify_waiters();
+    note_listed(edge);
     own
 }
 
--- a/crates/thistlesill-edge/src/peers/traffic.rs
+++ b/crates/thistlesill-edge/src/peers/traffic.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+use metrics::Counter;
+
 /// Messages of one kind that were sent.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Sent {
@@ -10,10 +12,29 @@
     pub(crate) bytes: u64,
 }
 
+/// What counts the messages of one kind.
+#[derive(Debug)]
+struct Counts {
+    sent: Sent,
+    /// The metrics of the kind, looked up once: each datagram counts.
+    messages: Counter,
+    bytes: Counter,
+}
+
+impl Counts {
+    fn new(kind: &'static str) -> Self {
+        Self {
+            sent: Sent::default(),
+            messages: metrics::counter!("thistlesill_edge_messages_sent_total", "kind" => kind),
+            bytes: metrics::counter!("thistlesill_edge_message_bytes_total", "kind" => kind),
+        }
+    }
+}
+
 /// All messages that were sent since the start, by kind.
 #[derive(Debug, Default)]
 pub(crate) struct Traffic {
-    sent: RefCell<BTreeMap<&'static str, Sent>>,
+    kinds: RefCell<BTreeMap<&'static str, Counts>>,
 }
 
 impl Traffic {
@@ -23,18 +44,17 @@
             return;
         }
         let bytes = messages * bytes as u64;
-        let mut sent = self.sent.borrow_mut();
-        let all = sent.entry(kind).or_default();
-        all.messages += messages;
-        all.bytes += bytes;
-        metrics::counter!("thistlesill_edge_messages_sent_total", "kind" => kind)
-            .increment(messages);
-        metrics::counter!("thistlesill_edge_message_bytes_total", "kind" => kind).increment(bytes);
+        let mut kinds = self.kinds.borrow_mut();
+        let counts = kinds.entry(kind).or_insert_with(|| Counts::new(kind));
+        counts.sent.messages += messages;
+        counts.sent.bytes += bytes;
+        counts.messages.increment(messages);
+        counts.bytes.increment(bytes);
     }
 
     /// What was sent of each kind.
     pub(crate) fn by_kind(&self) -> Vec<(&'static str, Sent)> {
-        let sent = self.sent.borrow();
-        sent.iter().map(|(kind, sent)| (*kind, *sent)).collect()
+        let kinds = self.kinds.borrow();
+        kinds.iter().map(|(kind, c)| (*kind, c.sent)).collect()
     }
 }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -26,7 +26,7 @@
 use crate::proxy::settle;
 use crate::quarantine;
 use crate::reply::{self, BrokenOff, OutBody};
-use crate::state::Choice;
+use crate::state::{Choice, Pick};
 use crate::track::Track;
 
 /// Part of the longest pause in time after which a silent target counts as
@@ -286,8 +286,12 @@
                 end = ErrorKind::Withheld.name();
                 break;
             }
-            let pick = job.pick(&self.tried).await;
-            let Choice::Target(target) = pick.choice else {
+            let Pick {
+                choice: Choice::Target(target),
+                clearance,
+                ..
+            } = job.pick(&self.tried).await
+            else {
                 break;
             };
             if job.passage.customer.is_some() && !job.edge.is_fresh() {
@@ -296,7 +300,6 @@
             self.tried.push(target.id.clone());
             let last_event = self.cutter.last().or(job.head.last_event.as_deref());
             let turn = Turn::after(self.attempts.sent, job.passage.route.attempts);
-            let clearance = pick.clearance;
             match attempt(&job, &target, clearance, &self.tried, last_event, turn).await {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.first().cloned().unwrap_or_default();
