--- a/crates/thistlesill-edge/src/peers/transfer.rs
+++ b/crates/thistlesill-edge/src/peers/transfer.rs
@@ -10,6 +10,7 @@
 //! its connection bears waits in line, for as long as it likes; it can still read the
 //! store. Refusing instead had two thirds of 62 daemons read the store each time.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -172,12 +173,25 @@
     Some(lz4_flex::block::compress_prepend_size(&encoded).into())
 }
 
-/// What a daemon last packed, for the next one that asks: four do when all start.
-#[derive(Debug)]
-pub(crate) struct Packed {
-    /// The versions of the targets and of the catalog, if there is one.
-    of: (u64, Option<u64>),
-    bytes: Bytes,
+/// What a daemon last packed, for the next one that asks while what it is of stays the same:
+/// four do when all start.
+#[derive(Debug, Default)]
+pub(crate) struct Packed<K> {
+    last: RefCell<Option<(K, Bytes)>>,
+}
+
+impl<K: PartialEq> Packed<K> {
+    /// What was packed last if it is `of` the same, and otherwise what `pack` makes.
+    fn get(&self, of: K, pack: impl FnOnce() -> Option<Bytes>) -> Option<Bytes> {
+        if let Some((last, bytes)) = self.last.borrow().as_ref()
+            && *last == of
+        {
+            return Some(bytes.clone());
+        }
+        let bytes = pack()?;
+        self.last.replace(Some((of, bytes.clone())));
+        Some(bytes)
+    }
 }
 
 /// Why nothing came.
@@ -308,29 +322,19 @@
 /// is none.
 fn pack_catalog(edge: &Edge) -> Option<Bytes> {
     let version = edge.catalog()?.version;
-    if let Some((of, bytes)) = edge.packed_catalog.borrow().as_ref()
-        && *of == version
-    {
-        return Some(bytes.clone());
-    }
-    let text = edge.catalog_text.borrow();
-    let bytes = Bytes::from(lz4_flex::block::compress_prepend_size(&text));
-    edge.packed_catalog.replace(Some((version, bytes.clone())));
-    Some(bytes)
+    edge.packed_catalog.get(version, || {
+        let text = edge.catalog_text.borrow();
+        Some(lz4_flex::block::compress_prepend_size(&text).into())
+    })
 }
 
 /// The daemons that this one knows, packed once for all that ask while they stay the same;
 /// `None` if they cannot be encoded.
 fn members(edge: &Edge) -> Option<Bytes> {
-    let revision = edge.peers.borrow().revision();
-    if let Some((of, bytes)) = edge.packed_members.borrow().as_ref()
-        && *of == revision
-    {
-        return Some(bytes.clone());
-    }
-    let bytes = pack(&edge.peers.borrow().members(edge))?;
-    edge.packed_members.replace(Some((revision, bytes.clone())));
-    Some(bytes)
+    let peers = edge.peers.borrow();
+    let revision = peers.revision();
+    edge.packed_members
+        .get(revision, || pack(&peers.members(edge)))
 }
 
 /// What this daemon knows; `None` if it cannot be encoded.
@@ -349,25 +353,18 @@
 fn pack_known(edge: &Edge) -> Option<Bytes> {
     let version = edge.feed.borrow().version();
     let of = (version, edge.catalog().map(|c| c.version));
-    if let Some(packed) = edge.packed.borrow().as_ref().filter(|p| p.of == of) {
-        return Some(packed.bytes.clone());
-    }
-    let along = pack_catalog(edge).is_some_and(|packed| packed.len() <= MAX_ALONG);
-    let known = Known {
-        catalog: if along {
-            edge.catalog_text.borrow().clone()
-        } else {
-            Bytes::new()
-        },
-        targets: edge.book.borrow().listed().cloned().collect(),
-        version,
-    };
-    let bytes = pack(&known)?;
-    edge.packed.replace(Some(Packed {
-        of,
-        bytes: bytes.clone(),
-    }));
-    Some(bytes)
+    edge.packed.get(of, || {
+        let along = pack_catalog(edge).is_some_and(|packed| packed.len() <= MAX_ALONG);
+        pack(&Known {
+            catalog: if along {
+                edge.catalog_text.borrow().clone()
+            } else {
+                Bytes::new()
+            },
+            targets: edge.book.borrow().listed().cloned().collect(),
+            version,
+        })
+    })
 }
 
 /// Gets the catalog of the daemon at an address, within `limit`.
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -157,12 +157,12 @@
     pub(crate) catalog_text: RefCell<Bytes>,
     /// Whether the daemon, which has just started, waits for peers.
     pub(crate) start: Cell<Start>,
-    /// What was last packed for daemons that start.
-    pub(crate) packed: RefCell<Option<Packed>>,
-    /// The catalog of a version, compressed.
-    pub(crate) packed_catalog: RefCell<Option<(u64, Bytes)>>,
-    /// The daemons that were known at a revision, packed.
-    pub(crate) packed_members: RefCell<Option<(u64, Bytes)>>,
+    /// What daemons that start must know, by the versions of the targets and of the catalog.
+    pub(crate) packed: Packed<(u64, Option<u64>)>,
+    /// The catalog, by its version.
+    pub(crate) packed_catalog: Packed<u64>,
+    /// The daemons that are known, by the revision of their list.
+    pub(crate) packed_members: Packed<u64>,
     /// Where a peer is that knows changes of targets which are not told one by one.
     pub(crate) targets_at: Cell<Option<SocketAddr>>,
     /// Where the newer catalog is that a peer told of.
@@ -251,9 +251,9 @@
             catalog: RefCell::new(None),
             catalog_text: RefCell::new(Bytes::new()),
             start: Cell::new(Start::Waits),
-            packed: RefCell::new(None),
-            packed_catalog: RefCell::new(None),
-            packed_members: RefCell::new(None),
+            packed: Packed::default(),
+            packed_catalog: Packed::default(),
+            packed_members: Packed::default(),
             targets_at: Cell::new(None),
             catalog_at: Cell::new(None),
             fresh: Cell::new(Freshness::default()),
