refactor: warm-up looked up once, and only for targets that warm up

Each change of a target looked its service up before it looked whether the target warms up at all, and a data centre that is taken back looked it up twice for each target. Changes of evacuations are gone over once; what the planner calls dead is named for what it is, since evacuated groups count there too. Behaviour unchanged.

--- a/crates/thistlesill-edge/src/evacuation.rs
+++ b/crates/thistlesill-edge/src/evacuation.rs
@@ -43,17 +43,15 @@
     for change in changes {
         let (event, hall) = match change {
             EvacuationChange::Begun(hall) => ("evacuation_begun", hall),
-            EvacuationChange::Ended(hall) => ("evacuation_ended", hall),
+            EvacuationChange::Ended(hall) => {
+                limits::note_taken_back(edge, hall);
+                ("evacuation_ended", hall)
+            }
         };
         let line = edge.lines.line(event).with("hall", hall);
         line.with("version", known.version).write();
     }
     metrics::gauge!("thistlesill_edge_evacuated_halls").set(known.halls.len() as f64);
-    for change in changes {
-        if let EvacuationChange::Ended(hall) = change {
-            limits::note_taken_back(edge, hall);
-        }
-    }
     let catalog = edge.catalog();
     edge.book
         .borrow_mut()
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{RateLimit, Target, TargetId};
+use thistlesill_core::edge::{RateLimit, Target, TargetId, Warmup};
 use thistlesill_core::{HallId, Millis, NodeId};
 use thistlesill_platform::caller::{AnswerHead, LimitHeader};
 use thistlesill_policy::edge::limit::{
@@ -141,49 +141,53 @@
     heard
 }
 
-/// Notes that a target warms up for a time, if its service says what it takes meanwhile.
+/// How a target's service has it warm up.
+fn warmup(edge: &Edge, target: &Target) -> Option<Warmup> {
+    edge.catalog()?.service(&target.service)?.warmup
+}
+
+/// Limits a target for as long as it warms up by its entry, if its service says what it takes
+/// meanwhile.
 ///
-/// All daemons know this from the target's entry, so nothing is announced.
-pub(crate) fn note_warmup(edge: &Edge, target: &Target, time: Millis) {
-    let catalog = edge.catalog();
-    let service = catalog.as_ref().and_then(|c| c.service(&target.service));
-    let Some(warmup) = service.and_then(|s| s.warmup) else {
-        return;
-    };
-    if time == Millis::ZERO {
+/// All daemons know this from the entry, so nothing is announced.
+pub(crate) fn note_warmup(edge: &Edge, target: &Target) {
+    if target.warmup == Millis::ZERO {
         return;
     }
-    let until = edge.now() + time;
-    {
-        let mut table = edge.limits.table.borrow_mut();
-        table.note_warmup(&target.id, warmup.limit, until);
+    if let Some(warmup) = warmup(edge, target) {
+        limit_while_warming(edge, target, warmup.limit, target.warmup);
     }
-    tend(edge, target);
 }
 
-/// Notes all targets that warm up.
+/// Limits all targets that warm up by their entries.
 pub(crate) fn note_warmups(edge: &Edge) {
-    let book = edge.book.borrow();
-    for target in book.listed().filter(|t| t.warmup > Millis::ZERO) {
-        note_warmup(edge, target, target.warmup);
+    for target in edge.book.borrow().listed() {
+        note_warmup(edge, target);
     }
 }
 
-/// Notes that the targets of a data centre that is taken back may warm up although their
+/// Limits the targets of a data centre that is taken back, which may warm up although their
 /// entries do not say so yet.
 pub(crate) fn note_taken_back(edge: &Edge, hall: &HallId) {
-    let Some(catalog) = edge.catalog() else {
-        return;
-    };
     let book = edge.book.borrow();
     for target in book.listed().filter(|t| t.hall == *hall) {
-        let service = catalog.service(&target.service);
-        if let Some(warmup) = service.and_then(|s| s.warmup) {
-            note_warmup(edge, target, warmup.time);
+        if let Some(warmup) = warmup(edge, target) {
+            limit_while_warming(edge, target, warmup.limit, warmup.time);
         }
     }
 }
 
+fn limit_while_warming(edge: &Edge, target: &Target, limit: RateLimit, time: Millis) {
+    if time == Millis::ZERO {
+        return;
+    }
+    let until = edge.now() + time;
+    let mut table = edge.limits.table.borrow_mut();
+    table.note_warmup(&target.id, limit, until);
+    drop(table);
+    tend(edge, target);
+}
+
 /// Notes that a request is sent to a target, if that has a limit.
 pub(crate) fn note_sent(job: &Job, target: &Target) {
     let now = job.edge.now();
--- a/crates/thistlesill-edge/src/watch/targets.rs
+++ b/crates/thistlesill-edge/src/watch/targets.rs
@@ -176,7 +176,7 @@
     }
     for listing in &listings {
         if let Listing::Listed(target) = listing {
-            limits::note_warmup(edge, target, target.warmup);
+            limits::note_warmup(edge, target);
         }
     }
     let (catalog, now) = (edge.catalog(), edge.now());
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -216,13 +216,14 @@
             *counts.entry(planned.model.clone()).or_default() += 1;
         }
         for (group, standing) in &survey.groups {
-            let useless = |t: &Target| self.is_dead(&t.id) || view.is_evacuated(t);
-            let dead = standing.leader.is_some_and(useless);
+            let useless = standing
+                .leader
+                .is_some_and(|t| self.is_dead(&t.id) || view.is_evacuated(t));
             let ends = self.cut.contains(group)
                 || self.standby.contains(group)
                 || self.void.contains(group)
                 || self.planned.contains_key(group);
-            if dead || ends || !standing.is_alive() {
+            if useless || ends || !standing.is_alive() {
                 continue;
             }
             if let Some(plan) = standing.plan(view) {
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -96,8 +96,7 @@
             let model = standing.plan(view).map(|p| &p.model);
             let away = standing.leader.is_some_and(|t| view.is_evacuated(t));
             let waits = self.standby.contains(*group) && !self.gave_way.contains_key(*group);
-            let waits = waits && !away;
-            waits && model == Some(&plan.model)
+            waits && !away && model == Some(&plan.model)
         });
         let opened: Vec<GroupRef> = groups.map(|(g, _)| g.clone()).take(missing).collect();
         for group in opened {
