--- a/crates/thistlesill-policy/tests/edge/limit.rs
+++ b/crates/thistlesill-policy/tests/edge/limit.rs
@@ -46,6 +46,13 @@
         .collect()
 }
 
+/// The moments at which a keeper grants requests in 40 s under a limit that never changes.
+fn granted_under(named: f64) -> Vec<u64> {
+    let mut table = heard(&[report(named, 0, 10)]);
+    table.keep(&target(), 1.0, ms(10));
+    granted(&mut table, 10, 40_010)
+}
+
 fn most_in_window(granted: &[u64]) -> usize {
     let in_window = |from: &u64| {
         let there = granted
@@ -100,9 +107,7 @@
 #[test]
 fn a_keeper_grants_no_more_than_the_limit_in_any_window_and_most_of_it() {
     for named in [0.25, 0.5, 1.0, 1.5, 1.6, 2.0, 5.0, 10.0, 40.0, 250.0] {
-        let mut table = heard(&[report(named, 0, 10)]);
-        table.keep(&target(), 1.0, ms(10));
-        let granted = granted(&mut table, 10, 40_010);
+        let granted = granted_under(named);
         let allowed = (named * WINDOW as f64 / 1_000.0).ceil();
         let most = most_in_window(&granted) as f64;
         assert!(most <= allowed, "{named}: {most} of {allowed}");
@@ -123,9 +128,7 @@
 #[test]
 fn grants_used_at_any_moment_while_they_are_valid_keep_to_the_limit() {
     for named in [0.25, 0.5, 1.0, 1.5, 1.6, 2.0, 5.0, 10.0, 40.0, 250.0] {
-        let mut table = heard(&[report(named, 0, 10)]);
-        table.keep(&target(), 1.0, ms(10));
-        let granted = granted(&mut table, 10, 40_010);
+        let granted = granted_under(named);
         let span = WINDOW + validity();
         let used = |from: u64| {
             let there = granted
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -255,6 +255,19 @@
     }
 }
 
+/// What two daemons know after three targets were lost under each of some requests.
+fn two_that_saw_both_lost(
+    requests: &[Fingerprint],
+) -> (Quarantine<TargetId>, Quarantine<TargetId>) {
+    let mut known = Quarantine::default();
+    for number in 0..3 {
+        for request in requests {
+            known.note_lost(*request, &target(number), after(100 * u64::from(number)));
+        }
+    }
+    (known.clone(), known)
+}
+
 /// Two daemons each began the trial of another request at the same moment, before either had
 /// heard of the other's. One of the two ended its target with both on it, and the other one
 /// was withheld for two minutes as if it had:
@@ -268,13 +281,7 @@
 #[test]
 fn two_trials_at_once_do_not_condemn_what_ran_beside_a_fatal_request() {
     let (fatal, beside) = (print(0), print(1));
-    let mut known = Quarantine::default();
-    for number in 0..3 {
-        for request in [fatal, beside] {
-            known.note_lost(request, &target(number), after(100 * u64::from(number)));
-        }
-    }
-    let (mut a, mut b) = (known.clone(), known);
+    let (mut a, mut b) = two_that_saw_both_lost(&[fatal, beside]);
     let tried = after(1_300);
     assert_eq!(a.standing(beside, tried), Standing::Trial);
     assert_eq!(b.standing(fatal, tried), Standing::Trial);
@@ -327,13 +334,7 @@
 fn two_trials_at_once_are_told_apart_by_further_ones_however_late_daemons_hear_of_them() {
     for early in 0..=3 {
         let (fatal, beside) = (print(0), print(1));
-        let mut known = Quarantine::default();
-        for number in 0..3 {
-            for request in [fatal, beside] {
-                known.note_lost(request, &target(number), after(100 * u64::from(number)));
-            }
-        }
-        let (mut a, mut b) = (known.clone(), known);
+        let (mut a, mut b) = two_that_saw_both_lost(&[fatal, beside]);
         let mut now = after(1_300);
         let trial = a.begin_trial(beside, now).expect("it is withheld");
         let mut by_a = Broadcast {
