fix(edge): the packed list of daemons follows one that has moved

It was packed anew only when a daemon became known or was forgotten; of one that came back at another address, peers that start were handed the old one. Seen in reading.

--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -116,7 +116,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     known: HashMap<NodeId, Peer>,
-    /// Rises when a daemon becomes known or is forgotten.
+    /// Rises when a daemon becomes known, moves or is forgotten.
     revision: u64,
     /// How many of them there are by data centre: each beat's trust depends on it.
     by_hall: HashMap<HallId, usize>,
@@ -378,6 +378,7 @@
         peer.link = beat.link;
         if peer.hall != beat.hall {
             let before = std::mem::replace(&mut peer.hall, beat.hall.clone());
+            self.revision += 1;
             *self.by_hall.entry(beat.hall.clone()).or_default() += 1;
             if let Some(count) = self.by_hall.get_mut(&before) {
                 *count -= 1;
@@ -427,6 +428,9 @@
                 busy_at: Vec::new(),
             }
         });
-        peer.address = address;
+        if peer.address != address {
+            peer.address = address;
+            self.revision += 1;
+        }
     }
 }
