feat(edge): log and count what a target's refusal asks of the daemon

Retry-After of a target's own 503 and Server-Leaving are decoded once, in the adapter; backoff_requested, backoff_unreadable and sent_in_backoff say what was asked and sent, with a counter each. Nothing is decided by them yet.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -13,6 +13,7 @@
 use thistlesill_policy::edge::attempt::Outcome;
 use thistlesill_policy::edge::limit::Clearance;
 
+use crate::backoffs;
 use crate::flight::InFlight;
 use crate::job::Job;
 use crate::lanes::PooledLane;
@@ -112,6 +113,7 @@
     }
     let request = job.request(target, last_event);
     limits::log_sent(job, target);
+    backoffs::log_sent(job, target);
     let answer = {
         let last = job.answer_deadline();
         let send = lane.send(request, within((last - sent).duration()));
@@ -197,6 +199,7 @@
     let status = parts.status;
     let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
     limits::note_answer(job, target, &info, sent);
+    backoffs::note_answer(job, target, &info);
     if let Some(failure) = failure_of_answer(&info, status) {
         edge.loads.borrow_mut().note_refused(&target.id, edge.now());
         if info.not_run && status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -21,7 +21,7 @@
 
 use crate::lines::Line;
 use crate::state::Edge;
-use crate::{figures, follow, front, limits, peers, planner, quarantine, start, watch};
+use crate::{backoffs, figures, follow, front, limits, peers, planner, quarantine, start, watch};
 
 /// Exit code for settings that do not pass their check.
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
@@ -362,5 +362,6 @@
         .borrow_mut()
         .retain(|id| registry.is_current(id), now);
     limits::sweep(edge);
+    backoffs::sweep(edge);
     edge.lines.flush();
 }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! time, and never hold a borrow across an await.
 
 mod attempt;
+mod backoffs;
 pub mod daemon;
 mod evacuation;
 mod figures;
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -19,6 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::job::Job;
+use crate::lines::excerpt;
 use crate::peers::packet::{GrantReply, GrantRequest, LimitUpdates, Packet, Permit};
 use crate::peers::place;
 use crate::peers::questions::{self, PendingReplies};
@@ -34,8 +35,6 @@
 const NO_OWNER_BACKOFF: Millis = Millis::new(250);
 /// Maximum number of targets in one datagram.
 const MAX_PER_DATAGRAM: usize = 80;
-/// Maximum number of characters of an unreadable limit in the log.
-const MAX_LOGGED_CHARS: usize = 40;
 
 /// The known limits, and requests to bucket owners that are in progress.
 #[derive(Debug, Default)]
@@ -117,11 +116,10 @@
         return;
     };
     if unreadable.insert(target.id.clone()) {
-        let text: String = text.chars().take(MAX_LOGGED_CHARS).collect();
         let line = job.edge.lines.line("limit_unreadable");
         line.with("target", &target.id)
             .with("id", &job.head.id)
-            .with("text", text)
+            .with("text", excerpt(text))
             .write();
     }
 }
--- a/crates/thistlesill-edge/src/lines.rs
+++ b/crates/thistlesill-edge/src/lines.rs
@@ -16,6 +16,14 @@
 /// Maximum number of batches that wait for the reader of standard output.
 const MAX_QUEUED_BATCHES: usize = 16;
 
+/// Maximum number of characters of a foreign text in a line.
+const MAX_EXCERPT_CHARS: usize = 40;
+
+/// Returns the beginning of a text that another process sent, for a line.
+pub(crate) fn excerpt(text: &str) -> String {
+    text.chars().take(MAX_EXCERPT_CHARS).collect()
+}
+
 /// Buffers log lines and passes them to the writing thread.
 #[derive(Debug)]
 pub(crate) struct Lines {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -23,6 +23,7 @@
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
 use tokio::sync::Notify;
 
+use crate::backoffs::Backoffs;
 use crate::lanes::Lanes;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -189,6 +190,8 @@
     pub(crate) quarantine: QuarantineState,
     /// Rate limits of targets.
     pub(crate) limits: Limits,
+    /// Backoffs that targets request from this daemon.
+    pub(crate) backoffs: Backoffs,
     pub(crate) lanes: Lanes,
     pub(crate) lines: Lines,
     pub(crate) rng: RefCell<SmallRng>,
@@ -245,6 +248,7 @@
             traffic: Traffic::default(),
             quarantine: QuarantineState::default(),
             limits: Limits::default(),
+            backoffs: Backoffs::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock,
             alarm: Alarm::new(clock),
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod asked;
 pub mod attempt;
+pub mod backoff;
 pub mod beats;
 pub mod book;
 pub mod evacuation;
