test(edge): repeats pile up at a target that requested a backoff

With all daemons under load the test passes, since the owners' own doubling backoff hides the fault; only the requests of other daemons show it: the asked daemon's own avoidance ends after 0.1 to 1.6 s, and the owner that picks the target does not know of it.

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -2,6 +2,8 @@
 
 #[path = "it/answers.rs"]
 mod answers;
+#[path = "it/backoffs.rs"]
+mod backoffs;
 #[path = "it/calls.rs"]
 mod calls;
 #[path = "it/evacuation.rs"]
--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -13,13 +13,14 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
 use crate::evacuation::WARMUP_BOUND;
-use crate::support::{read, sleep, stream, world};
+use crate::support::{
+    Timed, large_leader, read, send_steadily, send_steadily_to, sleep, stream, world,
+};
 
 /// Window over which the requests at a target are compared with its limit.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -28,49 +29,6 @@
 /// Maximum time of an immediate refusal.
 const IMMEDIATE: Duration = Duration::from_millis(100);
 
-/// An answer and its latency.
-type Timed = (CallerAnswer, Duration);
-
-/// Sends requests at a steady rate through all daemons in turn; returns the answers.
-async fn send_steadily(
-    world: &World,
-    per_second: u32,
-    time: Duration,
-    ask: fn(&str) -> CallerRequest,
-) -> Vec<Timed> {
-    let addresses: Vec<SocketAddr> = world.daemons.iter().map(Daemon::caller_address).collect();
-    send_steadily_to(&addresses, per_second, time, ask).await
-}
-
-async fn send_steadily_to(
-    addresses: &[SocketAddr],
-    per_second: u32,
-    time: Duration,
-    ask: fn(&str) -> CallerRequest,
-) -> Vec<Timed> {
-    let start = Instant::now();
-    let mut calls = Vec::new();
-    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
-    while start.elapsed() < time {
-        ticks.tick().await;
-        let address = addresses[calls.len() % addresses.len()];
-        let ask = ask(&format!("{}-{}", start.elapsed().as_nanos(), calls.len()));
-        calls.push(tokio::spawn(async move {
-            let sent = Instant::now();
-            let got = call(address, &ask).await;
-            got.map(|got| (got, sent.elapsed()))
-        }));
-    }
-    let mut all = Vec::new();
-    for call in calls {
-        // A daemon that a test has killed gives no answer.
-        if let Ok(got) = call.await.expect("the task ends") {
-            all.push(got);
-        }
-    }
-    all
-}
-
 /// Returns the maximum number of runs that began at a target within one window after `since`.
 fn most_in_window(world: &World, target: &str, since: Instant) -> usize {
     world
@@ -100,17 +58,6 @@
     format!("begun at {}\n{}", begun.join(", "), lines.join("\n"))
 }
 
-/// Returns the instance that leads the group of the large model.
-fn large_leader(world: &World) -> String {
-    let groups = world.targets.serving();
-    let group = groups.iter().find(|(_, members)| members.len() == 4);
-    group
-        .expect("the large model is served")
-        .0
-        .as_str()
-        .to_owned()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn all_daemons_together_keep_to_a_limit() {
     let world = world(91, 6).await;
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -1,11 +1,13 @@
 //! Deployments for tests, and common requests.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
+use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::world::World;
 
 /// Starts a deployment; `net` selects its address range and differs between tests.
@@ -89,3 +91,58 @@
     let mut planners = (0..world.daemons.len()).filter(plans);
     planners.next().expect("a daemon forms groups")
 }
+
+/// An answer and its latency.
+pub(crate) type Timed = (CallerAnswer, Duration);
+
+/// Sends requests at a steady rate through all daemons in turn; returns the answers.
+pub(crate) async fn send_steadily(
+    world: &World,
+    per_second: u32,
+    time: Duration,
+    ask: fn(&str) -> CallerRequest,
+) -> Vec<Timed> {
+    let addresses: Vec<SocketAddr> = world.daemons.iter().map(Daemon::caller_address).collect();
+    send_steadily_to(&addresses, per_second, time, ask).await
+}
+
+/// Sends requests at a steady rate to the given daemons in turn; returns the answers.
+pub(crate) async fn send_steadily_to(
+    addresses: &[SocketAddr],
+    per_second: u32,
+    time: Duration,
+    ask: fn(&str) -> CallerRequest,
+) -> Vec<Timed> {
+    let start = Instant::now();
+    let mut calls = Vec::new();
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
+    while start.elapsed() < time {
+        ticks.tick().await;
+        let address = addresses[calls.len() % addresses.len()];
+        let ask = ask(&format!("{}-{}", start.elapsed().as_nanos(), calls.len()));
+        calls.push(tokio::spawn(async move {
+            let sent = Instant::now();
+            let got = call(address, &ask).await;
+            got.map(|got| (got, sent.elapsed()))
+        }));
+    }
+    let mut all = Vec::new();
+    for call in calls {
+        // A daemon that a test has killed gives no answer.
+        if let Ok(got) = call.await.expect("the task ends") {
+            all.push(got);
+        }
+    }
+    all
+}
+
+/// Returns the instance that leads the group of the large model.
+pub(crate) fn large_leader(world: &World) -> String {
+    let groups = world.targets.serving();
+    let group = groups.iter().find(|(_, members)| members.len() == 4);
+    group
+        .expect("the large model is served")
+        .0
+        .as_str()
+        .to_owned()
+}
