fix(edge): a target gets nothing from a daemon during the backoff that it requested

Callers got 503 although nine other groups had room: a target that turned a daemon away with Retry-After: 3 got up to 26 more requests from it in that time, and requests whose both attempts met such targets were refused.

Cause: nobody kept what a target had asked of a daemon. A refusal started a backoff of 0.1 to 1.6 s of the daemon's own, as a mere preference, and the owner that picks the target for other daemons knew nothing even of that; a target that turns everything away has the least load, so it was picked first.

It is a hard condition wherever the daemon picks a target, is passed to owners with each question, is looked at again right before a request is sent, and holds for probes. For requests of peers, which it does not bind, an owner merely prefers other targets.

Why this holds: every way to a target ends in reason_not_to_send, whatever picked it.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -113,7 +113,6 @@
     }
     let request = job.request(target, last_event);
     limits::log_sent(job, target);
-    backoffs::log_sent(job, target);
     let answer = {
         let last = job.answer_deadline();
         let send = lane.send(request, within((last - sent).duration()));
@@ -153,6 +152,8 @@
         Some("its data centre is evacuated")
     } else if !limits::is_clearance_valid(edge, target, clearance) {
         Some("its grant ran out")
+    } else if edge.backoffs.is_active(&target.id, edge.now()) {
+        Some("it requested a backoff")
     } else {
         None
     }
--- a/crates/thistlesill-edge/src/backoffs.rs
+++ b/crates/thistlesill-edge/src/backoffs.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 
+use thistlesill_core::Millis;
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_platform::caller::{AnswerHead, BackoffHeader};
 use thistlesill_policy::edge::backoff::BackoffTable;
@@ -19,15 +20,38 @@
     unreadable: RefCell<BTreeSet<TargetId>>,
 }
 
+impl Backoffs {
+    /// Returns the time until the backoff of a target ends; zero if it has none.
+    pub(crate) fn remaining(&self, id: &TargetId, now: Millis) -> Millis {
+        self.table.borrow().remaining(id, now)
+    }
+
+    /// Returns whether a target wants no request from this daemon now.
+    pub(crate) fn is_active(&self, id: &TargetId, now: Millis) -> bool {
+        self.remaining(id, now) > Millis::ZERO
+    }
+
+    /// Returns the targets that want no request from this daemon now.
+    pub(crate) fn active(&self, now: Millis) -> Vec<TargetId> {
+        self.table.borrow().active(now)
+    }
+}
+
 /// Records the backoff that a target's answer requests.
 pub(crate) fn note_answer(job: &Job, target: &Target, info: &AnswerHead) {
     match &info.backoff {
         BackoffHeader::Missing => {}
         BackoffHeader::Requested(time) => {
             let edge = &job.edge;
+            let now = edge.now();
             let mut table = edge.backoffs.table.borrow_mut();
-            let remaining = table.request(&target.id, *time, edge.now());
+            let remaining = table.request(&target.id, *time, now);
             drop(table);
+            // As an owner, this daemon prefers other targets for the requests of its peers, which
+            // the backoff does not bind.
+            let mut loads = edge.loads.borrow_mut();
+            loads.prefer_others(&target.id, now + remaining);
+            drop(loads);
             edge.backoffs.unreadable.borrow_mut().remove(&target.id);
             metrics::counter!("thistlesill_edge_backoffs_requested_total").increment(1);
             edge.lines
@@ -54,25 +78,6 @@
     }
 }
 
-/// Logs and counts a request that is sent to a target during its backoff.
-pub(crate) fn log_sent(job: &Job, target: &Target) {
-    let edge = &job.edge;
-    let remaining = edge
-        .backoffs
-        .table
-        .borrow()
-        .remaining(&target.id, edge.now());
-    if remaining.get() > 0 {
-        metrics::counter!("thistlesill_edge_sent_in_backoff_total").increment(1);
-        edge.lines
-            .line("sent_in_backoff")
-            .with("id", &job.head.id)
-            .with("target", &target.id)
-            .with("remaining_ms", remaining.get())
-            .write();
-    }
-}
-
 /// Removes targets that are gone, and backoffs that are over.
 pub(crate) fn sweep(edge: &Edge) {
     let registry = edge.registry.borrow();
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -18,7 +18,7 @@
 use crate::lanes::max_idle;
 use crate::peers::place;
 use crate::quarantine;
-use crate::state::{Edge, Pick, TargetQuery};
+use crate::state::{Edge, Pick, Sender, TargetQuery};
 
 /// Added to a request's deadline before an attempt is given up, so that an answer that a target
 /// sends just before the deadline still arrives.
@@ -142,6 +142,12 @@
         place::pick(&self.edge, self.query(tried)).await
     }
 
+    /// Returns the time until some target may get the request, if that is not now.
+    pub(crate) fn wait_for_target(&self) -> Option<Millis> {
+        let wait = self.edge.wait_for_any(&self.query(&[]));
+        wait.filter(|wait| *wait > Millis::ZERO)
+    }
+
     /// Returns whether the request may now be sent to a target that it was not sent to yet.
     pub(crate) fn can_retry_elsewhere(&self, tried: &[TargetId]) -> bool {
         self.edge.can_retry_elsewhere(&self.query(tried))
@@ -155,6 +161,7 @@
             aim: self.admission.route.aim,
             tried,
             first: tried.is_empty(),
+            sender: Sender::Itself,
         }
     }
 
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -55,11 +55,6 @@
         self.table.borrow().limit_at(id, now).is_some()
     }
 
-    /// Returns whether a target's limit allows no request now.
-    pub(crate) fn is_exhausted(&self, id: &TargetId, now: Millis) -> bool {
-        self.table.borrow().is_exhausted(id, now)
-    }
-
     /// Returns the limits of all targets that have one.
     pub(crate) fn limits(&self) -> Vec<(TargetId, RateLimit)> {
         let table = self.table.borrow();
@@ -72,14 +67,9 @@
         self.table.borrow().exhausted(now)
     }
 
-    /// Returns the shortest time until one of the given targets may get a request.
-    pub(crate) fn wait<'a>(
-        &self,
-        targets: impl Iterator<Item = &'a Target>,
-        now: Millis,
-    ) -> Option<Millis> {
-        let table = self.table.borrow();
-        targets.map(|t| table.wait(&t.id, now)).min()
+    /// Returns the time until a target's limit allows a request; zero if that is now.
+    pub(crate) fn wait(&self, id: &TargetId, now: Millis) -> Millis {
+        self.table.borrow().wait(id, now)
     }
 
     /// As the bucket owner, grants a request to a target if its limit allows one.
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -160,8 +160,8 @@
     At(TargetId, Permit),
     /// Nowhere now: the request would begin too late by this much.
     Overloaded(Millis),
-    /// Nowhere now: the targets' limits admit the request after this time.
-    Exhausted(Millis),
+    /// Nowhere now: no target takes the request before this time is over.
+    Unavailable(Millis),
     /// Nowhere: no target serves the model or service.
     NoTarget,
 }
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -19,7 +19,7 @@
 use super::questions::{self, PendingReplies};
 use super::{Reach, link};
 use crate::limits;
-use crate::state::{Choice, Edge, Pick, PlacedBy, TargetQuery};
+use crate::state::{Choice, Edge, Pick, PlacedBy, Sender, TargetQuery};
 
 /// Time after its start until a daemon has received the requests in progress of its peers.
 const LEARNING_PERIOD: Millis = Millis::new(1_200);
@@ -87,7 +87,7 @@
         by = placed;
         let clearance = match &choice {
             Choice::Target(target) => limits::obtain_clearance(edge, target, permit, asked).await,
-            Choice::Overloaded(_) | Choice::Exhausted(_) | Choice::NoTarget => {
+            Choice::Overloaded(_) | Choice::Unavailable(_) | Choice::NoTarget => {
                 Some(Clearance::Unlimited)
             }
         };
@@ -101,7 +101,7 @@
         }
     }
     Pick {
-        choice: Choice::Exhausted(Millis::ZERO),
+        choice: Choice::Unavailable(Millis::ZERO),
         by,
         clearance: Clearance::Unlimited,
     }
@@ -158,6 +158,7 @@
     let mut avoid = asking.tried.to_vec();
     avoid.extend(edge.loads.borrow().suspects(now));
     avoid.extend(edge.limits.exhausted(now));
+    avoid.extend(edge.backoffs.active(now));
     let request = PlaceRequest {
         from: edge.settings().name.clone(),
         id,
@@ -179,11 +180,13 @@
     };
     let choice = match placement {
         Placement::At(id, permit) => {
-            let target = known_target(edge, scope, &id)?;
+            // The target may have requested a backoff since the owner was asked.
+            let target = known_target(edge, scope, &id)
+                .filter(|target| !edge.backoffs.is_active(&target.id, edge.now()))?;
             return Some((Choice::Target(Box::new(target)), permit));
         }
         Placement::Overloaded(late) => Some(Choice::Overloaded(late)),
-        Placement::Exhausted(wait) => Some(Choice::Exhausted(wait)),
+        Placement::Unavailable(wait) => Some(Choice::Unavailable(wait)),
         // The owner may lag behind this daemon.
         Placement::NoTarget => None,
     };
@@ -221,6 +224,7 @@
         aim: request.aim,
         tried: &request.avoid,
         first: request.first,
+        sender: Sender::Peer,
     };
     let choice = edge.pick(&asking, Knowledge::Exact);
     let placement = match choice {
@@ -236,7 +240,7 @@
             Placement::At(target.id.clone(), permit)
         }
         Choice::Overloaded(late) => Placement::Overloaded(late),
-        Choice::Exhausted(wait) => Placement::Exhausted(wait),
+        Choice::Unavailable(wait) => Placement::Unavailable(wait),
         Choice::NoTarget => Placement::NoTarget,
     };
     let reply = PlaceReply {
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -427,6 +427,14 @@
                         fleet.record_reply(&target, &order, reply, now);
                     });
                 }
+                FleetAction::Probe { target, .. }
+                    if planner.edge.backoffs.is_active(&target, planner.edge.now()) =>
+                {
+                    let line = planner.edge.lines.line("probe_skipped");
+                    line.with("target", &target)
+                        .with("why", "it requested a backoff")
+                        .write();
+                }
                 FleetAction::Probe { target, address } => {
                     let report =
                         engine::fetch_report(&target, address, within(PROBE_TIMEOUT)).await;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -28,9 +28,10 @@
 /// Plain answers up to this size are read completely before the first byte goes to the caller, so
 /// that one that breaks off can be requested again.
 const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
-/// The bounds of the time after which a caller may retry. Earlier, little has changed; later, most
-/// of the caller's time is over.
+/// Minimum time after which a caller may retry. Earlier, little has changed.
 const MIN_RETRY_AFTER: Millis = Millis::new(300);
+/// Maximum time after which a caller may retry where it follows from the load, which may fall
+/// earlier than estimated.
 const MAX_RETRY_AFTER: Millis = Millis::new(2_000);
 /// Maximum time for which a stream that its caller resumes is deferred in favour of others: well
 /// below the two seconds after which callers leave a stream that sends nothing.
@@ -156,17 +157,18 @@
         let target = match choice {
             Choice::Target(target) => *target,
             Choice::Overloaded(lateness) => {
-                return track.refuse(ErrorKind::Overloaded, Some(retry_after(lateness)));
+                let after = lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                return track.refuse(ErrorKind::Overloaded, Some(after));
             }
-            Choice::Exhausted(wait) if attempts == Attempts::default() => {
-                let reason = "the targets' limits are used up";
-                let after = retry_after(wait);
+            Choice::Unavailable(wait) => {
+                let reason = "the targets' limits or backoffs allow no request now";
+                let after = wait.max(MIN_RETRY_AFTER);
                 return track
                     .with_reason(reason)
-                    .refuse(ErrorKind::Overloaded, Some(after));
+                    .refuse(unavailable_error(attempts), Some(after));
             }
-            Choice::Exhausted(_) | Choice::NoTarget => {
-                return track.refuse(no_target_error(attempts), None);
+            Choice::NoTarget => {
+                return track.refuse(no_target_error(attempts), retry_after(&job));
             }
         };
         if job.admission.customer.is_some() && !edge.is_fresh() {
@@ -191,7 +193,7 @@
                 Some(answer) => return forward_failure(&job, *answer, &mut track).await,
                 None => return track.refuse(ErrorKind::SentUnknown, None),
             },
-            NextStep::Fail(kind) => return track.refuse(kind, None),
+            NextStep::Fail(kind) => return track.refuse(kind, retry_after(&job)),
         }
     }
 }
@@ -230,9 +232,16 @@
     next
 }
 
-/// Returns the time after which a caller may retry, from how late the request would be served.
-fn retry_after(lateness: Millis) -> Millis {
-    lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+/// Returns the time after which a caller may retry, if no target takes requests before that.
+fn retry_after(job: &Job) -> Option<Millis> {
+    job.wait_for_target().map(|wait| wait.max(MIN_RETRY_AFTER))
+}
+
+const fn unavailable_error(attempts: Attempts) -> ErrorKind {
+    match no_target_error(attempts) {
+        ErrorKind::NoGroup => ErrorKind::Overloaded,
+        kind => kind,
+    }
 }
 
 const fn no_target_error(attempts: Attempts) -> ErrorKind {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -79,6 +79,16 @@
     pub(crate) tried: &'a [TargetId],
     /// Whether this is the first attempt, so that the caller may still be told to retry later.
     pub(crate) first: bool,
+    pub(crate) sender: Sender,
+}
+
+/// The daemon that will send a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// This daemon.
+    Itself,
+    /// A peer whose request this daemon places.
+    Peer,
 }
 
 impl TargetQuery<'_> {
@@ -102,8 +112,9 @@
     Target(Box<Target>),
     /// No target now: the answer would begin too late by this much.
     Overloaded(Millis),
-    /// No target now: the rate limits of the targets allow the request after this time.
-    Exhausted(Millis),
+    /// No target now: the rate limits of the targets, or the backoffs that they requested, allow the
+    /// request after this time.
+    Unavailable(Millis),
     /// No target serves the request.
     NoTarget,
 }
@@ -410,23 +421,45 @@
         let registry = self.registry.borrow();
         let serving = registry.serving(&service.name, model);
         let serving = serving.iter().map(AsRef::as_ref);
-        let serving: Vec<&Target> = serving
-            .filter(|t| !self.limits.is_exhausted(&t.id, now))
-            .collect();
+        let serving: Vec<&Target> = serving.filter(|t| self.is_available(&t.id, now)).collect();
         !blind && loads.has_room(&serving, engine, now)
     }
 
+    /// Returns the time until this daemon may send a target a request: its rate limit must allow
+    /// one, and a backoff that it requested from this daemon must be over.
+    fn wait_for(&self, id: &TargetId, now: Millis) -> Millis {
+        self.limits
+            .wait(id, now)
+            .max(self.backoffs.remaining(id, now))
+    }
+
+    fn is_available(&self, id: &TargetId, now: Millis) -> bool {
+        self.wait_for(id, now) == Millis::ZERO
+    }
+
+    /// Returns the time until this daemon may send a request to some target that was not tried yet;
+    /// `None` if there is no such target.
+    pub(crate) fn wait_for_any(&self, query: &TargetQuery<'_>) -> Option<Millis> {
+        let (registry, now) = (self.registry.borrow(), self.now());
+        let untried = query.untried(&registry);
+        untried.map(|t| self.wait_for(&t.id, now)).min()
+    }
+
     /// Picks the target for the next attempt of a request.
     pub(crate) fn pick(&self, query: &TargetQuery<'_>, knowledge: Knowledge) -> Choice {
         let service = query.service;
         let registry = self.registry.borrow();
         let now = self.now();
         let mut untried: Vec<&Target> = query.untried(&registry).collect();
-        let wait = self.limits.wait(untried.iter().copied(), now);
+        let wait_for = |t: &Target| match query.sender {
+            Sender::Itself => self.wait_for(&t.id, now),
+            Sender::Peer => self.limits.wait(&t.id, now),
+        };
+        let wait = untried.iter().map(|t| wait_for(t)).min();
         if let Some(wait) = wait.filter(|wait| *wait > Millis::ZERO) {
-            return Choice::Exhausted(wait);
+            return Choice::Unavailable(wait);
         }
-        untried.retain(|t| !self.limits.is_exhausted(&t.id, now));
+        untried.retain(|t| wait_for(t) == Millis::ZERO);
         let settings = self.settings();
         let request = PickRequest {
             engine: service.engine.as_ref(),
@@ -467,8 +500,7 @@
         let has_retry = self.with_budget(&query.service.name, |budget| budget.has_retry());
         let (registry, loads, now) = (self.registry.borrow(), self.loads.borrow(), self.now());
         let mut untried = query.untried(&registry);
-        let usable =
-            |t: &Target| !loads.is_suspect(&t.id, now) && !self.limits.is_exhausted(&t.id, now);
+        let usable = |t: &Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
         has_retry && untried.any(usable)
     }
 
--- a/crates/thistlesill-edge/tests/it/backoffs.rs
+++ b/crates/thistlesill-edge/tests/it/backoffs.rs
@@ -2,16 +2,21 @@
 
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use thistlesill_platform_standin::caller::{CallerRequest, call};
 use thistlesill_platform_standin::ledger::Arrival;
+use thistlesill_platform_standin::store::Mode;
+use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, read, sleep, world};
+use crate::support::{Timed, ask, large_leader, read, sleep, stream, world};
 
 /// Time after a refusal in which requests that were sent before it may still arrive.
 const CROSSING_TIME: Duration = Duration::from_millis(500);
 /// Requests of one daemon that may reach a target between that time and the end of its backoff.
 const MAX_REPEATS: usize = 2;
+/// Maximum time of an immediate refusal.
+const IMMEDIATE: Duration = Duration::from_millis(100);
 
 /// Sends requests at a steady rate through some daemons in turn, each with the number of its daemon
 /// in its id; returns the answers.
@@ -106,3 +111,100 @@
     let runs = world.targets.ledger.starts_at("p-0").len() - before;
     assert!(runs >= 10, "{runs} of 80 after the end of the backoffs");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_target_takes_during_backoffs_is_refused_at_once() {
+    let world = world(122, 4).await;
+    let leader = large_leader(&world);
+    let daemons = [0, 1, 2, 3];
+    world.targets.shed(&leader, Some("2.5"));
+    let all = send_through(&world, &daemons, 40, Duration::from_secs(2), stream).await;
+    let refusals = world.targets.ledger.arrivals_at(&leader);
+    assert_eq!(refusals.iter().filter(|a| a.shed).count(), daemons.len());
+    for (got, took) in &all {
+        assert_eq!(got.status, 503, "{got:?}");
+        assert!(*took < IMMEDIATE, "refused after {took:?}");
+        let after = got.retry_after().expect("a time to come back");
+        assert!((0.3..=2.5).contains(&after), "{after} s");
+    }
+    // Whoever comes back at the named time is served.
+    world.targets.shed(&leader, None);
+    let last = ask(&world, 0, stream("0-last")).await;
+    let after = last.retry_after().expect("a time to come back");
+    sleep((after * 1_000.0) as u64 + 20).await;
+    let served = ask(&world, 0, stream("0-served")).await;
+    assert_eq!(served.status, 200, "{served:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_keep_to_a_backoff_too() {
+    let world = world(123, 4).await;
+    world.targets.set_fault("p-1", Fault::LoseAnswers);
+    world.targets.shed("p-0", Some("3"));
+    send_through(&world, &[0, 1, 2, 3], 20, Duration::from_secs(7), read).await;
+    let most = most_repeats(&world, "p-0", Duration::from_secs(3));
+    assert!(
+        most <= MAX_REPEATS,
+        "{most} requests of a daemon within 3 s"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backoff_holds_while_the_store_and_owners_are_away() {
+    let world = world(124, 6).await;
+    let daemons = [0, 1, 2, 3, 4, 5];
+    send_through(&world, &daemons, 60, Duration::from_secs(1), read).await;
+    world.store.set_mode(Mode::Unresponsive);
+    world.targets.shed("p-0", Some("3"));
+    for frozen in [0, 3] {
+        world.daemons[frozen].signal(Signal::SIGSTOP);
+        let others: Vec<usize> = daemons.into_iter().filter(|d| *d != frozen).collect();
+        send_through(&world, &others, 40, Duration::from_secs(1), read).await;
+        world.daemons[frozen].signal(Signal::SIGCONT);
+        send_through(&world, &daemons, 40, Duration::from_secs(1), read).await;
+    }
+    let most = most_repeats(&world, "p-0", Duration::from_secs(3));
+    assert!(
+        most <= MAX_REPEATS,
+        "{most} requests of a daemon within 3 s"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backoff_that_cannot_be_read_is_noted_and_counts_as_none() {
+    let world = world(125, 2).await;
+    world.targets.leave("p-1");
+    sleep(1_500).await;
+    world
+        .targets
+        .shed("p-0", Some("Thu, 03 Dec 2026 18:00:00 GMT"));
+    send_through(&world, &[0, 1], 20, Duration::from_secs(1), read).await;
+    world.targets.shed("p-0", None);
+    sleep(2_000).await;
+    let all = send_through(&world, &[0, 1], 20, Duration::from_secs(1), read).await;
+    assert!(all.iter().all(|(got, _)| got.status == 200));
+    let lines = world.log_lines(0, "ev=backoff_unreadable");
+    assert!(lines.iter().any(|l| l.contains("Thu, 03 Dec")), "{lines:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_life_of_a_target_is_not_held_to_a_backoff_of_the_one_before() {
+    let world = world(126, 2).await;
+    world.targets.leave("p-1");
+    sleep(1_500).await;
+    world.targets.shed("p-0", Some("60"));
+    for daemon in [0, 1] {
+        ask(&world, daemon, read(&format!("{daemon}-asked"))).await;
+        let refused = ask(&world, daemon, read(&format!("{daemon}-refused"))).await;
+        assert!(
+            refused.retry_after().is_some_and(|s| s > 50.0),
+            "{refused:?}"
+        );
+    }
+    world.targets.restart("p-0");
+    sleep(1_000).await;
+    for daemon in [0, 1] {
+        let served = ask(&world, daemon, read(&format!("{daemon}-served"))).await;
+        assert_eq!(served.status, 200, "{served:?}");
+    }
+}
--- a/crates/thistlesill-policy/src/edge/backoff.rs
+++ b/crates/thistlesill-policy/src/edge/backoff.rs
@@ -37,12 +37,6 @@
         self.ends.get(id).map_or(Millis::ZERO, |end| *end - now)
     }
 
-    /// Returns whether a target wants no request from this daemon now.
-    #[must_use]
-    pub fn is_active(&self, id: &TargetId, now: Millis) -> bool {
-        self.remaining(id, now) > Millis::ZERO
-    }
-
     /// Returns the targets that want no request from this daemon now.
     #[must_use]
     pub fn active(&self, now: Millis) -> Vec<TargetId> {
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -214,7 +214,14 @@
         let doubled = load.refusals.min(MAX_BACKOFF_DOUBLINGS);
         load.note_activity(now);
         load.refusals += 1;
-        load.full_until = now + Millis::new(REFUSAL_BACKOFF.get() << doubled);
+        let until = now + Millis::new(REFUSAL_BACKOFF.get() << doubled);
+        load.full_until = load.full_until.max(until);
+    }
+
+    /// Prefers other targets until `until`, as after a refusal.
+    pub fn prefer_others(&mut self, id: &TargetId, until: Millis) {
+        let load = self.entry(id);
+        load.full_until = load.full_until.max(until);
     }
 
     /// Returns whether a target refused a request recently.
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -6,6 +6,8 @@
 mod asked;
 #[path = "edge/attempt.rs"]
 mod attempt;
+#[path = "edge/backoff.rs"]
+mod backoff;
 #[path = "edge/beats.rs"]
 mod beats;
 #[path = "edge/book.rs"]
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -219,6 +219,10 @@
     loads.note_progress(&a, ms(400));
     loads.note_refused(&a, ms(400));
     assert_eq!(plain_wins(&loads, ms(550)), 40);
+    // A shorter backoff of this daemon's own ends no longer one.
+    loads.prefer_others(&a, ms(1_000));
+    loads.note_refused(&a, ms(410));
+    assert_eq!(plain_wins(&loads, ms(900)), 0);
     // The target is picked all the same where there is no other.
     loads.suspect(&b, ms(400));
     assert_eq!(plain_wins(&loads, ms(420)), 40);
