fix(edge): a target that says that it leaves gets nothing more, whatever its entry says

A target says in its answers that it leaves; daemons read that only from its entry, which may say it later or never, and which a daemon out of touch does not read at all. Cause: as with backoffs, what a target told a daemon in an answer was not kept. Evidence: with a target that says so in every answer and in no entry, 58 requests reached it more than the drain time of 2 s after it had told their daemon; with half of the daemons cut off and the store away, 87. Change: the registry keeps the announcement for that life of the target, also while its entry lapses and comes back unchanged, and treats the target as leaving, for the planner too; the daemon that hears it tells the others, and an owner that still picks the target; it is looked at again right before a request is sent. Why this holds: the mark belongs to the target's id and incarnation and only another life, or ten minutes without an entry, ends it. Three tests with processes and two of the registry, red before.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::flight::InFlight;
 use crate::job::Job;
 use crate::lanes::PooledLane;
+use crate::leaving;
 use crate::limits;
 use crate::quarantine;
 use crate::relay;
@@ -148,8 +149,11 @@
 
 /// Returns why a request may no longer be sent to the target that was picked for it.
 fn reason_not_to_send(edge: &Edge, target: &Target, clearance: Clearance) -> Option<&'static str> {
-    if edge.registry.borrow().is_evacuated(&target.hall) {
+    let registry = edge.registry.borrow();
+    if registry.is_evacuated(&target.hall) {
         Some("its data centre is evacuated")
+    } else if registry.is_leaving(&target.id) {
+        Some("it leaves")
     } else if !limits::is_clearance_valid(edge, target, clearance) {
         Some("its grant ran out")
     } else if edge.backoffs.is_active(&target.id, edge.now()) {
@@ -201,6 +205,7 @@
     let info = caller::read_answer(&job.head.id, status.as_u16(), &parts.headers);
     limits::note_answer(job, target, &info, sent);
     backoffs::note_answer(job, target, &info);
+    leaving::note_answer(job, target, &info);
     if let Some(failure) = failure_of_answer(&info, status) {
         edge.loads.borrow_mut().note_refused(&target.id, edge.now());
         if info.not_run && status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod front;
 mod job;
 mod lanes;
+mod leaving;
 mod limits;
 mod lines;
 mod peers;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -10,6 +10,7 @@
 use super::packet::{DemandReport, Heartbeat, Packet, StoreUse};
 use super::{PeerChange, Reach, place};
 use crate::follow;
+use crate::leaving;
 use crate::limits;
 use crate::quarantine;
 use crate::state::Edge;
@@ -220,6 +221,7 @@
             Ok(Packet::Verdicts(verdicts)) => quarantine::receive_verdicts(&edge, &verdicts),
             Ok(Packet::VerdictsRequest(peer)) => quarantine::send_verdicts(&edge, &peer),
             Ok(Packet::Limits(updates)) => limits::receive(&edge, &updates),
+            Ok(Packet::Leaving(target)) => leaving::receive(&edge, &target),
             Ok(Packet::GrantRequest(request)) => limits::reply_to_grant_request(&edge, &request),
             Ok(Packet::Grant(reply)) => limits::receive_grant(&edge, reply),
             Ok(Packet::DemandReport(report)) => edge
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -38,6 +38,8 @@
     VerdictsRequest(NodeId),
     /// Limits of targets; goes to all daemons.
     Limits(LimitUpdates),
+    /// A target that told the sender that it leaves; goes to all daemons.
+    Leaving(TargetId),
     /// Asks the bucket owner of a target whether a request may be sent there.
     GrantRequest(GrantRequest),
     /// The answer to [`Packet::GrantRequest`].
@@ -61,6 +63,7 @@
             Self::Verdicts(_) => "verdicts",
             Self::VerdictsRequest(_) => "ask_verdicts",
             Self::Limits(_) => "limits",
+            Self::Leaving(_) => "leaving",
             Self::GrantRequest(_) => "ask_grant",
             Self::Grant(_) => "grant",
         }
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -18,6 +18,7 @@
 use super::packet::{Counts, Packet, Permit, PlaceReply, PlaceRequest, Placement, Totals};
 use super::questions::{self, PendingReplies};
 use super::{Reach, link};
+use crate::leaving;
 use crate::limits;
 use crate::state::{Choice, Edge, Pick, PlacedBy, Sender, TargetQuery};
 
@@ -180,6 +181,7 @@
     };
     let choice = match placement {
         Placement::At(id, permit) => {
+            leaving::tell_owner(edge, owner, &id);
             // The target may have requested a backoff since the owner was asked.
             let target = known_target(edge, scope, &id)
                 .filter(|target| !edge.backoffs.is_active(&target.id, edge.now()))?;
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -12,6 +12,8 @@
 mod fatal;
 #[path = "it/keys.rs"]
 mod keys;
+#[path = "it/leaving.rs"]
+mod leaving;
 #[path = "it/limits.rs"]
 mod limits;
 #[path = "it/owners.rs"]
--- a/crates/thistlesill-edge/tests/it/backoffs.rs
+++ b/crates/thistlesill-edge/tests/it/backoffs.rs
@@ -1,15 +1,14 @@
 //! Backoffs that targets request from single daemons in their refusals.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use thistlesill_platform_standin::caller::{CallerRequest, call};
-use thistlesill_platform_standin::ledger::Arrival;
+use thistlesill_platform_standin::caller::CallerRequest;
 use thistlesill_platform_standin::store::Mode;
 use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, ask, large_leader, read, sleep, stream, world};
+use crate::support::{ask, daemon_of, large_leader, read, send_through, sleep, stream, world};
 
 /// Time after a refusal in which requests that were sent before it may still arrive.
 const CROSSING_TIME: Duration = Duration::from_millis(500);
@@ -18,38 +17,6 @@
 /// Maximum time of an immediate refusal.
 const IMMEDIATE: Duration = Duration::from_millis(100);
 
-/// Sends requests at a steady rate through some daemons in turn, each with the number of its daemon
-/// in its id; returns the answers.
-async fn send_through(
-    world: &World,
-    daemons: &[usize],
-    per_second: u32,
-    time: Duration,
-    ask: fn(&str) -> CallerRequest,
-) -> Vec<Timed> {
-    let start = Instant::now();
-    let mut calls = Vec::new();
-    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
-    while start.elapsed() < time {
-        ticks.tick().await;
-        let daemon = daemons[calls.len() % daemons.len()];
-        let address = world.daemons[daemon].caller_address();
-        let ask = ask(&format!("{daemon}-{}", start.elapsed().as_nanos()));
-        calls.push(tokio::spawn(async move {
-            let sent = Instant::now();
-            let got = call(address, &ask).await;
-            got.map(|got| (got, sent.elapsed()))
-        }));
-    }
-    let mut all = Vec::new();
-    for call in calls {
-        if let Ok(got) = call.await.expect("the task ends") {
-            all.push(got);
-        }
-    }
-    all
-}
-
 /// Returns the daemons whose requests others place, by the requests of a short load.
 async fn daemons_that_ask(world: &World, ask: fn(&str) -> CallerRequest) -> Vec<usize> {
     let all: Vec<usize> = (0..world.daemons.len()).collect();
@@ -63,11 +30,6 @@
     all.into_iter().filter(asks).collect()
 }
 
-/// Returns the number of the daemon that sent a request.
-fn daemon_of(arrival: &Arrival) -> &str {
-    arrival.id.split('-').next().unwrap_or_default()
-}
-
 /// Returns the largest number of requests that one daemon sent to a target during one backoff of
 /// `time` that it requested, leaving out those that may have crossed the refusal.
 fn most_repeats(world: &World, target: &str, time: Duration) -> usize {
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -8,6 +8,7 @@
 
 use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
+use thistlesill_platform_standin::ledger::Arrival;
 use thistlesill_platform_standin::world::World;
 
 /// Starts a deployment; `net` selects its address range and differs between tests.
@@ -112,14 +113,38 @@
     per_second: u32,
     time: Duration,
     ask: fn(&str) -> CallerRequest,
+) -> Vec<Timed> {
+    let numbered: Vec<(usize, SocketAddr)> = addresses.iter().copied().enumerate().collect();
+    send_numbered(&numbered, per_second, time, ask).await
+}
+
+/// Sends requests at a steady rate through some daemons in turn; returns the answers. The ids begin
+/// with the number of the daemon.
+pub(crate) async fn send_through(
+    world: &World,
+    daemons: &[usize],
+    per_second: u32,
+    time: Duration,
+    ask: fn(&str) -> CallerRequest,
+) -> Vec<Timed> {
+    let address = |daemon: &usize| (*daemon, world.daemons[*daemon].caller_address());
+    let numbered: Vec<(usize, SocketAddr)> = daemons.iter().map(address).collect();
+    send_numbered(&numbered, per_second, time, ask).await
+}
+
+async fn send_numbered(
+    daemons: &[(usize, SocketAddr)],
+    per_second: u32,
+    time: Duration,
+    ask: fn(&str) -> CallerRequest,
 ) -> Vec<Timed> {
     let start = Instant::now();
     let mut calls = Vec::new();
     let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
     while start.elapsed() < time {
         ticks.tick().await;
-        let address = addresses[calls.len() % addresses.len()];
-        let ask = ask(&format!("{}-{}", start.elapsed().as_nanos(), calls.len()));
+        let (daemon, address) = daemons[calls.len() % daemons.len()];
+        let ask = ask(&format!("{daemon}-{}", start.elapsed().as_nanos()));
         calls.push(tokio::spawn(async move {
             let sent = Instant::now();
             let got = call(address, &ask).await;
@@ -136,6 +161,11 @@
     all
 }
 
+/// Returns the number of the daemon that sent a request.
+pub(crate) fn daemon_of(arrival: &Arrival) -> &str {
+    arrival.id.split('-').next().unwrap_or_default()
+}
+
 /// Returns the instance that leads the group of the large model.
 pub(crate) fn large_leader(world: &World) -> String {
     let groups = world.targets.serving();
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -13,6 +13,9 @@
 
 /// Time in which running targets register again after the store came back.
 pub const RELIST_GRACE: Millis = Millis::new(2_300);
+/// How long a target's announcement that it leaves is remembered without an entry of the target,
+/// which may lapse and come back while the store is away.
+const LEAVING_RETENTION: Millis = Millis::new(600_000);
 
 /// All known targets.
 #[derive(Debug, Clone, Default)]
@@ -23,6 +26,8 @@
     /// Targets whose entries disappeared while the store may have lost them, with the time at which
     /// they are removed.
     expired: HashMap<InstanceId, Millis>,
+    /// Targets that announced that they leave, and when. The store may list them without that.
+    announced: HashMap<TargetId, Millis>,
     /// Since when the store has answered without interruption.
     store_up_since: Option<Millis>,
     /// Data centres whose targets get no requests.
@@ -121,9 +126,11 @@
         let known = self.incarnations.get(instance);
         match listing {
             Listing::Listed(target) => {
+                let mut listed = Target::clone(target);
+                self.mark_leaving(&mut listed);
                 let same = |incarnation: &Incarnation| {
                     let targets = self.targets.get(&incarnation.service);
-                    targets.and_then(|t| t.get(&incarnation.id)) == Some(&**target)
+                    targets.and_then(|t| t.get(&incarnation.id)) == Some(&listed)
                 };
                 // An expired entry that reappears is a change, even with the same content.
                 !known.is_some_and(same) || self.expired.contains_key(instance)
@@ -144,10 +151,41 @@
         for instance in &due {
             self.drop_instance(instance);
         }
+        let incarnations = &self.incarnations;
+        self.announced.retain(|id, at| {
+            let current = incarnations.get(id.instance());
+            current.is_some_and(|current| current.id == *id) || now - *at < LEAVING_RETENTION
+        });
         self.index_if_changed(catalog);
         !due.is_empty()
     }
 
+    /// Records that a target announced that it leaves: from now on it accepts no requests, whatever
+    /// its entry says. Returns whether that was not known yet.
+    pub fn announce_leaving(&mut self, id: &TargetId, now: Millis) -> bool {
+        if self.announced.insert(id.clone(), now).is_some() {
+            return false;
+        }
+        if let Some(target) = self.target(id).cloned() {
+            self.remove_from_index(&target);
+            let targets = self.targets.get_mut(&target.service);
+            if let Some(target) = targets.and_then(|targets| targets.get_mut(id)) {
+                target.leaving = true;
+            }
+        }
+        true
+    }
+
+    /// Returns whether a target leaves, as its entry or the target itself says.
+    pub fn is_leaving(&self, id: &TargetId) -> bool {
+        self.announced.contains_key(id) || self.target(id).is_some_and(|t| t.leaving)
+    }
+
+    /// Marks a listed target as leaving if the target has announced that.
+    fn mark_leaving(&self, target: &mut Target) {
+        target.leaving |= self.announced.contains_key(&target.id);
+    }
+
     /// Sets the data centres whose targets get no requests.
     pub fn evacuate(&mut self, halls: &BTreeSet<HallId>, catalog: Option<&Catalog>) {
         self.evacuated.clone_from(halls);
@@ -254,7 +292,8 @@
             .map(|incarnation| &incarnation.id)
     }
 
-    fn list(&mut self, target: Target) {
+    fn list(&mut self, mut target: Target) {
+        self.mark_leaving(&mut target);
         let instance = target.id.instance().clone();
         let incarnation = Incarnation {
             service: target.service.clone(),
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -194,3 +194,37 @@
     book.evacuate(&[].into(), None);
     assert_eq!(count(&book), 4);
 }
+
+/// A target said that it leaves, and its entry lapsed with the store and came back unchanged.
+#[test]
+fn an_entry_does_not_bring_back_a_target_that_announced_that_it_leaves() {
+    let mut book = book();
+    let id = TargetId::from("a");
+    assert!(book.announce_leaving(&id, NOW));
+    assert!(!book.announce_leaving(&id, NOW), "it is known");
+    assert!(book.is_leaving(&id) && !book.is_leaving(&"b".into()));
+    assert_eq!(count(&book), 1);
+    let mut later = NOW;
+    for listing in [listed("a"), Listing::Gone("a".into()), listed("a")] {
+        later = later + Millis::new(60_000);
+        book.apply(vec![listing], None, later);
+        book.expire(None, later);
+        assert_eq!(count(&book), 1);
+    }
+    let unchanged = vec![listed("a"), listed("b")];
+    assert!(book.difference(unchanged).is_empty(), "no change is told");
+    let next = TargetId::new("a".into(), Incarnation::new(2));
+    book.apply(vec![listed(next)], None, later);
+    assert_eq!(count(&book), 2, "another life is used");
+}
+
+#[test]
+fn an_announcement_keeps_no_entry_that_has_lapsed() {
+    let mut book = book();
+    book.store_failed();
+    book.store_answered(NOW);
+    book.apply(vec![Listing::Gone("a".into())], None, NOW);
+    book.announce_leaving(&"a".into(), NOW);
+    assert!(book.expire(None, NOW + RELIST_GRACE));
+    assert_eq!(book.count(), 1);
+}
