fix(edge): a request whose kept connection fell silent may go to its only target again

Callers got 502 "it may have run" for requests that may be repeated, 0.4 s after they were sent and with seconds left. Cause: a plain request on a kept connection is given up when nothing came for its objective, since the connection may be dead without notice; the next attempt left the silent target out although only the connection was in doubt, and where no other target took the request it ended there. Evidence: with one target of the service left and its kept connections silent, 502 after 401 ms; with one target limited to 0.5 a second and the other one still for 0.6 s, 2 of 61 requests failed. Both are answered now, and red again with the new arm switched off. Change: if only a kept connection was silent and no other target can get the request, the same target is tried again, on a new connection and out of the same retry budget.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -47,6 +47,8 @@
     pub(crate) reason: String,
     /// The target's own answer, if it may be forwarded.
     pub(crate) answer: Option<Box<Answered>>,
+    /// Whether only the connection may be at fault, so that the same target may be tried again.
+    pub(crate) by_connection: bool,
 }
 
 impl Failure {
@@ -55,6 +57,7 @@
             outcome,
             reason: reason.to_string(),
             answer: None,
+            by_connection: false,
         }
     }
 }
@@ -132,7 +135,10 @@
             () = edge.alarm.sleep_until(last) => Err(ConnectionError::TimedOut),
             () = give_up => {
                 edge.suspect(&target.id, "no answer begins");
-                return Err(Failure::new(Outcome::MayHaveRun, &"no answer begins"));
+                return Err(Failure {
+                    by_connection: reused,
+                    ..Failure::new(Outcome::MayHaveRun, &"no answer begins")
+                });
             }
         }
     };
@@ -230,6 +236,7 @@
             outcome: Outcome::Failed,
             reason: status.to_string(),
             answer: Some(Box::new(answered)),
+            by_connection: false,
         });
     }
     Ok(answered)
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -188,6 +188,10 @@
         };
         let next = resolve_failure(&job, &target, &failure, &mut attempts, &track);
         match next {
+            // A new connection to the same target may do.
+            NextStep::Retry if failure.by_connection && !job.can_retry_elsewhere(&tried) => {
+                tried.retain(|id| *id != target.id);
+            }
             NextStep::Retry => {}
             NextStep::Forward => match failure.answer {
                 Some(answer) => return forward_failure(&job, *answer, &mut track).await,
--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -14,6 +14,7 @@
 
 use nix::sys::signal::Signal;
 use thistlesill_platform_standin::daemon::Daemon;
+use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
@@ -75,6 +76,26 @@
     assert!(all.iter().all(|(got, _)| got.status == 200));
 }
 
+/// The machine of the test, or the only target with capacity, may stand still for longer than the
+/// objective.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stall_of_the_target_that_has_no_limit_fails_no_request() {
+    let world = world(99, 2).await;
+    send_steadily(&world, 30, Duration::from_secs(1), read).await;
+    world.targets.set_limit("p-0", Some("0.5"));
+    send_steadily(&world, 30, Duration::from_secs(2), read).await;
+    let calls = send_steadily(&world, 30, Duration::from_secs(2), read);
+    let (all, ()) = tokio::join!(calls, async {
+        let link = world.targets.links.last().expect("a link to p-1");
+        sleep(500).await;
+        link.set_fault(LinkFault::Stalled);
+        sleep(600).await;
+        link.set_fault(LinkFault::None);
+    });
+    let failed = all.iter().filter(|(got, _)| got.status != 200).count();
+    assert_eq!(failed, 0, "{failed} of {} failed", all.len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_a_limit_leaves_no_room_for_is_refused_at_once() {
     let world = world(92, 4).await;
--- a/crates/thistlesill-edge/tests/it/silence.rs
+++ b/crates/thistlesill-edge/tests/it/silence.rs
@@ -111,6 +111,24 @@
     }
 }
 
+/// A plain request whose kept connection fell silent was given up after its objective though no
+/// other target could get it, and ended as "it may have run".
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_answered_though_the_connections_to_its_only_target_fell_silent() {
+    let world = world(58, 1).await;
+    world.targets.leave("p-1");
+    sleep(1_000).await;
+    let warm = ask(&world, 0, read("warm")).await;
+    assert_eq!(warm.status, 200);
+    silence_all(&world.targets.links, "");
+    let sent = Instant::now();
+    let got = ask(&world, 0, read("after")).await;
+    let took = sent.elapsed();
+    assert_eq!(got.status, 200, "{got:?} after {took:?}");
+    // The objective is 400 ms, for each of two attempts.
+    assert!(took < Duration::from_millis(900), "{took:?}");
+}
+
 /// A daemon that was cut off from the store waited for 2.4 s after each failure, even when the
 /// connection was back and its peers announced a newer catalog: it still refused a route as the old
 /// catalog required, 3.1 s after the end of the partition.
