test(edge): streams of an evacuated data centre are running when it is evacuated

The test sent eight streams and evacuated their data centre 40 ms later; it was red once, with a stream refused as "No complete group serves this model now", in a run in which requests took 91 to 113 ms. What it checks holds for streams that run; one that was not sent yet is refused by rule. Now it waits until targets run all eight, so that its premise holds on a slow machine too; the check of the answers is unchanged.

--- a/crates/thistlesill-edge/tests/it/evacuation.rs
+++ b/crates/thistlesill-edge/tests/it/evacuation.rs
@@ -53,6 +53,16 @@
     answers
 }
 
+/// Waits until a target runs a request; a request that is not sent yet is refused once its data
+/// centre is evacuated.
+async fn wait_for_run(world: &World, id: &str) {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while world.targets.ledger.runs(id).is_empty() {
+        assert!(Instant::now() < deadline, "{id} does not run");
+        sleep(1).await;
+    }
+}
+
 /// Returns the number of runs that began in `h` after `since`.
 fn runs_in_hall(world: &World, since: Instant) -> usize {
     let all = (0..8).map(|n| format!("i-{n:03}"));
@@ -105,7 +115,9 @@
             tokio::spawn(async move { call(address, &ask).await })
         })
         .collect();
-    sleep(40).await;
+    for n in 0..8 {
+        wait_for_run(&world, &format!("running-{n}")).await;
+    }
     evacuate(&world, "h");
     for task in running {
         let got = task.await.expect("the task ends").expect("an answer");
