--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -79,6 +79,7 @@
     pub(crate) tried: &'a [TargetId],
     /// Whether this is the first attempt, so that the caller may still be told to retry later.
     pub(crate) first: bool,
+    /// The daemon that will send the request: backoffs bind only the daemon that was asked.
     pub(crate) sender: Sender,
 }
 
