--- a/crates/thistlesill-edge/tests/it/backoffs.rs
+++ b/crates/thistlesill-edge/tests/it/backoffs.rs
@@ -55,7 +55,7 @@
 // A target turned a daemon away with a Retry-After of 3 s and got six more requests from it meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_pile_up_at_a_target_that_requested_a_backoff() {
-    let (world, asking) = world_with_asking_daemons(121).await;
+    let (world, asking) = world_with_asking_daemons(141).await;
     world.targets.shed("p-0", Some("3"));
     let all = send_through(&world, &asking, 40, Duration::from_secs(8), read).await;
     let most = most_repeats(&world, "p-0", Duration::from_secs(3));
@@ -81,7 +81,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn what_no_target_takes_during_backoffs_is_refused_at_once() {
-    let world = world(122, 4).await;
+    let world = world(142, 4).await;
     let leader = large_leader(&world);
     let daemons = [0, 1, 2, 3];
     world.targets.shed(&leader, Some("2.5"));
@@ -105,7 +105,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn retries_keep_to_a_backoff_too() {
-    let world = world(123, 4).await;
+    let world = world(143, 4).await;
     world.targets.set_fault("p-1", Fault::LoseAnswers);
     world.targets.shed("p-0", Some("3"));
     send_through(&world, &[0, 1, 2, 3], 20, Duration::from_secs(7), read).await;
@@ -118,7 +118,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_backoff_holds_while_the_store_and_owners_are_away() {
-    let world = world(124, 6).await;
+    let world = world(144, 6).await;
     let daemons = [0, 1, 2, 3, 4, 5];
     send_through(&world, &daemons, 60, Duration::from_secs(1), read).await;
     world.store.set_mode(Mode::Unresponsive);
@@ -139,7 +139,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_backoff_that_cannot_be_read_is_noted_and_counts_as_none() {
-    let world = world(125, 2).await;
+    let world = world(145, 2).await;
     world.targets.leave("p-1");
     sleep(1_500).await;
     world
@@ -156,7 +156,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn another_life_of_a_target_is_not_held_to_a_backoff_of_the_one_before() {
-    let world = world(126, 2).await;
+    let world = world(146, 2).await;
     world.targets.leave("p-1");
     sleep(1_500).await;
     world.targets.shed("p-0", Some("60"));
@@ -180,7 +180,7 @@
 /// its requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn owners_pick_no_target_that_has_just_refused_the_asking_daemon() {
-    let (world, asking) = world_with_asking_daemons(127).await;
+    let (world, asking) = world_with_asking_daemons(147).await;
     world.targets.set_fault("p-0", Fault::Full);
     let since = Instant::now();
     send_through(&world, &asking, 40, Duration::from_secs(4), read).await;
