fix(edge): a resumed stream that no target takes for seconds is refused at once

Callers that resumed a stream while every group of its model had asked for a break were held for 1.03 s and then refused. Cause: such a stream yields for up to a second until some target has room, and the wait did not look at whether any target would take it by then. Evidence: the new test, red on the code before (refused after 1.031 s), with one group that asks for 5 s. Change: the wait ends when the shortest limit or backoff ends later than it; a shorter one is still waited for.

--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -202,7 +202,8 @@
     }
 }
 
-/// Waits a short time at most for free capacity, before a stream that its caller resumes.
+/// Waits a short time at most for free capacity, before a stream that its caller resumes. Ends at
+/// once if no target takes the stream within that time.
 ///
 /// The pause of such a stream exceeds the objective already, so streams that can still be in time
 /// go first. After many daemons are killed, hundreds of streams are resumed at once.
@@ -210,6 +211,10 @@
     let until = job.edge.now() + MAX_RESUME_DEFERRAL;
     let (service, model) = (&job.admission.service, job.head.model.as_ref());
     while job.edge.now() < until && !job.edge.has_room(service, model) {
+        let next_available = job.wait_for_target().map(|wait| job.edge.now() + wait);
+        if next_available.is_some_and(|at| at >= until) {
+            return;
+        }
         tokio::time::sleep(CAPACITY_CHECK_INTERVAL).await;
     }
 }
--- a/crates/thistlesill-edge/tests/it/backoffs.rs
+++ b/crates/thistlesill-edge/tests/it/backoffs.rs
@@ -103,6 +103,24 @@
     assert_eq!(served.status, 200, "{served:?}");
 }
 
+/// A stream that its caller resumes waits for free capacity, of which there is none during backoffs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_is_held_before_it_is_refused_during_backoffs() {
+    let world = world(148, 1).await;
+    let leader = large_leader(&world);
+    world.targets.shed(&leader, Some("5"));
+    ask(&world, 0, stream("0-asked")).await;
+    let sent = Instant::now();
+    let refused = ask(&world, 0, stream("0-resumed").resume_after(3)).await;
+    let took = sent.elapsed();
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(took < IMMEDIATE, "refused after {took:?}");
+    assert!(
+        refused.retry_after().is_some_and(|s| s > 4.0),
+        "{refused:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn retries_keep_to_a_backoff_too() {
     let world = world(143, 4).await;
