fix(edge): a request that may have run is not refused as overloaded

A request on a kept connection that fell silent may go to its only target again, for which the target is taken off the list of those tried. With the list empty the next pick took itself for the first one: it could refuse the request as overloaded, which says that it has not run, and counted its demand twice. Found by reading; the stand-in has no plain route on a service with engines, which alone are overloaded, so no test shows it. Change: whether a pick is the first follows from the attempts made, not from that list.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -14,6 +14,7 @@
 use thistlesill_platform::caller::{self, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::asked::DemandSample;
+use thistlesill_policy::edge::attempt::Attempts;
 
 use crate::lanes::max_idle;
 use crate::peers::place;
@@ -137,9 +138,13 @@
         ])
     }
 
-    /// Picks the target of the next attempt.
-    pub(crate) async fn pick(&self, tried: &[TargetId]) -> Pick {
-        place::pick(&self.edge, self.query(tried)).await
+    /// Picks the target of the next attempt, other than `tried`, after the given attempts.
+    pub(crate) async fn pick(&self, tried: &[TargetId], attempts: Attempts) -> Pick {
+        let query = TargetQuery {
+            first: attempts == Attempts::default(),
+            ..self.query(tried)
+        };
+        place::pick(&self.edge, query).await
     }
 
     /// Returns the time until some target may get the request, if that is not now.
@@ -160,7 +165,7 @@
             prompt: self.prompt(),
             aim: self.admission.route.aim,
             tried,
-            first: tried.is_empty(),
+            first: false,
             sender: Sender::Itself,
         }
     }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -149,9 +149,9 @@
             choice,
             by,
             clearance,
-        } = job.pick(&tried).await;
+        } = job.pick(&tried, attempts).await;
         track.placed(by);
-        if tried.is_empty() {
+        if attempts == Attempts::default() {
             job.record_demand(!matches!(choice, Choice::Target(_)));
         }
         let target = match choice {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -292,7 +292,7 @@
                 choice: Choice::Target(target),
                 clearance,
                 ..
-            } = job.pick(&self.tried).await
+            } = job.pick(&self.tried, self.attempts).await
             else {
                 break;
             };
