refactor(edge): one copy of waits, of unreadable headers and of the preference after refusals

Change: one function gives the time until a sender may send a target a request, and picks use it; the log of a header that can't be parsed, once a target, is shared by limits and backoffs; a refusal and a backoff prefer other targets by one function; an entry is copied for a comparison only if its target announced that it leaves. Comments and names use the field's words.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -147,10 +147,10 @@
         place::pick(&self.edge, query).await
     }
 
-    /// Returns the time until some target may get the request, if that is not now.
+    /// Returns the time until some target may get the request; `None` if that is now, or if no target
+    /// serves it.
     pub(crate) fn wait_for_target(&self) -> Option<Millis> {
-        let wait = self.edge.wait_for_any(&self.query(&[]));
-        wait.filter(|wait| *wait > Millis::ZERO)
+        self.edge.wait_for_any(&self.query(&[]))
     }
 
     /// Returns whether the request may now be sent to a target that it was not sent to yet.
--- a/crates/thistlesill-edge/src/leaving.rs
+++ b/crates/thistlesill-edge/src/leaving.rs
@@ -1,7 +1,7 @@
 //! Targets that announce in their answers that they leave.
 //!
 //! A target may have no entry that says so, and a daemon that is cut off reads no entries. The
-//! daemon that hears it from the target tells all others.
+//! daemon that receives an announcement broadcasts it to all others.
 
 use thistlesill_core::NodeId;
 use thistlesill_core::edge::{Target, TargetId};
@@ -21,14 +21,14 @@
     }
 }
 
-/// Tells an owner that the target it picked leaves, if it does.
-pub(crate) fn tell_owner(edge: &Edge, owner: &NodeId, target: &TargetId) {
+/// Sends an owner the announcement of the target that it picked, if the target leaves.
+pub(crate) fn update_owner(edge: &Edge, owner: &NodeId, target: &TargetId) {
     if edge.registry.borrow().is_leaving(target) {
         link::send_to(edge, owner, &Packet::Leaving(target.clone()));
     }
 }
 
-/// Applies what a peer has heard from a target.
+/// Applies an announcement that a peer received.
 pub(crate) fn receive(edge: &Edge, target: &TargetId) {
     note(edge, target, "a peer");
 }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -26,4 +26,5 @@
 mod start;
 mod state;
 mod track;
+mod unreadable;
 mod watch;
--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -19,12 +19,12 @@
 use tokio::sync::Notify;
 
 use crate::job::Job;
-use crate::lines::excerpt;
 use crate::peers::packet::{GrantReply, GrantRequest, LimitUpdates, Packet, Permit};
 use crate::peers::place;
 use crate::peers::questions::{self, PendingReplies};
 use crate::peers::{Reach, link};
 use crate::state::Edge;
+use crate::unreadable::UnreadableHeaders;
 
 /// How long changes are batched for one datagram. A target whose answers alternate between a limit
 /// and none thus costs at most twenty datagrams a second to each daemon.
@@ -41,7 +41,7 @@
 pub(crate) struct Limits {
     table: RefCell<LimitTable>,
     /// Targets of which the limit can't be parsed.
-    unreadable: RefCell<BTreeSet<TargetId>>,
+    unreadable: UnreadableHeaders,
     /// Targets of which the limit must be sent to the other daemons.
     unsent: RefCell<BTreeSet<TargetId>>,
     /// Notified when `unsent` gains a target.
@@ -84,7 +84,12 @@
     if info.rate_limit == LimitHeader::Foreign {
         return;
     }
-    log_unreadable(job, target, &info.rate_limit);
+    if let LimitHeader::Unreadable(text) = &info.rate_limit {
+        let unreadable = &edge.limits.unreadable;
+        unreadable.log_once("limit_unreadable", job, target, text);
+    } else {
+        edge.limits.unreadable.clear(&target.id);
+    }
     let report = LimitReport {
         limit: info.rate_limit.limit(),
         from: sent,
@@ -98,22 +103,6 @@
     }
 }
 
-/// Logs a limit that can't be parsed, once until a valid one follows.
-fn log_unreadable(job: &Job, target: &Target, rate: &LimitHeader) {
-    let mut unreadable = job.edge.limits.unreadable.borrow_mut();
-    let LimitHeader::Unreadable(text) = rate else {
-        unreadable.remove(&target.id);
-        return;
-    };
-    if unreadable.insert(target.id.clone()) {
-        let line = job.edge.lines.line("limit_unreadable");
-        line.with("target", &target.id)
-            .with("id", &job.head.id)
-            .with("text", excerpt(text))
-            .write();
-    }
-}
-
 /// Applies a report about a limit; `from` is the request or the daemon that it came from.
 fn observe(edge: &Edge, target: &TargetId, report: LimitReport, from: &str) -> LimitChange {
     let change = edge.limits.table.borrow_mut().observe(target, report);
@@ -378,7 +367,7 @@
 pub(crate) fn sweep(edge: &Edge) {
     edge.limits.questions.borrow_mut().remove_closed();
     let registry = edge.registry.borrow();
-    let mut unreadable = edge.limits.unreadable.borrow_mut();
+    let unreadable = &edge.limits.unreadable;
     unreadable.retain(|id| registry.is_current(id));
     if edge.limits.table.borrow().is_empty() {
         return;
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -38,7 +38,7 @@
     VerdictsRequest(NodeId),
     /// Limits of targets; goes to all daemons.
     Limits(LimitUpdates),
-    /// A target that told the sender that it leaves; goes to all daemons.
+    /// A target that announced that it leaves; goes to all daemons.
     Leaving(TargetId),
     /// Asks the bucket owner of a target whether a request may be sent there.
     GrantRequest(GrantRequest),
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -177,7 +177,7 @@
     };
     let choice = match placement {
         Placement::At(id, permit) => {
-            leaving::tell_owner(edge, owner, &id);
+            leaving::update_owner(edge, owner, &id);
             // The target may have requested a backoff since the owner was asked.
             let target = known_target(edge, scope, &id)
                 .filter(|target| !edge.backoffs.is_active(&target.id, edge.now()))?;
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -426,24 +426,30 @@
         !blind && loads.has_room(&serving, engine, now)
     }
 
-    /// Returns the time until this daemon may send a target a request: its rate limit must allow
-    /// one, and a backoff that it requested from this daemon must be over.
-    fn wait_for(&self, id: &TargetId, now: Millis) -> Millis {
-        self.limits
-            .wait(id, now)
-            .max(self.backoffs.remaining(id, now))
+    /// Returns the time until `sender` may send a target a request, as far as is known: the target's
+    /// rate limit must allow one, and a backoff that it requested from that daemon must be over.
+    fn wait_for(&self, id: &TargetId, sender: Sender, now: Millis) -> Millis {
+        let limit = self.limits.wait(id, now);
+        match sender {
+            Sender::Itself => limit.max(self.backoffs.remaining(id, now)),
+            Sender::Peer => limit,
+        }
     }
 
+    /// Returns whether this daemon may send a target a request now.
     fn is_available(&self, id: &TargetId, now: Millis) -> bool {
-        self.wait_for(id, now) == Millis::ZERO
+        self.wait_for(id, Sender::Itself, now) == Millis::ZERO
     }
 
-    /// Returns the time until this daemon may send a request to some target that was not tried yet;
-    /// `None` if there is no such target.
+    /// Returns the time until a request may be sent to some target that was not tried yet; `None` if
+    /// that is now, or if there is no such target.
     pub(crate) fn wait_for_any(&self, query: &TargetQuery<'_>) -> Option<Millis> {
         let (registry, now) = (self.registry.borrow(), self.now());
         let untried = query.untried(&registry);
-        untried.map(|t| self.wait_for(&t.id, now)).min()
+        let wait = untried
+            .map(|t| self.wait_for(&t.id, query.sender, now))
+            .min();
+        wait.filter(|wait| *wait > Millis::ZERO)
     }
 
     /// Picks the target for the next attempt of a request.
@@ -451,16 +457,11 @@
         let service = query.service;
         let registry = self.registry.borrow();
         let now = self.now();
-        let mut untried: Vec<&Target> = query.untried(&registry).collect();
-        let wait_for = |t: &Target| match query.sender {
-            Sender::Itself => self.wait_for(&t.id, now),
-            Sender::Peer => self.limits.wait(&t.id, now),
-        };
-        let wait = untried.iter().map(|t| wait_for(t)).min();
-        if let Some(wait) = wait.filter(|wait| *wait > Millis::ZERO) {
+        if let Some(wait) = self.wait_for_any(query) {
             return Choice::Unavailable(wait);
         }
-        untried.retain(|t| wait_for(t) == Millis::ZERO);
+        let mut untried: Vec<&Target> = query.untried(&registry).collect();
+        untried.retain(|t| self.wait_for(&t.id, query.sender, now) == Millis::ZERO);
         let settings = self.settings();
         let request = PickRequest {
             engine: service.engine.as_ref(),
--- a/crates/thistlesill-edge/tests/it/backoffs.rs
+++ b/crates/thistlesill-edge/tests/it/backoffs.rs
@@ -52,7 +52,7 @@
     repeats.max().unwrap_or(0)
 }
 
-// A target turned a daemon away with a Retry-After of 3 s and got six more requests from it meanwhile.
+/// The owner that places a daemon's requests does not get the answers that ask for a backoff.
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_pile_up_at_a_target_that_requested_a_backoff() {
     let (world, asking) = world_with_asking_daemons(141).await;
--- a/crates/thistlesill-edge/tests/it/leaving.rs
+++ b/crates/thistlesill-edge/tests/it/leaving.rs
@@ -25,7 +25,7 @@
     late.count()
 }
 
-// A target that leaves may have no entry that says so, and daemons out of touch read none.
+/// A target that leaves may have no entry that says so.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_go_on_to_a_target_that_said_that_it_leaves() {
     let world = world(131, 6).await;
@@ -39,6 +39,7 @@
     assert_eq!(late, 0, "requests later than the drain time");
 }
 
+/// Daemons out of touch read no entries.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_out_of_touch_send_nothing_to_a_target_that_leaves_either() {
     let world = world(132, 6).await;
--- a/crates/thistlesill-policy/src/edge/backoff.rs
+++ b/crates/thistlesill-policy/src/edge/backoff.rs
@@ -1,7 +1,7 @@
 //! Backoffs that targets request from this daemon.
 //!
-//! Load pattern: a target that sheds load turns requests away and tells each daemon for how long it
-//! wants none from it. It has little work meanwhile, so a choice by load alone would pick it first.
+//! Load pattern: a target that sheds load turns requests away and requests a backoff from each daemon
+//! that sent one. It has little work meanwhile, so a choice by load alone would pick it first.
 
 use std::collections::HashMap;
 
--- a/crates/thistlesill-policy/src/edge/book.rs
+++ b/crates/thistlesill-policy/src/edge/book.rs
@@ -26,7 +26,7 @@
     /// Targets whose entries disappeared while the store may have lost them, with the time at which
     /// they are removed.
     expired: HashMap<InstanceId, Millis>,
-    /// Targets that announced that they leave, and when. The store may list them without that.
+    /// Targets that announced that they leave, whatever their entries say, and when.
     announced: HashMap<TargetId, Millis>,
     /// Since when the store has answered without interruption.
     store_up_since: Option<Millis>,
@@ -126,11 +126,10 @@
         let known = self.incarnations.get(instance);
         match listing {
             Listing::Listed(target) => {
-                let mut listed = Target::clone(target);
-                self.mark_leaving(&mut listed);
                 let same = |incarnation: &Incarnation| {
                     let targets = self.targets.get(&incarnation.service);
-                    targets.and_then(|t| t.get(&incarnation.id)) == Some(&listed)
+                    let known = targets.and_then(|t| t.get(&incarnation.id));
+                    known.is_some_and(|known| self.is_described_by(known, target))
                 };
                 // An expired entry that reappears is a change, even with the same content.
                 !known.is_some_and(same) || self.expired.contains_key(instance)
@@ -181,9 +180,17 @@
         self.announced.contains_key(id) || self.target(id).is_some_and(|t| t.leaving)
     }
 
-    /// Marks a listed target as leaving if the target has announced that.
-    fn mark_leaving(&self, target: &mut Target) {
-        target.leaving |= self.announced.contains_key(&target.id);
+    /// Returns whether an entry describes a known target, which may have announced more than its
+    /// entry says.
+    fn is_described_by(&self, known: &Target, entry: &Target) -> bool {
+        if !self.announced.contains_key(&entry.id) {
+            return known == entry;
+        }
+        let leaving = Target {
+            leaving: true,
+            ..entry.clone()
+        };
+        *known == leaving
     }
 
     /// Sets the data centres whose targets get no requests.
@@ -293,7 +300,7 @@
     }
 
     fn list(&mut self, mut target: Target) {
-        self.mark_leaving(&mut target);
+        target.leaving |= self.announced.contains_key(&target.id);
         let instance = target.id.instance().clone();
         let incarnation = Incarnation {
             service: target.service.clone(),
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -214,11 +214,10 @@
         let doubled = load.refusals.min(MAX_BACKOFF_DOUBLINGS);
         load.note_activity(now);
         load.refusals += 1;
-        let until = now + Millis::new(REFUSAL_BACKOFF.get() << doubled);
-        load.full_until = load.full_until.max(until);
+        self.prefer_others(id, now + Millis::new(REFUSAL_BACKOFF.get() << doubled));
     }
 
-    /// Prefers other targets until `until`, as after a refusal.
+    /// Records that other targets are preferred until `until` or longer.
     pub fn prefer_others(&mut self, id: &TargetId, until: Millis) {
         let load = self.entry(id);
         load.full_until = load.full_until.max(until);
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -212,7 +212,10 @@
         assert_eq!(count(&book), 1);
     }
     let unchanged = vec![listed("a"), listed("b")];
-    assert!(book.difference(unchanged).is_empty(), "no change is told");
+    assert!(
+        book.difference(unchanged).is_empty(),
+        "the entries are unchanged"
+    );
     let next = TargetId::new("a".into(), Incarnation::new(2));
     book.apply(vec![listed(next)], None, later);
     assert_eq!(count(&book), 2, "another life is used");
