refactor(edge): choices of targets and the planner's actions have files of their own

What picks a target, with the types of a pick, is choice.rs; orders and probes are planner/actions.rs, with a function for a probe. Moved as they are.

--- /dev/null
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -0,0 +1,175 @@
+//! Picks the target of a request's next attempt.
+
+use thistlesill_core::edge::{Service, Target, TargetId};
+use thistlesill_core::{Millis, Model};
+use thistlesill_policy::edge::book::TargetRegistry;
+use thistlesill_policy::edge::limit::Clearance;
+use thistlesill_policy::edge::load::{Knowledge, PickRequest};
+
+use crate::state::Edge;
+
+/// Time after its start in which a daemon receives the load of its peers.
+const PEER_LOAD_DELAY: Millis = Millis::new(400);
+
+/// The properties of a request that decide on its target.
+pub(crate) struct TargetQuery<'a> {
+    pub(crate) service: &'a Service,
+    pub(crate) model: Option<&'a Model>,
+    /// Number of prompt tokens.
+    pub(crate) prompt: u32,
+    /// The latency objective.
+    pub(crate) aim: Millis,
+    /// Targets that the request was sent to already, or that its daemon avoids.
+    pub(crate) tried: &'a [TargetId],
+    /// Whether this is the first attempt, so that the caller may still be told to retry later.
+    pub(crate) first: bool,
+    /// The daemon that will send the request: backoffs bind only the daemon that was asked.
+    pub(crate) sender: Sender,
+}
+
+/// The daemon that will send a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// This daemon.
+    Itself,
+    /// A peer whose request this daemon places.
+    Peer,
+}
+
+impl TargetQuery<'_> {
+    /// Returns the model that decides which targets serve the request; `None` for services
+    /// without an engine.
+    pub(crate) fn served_model(&self) -> Option<&Model> {
+        self.model.filter(|_| self.service.engine.is_some())
+    }
+
+    /// Returns the targets that serve the request and were not tried yet.
+    fn untried<'a>(&'a self, registry: &'a TargetRegistry) -> impl Iterator<Item = &'a Target> {
+        let serving = registry.serving(&self.service.name, self.served_model());
+        let serving = serving.iter().map(AsRef::as_ref);
+        serving.filter(|t| !self.tried.contains(&t.id))
+    }
+}
+
+/// The result of picking a target.
+pub(crate) enum Choice {
+    /// The target of the next attempt.
+    Target(Box<Target>),
+    /// No target now: the answer would begin too late by this much.
+    Overloaded(Millis),
+    /// No target now: the rate limits of the targets, or the backoffs that they requested, allow the
+    /// request after this time.
+    Unavailable(Millis),
+    /// No target serves the request.
+    NoTarget,
+}
+
+/// The decision on the next attempt of a request.
+pub(crate) struct Pick {
+    pub(crate) choice: Choice,
+    pub(crate) by: PlacedBy,
+    /// The permission to send the request to the chosen target.
+    pub(crate) clearance: Clearance,
+}
+
+/// The daemon that chose the target of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlacedBy {
+    /// This daemon, as the owner of the scope.
+    Itself,
+    /// Another daemon, which owns the scope.
+    Owner,
+    /// This daemon, since no owner is known or the owner did not answer.
+    Alone,
+}
+
+impl PlacedBy {
+    /// Returns the name in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Itself => "itself",
+            Self::Owner => "owner",
+            Self::Alone => "alone",
+        }
+    }
+}
+
+impl Edge {
+    /// Returns whether a request that exceeds its objective in any case may be sent now.
+    pub(crate) fn has_room(&self, service: &Service, model: Option<&Model>) -> bool {
+        let (Some(engine), loads) = (&service.engine, self.loads.borrow()) else {
+            return true;
+        };
+        let now = self.now();
+        let blind = now - self.started < PEER_LOAD_DELAY && !loads.has_peer_counts();
+        let registry = self.registry.borrow();
+        let serving = registry.serving(&service.name, model);
+        let serving = serving.iter().map(AsRef::as_ref);
+        let serving: Vec<&Target> = serving.filter(|t| self.is_available(&t.id, now)).collect();
+        !blind && loads.has_room(&serving, engine, now)
+    }
+
+    /// Returns the time until `sender` may send a target a request, as far as is known: the target's
+    /// rate limit must allow one, and a backoff that it requested from that daemon must be over.
+    fn wait_for(&self, id: &TargetId, sender: Sender, now: Millis) -> Millis {
+        let limit = self.limits.wait(id, now);
+        match sender {
+            Sender::Itself => limit.max(self.backoffs.remaining(id, now)),
+            Sender::Peer => limit,
+        }
+    }
+
+    /// Returns whether this daemon may send a target a request now.
+    fn is_available(&self, id: &TargetId, now: Millis) -> bool {
+        self.wait_for(id, Sender::Itself, now) == Millis::ZERO
+    }
+
+    /// Returns the time until a request may be sent to some target that was not tried yet; `None` if
+    /// that is now, or if there is no such target.
+    pub(crate) fn wait_for_any(&self, query: &TargetQuery<'_>) -> Option<Millis> {
+        let (registry, now) = (self.registry.borrow(), self.now());
+        let untried = query.untried(&registry);
+        let wait = untried
+            .map(|t| self.wait_for(&t.id, query.sender, now))
+            .min();
+        wait.filter(|wait| *wait > Millis::ZERO)
+    }
+
+    /// Picks the target for the next attempt of a request.
+    pub(crate) fn pick(&self, query: &TargetQuery<'_>, knowledge: Knowledge) -> Choice {
+        let service = query.service;
+        let registry = self.registry.borrow();
+        let now = self.now();
+        if let Some(wait) = self.wait_for_any(query) {
+            return Choice::Unavailable(wait);
+        }
+        let mut untried: Vec<&Target> = query.untried(&registry).collect();
+        untried.retain(|t| self.wait_for(&t.id, query.sender, now) == Millis::ZERO);
+        let settings = self.settings();
+        let request = PickRequest {
+            engine: service.engine.as_ref(),
+            prompt: query.prompt,
+            hall: &settings.hall,
+        };
+        let loads = self.loads.borrow();
+        if query.first
+            && let Some(lateness) = loads.lateness(&untried, &request, query.aim, now)
+        {
+            return Choice::Overloaded(lateness);
+        }
+        let rng = &mut *self.rng.borrow_mut();
+        match loads.pick(&untried, &request, knowledge, now, rng) {
+            Some(target) => Choice::Target(Box::new(target.clone())),
+            None => Choice::NoTarget,
+        }
+    }
+
+    /// Returns whether a further attempt may be made now and there is an untried target for it.
+    pub(crate) fn can_retry_elsewhere(&self, query: &TargetQuery<'_>) -> bool {
+        let has_retry = self.with_budget(&query.service.name, |budget| budget.has_retry());
+        let (registry, loads, now) = (self.registry.borrow(), self.loads.borrow(), self.now());
+        let mut untried = query.untried(&registry);
+        let usable = |t: &Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
+        has_retry && untried.any(usable)
+    }
+}
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -16,10 +16,11 @@
 use thistlesill_policy::edge::asked::DemandSample;
 use thistlesill_policy::edge::attempt::Attempts;
 
+use crate::choice::{Pick, Sender, TargetQuery};
 use crate::lanes::max_idle;
 use crate::peers::place;
 use crate::quarantine;
-use crate::state::{Edge, Pick, Sender, TargetQuery};
+use crate::state::Edge;
 
 /// Added to a request's deadline before an attempt is given up, so that an answer that a target
 /// sends just before the deadline still arrives.
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod backoffs;
+mod choice;
 pub mod daemon;
 mod evacuation;
 mod figures;
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -18,9 +18,10 @@
 use super::packet::{Counts, Packet, Permit, PlaceReply, PlaceRequest, Placement, Totals};
 use super::questions::{self, PendingReplies};
 use super::{Reach, link};
+use crate::choice::{Choice, Pick, PlacedBy, Sender, TargetQuery};
 use crate::leaving;
 use crate::limits;
-use crate::state::{Choice, Edge, Pick, PlacedBy, Sender, TargetQuery};
+use crate::state::Edge;
 
 /// Time after its start until a daemon has received the requests in progress of its peers.
 const LEARNING_PERIOD: Millis = Millis::new(1_200);
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -1,22 +1,20 @@
 //! Forms groups while this daemon holds the lease on the fleet.
 
+mod actions;
+
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Catalog, GroupRef, Order, RateLimit, Target, TargetId};
+use thistlesill_core::edge::{Catalog, GroupRef, RateLimit, Target, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
 use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
 use thistlesill_net::clock::Clock;
-use thistlesill_net::lane::within;
-use thistlesill_platform::engine;
 use thistlesill_policy::charts::{Charts, LeaseState};
 use thistlesill_policy::edge::admission::BALANCER_DETECTION;
-use thistlesill_policy::edge::fleet::{
-    Demand, FleetAction, FleetPlanner, FleetView, ProbeOutcome, capacity_ratio,
-};
+use thistlesill_policy::edge::fleet::{Demand, FleetPlanner, FleetView, capacity_ratio};
 use thistlesill_policy::lease::{Lease, LeaseChange, LeasePeriods, LeaseStep};
 
 use crate::figures;
@@ -29,10 +27,6 @@
 /// Shortest interval between two passes. Each pass goes over all targets, and with hundreds of
 /// daemons, one of them suspects a target every few milliseconds.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(20);
-/// Time limit of an order; engines answer within some milliseconds.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time limit of a probe; a healthy engine answers within some milliseconds.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(130);
 /// Time limit of a store call; several fit into a lease period.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Periods of the lease. A holder renews every 0.6 s, so it does not lose the lease by two lost
@@ -52,11 +46,6 @@
 /// Interval between two log lines with the census of a fleet.
 const CENSUS_INTERVAL: Millis = Millis::new(1_000);
 
-/// Ratio of a target's step time to the usual one from which on the target is replaced in its
-/// group, since a group is as slow as its slowest member. The replacement takes the group out of
-/// service for about two seconds.
-const SLOW_PACE_RATIO: f64 = 2.5;
-
 /// The part of a daemon that forms groups.
 struct Planner {
     edge: Rc<Edge>,
@@ -405,103 +394,6 @@
         working.extend(self.edge.peers.borrow().working(hall, now));
         working
     }
-
-    /// Executes an action of a fleet planner in a task of its own.
-    fn execute(self: &Rc<Self>, service: &ServiceName, action: FleetAction) {
-        let (planner, service) = (self.clone(), service.clone());
-        tokio::task::spawn_local(async move {
-            match action {
-                FleetAction::SendOrder {
-                    target,
-                    address,
-                    order,
-                    reason,
-                } => {
-                    if planner.lease.borrow().term(planner.edge.now()).is_none() {
-                        return;
-                    }
-                    let reply =
-                        engine::send_order(&target, address, &order, within(ORDER_TIMEOUT)).await;
-                    planner.log_order(&target, &order, &format!("{reply:?}"), reason);
-                    planner.with_fleet(&service, |fleet, now| {
-                        fleet.record_reply(&target, &order, reply, now);
-                    });
-                }
-                FleetAction::Probe { target, .. }
-                    if planner.edge.backoffs.is_active(&target, planner.edge.now()) =>
-                {
-                    let line = planner.edge.lines.line("probe_skipped");
-                    line.with("target", &target)
-                        .with("why", "it requested a backoff")
-                        .write();
-                }
-                FleetAction::Probe { target, address } => {
-                    let report =
-                        engine::fetch_report(&target, address, within(PROBE_TIMEOUT)).await;
-                    let edge = &planner.edge;
-                    let line = edge.lines.line("probe").with("target", &target);
-                    match &report {
-                        Ok(report) => line
-                            .with("alive", true)
-                            .with("running", report.running)
-                            .with("pace", report.pace)
-                            .with("orders_taken", report.orders_taken),
-                        Err(error) => line.with("alive", false).with("why", error),
-                    }
-                    .write();
-                    let outcome = report
-                        .as_ref()
-                        .map_or(ProbeOutcome::Unresponsive, |report| {
-                            let (incarnation, pace) = (report.incarnation, report.pace);
-                            ProbeOutcome::from_report(&target, incarnation, pace, SLOW_PACE_RATIO)
-                        });
-                    planner.with_fleet(&service, |fleet, now| {
-                        fleet.record_probe(&target, outcome, now);
-                        if let Ok(report) = &report
-                            && outcome != ProbeOutcome::Restarted
-                        {
-                            fleet.record_orders_taken(&target, report.orders_taken, now);
-                        }
-                    });
-                }
-            }
-            planner.edge.fleet_changed.notify_one();
-        });
-    }
-
-    fn with_fleet(&self, service: &ServiceName, step: impl FnOnce(&mut FleetPlanner, Millis)) {
-        if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
-            step(fleet, self.edge.now());
-        }
-    }
-
-    fn log_order(&self, target: &TargetId, order: &Order, reply: &str, reason: &str) {
-        metrics::counter!("thistlesill_edge_orders_total", "order" => order.name()).increment(1);
-        let line = self.edge.lines.line("order");
-        let line = line
-            .with("order", order.name())
-            .with("target", target)
-            .with("reply", reply)
-            .with("why", reason);
-        match order {
-            Order::Join {
-                to,
-                model,
-                members,
-                orders_taken,
-            } => line
-                .with("orders_taken", orders_taken)
-                .with("group", &to.group)
-                .with("epoch", to.epoch)
-                .with("model", model)
-                .with("members", members.len()),
-            Order::Open(group) | Order::Cut(group) | Order::Close(group) | Order::Leave(group) => {
-                line.with("group", &group.group).with("epoch", group.epoch)
-            }
-            Order::Stage(model) => line.with("model", model),
-        }
-        .write();
-    }
 }
 
 /// Adds the late joins of a fleet to those of other fleets; returns `None` unless all are known.
--- /dev/null
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -0,0 +1,122 @@
+//! Executes the planner's actions: orders and probes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use thistlesill_core::edge::{Order, TargetId};
+use thistlesill_core::{Millis, ServiceName};
+use thistlesill_net::lane::within;
+use thistlesill_platform::engine;
+use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, ProbeOutcome};
+
+use super::Planner;
+
+/// Time limit of an order; engines answer within some milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of a probe; a healthy engine answers within some milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(130);
+/// Ratio of a target's step time to the usual one from which on the target is replaced in its
+/// group, since a group is as slow as its slowest member. The replacement takes the group out of
+/// service for about two seconds.
+const SLOW_PACE_RATIO: f64 = 2.5;
+
+impl Planner {
+    /// Executes an action of a fleet planner in a task of its own.
+    pub(super) fn execute(self: &Rc<Self>, service: &ServiceName, action: FleetAction) {
+        let (planner, service) = (self.clone(), service.clone());
+        tokio::task::spawn_local(async move {
+            match action {
+                FleetAction::SendOrder {
+                    target,
+                    address,
+                    order,
+                    reason,
+                } => {
+                    if planner.lease.borrow().term(planner.edge.now()).is_none() {
+                        return;
+                    }
+                    let reply =
+                        engine::send_order(&target, address, &order, within(ORDER_TIMEOUT)).await;
+                    planner.log_order(&target, &order, &format!("{reply:?}"), reason);
+                    planner.with_fleet(&service, |fleet, now| {
+                        fleet.record_reply(&target, &order, reply, now);
+                    });
+                }
+                FleetAction::Probe { target, address } => {
+                    planner.probe(&service, &target, address).await;
+                }
+            }
+            planner.edge.fleet_changed.notify_one();
+        });
+    }
+
+    /// Probes a target, unless it requested a backoff from this daemon.
+    async fn probe(&self, service: &ServiceName, target: &TargetId, address: SocketAddr) {
+        let lines = &self.edge.lines;
+        if self.edge.backoffs.is_active(target, self.edge.now()) {
+            let line = lines.line("probe_skipped").with("target", target);
+            line.with("why", "it requested a backoff").write();
+            return;
+        }
+        let report = engine::fetch_report(target, address, within(PROBE_TIMEOUT)).await;
+        let line = lines.line("probe").with("target", target);
+        match &report {
+            Ok(report) => line
+                .with("alive", true)
+                .with("running", report.running)
+                .with("pace", report.pace)
+                .with("orders_taken", report.orders_taken),
+            Err(error) => line.with("alive", false).with("why", error),
+        }
+        .write();
+        let outcome = report
+            .as_ref()
+            .map_or(ProbeOutcome::Unresponsive, |report| {
+                let (incarnation, pace) = (report.incarnation, report.pace);
+                ProbeOutcome::from_report(target, incarnation, pace, SLOW_PACE_RATIO)
+            });
+        self.with_fleet(service, |fleet, now| {
+            fleet.record_probe(target, outcome, now);
+            if let Ok(report) = &report
+                && outcome != ProbeOutcome::Restarted
+            {
+                fleet.record_orders_taken(target, report.orders_taken, now);
+            }
+        });
+    }
+
+    fn with_fleet(&self, service: &ServiceName, step: impl FnOnce(&mut FleetPlanner, Millis)) {
+        if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
+            step(fleet, self.edge.now());
+        }
+    }
+
+    fn log_order(&self, target: &TargetId, order: &Order, reply: &str, reason: &str) {
+        metrics::counter!("thistlesill_edge_orders_total", "order" => order.name()).increment(1);
+        let line = self.edge.lines.line("order");
+        let line = line
+            .with("order", order.name())
+            .with("target", target)
+            .with("reply", reply)
+            .with("why", reason);
+        match order {
+            Order::Join {
+                to,
+                model,
+                members,
+                orders_taken,
+            } => line
+                .with("orders_taken", orders_taken)
+                .with("group", &to.group)
+                .with("epoch", to.epoch)
+                .with("model", model)
+                .with("members", members.len()),
+            Order::Open(group) | Order::Cut(group) | Order::Close(group) | Order::Leave(group) => {
+                line.with("group", &group.group).with("epoch", group.epoch)
+            }
+            Order::Stage(model) => line.with("model", model),
+        }
+        .write();
+    }
+}
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -18,11 +18,12 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, AttemptPosition, Failure, attempt};
+use crate::choice::{Choice, Pick};
 use crate::job::{Arrival, Job};
 use crate::quarantine;
 use crate::relay;
 use crate::reply::{self, OutBody};
-use crate::state::{Choice, Edge, Pick};
+use crate::state::Edge;
 use crate::track::Track;
 
 /// Plain answers up to this size are read completely before the first byte goes to the caller, so
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -21,12 +21,12 @@
 use self::cutter::Cutter;
 pub(crate) use self::passing::forward;
 use crate::attempt::{Answered, AttemptPosition, attempt};
+use crate::choice::{Choice, Pick};
 use crate::flight::InFlight;
 use crate::job::Job;
 use crate::proxy::resolve_failure;
 use crate::quarantine;
 use crate::reply::{self, Interrupted, OutBody};
-use crate::state::{Choice, Pick};
 use crate::track::Track;
 
 /// Share of the longest allowed pause after which a silent target counts as stalled; the rest is
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use thistlesill_core::edge::{Catalog, EdgeSettings, Service, Target, TargetId};
+use thistlesill_core::edge::{Catalog, EdgeSettings, TargetId};
 use thistlesill_core::table::{Txn, TxnResult};
-use thistlesill_core::{Millis, Model, ServiceName};
+use thistlesill_core::{Millis, ServiceName};
 use thistlesill_net::clock::{Alarm, Clock};
 use thistlesill_platform::store::Store;
 use thistlesill_policy::budget::RetryBudget;
@@ -19,8 +19,7 @@
 use thistlesill_policy::edge::book::TargetRegistry;
 use thistlesill_policy::edge::evacuation::EvacuationTable;
 use thistlesill_policy::edge::freshness::Freshness;
-use thistlesill_policy::edge::limit::Clearance;
-use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
+use thistlesill_policy::edge::load::LoadTable;
 use tokio::sync::Notify;
 
 use crate::backoffs::Backoffs;
@@ -64,69 +63,6 @@
 const UNREACHABLE_TIMEOUT: Millis = Millis::new(5_000);
 /// Safety margin before the moment at which a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
-/// Time after its start in which a daemon receives the load of its peers.
-const PEER_LOAD_DELAY: Millis = Millis::new(400);
-
-/// The properties of a request that decide on its target.
-pub(crate) struct TargetQuery<'a> {
-    pub(crate) service: &'a Service,
-    pub(crate) model: Option<&'a Model>,
-    /// Number of prompt tokens.
-    pub(crate) prompt: u32,
-    /// The latency objective.
-    pub(crate) aim: Millis,
-    /// Targets that the request was sent to already, or that its daemon avoids.
-    pub(crate) tried: &'a [TargetId],
-    /// Whether this is the first attempt, so that the caller may still be told to retry later.
-    pub(crate) first: bool,
-    /// The daemon that will send the request: backoffs bind only the daemon that was asked.
-    pub(crate) sender: Sender,
-}
-
-/// The daemon that will send a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Sender {
-    /// This daemon.
-    Itself,
-    /// A peer whose request this daemon places.
-    Peer,
-}
-
-impl TargetQuery<'_> {
-    /// Returns the model that decides which targets serve the request; `None` for services
-    /// without an engine.
-    pub(crate) fn served_model(&self) -> Option<&Model> {
-        self.model.filter(|_| self.service.engine.is_some())
-    }
-
-    /// Returns the targets that serve the request and were not tried yet.
-    fn untried<'a>(&'a self, registry: &'a TargetRegistry) -> impl Iterator<Item = &'a Target> {
-        let serving = registry.serving(&self.service.name, self.served_model());
-        let serving = serving.iter().map(AsRef::as_ref);
-        serving.filter(|t| !self.tried.contains(&t.id))
-    }
-}
-
-/// The result of picking a target.
-pub(crate) enum Choice {
-    /// The target of the next attempt.
-    Target(Box<Target>),
-    /// No target now: the answer would begin too late by this much.
-    Overloaded(Millis),
-    /// No target now: the rate limits of the targets, or the backoffs that they requested, allow the
-    /// request after this time.
-    Unavailable(Millis),
-    /// No target serves the request.
-    NoTarget,
-}
-
-/// The decision on the next attempt of a request.
-pub(crate) struct Pick {
-    pub(crate) choice: Choice,
-    pub(crate) by: PlacedBy,
-    /// The permission to send the request to the chosen target.
-    pub(crate) clearance: Clearance,
-}
 
 /// Changes of targets that a peer announced and this daemon has not received.
 #[derive(Debug, Clone, Copy)]
@@ -137,28 +73,6 @@
     pub(crate) since: Millis,
 }
 
-/// The daemon that chose the target of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum PlacedBy {
-    /// This daemon, as the owner of the scope.
-    Itself,
-    /// Another daemon, which owns the scope.
-    Owner,
-    /// This daemon, since no owner is known or the owner did not answer.
-    Alone,
-}
-
-impl PlacedBy {
-    /// Returns the name in logs and metrics.
-    pub(crate) const fn name(self) -> &'static str {
-        match self {
-            Self::Itself => "itself",
-            Self::Owner => "owner",
-            Self::Alone => "alone",
-        }
-    }
-}
-
 /// The state of a daemon.
 pub(crate) struct Edge {
     pub(crate) settings: RefCell<Rc<EdgeSettings>>,
@@ -412,75 +326,6 @@
         self.stopping.get().is_none() && known && self.is_fresh()
     }
 
-    /// Returns whether a request that exceeds its objective in any case may be sent now.
-    pub(crate) fn has_room(&self, service: &Service, model: Option<&Model>) -> bool {
-        let (Some(engine), loads) = (&service.engine, self.loads.borrow()) else {
-            return true;
-        };
-        let now = self.now();
-        let blind = now - self.started < PEER_LOAD_DELAY && !loads.has_peer_counts();
-        let registry = self.registry.borrow();
-        let serving = registry.serving(&service.name, model);
-        let serving = serving.iter().map(AsRef::as_ref);
-        let serving: Vec<&Target> = serving.filter(|t| self.is_available(&t.id, now)).collect();
-        !blind && loads.has_room(&serving, engine, now)
-    }
-
-    /// Returns the time until `sender` may send a target a request, as far as is known: the target's
-    /// rate limit must allow one, and a backoff that it requested from that daemon must be over.
-    fn wait_for(&self, id: &TargetId, sender: Sender, now: Millis) -> Millis {
-        let limit = self.limits.wait(id, now);
-        match sender {
-            Sender::Itself => limit.max(self.backoffs.remaining(id, now)),
-            Sender::Peer => limit,
-        }
-    }
-
-    /// Returns whether this daemon may send a target a request now.
-    fn is_available(&self, id: &TargetId, now: Millis) -> bool {
-        self.wait_for(id, Sender::Itself, now) == Millis::ZERO
-    }
-
-    /// Returns the time until a request may be sent to some target that was not tried yet; `None` if
-    /// that is now, or if there is no such target.
-    pub(crate) fn wait_for_any(&self, query: &TargetQuery<'_>) -> Option<Millis> {
-        let (registry, now) = (self.registry.borrow(), self.now());
-        let untried = query.untried(&registry);
-        let wait = untried
-            .map(|t| self.wait_for(&t.id, query.sender, now))
-            .min();
-        wait.filter(|wait| *wait > Millis::ZERO)
-    }
-
-    /// Picks the target for the next attempt of a request.
-    pub(crate) fn pick(&self, query: &TargetQuery<'_>, knowledge: Knowledge) -> Choice {
-        let service = query.service;
-        let registry = self.registry.borrow();
-        let now = self.now();
-        if let Some(wait) = self.wait_for_any(query) {
-            return Choice::Unavailable(wait);
-        }
-        let mut untried: Vec<&Target> = query.untried(&registry).collect();
-        untried.retain(|t| self.wait_for(&t.id, query.sender, now) == Millis::ZERO);
-        let settings = self.settings();
-        let request = PickRequest {
-            engine: service.engine.as_ref(),
-            prompt: query.prompt,
-            hall: &settings.hall,
-        };
-        let loads = self.loads.borrow();
-        if query.first
-            && let Some(lateness) = loads.lateness(&untried, &request, query.aim, now)
-        {
-            return Choice::Overloaded(lateness);
-        }
-        let rng = &mut *self.rng.borrow_mut();
-        match loads.pick(&untried, &request, knowledge, now, rng) {
-            Some(target) => Choice::Target(Box::new(target.clone())),
-            None => Choice::NoTarget,
-        }
-    }
-
     /// Adds the share of a retry that a first attempt earns to the budget of its service.
     pub(crate) fn deposit_retry(&self, service: &ServiceName) {
         let retries = self.settings.borrow().bounds.retry_ratio * RATIO_SHARE;
@@ -497,16 +342,11 @@
         granted
     }
 
-    /// Returns whether a further attempt may be made now and there is an untried target for it.
-    pub(crate) fn can_retry_elsewhere(&self, query: &TargetQuery<'_>) -> bool {
-        let has_retry = self.with_budget(&query.service.name, |budget| budget.has_retry());
-        let (registry, loads, now) = (self.registry.borrow(), self.loads.borrow(), self.now());
-        let mut untried = query.untried(&registry);
-        let usable = |t: &Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
-        has_retry && untried.any(usable)
-    }
-
-    fn with_budget<T>(&self, service: &ServiceName, step: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        step: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let daemons = self.peers.borrow().daemon_count().max(MIN_DAEMONS);
         let capacity = self.settings.borrow().bounds.retry_slack * SLACK_SHARE / daemons as f64;
         let mut retries = self.retries.borrow_mut();
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -10,9 +10,10 @@
 use thistlesill_policy::edge::attempt::{NextStep, Outcome};
 use thistlesill_policy::edge::load::Work;
 
+use crate::choice::PlacedBy;
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
-use crate::state::{Edge, PlacedBy};
+use crate::state::Edge;
 
 /// The state of a target when a request was sent there.
 #[derive(Debug, Clone, Copy)]
