feat(edge): outgoing connections may have a local address of their own

An instance may have several addresses; `--source` names the one that targets, the store and peers see. Behaviour without the flag is unchanged.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The main loop of an edge daemon, with its start and stop.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -75,6 +75,8 @@
     pub parts: Parts,
     /// Where to serve the metrics; by default the address in the settings.
     pub metrics: Option<SocketAddr>,
+    /// The local address of outgoing connections; by default the system chooses it.
+    pub source: Option<IpAddr>,
 }
 
 /// The reason why a daemon did not start.
@@ -132,6 +134,9 @@
         return ExitCode::SUCCESS;
     }
     thistlesill_net::admin::install_logger();
+    if let Some(source) = options.source {
+        thistlesill_net::lane::bind_source(source);
+    }
     match launch(settings, path, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/thistlesill-edge/src/main.rs
+++ b/crates/thistlesill-edge/src/main.rs
@@ -3,7 +3,7 @@
 //! `xflags` generates the command line's type from the description below.
 #![allow(missing_docs)]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,6 +21,9 @@
         /// Where to serve the metrics, as ADDRESS:PORT; by default at the last
         /// of the ports for daemons.
         optional --metrics metrics: SocketAddr
+        /// The local address of connections to targets, the store and peers, on
+        /// an instance that has several; by default the system chooses it.
+        optional --source source: IpAddr
         /// What this process does: `serve` callers, `plan` groups, or `both`
         /// (the default).
         optional --parts parts: Parts
@@ -32,6 +35,7 @@
     let options = Options {
         parts: flags.parts.unwrap_or_default(),
         metrics: flags.metrics,
+        source: flags.source,
     };
     thistlesill_edge::daemon::main(flags.config, flags.check, options)
 }
--- a/crates/thistlesill-net/src/lane.rs
+++ b/crates/thistlesill-net/src/lane.rs
@@ -4,7 +4,8 @@
 //! request that failed can have reached the server.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,10 +15,33 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
+/// The local address of all connections of this process; without one, the system chooses it.
+static SOURCE: OnceLock<IpAddr> = OnceLock::new();
+
+/// Sets the local address of all connections that this process opens from now on.
+///
+/// Only the first call has an effect.
+pub fn bind_source(address: IpAddr) {
+    SOURCE.get_or_init(|| address);
+}
+
+/// Opens a TCP connection from the address that [`bind_source`] set, if any.
+async fn open(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = SOURCE.get() else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(*source, 0))?;
+    socket.connect(address).await
+}
+
 /// The reason why a request on a connection has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum ConnectionError {
@@ -58,8 +82,7 @@
     /// [`ConnectionError::Refused`] if nothing listens there, [`ConnectionError::Unsent`] if the
     /// connection is not established by `until`.
     pub async fn connect(address: SocketAddr, until: Instant) -> Result<Self, ConnectionError> {
-        let connect = TcpStream::connect(address);
-        let stream = match timeout_at(until, connect).await {
+        let stream = match timeout_at(until, open(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(ConnectionError::Refused);
