feat(edge): log and count when a daemon loses its own links to the targets

A daemon whose attempts fail logged only target by target. Whether the targets or its own links were lost could not be told from its lines or metrics, nor since when.

Several targets that fail while none answers on a connection opened since now give one line (links_lost), answers of two targets end it (links_restored); the status line and a gauge count the services. Established connections do not count, since they may live on while new ones are refused. Nothing is decided by it yet.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::leaving;
 use crate::limits;
 use crate::quarantine;
+use crate::reach;
 use crate::relay;
 use crate::state::Edge;
 
@@ -107,6 +108,7 @@
     let PooledLane { mut lane, reused } = match edge.lanes.get(target, reuse, sent, connect).await {
         Ok(taken) => taken,
         Err(error) => {
+            reach::note_failure(edge, target, sent);
             edge.suspect(&target.id, "no connection");
             return Err(Failure::new(Outcome::NotSent, &error));
         }
@@ -134,6 +136,7 @@
             answer = &mut send => answer,
             () = edge.alarm.sleep_until(last) => Err(ConnectionError::TimedOut),
             () = give_up => {
+                reach::note_failure(edge, target, sent);
                 edge.suspect(&target.id, "no answer begins");
                 return Err(Failure {
                     by_connection: reused,
@@ -142,6 +145,11 @@
             }
         }
     };
+    match &answer {
+        Ok(_) if reused => {}
+        Ok(_) => reach::note_answer(edge, target, sent),
+        Err(_) => reach::note_failure(edge, target, sent),
+    }
     match answer {
         Ok(response) => classify_answer(job, target, response, lane, flight, sent),
         Err(ConnectionError::TimedOut) => Err(Failure::new(Outcome::Late, &"no answer in time")),
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -316,6 +316,7 @@
         .with("reads", edge.is_reader.get())
         .with("plans", edge.is_planner.get())
         .with("peers", edge.peers.borrow().live_count(now))
+        .with("services_lost", edge.links.lost().len())
         .with("targets", edge.registry.borrow().count())
         .write();
 }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod planner;
 mod proxy;
 mod quarantine;
+mod reach;
 mod relay;
 mod reply;
 mod start;
--- a/crates/thistlesill-edge/src/planner/actions.rs
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::{Order, TargetId};
+use thistlesill_core::edge::{Order, OrderReply, TargetId};
 use thistlesill_core::{Millis, ServiceName};
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, ProbeOutcome};
 
 use super::Planner;
+use crate::reach;
 
 /// Time limit of an order; engines answer within some milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -36,8 +37,13 @@
                     if planner.lease.borrow().term(planner.edge.now()).is_none() {
                         return;
                     }
+                    let begun = planner.edge.now();
                     let reply =
                         engine::send_order(&target, address, &order, within(ORDER_TIMEOUT)).await;
+                    // An engine may leave an order unanswered although it is reached.
+                    if reply != OrderReply::Unknown {
+                        planner.note_reach(&target, begun, reply != OrderReply::Refused);
+                    }
                     planner.log_order(&target, &order, &format!("{reply:?}"), reason);
                     planner.with_fleet(&service, |fleet, now| {
                         fleet.record_reply(&target, &order, reply, now);
@@ -59,7 +65,9 @@
             line.with("why", "it requested a backoff").write();
             return;
         }
+        let begun = self.edge.now();
         let report = engine::fetch_report(target, address, within(PROBE_TIMEOUT)).await;
+        self.note_reach(target, begun, report.is_ok());
         let line = lines.line("probe").with("target", target);
         match &report {
             Ok(report) => line
@@ -86,6 +94,18 @@
         });
     }
 
+    /// Records whether a target answered on a connection that was opened at `begun`.
+    fn note_reach(&self, target: &TargetId, begun: Millis, answered: bool) {
+        let target = self.edge.registry.borrow().target(target).cloned();
+        // A target that is no longer listed says nothing about the links to the others.
+        let Some(target) = target else { return };
+        if answered {
+            reach::note_answer(&self.edge, &target, begun);
+        } else {
+            reach::note_failure(&self.edge, &target, begun);
+        }
+    }
+
     fn with_fleet(&self, service: &ServiceName, step: impl FnOnce(&mut FleetPlanner, Millis)) {
         if let Some(fleet) = self.fleets.borrow_mut().get_mut(service) {
             step(fleet, self.edge.now());
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::job::Job;
 use crate::proxy::resolve_failure;
 use crate::quarantine;
+use crate::reach;
 use crate::reply::{self, Interrupted, OutBody};
 use crate::track::Track;
 
@@ -137,6 +138,8 @@
     keep: Option<Millis>,
     closing: bool,
     flight: InFlight,
+    /// When the answer began.
+    began: Millis,
     /// When the last event arrived.
     last_event: Option<Millis>,
 }
@@ -154,8 +157,9 @@
         self.last_event = Some(now);
     }
 
-    fn new(answered: Answered) -> Self {
+    fn new(answered: Answered, now: Millis) -> Self {
         Self {
+            began: now,
             body: answered.body,
             lane: answered.lane,
             target: answered.target,
@@ -182,7 +186,7 @@
     let edge = job.edge.clone();
     let relay = Relay {
         tried: vec![answered.target.id.clone()],
-        source: Some(Source::new(answered)),
+        source: Some(Source::new(answered, edge.now())),
         track: track.split(&edge),
         job,
         attempts,
@@ -270,6 +274,8 @@
             _ => "the stream broke off",
         };
         if let Some(source) = &self.source {
+            let begun = source.last_event.unwrap_or(source.began);
+            reach::note_failure(&self.job.edge, &source.target, begun);
             match stop {
                 Stop::Stalled => self.job.edge.suspect(&source.target.id, reason),
                 _ => quarantine::note_lost(&self.job, &source.target, reason),
@@ -310,7 +316,7 @@
                     // A target that only paused may still complete an event that it began, so
                     // the partial event is kept until another target resumes the stream.
                     self.cutter.drop_partial();
-                    self.source = Some(Source::new(answered));
+                    self.source = Some(Source::new(answered, job.edge.now()));
                     return Ok(());
                 }
                 Ok(_) => break,
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -30,7 +30,7 @@
     caller::remove_hop_by_hop(&mut headers);
     let forwarding = Forwarding {
         track: track.split(&job.edge),
-        source: Source::new(answered),
+        source: Source::new(answered, job.edge.now()),
         job,
         bytes: 0,
     };
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -32,6 +32,7 @@
 use crate::peers::transfer::PackedCache;
 use crate::peers::{Peers, link};
 use crate::quarantine::QuarantineState;
+use crate::reach::Links;
 use crate::start::Start;
 use thistlesill_policy::edge::feed::Feed;
 
@@ -119,6 +120,8 @@
     /// Backoffs that targets request from this daemon.
     pub(crate) backoffs: Backoffs,
     pub(crate) lanes: Lanes,
+    /// The links to the targets.
+    pub(crate) links: Links,
     pub(crate) lines: Lines,
     pub(crate) rng: RefCell<SmallRng>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -195,6 +198,7 @@
             loads: RefCell::new(LoadTable::default()),
             demand_meter: RefCell::new(DemandMeter::default()),
             lanes: Lanes::default(),
+            links: Links::default(),
             lines: Lines::start(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             retries: RefCell::new(HashMap::new()),
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -14,5 +14,6 @@
 pub mod limit;
 pub mod load;
 pub mod owner;
+pub mod reach;
 pub mod spread;
 pub mod start;
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -0,0 +1,114 @@
+//! Whether a daemon reaches the targets of a service at all.
+//!
+//! A target that does not answer may have failed, or the daemon may have lost its own links. One
+//! target does not tell these apart, but several that fail while none answers do. Only connections
+//! that the daemon has just opened count: established ones may live on while new ones are refused.
+
+use std::collections::{HashMap, HashSet};
+
+use thistlesill_core::Millis;
+use thistlesill_core::edge::TargetId;
+
+/// Number of targets that must have failed, without an answer of any, for links to count as lost;
+/// fewer if the service has fewer targets.
+const MIN_FAILED: usize = 3;
+/// Number of failed targets from which on it is checked whether others answer.
+const MIN_DOUBTED: usize = 2;
+/// Number of targets that must answer again for lost links to count as restored; fewer if the
+/// service has fewer targets.
+const MIN_ANSWERED: usize = 2;
+/// How long a failure counts.
+const FAILURE_VALIDITY: Millis = Millis::new(2_000);
+
+/// What an observation changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReachChange {
+    /// Nothing that needs a reaction.
+    Unchanged,
+    /// Some targets failed; others should be asked whether they answer.
+    Doubtful,
+    /// The links to the targets are lost.
+    Lost,
+    /// The links, which were lost for this time, work again.
+    Restored(Millis),
+}
+
+/// A daemon's links to the targets of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    /// When the last failed exchange with each target began, for those that failed since the last
+    /// answer of any target.
+    failed: HashMap<TargetId, Millis>,
+    /// Since when the links are lost.
+    lost_at: Option<Millis>,
+    /// Targets that have answered since the links were lost.
+    answered: HashSet<TargetId>,
+}
+
+impl Reach {
+    /// Returns whether the links to the targets are lost.
+    #[must_use]
+    pub const fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Returns since when the links to the targets are lost.
+    #[must_use]
+    pub const fn lost_at(&self) -> Option<Millis> {
+        self.lost_at
+    }
+
+    /// Returns the targets that failed since the last answer of any target.
+    pub fn failed(&self) -> impl Iterator<Item = &TargetId> {
+        self.failed.keys()
+    }
+
+    /// Records that an exchange with a target, which began at `begun`, had no answer. `targets` is
+    /// the number of targets of the service.
+    pub fn note_failure(
+        &mut self,
+        id: &TargetId,
+        begun: Millis,
+        now: Millis,
+        targets: usize,
+    ) -> ReachChange {
+        self.failed.retain(|_, at| now - *at < FAILURE_VALIDITY);
+        let is_new = self.failed.insert(id.clone(), begun).is_none();
+        if self.is_lost() {
+            self.answered.clear();
+            return ReachChange::Unchanged;
+        }
+        if self.failed.len() >= MIN_FAILED.min(targets) {
+            self.lost_at = Some(now);
+            self.answered.clear();
+            return ReachChange::Lost;
+        }
+        if is_new && self.failed.len() == MIN_DOUBTED {
+            return ReachChange::Doubtful;
+        }
+        ReachChange::Unchanged
+    }
+
+    /// Records that a target answered on a connection that was opened at `opened`. `targets` is the
+    /// number of targets of the service.
+    pub fn note_answer(
+        &mut self,
+        id: &TargetId,
+        opened: Millis,
+        now: Millis,
+        targets: usize,
+    ) -> ReachChange {
+        // The answer does not refute what failed on later connections.
+        self.failed.retain(|_, begun| *begun > opened);
+        let Some(lost_at) = self.lost_at.filter(|lost_at| opened >= *lost_at) else {
+            return ReachChange::Unchanged;
+        };
+        self.answered.insert(id.clone());
+        if self.answered.len() < MIN_ANSWERED.min(targets) {
+            return ReachChange::Unchanged;
+        }
+        self.lost_at = None;
+        self.answered.clear();
+        ReachChange::Restored(now - lost_at)
+    }
+}
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -32,6 +32,8 @@
 mod load;
 #[path = "edge/owner.rs"]
 mod owner;
+#[path = "edge/reach.rs"]
+mod reach;
 #[path = "edge/release.rs"]
 mod release;
 #[path = "edge/restarts.rs"]
