test(edge): requests end at a daemon that has lost its links to all targets

The test takes the way to all targets from four of six daemons, by resets, and sends reads and streams through them once the bound of 3 s is over.

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -18,6 +18,8 @@
 mod limits;
 #[path = "it/owners.rs"]
 mod owners;
+#[path = "it/partitions.rs"]
+mod partitions;
 #[path = "it/seeds.rs"]
 mod seeds;
 #[path = "it/silence.rs"]
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -0,0 +1,54 @@
+//! Daemons that lose the way to targets while callers, the store and the other daemons reach them.
+
+use std::time::{Duration, Instant};
+
+use thistlesill_platform_standin::link::LinkFault;
+use thistlesill_platform_standin::world::World;
+
+use crate::support::{Timed, book, planner, read, send_through, sleep, stream, world};
+
+/// Time after the begin of a partition in which requests may fail.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Returns the share of the answers that are complete successes.
+fn served(answers: &[Timed]) -> f64 {
+    let good = answers
+        .iter()
+        .filter(|(got, _)| got.status == 200 && got.is_complete);
+    good.count() as f64 / answers.len().max(1) as f64
+}
+
+fn cut(world: &World, daemons: &[usize], fault: LinkFault) {
+    for daemon in daemons {
+        world.set_target_fault(*daemon, fault);
+    }
+}
+
+/// Cuts some daemons off from all targets; returns the shares of reads and streams that they serve
+/// once [`CONTACT`] is over, and the same of the others.
+async fn served_during(world: &World, lost: &[usize], fault: LinkFault) -> [f64; 2] {
+    let all = 0..world.daemons.len();
+    let others: Vec<usize> = all.filter(|daemon| !lost.contains(daemon)).collect();
+    cut(world, lost, fault);
+    send_through(world, lost, 20, CONTACT, read).await;
+    let time = Duration::from_secs(2);
+    let (cut_reads, cut_streams, reads, streams) = tokio::join!(
+        send_through(world, lost, 20, time, read),
+        send_through(world, lost, 20, time, stream),
+        send_through(world, &others, 10, time, read),
+        send_through(world, &others, 10, time, stream),
+    );
+    let cut = served(&cut_reads).min(served(&cut_streams));
+    [cut, served(&reads).min(served(&streams))]
+}
+
+/// RECOVER allows 11 and one in 50 of the first attempts to fail.
+const MIN_SERVED: f64 = 0.95;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_end_at_a_daemon_that_has_lost_its_links_to_all_targets() {
+    let world = world(151, 6).await;
+    let [cut, others] = served_during(&world, &[0, 1, 2, 3], LinkFault::Reset).await;
+    assert!(others >= MIN_SERVED, "{others} at the others");
+    assert!(cut >= MIN_SERVED, "{cut} at the daemons without links");
+}
