--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -68,6 +68,18 @@
         others
     }
 
+    /// Returns the address where this daemon takes the requests that its peers pass on.
+    pub const fn forward_address(&self) -> SocketAddr {
+        Self::forward_address_of(self.peer_address())
+    }
+
+    /// Returns the address where the daemon that receives datagrams at `peer` takes the requests
+    /// that its peers pass on: the third port of the range, since the second one is for a planner
+    /// that runs as a process of its own.
+    pub const fn forward_address_of(peer: SocketAddr) -> SocketAddr {
+        SocketAddr::new(peer.ip(), peer.port() + 2)
+    }
+
     /// Returns the address where this daemon serves its metrics.
     pub const fn metrics_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.last_port)
--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -124,6 +124,8 @@
     pub name: ServiceName,
     /// Largest number of connections that each target accepts, over all callers.
     pub connections: u32,
+    /// Path at which a target that runs no models answers health checks.
+    pub health: Arc<str>,
     /// Warm-up of the targets; `None` if they accept the full rate from the start.
     pub warmup: Option<Warmup>,
     /// Figures of the model engines; `None` if the service runs no models.
--- a/crates/thistlesill-core/src/error.rs
+++ b/crates/thistlesill-core/src/error.rs
@@ -101,6 +101,8 @@
     DeadlinePassed = "deadline_passed", 504, No, SOON, "The deadline passed before the request was sent.";
     /// Every attempt was refused by the target or could not be sent.
     TargetRefused = "target_refused", 503, No, SOON, "The targets took no request.";
+    /// The daemon has lost its links to the targets, and no other daemon takes the request.
+    Unreached = "unreached", 503, No, SOON, "This entry instance reaches no target of the service now.";
     /// The retry budget was exhausted, and no target can have executed the request.
     RetryBudget = "retry_budget", 503, No, LATER, "Too many retries are under way.";
     /// The connection broke after the request was sent, before an answer arrived.
--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -6,8 +6,8 @@
 
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
-use thistlesill_core::Millis;
 use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::{Millis, NodeId};
 use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::Outcome;
@@ -15,6 +15,7 @@
 
 use crate::backoffs;
 use crate::flight::InFlight;
+use crate::forward;
 use crate::job::Job;
 use crate::lanes::PooledLane;
 use crate::leaving;
@@ -38,8 +39,58 @@
     pub(crate) body: Incoming,
     pub(crate) lane: HttpConnection,
     pub(crate) info: AnswerHead,
-    pub(crate) target: Target,
-    pub(crate) flight: InFlight,
+    pub(crate) origin: Origin,
+    /// Number of targets that the request was sent to for this answer.
+    pub(crate) sent: u32,
+}
+
+impl Answered {
+    /// Creates an answer that a peer passes on.
+    pub(crate) fn from_peer(
+        job: &Job,
+        peer: &NodeId,
+        response: Response<Incoming>,
+        lane: HttpConnection,
+    ) -> Self {
+        let (mut parts, body) = response.into_parts();
+        let status = parts.status;
+        Self {
+            status,
+            body,
+            lane,
+            info: caller::read_answer(&job.head.id, status.as_u16(), &parts.headers),
+            sent: forward::take_sent(&mut parts.headers),
+            headers: parts.headers,
+            origin: Origin::Peer(peer.clone()),
+        }
+    }
+}
+
+/// Where an answer comes from.
+pub(crate) enum Origin {
+    /// A target, to which this daemon sent the request.
+    Target {
+        target: Box<Target>,
+        /// Counts the request at the target until the answer has ended.
+        flight: InFlight,
+    },
+    /// A peer, which sent the request to a target.
+    Peer(NodeId),
+}
+
+impl Origin {
+    /// Returns the target, if this daemon sent the request there.
+    pub(crate) fn target(&self) -> Option<&Target> {
+        match self {
+            Self::Target { target, .. } => Some(target),
+            Self::Peer(_) => None,
+        }
+    }
+
+    /// Returns the id of the target, if this daemon sent the request there.
+    pub(crate) fn target_id(&self) -> Option<&TargetId> {
+        self.target().map(|target| &target.id)
+    }
 }
 
 /// An attempt that gave no answer to forward.
@@ -187,7 +238,10 @@
     let edge = &job.edge;
     relay::wait_for_stall(job, target, true).await;
     edge.suspect(&target.id, "no answer begins");
-    while !job.can_retry_elsewhere(tried) && !edge.peers.borrow().is_unresponsive(&target.id) {
+    while !job.can_retry_elsewhere(tried)
+        && !forward::is_possible(job)
+        && !edge.peers.borrow().is_unresponsive(&target.id)
+    {
         tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
     }
 }
@@ -236,8 +290,11 @@
         body,
         lane,
         info,
-        target: target.clone(),
-        flight,
+        origin: Origin::Target {
+            target: Box::new(target.clone()),
+            flight,
+        },
+        sent: 1,
     };
     if status.is_server_error() {
         return Err(Failure {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -21,7 +21,10 @@
 
 use crate::lines::Line;
 use crate::state::Edge;
-use crate::{backoffs, figures, follow, front, limits, peers, planner, quarantine, start, watch};
+use crate::{
+    backoffs, figures, follow, forward, front, limits, peers, planner, quarantine, reach, start,
+    watch,
+};
 
 /// Exit code for settings that do not pass their check.
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
@@ -192,7 +195,10 @@
     if options.parts != Parts::Serve {
         tokio::task::spawn_local(planner::run(edge.clone(), charts));
     }
+    tokio::task::spawn_local(reach::check_lost(edge.clone()));
+    tokio::task::spawn_local(reach::check_doubted(edge.clone()));
     if options.parts != Parts::Plan {
+        tokio::task::spawn_local(forward::serve(edge.clone()));
         let callers = listen(settings.callers.context(NoCallersSnafu)?).await?;
         let health = listen(settings.health.context(NoCallersSnafu)?).await?;
         tokio::task::spawn_local(front::serve_health(edge.clone(), health));
@@ -316,7 +322,7 @@
         .with("reads", edge.is_reader.get())
         .with("plans", edge.is_planner.get())
         .with("peers", edge.peers.borrow().live_count(now))
-        .with("services_lost", edge.links.lost().len())
+        .with("services_lost", edge.links.lost_services().len())
         .with("targets", edge.registry.borrow().count())
         .write();
 }
--- /dev/null
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -0,0 +1,168 @@
+//! Passes requests on to a peer while this daemon has lost its own links to their targets.
+//!
+//! The peer admits and places such a request as if its caller had sent it there, so that limits,
+//! backoffs and the retry budget bind the daemon that sends to the targets. The peer never passes
+//! the request on again; it declines what it cannot send itself, and then the request has not run.
+
+mod head;
+mod serve;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use thistlesill_core::edge::EdgeSettings;
+use thistlesill_core::{Millis, NodeId, ServiceName};
+use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
+use thistlesill_policy::edge::attempt::{Attempts, Outcome};
+
+pub(crate) use self::head::{Hop, take_sent};
+pub(crate) use self::serve::serve;
+use crate::attempt::{Answered, Failure};
+use crate::job::Job;
+use crate::state::Edge;
+
+/// Time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long no request is passed to a peer that declined one or did not accept the connection.
+const PEER_BACKOFF: Millis = Millis::new(500);
+/// Number of peers that a request is passed to at most.
+const MAX_PEERS: usize = 3;
+/// Interval between two checks whether the peer that has a request is still alive.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Peers that take no requests for a while.
+#[derive(Debug, Default)]
+pub(crate) struct ForwardState {
+    unusable: RefCell<HashMap<NodeId, Millis>>,
+}
+
+impl ForwardState {
+    fn is_usable(&self, peer: &NodeId, now: Millis) -> bool {
+        let unusable = self.unusable.borrow();
+        unusable.get(peer).is_none_or(|until| *until <= now)
+    }
+
+    fn avoid(&self, peer: &NodeId, now: Millis) {
+        let mut unusable = self.unusable.borrow_mut();
+        unusable.retain(|_, until| *until > now);
+        unusable.insert(peer.clone(), now + PEER_BACKOFF);
+    }
+}
+
+/// The way of a request's next attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// To a target.
+    Direct,
+    /// To a peer that reaches the targets.
+    Peer(NodeId),
+    /// None: neither this daemon nor a peer reaches the targets.
+    Nowhere,
+}
+
+/// Returns the way of a request's next attempt, through a peer other than `tried` if at all.
+pub(crate) fn way(job: &Job, tried: &[NodeId]) -> Way {
+    let edge = &job.edge;
+    let service = &job.admission.service.name;
+    if !edge.links.is_lost(service) {
+        return Way::Direct;
+    }
+    if job.hop.is_some() || tried.len() >= MAX_PEERS {
+        return Way::Nowhere;
+    }
+    pick_peer(edge, service, tried).map_or(Way::Nowhere, Way::Peer)
+}
+
+/// Returns a peer for a request that no target is left for, if this daemon's links may be the
+/// reason.
+pub(crate) fn peer_for_doubted(job: &Job, tried: &[NodeId]) -> Option<NodeId> {
+    let (edge, service) = (&job.edge, &job.admission.service.name);
+    let may_pass = job.hop.is_none() && tried.len() < MAX_PEERS;
+    if !may_pass || !edge.links.is_doubted(service) {
+        return None;
+    }
+    pick_peer(edge, service, tried)
+}
+
+/// Returns whether a request could now be passed to a peer.
+pub(crate) fn is_possible(job: &Job) -> bool {
+    matches!(way(job, &[]), Way::Peer(_))
+}
+
+/// Draws a live peer that reaches the targets of a service, of the same data centre if there is
+/// one: traffic between data centres is expensive.
+fn pick_peer(edge: &Edge, service: &ServiceName, tried: &[NodeId]) -> Option<NodeId> {
+    let (now, hall) = (edge.now(), &edge.settings().hall);
+    let peers = edge.peers.borrow();
+    let usable = |name: &&NodeId| !tried.contains(name) && edge.forwarding.is_usable(name, now);
+    let rng = &mut *edge.rng.borrow_mut();
+    let near = peers.reaching(service, hall, now).filter(|(_, far)| !far);
+    let near = near.map(|(name, _)| name).filter(usable).choose(rng);
+    let all = peers.reaching(service, hall, now).map(|(name, _)| name);
+    near.or_else(|| all.filter(usable).choose(rng)).cloned()
+}
+
+/// Passes a request to a peer and awaits the head of the answer.
+///
+/// A request that the peer declined was not sent to any target.
+pub(crate) async fn attempt(
+    job: &Rc<Job>,
+    peer: &NodeId,
+    last_event: Option<&str>,
+    attempts: Attempts,
+) -> Result<Answered, Failure> {
+    let edge = &job.edge;
+    let address = edge.peers.borrow().address(peer);
+    let Some(address) = address.map(EdgeSettings::forward_address_of) else {
+        return Err(Failure::new(Outcome::NotSent, &"the peer is gone"));
+    };
+    let until = within(CONNECT_TIMEOUT.min(job.time_left().duration()));
+    let mut lane = match HttpConnection::connect(address, until).await {
+        Ok(lane) => lane,
+        Err(error) => {
+            edge.forwarding.avoid(peer, edge.now());
+            return Err(Failure::new(Outcome::NotSent, &error));
+        }
+    };
+    if job.admission.customer.is_some() && !edge.is_fresh() {
+        let reason = "the catalog is not confirmed as current";
+        return Err(Failure::new(Outcome::NotSent, &reason));
+    }
+    let request = head::request(job, last_event, attempts);
+    let last = job.answer_deadline();
+    let limit = within((last - edge.now()).duration());
+    let answer = tokio::select! {
+        answer = lane.send(request, limit) => answer,
+        () = edge.alarm.sleep_until(last) => Err(ConnectionError::TimedOut),
+        () = wait_for_peer_loss(edge, peer) => {
+            return Err(Failure::new(Outcome::MayHaveRun, &"the peer is lost"));
+        }
+    };
+    let response = match answer {
+        Ok(response) => response,
+        Err(ConnectionError::TimedOut) => {
+            return Err(Failure::new(Outcome::Late, &"no answer in time"));
+        }
+        Err(error) if error.is_unsent() => return Err(Failure::new(Outcome::NotSent, &error)),
+        Err(error) => return Err(Failure::new(Outcome::MayHaveRun, &error)),
+    };
+    if let Some(reason) = head::declined(response.headers()) {
+        edge.forwarding.avoid(peer, edge.now());
+        return Err(Failure::new(Outcome::NotSent, &reason));
+    }
+    Ok(Answered::from_peer(job, peer, response, lane))
+}
+
+/// Returns once a peer counts as dead.
+pub(crate) async fn wait_for_peer_loss(edge: &Edge, peer: &NodeId) {
+    loop {
+        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+        let hall = &edge.settings().hall;
+        if !edge.peers.borrow().is_alive(peer, hall, edge.now()) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -0,0 +1,96 @@
+//! Takes the requests that peers pass on.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use thistlesill_core::ErrorKind;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::head::{self, Hop};
+use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
+use crate::proxy;
+use crate::relay::SentTargets;
+use crate::reply::{self, OutBody};
+use crate::state::Edge;
+
+/// Takes the requests that peers pass on; never returns. A daemon that cannot listen logs an error
+/// and takes none.
+pub(crate) async fn serve(edge: Rc<Edge>) {
+    let address = edge.settings().forward_address();
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("forward: {address}: {error}");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_peer(edge.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("forward: a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+/// Serves one request; peers open a connection for each.
+async fn serve_peer(edge: Rc<Edge>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("forward: {error}");
+    }
+    let limits = edge.catalog().map(|c| c.limits());
+    let head_bytes = limits.map_or(MIN_HEAD_BYTES, |l| l.head_bytes.max(MIN_HEAD_BYTES));
+    let service = service_fn(move |request| {
+        let edge = edge.clone();
+        async move { Ok::<_, Infallible>(answer(edge, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+        .keep_alive(false)
+        .max_buf_size(head_bytes + MIN_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = served.await {
+        log::debug!("forward: a peer's connection ended: {error}");
+    }
+}
+
+async fn answer(edge: Rc<Edge>, mut request: Request<Incoming>) -> Response<OutBody> {
+    let Some(hop) = Hop::take(request.headers_mut()) else {
+        return decline("the request does not come from a daemon");
+    };
+    // An older catalog may lack the route, or have a key that is revoked.
+    if edge.catalog().is_none_or(|c| c.version < hop.catalog) {
+        return decline("its catalog is older");
+    }
+    let mut answer = proxy::handle(edge, request, Some(hop)).await;
+    let declined = match answer.extensions().get::<ErrorKind>() {
+        Some(kind @ (ErrorKind::NotReady | ErrorKind::Unreached)) => Some(kind.name()),
+        _ => None,
+    };
+    let sent = answer.extensions().get::<SentTargets>().copied();
+    let headers = answer.headers_mut();
+    head::clear(headers);
+    if let Some(reason) = declined {
+        head::set_declined(headers, reason);
+    }
+    if let Some(SentTargets(sent)) = sent {
+        head::set_sent(headers, sent);
+    }
+    answer
+}
+
+fn decline(reason: &'static str) -> Response<OutBody> {
+    let mut answer = reply::error(ErrorKind::NotReady, None);
+    head::set_declined(answer.headers_mut(), reason);
+    answer
+}
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -19,12 +19,12 @@
 use crate::state::Edge;
 
 /// Idle timeout of connections before the operators' limits are known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Limit of a request's head before the operators' limits are known; `hyper` accepts no limit
 /// below 8 KiB.
-const MIN_HEAD_BYTES: usize = 8 * 1024;
+pub(crate) const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Backoff after a failure to accept, such as when file descriptors run out.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts connections of callers; never returns.
 pub(crate) async fn serve_callers(edge: Rc<Edge>, listener: TcpListener) {
@@ -78,7 +78,7 @@
 /// A stopping daemon still answers requests, since the balancer has not noticed yet, but closes
 /// the connection after the answer.
 async fn answer(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
-    let mut answer = proxy::handle(edge.clone(), request).await;
+    let mut answer = proxy::handle(edge.clone(), request, None).await;
     if edge.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -17,6 +17,7 @@
 use thistlesill_policy::edge::attempt::Attempts;
 
 use crate::choice::{Pick, Sender, TargetQuery};
+use crate::forward::Hop;
 use crate::lanes::max_idle;
 use crate::peers::place;
 use crate::quarantine;
@@ -40,6 +41,10 @@
     pub(crate) due: Millis,
     /// The fingerprint of the request, computed when first needed.
     cached_fingerprint: OnceCell<Fingerprint>,
+    /// What the peer that passed the request on says of it; `None` if a caller sent it here.
+    pub(crate) hop: Option<Hop>,
+    /// Whether the retry budget of this daemon, or of one before, has counted the request.
+    pub(crate) counted: Cell<bool>,
     /// Whether this request is the trial of one that was withheld.
     pub(crate) trial: Cell<bool>,
 }
@@ -50,12 +55,15 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) at: Millis,
+    pub(crate) hop: Option<Hop>,
 }
 
 impl Job {
     /// Creates a job for a request that was admitted.
     pub(crate) fn new(edge: Rc<Edge>, admission: Admission, arrival: Arrival) -> Self {
         Self {
+            hop: arrival.hop,
+            counted: Cell::new(arrival.hop.is_some_and(|hop| hop.counted)),
             due: arrival.at + admission.timeout,
             headers: caller::forwarded_headers(&arrival.parts.headers),
             edge,
@@ -171,6 +179,13 @@
         }
     }
 
+    /// Counts the request in this daemon's retry budget, unless a budget has counted it already.
+    pub(crate) fn deposit_retry(&self) {
+        if !self.counted.replace(true) {
+            self.edge.deposit_retry(&self.admission.service.name);
+        }
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.admission.route.may_repeat()
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod figures;
 mod flight;
 mod follow;
+mod forward;
 mod front;
 mod job;
 mod lanes;
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -23,7 +23,7 @@
 use thistlesill_policy::lease::LeaseSnapshot;
 use tokio::net::UdpSocket;
 
-use self::packet::{DemandReport, Heartbeat, StoreUse};
+use self::packet::{DemandReport, Heartbeat, LostLinks, StoreUse};
 use self::transfer::Member;
 use crate::state::Edge;
 
@@ -90,9 +90,17 @@
     streaming: Vec<TargetId>,
     slow: Vec<TargetId>,
     active_targets: Vec<TargetId>,
+    /// Services whose targets the peer does not reach, and until when that is believed.
+    lost_links: Option<(Vec<ServiceName>, Millis)>,
 }
 
 impl Peer {
+    /// Returns whether the peer has lost its links to the targets of a service.
+    fn has_lost(&self, service: &ServiceName, now: Millis) -> bool {
+        let lost = self.lost_links.as_ref();
+        lost.is_some_and(|(services, until)| now < *until && services.contains(service))
+    }
+
     fn is_recent(&self, now: Millis, timeout: Millis) -> bool {
         self.last_heartbeat.is_some_and(|at| now - at < timeout)
     }
@@ -266,6 +274,13 @@
         all.cloned().collect()
     }
 
+    /// Records the services whose targets a peer does not reach; valid until `until`.
+    pub(crate) fn set_lost_links(&mut self, lost: LostLinks, until: Millis) {
+        if let Some(peer) = self.known.get_mut(&lost.from) {
+            peer.lost_links = Some((lost.services, until)).filter(|(s, _)| !s.is_empty());
+        }
+    }
+
     /// Records a peer's demand report.
     pub(crate) fn record_demand_report(&mut self, report: DemandReport, now: Millis) {
         self.demand_reports
@@ -450,6 +465,7 @@
                 streaming: Vec::new(),
                 slow: Vec::new(),
                 active_targets: Vec::new(),
+                lost_links: None,
             }
         });
         if peer.address != address {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -13,6 +13,7 @@
 use crate::leaving;
 use crate::limits;
 use crate::quarantine;
+use crate::reach;
 use crate::state::Edge;
 
 /// Longest time between two heartbeats of the planner: others count it as down after three of
@@ -40,8 +41,14 @@
     loop {
         let listed = edge.peers.borrow().is_listed();
         match schedule.next(&intervals(&edge), listed, edge.now()) {
-            DueHeartbeat::All => send_heartbeat(&edge, Reach::All),
-            DueHeartbeat::Near => send_heartbeat(&edge, Reach::Near),
+            DueHeartbeat::All => {
+                send_heartbeat(&edge, Reach::All);
+                reach::report_again(&edge, Reach::All);
+            }
+            DueHeartbeat::Near => {
+                send_heartbeat(&edge, Reach::Near);
+                reach::report_again(&edge, Reach::Near);
+            }
             DueHeartbeat::Planner => send_heartbeat_to_far_planner(&edge),
             DueHeartbeat::Demand => send_demand_report(&edge),
             // The intervals change with the requests, the list of daemons and the lease.
@@ -223,6 +230,7 @@
             Ok(Packet::Limits(updates)) => limits::receive(&edge, &updates),
             Ok(Packet::Leaving(target)) => leaving::receive(&edge, &target),
             Ok(Packet::GrantRequest(request)) => limits::reply_to_grant_request(&edge, &request),
+            Ok(Packet::LinksLost(lost)) => reach::receive(&edge, lost),
             Ok(Packet::Grant(reply)) => limits::receive_grant(&edge, reply),
             Ok(Packet::DemandReport(report)) => edge
                 .peers
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -44,6 +44,9 @@
     GrantRequest(GrantRequest),
     /// The answer to [`Packet::GrantRequest`].
     Grant(GrantReply),
+    /// Services to whose targets the sender has lost its own links; goes to all daemons while there
+    /// are any, and once when there are none any more.
+    LinksLost(LostLinks),
 }
 
 impl Packet {
@@ -66,6 +69,7 @@
             Self::Leaving(_) => "leaving",
             Self::GrantRequest(_) => "ask_grant",
             Self::Grant(_) => "grant",
+            Self::LinksLost(_) => "links_lost",
         }
     }
 }
@@ -198,6 +202,13 @@
     pub(crate) known: Option<LimitUpdate>,
 }
 
+/// The services to whose targets a daemon has lost its own links.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LostLinks {
+    pub(crate) from: NodeId,
+    pub(crate) services: Vec<ServiceName>,
+}
+
 /// A daemon's requests by target.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Counts {
--- a/crates/thistlesill-edge/src/peers/roles.rs
+++ b/crates/thistlesill-edge/src/peers/roles.rs
@@ -5,7 +5,7 @@
 
 use rand::seq::IndexedRandom;
 use thistlesill_core::edge::EdgeSettings;
-use thistlesill_core::{HallId, Millis, NodeId};
+use thistlesill_core::{HallId, Millis, NodeId, ServiceName};
 use thistlesill_policy::edge::spread;
 
 use super::packet::StoreUse;
@@ -114,6 +114,26 @@
             .filter(move |(_, p)| p.owns && is_alive(p))
     }
 
+    /// Returns whether a peer is alive; `own` is this daemon's data centre.
+    pub(crate) fn is_alive(&self, name: &NodeId, own: &HallId, now: Millis) -> bool {
+        let is_alive = self.liveness(own, now);
+        self.known.get(name).is_some_and(is_alive)
+    }
+
+    /// Returns the live peers that have not reported that they lost their links to the targets of a
+    /// service, and whether each is in another data centre than `own`.
+    pub(crate) fn reaching<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        own: &'a HallId,
+        now: Millis,
+    ) -> impl Iterator<Item = (&'a NodeId, bool)> {
+        let is_alive = self.liveness(own, now);
+        let peers = self.known.iter();
+        let reaching = peers.filter(move |(_, p)| is_alive(p) && !p.has_lost(service, now));
+        reaching.map(|(name, p)| (name, p.hall != *own))
+    }
+
     /// Returns a peer that reads the store, of the same data centre if there is one.
     pub(crate) fn reader(&self, hall: &HallId, now: Millis) -> Option<NodeId> {
         let is_alive = self.liveness(hall, now);
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Handles a request of a caller, from its arrival to the head of its answer.
 
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,15 +11,16 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use thistlesill_core::edge::{RouteKind, Target, TargetId};
-use thistlesill_core::{ErrorKind, Millis};
+use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::within;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Admission, Key, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
 use tokio::time::timeout_at;
 
-use crate::attempt::{Answered, AttemptPosition, Failure, attempt};
+use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
 use crate::choice::{Choice, Pick};
+use crate::forward::{self, Hop, Way};
 use crate::job::{Arrival, Job};
 use crate::quarantine;
 use crate::relay;
@@ -43,7 +45,13 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers a request of a caller.
-pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<OutBody> {
+///
+/// `hop` is what the peer says that passed the request on; `None` if its caller sent it here.
+pub(crate) async fn handle(
+    edge: Rc<Edge>,
+    request: Request<Incoming>,
+    hop: Option<Hop>,
+) -> Response<OutBody> {
     let arrived = edge.now();
     edge.had_requests.set(true);
     let (parts, body) = request.into_parts();
@@ -68,6 +76,7 @@
         parts,
         body,
         at: arrived,
+        hop,
     };
     let job = Rc::new(Job::new(edge, admission, request));
     serve(job, track).await
@@ -125,12 +134,11 @@
     )
 }
 
-/// Sends a request to targets until an attempt gives an answer or no further attempt is allowed.
+/// Sends a request to targets, or through peers, until an attempt gives an answer or no further
+/// attempt is allowed.
 async fn serve(job: Rc<Job>, mut track: Track) -> Response<OutBody> {
-    let edge = &job.edge;
-    let mut attempts = Attempts::default();
-    let mut tried: Vec<TargetId> = Vec::new();
-    edge.deposit_retry(&job.admission.service.name);
+    let mut attempts = job.hop.map_or_else(Attempts::default, Hop::attempts);
+    let mut tried = Tried::default();
     if job.head.last_event.is_some() {
         defer_resumed_stream(&job).await;
     }
@@ -146,52 +154,38 @@
                 track.refuse(ErrorKind::Withheld, Some(left))
             };
         }
-        let Pick {
-            choice,
-            by,
-            clearance,
-        } = job.pick(&tried, attempts).await;
-        track.placed(by);
-        if attempts == Attempts::default() {
-            job.record_demand(!matches!(choice, Choice::Target(_)));
-        }
-        let target = match choice {
-            Choice::Target(target) => *target,
-            Choice::Overloaded(lateness) => {
-                let after = lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-                return track.refuse(ErrorKind::Overloaded, Some(after));
+        let mut end = match forward::way(&job, &tried.peers) {
+            Way::Direct => try_target(&job, &mut tried, attempts, &mut track).await,
+            Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, &mut track).await,
+            Way::Nowhere => {
+                let kind = unreached_error(attempts);
+                return track.refuse(kind, Some(MIN_RETRY_AFTER));
             }
-            Choice::Unavailable(wait) => {
-                let reason = "the targets' limits or backoffs allow no request now";
-                let after = wait.max(MIN_RETRY_AFTER);
-                return track
-                    .with_reason(reason)
-                    .refuse(unavailable_error(attempts), Some(after));
-            }
-            Choice::NoTarget => {
+        };
+        if matches!(end, AttemptEnd::NoTarget)
+            && let Some(peer) = forward::peer_for_doubted(&job, &tried.peers)
+        {
+            end = try_peer(&job, peer, &mut tried, attempts, &mut track).await;
+        }
+        let (failure, destination) = match end {
+            AttemptEnd::Answered(response) => return response,
+            AttemptEnd::NoTarget => {
                 return track.refuse(no_target_error(attempts), retry_after(&job));
             }
+            AttemptEnd::Failed(failure, destination) => (failure, destination),
         };
-        if job.admission.customer.is_some() && !edge.is_fresh() {
-            return track
-                .with_reason("the catalog is not confirmed as current")
-                .refuse(stale_error(attempts), None);
+        let next = resolve_failure(&job, &destination, &failure, &mut attempts, &track);
+        // What was not sent can go another way, however often connecting failed.
+        let is_unsent = failure.outcome == Outcome::NotSent;
+        if is_unsent && forward::way(&job, &tried.peers) != Way::Direct {
+            continue;
         }
-        tried.push(target.id.clone());
-        track.sent(&target);
-        let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
-        let failure = match attempt(&job, &target, clearance, &tried, None, position).await {
-            Ok(answered) => match deliver(&job, answered, attempts, &mut track).await {
-                Ok(response) => return response,
-                Err(failure) => failure,
-            },
-            Err(failure) => failure,
-        };
-        let next = resolve_failure(&job, &target, &failure, &mut attempts, &track);
         match next {
             // A new connection to the same target may do.
-            NextStep::Retry if failure.by_connection && !job.can_retry_elsewhere(&tried) => {
-                tried.retain(|id| *id != target.id);
+            NextStep::Retry
+                if failure.by_connection && !job.can_retry_elsewhere(&tried.targets) =>
+            {
+                tried.targets.pop();
             }
             NextStep::Retry => {}
             NextStep::Forward => match failure.answer {
@@ -203,6 +197,121 @@
     }
 }
 
+/// Where a request was sent to, or should have been.
+#[derive(Debug, Default)]
+pub(crate) struct Tried {
+    pub(crate) targets: Vec<TargetId>,
+    pub(crate) peers: Vec<NodeId>,
+}
+
+impl Tried {
+    /// Returns the target or peer that an answer comes from.
+    pub(crate) fn by(origin: &Origin) -> Self {
+        let mut tried = Self::default();
+        match origin {
+            Origin::Target { target, .. } => tried.targets.push(target.id.clone()),
+            Origin::Peer(peer) => tried.peers.push(peer.clone()),
+        }
+        tried
+    }
+}
+
+/// The target or peer of one attempt.
+pub(crate) enum Destination {
+    Target(Box<Target>),
+    Peer(NodeId),
+}
+
+impl fmt::Display for Destination {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Target(target) => target.id.fmt(f),
+            Self::Peer(peer) => peer.fmt(f),
+        }
+    }
+}
+
+/// The end of one attempt, and of the request if it was answered.
+enum AttemptEnd {
+    Answered(Response<OutBody>),
+    Failed(Failure, Destination),
+    /// No target serves the request, or all that do were tried.
+    NoTarget,
+}
+
+/// Picks a target, sends the request there and passes the answer on. Refuses the request if no
+/// target takes it.
+async fn try_target(
+    job: &Rc<Job>,
+    tried: &mut Tried,
+    attempts: Attempts,
+    track: &mut Track,
+) -> AttemptEnd {
+    let edge = &job.edge;
+    job.deposit_retry();
+    let Pick {
+        choice,
+        by,
+        clearance,
+    } = job.pick(&tried.targets, attempts).await;
+    track.placed(by);
+    if attempts == Attempts::default() {
+        job.record_demand(!matches!(choice, Choice::Target(_)));
+    }
+    let target = match choice {
+        Choice::Target(target) => target,
+        Choice::Overloaded(lateness) => {
+            let after = lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            return AttemptEnd::Answered(track.refuse(ErrorKind::Overloaded, Some(after)));
+        }
+        Choice::Unavailable(wait) => {
+            let reason = "the targets' limits or backoffs allow no request now";
+            let after = wait.max(MIN_RETRY_AFTER);
+            let track = track.with_reason(reason);
+            return AttemptEnd::Answered(track.refuse(unavailable_error(attempts), Some(after)));
+        }
+        Choice::NoTarget => return AttemptEnd::NoTarget,
+    };
+    if job.admission.customer.is_some() && !edge.is_fresh() {
+        let track = track.with_reason("the catalog is not confirmed as current");
+        return AttemptEnd::Answered(track.refuse(stale_error(attempts), None));
+    }
+    tried.targets.push(target.id.clone());
+    track.sent(&target);
+    let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
+    let sent = attempt(job, &target, clearance, &tried.targets, None, position).await;
+    match pass_on(job, sent, attempts, track).await {
+        Ok(response) => AttemptEnd::Answered(response),
+        Err(failure) => AttemptEnd::Failed(failure, Destination::Target(target)),
+    }
+}
+
+/// Sends the request to a peer that reaches the targets, and passes the answer on.
+async fn try_peer(
+    job: &Rc<Job>,
+    peer: NodeId,
+    tried: &mut Tried,
+    attempts: Attempts,
+    track: &mut Track,
+) -> AttemptEnd {
+    tried.peers.push(peer.clone());
+    track.forwarded(&peer);
+    let sent = forward::attempt(job, &peer, None, attempts).await;
+    match pass_on(job, sent, attempts, track).await {
+        Ok(response) => AttemptEnd::Answered(response),
+        Err(failure) => AttemptEnd::Failed(failure, Destination::Peer(peer)),
+    }
+}
+
+async fn pass_on(
+    job: &Rc<Job>,
+    answered: Result<Answered, Failure>,
+    attempts: Attempts,
+    track: &mut Track,
+) -> Result<Response<OutBody>, Failure> {
+    deliver(job, answered?, attempts, track).await
+}
+
 /// Waits a short time at most for free capacity, before a stream that its caller resumes. Ends at
 /// once if no target takes the stream within that time.
 ///
@@ -223,7 +332,7 @@
 /// Records the failure of an attempt and decides the next step.
 pub(crate) fn resolve_failure(
     job: &Job,
-    target: &Target,
+    destination: &Destination,
     failure: &Failure,
     attempts: &mut Attempts,
     track: &Track,
@@ -238,7 +347,7 @@
         allowed,
         withdraw,
     );
-    track.attempt_failed(target, failure.outcome, &failure.reason, next);
+    track.attempt_failed(destination, failure.outcome, &failure.reason, next);
     next
 }
 
@@ -264,6 +373,14 @@
     }
 }
 
+const fn unreached_error(attempts: Attempts) -> ErrorKind {
+    if attempts.may_have_run {
+        ErrorKind::SentUnknown
+    } else {
+        ErrorKind::Unreached
+    }
+}
+
 const fn stale_error(attempts: Attempts) -> ErrorKind {
     if attempts.may_have_run {
         ErrorKind::SentUnknown
@@ -295,7 +412,7 @@
     let edge = &job.edge;
     let large = hyper::body::Body::size_hint(&answered.body).lower() > MAX_BUFFERED_BYTES;
     if large {
-        return Ok(relay::forward(job.clone(), answered, track));
+        return Ok(relay::forward_plain(job.clone(), answered, track));
     }
     let Answered {
         status,
@@ -303,18 +420,27 @@
         body,
         lane,
         info,
-        target,
-        flight,
+        origin,
+        sent: _,
     } = answered;
     let read = edge
         .alarm
         .timeout_at(job.answer_deadline(), body.collect())
         .await;
-    drop(flight);
+    let target = match origin {
+        // The request no longer counts at the target.
+        Origin::Target { target, flight } => {
+            drop(flight);
+            Some(target)
+        }
+        Origin::Peer(_) => None,
+    };
     let body = match read {
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) => {
-            quarantine::note_lost(job, &target, "the answer broke off");
+            if let Some(target) = &target {
+                quarantine::note_lost(job, target, "the answer broke off");
+            }
             return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
         None => {
@@ -324,18 +450,19 @@
             ));
         }
     };
-    let now = edge.now();
-    edge.loads
-        .borrow_mut()
-        .note_time(&target.id, now - job.arrived);
-    if status.is_success() {
-        quarantine::note_success(job);
-    }
-    if !info.closing {
-        job.return_lane(&target.id, lane, info.keep_alive);
+    if let Some(target) = &target {
+        let took = edge.now() - job.arrived;
+        edge.loads.borrow_mut().note_time(&target.id, took);
+        if status.is_success() {
+            quarantine::note_success(job);
+        }
+        if !info.closing {
+            job.return_lane(&target.id, lane, info.keep_alive);
+        }
     }
     caller::remove_hop_by_hop(&mut headers);
-    track.ended(status.as_u16(), Some(&target.id), body.len());
+    let target = target.as_ref().map(|target| &target.id);
+    track.ended(status.as_u16(), target, body.len());
     Ok(reply::complete(status, headers, body))
 }
 
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -2,26 +2,71 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use thistlesill_core::edge::Target;
 use thistlesill_core::{Millis, ServiceName};
+use thistlesill_net::lane::within;
+use thistlesill_platform::engine::{self, Check};
 use thistlesill_policy::edge::reach::{Reach, ReachChange};
+use tokio::sync::Notify;
 
+use crate::peers::packet::{LostLinks, Packet};
+use crate::peers::{Reach as Scope, link};
 use crate::state::Edge;
 
+/// Time between two rounds of checks while links are lost.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two rounds of checks because of a doubt.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after a target failed in which others may answer, before some are asked.
+const DOUBT_DELAY: Duration = Duration::from_millis(50);
+/// Time limit of a check; a healthy target answers within some milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Number of targets of a service that are asked in one round.
+const CHECKED_TARGETS: usize = 3;
+
 /// This daemon's links to the targets, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     services: RefCell<HashMap<ServiceName, Reach>>,
+    /// Notified when links are lost.
+    lost: Notify,
+    /// Notified when another target has failed.
+    doubted: Notify,
 }
 
 impl Links {
     /// Returns the services to whose targets the links are lost.
-    pub(crate) fn lost(&self) -> Vec<ServiceName> {
+    pub(crate) fn lost_services(&self) -> Vec<ServiceName> {
         let services = self.services.borrow();
         let lost = services.iter().filter(|(_, reach)| reach.is_lost());
         lost.map(|(service, _)| service.clone()).collect()
     }
+
+    /// Returns whether the links to the targets of a service are lost.
+    pub(crate) fn is_lost(&self, service: &ServiceName) -> bool {
+        let services = self.services.borrow();
+        services.get(service).is_some_and(Reach::is_lost)
+    }
+
+    /// Returns whether a target of a service failed and none has answered since.
+    pub(crate) fn is_doubted(&self, service: &ServiceName) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|reach| reach.last_failure().is_some())
+    }
+
+    /// Returns the services whose links are in doubt, and since when.
+    fn doubted(&self) -> Vec<(ServiceName, Millis)> {
+        let services = self.services.borrow();
+        let doubted = services.iter().filter(|(_, reach)| !reach.is_lost());
+        let doubted = doubted.filter_map(|(name, r)| Some((name.clone(), r.last_failure()?)));
+        doubted.collect()
+    }
 }
 
 /// Records that a target answered on a connection that this daemon opened at `opened`.
@@ -55,17 +100,137 @@
 
 fn react(edge: &Edge, service: &ServiceName, change: ReachChange) {
     match change {
-        ReachChange::Unchanged | ReachChange::Doubtful => return,
+        ReachChange::Unchanged => return,
+        ReachChange::Doubtful => {
+            edge.links.doubted.notify_one();
+            return;
+        }
         ReachChange::Lost => {
             let services = edge.links.services.borrow();
             let failed = services.get(service).map_or(0, |r| r.failed().count());
             let line = edge.lines.line("links_lost").with("service", service);
             line.with("failed", failed).write();
+            edge.links.lost.notify_one();
         }
         ReachChange::Restored(after) => {
             let line = edge.lines.line("links_restored").with("service", service);
             line.with("after_ms", after.get()).write();
         }
     }
-    metrics::gauge!("thistlesill_edge_services_out_of_reach").set(edge.links.lost().len() as f64);
+    metrics::gauge!("thistlesill_edge_services_out_of_reach")
+        .set(edge.links.lost_services().len() as f64);
+    report(edge, Scope::All);
+}
+
+/// Sends the peers the services whose targets this daemon does not reach.
+fn report(edge: &Edge, scope: Scope) {
+    let lost = LostLinks {
+        from: edge.settings().name.clone(),
+        services: edge.links.lost_services(),
+    };
+    link::broadcast(edge, &Packet::LinksLost(lost), scope);
+}
+
+/// Repeats the report to the peers within `scope` while links are lost.
+pub(crate) fn report_again(edge: &Edge, scope: Scope) {
+    if !edge.links.lost_services().is_empty() {
+        report(edge, scope);
+    }
+}
+
+/// Receives a peer's report.
+pub(crate) fn receive(edge: &Edge, lost: LostLinks) {
+    let until = edge.now() + edge.peer_data_lifetime();
+    edge.peers.borrow_mut().set_lost_links(lost, until);
+}
+
+/// Checks whether targets answer, while links are lost; never returns.
+pub(crate) async fn check_lost(edge: Rc<Edge>) {
+    loop {
+        let lost = edge.links.lost_services();
+        for service in &lost {
+            check_service(&edge, service);
+        }
+        if lost.is_empty() {
+            edge.links.lost.notified().await;
+        } else {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// Checks whether targets answer, after one of them failed and no other one has answered since;
+/// never returns.
+pub(crate) async fn check_doubted(edge: Rc<Edge>) {
+    loop {
+        edge.links.doubted.notified().await;
+        tokio::time::sleep(DOUBT_DELAY).await;
+        for (service, since) in edge.links.doubted() {
+            if !has_progress(&edge, &service, since) {
+                check_service(&edge, &service);
+            }
+        }
+        tokio::time::sleep(DOUBT_INTERVAL).await;
+    }
+}
+
+/// Returns whether a target of a service has sent something to this daemon after `since`.
+fn has_progress(edge: &Edge, service: &ServiceName, since: Millis) -> bool {
+    let (registry, loads) = (edge.registry.borrow(), edge.loads.borrow());
+    let targets = registry.of_service(service).into_iter().flatten();
+    targets
+        .into_iter()
+        .any(|(id, _)| loads.progress(id) > since)
+}
+
+/// Asks some targets of a service whether they answer.
+fn check_service(edge: &Rc<Edge>, service: &ServiceName) {
+    let Some(catalog) = edge.catalog() else {
+        return;
+    };
+    let Some(service) = catalog.service(service) else {
+        edge.links.services.borrow_mut().remove(service);
+        return;
+    };
+    for target in draw_targets(edge, &service.name) {
+        let (edge, health) = (edge.clone(), service.health.clone());
+        let runs_models = service.engine.is_some();
+        tokio::task::spawn_local(async move {
+            let check = if runs_models {
+                Check::Report
+            } else {
+                Check::Health(&health)
+            };
+            let opened = edge.now();
+            let until = within(CHECK_TIMEOUT);
+            match engine::check(&target.id, target.address, check, until).await {
+                Ok(()) => note_answer(&edge, &target, opened),
+                Err(error) => {
+                    log::debug!("reach: {}: {error}", target.id);
+                    note_failure(&edge, &target, opened);
+                }
+            }
+        });
+    }
+}
+
+/// Draws targets of a service, if possible others than those that failed.
+fn draw_targets(edge: &Edge, service: &ServiceName) -> Vec<Target> {
+    let (registry, services) = (edge.registry.borrow(), edge.links.services.borrow());
+    let (Some(targets), Some(reach)) = (registry.of_service(service), services.get(service)) else {
+        return Vec::new();
+    };
+    let now = edge.now();
+    let may_ask = |t: &&Target| {
+        let gone = registry.is_leaving(&t.id) || registry.is_evacuated(&t.hall);
+        !gone && !edge.backoffs.is_active(&t.id, now)
+    };
+    let has_failed = |t: &Target| reach.failed().any(|id| *id == t.id);
+    let rng = &mut *edge.rng.borrow_mut();
+    let others = targets.values().filter(may_ask).filter(|t| !has_failed(t));
+    let mut drawn = others.sample(rng, CHECKED_TARGETS);
+    let missing = CHECKED_TARGETS - drawn.len();
+    let failed = targets.values().filter(may_ask).filter(|t| has_failed(t));
+    drawn.extend(failed.sample(rng, missing));
+    drawn.into_iter().cloned().collect()
 }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -12,19 +12,19 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use thistlesill_core::edge::{RouteKind, Target, TargetId};
-use thistlesill_core::{ErrorKind, Millis};
+use thistlesill_core::edge::{RouteKind, Target};
+use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_platform::caller;
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
 
 use self::cutter::Cutter;
-pub(crate) use self::passing::forward;
-use crate::attempt::{Answered, AttemptPosition, attempt};
+pub(crate) use self::passing::forward_plain;
+use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
 use crate::choice::{Choice, Pick};
-use crate::flight::InFlight;
+use crate::forward::{self, Way};
 use crate::job::Job;
-use crate::proxy::resolve_failure;
+use crate::proxy::{Destination, Tried, resolve_failure};
 use crate::quarantine;
 use crate::reach;
 use crate::reply::{self, Interrupted, OutBody};
@@ -85,13 +85,14 @@
     ///
     /// The previous events were forwarded at `forwarded`, and the next ones were awaited from
     /// `awaited` on.
-    fn record(&mut self, job: &Job, target: &Target, forwarded: Millis, awaited: Millis) {
+    fn record(&mut self, job: &Job, target: Option<&Target>, forwarded: Millis, awaited: Millis) {
         let now = job.edge.now();
         let length = now - forwarded;
         if length < self.length {
             return;
         }
-        let unread = job.edge.loads.borrow().work(&target.id, now).unread;
+        let loads = job.edge.loads.borrow();
+        let unread = target.map_or(0, |target| loads.work(&target.id, now).unread);
         let pause = Self {
             length,
             waited: now - awaited,
@@ -121,7 +122,7 @@
     attempts: Attempts,
     cutter: Cutter,
     source: Option<Source>,
-    tried: Vec<TargetId>,
+    tried: Tried,
     /// Whether to wait for a silent target, since no other target may or can resume the stream.
     stay: bool,
     bytes: usize,
@@ -130,14 +131,13 @@
     longest_pause: Pause,
 }
 
-/// The target's side of a stream.
+/// The side of a stream that its target or a peer sends.
 struct Source {
     body: Incoming,
     lane: HttpConnection,
-    target: Target,
+    origin: Origin,
     keep: Option<Millis>,
     closing: bool,
-    flight: InFlight,
     /// When the answer began.
     began: Millis,
     /// When the last event arrived.
@@ -148,13 +148,23 @@
     /// Records the arrival of events and the pause since the previous ones.
     fn record_event(&mut self, job: &Job) {
         let now = job.edge.now();
+        let last = self.last_event.replace(now);
+        let Some(target) = self.origin.target() else {
+            return;
+        };
         let mut loads = job.edge.loads.borrow_mut();
         let engine = job.admission.service.engine.as_ref();
-        if let (Some(last), Some(engine)) = (self.last_event, engine) {
-            loads.note_pause(&self.target, engine, now - last, now);
+        if let (Some(last), Some(engine)) = (last, engine) {
+            loads.note_pause(target, engine, now - last, now);
+        }
+        loads.note_progress(&target.id, now);
+    }
+
+    /// Records that the target has finished the prefill.
+    fn end_prefill(&mut self) {
+        if let Origin::Target { flight, .. } = &mut self.origin {
+            flight.end_prefill();
         }
-        loads.note_progress(&self.target.id, now);
-        self.last_event = Some(now);
     }
 
     fn new(answered: Answered, now: Millis) -> Self {
@@ -162,15 +172,19 @@
             began: now,
             body: answered.body,
             lane: answered.lane,
-            target: answered.target,
+            origin: answered.origin,
             keep: answered.info.keep_alive,
             closing: answered.info.closing,
-            flight: answered.flight,
             last_event: None,
         }
     }
 }
 
+/// Number of targets that a request was sent to before its answer began, as an extension of the
+/// answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SentTargets(pub(crate) u32);
+
 /// Starts to relay a stream to its caller.
 pub(crate) fn begin(
     job: Rc<Job>,
@@ -181,11 +195,12 @@
     let status = answered.status;
     let mut headers = answered.headers.clone();
     caller::remove_hop_by_hop(&mut headers);
-    attempts.sent += 1;
+    attempts.sent += answered.sent;
     attempts.may_have_run = true;
     let edge = job.edge.clone();
+    let sent = SentTargets(attempts.sent);
     let relay = Relay {
-        tried: vec![answered.target.id.clone()],
+        tried: Tried::by(&answered.origin),
         source: Some(Source::new(answered, edge.now())),
         track: track.split(&edge),
         job,
@@ -196,7 +211,9 @@
         forwarded: None,
         longest_pause: Pause::default(),
     };
-    reply::streamed(status, headers, relay.chunks())
+    let mut answer = reply::streamed(status, headers, relay.chunks());
+    answer.extensions_mut().insert(sent);
+    answer
 }
 
 impl Relay {
@@ -234,13 +251,18 @@
         };
         let (job, stay) = (self.job.clone(), self.stay);
         let first = self.bytes == 0;
-        let target = source.target.clone();
+        let target = source.origin.target().cloned();
+        let peer = match &source.origin {
+            Origin::Target { .. } => None,
+            Origin::Peer(peer) => Some(peer.clone()),
+        };
         let (awaited, forwarded) = (job.edge.now(), self.forwarded);
         let stalled = async {
-            if stay {
-                pending::<()>().await;
+            match (&target, &peer) {
+                (Some(target), _) if !stay => wait_for_stall(&job, target, first).await,
+                (_, Some(peer)) if !stay => forward::wait_for_peer_loss(&job.edge, peer).await,
+                _ => pending::<()>().await,
             }
-            wait_for_stall(&job, &target, first).await;
         };
         tokio::select! {
             biased;
@@ -249,10 +271,10 @@
                     source.record_event(&self.job);
                     if let Some(forwarded) = forwarded {
                         self.longest_pause
-                            .record(&self.job, &target, forwarded, awaited);
+                            .record(&self.job, target.as_ref(), forwarded, awaited);
                     }
                     if let Ok(data) = frame.into_data() {
-                        source.flight.end_prefill();
+                        source.end_prefill();
                         self.cutter.push(&data);
                     }
                     None
@@ -266,21 +288,14 @@
         }
     }
 
-    /// Resumes the stream at another target, if that is allowed and one can. Otherwise keeps
-    /// waiting for a stalled source, and fails if the source is lost.
+    /// Resumes the stream at another target or through a peer, if that is allowed and one can.
+    /// Otherwise keeps waiting for a stalled source, and fails if the source is lost.
     async fn resume(&mut self, stop: Stop) -> Result<(), Interrupted> {
         let reason = match stop {
             Stop::Stalled => "no event for too long",
             _ => "the stream broke off",
         };
-        if let Some(source) = &self.source {
-            let begun = source.last_event.unwrap_or(source.began);
-            reach::note_failure(&self.job.edge, &source.target, begun);
-            match stop {
-                Stop::Stalled => self.job.edge.suspect(&source.target.id, reason),
-                _ => quarantine::note_lost(&self.job, &source.target, reason),
-            }
-        }
+        self.note_stop(stop, reason);
         if stop == Stop::Broken {
             self.source = None;
             self.cutter.drop_partial();
@@ -294,25 +309,21 @@
                 outcome = ErrorKind::Withheld.name();
                 break;
             }
-            let Pick {
-                choice: Choice::Target(target),
-                clearance,
-                ..
-            } = job.pick(&self.tried, self.attempts).await
-            else {
-                break;
+            let end = match forward::way(&job, &self.tried.peers) {
+                Way::Direct => self.try_target().await,
+                Way::Peer(peer) => Some(self.try_peer(peer).await),
+                Way::Nowhere => None,
             };
-            if job.admission.customer.is_some() && !job.edge.is_fresh() {
+            let Some((destination, end)) = end else {
                 break;
-            }
-            self.tried.push(target.id.clone());
-            let last_event = self.cutter.last_id().or(job.head.last_event.as_deref());
-            let position = AttemptPosition::after(self.attempts.sent, job.admission.route.attempts);
-            match attempt(&job, &target, clearance, &self.tried, last_event, position).await {
+            };
+            match end {
                 Ok(answered) if answered.status.is_success() => {
-                    let from = self.tried.first().cloned().unwrap_or_default();
-                    self.track.resumed(&from, &target.id, last_event, reason);
-                    self.attempts.sent += 1;
+                    let from = self.tried.targets.first().cloned().unwrap_or_default();
+                    let last_event = self.last_event();
+                    self.track
+                        .resumed(&from, &destination, last_event.as_deref(), reason);
+                    self.attempts.sent += answered.sent;
                     // A target that only paused may still complete an event that it began, so
                     // the partial event is kept until another target resumes the stream.
                     self.cutter.drop_partial();
@@ -322,8 +333,10 @@
                 Ok(_) => break,
                 Err(failure) => {
                     let attempts = &mut self.attempts;
-                    let next = resolve_failure(&job, &target, &failure, attempts, &self.track);
-                    retry = next == NextStep::Retry;
+                    let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
+                    let is_unsent = failure.outcome == Outcome::NotSent;
+                    let elsewhere = || forward::way(&job, &self.tried.peers) != Way::Direct;
+                    retry = next == NextStep::Retry || (is_unsent && elsewhere());
                 }
             }
         }
@@ -334,6 +347,62 @@
         Err(self.break_off(outcome))
     }
 
+    /// Records what the end of the source says of its target.
+    fn note_stop(&self, stop: Stop, reason: &str) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let Some(target) = source.origin.target() else {
+            return;
+        };
+        let begun = source.last_event.unwrap_or(source.began);
+        reach::note_failure(&self.job.edge, target, begun);
+        match stop {
+            Stop::Stalled => self.job.edge.suspect(&target.id, reason),
+            _ => quarantine::note_lost(&self.job, target, reason),
+        }
+    }
+
+    /// Returns the id of the last event that the caller has.
+    fn last_event(&self) -> Option<String> {
+        let last = self.cutter.last_id();
+        let last = last.or(self.job.head.last_event.as_deref());
+        last.map(ToOwned::to_owned)
+    }
+
+    /// Picks a target and requests the rest of the stream there; returns `None` if that is not
+    /// possible now.
+    async fn try_target(&mut self) -> Option<(Destination, Result<Answered, Failure>)> {
+        let job = self.job.clone();
+        let Pick {
+            choice: Choice::Target(target),
+            clearance,
+            ..
+        } = job.pick(&self.tried.targets, self.attempts).await
+        else {
+            return None;
+        };
+        if job.admission.customer.is_some() && !job.edge.is_fresh() {
+            return None;
+        }
+        self.tried.targets.push(target.id.clone());
+        let last_event = self.last_event();
+        let position = AttemptPosition::after(self.attempts.sent, job.admission.route.attempts);
+        let tried = &self.tried.targets;
+        let last_event = last_event.as_deref();
+        let end = attempt(&job, &target, clearance, tried, last_event, position).await;
+        Some((Destination::Target(target), end))
+    }
+
+    /// Requests the rest of the stream from a peer.
+    async fn try_peer(&mut self, peer: NodeId) -> (Destination, Result<Answered, Failure>) {
+        self.tried.peers.push(peer.clone());
+        self.track.forwarded(&peer);
+        let last_event = self.last_event();
+        let end = forward::attempt(&self.job, &peer, last_event.as_deref(), self.attempts).await;
+        (Destination::Peer(peer), end)
+    }
+
     /// Returns whether another attempt is allowed, and takes it out of the retry budget.
     fn may_go_on(&self) -> bool {
         let job = &self.job;
@@ -349,20 +418,21 @@
         let bytes = self.bytes;
         if let Some(source) = self.source.take() {
             self.track.paused(self.longest_pause);
-            self.track.ended(200, Some(&source.target.id), bytes);
-            quarantine::note_success(&self.job);
-            if !source.closing {
-                self.job
-                    .return_lane(&source.target.id, source.lane, source.keep);
+            self.track.ended(200, source.origin.target_id(), bytes);
+            if let Origin::Target { target, .. } = &source.origin {
+                quarantine::note_success(&self.job);
+                if !source.closing {
+                    self.job.return_lane(&target.id, source.lane, source.keep);
+                }
             }
         }
         None
     }
 
     fn break_off(&mut self, outcome: &str) -> Interrupted {
-        let target = self.tried.last().cloned().unwrap_or_default();
+        let target = self.tried.targets.last();
         self.track.paused(self.longest_pause);
-        self.track.broke_off(&target, self.bytes, outcome);
+        self.track.broke_off(target, self.bytes, outcome);
         Interrupted
     }
 }
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -24,7 +24,11 @@
 }
 
 /// Forwards a large plain answer to the caller as it arrives.
-pub(crate) fn forward(job: Rc<Job>, answered: Answered, track: &mut Track) -> Response<OutBody> {
+pub(crate) fn forward_plain(
+    job: Rc<Job>,
+    answered: Answered,
+    track: &mut Track,
+) -> Response<OutBody> {
     let status = answered.status;
     let mut headers = answered.headers.clone();
     caller::remove_hop_by_hop(&mut headers);
@@ -52,13 +56,17 @@
             };
             match frame {
                 None => {
-                    let target = &self.source.target.id;
-                    self.track.ended(200, Some(target), self.bytes);
-                    quarantine::note_success(&self.job);
+                    let target = self.source.origin.target_id();
+                    self.track.ended(200, target, self.bytes);
+                    if target.is_some() {
+                        quarantine::note_success(&self.job);
+                    }
                     return Ok(None);
                 }
                 Some(Err(_)) => {
-                    quarantine::note_lost(&self.job, &self.source.target, "the answer broke off");
+                    if let Some(target) = self.source.origin.target() {
+                        quarantine::note_lost(&self.job, target, "the answer broke off");
+                    }
                     return Err(self.break_off("broke_off"));
                 }
                 Some(Ok(frame)) => {
@@ -72,8 +80,8 @@
     }
 
     fn break_off(&mut self, outcome: &str) -> Interrupted {
-        self.track
-            .broke_off(&self.source.target.id, self.bytes, outcome);
+        let target = self.source.origin.target_id();
+        self.track.broke_off(target, self.bytes, outcome);
         Interrupted
     }
 }
--- a/crates/thistlesill-edge/src/reply.rs
+++ b/crates/thistlesill-edge/src/reply.rs
@@ -80,7 +80,8 @@
 
 /// Builds the answer to an error.
 ///
-/// `after`, if given, replaces the usual time after which the caller may retry.
+/// `after`, if given, replaces the usual time after which the caller may retry. The kind is an
+/// extension of the answer, by which one that a peer gets is told from a target's.
 pub(crate) fn error(kind: ErrorKind, after: Option<Millis>) -> Response<OutBody> {
     let row = kind.answer();
     let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -88,5 +89,7 @@
     if let Retry::After(usual) = row.retry {
         set_retry_after(&mut headers, after.unwrap_or(usual));
     }
-    complete(status, headers, Bytes::from_static(row.text.as_bytes()))
+    let mut answer = complete(status, headers, Bytes::from_static(row.text.as_bytes()));
+    answer.extensions_mut().insert(kind);
+    answer
 }
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 
 use crate::backoffs::Backoffs;
+use crate::forward::ForwardState;
 use crate::lanes::Lanes;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -120,6 +121,8 @@
     /// Backoffs that targets request from this daemon.
     pub(crate) backoffs: Backoffs,
     pub(crate) lanes: Lanes,
+    /// Peers that requests can be passed to.
+    pub(crate) forwarding: ForwardState,
     /// The links to the targets.
     pub(crate) links: Links,
     pub(crate) lines: Lines,
@@ -198,6 +201,7 @@
             loads: RefCell::new(LoadTable::default()),
             demand_meter: RefCell::new(DemandMeter::default()),
             lanes: Lanes::default(),
+            forwarding: ForwardState::default(),
             links: Links::default(),
             lines: Lines::start(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -5,12 +5,13 @@
 
 use hyper::Response;
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::{ErrorKind, Fingerprint, Millis};
+use thistlesill_core::{ErrorKind, Fingerprint, Millis, NodeId};
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::attempt::{NextStep, Outcome};
 use thistlesill_policy::edge::load::Work;
 
 use crate::choice::PlacedBy;
+use crate::proxy::Destination;
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
 use crate::state::Edge;
@@ -62,6 +63,8 @@
     retry_after: Option<Millis>,
     /// Which daemon chose the last target before the answer began.
     placed: Option<PlacedBy>,
+    /// The peer that the request was last passed to.
+    peer: Option<NodeId>,
     /// The longest pause of the stream.
     pause: Option<Pause>,
     /// How often the stream was resumed at another target.
@@ -87,6 +90,7 @@
             reason: None,
             retry_after: None,
             placed: None,
+            peer: None,
             pause: None,
             resumes: 0,
             fingerprint: None,
@@ -100,6 +104,7 @@
         rest.route.clone_from(&self.route);
         rest.version = self.version;
         rest.placed = self.placed;
+        rest.peer.clone_from(&self.peer);
         rest.aim = self.aim;
         rest.max_pause = self.max_pause;
         rest.sent = self.sent;
@@ -156,10 +161,16 @@
         self.pause = Some(pause);
     }
 
+    /// Records the peer that the request is passed to.
+    pub(crate) fn forwarded(&mut self, peer: &NodeId) {
+        metrics::counter!("thistlesill_edge_forwarded_total").increment(1);
+        self.peer = Some(peer.clone());
+    }
+
     /// Logs an attempt that gave no answer to forward.
     pub(crate) fn attempt_failed(
         &self,
-        target: &Target,
+        destination: &Destination,
         outcome: Outcome,
         reason: &str,
         next: NextStep,
@@ -171,13 +182,14 @@
             NextStep::Forward => "deliver".to_owned(),
             NextStep::Fail(kind) => format!("fail:{kind}"),
         };
-        self.edge
-            .lines
-            .line("attempt_failed")
-            .with("id", &self.id)
-            .with("target", &target.id)
-            .with("address", target.address)
-            .with("outcome", outcome.name())
+        let line = self.edge.lines.line("attempt_failed").with("id", &self.id);
+        let line = match destination {
+            Destination::Target(target) => line
+                .with("target", &target.id)
+                .with("address", target.address),
+            Destination::Peer(peer) => line.with("peer", peer),
+        };
+        line.with("outcome", outcome.name())
             .with("why", reason)
             .with("after_ms", (self.edge.now() - self.arrived).get())
             .with("next", next)
@@ -188,7 +200,7 @@
     pub(crate) fn resumed(
         &mut self,
         from: &TargetId,
-        to: &TargetId,
+        to: &Destination,
         last_event: Option<&str>,
         reason: &str,
     ) {
@@ -232,8 +244,8 @@
     }
 
     /// Ends the request with an answer that broke off.
-    pub(crate) fn broke_off(&mut self, target: &TargetId, bytes: usize, outcome: &str) {
-        self.end(200, Some(target), bytes, outcome);
+    pub(crate) fn broke_off(&mut self, target: Option<&TargetId>, bytes: usize, outcome: &str) {
+        self.end(200, target, bytes, outcome);
     }
 
     fn end(&mut self, status: u16, target: Option<&TargetId>, bytes: usize, outcome: &str) {
@@ -257,6 +269,7 @@
             .with("status", status)
             .maybe("route", self.route.as_deref())
             .maybe("target", target)
+            .maybe("peer", self.peer.as_ref())
             .maybe("placed", self.placed.map(PlacedBy::name))
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -1,11 +1,11 @@
 //! Daemons that lose the way to targets while callers, the store and the other daemons reach them.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, book, planner, read, send_through, sleep, stream, world};
+use crate::support::{Timed, read, send_through, stream, world};
 
 /// Time after the begin of a partition in which requests may fail.
 const CONTACT: Duration = Duration::from_secs(3);
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -12,8 +12,6 @@
 /// Number of targets that must have failed, without an answer of any, for links to count as lost;
 /// fewer if the service has fewer targets.
 const MIN_FAILED: usize = 3;
-/// Number of failed targets from which on it is checked whether others answer.
-const MIN_DOUBTED: usize = 2;
 /// Number of targets that must answer again for lost links to count as restored; fewer if the
 /// service has fewer targets.
 const MIN_ANSWERED: usize = 2;
@@ -25,7 +23,7 @@
 pub enum ReachChange {
     /// Nothing that needs a reaction.
     Unchanged,
-    /// Some targets failed; others should be asked whether they answer.
+    /// Another target failed; it should be checked whether others answer.
     Doubtful,
     /// The links to the targets are lost.
     Lost,
@@ -52,10 +50,10 @@
         self.lost_at.is_some()
     }
 
-    /// Returns since when the links to the targets are lost.
+    /// Returns when the last failed exchange began, unless a target has answered since.
     #[must_use]
-    pub const fn lost_at(&self) -> Option<Millis> {
-        self.lost_at
+    pub fn last_failure(&self) -> Option<Millis> {
+        self.failed.values().max().copied()
     }
 
     /// Returns the targets that failed since the last answer of any target.
@@ -83,7 +81,7 @@
             self.answered.clear();
             return ReachChange::Lost;
         }
-        if is_new && self.failed.len() == MIN_DOUBTED {
+        if is_new {
             return ReachChange::Doubtful;
         }
         ReachChange::Unchanged
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -53,6 +53,7 @@
     catalog.add_route("a.example", route("long", "/a/b/", false));
     catalog.add_route("a.example", route("open", "/open/", true));
     catalog.add_service(Service {
+        health: "/health".into(),
         name: "s".into(),
         connections: 10,
         warmup: None,
--- a/crates/thistlesill-policy/tests/edge/book.rs
+++ b/crates/thistlesill-policy/tests/edge/book.rs
@@ -114,6 +114,7 @@
     let mut catalog = Catalog::new(version, limits);
     for (name, engine) in [("s", None), ("pool", Some(engine()))] {
         catalog.add_service(Service {
+            health: "/health".into(),
             name: name.into(),
             connections: 10,
             warmup: None,
