fix(edge): a planner without links no longer takes targets for dead

Cause: one daemon's failed probe, or an order whose connection was refused, counted as the death of the target. It counts now only once another target has answered on a connection opened since; if none has, three are asked, and without an answer the failure is one of the planner's own links: a refused order then is one of unknown outcome.

A probe that fails while others answer costs three checks at most once per failure, shared by all that failed before.

--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -274,7 +274,9 @@
         .borrow_mut()
         .set_peer_counts(&heartbeat.from, counts, until);
     for target in &heartbeat.unresponsive {
-        if edge.registry.borrow().is_current(target) {
+        // Events that arrive here show that only the planner does not reach the target.
+        let is_active = edge.loads.borrow().has_active_streams(target, now);
+        if !is_active && edge.registry.borrow().is_current(target) {
             edge.suspect(target, "it answered no probe of the planner");
         }
     }
--- a/crates/thistlesill-edge/src/planner/actions.rs
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -40,10 +40,7 @@
                     let begun = planner.edge.now();
                     let reply =
                         engine::send_order(&target, address, &order, within(ORDER_TIMEOUT)).await;
-                    // An engine may leave an order unanswered although it is reached.
-                    if reply != OrderReply::Unknown {
-                        planner.note_reach(&target, begun, reply != OrderReply::Refused);
-                    }
+                    let reply = planner.confirm_reply(&service, &target, reply, begun).await;
                     planner.log_order(&target, &order, &format!("{reply:?}"), reason);
                     planner.with_fleet(&service, |fleet, now| {
                         fleet.record_reply(&target, &order, reply, now);
@@ -67,7 +64,10 @@
         }
         let begun = self.edge.now();
         let report = engine::fetch_report(target, address, within(PROBE_TIMEOUT)).await;
-        self.note_reach(target, begun, report.is_ok());
+        let is_confirmed = match &report {
+            Ok(_) => self.confirm_answer(target, begun),
+            Err(_) => self.confirm_failure(service, target, begun).await,
+        };
         let line = lines.line("probe").with("target", target);
         match &report {
             Ok(report) => line
@@ -75,9 +75,15 @@
                 .with("running", report.running)
                 .with("pace", report.pace)
                 .with("orders_taken", report.orders_taken),
-            Err(error) => line.with("alive", false).with("why", error),
+            Err(error) => line
+                .with("alive", false)
+                .with("confirmed", is_confirmed)
+                .with("why", error),
         }
         .write();
+        if !is_confirmed {
+            return;
+        }
         let outcome = report
             .as_ref()
             .map_or(ProbeOutcome::Unresponsive, |report| {
@@ -94,16 +100,53 @@
         });
     }
 
-    /// Records whether a target answered on a connection that was opened at `begun`.
-    fn note_reach(&self, target: &TargetId, begun: Millis, answered: bool) {
+    /// Returns what an order's reply says of its target. That nothing listens there is only known
+    /// if another target has answered since.
+    async fn confirm_reply(
+        &self,
+        service: &ServiceName,
+        target: &TargetId,
+        reply: OrderReply,
+        begun: Millis,
+    ) -> OrderReply {
+        match reply {
+            OrderReply::Refused if !self.confirm_failure(service, target, begun).await => {
+                OrderReply::Unknown
+            }
+            // An engine may leave an order unanswered although it is reached.
+            OrderReply::Refused | OrderReply::Unknown => reply,
+            _ => {
+                self.confirm_answer(target, begun);
+                reply
+            }
+        }
+    }
+
+    /// Records that a target answered on a connection that was opened at `begun`.
+    fn confirm_answer(&self, target: &TargetId, begun: Millis) -> bool {
         let target = self.edge.registry.borrow().target(target).cloned();
-        // A target that is no longer listed says nothing about the links to the others.
-        let Some(target) = target else { return };
-        if answered {
+        if let Some(target) = target {
             reach::note_answer(&self.edge, &target, begun);
-        } else {
+        }
+        true
+    }
+
+    /// Returns whether the failure of an exchange that began at `begun` says something of its
+    /// target: another target has answered since. Otherwise records it as a failure of the links.
+    async fn confirm_failure(
+        &self,
+        service: &ServiceName,
+        target: &TargetId,
+        begun: Millis,
+    ) -> bool {
+        if reach::is_confirmed(&self.edge, service, begun).await {
+            return true;
+        }
+        let target = self.edge.registry.borrow().target(target).cloned();
+        if let Some(target) = target {
             reach::note_failure(&self.edge, &target, begun);
         }
+        false
     }
 
     fn with_fleet(&self, service: &ServiceName, step: impl FnOnce(&mut FleetPlanner, Millis)) {
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -25,6 +25,8 @@
 const DOUBT_DELAY: Duration = Duration::from_millis(50);
 /// Time limit of a check; a healthy target answers within some milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long an answer that confirms a failure is awaited.
+const CONFIRM_TIMEOUT: Millis = Millis::new(250);
 /// Number of targets of a service that are asked in one round.
 const CHECKED_TARGETS: usize = 3;
 
@@ -32,6 +34,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     services: RefCell<HashMap<ServiceName, Reach>>,
+    /// When targets of a service were last asked to confirm a failure.
+    checked: RefCell<HashMap<ServiceName, Millis>>,
+    /// Notified when a target answers on a new connection.
+    answered: Notify,
     /// Notified when links are lost.
     lost: Notify,
     /// Notified when another target has failed.
@@ -60,6 +66,24 @@
             .is_some_and(|reach| reach.last_failure().is_some())
     }
 
+    fn has_answered_since(&self, service: &ServiceName, since: Millis) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|reach| reach.has_answered_since(since))
+    }
+
+    /// Returns whether targets of a service should be asked to confirm a failure that began at
+    /// `since`; one round of checks confirms all that failed before it.
+    fn begin_check(&self, service: &ServiceName, since: Millis, now: Millis) -> bool {
+        let mut checked = self.checked.borrow_mut();
+        if checked.get(service).is_some_and(|at| *at >= since) {
+            return false;
+        }
+        checked.insert(service.clone(), now);
+        true
+    }
+
     /// Returns the services whose links are in doubt, and since when.
     fn doubted(&self) -> Vec<(ServiceName, Millis)> {
         let services = self.services.borrow();
@@ -74,6 +98,7 @@
     let change = update(edge, &target.service, |reach, now, targets| {
         reach.note_answer(&target.id, opened, now, targets)
     });
+    edge.links.answered.notify_waiters();
     react(edge, &target.service, change);
 }
 
@@ -174,6 +199,27 @@
     }
 }
 
+/// Returns whether the targets of a service have answered since `since`, which an exchange with one
+/// of them that failed began at. If none has, some are asked.
+///
+/// Without an answer the failure says nothing about that one target: this daemon may have lost its
+/// links to all of them.
+pub(crate) async fn is_confirmed(edge: &Rc<Edge>, service: &ServiceName, since: Millis) -> bool {
+    let deadline = edge.now() + CONFIRM_TIMEOUT;
+    loop {
+        let answered = edge.links.answered.notified();
+        if edge.links.has_answered_since(service, since) {
+            return true;
+        }
+        if edge.links.begin_check(service, since, edge.now()) {
+            check_service(edge, service);
+        }
+        if edge.alarm.timeout_at(deadline, answered).await.is_none() {
+            return edge.links.has_answered_since(service, since);
+        }
+    }
+}
+
 /// Returns whether a target of a service has sent something to this daemon after `since`.
 fn has_progress(edge: &Edge, service: &ServiceName, since: Millis) -> bool {
     let (registry, loads) = (edge.registry.borrow(), edge.loads.borrow());
--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -5,7 +5,7 @@
 use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, read, send_through, stream, world};
+use crate::support::{Timed, planner, read, send_through, stream, world};
 
 /// Time after the begin of a partition in which requests may fail.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -52,3 +52,34 @@
     assert!(others >= MIN_SERVED, "{others} at the others");
     assert!(cut >= MIN_SERVED, "{cut} at the daemons without links");
 }
+
+/// Sends streams through all daemons while the planner's daemon is cut off from the engines;
+/// returns the planner, and how often others suspected a target because of it.
+async fn with_planner_cut_off(world: &World, fault: LinkFault) -> (usize, usize) {
+    let planner = planner(world);
+    let all: Vec<usize> = (0..world.daemons.len()).collect();
+    send_through(world, &all, 30, Duration::from_secs(1), stream).await;
+    world.set_engine_fault(planner, fault);
+    send_through(world, &all, 30, Duration::from_secs(5), stream).await;
+    let others = all.iter().filter(|daemon| **daemon != planner);
+    let suspected = others.map(|daemon| {
+        let lines = world.log_lines(*daemon, "ev=target_suspected");
+        let count = lines
+            .iter()
+            .filter(|l| l.contains("no probe of the planner"));
+        count.count()
+    });
+    (planner, suspected.sum())
+}
+
+/// A planner that has lost its links finds each target unresponsive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_without_links_takes_targets_for_dead() {
+    let world = world(152, 4).await;
+    let before = world.targets.serving();
+    let (_, suspected) = with_planner_cut_off(&world, LinkFault::Reset).await;
+    assert_eq!(suspected, 0, "targets suspected by the others");
+    assert_eq!(world.targets.serving(), before, "no group is ended");
+    let cuts = (0..4).flat_map(|d| world.log_lines(d, "ev=order order=cut"));
+    assert_eq!(cuts.count(), 0);
+}
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -245,6 +245,12 @@
         found.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns whether a target is sending streams to this daemon.
+    pub fn has_active_streams(&self, id: &TargetId, now: Millis) -> bool {
+        let load = self.targets.get(id);
+        load.is_some_and(|load| load.has_active_streams(now))
+    }
+
     /// Returns the targets that are avoided although this daemon has active streams there: a target
     /// that leaves accepts no connections while it completes its requests.
     pub fn suspects_with_streams(&self, now: Millis) -> Vec<TargetId> {
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -37,6 +37,8 @@
     /// When the last failed exchange with each target began, for those that failed since the last
     /// answer of any target.
     failed: HashMap<TargetId, Millis>,
+    /// When the connection on which a target answered last was opened, the latest one counting.
+    answered_at: Option<Millis>,
     /// Since when the links are lost.
     lost_at: Option<Millis>,
     /// Targets that have answered since the links were lost.
@@ -50,6 +52,13 @@
         self.lost_at.is_some()
     }
 
+    /// Returns whether a target has answered on a connection opened at `since` or later. Only then
+    /// does the silence of another one say something about that target.
+    #[must_use]
+    pub fn has_answered_since(&self, since: Millis) -> bool {
+        self.answered_at.is_some_and(|at| at >= since)
+    }
+
     /// Returns when the last failed exchange began, unless a target has answered since.
     #[must_use]
     pub fn last_failure(&self) -> Option<Millis> {
@@ -96,6 +105,7 @@
         now: Millis,
         targets: usize,
     ) -> ReachChange {
+        self.answered_at = self.answered_at.max(Some(opened));
         // The answer does not refute what failed on later connections.
         self.failed.retain(|_, begun| *begun > opened);
         let Some(lost_at) = self.lost_at.filter(|lost_at| opened >= *lost_at) else {
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -82,6 +82,16 @@
     assert_eq!(restored, ReachChange::Restored(Millis::new(50)));
 }
 
+#[test]
+fn the_silence_of_a_target_says_nothing_until_another_one_answers() {
+    let mut reach = Reach::default();
+    assert!(!reach.has_answered_since(START));
+    answer(&mut reach, 1, 10);
+    reach.note_answer(&id(2), at(5), at(20), 40);
+    assert!(reach.has_answered_since(at(10)));
+    assert!(!reach.has_answered_since(at(11)));
+}
+
 #[test]
 fn failures_that_lie_far_apart_are_no_loss_of_links() {
     let mut reach = Reach::default();
