fix(edge): a planner that has lost its links gives the lease to a daemon that has not

Cause: holding the lease depended on the store alone. A planner that has lost its links to the engines of a service, while a live peer has not reported the same, now releases the lease and claims none until its links work again. If no daemon reaches them, the lease stays.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -65,6 +65,9 @@
         edge,
     });
     while !planner.must_stop() {
+        if planner.edge.is_planner.get() && planner.is_cut_off() {
+            planner.release_lease().await;
+        }
         planner.step_lease().await;
         planner.step();
         tokio::time::sleep(MIN_PASS_INTERVAL).await;
@@ -88,6 +91,18 @@
         stopping.is_some_and(|since| self.edge.now() - since >= BALANCER_DETECTION)
     }
 
+    /// Returns whether this daemon has lost its links to engines that another one reaches, which can
+    /// then form groups in its place.
+    fn is_cut_off(&self) -> bool {
+        let Some(catalog) = self.edge.catalog() else {
+            return false;
+        };
+        let services = catalog.services().filter(|s| s.engine.is_some());
+        services
+            .into_iter()
+            .any(|s| self.edge.links.is_lost(&s.name) && self.edge.is_reached_by_peer(&s.name))
+    }
+
     /// Releases the lease, so that another daemon need not wait for its end. If the write is lost,
     /// the lease expires.
     async fn release_lease(&self) {
@@ -149,6 +164,9 @@
     /// does not run, or the holder falls silent, the first daemons of the data centres do, and the
     /// others only if none of those succeeds.
     fn may_claim_lease(&self, now: Millis) -> bool {
+        if self.is_cut_off() {
+            return false;
+        }
         let peers = self.edge.peers.borrow();
         if peers.is_planner_alive(now) {
             return false;
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -323,6 +323,13 @@
         self.targets_freshness.get().age(self.now())
     }
 
+    /// Returns whether some peer reaches the targets of a service, as far as this daemon knows.
+    pub(crate) fn is_reached_by_peer(&self, service: &ServiceName) -> bool {
+        let hall = &self.settings().hall;
+        let peers = self.peers.borrow();
+        peers.reaching(service, hall, self.now()).next().is_some()
+    }
+
     /// Returns the time in which the daemon must exit after it was told to stop.
     pub(crate) fn grace(&self) -> Millis {
         self.settings.borrow().bounds.grace - STOP_MARGIN
--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -5,7 +5,7 @@
 use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, planner, read, send_through, stream, world};
+use crate::support::{Timed, planner, read, send_through, sleep, stream, world};
 
 /// Time after the begin of a partition in which requests may fail.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -83,3 +83,30 @@
     let cuts = (0..4).flat_map(|d| world.log_lines(d, "ev=order order=cut"));
     assert_eq!(cuts.count(), 0);
 }
+
+/// A planner that has lost its links can give no orders, but can still renew its lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_without_links_keeps_the_lease() {
+    let world = world(153, 4).await;
+    let (before, _) = with_planner_cut_off(&world, LinkFault::Stalled).await;
+    let gained = |daemon: &usize| !world.log_lines(*daemon, "ev=lease_gained").is_empty();
+    let others = (0..4).filter(|daemon| *daemon != before);
+    let successor = others.clone().find(gained);
+    assert!(successor.is_some(), "no other daemon plans");
+    // The successor replaces a member that is lost.
+    let groups = world.targets.serving();
+    let (_, members) = groups.iter().find(|(_, m)| m.len() == 4).expect("a group");
+    world.targets.kill(&members[1]);
+    let served = async {
+        while world
+            .targets
+            .serving()
+            .iter()
+            .all(|(_, m)| m.len() != 4 || m.contains(&members[1]))
+        {
+            sleep(50).await;
+        }
+    };
+    let repaired = tokio::time::timeout(Duration::from_secs(12), served).await;
+    assert!(repaired.is_ok(), "no group is formed again");
+}
