fix(edge): answers that break off are no loss of links

A target that was reached and then broke off counted like one that was not reached. It raises a doubt now, on which three targets are checked; only connections that do not come up and checks without an answer count as failures of the links.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -187,7 +187,7 @@
             answer = &mut send => answer,
             () = edge.alarm.sleep_until(last) => Err(ConnectionError::TimedOut),
             () = give_up => {
-                reach::note_failure(edge, target, sent);
+                reach::note_doubt(edge, target, sent);
                 edge.suspect(&target.id, "no answer begins");
                 return Err(Failure {
                     by_connection: reused,
@@ -199,7 +199,7 @@
     match &answer {
         Ok(_) if reused => {}
         Ok(_) => reach::note_answer(edge, target, sent),
-        Err(_) => reach::note_failure(edge, target, sent),
+        Err(_) => reach::note_doubt(edge, target, sent),
     }
     match answer {
         Ok(response) => classify_answer(job, target, response, lane, flight, sent),
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -58,12 +58,12 @@
         services.get(service).is_some_and(Reach::is_lost)
     }
 
-    /// Returns whether a target of a service failed and none has answered since.
+    /// Returns whether an exchange with a target of a service failed and none has answered since.
     pub(crate) fn is_doubted(&self, service: &ServiceName) -> bool {
         let services = self.services.borrow();
         services
             .get(service)
-            .is_some_and(|reach| reach.last_failure().is_some())
+            .is_some_and(|reach| reach.doubted_since().is_some())
     }
 
     fn has_answered_since(&self, service: &ServiceName, since: Millis) -> bool {
@@ -88,7 +88,7 @@
     fn doubted(&self) -> Vec<(ServiceName, Millis)> {
         let services = self.services.borrow();
         let doubted = services.iter().filter(|(_, reach)| !reach.is_lost());
-        let doubted = doubted.filter_map(|(name, r)| Some((name.clone(), r.last_failure()?)));
+        let doubted = doubted.filter_map(|(name, r)| Some((name.clone(), r.doubted_since()?)));
         doubted.collect()
     }
 }
@@ -102,7 +102,13 @@
     react(edge, &target.service, change);
 }
 
-/// Records that an exchange with a target, which began at `begun`, had no answer.
+/// Records that an exchange with a target, which began at `begun`, was broken off or had no answer.
+pub(crate) fn note_doubt(edge: &Edge, target: &Target, begun: Millis) {
+    let change = update(edge, &target.service, |reach, _, _| reach.note_doubt(begun));
+    react(edge, &target.service, change);
+}
+
+/// Records that a target was not reached, by a connection or check that began at `begun`.
 pub(crate) fn note_failure(edge: &Edge, target: &Target, begun: Millis) {
     let change = update(edge, &target.service, |reach, now, targets| {
         reach.note_failure(&target.id, begun, now, targets)
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -356,7 +356,7 @@
             return;
         };
         let begun = source.last_event.unwrap_or(source.began);
-        reach::note_failure(&self.job.edge, target, begun);
+        reach::note_doubt(&self.job.edge, target, begun);
         match stop {
             Stop::Stalled => self.job.edge.suspect(&target.id, reason),
             _ => quarantine::note_lost(&self.job, target, reason),
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -34,9 +34,11 @@
 /// A daemon's links to the targets of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
-    /// When the last failed exchange with each target began, for those that failed since the last
-    /// answer of any target.
+    /// When the last attempt to reach each target began, for those that were not reached and after
+    /// which no target has answered.
     failed: HashMap<TargetId, Millis>,
+    /// When the last exchange began that a target broke off or left unanswered.
+    doubted_at: Option<Millis>,
     /// When the connection on which a target answered last was opened, the latest one counting.
     answered_at: Option<Millis>,
     /// Since when the links are lost.
@@ -59,19 +61,34 @@
         self.answered_at.is_some_and(|at| at >= since)
     }
 
-    /// Returns when the last failed exchange began, unless a target has answered since.
+    /// Returns since when the links are in doubt: when the last failed exchange began, unless a
+    /// target has answered since.
     #[must_use]
-    pub fn last_failure(&self) -> Option<Millis> {
-        self.failed.values().max().copied()
+    pub fn doubted_since(&self) -> Option<Millis> {
+        let failed = self.failed.values().max().copied();
+        let doubted = self.doubted_at;
+        let doubted = doubted.filter(|at| !self.has_answered_since(*at));
+        failed.max(doubted)
     }
 
-    /// Returns the targets that failed since the last answer of any target.
+    /// Returns the targets that were not reached since the last answer of any target.
     pub fn failed(&self) -> impl Iterator<Item = &TargetId> {
         self.failed.keys()
     }
 
-    /// Records that an exchange with a target, which began at `begun`, had no answer. `targets` is
-    /// the number of targets of the service.
+    /// Records that an exchange with a target, which began at `begun`, was broken off or had no
+    /// answer. The target was reached before that, so the links may work.
+    pub fn note_doubt(&mut self, begun: Millis) -> ReachChange {
+        let is_new = self.doubted_since().is_none();
+        self.doubted_at = self.doubted_at.max(Some(begun));
+        if is_new && self.doubted_since().is_some() && !self.is_lost() {
+            return ReachChange::Doubtful;
+        }
+        ReachChange::Unchanged
+    }
+
+    /// Records that a target was not reached, by a connection or check that began at `begun`.
+    /// `targets` is the number of targets of the service.
     pub fn note_failure(
         &mut self,
         id: &TargetId,
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -92,6 +92,22 @@
     assert!(!reach.has_answered_since(at(11)));
 }
 
+#[test]
+fn exchanges_that_break_off_raise_doubts_until_a_target_answers() {
+    let mut reach = Reach::default();
+    assert_eq!(reach.note_doubt(at(10)), ReachChange::Doubtful);
+    assert_eq!(reach.note_doubt(at(11)), ReachChange::Unchanged);
+    assert_eq!(reach.doubted_since(), Some(at(11)));
+    answer(&mut reach, 1, 11);
+    assert_eq!(reach.doubted_since(), None);
+    // An exchange that began before the answer raises none.
+    assert_eq!(reach.note_doubt(at(9)), ReachChange::Unchanged);
+    for ms in 12..40 {
+        reach.note_doubt(at(ms));
+    }
+    assert!(!reach.is_lost());
+}
+
 #[test]
 fn failures_that_lie_far_apart_are_no_loss_of_links() {
     let mut reach = Reach::default();
