fix(edge): checks of the links keep to the limits of targets

With one target that broke off its answers and another that takes 2.5 requests a second, the latter got 32 and 47 requests in 4 s where 10 are allowed (retries_keep_to_a_limit_too, red since daemons check their links).

Cause: each broken answer raised a doubt, each doubt three checks, four times a second and daemon, and a check of a plain service is a request like any other. A doubt is now checked once a second, and not at targets with a limit; while links are lost, a health check needs a grant. Load reports of engines need none: they take no place of a request.

--- a/crates/thistlesill-edge/src/limits.rs
+++ b/crates/thistlesill-edge/src/limits.rs
@@ -51,7 +51,7 @@
 
 impl Limits {
     /// Returns whether a target has a limit now.
-    fn is_limited(&self, id: &TargetId, now: Millis) -> bool {
+    pub(crate) fn is_limited(&self, id: &TargetId, now: Millis) -> bool {
         self.table.borrow().limit_at(id, now).is_some()
     }
 
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -13,14 +13,16 @@
 use thistlesill_policy::edge::reach::{Reach, ReachChange};
 use tokio::sync::Notify;
 
-use crate::peers::packet::{LostLinks, Packet};
+use crate::limits;
+use crate::peers::packet::{LostLinks, Packet, Permit};
 use crate::peers::{Reach as Scope, link};
 use crate::state::Edge;
 
 /// Time between two rounds of checks while links are lost.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two rounds of checks because of a doubt.
-const DOUBT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two rounds of checks because of a doubt: a target that breaks off its answers
+/// raises doubts all the time, and a check costs a plain service as much as a request.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after a target failed in which others may answer, before some are asked.
 const DOUBT_DELAY: Duration = Duration::from_millis(50);
 /// Time limit of a check; a healthy target answers within some milliseconds.
@@ -38,8 +40,10 @@
     checked: RefCell<HashMap<ServiceName, Millis>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
-    /// Notified when links are lost.
+    /// Notified when links are lost, for the checks.
     lost: Notify,
+    /// Notified when links are lost, for requests that wait for a target.
+    lost_now: Notify,
     /// Notified when another target has failed.
     doubted: Notify,
 }
@@ -142,6 +146,7 @@
             let line = edge.lines.line("links_lost").with("service", service);
             line.with("failed", failed).write();
             edge.links.lost.notify_one();
+            edge.links.lost_now.notify_waiters();
         }
         ReachChange::Restored(after) => {
             let line = edge.lines.line("links_restored").with("service", service);
@@ -180,7 +185,7 @@
     loop {
         let lost = edge.links.lost_services();
         for service in &lost {
-            check_service(&edge, service);
+            check_service(&edge, service, Occasion::Loss);
         }
         if lost.is_empty() {
             edge.links.lost.notified().await;
@@ -198,13 +203,24 @@
         tokio::time::sleep(DOUBT_DELAY).await;
         for (service, since) in edge.links.doubted() {
             if !has_progress(&edge, &service, since) {
-                check_service(&edge, &service);
+                check_service(&edge, &service, Occasion::Doubt);
             }
         }
         tokio::time::sleep(DOUBT_INTERVAL).await;
     }
 }
 
+/// Returns once the links to the targets of a service are lost.
+pub(crate) async fn wait_until_lost(edge: &Edge, service: &ServiceName) {
+    loop {
+        let lost = edge.links.lost_now.notified();
+        if edge.links.is_lost(service) {
+            return;
+        }
+        lost.await;
+    }
+}
+
 /// Returns whether the targets of a service have answered since `since`, which an exchange with one
 /// of them that failed began at. If none has, some are asked.
 ///
@@ -218,7 +234,7 @@
             return true;
         }
         if edge.links.begin_check(service, since, edge.now()) {
-            check_service(edge, service);
+            check_service(edge, service, Occasion::Doubt);
         }
         if edge.alarm.timeout_at(deadline, answered).await.is_none() {
             return edge.links.has_answered_since(service, since);
@@ -235,8 +251,17 @@
         .any(|(id, _)| loads.progress(id) > since)
 }
 
+/// Why targets are checked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Occasion {
+    /// One of them failed.
+    Doubt,
+    /// The links to all of them are lost.
+    Loss,
+}
+
 /// Asks some targets of a service whether they answer.
-fn check_service(edge: &Rc<Edge>, service: &ServiceName) {
+fn check_service(edge: &Rc<Edge>, service: &ServiceName, occasion: Occasion) {
     let Some(catalog) = edge.catalog() else {
         return;
     };
@@ -244,7 +269,7 @@
         edge.links.services.borrow_mut().remove(service);
         return;
     };
-    for target in draw_targets(edge, &service.name) {
+    for target in draw_targets(edge, &service.name, occasion) {
         let (edge, health) = (edge.clone(), service.health.clone());
         let runs_models = service.engine.is_some();
         tokio::task::spawn_local(async move {
@@ -253,21 +278,38 @@
             } else {
                 Check::Health(&health)
             };
-            let opened = edge.now();
-            let until = within(CHECK_TIMEOUT);
-            match engine::check(&target.id, target.address, check, until).await {
-                Ok(()) => note_answer(&edge, &target, opened),
-                Err(error) => {
-                    log::debug!("reach: {}: {error}", target.id);
-                    note_failure(&edge, &target, opened);
-                }
-            }
+            check_target(&edge, &target, check).await;
         });
     }
 }
 
-/// Draws targets of a service, if possible others than those that failed.
-fn draw_targets(edge: &Edge, service: &ServiceName) -> Vec<Target> {
+/// Asks a target whether it answers. A health check counts as a request under its rate limit, a load
+/// report does not.
+async fn check_target(edge: &Edge, target: &Target, check: Check<'_>) {
+    let opened = edge.now();
+    let may_ask = match check {
+        Check::Report => true,
+        Check::Health(_) => {
+            let clearance = limits::obtain_clearance(edge, target, Permit::NotNeeded, opened);
+            clearance.await.is_some()
+        }
+    };
+    if !may_ask {
+        return;
+    }
+    let until = within(CHECK_TIMEOUT);
+    match engine::check(&target.id, target.address, check, until).await {
+        Ok(()) => note_answer(edge, target, opened),
+        Err(error) => {
+            log::debug!("reach: {}: {error}", target.id);
+            note_failure(edge, target, opened);
+        }
+    }
+}
+
+/// Draws targets of a service, if possible others than those that failed. A doubt is worth no
+/// request of a target that takes only a limited number.
+fn draw_targets(edge: &Edge, service: &ServiceName, occasion: Occasion) -> Vec<Target> {
     let (registry, services) = (edge.registry.borrow(), edge.links.services.borrow());
     let (Some(targets), Some(reach)) = (registry.of_service(service), services.get(service)) else {
         return Vec::new();
@@ -275,7 +317,8 @@
     let now = edge.now();
     let may_ask = |t: &&Target| {
         let gone = registry.is_leaving(&t.id) || registry.is_evacuated(&t.hall);
-        !gone && !edge.backoffs.is_active(&t.id, now)
+        let too_dear = occasion == Occasion::Doubt && edge.limits.is_limited(&t.id, now);
+        !gone && !too_dear && !edge.backoffs.is_active(&t.id, now)
     };
     let has_failed = |t: &Target| reach.failed().any(|id| *id == t.id);
     let rng = &mut *edge.rng.borrow_mut();
