fix(edge): streams that run when links are lost go on through a peer at once

Of the streams that ran at the moment of a cut, callers saw pauses of 0.5 to 1.8 s (silent cut), or a break, once the daemon's own retries were used up; others hung until their deadline.

Causes, each on the way from a stream to its next attempt: connecting to a target went on for 250 ms, up to four times, after the daemon knew that it reaches none; a silent source was waited for as if only its group had stopped; a stream without a retry left stayed with its silent target for good; and only the budget of the daemon that cannot send covered the retry.

A daemon that loses its links now ends what waits for a connection, leaves sources silent for 150 ms, and looks again at streams that were to stay. A retry that its budget does not cover is covered by that of the peer that sends it, once in either case. A stream that no budget covers breaks off at once, so that its caller resumes it at another daemon.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -156,7 +156,14 @@
     // once, or has no further attempt, would then be lost. Later attempts use new connections
     // too: what broke the pooled ones of one target may have broken those of the next.
     let reuse = job.may_repeat() && position == AttemptPosition::First;
-    let PooledLane { mut lane, reused } = match edge.lanes.get(target, reuse, sent, connect).await {
+    let taken = tokio::select! {
+        biased;
+        taken = edge.lanes.get(target, reuse, sent, connect) => taken,
+        () = reach::wait_until_lost(edge, &target.service) => {
+            return Err(Failure::new(Outcome::NotSent, &"the links to all targets are lost"));
+        }
+    };
+    let PooledLane { mut lane, reused } = match taken {
         Ok(taken) => taken,
         Err(error) => {
             reach::note_failure(edge, target, sent);
--- a/crates/thistlesill-edge/src/forward/head.rs
+++ b/crates/thistlesill-edge/src/forward/head.rs
@@ -27,6 +27,8 @@
     pub(crate) may_have_run: bool,
     /// Whether the daemon's own retry budget has counted the request.
     pub(crate) counted: bool,
+    /// Whether that budget covers the attempt, if it is a retry.
+    pub(crate) paid: bool,
 }
 
 impl Hop {
@@ -39,18 +41,24 @@
         }
     }
 
+    /// Returns whether the attempt is a retry that the receiver's budget has to cover.
+    pub(crate) const fn needs_retry(self) -> bool {
+        self.sent > 0 && !self.paid
+    }
+
     /// Reads the hop of a request and removes its header; `None` if it is missing or malformed.
     pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(HOP)?;
         let mut numbers = value.to_str().ok()?.split(' ').map(str::parse);
         let mut next = || numbers.next()?.ok();
         let (catalog, sent): (u64, u64) = (next()?, next()?);
-        let (may_have_run, counted): (u64, u64) = (next()?, next()?);
+        let mut flag = || Some(next()? > 0);
         Some(Self {
             catalog,
             sent: u32::try_from(sent).ok()?,
-            may_have_run: may_have_run > 0,
-            counted: counted > 0,
+            may_have_run: flag()?,
+            counted: flag()?,
+            paid: flag()?,
         })
     }
 }
@@ -72,11 +80,12 @@
     };
     set_peer_headers(&mut headers, &head);
     let hop = format!(
-        "{} {} {} {}",
+        "{} {} {} {} {}",
         job.admission.version,
         attempts.sent,
         u8::from(attempts.may_have_run),
         u8::from(job.counted.get()),
+        u8::from(job.paid.get()),
     );
     set(&mut headers, HOP, &hop);
     *request.headers_mut() = headers;
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -74,7 +74,9 @@
     }
     let mut answer = proxy::handle(edge, request, Some(hop)).await;
     let declined = match answer.extensions().get::<ErrorKind>() {
-        Some(kind @ (ErrorKind::NotReady | ErrorKind::Unreached)) => Some(kind.name()),
+        Some(kind @ (ErrorKind::NotReady | ErrorKind::Unreached | ErrorKind::RetryBudget)) => {
+            Some(kind.name())
+        }
         _ => None,
     };
     let sent = answer.extensions().get::<SentTargets>().copied();
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -17,7 +17,7 @@
 use thistlesill_policy::edge::attempt::Attempts;
 
 use crate::choice::{Pick, Sender, TargetQuery};
-use crate::forward::Hop;
+use crate::forward::{self, Hop};
 use crate::lanes::max_idle;
 use crate::peers::place;
 use crate::quarantine;
@@ -45,6 +45,8 @@
     pub(crate) hop: Option<Hop>,
     /// Whether the retry budget of this daemon, or of one before, has counted the request.
     pub(crate) counted: Cell<bool>,
+    /// Whether this daemon's retry budget covers the next attempt.
+    pub(crate) paid: Cell<bool>,
     /// Whether this request is the trial of one that was withheld.
     pub(crate) trial: Cell<bool>,
 }
@@ -63,6 +65,7 @@
     pub(crate) fn new(edge: Rc<Edge>, admission: Admission, arrival: Arrival) -> Self {
         Self {
             hop: arrival.hop,
+            paid: Cell::new(false),
             counted: Cell::new(arrival.hop.is_some_and(|hop| hop.counted)),
             due: arrival.at + admission.timeout,
             headers: caller::forwarded_headers(&arrival.parts.headers),
@@ -186,6 +189,14 @@
         }
     }
 
+    /// Takes a retry for the next attempt out of this daemon's budget, or leaves that to a peer that
+    /// the request can be passed to. Returns whether an attempt may be made.
+    pub(crate) fn withdraw_retry(&self) -> bool {
+        let paid = self.edge.withdraw_retry(&self.admission.service.name);
+        self.paid.set(paid);
+        paid || forward::is_possible(self)
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.admission.route.may_repeat()
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -139,7 +139,11 @@
 async fn serve(job: Rc<Job>, mut track: Track) -> Response<OutBody> {
     let mut attempts = job.hop.map_or_else(Attempts::default, Hop::attempts);
     let mut tried = Tried::default();
-    if job.head.last_event.is_some() {
+    let needs_retry = job.hop.is_some_and(Hop::needs_retry);
+    if needs_retry && !job.edge.withdraw_retry(&job.admission.service.name) {
+        return track.refuse(ErrorKind::RetryBudget, None);
+    }
+    if job.head.last_event.is_some() && attempts.sent == 0 {
         defer_resumed_stream(&job).await;
     }
     loop {
@@ -337,9 +341,8 @@
     attempts: &mut Attempts,
     track: &Track,
 ) -> NextStep {
-    let service = &job.admission.service.name;
     let allowed = job.admission.route.attempts;
-    let withdraw = || job.edge.withdraw_retry(service);
+    let withdraw = || job.withdraw_retry();
     let next = next_step(
         failure.outcome,
         attempts,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -35,6 +35,9 @@
 const STALL_RATIO: f64 = 0.8;
 /// Share of the objective for the first event after which a silent target counts as stalled.
 const FIRST_EVENT_RATIO: f64 = 1.0;
+/// Silence after which a target counts as stalled while this daemon's links to all targets are lost;
+/// established connections may still carry streams then.
+const LOST_SILENCE: Millis = Millis::new(150);
 
 /// Returns once the target of a resumable stream has sent nothing to any of this daemon's streams
 /// for too long; never, if the stream can't be resumed.
@@ -49,18 +52,28 @@
         scaled(pause, STALL_RATIO)
     };
     let engine = job.admission.service.engine.as_ref();
-    let start = job.edge.now();
+    let edge = &job.edge;
+    let start = edge.now();
     loop {
+        let lost = edge.links.is_lost(&target.service);
         let due = {
-            let loads = job.edge.loads.borrow();
+            let loads = edge.loads.borrow();
             let seen = loads.progress(&target.id).max(start);
-            let timeout = engine.map(|e| loads.stall_timeout(target, e, job.edge.now()));
-            seen + timeout.map_or(least, |timeout| timeout.max(least))
+            let timeout = engine.map(|e| loads.stall_timeout(target, e, edge.now()));
+            let timeout = timeout.map_or(least, |timeout| timeout.max(least));
+            seen + if lost {
+                timeout.min(LOST_SILENCE)
+            } else {
+                timeout
+            }
         };
-        if due <= job.edge.now() {
+        if due <= edge.now() {
             return;
         }
-        job.edge.alarm.sleep_until(due).await;
+        tokio::select! {
+            () = edge.alarm.sleep_until(due) => {}
+            () = reach::wait_until_lost(edge, &target.service), if !lost => {}
+        }
     }
 }
 
@@ -123,7 +136,8 @@
     cutter: Cutter,
     source: Option<Source>,
     tried: Tried,
-    /// Whether to wait for a silent target, since no other target may or can resume the stream.
+    /// Whether to wait for a silent source, since the stream may not or cannot be resumed elsewhere;
+    /// ends when this daemon loses its links to the targets.
     stay: bool,
     bytes: usize,
     /// When the last events were forwarded.
@@ -259,8 +273,13 @@
         let (awaited, forwarded) = (job.edge.now(), self.forwarded);
         let stalled = async {
             match (&target, &peer) {
-                (Some(target), _) if !stay => wait_for_stall(&job, target, first).await,
-                (_, Some(peer)) if !stay => forward::wait_for_peer_loss(&job.edge, peer).await,
+                (Some(target), _) if stay => {
+                    reach::wait_until_lost(&job.edge, &target.service).await;
+                }
+                (Some(target), _) => wait_for_stall(&job, target, first).await,
+                (None, Some(peer)) if !stay => {
+                    forward::wait_for_peer_loss(&job.edge, peer).await;
+                }
                 _ => pending::<()>().await,
             }
         };
@@ -309,11 +328,16 @@
                 outcome = ErrorKind::Withheld.name();
                 break;
             }
-            let end = match forward::way(&job, &self.tried.peers) {
+            let mut end = match forward::way(&job, &self.tried.peers) {
                 Way::Direct => self.try_target().await,
                 Way::Peer(peer) => Some(self.try_peer(peer).await),
-                Way::Nowhere => None,
+                Way::Nowhere => break,
             };
+            if end.is_none()
+                && let Some(peer) = forward::peer_for_doubted(&job, &self.tried.peers)
+            {
+                end = Some(self.try_peer(peer).await);
+            }
             let Some((destination, end)) = end else {
                 break;
             };
@@ -340,7 +364,13 @@
                 }
             }
         }
-        if self.source.is_some() {
+        // A caller that is cut off at once can resume the stream at another daemon.
+        let lost = self
+            .job
+            .edge
+            .links
+            .is_lost(&self.job.admission.service.name);
+        if self.source.is_some() && !lost {
             self.stay = true;
             return Ok(());
         }
@@ -408,7 +438,7 @@
         let job = &self.job;
         let mut attempts = self.attempts;
         attempts.sent = attempts.sent.saturating_sub(1);
-        let withdraw = || job.edge.withdraw_retry(&job.admission.service.name);
+        let withdraw = || job.withdraw_retry();
         let allowed = job.admission.route.attempts;
         let outcome = Outcome::MayHaveRun;
         next_step(outcome, &mut attempts, job.may_repeat(), allowed, withdraw) == NextStep::Retry
--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use thistlesill_platform_standin::caller::call;
 use thistlesill_platform_standin::link::LinkFault;
+use thistlesill_platform_standin::targets::EVENTS;
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{Timed, planner, read, send_through, sleep, stream, world};
@@ -110,3 +112,23 @@
     let repaired = tokio::time::timeout(Duration::from_secs(12), served).await;
     assert!(repaired.is_ok(), "no group is formed again");
 }
+
+/// The retry budget of a daemon covers only some of its streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_run_when_links_are_lost_end_or_hang() {
+    let world = world(154, 6).await;
+    let address = world.daemons[0].caller_address();
+    let running: Vec<_> = (0..8)
+        .map(|n| {
+            let ask = stream(&format!("running-{n}"));
+            tokio::spawn(async move { call(address, &ask).await })
+        })
+        .collect();
+    sleep(100).await;
+    cut(&world, &[0], LinkFault::Stalled);
+    for task in running {
+        let got = task.await.expect("the task ends").expect("an answer");
+        assert!(got.status == 200 && got.is_complete, "{got:?}");
+        assert_eq!(got.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    }
+}
