fix(edge): a peer without a retry left still gets first attempts

A peer that declined a retry, since no budget covered it, was left out for 500 ms like one that takes no requests at all. It now declines the retry alone.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -18,6 +18,7 @@
 use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use thistlesill_policy::edge::attempt::{Attempts, Outcome};
 
+use self::head::Decline;
 pub(crate) use self::head::{Hop, take_sent};
 pub(crate) use self::serve::serve;
 use crate::attempt::{Answered, Failure};
@@ -149,8 +150,11 @@
         Err(error) if error.is_unsent() => return Err(Failure::new(Outcome::NotSent, &error)),
         Err(error) => return Err(Failure::new(Outcome::MayHaveRun, &error)),
     };
-    if let Some(reason) = head::declined(response.headers()) {
-        edge.forwarding.avoid(peer, edge.now());
+    if let Some(decline) = head::declined(response.headers()) {
+        if decline == Decline::Any {
+            edge.forwarding.avoid(peer, edge.now());
+        }
+        let reason = format!("the peer declined: {}", head::reason(response.headers()));
         return Err(Failure::new(Outcome::NotSent, &reason));
     }
     Ok(Answered::from_peer(job, peer, response, lane))
--- a/crates/thistlesill-edge/src/forward/head.rs
+++ b/crates/thistlesill-edge/src/forward/head.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request};
+use thistlesill_core::ErrorKind;
 use thistlesill_platform::caller::{PeerHead, set_peer_headers};
 use thistlesill_policy::edge::attempt::Attempts;
 
@@ -92,10 +93,29 @@
     request
 }
 
-/// Returns why the peer that gave this answer declined the request, if it did.
-pub(super) fn declined(headers: &HeaderMap) -> Option<String> {
+/// What a peer declines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Decline {
+    /// A retry, which no budget covers.
+    Retry,
+    /// Any request.
+    Any,
+}
+
+/// Returns what the peer that gave this answer declined, if it did.
+pub(super) fn declined(headers: &HeaderMap) -> Option<Decline> {
     let reason = headers.get(DECLINED)?;
-    Some(format!("the peer declined: {}", reason.to_str().ok()?))
+    if reason == ErrorKind::RetryBudget.name() {
+        Some(Decline::Retry)
+    } else {
+        Some(Decline::Any)
+    }
+}
+
+/// Returns why a peer declined a request, for logs.
+pub(super) fn reason(headers: &HeaderMap) -> &str {
+    let reason = headers.get(DECLINED);
+    reason.and_then(|r| r.to_str().ok()).unwrap_or_default()
 }
 
 /// Marks an answer as that of a daemon that declined the request.
