fix(edge): a daemon that has lost its links suspects no targets

A daemon without links keeps no suspicion of their targets, drops those that it had when they were lost, and closes the idle connections, which may be dead without notice. Not covered by a test of its own: the stand-in's planner probes for other reasons too.

--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -145,6 +145,7 @@
             let failed = services.get(service).map_or(0, |r| r.failed().count());
             let line = edge.lines.line("links_lost").with("service", service);
             line.with("failed", failed).write();
+            forget_suspicions(edge, service);
             edge.links.lost.notify_one();
             edge.links.lost_now.notify_waiters();
         }
@@ -158,6 +159,20 @@
     report(edge, Scope::All);
 }
 
+/// Drops the suspicions of the targets of a service, which the loss of the links explains, and the
+/// connections to them, which may be dead without notice.
+fn forget_suspicions(edge: &Edge, service: &ServiceName) {
+    let registry = edge.registry.borrow();
+    for id in registry
+        .of_service(service)
+        .into_iter()
+        .flat_map(HashMap::keys)
+    {
+        edge.loads.borrow_mut().clear_suspicion(id);
+        edge.lanes.close_idle(id);
+    }
+}
+
 /// Sends the peers the services whose targets this daemon does not reach.
 fn report(edge: &Edge, scope: Scope) {
     let lost = LostLinks {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -373,7 +373,17 @@
     }
 
     /// Marks a target that stopped or failed as suspect, and notifies the planner if that is new.
+    /// While this daemon's links to the targets of the service are lost, nothing follows for one of
+    /// them.
     pub(crate) fn suspect(&self, target: &TargetId, reason: &str) {
+        let service = self
+            .registry
+            .borrow()
+            .target(target)
+            .map(|t| t.service.clone());
+        if service.is_some_and(|service| self.links.is_lost(&service)) {
+            return;
+        }
         let is_new = self.loads.borrow_mut().suspect(target, self.now());
         self.lanes.close_idle(target);
         if is_new {
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -202,6 +202,13 @@
         is_new
     }
 
+    /// Drops the suspicion that a target failed or stalled.
+    pub fn clear_suspicion(&mut self, id: &TargetId) {
+        if let Some(load) = self.targets.get_mut(id) {
+            load.suspect = Millis::ZERO;
+        }
+    }
+
     /// Records that a target refused a request: others are preferred for a time that grows with
     /// each refusal until the target accepts a request.
     ///
