test(edge): requests that go through a peer

What no daemon reaches is refused within 100 ms, with when to come back, and served again a second after the links are back; a request that may run once runs at most once, and is not called refused when it ran, if its peer is killed; a caller that leaves ends its stream behind the peer; requests no longer go through peers a second after the cut.

--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -7,7 +7,7 @@
 use thistlesill_platform_standin::targets::EVENTS;
 use thistlesill_platform_standin::world::World;
 
-use crate::support::{Timed, planner, read, send_through, sleep, stream, world};
+use crate::support::{Timed, ask, book, planner, read, send_through, sleep, stream, world};
 
 /// Time after the begin of a partition in which requests may fail.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -132,3 +132,86 @@
         assert_eq!(got.events(), (1..=EVENTS).collect::<Vec<u64>>());
     }
 }
+
+/// Two daemons that each take the other for one that reaches the targets must not pass requests to
+/// and fro.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_daemon_reaches_is_held_or_goes_in_circles() {
+    let world = world(155, 4).await;
+    let all = [0, 1, 2, 3];
+    cut(&world, &all, LinkFault::Stalled);
+    send_through(&world, &all, 20, CONTACT, read).await;
+    let answers = send_through(&world, &all, 20, Duration::from_secs(1), read).await;
+    for (got, took) in &answers {
+        assert_eq!(got.status, 503, "{got:?}");
+        assert!(got.retry_after().is_some_and(|s| s > 0.0), "{got:?}");
+        assert!(*took < Duration::from_millis(100), "refused after {took:?}");
+    }
+    cut(&world, &all, LinkFault::None);
+    sleep(1_000).await;
+    let answers = send_through(&world, &all, 20, Duration::from_secs(1), read).await;
+    assert!((served(&answers) - 1.0).abs() < f64::EPSILON);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_runs_twice_when_its_peer_is_lost() {
+    let mut world = world(156, 4).await;
+    let lost = [0, 1];
+    cut(&world, &lost, LinkFault::Reset);
+    send_through(&world, &lost, 20, Duration::from_secs(1), read).await;
+    let first = world.daemons[0].caller_address();
+    let sending: Vec<_> = (0..40)
+        .map(|n| {
+            let ask = book(&format!("once-{n}"));
+            tokio::spawn(async move {
+                sleep(5 * n).await;
+                call(first, &ask).await
+            })
+        })
+        .collect();
+    sleep(100).await;
+    world.daemons[2].kill().await;
+    for (n, task) in sending.into_iter().enumerate() {
+        let got = task.await.expect("the task ends").expect("an answer");
+        let runs = world.targets.ledger.runs(&format!("once-{n}")).len();
+        assert!(runs <= 1, "{runs} runs of once-{n}");
+        let not_run = matches!(got.status, 429 | 503);
+        assert!(!not_run || runs == 0, "once-{n} ran: {got:?}");
+        assert!(got.status == 200 || not_run || got.status == 502, "{got:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_caller_left_goes_on_behind_a_peer() {
+    let world = world(157, 4).await;
+    world.set_engine_fault(0, LinkFault::Reset);
+    send_through(&world, &[0], 20, Duration::from_secs(1), stream).await;
+    let mut gone = stream("gone");
+    gone.deadline = Duration::from_millis(60);
+    let got = ask(&world, 0, gone).await;
+    assert!(!got.is_complete);
+    sleep(300).await;
+    let peers = (0..4).flat_map(|daemon| world.log_lines(daemon, "ev=request id=gone"));
+    let ended = |line: &String| line.contains("outcome=caller_left") || line.contains("=late");
+    let ended = peers.filter(ended);
+    assert_eq!(ended.count(), 2, "the daemon and its peer end the request");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_still_go_through_peers_after_links_are_restored() {
+    let world = world(158, 4).await;
+    cut(&world, &[0], LinkFault::Stalled);
+    send_through(&world, &[0], 20, CONTACT, read).await;
+    cut(&world, &[0], LinkFault::None);
+    sleep(1_000).await;
+    let before = world.log_lines(0, "ev=request ").len();
+    let answers = send_through(&world, &[0], 20, Duration::from_secs(2), read).await;
+    assert!((served(&answers) - 1.0).abs() < f64::EPSILON);
+    sleep(200).await;
+    let lines = world.log_lines(0, "ev=request ");
+    assert!(lines.len() >= before + answers.len());
+    let passed = lines[before..]
+        .iter()
+        .filter(|line| line.contains(" peer="));
+    assert_eq!(passed.count(), 0, "requests that went through a peer");
+}
