fix(edge): a peer is asked for a request without a target only if no other target answers

Streams that ran beside a request that crashes its targets were withheld with it for up to 6 s and more: streams_that_ran_beside_it_are_served failed in two of eight runs (one in scripts/test, one with the tests of partitions) since requests go through peers; was not rerun for it.

Cause: a request whose group was lost and that found no other target went to a peer, as if this daemon's links were in question, and was lost with a second and third target there, which is what quarantine counts. It goes to a peer now only if, asked at once, no other target answers.

Also mended here, on the same path: a daemon without links began the trial of a withheld request and told all daemons, so that the peer that got it withheld it (0 trials in 30 requests over 4 s, test the_trial_of_a_request_is_withheld_by_the_peer_that_gets_it, red before). The daemon that sends now checks and tries; a trial that is under way ends when its request goes to a peer.

Green: the tests of partitions, fatal and answers, 23, one run; streams_that_ran_beside_it_are_served three times.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -23,6 +23,8 @@
 pub(crate) use self::serve::serve;
 use crate::attempt::{Answered, Failure};
 use crate::job::Job;
+use crate::quarantine;
+use crate::reach;
 use crate::state::Edge;
 
 /// Time to connect to a peer.
@@ -77,12 +79,13 @@
     pick_peer(edge, service, tried).map_or(Way::Nowhere, Way::Peer)
 }
 
-/// Returns a peer for a request that no target is left for, if this daemon's links may be the
-/// reason.
-pub(crate) fn peer_for_doubted(job: &Job, tried: &[NodeId]) -> Option<NodeId> {
+/// Returns a peer for a request that no target is left for, if this daemon's links are the reason:
+/// a target failed, and no other answers either.
+pub(crate) async fn peer_for_doubted(job: &Job, tried: &[NodeId]) -> Option<NodeId> {
     let (edge, service) = (&job.edge, &job.admission.service.name);
+    let since = edge.links.doubted_since(service)?;
     let may_pass = job.hop.is_none() && tried.len() < MAX_PEERS;
-    if !may_pass || !edge.links.is_doubted(service) {
+    if !may_pass || reach::is_confirmed(edge, service, since).await {
         return None;
     }
     pick_peer(edge, service, tried)
@@ -116,6 +119,8 @@
     attempts: Attempts,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
+    // The peer withholds a request that is on trial at another daemon.
+    quarantine::end_trial(job);
     let address = edge.peers.borrow().address(peer);
     let Some(address) = address.map(EdgeSettings::forward_address_of) else {
         return Err(Failure::new(Outcome::NotSent, &"the peer is gone"));
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -147,10 +147,13 @@
         defer_resumed_stream(&job).await;
     }
     loop {
+        let way = forward::way(&job, &tried.peers);
         // A request that crashes its targets comes again with another id at any daemon. With three
         // daemons and two targets, it crashed 57 targets in seven seconds without this check, and
-        // 4 with it.
-        if let Some(left) = quarantine::withheld(&job) {
+        // 4 with it. A peer checks what is passed to it.
+        if way == Way::Direct
+            && let Some(left) = quarantine::withheld(&job)
+        {
             track.withheld(job.fingerprint());
             return if attempts.may_have_run {
                 track.refuse(ErrorKind::SentUnknown, None)
@@ -158,7 +161,7 @@
                 track.refuse(ErrorKind::Withheld, Some(left))
             };
         }
-        let mut end = match forward::way(&job, &tried.peers) {
+        let mut end = match way {
             Way::Direct => try_target(&job, &mut tried, attempts, &mut track).await,
             Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, &mut track).await,
             Way::Nowhere => {
@@ -167,7 +170,7 @@
             }
         };
         if matches!(end, AttemptEnd::NoTarget)
-            && let Some(peer) = forward::peer_for_doubted(&job, &tried.peers)
+            && let Some(peer) = forward::peer_for_doubted(&job, &tried.peers).await
         {
             end = try_peer(&job, peer, &mut tried, attempts, &mut track).await;
         }
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -132,9 +132,9 @@
     }
 }
 
-/// Ends the trial of a finished request that was on trial.
+/// Ends the trial of a request that was on trial, and is finished or goes to a peer.
 pub(crate) fn end_trial(job: &Job) {
-    if !job.trial.get() {
+    if !job.trial.replace(false) {
         return;
     }
     let edge = &job.edge;
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -62,12 +62,9 @@
         services.get(service).is_some_and(Reach::is_lost)
     }
 
-    /// Returns whether an exchange with a target of a service failed and none has answered since.
-    pub(crate) fn is_doubted(&self, service: &ServiceName) -> bool {
-        let services = self.services.borrow();
-        services
-            .get(service)
-            .is_some_and(|reach| reach.doubted_since().is_some())
+    /// Returns since when the links to the targets of a service are in doubt, if they are.
+    pub(crate) fn doubted_since(&self, service: &ServiceName) -> Option<Millis> {
+        self.services.borrow().get(service)?.doubted_since()
     }
 
     fn has_answered_since(&self, service: &ServiceName, since: Millis) -> bool {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -323,18 +323,19 @@
         let mut outcome = "broke_off";
         while retry {
             let job = self.job.clone();
-            if quarantine::withheld(&job).is_some() {
+            let way = forward::way(&job, &self.tried.peers);
+            if way == Way::Direct && quarantine::withheld(&job).is_some() {
                 self.track.withheld(job.fingerprint());
                 outcome = ErrorKind::Withheld.name();
                 break;
             }
-            let mut end = match forward::way(&job, &self.tried.peers) {
+            let mut end = match way {
                 Way::Direct => self.try_target().await,
                 Way::Peer(peer) => Some(self.try_peer(peer).await),
                 Way::Nowhere => break,
             };
             if end.is_none()
-                && let Some(peer) = forward::peer_for_doubted(&job, &self.tried.peers)
+                && let Some(peer) = forward::peer_for_doubted(&job, &self.tried.peers).await
             {
                 end = Some(self.try_peer(peer).await);
             }
--- a/crates/thistlesill-edge/tests/it/partitions.rs
+++ b/crates/thistlesill-edge/tests/it/partitions.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use thistlesill_platform_standin::caller::call;
+use thistlesill_platform_standin::caller::{CallerRequest, call};
 use thistlesill_platform_standin::link::LinkFault;
-use thistlesill_platform_standin::targets::EVENTS;
+use thistlesill_platform_standin::targets::{EVENTS, FATAL};
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{Timed, ask, book, planner, read, send_through, sleep, stream, world};
@@ -215,3 +215,26 @@
         .filter(|line| line.contains(" peer="));
     assert_eq!(passed.count(), 0, "requests that went through a peer");
 }
+
+/// A trial of a withheld request is announced to all daemons, which then withhold the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_trial_of_a_request_is_withheld_by_the_peer_that_gets_it() {
+    let world = world(159, 3).await;
+    cut(&world, &[0], LinkFault::Stalled);
+    send_through(&world, &[0], 20, CONTACT, read).await;
+    let fatal = |id: String| CallerRequest::new(id, "POST", "/read/x").body(FATAL);
+    for n in 0..6 {
+        ask(&world, 1 + n % 2, fatal(format!("crash-{n}"))).await;
+        sleep(100).await;
+    }
+    let refused = ask(&world, 0, fatal("refused".to_owned())).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    let mut runs = 0;
+    for n in 0..30 {
+        let id = format!("tried-{n}");
+        ask(&world, 0, fatal(id.clone())).await;
+        runs += world.targets.ledger.runs(&id).len();
+        sleep(100).await;
+    }
+    assert!(runs > 0, "the request is never tried again");
+}
