refactor(edge): a peer's answer is known by a header, one notification for lost links

Found by reading the change: an answer from a port that belongs to something else, as in a range with few ports, would have been passed on; a target's second failure raised no doubt if the first was answered by others on old connections; the first probe of a planner without a new connection found no target to check; a stale catalog at a daemon without links was refused as unreached; the number of targets that a stream was sent to was counted twice behind a peer. The listener for peers keeps off the ports of the metrics.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -51,15 +51,16 @@
         peer: &NodeId,
         response: Response<Incoming>,
         lane: HttpConnection,
+        sent: u32,
     ) -> Self {
-        let (mut parts, body) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let status = parts.status;
         Self {
             status,
             body,
             lane,
             info: caller::read_answer(&job.head.id, status.as_u16(), &parts.headers),
-            sent: forward::take_sent(&mut parts.headers),
+            sent,
             headers: parts.headers,
             origin: Origin::Peer(peer.clone()),
         }
--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -19,7 +19,7 @@
 use thistlesill_policy::edge::attempt::{Attempts, Outcome};
 
 use self::head::Decline;
-pub(crate) use self::head::{Hop, take_sent};
+pub(crate) use self::head::Hop;
 pub(crate) use self::serve::serve;
 use crate::attempt::{Answered, Failure};
 use crate::job::Job;
@@ -147,7 +147,7 @@
             return Err(Failure::new(Outcome::MayHaveRun, &"the peer is lost"));
         }
     };
-    let response = match answer {
+    let mut response = match answer {
         Ok(response) => response,
         Err(ConnectionError::TimedOut) => {
             return Err(Failure::new(Outcome::Late, &"no answer in time"));
@@ -155,6 +155,10 @@
         Err(error) if error.is_unsent() => return Err(Failure::new(Outcome::NotSent, &error)),
         Err(error) => return Err(Failure::new(Outcome::MayHaveRun, &error)),
     };
+    let Some(sent) = head::take_sent(response.headers_mut()) else {
+        let reason = "the answer does not come from a daemon";
+        return Err(Failure::new(Outcome::MayHaveRun, &reason));
+    };
     if let Some(decline) = head::declined(response.headers()) {
         if decline == Decline::Any {
             edge.forwarding.avoid(peer, edge.now());
@@ -162,7 +166,7 @@
         let reason = format!("the peer declined: {}", head::reason(response.headers()));
         return Err(Failure::new(Outcome::NotSent, &reason));
     }
-    Ok(Answered::from_peer(job, peer, response, lane))
+    Ok(Answered::from_peer(job, peer, response, lane, sent))
 }
 
 /// Returns once a peer counts as dead.
--- a/crates/thistlesill-edge/src/forward/head.rs
+++ b/crates/thistlesill-edge/src/forward/head.rs
@@ -14,7 +14,8 @@
 const HOP: HeaderName = HeaderName::from_static("thistlesill-hop");
 /// Marks the answer of a daemon that declined to send a request; its value is the reason.
 const DECLINED: HeaderName = HeaderName::from_static("thistlesill-declined");
-/// Number of targets that a request was sent to before its answer began.
+/// Number of targets that a daemon sent a request to before its answer began; in all answers of a
+/// daemon that takes requests of peers.
 const SENT: HeaderName = HeaderName::from_static("thistlesill-sent");
 
 /// What a daemon says of a request that it passes to a peer.
@@ -134,11 +135,10 @@
     set(headers, SENT, &sent.to_string());
 }
 
-/// Reads and removes the number of targets that the request was sent to; 1 if it is missing.
-pub(crate) fn take_sent(headers: &mut HeaderMap) -> u32 {
-    let value = headers.remove(SENT);
-    let number = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    number.unwrap_or(1)
+/// Reads and removes the number of targets that the request was sent to; `None` if the answer does
+/// not come from a daemon that takes requests of peers.
+pub(super) fn take_sent(headers: &mut HeaderMap) -> Option<u32> {
+    headers.remove(SENT)?.to_str().ok()?.parse().ok()
 }
 
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -22,6 +22,11 @@
 /// and takes none.
 pub(crate) async fn serve(edge: Rc<Edge>) {
     let address = edge.settings().forward_address();
+    // The last two ports serve metrics, the one before the last those of a separate planner.
+    if address.port() + 1 >= edge.settings().last_port {
+        log::error!("forward: the ports for daemons do not suffice to take requests of peers");
+        return;
+    }
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -79,20 +84,20 @@
         }
         _ => None,
     };
-    let sent = answer.extensions().get::<SentTargets>().copied();
+    let sent = answer.extensions().get::<SentTargets>();
+    let sent = sent.map_or(0, |SentTargets(sent)| *sent);
     let headers = answer.headers_mut();
     head::clear(headers);
     if let Some(reason) = declined {
         head::set_declined(headers, reason);
     }
-    if let Some(SentTargets(sent)) = sent {
-        head::set_sent(headers, sent);
-    }
+    head::set_sent(headers, sent);
     answer
 }
 
 fn decline(reason: &'static str) -> Response<OutBody> {
     let mut answer = reply::error(ErrorKind::NotReady, None);
     head::set_declined(answer.headers_mut(), reason);
+    head::set_sent(answer.headers_mut(), 0);
     answer
 }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -183,8 +183,8 @@
         };
         let next = resolve_failure(&job, &destination, &failure, &mut attempts, &track);
         // What was not sent can go another way, however often connecting failed.
-        let is_unsent = failure.outcome == Outcome::NotSent;
-        if is_unsent && forward::way(&job, &tried.peers) != Way::Direct {
+        let lost = job.edge.links.is_lost(&job.admission.service.name);
+        if lost && failure.outcome == Outcome::NotSent {
             continue;
         }
         match next {
@@ -254,7 +254,6 @@
     attempts: Attempts,
     track: &mut Track,
 ) -> AttemptEnd {
-    let edge = &job.edge;
     job.deposit_retry();
     let Pick {
         choice,
@@ -279,9 +278,8 @@
         }
         Choice::NoTarget => return AttemptEnd::NoTarget,
     };
-    if job.admission.customer.is_some() && !edge.is_fresh() {
-        let track = track.with_reason("the catalog is not confirmed as current");
-        return AttemptEnd::Answered(track.refuse(stale_error(attempts), None));
+    if job.admission.customer.is_some() && !job.edge.is_fresh() {
+        return AttemptEnd::Answered(refuse_stale(attempts, track));
     }
     tried.targets.push(target.id.clone());
     track.sent(&target);
@@ -293,6 +291,11 @@
     }
 }
 
+fn refuse_stale(attempts: Attempts, track: &mut Track) -> Response<OutBody> {
+    let track = track.with_reason("the catalog is not confirmed as current");
+    track.refuse(stale_error(attempts), None)
+}
+
 /// Sends the request to a peer that reaches the targets, and passes the answer on.
 async fn try_peer(
     job: &Rc<Job>,
@@ -301,6 +304,9 @@
     attempts: Attempts,
     track: &mut Track,
 ) -> AttemptEnd {
+    if job.admission.customer.is_some() && !job.edge.is_fresh() {
+        return AttemptEnd::Answered(refuse_stale(attempts, track));
+    }
     tried.peers.push(peer.clone());
     track.forwarded(&peer);
     let sent = forward::attempt(job, &peer, None, attempts).await;
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -40,11 +40,9 @@
     checked: RefCell<HashMap<ServiceName, Millis>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
-    /// Notified when links are lost, for the checks.
+    /// Notified when links are lost.
     lost: Notify,
-    /// Notified when links are lost, for requests that wait for a target.
-    lost_now: Notify,
-    /// Notified when another target has failed.
+    /// Notified when a target has failed.
     doubted: Notify,
 }
 
@@ -143,8 +141,7 @@
             let line = edge.lines.line("links_lost").with("service", service);
             line.with("failed", failed).write();
             forget_suspicions(edge, service);
-            edge.links.lost.notify_one();
-            edge.links.lost_now.notify_waiters();
+            edge.links.lost.notify_waiters();
         }
         ReachChange::Restored(after) => {
             let line = edge.lines.line("links_restored").with("service", service);
@@ -225,7 +222,7 @@
 /// Returns once the links to the targets of a service are lost.
 pub(crate) async fn wait_until_lost(edge: &Edge, service: &ServiceName) {
     loop {
-        let lost = edge.links.lost_now.notified();
+        let lost = edge.links.lost.notified();
         if edge.links.is_lost(service) {
             return;
         }
@@ -323,16 +320,17 @@
 /// request of a target that takes only a limited number.
 fn draw_targets(edge: &Edge, service: &ServiceName, occasion: Occasion) -> Vec<Target> {
     let (registry, services) = (edge.registry.borrow(), edge.links.services.borrow());
-    let (Some(targets), Some(reach)) = (registry.of_service(service), services.get(service)) else {
+    let Some(targets) = registry.of_service(service) else {
         return Vec::new();
     };
+    let reach = services.get(service);
     let now = edge.now();
     let may_ask = |t: &&Target| {
         let gone = registry.is_leaving(&t.id) || registry.is_evacuated(&t.hall);
         let too_dear = occasion == Occasion::Doubt && edge.limits.is_limited(&t.id, now);
         !gone && !too_dear && !edge.backoffs.is_active(&t.id, now)
     };
-    let has_failed = |t: &Target| reach.failed().any(|id| *id == t.id);
+    let has_failed = |t: &Target| reach.is_some_and(|r| r.failed().any(|id| *id == t.id));
     let rng = &mut *edge.rng.borrow_mut();
     let others = targets.values().filter(may_ask).filter(|t| !has_failed(t));
     let mut drawn = others.sample(rng, CHECKED_TARGETS);
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -194,8 +194,8 @@
     }
 }
 
-/// Number of targets that a request was sent to before its answer began, as an extension of the
-/// answer.
+/// Number of targets that this daemon sent a request to before its answer began, as an extension of
+/// the answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SentTargets(pub(crate) u32);
 
@@ -212,7 +212,8 @@
     attempts.sent += answered.sent;
     attempts.may_have_run = true;
     let edge = job.edge.clone();
-    let sent = SentTargets(attempts.sent);
+    let before = job.hop.map_or(0, |hop| hop.sent);
+    let sent = SentTargets(attempts.sent - before);
     let relay = Relay {
         tried: Tried::by(&answered.origin),
         source: Some(Source::new(answered, edge.now())),
@@ -359,9 +360,9 @@
                 Err(failure) => {
                     let attempts = &mut self.attempts;
                     let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
+                    let lost = job.edge.links.is_lost(&job.admission.service.name);
                     let is_unsent = failure.outcome == Outcome::NotSent;
-                    let elsewhere = || forward::way(&job, &self.tried.peers) != Way::Direct;
-                    retry = next == NextStep::Retry || (is_unsent && elsewhere());
+                    retry = next == NextStep::Retry || (lost && is_unsent);
                 }
             }
         }
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -23,7 +23,7 @@
 pub enum ReachChange {
     /// Nothing that needs a reaction.
     Unchanged,
-    /// Another target failed; it should be checked whether others answer.
+    /// A target failed; it should be checked whether others answer.
     Doubtful,
     /// The links to the targets are lost.
     Lost,
@@ -79,12 +79,11 @@
     /// Records that an exchange with a target, which began at `begun`, was broken off or had no
     /// answer. The target was reached before that, so the links may work.
     pub fn note_doubt(&mut self, begun: Millis) -> ReachChange {
-        let is_new = self.doubted_since().is_none();
         self.doubted_at = self.doubted_at.max(Some(begun));
-        if is_new && self.doubted_since().is_some() && !self.is_lost() {
-            return ReachChange::Doubtful;
+        if self.is_lost() || self.has_answered_since(begun) {
+            return ReachChange::Unchanged;
         }
-        ReachChange::Unchanged
+        ReachChange::Doubtful
     }
 
     /// Records that a target was not reached, by a connection or check that began at `begun`.
@@ -97,7 +96,7 @@
         targets: usize,
     ) -> ReachChange {
         self.failed.retain(|_, at| now - *at < FAILURE_VALIDITY);
-        let is_new = self.failed.insert(id.clone(), begun).is_none();
+        self.failed.insert(id.clone(), begun);
         if self.is_lost() {
             self.answered.clear();
             return ReachChange::Unchanged;
@@ -107,10 +106,7 @@
             self.answered.clear();
             return ReachChange::Lost;
         }
-        if is_new {
-            return ReachChange::Doubtful;
-        }
-        ReachChange::Unchanged
+        ReachChange::Doubtful
     }
 
     /// Records that a target answered on a connection that was opened at `opened`. `targets` is the
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -28,7 +28,7 @@
 fn links_are_lost_once_several_targets_fail_and_none_answers() {
     let mut reach = Reach::default();
     assert_eq!(fail(&mut reach, 1, 0), ReachChange::Doubtful);
-    assert_eq!(fail(&mut reach, 1, 1), ReachChange::Unchanged);
+    assert_eq!(fail(&mut reach, 1, 1), ReachChange::Doubtful);
     assert_eq!(fail(&mut reach, 2, 2), ReachChange::Doubtful);
     assert_eq!(fail(&mut reach, 3, 3), ReachChange::Lost);
     assert!(reach.is_lost());
@@ -96,7 +96,7 @@
 fn exchanges_that_break_off_raise_doubts_until_a_target_answers() {
     let mut reach = Reach::default();
     assert_eq!(reach.note_doubt(at(10)), ReachChange::Doubtful);
-    assert_eq!(reach.note_doubt(at(11)), ReachChange::Unchanged);
+    assert_eq!(reach.note_doubt(at(11)), ReachChange::Doubtful);
     assert_eq!(reach.doubted_since(), Some(at(11)));
     answer(&mut reach, 1, 11);
     assert_eq!(reach.doubted_since(), None);
