--- a/crates/thistlesill-edge/src/planner/actions.rs
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -65,7 +65,10 @@
         let begun = self.edge.now();
         let report = engine::fetch_report(target, address, within(PROBE_TIMEOUT)).await;
         let is_confirmed = match &report {
-            Ok(_) => self.confirm_answer(target, begun),
+            Ok(_) => {
+                self.note_answer(target, begun);
+                true
+            }
             Err(_) => self.confirm_failure(service, target, begun).await,
         };
         let line = lines.line("probe").with("target", target);
@@ -116,19 +119,18 @@
             // An engine may leave an order unanswered although it is reached.
             OrderReply::Refused | OrderReply::Unknown => reply,
             _ => {
-                self.confirm_answer(target, begun);
+                self.note_answer(target, begun);
                 reply
             }
         }
     }
 
     /// Records that a target answered on a connection that was opened at `begun`.
-    fn confirm_answer(&self, target: &TargetId, begun: Millis) -> bool {
+    fn note_answer(&self, target: &TargetId, begun: Millis) {
         let target = self.edge.registry.borrow().target(target).cloned();
         if let Some(target) = target {
             reach::note_answer(&self.edge, &target, begun);
         }
-        true
     }
 
     /// Returns whether the failure of an exchange that began at `begun` says something of its
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -240,7 +240,9 @@
 
 /// The end of one attempt, and of the request if it was answered.
 enum AttemptEnd {
+    /// The request has its answer, which may be a refusal.
     Answered(Response<OutBody>),
+    /// The attempt gave no answer to pass on.
     Failed(Failure, Destination),
     /// No target serves the request, or all that do were tried.
     NoTarget,
@@ -291,6 +293,7 @@
     }
 }
 
+/// Refuses the request, since the catalog in force may be outdated.
 fn refuse_stale(attempts: Attempts, track: &mut Track) -> Response<OutBody> {
     let track = track.with_reason("the catalog is not confirmed as current");
     track.refuse(stale_error(attempts), None)
@@ -316,6 +319,7 @@
     }
 }
 
+/// Passes an answer on to the caller, if the attempt gave one.
 async fn pass_on(
     job: &Rc<Job>,
     answered: Result<Answered, Failure>,
