--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoffs;
 mod choice;
 pub mod daemon;
+mod destination;
 mod evacuation;
 mod figures;
 mod flight;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -1,6 +1,5 @@
 //! Handles a request of a caller, from its arrival to the head of its answer.
 
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::edge::RouteKind;
 use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::within;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
@@ -20,6 +19,7 @@
 
 use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
 use crate::choice::{Choice, Pick};
+use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
 use crate::job::{Arrival, Job};
 use crate::quarantine;
@@ -204,40 +204,6 @@
     }
 }
 
-/// Where a request was sent to, or should have been.
-#[derive(Debug, Default)]
-pub(crate) struct Tried {
-    pub(crate) targets: Vec<TargetId>,
-    pub(crate) peers: Vec<NodeId>,
-}
-
-impl Tried {
-    /// Returns the target or peer that an answer comes from.
-    pub(crate) fn by(origin: &Origin) -> Self {
-        let mut tried = Self::default();
-        match origin {
-            Origin::Target { target, .. } => tried.targets.push(target.id.clone()),
-            Origin::Peer(peer) => tried.peers.push(peer.clone()),
-        }
-        tried
-    }
-}
-
-/// The target or peer of one attempt.
-pub(crate) enum Destination {
-    Target(Box<Target>),
-    Peer(NodeId),
-}
-
-impl fmt::Display for Destination {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Target(target) => target.id.fmt(f),
-            Self::Peer(peer) => peer.fmt(f),
-        }
-    }
-}
-
 /// The end of one attempt, and of the request if it was answered.
 enum AttemptEnd {
     /// The request has its answer, which may be a refusal.
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -11,7 +11,7 @@
 use thistlesill_policy::edge::load::Work;
 
 use crate::choice::PlacedBy;
-use crate::proxy::Destination;
+use crate::destination::Destination;
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
 use crate::state::Edge;
