fix(edge): a peer that sent a retry nowhere declines it, whatever ran before

Found by reading: a request that may have run at a target of the first daemon, passed as a retry to a peer that had just lost its links or whose catalog was not proved, got "it may have run" as its answer, though a third daemon could still have served it.

Cause: the peer took the attempts before the hop for its own. It declines now unless it sent the request itself; the first daemon keeps what may have run, so no answer says less than the truth. Test of the decision: a_passed_on_request_may_be_declined_until_this_daemon_sends_it; of processes the tests of partitions, streams, fatal and answers pass (30, one run). Not provoked with processes: it needs a peer within the half second before it has noticed its own loss.

--- a/crates/thistlesill-edge/src/forward/head.rs
+++ b/crates/thistlesill-edge/src/forward/head.rs
@@ -35,12 +35,8 @@
 
 impl Hop {
     /// Returns the attempts that the request has had already.
-    pub(crate) fn attempts(self) -> Attempts {
-        Attempts {
-            sent: self.sent,
-            may_have_run: self.may_have_run,
-            ..Attempts::default()
-        }
+    pub(crate) const fn attempts(self) -> Attempts {
+        Attempts::passed_on(self.sent, self.may_have_run)
     }
 
     /// Returns whether the attempt is a retry that the receiver's budget has to cover.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -356,7 +356,7 @@
 }
 
 const fn unreached_error(attempts: Attempts) -> ErrorKind {
-    if attempts.may_have_run {
+    if attempts.may_have_run && !attempts.may_be_declined() {
         ErrorKind::SentUnknown
     } else {
         ErrorKind::Unreached
@@ -364,7 +364,7 @@
 }
 
 const fn stale_error(attempts: Attempts) -> ErrorKind {
-    if attempts.may_have_run {
+    if attempts.may_have_run && !attempts.may_be_declined() {
         ErrorKind::SentUnknown
     } else {
         ErrorKind::NotReady
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -213,8 +213,7 @@
     attempts.sent += answered.sent;
     attempts.may_have_run = true;
     let edge = job.edge.clone();
-    let before = job.hop.map_or(0, |hop| hop.sent);
-    let sent = SentTargets(attempts.sent - before);
+    let sent = SentTargets(attempts.sent - attempts.before);
     let relay = Relay {
         tried: Tried::by(&answered.origin),
         source: Some(Source::new(answered, edge.now())),
--- a/crates/thistlesill-policy/src/edge/attempt.rs
+++ b/crates/thistlesill-policy/src/edge/attempt.rs
@@ -39,6 +39,28 @@
     pub unsent: u32,
     /// Whether any of the attempts may have run.
     pub may_have_run: bool,
+    /// The part of `sent` that other daemons made, before they passed the request on.
+    pub before: u32,
+}
+
+impl Attempts {
+    /// Returns the attempts of a request that another daemon passes on after `sent` attempts.
+    #[must_use]
+    pub const fn passed_on(sent: u32, may_have_run: bool) -> Self {
+        Self {
+            sent,
+            unsent: 0,
+            may_have_run,
+            before: sent,
+        }
+    }
+
+    /// Returns whether another daemon passed the request on and this one has sent it nowhere, so that
+    /// a further daemon may be asked instead.
+    #[must_use]
+    pub const fn may_be_declined(&self) -> bool {
+        self.before > 0 && self.sent == self.before
+    }
 }
 
 /// Number of attempts that may fail before anything was sent; each costs a connection.
--- a/crates/thistlesill-policy/tests/edge/attempt.rs
+++ b/crates/thistlesill-policy/tests/edge/attempt.rs
@@ -75,3 +75,14 @@
     assert_eq!(tries, 3);
     assert_eq!(attempts.sent, 0);
 }
+
+/// What ran elsewhere before does not keep a daemon from declining a request that it sent nowhere.
+#[test]
+fn a_passed_on_request_may_be_declined_until_this_daemon_sends_it() {
+    assert!(!Attempts::default().may_be_declined());
+    let mut attempts = Attempts::passed_on(1, true);
+    next_step(Outcome::NotSent, &mut attempts, true, 3, || true);
+    assert!(attempts.may_be_declined());
+    next_step(Outcome::NotRun, &mut attempts, true, 3, || true);
+    assert!(!attempts.may_be_declined());
+}
