--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -12,6 +12,7 @@
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::Outcome;
 use thistlesill_policy::edge::limit::Clearance;
+use thistlesill_policy::quarantine::AnswerPhase;
 
 use crate::backoffs;
 use crate::flight::InFlight;
@@ -214,7 +215,7 @@
         Err(ConnectionError::TimedOut) => Err(Failure::new(Outcome::Late, &"no answer in time")),
         Err(error) if error.is_unsent() => Err(Failure::new(Outcome::NotSent, &error)),
         Err(error) => {
-            quarantine::note_lost(job, target, "connection lost");
+            quarantine::note_lost(job, target, AnswerPhase::Waiting, "connection lost");
             Err(Failure::new(Outcome::MayHaveRun, &error))
         }
     }
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -137,6 +137,12 @@
             .get_or_init(|| self.compute_fingerprint())
     }
 
+    /// Returns the ids of the shared parts of the prompt for logs; `None` if there are none.
+    pub(crate) fn part_list(&self) -> Option<String> {
+        let parts = &self.head.shared_parts;
+        (!parts.is_empty()).then(|| parts.join(","))
+    }
+
     fn compute_fingerprint(&self) -> Fingerprint {
         let customer = self.admission.customer.as_ref();
         let customer = customer.map_or("", thistlesill_core::CustomerId::as_str);
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -15,6 +15,7 @@
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Admission, Key, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
+use thistlesill_policy::quarantine::AnswerPhase;
 use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
@@ -405,6 +406,7 @@
         origin,
         sent: _,
     } = answered;
+    let began = edge.now();
     let read = edge
         .alarm
         .timeout_at(job.answer_deadline(), body.collect())
@@ -421,7 +423,8 @@
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) => {
             if let Some(target) = &target {
-                quarantine::note_lost(job, target, "the answer broke off");
+                let phase = AnswerPhase::Starting(began);
+                quarantine::note_lost(job, target, phase, "the answer broke off");
             }
             return Err(Failure::new(Outcome::MayHaveRun, &error));
         }
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -14,7 +14,7 @@
 use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
-use thistlesill_policy::quarantine::{Quarantine, QuarantineStatus};
+use thistlesill_policy::quarantine::{AnswerPhase, Quarantine, QuarantineStatus};
 use tokio::sync::Notify;
 
 use crate::job::Job;
@@ -148,7 +148,9 @@
 }
 
 /// Records that the connection to a target was lost while the target ran a request.
-pub(crate) fn note_lost(job: &Job, target: &Target, reason: &str) {
+///
+/// `phase` tells how far the target's answer had come.
+pub(crate) fn note_lost(job: &Job, target: &Target, phase: AnswerPhase, reason: &str) {
     let (edge, print) = (&job.edge, job.fingerprint());
     let requests = edge.loads.borrow().work(&target.id, edge.now()).requests;
     edge.lines
@@ -158,6 +160,8 @@
         .with("why", reason)
         .with("print", print)
         .with("requests", requests)
+        .with("answer", phase.name())
+        .maybe("parts", job.part_list())
         .write();
     edge.suspect(&target.id, reason);
     let verdict = {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -17,6 +17,7 @@
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_platform::caller;
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
+use thistlesill_policy::quarantine::AnswerProgress;
 
 use self::cutter::Cutter;
 pub(crate) use self::passing::forward_plain;
@@ -155,6 +156,7 @@
     closing: bool,
     /// When the answer began.
     began: Millis,
+    progress: AnswerProgress,
     /// When the last event arrived.
     last_event: Option<Millis>,
 }
@@ -164,6 +166,7 @@
     fn record_event(&mut self, job: &Job) {
         let now = job.edge.now();
         let last = self.last_event.replace(now);
+        self.progress.note_event(now);
         let Some(target) = self.origin.target() else {
             return;
         };
@@ -185,6 +188,7 @@
     fn new(answered: Answered, now: Millis) -> Self {
         Self {
             began: now,
+            progress: AnswerProgress::new(now),
             body: answered.body,
             lane: answered.lane,
             origin: answered.origin,
@@ -391,7 +395,7 @@
         reach::note_doubt(&self.job.edge, target, begun);
         match stop {
             Stop::Stalled => self.job.edge.suspect(&target.id, reason),
-            _ => quarantine::note_lost(&self.job, target, reason),
+            _ => quarantine::note_lost(&self.job, target, source.progress.phase(), reason),
         }
     }
 
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -65,11 +65,13 @@
                 }
                 Some(Err(_)) => {
                     if let Some(target) = self.source.origin.target() {
-                        quarantine::note_lost(&self.job, target, "the answer broke off");
+                        let phase = self.source.progress.phase();
+                        quarantine::note_lost(&self.job, target, phase, "the answer broke off");
                     }
                     return Err(self.break_off("broke_off"));
                 }
                 Some(Ok(frame)) => {
+                    self.source.progress.note_event(self.job.edge.now());
                     if let Ok(data) = frame.into_data() {
                         self.bytes += data.len();
                         return Ok(Some(data));
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -17,10 +17,14 @@
 //! Two daemons may begin trials at the same time. If a target crashes under both, either of the two
 //! requests may be the cause, so both are tried again, one after the other.
 
+mod progress;
+
 use std::collections::HashMap;
 
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
+pub use self::progress::{AnswerPhase, AnswerProgress};
+
 /// Targets that must be lost in a row under a request before it is withheld. One or two can be lost
 /// for other reasons, or because of another request that ran there: a request that shares a target
 /// with a fatal one is sent elsewhere, and may meet the fatal one once more.
