--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -10,6 +10,8 @@
 mod evacuation;
 #[path = "it/fatal.rs"]
 mod fatal;
+#[path = "it/fatal_parts.rs"]
+mod fatal_parts;
 #[path = "it/keys.rs"]
 mod keys;
 #[path = "it/leaving.rs"]
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -0,0 +1,123 @@
+//! Prompts with a part that crashes each target which begins to answer them, whatever else the
+//! request holds.
+//!
+//! Evidence was kept for the whole request, so of requests that shared only such a part each began
+//! anew and had all its attempts. The lines of their losses share the part and nothing else:
+//!
+//! ```text
+//! ev=lost_with_target id=fatal-0 target=A print=P answer=starting parts=first,deadly
+//! ev=lost_with_target id=fatal-0 target=B print=P answer=starting parts=first,deadly
+//! ev=lost_with_target id=fatal-1 target=C print=Q answer=starting parts=first,deadly
+//! ```
+
+use std::time::{Duration, Instant};
+
+use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest};
+use thistlesill_platform_standin::daemon::Daemon;
+use thistlesill_platform_standin::ledger::Run;
+use thistlesill_platform_standin::world::World;
+
+use crate::support::{ask, send_steadily_to, sleep, stream, world};
+
+/// The part that crashes targets.
+const PART: &str = "deadly";
+/// The operators' bound: once this many targets have crashed, and a daemon that is connected to the
+/// others has had [`IN_TOUCH`], this many more requests with the part may reach targets.
+const KNOWN_AFTER: usize = 5;
+const MOST_LATER: usize = 3;
+const IN_TOUCH: Duration = Duration::from_secs(3);
+/// Pause between two requests with the part, in milliseconds.
+const GAP: u64 = 150;
+
+/// Builds a request with the part; no two have the same body.
+fn fatal(id: &str) -> CallerRequest {
+    let own = format!("own-{id}");
+    stream(id)
+        .model("small")
+        .body(format!("prompt {id}"))
+        .prompt_parts(&["first", PART, &own])
+}
+
+/// Builds a sound request of the same caller and route, with the same first part.
+fn sound(id: &str) -> CallerRequest {
+    let own = format!("own-{id}");
+    stream(id)
+        .model("small")
+        .body(format!("prompt {id}"))
+        .prompt_parts(&["first", "other", &own])
+}
+
+/// Returns when the operators' bound begins to count, if that many targets have crashed.
+fn bound_from(runs: &[Run]) -> Option<Instant> {
+    let mut begun: Vec<Instant> = runs.iter().map(|run| run.started_at).collect();
+    begun.sort_unstable();
+    begun.get(KNOWN_AFTER - 1).map(|fifth| *fifth + IN_TOUCH)
+}
+
+/// Counts the runs that the operators' bound limits.
+fn later(runs: &[Run]) -> usize {
+    bound_from(runs).map_or(0, |from| {
+        runs.iter().filter(|run| run.started_at > from).count()
+    })
+}
+
+/// Sends requests with the part, no two alike, through the daemons in turn.
+async fn send_fatal(world: &World, name: &str, times: usize) -> Vec<CallerAnswer> {
+    let mut all = Vec::new();
+    for i in 0..times {
+        let daemon = i % world.daemons.len();
+        all.push(ask(world, daemon, fatal(&format!("{name}-{i}"))).await);
+        sleep(GAP).await;
+    }
+    all
+}
+
+fn share_served(answers: &[CallerAnswer]) -> f64 {
+    let served = answers.iter().filter(|a| a.status == 200 && a.is_complete);
+    served.count() as f64 / answers.len().max(1) as f64
+}
+
+/// Sends sound requests through all daemons for `time`; returns the share served at the first
+/// attempt.
+async fn serve_sound(world: &World, time: Duration) -> f64 {
+    let addresses: Vec<_> = world.daemons.iter().map(Daemon::caller_address).collect();
+    let timed = send_steadily_to(&addresses, 10, time, sound).await;
+    let answers: Vec<CallerAnswer> = timed.into_iter().map(|(answer, _)| answer).collect();
+    share_served(&answers)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_only_a_fatal_part_crash_one_target_after_another() {
+    let world = world(161, 3).await;
+    world.targets.set_fatal_part(PART);
+    send_fatal(&world, "fatal", 80).await;
+    let runs = world.targets.ledger.runs_of_part(PART);
+    let ended = world.targets.restarts();
+    assert!(
+        later(&runs) <= MOST_LATER,
+        "{} runs, {} of them late, {ended} targets ended",
+        runs.len(),
+        later(&runs)
+    );
+    let refused = ask(&world, 0, fatal("refused")).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.retry_after().is_some_and(|s| s > 0.0));
+    assert!(world.targets.ledger.runs("refused").is_empty());
+}
+
+/// The sound requests are served at the first attempt at least half as often as before, once the
+/// daemons have had twice the time of being connected.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_requests_with_the_first_part_and_caller_of_fatal_ones_are_refused_or_lost() {
+    let world = world(162, 3).await;
+    let before = serve_sound(&world, Duration::from_secs(3)).await;
+    world.targets.set_fatal_part(PART);
+    let warning = 2 * IN_TOUCH + Duration::from_secs(2);
+    let (_, beside) = tokio::join!(send_fatal(&world, "fatal", 90), async {
+        serve_sound(&world, warning).await;
+        serve_sound(&world, Duration::from_secs(6)).await
+    });
+    assert!(beside >= before / 2.0, "{before:.2} before, {beside:.2}");
+    let runs = world.targets.ledger.runs_of_part(PART);
+    assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
+}
