fix(edge): a part of a prompt that crashes targets is withheld, whatever else its requests hold

Cause: evidence was kept for the whole request (customer, method, host, path, body), so each request with the part began at no losses and had all its attempts. The class is evidence kept under a key that is narrower than its cause.

Change: evidence is kept under each shared part of the prompt as well. Only answers that were starting when their target was lost suspect their parts; answers that are written past their start clear them at all daemons; of the losses of a part only those count whose answer began after the one before, so one outage of many targets condemns nothing. A single suspect is tried before several together, and a combination that crashes its target leaves each suspect its own trial. The verdict is looked at again right before sending.

Why it holds: a part that crashes targets never has an answer past its start, and parts of sound requests do within some tenths of a second.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -24,7 +24,6 @@
 use crate::quarantine;
 use crate::reach;
 use crate::relay;
-use crate::state::Edge;
 
 /// Time to connect to a target. Targets answer within a few milliseconds, so a longer wait
 /// means a lost packet or a dead machine.
@@ -173,7 +172,7 @@
             return Err(Failure::new(Outcome::NotSent, &error));
         }
     };
-    if let Some(reason) = reason_not_to_send(edge, target, clearance) {
+    if let Some(reason) = reason_not_to_send(job, target, clearance) {
         job.return_lane(&target.id, lane, None);
         return Err(Failure::new(Outcome::NotSent, &reason));
     }
@@ -222,7 +221,8 @@
 }
 
 /// Returns why a request may no longer be sent to the target that was picked for it.
-fn reason_not_to_send(edge: &Edge, target: &Target, clearance: Clearance) -> Option<&'static str> {
+fn reason_not_to_send(job: &Job, target: &Target, clearance: Clearance) -> Option<&'static str> {
+    let edge = &job.edge;
     let registry = edge.registry.borrow();
     if registry.is_evacuated(&target.hall) {
         Some("its data centre is evacuated")
@@ -232,6 +232,8 @@
         Some("its grant ran out")
     } else if edge.backoffs.is_active(&target.id, edge.now()) {
         Some("it requested a backoff")
+    } else if quarantine::is_withheld(job) {
+        Some("the request is withheld")
     } else {
         None
     }
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request, with all that is needed to send it to targets.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -9,12 +9,13 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::{Fingerprint, Millis};
+use thistlesill_core::{Fingerprint, Millis, Model};
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_platform::caller::{self, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::asked::DemandSample;
 use thistlesill_policy::edge::attempt::Attempts;
+use thistlesill_policy::quarantine::RequestKeys;
 
 use crate::choice::{Pick, Sender, TargetQuery};
 use crate::forward::{self, Hop};
@@ -27,6 +28,12 @@
 /// sends just before the deadline still arrives.
 const ANSWER_MARGIN: Millis = Millis::new(60);
 
+/// Distinguishes the fingerprints of parts of prompts from those of requests.
+const PART_LABEL: &[u8] = b"part";
+
+/// Maximum number of parts of a prompt for which evidence is kept.
+const MAX_PARTS: usize = 32;
+
 /// An admitted request, with all that is needed to send it to targets.
 pub(crate) struct Job {
     pub(crate) edge: Rc<Edge>,
@@ -39,16 +46,16 @@
     pub(crate) arrived: Millis,
     /// When the final answer is due.
     pub(crate) due: Millis,
-    /// The fingerprint of the request, computed when first needed.
-    cached_fingerprint: OnceCell<Fingerprint>,
+    /// The fingerprints of the request and of its parts, computed when first needed.
+    cached_keys: OnceCell<RequestKeys>,
     /// What the peer that passed the request on says of it; `None` if a caller sent it here.
     pub(crate) hop: Option<Hop>,
     /// Whether the retry budget of this daemon, or of one before, has counted the request.
     pub(crate) counted: Cell<bool>,
     /// Whether this daemon's retry budget covers the next attempt.
     pub(crate) paid: Cell<bool>,
-    /// Whether this request is the trial of one that was withheld.
-    pub(crate) trial: Cell<bool>,
+    /// The suspects of which this request is the trial.
+    pub(crate) tried: RefCell<Vec<Fingerprint>>,
 }
 
 /// A request as received from its caller.
@@ -76,8 +83,8 @@
             uri: arrival.parts.uri,
             body: arrival.body,
             arrived: arrival.at,
-            cached_fingerprint: OnceCell::new(),
-            trial: Cell::new(false),
+            cached_keys: OnceCell::new(),
+            tried: RefCell::default(),
         }
     }
 
@@ -132,9 +139,21 @@
 
     /// Returns the fingerprint that identifies repetitions of the same request.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self
-            .cached_fingerprint
-            .get_or_init(|| self.compute_fingerprint())
+        self.keys().whole
+    }
+
+    /// Returns the keys under which evidence about the request is kept.
+    pub(crate) fn keys(&self) -> &RequestKeys {
+        self.cached_keys.get_or_init(|| RequestKeys {
+            whole: self.compute_fingerprint(),
+            parts: self.fingerprint_parts(),
+        })
+    }
+
+    /// Returns the id of the part of the prompt with this fingerprint, for logs.
+    pub(crate) fn part_of(&self, print: Fingerprint) -> Option<&str> {
+        let at = self.keys().parts.iter().position(|part| *part == print)?;
+        self.head.shared_parts.get(at).map(AsRef::as_ref)
     }
 
     /// Returns the ids of the shared parts of the prompt for logs; `None` if there are none.
@@ -156,6 +175,17 @@
         ])
     }
 
+    /// Computes the fingerprints of the parts of the prompt. They are the same for all customers: a
+    /// part crashes targets whoever sends it.
+    fn fingerprint_parts(&self) -> Vec<Fingerprint> {
+        let service = self.admission.service.name.as_str().as_bytes();
+        let model = self.head.model.as_ref().map_or("", Model::as_str);
+        let parts = self.head.shared_parts.iter().take(MAX_PARTS);
+        let print =
+            |id: &str| Fingerprint::of(&[PART_LABEL, service, model.as_bytes(), id.as_bytes()]);
+        parts.map(|id| print(id)).collect()
+    }
+
     /// Picks the target of the next attempt, other than `tried`, after the given attempts.
     pub(crate) async fn pick(&self, tried: &[TargetId], attempts: Attempts) -> Pick {
         let query = TargetQuery {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -225,6 +225,7 @@
             Ok(Packet::Counts(counts)) => place::receive_counts(&edge, counts),
             Ok(Packet::Totals(totals)) => place::receive_totals(&edge, totals),
             Ok(Packet::Lost(lost)) => quarantine::receive_losses(&edge, &lost),
+            Ok(Packet::PartsLost(lost)) => quarantine::receive_part_losses(&edge, &lost),
             Ok(Packet::Verdicts(verdicts)) => quarantine::receive_verdicts(&edge, &verdicts),
             Ok(Packet::VerdictsRequest(peer)) => quarantine::send_verdicts(&edge, &peer),
             Ok(Packet::Limits(updates)) => limits::receive(&edge, &updates),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -47,6 +47,9 @@
     /// Services to whose targets the sender has lost its own links; goes to all daemons while there
     /// are any, and once when there are none any more.
     LinksLost(LostLinks),
+    /// Parts of prompts that targets were starting to answer when the sender lost them; goes to all
+    /// daemons.
+    PartsLost(Vec<PartLoss>),
 }
 
 impl Packet {
@@ -70,10 +73,21 @@
             Self::GrantRequest(_) => "ask_grant",
             Self::Grant(_) => "grant",
             Self::LinksLost(_) => "links_lost",
+            Self::PartsLost(_) => "parts_lost",
         }
     }
 }
 
+/// A target that was lost while it was starting an answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PartLoss {
+    /// Fingerprint of a part of the prompt.
+    pub(crate) part: Fingerprint,
+    pub(crate) target: TargetId,
+    /// How long ago the answer began when the sender sent this.
+    pub(crate) answer_age: Millis,
+}
+
 /// How a daemon follows the store, ordered by how much other daemons prefer to depend on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum StoreUse {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -439,7 +439,7 @@
         let took = edge.now() - job.arrived;
         edge.loads.borrow_mut().note_time(&target.id, took);
         if status.is_success() {
-            quarantine::note_success(job);
+            quarantine::note_success(job, began);
         }
         if !info.closing {
             job.return_lane(&target.id, lane, info.keep_alive);
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the targets that run them: what this daemon observes, what it sends to its
+//! Requests and parts of prompts that crash targets: what this daemon observes, what it sends to its
 //! peers, and what is stored.
 //!
 //! Losses, successes and verdicts go to all daemons in datagrams. Heartbeats carry a digest of the
@@ -14,11 +14,11 @@
 use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
-use thistlesill_policy::quarantine::{AnswerPhase, Quarantine, QuarantineStatus};
+use thistlesill_policy::quarantine::{AnswerPhase, LossEffect, Quarantine, QuarantineStatus};
 use tokio::sync::Notify;
 
 use crate::job::Job;
-use crate::peers::packet::Packet;
+use crate::peers::packet::{Packet, PartLoss};
 use crate::peers::{Reach, link};
 use crate::start::{self, Start};
 use crate::state::Edge;
@@ -62,9 +62,19 @@
 #[derive(Debug, Default)]
 struct Unsent {
     lost: Vec<(Fingerprint, TargetId)>,
+    parts: Vec<UnsentPart>,
     verdicts: Vec<Verdict>,
 }
 
+/// A part of a prompt under which a target was lost, on this daemon's clock.
+#[derive(Debug, Clone)]
+struct UnsentPart {
+    part: Fingerprint,
+    target: TargetId,
+    /// When the answer began.
+    began: Millis,
+}
+
 /// The stored row of a withheld request.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct WithheldRow {
@@ -75,6 +85,17 @@
     until: u64,
 }
 
+impl UnsentPart {
+    /// Returns the loss as peers receive it.
+    fn aged(self, now: Millis) -> PartLoss {
+        PartLoss {
+            part: self.part,
+            target: self.target,
+            answer_age: now - self.began,
+        }
+    }
+}
+
 impl QuarantineState {
     /// Returns the digest of the known verdicts, which is equal on daemons with the same verdicts.
     pub(crate) fn digest(&self) -> u64 {
@@ -92,6 +113,27 @@
         self.send.notify_one();
     }
 
+    /// Queues the loss of a target for the peers.
+    fn queue_loss(
+        &self,
+        print: Fingerprint,
+        target: &Target,
+        effect: &LossEffect,
+        phase: AnswerPhase,
+    ) {
+        let mut unsent = self.unsent.borrow_mut();
+        unsent.lost.push((print, target.id.clone()));
+        if let AnswerPhase::Starting(began) = phase {
+            let parts = effect.suspected.iter().map(|part| UnsentPart {
+                part: *part,
+                target: target.id.clone(),
+                began,
+            });
+            unsent.parts.extend(parts);
+        }
+        self.send.notify_one();
+    }
+
     /// Queues a verdict for the store, where it outlasts all daemons.
     fn store(&self, verdict: Verdict) {
         let mut unwritten = self.unwritten.borrow_mut();
@@ -105,45 +147,60 @@
 
 /// Returns for how long a request is withheld, if it is.
 ///
-/// If the request may be tried now, this call begins the trial, and all other daemons withhold the
-/// request until the trial has an outcome.
+/// If the request may be tried now, this call begins the trial, and all other daemons withhold what
+/// is tried until the trial has an outcome.
 pub(crate) fn withheld(job: &Job) -> Option<Millis> {
     let edge = &job.edge;
-    if edge.quarantine.known.borrow().is_empty() {
-        return None;
-    }
-    let (print, now) = (job.fingerprint(), edge.now());
-    let status = edge.quarantine.known.borrow().status(print, now);
-    match status {
+    match status(job) {
         QuarantineStatus::Free => None,
-        QuarantineStatus::Tried(_) if job.trial.get() => None,
         QuarantineStatus::Tried(left) | QuarantineStatus::Withheld(left) => Some(left),
         QuarantineStatus::Trial => {
-            job.trial.set(true);
-            let verdict = edge.quarantine.known.borrow_mut().begin_trial(print, now);
-            let line = edge.lines.line("withheld_tried").with("id", &job.head.id);
-            line.with("print", print).write();
-            if let Some(verdict) = verdict {
-                // Sent without batching: another daemon may be about to try the request, too.
-                link::broadcast(edge, &Packet::Verdicts(vec![verdict]), Reach::All);
+            let (tried, verdicts) = {
+                let mut known = edge.quarantine.known.borrow_mut();
+                known.begin_request_trial(job.keys(), edge.now())
+            };
+            for print in &tried {
+                let line = edge.lines.line("withheld_tried").with("id", &job.head.id);
+                line.with("print", print)
+                    .maybe("part", job.part_of(*print))
+                    .write();
             }
+            job.tried.replace(tried);
+            // Sent without batching: another daemon may be about to try the request, too.
+            link::broadcast(edge, &Packet::Verdicts(verdicts), Reach::All);
             None
         }
     }
 }
 
+/// Returns whether a request that was free when its target was picked is withheld now.
+pub(crate) fn is_withheld(job: &Job) -> bool {
+    status(job) != QuarantineStatus::Free
+}
+
+/// Returns whether a request may be sent; a request that is a trial itself may.
+fn status(job: &Job) -> QuarantineStatus {
+    let known = job.edge.quarantine.known.borrow();
+    if known.is_empty() {
+        return QuarantineStatus::Free;
+    }
+    match known.request_status(job.keys(), job.edge.now()) {
+        QuarantineStatus::Tried(_) if !job.tried.borrow().is_empty() => QuarantineStatus::Free,
+        status => status,
+    }
+}
+
 /// Ends the trial of a request that was on trial, and is finished or goes to a peer.
 pub(crate) fn end_trial(job: &Job) {
-    if !job.trial.replace(false) {
-        return;
-    }
     let edge = &job.edge;
-    let verdict = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        known.end_trial(job.fingerprint(), edge.now())
-    };
-    if let Some(verdict) = verdict {
-        edge.quarantine.announce(verdict);
+    for print in job.tried.take() {
+        let verdict = {
+            let mut known = edge.quarantine.known.borrow_mut();
+            known.end_trial(print, edge.now())
+        };
+        if let Some(verdict) = verdict {
+            edge.quarantine.announce(verdict);
+        }
     }
 }
 
@@ -164,22 +221,21 @@
         .maybe("parts", job.part_list())
         .write();
     edge.suspect(&target.id, reason);
-    let verdict = {
+    let effect = {
         let mut known = edge.quarantine.known.borrow_mut();
-        known.note_lost(print, &target.id, edge.now())
+        let tried = job.tried.borrow();
+        known.note_request_lost(job.keys(), &tried, &target.id, phase, edge.now())
     };
-    let loss = (print, target.id.clone());
-    edge.quarantine.unsent.borrow_mut().lost.push(loss);
-    edge.quarantine.send.notify_one();
-    if let Some(verdict) = verdict {
-        log_verdict(edge, &verdict, &job.head.id);
+    edge.quarantine.queue_loss(print, target, &effect, phase);
+    for verdict in effect.verdicts {
+        log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
         edge.quarantine.announce(verdict);
         edge.quarantine.store(verdict);
     }
 }
 
-/// Records that a request was answered successfully.
-pub(crate) fn note_success(job: &Job) {
+/// Records that a request was answered successfully, with an answer that began at `began`.
+pub(crate) fn note_success(job: &Job, began: Millis) {
     let edge = &job.edge;
     if edge.quarantine.known.borrow().is_empty() {
         return;
@@ -188,24 +244,45 @@
         let mut known = edge.quarantine.known.borrow_mut();
         known.note_success(job.fingerprint(), edge.now())
     };
-    let Some(verdict) = verdict else {
+    announce_cleared(job, verdict);
+    note_progress(job, began);
+}
+
+/// Records that the answer to a request, which began at `began`, was written past its start.
+pub(crate) fn note_progress(job: &Job, began: Millis) {
+    let edge = &job.edge;
+    if edge.quarantine.known.borrow().is_empty() {
         return;
+    }
+    let verdicts = {
+        let mut known = edge.quarantine.known.borrow_mut();
+        known.note_request_progress(job.keys(), began, edge.now())
     };
-    edge.quarantine.announce(verdict);
-    if verdict.round > 0 {
-        log_verdict(edge, &verdict, &job.head.id);
-        edge.quarantine.store(verdict);
+    announce_cleared(job, verdicts);
+}
+
+/// Sends and stores verdicts by which a request or parts of its prompt are cleared.
+fn announce_cleared(job: &Job, verdicts: impl IntoIterator<Item = Verdict>) {
+    let edge = &job.edge;
+    for verdict in verdicts {
+        edge.quarantine.announce(verdict);
+        if verdict.round > 0 {
+            log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
+            edge.quarantine.store(verdict);
+        }
     }
 }
 
-fn log_verdict(edge: &Edge, verdict: &Verdict, from: &str) {
+/// Logs a verdict; `part` is the id of the part of a prompt that it is on, if that is known here.
+fn log_verdict(edge: &Edge, verdict: &Verdict, from: &str, part: Option<&str>) {
     let event = if verdict.level > 0 {
         "request_withheld"
     } else {
         "request_cleared"
     };
     let line = edge.lines.line(event).with("print", verdict.print);
-    line.with("from", from)
+    line.maybe("part", part)
+        .with("from", from)
         .with("round", verdict.round)
         .with("level", verdict.level)
         .with("for_ms", verdict.left.get())
@@ -221,6 +298,11 @@
         for batch in unsent.lost.chunks(MAX_PER_DATAGRAM) {
             link::broadcast(&edge, &Packet::Lost(batch.to_vec()), Reach::All);
         }
+        let now = edge.now();
+        let parts: Vec<PartLoss> = unsent.parts.into_iter().map(|p| p.aged(now)).collect();
+        for batch in parts.chunks(MAX_PER_DATAGRAM) {
+            link::broadcast(&edge, &Packet::PartsLost(batch.to_vec()), Reach::All);
+        }
         for batch in unsent.verdicts.chunks(MAX_PER_DATAGRAM) {
             link::broadcast(&edge, &Packet::Verdicts(batch.to_vec()), Reach::All);
         }
@@ -234,7 +316,19 @@
     let mut known = edge.quarantine.known.borrow_mut();
     for (print, target) in lost {
         if let Some(verdict) = known.note_lost(*print, target, now) {
-            log_verdict(edge, &verdict, "losses of peers");
+            log_verdict(edge, &verdict, "losses of peers", None);
+        }
+    }
+}
+
+/// Applies the losses of parts of prompts that a peer observed.
+pub(crate) fn receive_part_losses(edge: &Edge, lost: &[PartLoss]) {
+    let now = edge.now();
+    let mut known = edge.quarantine.known.borrow_mut();
+    for loss in lost {
+        let began = now - loss.answer_age;
+        if let Some(verdict) = known.note_part_lost(loss.part, &loss.target, began, now) {
+            log_verdict(edge, &verdict, "losses of peers", None);
         }
     }
 }
@@ -245,7 +339,7 @@
     let mut known = edge.quarantine.known.borrow_mut();
     for verdict in verdicts {
         if known.receive(*verdict, now) && verdict.round > 0 {
-            log_verdict(edge, verdict, "a peer");
+            log_verdict(edge, verdict, "a peer", None);
         }
     }
 }
@@ -326,7 +420,7 @@
                 .borrow_mut()
                 .receive(verdict, edge.now())
             {
-                log_verdict(edge, &verdict, "the store");
+                log_verdict(edge, &verdict, "the store", None);
             }
         }
         Ok(_) => remove_row(edge, &row.key).await,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -166,10 +166,13 @@
     fn record_event(&mut self, job: &Job) {
         let now = job.edge.now();
         let last = self.last_event.replace(now);
-        self.progress.note_event(now);
+        let is_past_start = self.progress.note_event(now);
         let Some(target) = self.origin.target() else {
             return;
         };
+        if is_past_start {
+            quarantine::note_progress(job, self.began);
+        }
         let mut loads = job.edge.loads.borrow_mut();
         let engine = job.admission.service.engine.as_ref();
         if let (Some(last), Some(engine)) = (last, engine) {
@@ -456,7 +459,7 @@
             self.track.paused(self.longest_pause);
             self.track.ended(200, source.origin.target_id(), bytes);
             if let Origin::Target { target, .. } = &source.origin {
-                quarantine::note_success(&self.job);
+                quarantine::note_success(&self.job, source.began);
                 if !source.closing {
                     self.job.return_lane(&target.id, source.lane, source.keep);
                 }
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -59,7 +59,7 @@
                     let target = self.source.origin.target_id();
                     self.track.ended(200, target, self.bytes);
                     if target.is_some() {
-                        quarantine::note_success(&self.job);
+                        quarantine::note_success(&self.job, self.source.began);
                     }
                     return Ok(None);
                 }
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -16,14 +16,19 @@
 //!
 //! Two daemons may begin trials at the same time. If a target crashes under both, either of the two
 //! requests may be the cause, so both are tried again, one after the other.
+//!
+//! What crashes targets may be one part of a prompt instead of a whole request; [`RequestKeys`] has
+//! the keys of both, and the evidence against a part has rules of its own.
 
 mod progress;
+mod request;
 
 use std::collections::HashMap;
 
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
 pub use self::progress::{AnswerPhase, AnswerProgress};
+pub use self::request::{LossEffect, RequestKeys};
 
 /// Targets that must be lost in a row under a request before it is withheld. One or two can be lost
 /// for other reasons, or because of another request that ran there: a request that shares a target
@@ -68,7 +73,7 @@
     Trial,
     /// The request is withheld for this much longer.
     Withheld(Millis),
-    /// The request is being tried; all other copies are withheld for this much longer.
+    /// The request is being tried; other copies may ask again after this time.
     Tried(Millis),
 }
 
@@ -77,6 +82,10 @@
 struct Record<T> {
     /// Targets lost under the request since it last completed; at most [`MAX_LOST`].
     lost: Vec<T>,
+    /// Number of these losses that count towards the first verdict.
+    counted: usize,
+    /// When the last loss that counts or the last verdict was recorded.
+    since: Millis,
     round: u32,
     level: u32,
     /// Until when the request is withheld.
@@ -93,6 +102,8 @@
     fn default() -> Self {
         Self {
             lost: Vec::new(),
+            counted: 0,
+            since: Millis::ZERO,
             round: 0,
             level: 0,
             until: Millis::ZERO,
@@ -118,10 +129,21 @@
         self.trial && self.is_withheld(now)
     }
 
-    fn note_lost(&mut self, target: &T) {
-        if self.lost.len() < MAX_LOST && !self.lost.contains(target) {
+    /// Remembers a lost target. Returns whether it was not known to be lost.
+    fn remember(&mut self, target: &T) -> bool {
+        let is_new = self.lost.len() < MAX_LOST && !self.lost.contains(target);
+        if is_new {
             self.lost.push(target.clone());
         }
+        is_new
+    }
+
+    /// Records a loss that counts towards the first verdict.
+    fn count_lost(&mut self, target: &T, now: Millis) {
+        if self.remember(target) {
+            self.counted += 1;
+            self.since = now;
+        }
     }
 
     fn is_withheld(&self, now: Millis) -> bool {
@@ -134,8 +156,10 @@
         self.level = level;
         self.until = now + left;
         self.trial = false;
+        self.since = now;
         if level == 0 {
             self.lost.clear();
+            self.counted = 0;
         }
         self.expires_at = self.until + VERDICT_RETENTION;
     }
@@ -173,7 +197,9 @@
     #[must_use]
     pub fn status(&self, print: Fingerprint, now: Millis) -> QuarantineStatus {
         match self.records.get(&print) {
-            Some(record) if record.is_tried(now) => QuarantineStatus::Tried(record.until - now),
+            Some(record) if record.is_tried(now) => {
+                QuarantineStatus::Tried(TRIAL_RETRY_AFTER.min(record.until - now))
+            }
             Some(record) if record.is_withheld(now) => {
                 QuarantineStatus::Withheld(record.until - now)
             }
@@ -213,13 +239,13 @@
     pub fn note_lost(&mut self, print: Fingerprint, target: &T, now: Millis) -> Option<Verdict> {
         self.make_room(print);
         let record = self.records.entry(print).or_default();
-        record.note_lost(target);
+        record.count_lost(target, now);
         record.expires_at = record.expires_at.max(now + LOSS_RETENTION);
         if record.is_withheld(now) && !record.trial {
             // The request was sent before the verdict was known.
             return None;
         }
-        if record.level == 0 && record.lost.len() < LOSSES_UNTIL_WITHHELD {
+        if record.level == 0 && record.counted < LOSSES_UNTIL_WITHHELD {
             return None;
         }
         if record.is_tried(now) {
--- /dev/null
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -0,0 +1,208 @@
+//! Evidence against a request as a whole and against the parts of its prompt.
+//!
+//! Load pattern: requests of which no two are alike share one part of their prompts, and each
+//! crashes the target that begins to answer it. Sound requests share their caller and all their
+//! other parts, and many of them are lost with each target. Evidence under the whole request never
+//! reaches a verdict then, so it is kept under each shared part as well.
+//!
+//! A part is suspected only where its answer was starting, since that is when such parts crash
+//! targets. An answer that is written past its start clears all its parts, which keeps parts of
+//! sound requests free however often targets are lost. Of the losses of a part only those count
+//! whose answer began after the loss before: one outage may take many targets at once, and would
+//! otherwise condemn what many requests share.
+//!
+//! A request with several suspects is tried only when no request with a single one came for a
+//! while. If it crashes its target, the combination is withheld for long, and each suspect may
+//! still be tried alone.
+
+use thistlesill_core::{Fingerprint, Millis, Verdict};
+
+use super::{
+    AnswerPhase, FIRST_HOLD, Quarantine, QuarantineStatus, TRIAL_RETRY_AFTER, hold_duration,
+};
+
+/// How much longer a request with several suspects is withheld than one with a single suspect: long
+/// enough for the trials of the suspects alone, one after the other.
+const COMBINATION_HOLD: Millis = Millis::new(2_000);
+
+/// The keys under which evidence about a request is kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestKeys {
+    /// Fingerprint of the whole request.
+    pub whole: Fingerprint,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl RequestKeys {
+    fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.whole).chain(self.parts.iter().copied())
+    }
+}
+
+/// What follows from the loss of a target.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LossEffect {
+    /// Parts that are suspected; empty if the answer was not starting.
+    pub suspected: Vec<Fingerprint>,
+    /// Verdicts to broadcast.
+    pub verdicts: Vec<Verdict>,
+}
+
+impl<T: Clone + PartialEq> Quarantine<T> {
+    /// Returns whether a request may be sent.
+    #[must_use]
+    pub fn request_status(&self, keys: &RequestKeys, now: Millis) -> QuarantineStatus {
+        match self.suspects(keys).as_slice() {
+            [] => QuarantineStatus::Free,
+            [only] => self.status(*only, now),
+            several => self.combination_status(several, now),
+        }
+    }
+
+    /// Begins the trial of a request. Returns the suspects that are tried with it, and the verdicts
+    /// to broadcast.
+    pub fn begin_request_trial(
+        &mut self,
+        keys: &RequestKeys,
+        now: Millis,
+    ) -> (Vec<Fingerprint>, Vec<Verdict>) {
+        let tried = self.suspects(keys);
+        let begun = tried.iter().filter_map(|key| self.begin_trial(*key, now));
+        let verdicts = begun.collect();
+        (tried, verdicts)
+    }
+
+    /// Records that a target was lost while it had a request. `tried` are the suspects of which the
+    /// request is the trial.
+    pub fn note_request_lost(
+        &mut self,
+        keys: &RequestKeys,
+        tried: &[Fingerprint],
+        target: &T,
+        phase: AnswerPhase,
+        now: Millis,
+    ) -> LossEffect {
+        let mut effect = LossEffect::default();
+        let AnswerPhase::Starting(began) = phase else {
+            effect
+                .verdicts
+                .extend(self.note_lost(keys.whole, target, now));
+            return effect;
+        };
+        effect.suspected.clone_from(&keys.parts);
+        if tried.len() > 1 {
+            effect.verdicts = self.withhold_combination(tried, now);
+            return effect;
+        }
+        effect
+            .verdicts
+            .extend(self.note_lost(keys.whole, target, now));
+        for part in &keys.parts {
+            let verdict = if tried.contains(part) {
+                self.note_lost(*part, target, now)
+            } else {
+                self.note_part_lost(*part, target, began, now)
+            };
+            effect.verdicts.extend(verdict);
+        }
+        effect
+    }
+
+    /// Records that a target was lost while it was starting an answer with a part of its prompt that
+    /// is not on trial here. Returns the verdict to broadcast if the part is withheld from now on.
+    ///
+    /// `began` is when the answer began.
+    pub fn note_part_lost(
+        &mut self,
+        part: Fingerprint,
+        target: &T,
+        began: Millis,
+        now: Millis,
+    ) -> Option<Verdict> {
+        match self.records.get_mut(&part) {
+            // The daemon that tries the part decides on it.
+            Some(record) if record.level > 0 => {
+                if record.is_tried(now) {
+                    record.ended = Some(target.clone());
+                }
+                record.remember(target);
+                None
+            }
+            // The same outage may have taken both targets.
+            Some(record) if began < record.since => {
+                record.remember(target);
+                None
+            }
+            _ => self.note_lost(part, target, now),
+        }
+    }
+
+    /// Records that the answer to a request, which began at `began`, was written past its start.
+    /// Returns the verdicts to broadcast.
+    pub fn note_request_progress(
+        &mut self,
+        keys: &RequestKeys,
+        began: Millis,
+        now: Millis,
+    ) -> Vec<Verdict> {
+        let after = |key: &Fingerprint| self.records.get(key).is_some_and(|r| began >= r.since);
+        let cleared: Vec<Fingerprint> = keys.parts.iter().copied().filter(after).collect();
+        let verdicts = cleared
+            .into_iter()
+            .filter_map(|part| self.note_success(part, now));
+        verdicts.collect()
+    }
+
+    /// Returns the keys of a request that have a verdict against them.
+    fn suspects(&self, keys: &RequestKeys) -> Vec<Fingerprint> {
+        let suspected = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.level > 0);
+        keys.iter().filter(suspected).collect()
+    }
+
+    fn combination_status(&self, suspects: &[Fingerprint], now: Millis) -> QuarantineStatus {
+        let records = || suspects.iter().filter_map(|key| self.records.get(key));
+        if records().any(|record| record.is_tried(now)) {
+            return QuarantineStatus::Tried(TRIAL_RETRY_AFTER);
+        }
+        let each = records().map(|record| record.until).max();
+        let each = each.unwrap_or(Millis::ZERO) + COMBINATION_HOLD;
+        let combined = self.records.get(&combination(suspects));
+        let until = combined.map_or(each, |record| each.max(record.until));
+        if now < until {
+            QuarantineStatus::Withheld(until - now)
+        } else if self.is_trial_on(now) {
+            QuarantineStatus::Withheld(TRIAL_RETRY_AFTER)
+        } else {
+            QuarantineStatus::Trial
+        }
+    }
+
+    /// Withholds requests with all of these suspects for long, since one of them crashed a target on
+    /// its trial; each may be tried alone soon.
+    fn withhold_combination(&mut self, suspects: &[Fingerprint], now: Millis) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        for key in suspects {
+            if let Some(record) = self.records.get_mut(key) {
+                record.decide(record.level, FIRST_HOLD, now);
+                verdicts.push(record.verdict(*key, now));
+            }
+        }
+        let key = combination(suspects);
+        self.make_room(key);
+        let record = self.records.entry(key).or_default();
+        let level = record.level.max(1) + 1;
+        record.decide(level, hold_duration(level), now);
+        verdicts.push(record.verdict(key, now));
+        verdicts
+    }
+}
+
+/// Returns the key of a combination of suspects.
+fn combination(suspects: &[Fingerprint]) -> Fingerprint {
+    let mut sorted = suspects.to_vec();
+    sorted.sort_unstable();
+    let bytes: Vec<[u8; 16]> = sorted.iter().map(|k| k.number().to_le_bytes()).collect();
+    let slices: Vec<&[u8]> = bytes.iter().map(<[u8; 16]>::as_slice).collect();
+    Fingerprint::of(&slices)
+}
--- /dev/null
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -0,0 +1,224 @@
+//! Tests that a part of a prompt that crashes targets is withheld, and that what sound requests
+//! share is not.
+
+use thistlesill_core::edge::TargetId;
+use thistlesill_core::{Fingerprint, Millis};
+use thistlesill_policy::quarantine::{
+    AnswerPhase, AnswerProgress, Quarantine, QuarantineStatus, RequestKeys,
+};
+
+const START: Millis = Millis::new(1_000_000);
+/// Time from the start of an answer to the crash.
+const CRASH_DELAY: Millis = Millis::new(60);
+
+type Known = Quarantine<TargetId>;
+
+fn at(ms: u64) -> Millis {
+    START + Millis::new(ms)
+}
+
+fn print(name: &str) -> Fingerprint {
+    Fingerprint::of(&[name.as_bytes()])
+}
+
+fn target(number: u32) -> TargetId {
+    TargetId::from(format!("t{number}"))
+}
+
+/// A request of its own with these parts.
+fn request(name: &str, parts: &[&str]) -> RequestKeys {
+    RequestKeys {
+        whole: print(&format!("request {name}")),
+        parts: parts.iter().map(|part| print(part)).collect(),
+    }
+}
+
+/// Crashes a target under a request at a time.
+fn crash(known: &mut Known, keys: &RequestKeys, number: u32, now: Millis) {
+    let phase = AnswerPhase::Starting(now - CRASH_DELAY);
+    known.note_request_lost(keys, &[], &target(number), phase, now);
+}
+
+/// Requests with the parts `first` and `deadly` crash three targets, one after the other.
+fn three_crashed() -> Known {
+    let mut known = Known::default();
+    for number in 0..3 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        crash(&mut known, &keys, number, at(100 * u64::from(number)));
+    }
+    known
+}
+
+fn is_withheld(known: &Known, keys: &RequestKeys, now: Millis) -> bool {
+    let status = known.request_status(keys, now);
+    matches!(
+        status,
+        QuarantineStatus::Withheld(_) | QuarantineStatus::Tried(_)
+    )
+}
+
+#[test]
+fn requests_that_are_never_alike_crash_target_after_target_under_one_part() {
+    let known = three_crashed();
+    assert!(is_withheld(&known, &request("new", &["deadly"]), at(300)));
+    let other = request("other", &["sound"]);
+    assert_eq!(
+        known.request_status(&other, at(300)),
+        QuarantineStatus::Free
+    );
+}
+
+#[test]
+fn a_shared_part_is_withheld_although_sound_answers_with_it_go_on() {
+    let mut known = Known::default();
+    for number in 0..20_u32 {
+        let now = at(400 * u64::from(number));
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        crash(&mut known, &keys, number, now);
+        let sound = request(&format!("sound {number}"), &["first", "other"]);
+        known.note_request_progress(&sound, now + Millis::new(20), now + Millis::new(350));
+        assert_eq!(known.request_status(&sound, now), QuarantineStatus::Free);
+    }
+    let fatal = request("x", &["deadly"]);
+    assert_eq!(
+        known.request_status(&fatal, at(8_000)),
+        QuarantineStatus::Trial
+    );
+}
+
+#[test]
+fn an_outage_of_many_targets_at_once_withholds_what_their_requests_share() {
+    let mut known = Known::default();
+    for number in 0..20 {
+        let keys = request(&number.to_string(), &["first"]);
+        crash(&mut known, &keys, number, at(u64::from(number)));
+    }
+    let keys = request("new", &["first"]);
+    assert_eq!(known.request_status(&keys, at(100)), QuarantineStatus::Free);
+}
+
+#[test]
+fn parts_of_requests_that_waited_or_were_written_for_long_are_blamed() {
+    for phase in [AnswerPhase::Waiting, AnswerPhase::Writing(START)] {
+        let mut known = Known::default();
+        for number in 0..5 {
+            let keys = request(&number.to_string(), &["first"]);
+            let now = at(500 * u64::from(number));
+            let effect = known.note_request_lost(&keys, &[], &target(number), phase, now);
+            assert!(effect.suspected.is_empty());
+        }
+        let keys = request("new", &["first"]);
+        assert_eq!(
+            known.request_status(&keys, at(3_000)),
+            QuarantineStatus::Free
+        );
+    }
+}
+
+#[test]
+fn a_sound_part_stays_withheld_that_was_suspected_together_with_a_fatal_one() {
+    let mut known = three_crashed();
+    let (sound, fatal) = (request("s", &["first"]), request("f", &["first", "deadly"]));
+    assert!(is_withheld(&known, &sound, at(300)));
+    // A request with a single suspect is tried before one with several.
+    let now = at(1_300);
+    assert!(is_withheld(&known, &fatal, now));
+    assert_eq!(known.request_status(&sound, now), QuarantineStatus::Trial);
+    let (tried, _) = known.begin_request_trial(&sound, now);
+    assert_eq!(tried, [print("first")]);
+    assert!(is_withheld(&known, &request("s2", &["first"]), at(1_400)));
+    known.note_request_progress(&sound, at(1_500), at(1_800));
+    let next = request("s3", &["first"]);
+    assert_eq!(
+        known.request_status(&next, at(1_800)),
+        QuarantineStatus::Free
+    );
+    // Now the other one is the only suspect, and its trial shows that it is to blame.
+    let now = at(1_900);
+    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    let (tried, _) = known.begin_request_trial(&fatal, now);
+    let phase = AnswerPhase::Starting(at(2_000));
+    known.note_request_lost(&fatal, &tried, &target(9), phase, at(2_060));
+    assert!(is_withheld(&known, &request("x", &["deadly"]), at(100_000)));
+    assert_eq!(
+        known.request_status(&next, at(2_100)),
+        QuarantineStatus::Free
+    );
+}
+
+#[test]
+fn a_sound_part_is_condemned_by_the_trial_of_a_combination() {
+    let mut known = three_crashed();
+    let fatal = request("f", &["first", "deadly"]);
+    let now = at(4_000);
+    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    let (tried, _) = known.begin_request_trial(&fatal, now);
+    assert_eq!(tried.len(), 2);
+    let phase = AnswerPhase::Starting(at(4_100));
+    known.note_request_lost(&fatal, &tried, &target(9), phase, at(4_160));
+    let again = request("again", &["first", "deadly"]);
+    assert!(is_withheld(&known, &again, at(100_000)));
+    let sound = request("s", &["first"]);
+    assert_eq!(
+        known.request_status(&sound, at(5_200)),
+        QuarantineStatus::Trial
+    );
+}
+
+#[test]
+fn the_trial_of_a_part_is_decided_by_requests_that_were_on_their_way() {
+    let mut known = three_crashed();
+    let sound = request("s", &["first"]);
+    known.begin_request_trial(&sound, at(1_300));
+    let earlier = request("earlier", &["first"]);
+    crash(&mut known, &earlier, 7, at(1_400));
+    known.note_part_lost(print("first"), &target(8), at(1_350), at(1_420));
+    known.note_request_progress(&earlier, at(1_200), at(1_500));
+    assert_eq!(
+        known.request_status(&request("s2", &["first"]), at(1_500)),
+        QuarantineStatus::Tried(Millis::new(300))
+    );
+    known.note_request_progress(&sound, at(1_500), at(1_800));
+    assert_eq!(
+        known.request_status(&sound, at(1_800)),
+        QuarantineStatus::Free
+    );
+}
+
+#[test]
+fn two_daemons_that_tell_each_other_know_a_part_after_different_losses() {
+    let (mut a, mut b) = (Known::default(), Known::default());
+    let mut verdicts = Vec::new();
+    for number in 0..3 {
+        let now = at(100 * u64::from(number));
+        let (here, there) = if number % 2 == 0 {
+            (&mut a, &mut b)
+        } else {
+            (&mut b, &mut a)
+        };
+        let keys = request(&number.to_string(), &["deadly"]);
+        let phase = AnswerPhase::Starting(now - CRASH_DELAY);
+        let effect = here.note_request_lost(&keys, &[], &target(number), phase, now);
+        for part in &effect.suspected {
+            there.note_part_lost(*part, &target(number), now - CRASH_DELAY, now);
+        }
+        verdicts.extend(effect.verdicts);
+    }
+    assert_eq!(verdicts.len(), 1);
+    for known in [&a, &b] {
+        assert!(is_withheld(known, &request("new", &["deadly"]), at(300)));
+    }
+    assert_eq!(a.digest(), b.digest());
+}
+
+#[test]
+fn an_answer_is_taken_as_written_because_this_daemon_was_suspended() {
+    let mut progress = AnswerProgress::new(START);
+    assert!(!progress.note_event(at(5_000)));
+    assert!(!progress.note_event(at(5_001)));
+    assert_eq!(progress.phase(), AnswerPhase::Starting(START));
+    let mut progress = AnswerProgress::new(START);
+    let past: Vec<bool> = (1..=12).map(|n| progress.note_event(at(30 * n))).collect();
+    assert_eq!(past.iter().filter(|p| **p).count(), 1);
+    assert_eq!(progress.phase(), AnswerPhase::Writing(START));
+}
