fix(edge): a stream whose connection ends before its first event is not passed on as complete

Callers got an empty stream that looked complete when a target crashed while it began an answer with neither a length nor chunks. Its end also counted as success, so it cleared the request that had crashed the target.

Cause: the end of such a body is the end of its connection, which was taken for the end of the stream wherever no event was half read.

Change: the adapter tells how the end of a body is recognized. A stream without a marked end that has no event yet has broken off, and goes on at another target; no end of this kind is evidence that a request is sound, only the time for which its answer was written.

--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -15,7 +15,7 @@
 use thistlesill_core::edge::{RouteKind, Target};
 use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::HttpConnection;
-use thistlesill_platform::caller;
+use thistlesill_platform::caller::{self, BodyEnd};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
 use thistlesill_policy::quarantine::AnswerProgress;
 
@@ -154,6 +154,7 @@
     origin: Origin,
     keep: Option<Millis>,
     closing: bool,
+    body_end: BodyEnd,
     /// When the answer began.
     began: Millis,
     progress: AnswerProgress,
@@ -181,6 +182,12 @@
         loads.note_progress(&target.id, now);
     }
 
+    /// Returns whether an answer that ends now was cut off before its first event. An end that only
+    /// the connection marks is no evidence that the stream is complete.
+    fn is_cut_off(&self) -> bool {
+        self.body_end == BodyEnd::ConnectionClose && self.last_event.is_none()
+    }
+
     /// Records that the target has finished the prefill.
     fn end_prefill(&mut self) {
         if let Origin::Target { flight, .. } = &mut self.origin {
@@ -197,6 +204,7 @@
             origin: answered.origin,
             keep: answered.info.keep_alive,
             closing: answered.info.closing,
+            body_end: answered.info.body_end,
             last_event: None,
         }
     }
@@ -307,7 +315,7 @@
                     None
                 }
                 Some(Err(_)) => Some(Stop::Broken),
-                None if self.cutter.is_partial() => Some(Stop::Broken),
+                None if self.cutter.is_partial() || source.is_cut_off() => Some(Stop::Broken),
                 None => Some(Stop::Ended),
             },
             () = job.edge.alarm.sleep_until(job.due) => Some(Stop::Late),
@@ -459,7 +467,9 @@
             self.track.paused(self.longest_pause);
             self.track.ended(200, source.origin.target_id(), bytes);
             if let Origin::Target { target, .. } = &source.origin {
-                quarantine::note_success(&self.job, source.began);
+                if source.body_end == BodyEnd::Marked {
+                    quarantine::note_success(&self.job, source.began);
+                }
                 if !source.closing {
                     self.job.return_lane(&target.id, source.lane, source.keep);
                 }
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -36,5 +36,7 @@
 mod streams;
 #[path = "it/support.rs"]
 mod support;
+#[path = "it/unframed.rs"]
+mod unframed;
 #[path = "it/writers.rs"]
 mod writers;
--- a/crates/thistlesill-edge/tests/it/fatal_parts.rs
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -15,6 +15,7 @@
 use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::ledger::Run;
+use thistlesill_platform_standin::targets::Fault;
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{ask, send_steadily_to, sleep, stream, world};
@@ -105,6 +106,19 @@
     assert!(world.targets.ledger.runs("refused").is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_that_only_the_connection_marks_clears_the_part_that_crashed_the_target() {
+    let world = world(166, 3).await;
+    for engine in 0..8 {
+        let name = format!("i-{engine:03}");
+        world.targets.set_fault(&name, Fault::UnframedEmpty);
+    }
+    world.targets.set_fatal_part(PART);
+    send_fatal(&world, "fatal", 80).await;
+    let runs = world.targets.ledger.runs_of_part(PART);
+    assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
+}
+
 /// The sound requests are served at the first attempt at least half as often as before, once the
 /// daemons have had twice the time of being connected.
 #[tokio::test(flavor = "multi_thread")]
