fix(edge): a plain answer without a length is held in memory only up to the bound

An answer with neither a length nor chunks, and one in chunks, has a lower size bound of zero, so it was collected completely however large it was: one answer could exceed a daemon's memory.

Change: the body is read up to the bound; what exceeds it is forwarded as it arrives. An end that only the connection marks is no evidence that a request is sound here either.

--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -6,7 +6,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::Response;
-use thistlesill_platform::caller;
+use thistlesill_platform::caller::{self, BodyEnd};
 
 use super::Source;
 use crate::attempt::Answered;
@@ -20,13 +20,17 @@
     job: Rc<Job>,
     source: Source,
     track: Track,
+    /// The part of the answer that was read already.
+    start: Bytes,
     bytes: usize,
 }
 
-/// Forwards a large plain answer to the caller as it arrives.
+/// Forwards a large plain answer to the caller as it arrives, after the `start` of its body, which
+/// was read already.
 pub(crate) fn forward_plain(
     job: Rc<Job>,
     answered: Answered,
+    start: Bytes,
     track: &mut Track,
 ) -> Response<OutBody> {
     let status = answered.status;
@@ -36,6 +40,7 @@
         track: track.split(&job.edge),
         source: Source::new(answered, job.edge.now()),
         job,
+        start,
         bytes: 0,
     };
     let chunks = stream::try_unfold(forwarding, |mut forwarding| async move {
@@ -48,6 +53,10 @@
 impl Forwarding {
     /// Returns the next chunk of the answer, or `None` at its end.
     async fn next(&mut self) -> Result<Option<Bytes>, Interrupted> {
+        if !self.start.is_empty() {
+            self.bytes += self.start.len();
+            return Ok(Some(std::mem::take(&mut self.start)));
+        }
         loop {
             let alarm = &self.job.edge.alarm;
             let frame = alarm.timeout_at(self.job.due, self.source.body.frame());
@@ -58,7 +67,7 @@
                 None => {
                     let target = self.source.origin.target_id();
                     self.track.ended(200, target, self.bytes);
-                    if target.is_some() {
+                    if target.is_some() && self.source.body_end == BodyEnd::Marked {
                         quarantine::note_success(&self.job, self.source.began);
                     }
                     return Ok(None);
--- a/crates/thistlesill-edge/tests/it/unframed.rs
+++ b/crates/thistlesill-edge/tests/it/unframed.rs
@@ -44,3 +44,18 @@
     sleep(300).await;
     assert!(!world.log_lines(0, "ev=lost_with_target").is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_without_a_length_is_held_in_memory() {
+    let world = world(165, 1).await;
+    for target in ["p-0", "p-1"] {
+        world.targets.set_fault(target, Fault::Unframed);
+    }
+    let mut large = read("large");
+    large.path = "/read/x?pad=700000".to_owned();
+    let got = ask(&world, 0, large).await;
+    assert_eq!((got.status, got.is_complete), (200, true));
+    assert_eq!(got.body.len(), "GET large".len() + 700_000);
+    // An answer that was held has a length.
+    assert!(!got.headers.contains_key("content-length"));
+}
