fix(edge): a daemon accepts no more callers than it can serve

Callers of a daemon that gets most new connections failed, also those that it had accepted before.

Cause: the daemon accepted every connection. When they used up its files, its connections to targets failed, so it took the links to all targets for lost and refused everything; when they used up its processor time, it read requests that it could not serve in time.

Change: a pure step decides on each new connection by the callers' share of the files, which the settings name, and by the delay of the event loop. What is not accepted is closed unread, so its caller tries another daemon at once. The daemon stays ready, since it takes new connections again as soon as it keeps up.

Evidence: callers_of_one_daemon_take_all_its_files failed before (503 on a connection that was accepted long before), and passes.

--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -49,6 +49,8 @@
     pub store: SocketAddr,
     /// Bandwidth of the machine's network connection in Mbit/s; 0 if unknown.
     pub link: u32,
+    /// Number of files and connections that the process may open, if it is limited.
+    pub files: Option<usize>,
 }
 
 impl EdgeSettings {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -19,11 +19,12 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+use crate::intake::IntakeState;
 use crate::lines::Line;
 use crate::state::Edge;
 use crate::{
-    backoffs, figures, follow, forward, front, limits, peers, planner, quarantine, reach, start,
-    watch,
+    backoffs, figures, follow, forward, front, intake, limits, peers, planner, quarantine, reach,
+    start, watch,
 };
 
 /// Exit code for settings that do not pass their check.
@@ -202,7 +203,9 @@
         let callers = listen(settings.callers.context(NoCallersSnafu)?).await?;
         let health = listen(settings.health.context(NoCallersSnafu)?).await?;
         tokio::task::spawn_local(front::serve_health(edge.clone(), health));
-        tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
+        let intake = IntakeState::new(settings.files);
+        tokio::task::spawn_local(intake::sample_delay(intake.clone()));
+        tokio::task::spawn_local(front::serve_callers(edge.clone(), intake, callers));
     }
     if let Some(handle) = &handle {
         let address = options.metrics.unwrap_or(settings.metrics_address());
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::intake::{Accepted, IntakeState};
 use crate::proxy;
 use crate::reply::OutBody;
 use crate::state::Edge;
@@ -27,11 +28,13 @@
 pub(crate) const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts connections of callers; never returns.
-pub(crate) async fn serve_callers(edge: Rc<Edge>, listener: TcpListener) {
+pub(crate) async fn serve_callers(edge: Rc<Edge>, intake: Rc<IntakeState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_caller(edge.clone(), stream));
+                if let Some(accepted) = intake.accept(edge.active.get(), &edge.lines) {
+                    tokio::task::spawn_local(serve_caller(edge.clone(), stream, accepted));
+                }
             }
             Err(error) => {
                 log::warn!("front: a connection was not accepted: {error}");
@@ -41,7 +44,7 @@
     }
 }
 
-async fn serve_caller(edge: Rc<Edge>, stream: TcpStream) {
+async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, _accepted: Accepted) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("front: {error}");
     }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod forward;
 mod front;
+mod intake;
 mod job;
 mod lanes;
 mod leaving;
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -6,6 +6,8 @@
 mod backoffs;
 #[path = "it/calls.rs"]
 mod calls;
+#[path = "it/crowded.rs"]
+mod crowded;
 #[path = "it/evacuation.rs"]
 mod evacuation;
 #[path = "it/fatal.rs"]
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -43,7 +43,7 @@
 }
 
 /// Returns the program and an empty folder for the deployment.
-fn place(net: u8) -> (&'static Path, PathBuf) {
+pub(crate) fn place(net: u8) -> (&'static Path, PathBuf) {
     claim(net);
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("world-{net}"));
     drop(std::fs::remove_dir_all(&folder));
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod fleet;
 pub mod freshness;
+pub mod intake;
 pub mod limit;
 pub mod load;
 pub mod owner;
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -24,6 +24,8 @@
 mod fleet;
 #[path = "edge/fleet_random.rs"]
 mod fleet_random;
+#[path = "edge/intake.rs"]
+mod intake;
 #[path = "edge/leaders.rs"]
 mod leaders;
 #[path = "edge/limit.rs"]
