fix(policy): losses of a part count after many targets crashed under it at once

Found by reading: the number of remembered targets bounded the losses that count. Of targets that crash at the same time one counts and the others are remembered, so eight of them left no room for a later one, and the part was never withheld.

The count no longer depends on the room. The test failed before and passes.

--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -129,21 +129,21 @@
         self.trial && self.is_withheld(now)
     }
 
-    /// Remembers a lost target. Returns whether it was not known to be lost.
-    fn remember(&mut self, target: &T) -> bool {
-        let is_new = self.lost.len() < MAX_LOST && !self.lost.contains(target);
-        if is_new {
+    /// Remembers a lost target, if there is room.
+    fn remember(&mut self, target: &T) {
+        if self.lost.len() < MAX_LOST && !self.lost.contains(target) {
             self.lost.push(target.clone());
         }
-        is_new
     }
 
-    /// Records a loss that counts towards the first verdict.
+    /// Records a loss that counts towards the first verdict, unless the target is known to be lost.
     fn count_lost(&mut self, target: &T, now: Millis) {
-        if self.remember(target) {
-            self.counted += 1;
-            self.since = now;
+        if self.lost.contains(target) {
+            return;
         }
+        self.remember(target);
+        self.counted += 1;
+        self.since = now;
     }
 
     fn is_withheld(&self, now: Millis) -> bool {
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -97,6 +97,22 @@
     assert_eq!(known.request_status(&keys, at(100)), QuarantineStatus::Free);
 }
 
+/// Many requests with the part were starting at once when the first target crashed.
+#[test]
+fn a_part_that_crashes_many_targets_at_once_is_never_withheld() {
+    let mut known = Known::default();
+    for number in 0..12 {
+        let keys = request(&number.to_string(), &["deadly"]);
+        crash(&mut known, &keys, number, at(u64::from(number)));
+    }
+    for number in 12..14 {
+        let keys = request(&number.to_string(), &["deadly"]);
+        crash(&mut known, &keys, number, at(200 * u64::from(number)));
+    }
+    let next = request("next", &["deadly"]);
+    assert!(is_withheld(&known, &next, at(2_700)));
+}
+
 #[test]
 fn parts_of_requests_that_waited_or_were_written_for_long_are_blamed() {
     for phase in [AnswerPhase::Waiting, AnswerPhase::Writing(START)] {
