fix(policy): the trial of a part blames no other part of the same request alone

Found by reading: a sound part that was withheld one loss earlier than the fatal part of the same requests could be tried with such a request. The crash condemned it for two minutes, and all sound requests with it were refused.

The parts under which targets were lost now count as suspects beside one with a verdict, so such a request is tried as a combination, after requests with a single suspect. The test failed before and passes.

--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -68,6 +68,11 @@
         now: Millis,
     ) -> (Vec<Fingerprint>, Vec<Verdict>) {
         let tried = self.suspects(keys);
+        for key in &tried {
+            if let Some(record) = self.records.get_mut(key) {
+                record.level = record.level.max(1);
+            }
+        }
         let begun = tried.iter().filter_map(|key| self.begin_trial(*key, now));
         let verdicts = begun.collect();
         (tried, verdicts)
@@ -154,9 +159,19 @@
         verdicts.collect()
     }
 
-    /// Returns the keys of a request that have a verdict against them.
+    /// Returns the keys of a request that a trial may find guilty: those with a verdict against them
+    /// and, if there are any, the parts that targets were lost under. The crash of a trial is not
+    /// evidence against one of them alone.
     fn suspects(&self, keys: &RequestKeys) -> Vec<Fingerprint> {
-        let suspected = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.level > 0);
+        let is_withheld = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.level > 0);
+        if !keys.iter().any(|key| is_withheld(&key)) {
+            return Vec::new();
+        }
+        let is_doubtful = |key: &Fingerprint| {
+            let lost = self.records.get(key).is_some_and(|r| r.counted > 0);
+            lost && *key != keys.whole
+        };
+        let suspected = |key: &Fingerprint| is_withheld(key) || is_doubtful(key);
         keys.iter().filter(suspected).collect()
     }
 
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -113,6 +113,31 @@
     assert!(is_withheld(&known, &next, at(2_700)));
 }
 
+/// The sound part was suspected once more than the fatal one, by a request that was only beside it.
+#[test]
+fn a_sound_part_is_condemned_by_a_trial_with_a_fatal_one_that_is_not_withheld_yet() {
+    let mut known = Known::default();
+    for number in 0..2 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        crash(&mut known, &keys, number, at(100 * u64::from(number)));
+    }
+    let beside = request("beside", &["first", "other"]);
+    crash(&mut known, &beside, 2, at(200));
+    let fatal = request("f", &["first", "deadly"]);
+    assert!(is_withheld(&known, &fatal, at(1_300)));
+    let now = at(4_000);
+    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    let (tried, _) = known.begin_request_trial(&fatal, now);
+    let phase = AnswerPhase::Starting(at(4_100));
+    known.note_request_lost(&fatal, &tried, &target(9), phase, at(4_160));
+    let sound = request("s", &["first", "another"]);
+    assert_eq!(
+        known.request_status(&sound, at(5_200)),
+        QuarantineStatus::Trial
+    );
+    assert!(is_withheld(&known, &fatal, at(100_000)));
+}
+
 #[test]
 fn parts_of_requests_that_waited_or_were_written_for_long_are_blamed() {
     for phase in [AnswerPhase::Waiting, AnswerPhase::Writing(START)] {
