fix(edge): a trial is sent only while all other parts of its request are free

Found by reading: a request on trial for one part passed every check for as long as the trial ran, also while another part of it was on trial at another daemon. Its crash would have blamed both.

The state of a request leaves out only those suspects that it is itself the trial of.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -178,16 +178,13 @@
     status(job) != QuarantineStatus::Free
 }
 
-/// Returns whether a request may be sent; a request that is a trial itself may.
+/// Returns whether a request may be sent.
 fn status(job: &Job) -> QuarantineStatus {
     let known = job.edge.quarantine.known.borrow();
     if known.is_empty() {
         return QuarantineStatus::Free;
     }
-    match known.request_status(job.keys(), job.edge.now()) {
-        QuarantineStatus::Tried(_) if !job.tried.borrow().is_empty() => QuarantineStatus::Free,
-        status => status,
-    }
+    known.request_status(job.keys(), &job.tried.borrow(), job.edge.now())
 }
 
 /// Ends the trial of a request that was on trial, and is finished or goes to a peer.
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -50,10 +50,18 @@
 }
 
 impl<T: Clone + PartialEq> Quarantine<T> {
-    /// Returns whether a request may be sent.
+    /// Returns whether a request may be sent. `own` are the suspects of which it is the trial itself.
     #[must_use]
-    pub fn request_status(&self, keys: &RequestKeys, now: Millis) -> QuarantineStatus {
-        match self.suspects(keys).as_slice() {
+    pub fn request_status(
+        &self,
+        keys: &RequestKeys,
+        own: &[Fingerprint],
+        now: Millis,
+    ) -> QuarantineStatus {
+        let is_tried = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.is_tried(now));
+        let mut suspects = self.suspects(keys);
+        suspects.retain(|key| !(own.contains(key) && is_tried(key)));
+        match suspects.as_slice() {
             [] => QuarantineStatus::Free,
             [only] => self.status(*only, now),
             several => self.combination_status(several, now),
@@ -151,8 +159,11 @@
         began: Millis,
         now: Millis,
     ) -> Vec<Verdict> {
-        let after = |key: &Fingerprint| self.records.get(key).is_some_and(|r| began >= r.since);
-        let cleared: Vec<Fingerprint> = keys.parts.iter().copied().filter(after).collect();
+        let cleared_by = |key: &Fingerprint| {
+            let record = self.records.get(key);
+            record.is_some_and(|record| began >= record.since)
+        };
+        let cleared: Vec<Fingerprint> = keys.parts.iter().copied().filter(cleared_by).collect();
         let verdicts = cleared
             .into_iter()
             .filter_map(|part| self.note_success(part, now));
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -50,7 +50,7 @@
 }
 
 fn is_withheld(known: &Known, keys: &RequestKeys, now: Millis) -> bool {
-    let status = known.request_status(keys, now);
+    let status = known.request_status(keys, &[], now);
     matches!(
         status,
         QuarantineStatus::Withheld(_) | QuarantineStatus::Tried(_)
@@ -63,7 +63,7 @@
     assert!(is_withheld(&known, &request("new", &["deadly"]), at(300)));
     let other = request("other", &["sound"]);
     assert_eq!(
-        known.request_status(&other, at(300)),
+        known.request_status(&other, &[], at(300)),
         QuarantineStatus::Free
     );
 }
@@ -77,15 +77,31 @@
         crash(&mut known, &keys, number, now);
         let sound = request(&format!("sound {number}"), &["first", "other"]);
         known.note_request_progress(&sound, now + Millis::new(20), now + Millis::new(350));
-        assert_eq!(known.request_status(&sound, now), QuarantineStatus::Free);
+        assert_eq!(
+            known.request_status(&sound, &[], now),
+            QuarantineStatus::Free
+        );
     }
     let fatal = request("x", &["deadly"]);
     assert_eq!(
-        known.request_status(&fatal, at(8_000)),
+        known.request_status(&fatal, &[], at(8_000)),
         QuarantineStatus::Trial
     );
 }
 
+#[test]
+fn a_trial_is_sent_while_another_part_of_its_request_is_on_trial_elsewhere() {
+    let mut known = three_crashed();
+    let sound = request("s", &["first"]);
+    let (own, _) = known.begin_request_trial(&sound, at(1_300));
+    let status = known.request_status(&sound, &own, at(1_310));
+    assert_eq!(status, QuarantineStatus::Free);
+    known.begin_request_trial(&request("f", &["deadly"]), at(1_320));
+    let both = request("both", &["first", "deadly"]);
+    let status = known.request_status(&both, &own, at(1_330));
+    assert!(matches!(status, QuarantineStatus::Tried(_)), "{status:?}");
+}
+
 #[test]
 fn an_outage_of_many_targets_at_once_withholds_what_their_requests_share() {
     let mut known = Known::default();
@@ -94,7 +110,10 @@
         crash(&mut known, &keys, number, at(u64::from(number)));
     }
     let keys = request("new", &["first"]);
-    assert_eq!(known.request_status(&keys, at(100)), QuarantineStatus::Free);
+    assert_eq!(
+        known.request_status(&keys, &[], at(100)),
+        QuarantineStatus::Free
+    );
 }
 
 /// Many requests with the part were starting at once when the first target crashed.
@@ -126,13 +145,16 @@
     let fatal = request("f", &["first", "deadly"]);
     assert!(is_withheld(&known, &fatal, at(1_300)));
     let now = at(4_000);
-    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    assert_eq!(
+        known.request_status(&fatal, &[], now),
+        QuarantineStatus::Trial
+    );
     let (tried, _) = known.begin_request_trial(&fatal, now);
     let phase = AnswerPhase::Starting(at(4_100));
     known.note_request_lost(&fatal, &tried, &target(9), phase, at(4_160));
     let sound = request("s", &["first", "another"]);
     assert_eq!(
-        known.request_status(&sound, at(5_200)),
+        known.request_status(&sound, &[], at(5_200)),
         QuarantineStatus::Trial
     );
     assert!(is_withheld(&known, &fatal, at(100_000)));
@@ -150,7 +172,7 @@
         }
         let keys = request("new", &["first"]);
         assert_eq!(
-            known.request_status(&keys, at(3_000)),
+            known.request_status(&keys, &[], at(3_000)),
             QuarantineStatus::Free
         );
     }
@@ -164,25 +186,31 @@
     // A request with a single suspect is tried before one with several.
     let now = at(1_300);
     assert!(is_withheld(&known, &fatal, now));
-    assert_eq!(known.request_status(&sound, now), QuarantineStatus::Trial);
+    assert_eq!(
+        known.request_status(&sound, &[], now),
+        QuarantineStatus::Trial
+    );
     let (tried, _) = known.begin_request_trial(&sound, now);
     assert_eq!(tried, [print("first")]);
     assert!(is_withheld(&known, &request("s2", &["first"]), at(1_400)));
     known.note_request_progress(&sound, at(1_500), at(1_800));
     let next = request("s3", &["first"]);
     assert_eq!(
-        known.request_status(&next, at(1_800)),
+        known.request_status(&next, &[], at(1_800)),
         QuarantineStatus::Free
     );
     // Now the other one is the only suspect, and its trial shows that it is to blame.
     let now = at(1_900);
-    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    assert_eq!(
+        known.request_status(&fatal, &[], now),
+        QuarantineStatus::Trial
+    );
     let (tried, _) = known.begin_request_trial(&fatal, now);
     let phase = AnswerPhase::Starting(at(2_000));
     known.note_request_lost(&fatal, &tried, &target(9), phase, at(2_060));
     assert!(is_withheld(&known, &request("x", &["deadly"]), at(100_000)));
     assert_eq!(
-        known.request_status(&next, at(2_100)),
+        known.request_status(&next, &[], at(2_100)),
         QuarantineStatus::Free
     );
 }
@@ -192,7 +220,10 @@
     let mut known = three_crashed();
     let fatal = request("f", &["first", "deadly"]);
     let now = at(4_000);
-    assert_eq!(known.request_status(&fatal, now), QuarantineStatus::Trial);
+    assert_eq!(
+        known.request_status(&fatal, &[], now),
+        QuarantineStatus::Trial
+    );
     let (tried, _) = known.begin_request_trial(&fatal, now);
     assert_eq!(tried.len(), 2);
     let phase = AnswerPhase::Starting(at(4_100));
@@ -201,7 +232,7 @@
     assert!(is_withheld(&known, &again, at(100_000)));
     let sound = request("s", &["first"]);
     assert_eq!(
-        known.request_status(&sound, at(5_200)),
+        known.request_status(&sound, &[], at(5_200)),
         QuarantineStatus::Trial
     );
 }
@@ -216,12 +247,12 @@
     known.note_part_lost(print("first"), &target(8), at(1_350), at(1_420));
     known.note_request_progress(&earlier, at(1_200), at(1_500));
     assert_eq!(
-        known.request_status(&request("s2", &["first"]), at(1_500)),
+        known.request_status(&request("s2", &["first"]), &[], at(1_500)),
         QuarantineStatus::Tried(Millis::new(300))
     );
     known.note_request_progress(&sound, at(1_500), at(1_800));
     assert_eq!(
-        known.request_status(&sound, at(1_800)),
+        known.request_status(&sound, &[], at(1_800)),
         QuarantineStatus::Free
     );
 }
