fix(policy): an answer that goes on clears its parts although further targets crash meanwhile

Found by reading: an answer takes 0.3 s to be past its start, and cleared its parts only if it had begun after the last loss.

What crashes targets crashes each of them, so an answer that began after the first loss disproves all.

--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -84,6 +84,8 @@
     lost: Vec<T>,
     /// Number of these losses that count towards the first verdict.
     counted: usize,
+    /// When the first loss that counts was recorded.
+    first: Millis,
     /// When the last loss that counts or the last verdict was recorded.
     since: Millis,
     round: u32,
@@ -103,6 +105,7 @@
         Self {
             lost: Vec::new(),
             counted: 0,
+            first: Millis::ZERO,
             since: Millis::ZERO,
             round: 0,
             level: 0,
@@ -142,10 +145,23 @@
             return;
         }
         self.remember(target);
+        if self.counted == 0 {
+            self.first = now;
+        }
         self.counted += 1;
         self.since = now;
     }
 
+    /// Returns the time from which on a sound answer disproves the evidence. What crashed a target
+    /// would crash each later one, so a sound answer after the first loss disproves them all.
+    fn suspected_since(&self) -> Millis {
+        if self.level == 0 {
+            self.first
+        } else {
+            self.since
+        }
+    }
+
     fn is_withheld(&self, now: Millis) -> bool {
         self.level > 0 && now < self.until
     }
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -161,7 +161,7 @@
     ) -> Vec<Verdict> {
         let cleared_by = |key: &Fingerprint| {
             let record = self.records.get(key);
-            record.is_some_and(|record| began >= record.since)
+            record.is_some_and(|record| began >= record.suspected_since())
         };
         let cleared: Vec<Fingerprint> = keys.parts.iter().copied().filter(cleared_by).collect();
         let verdicts = cleared
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -89,6 +89,24 @@
     );
 }
 
+/// Targets crash faster than an answer takes to be past its start.
+#[test]
+fn an_answer_that_goes_on_clears_nothing_while_further_targets_crash() {
+    let mut known = Known::default();
+    for number in 0..2 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        crash(&mut known, &keys, number, at(100 * u64::from(number)));
+    }
+    let sound = request("sound", &["first", "other"]);
+    known.note_request_progress(&sound, at(50), at(400));
+    let keys = request("third", &["first", "deadly"]);
+    crash(&mut known, &keys, 2, at(450));
+    let next = request("next", &["first"]);
+    let status = known.request_status(&next, &[], at(500));
+    assert_eq!(status, QuarantineStatus::Free);
+    assert!(is_withheld(&known, &request("x", &["deadly"]), at(500)));
+}
+
 #[test]
 fn a_trial_is_sent_while_another_part_of_its_request_is_on_trial_elsewhere() {
     let mut known = three_crashed();
