--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -85,9 +85,9 @@
     /// Number of these losses that count towards the first verdict.
     counted: usize,
     /// When the first loss that counts was recorded.
-    first: Millis,
+    first_loss: Millis,
     /// When the last loss that counts or the last verdict was recorded.
-    since: Millis,
+    last_change: Millis,
     round: u32,
     level: u32,
     /// Until when the request is withheld.
@@ -105,8 +105,8 @@
         Self {
             lost: Vec::new(),
             counted: 0,
-            first: Millis::ZERO,
-            since: Millis::ZERO,
+            first_loss: Millis::ZERO,
+            last_change: Millis::ZERO,
             round: 0,
             level: 0,
             until: Millis::ZERO,
@@ -146,19 +146,19 @@
         }
         self.remember(target);
         if self.counted == 0 {
-            self.first = now;
+            self.first_loss = now;
         }
         self.counted += 1;
-        self.since = now;
+        self.last_change = now;
     }
 
     /// Returns the time from which on a sound answer disproves the evidence. What crashed a target
     /// would crash each later one, so a sound answer after the first loss disproves them all.
     fn suspected_since(&self) -> Millis {
         if self.level == 0 {
-            self.first
+            self.first_loss
         } else {
-            self.since
+            self.last_change
         }
     }
 
@@ -172,7 +172,7 @@
         self.level = level;
         self.until = now + left;
         self.trial = false;
-        self.since = now;
+        self.last_change = now;
         if level == 0 {
             self.lost.clear();
             self.counted = 0;
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -143,7 +143,7 @@
                 None
             }
             // The same outage may have taken both targets.
-            Some(record) if began < record.since => {
+            Some(record) if began < record.last_change => {
                 record.remember(target);
                 None
             }
