fix(policy): the crash of a trial is judged by the suspects of that moment

Found by reading. The list of suspects was fixed as a trial began and used whatever became of them: - a sound part without a verdict, under which one target was lost, was put on trial with a fatal one, so other requests with it were refused meanwhile and for a second after the crash; - a trial that had ended well still condemned its parts when its stream was resumed elsewhere and lost; - its crash cut a verdict that a peer had reached meanwhile from two minutes to one second; - a peer that received the loss of the request first condemned it, as if it had been tried alone.

Only what has a verdict is on trial, only what still is on trial is judged, and the verdict on a combination replaces what peers decided by less. Four tests; three failed before, the fourth holds the order of messages.

--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -58,9 +58,8 @@
         own: &[Fingerprint],
         now: Millis,
     ) -> QuarantineStatus {
-        let is_tried = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.is_tried(now));
         let mut suspects = self.suspects(keys);
-        suspects.retain(|key| !(own.contains(key) && is_tried(key)));
+        suspects.retain(|key| !(own.contains(key) && self.is_tried(*key, now)));
         match suspects.as_slice() {
             [] => QuarantineStatus::Free,
             [only] => self.status(*only, now),
@@ -68,30 +67,25 @@
         }
     }
 
-    /// Begins the trial of a request. Returns the suspects that are tried with it, and the verdicts
-    /// to broadcast.
+    /// Begins the trial of a request. Returns its suspects with a verdict, which other requests may
+    /// not try meanwhile, and the verdicts to broadcast.
     pub fn begin_request_trial(
         &mut self,
         keys: &RequestKeys,
         now: Millis,
     ) -> (Vec<Fingerprint>, Vec<Verdict>) {
-        let tried = self.suspects(keys);
-        for key in &tried {
-            if let Some(record) = self.records.get_mut(key) {
-                record.level = record.level.max(1);
-            }
-        }
+        let tried: Vec<Fingerprint> = keys.iter().filter(|key| self.has_verdict(*key)).collect();
         let begun = tried.iter().filter_map(|key| self.begin_trial(*key, now));
         let verdicts = begun.collect();
         (tried, verdicts)
     }
 
-    /// Records that a target was lost while it had a request. `tried` are the suspects of which the
+    /// Records that a target was lost while it had a request. `own` are the suspects of which the
     /// request is the trial.
     pub fn note_request_lost(
         &mut self,
         keys: &RequestKeys,
-        tried: &[Fingerprint],
+        own: &[Fingerprint],
         target: &T,
         phase: AnswerPhase,
         now: Millis,
@@ -104,15 +98,18 @@
             return effect;
         };
         effect.suspected.clone_from(&keys.parts);
-        if tried.len() > 1 {
-            effect.verdicts = self.withhold_combination(tried, now);
-            return effect;
+        let mut on_trial = own.to_vec();
+        on_trial.retain(|key| self.is_tried(*key, now));
+        let suspects = self.suspects(keys);
+        if !on_trial.is_empty() && suspects.len() > 1 {
+            effect.verdicts = self.withhold_combination(&suspects, &on_trial, now);
+            on_trial.clear();
         }
         effect
             .verdicts
             .extend(self.note_lost(keys.whole, target, now));
         for part in &keys.parts {
-            let verdict = if tried.contains(part) {
+            let verdict = if on_trial.contains(part) {
                 self.note_lost(*part, target, now)
             } else {
                 self.note_part_lost(*part, target, began, now)
@@ -170,19 +167,26 @@
         verdicts.collect()
     }
 
+    fn has_verdict(&self, key: Fingerprint) -> bool {
+        self.records.get(&key).is_some_and(|r| r.level > 0)
+    }
+
+    fn is_tried(&self, key: Fingerprint, now: Millis) -> bool {
+        self.records.get(&key).is_some_and(|r| r.is_tried(now))
+    }
+
     /// Returns the keys of a request that a trial may find guilty: those with a verdict against them
     /// and, if there are any, the parts that targets were lost under. The crash of a trial is not
     /// evidence against one of them alone.
     fn suspects(&self, keys: &RequestKeys) -> Vec<Fingerprint> {
-        let is_withheld = |key: &Fingerprint| self.records.get(key).is_some_and(|r| r.level > 0);
-        if !keys.iter().any(|key| is_withheld(&key)) {
+        if !keys.iter().any(|key| self.has_verdict(key)) {
             return Vec::new();
         }
-        let is_doubtful = |key: &Fingerprint| {
-            let lost = self.records.get(key).is_some_and(|r| r.counted > 0);
-            lost && *key != keys.whole
+        let is_doubtful = |key: Fingerprint| {
+            let lost = self.records.get(&key).is_some_and(|r| r.counted > 0);
+            lost && key != keys.whole
         };
-        let suspected = |key: &Fingerprint| is_withheld(key) || is_doubtful(key);
+        let suspected = |key: &Fingerprint| self.has_verdict(*key) || is_doubtful(*key);
         keys.iter().filter(suspected).collect()
     }
 
@@ -204,13 +208,18 @@
         }
     }
 
-    /// Withholds requests with all of these suspects for long, since one of them crashed a target on
-    /// its trial; each may be tried alone soon.
-    fn withhold_combination(&mut self, suspects: &[Fingerprint], now: Millis) -> Vec<Verdict> {
+    /// Withholds requests with all of these suspects for long, since one of them crashed a target;
+    /// those `on_trial` may be tried alone soon.
+    fn withhold_combination(
+        &mut self,
+        suspects: &[Fingerprint],
+        on_trial: &[Fingerprint],
+        now: Millis,
+    ) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
-        for key in suspects {
+        for key in on_trial {
             if let Some(record) = self.records.get_mut(key) {
-                record.decide(record.level, FIRST_HOLD, now);
+                record.reconsider(record.level, FIRST_HOLD, now);
                 verdicts.push(record.verdict(*key, now));
             }
         }
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -178,6 +178,97 @@
     assert!(is_withheld(&known, &fatal, at(100_000)));
 }
 
+/// Some target was lost under the sound part, which is no verdict.
+#[test]
+fn a_sound_part_is_withheld_while_a_request_with_it_is_on_trial_for_another_one() {
+    let mut known = three_crashed();
+    let sound = request("s", &["first"]);
+    known.note_request_progress(&sound, at(250), at(600));
+    crash(&mut known, &request("beside", &["first"]), 5, at(700));
+    let fatal = request("f", &["first", "deadly"]);
+    let now = at(4_000);
+    assert_eq!(
+        known.request_status(&fatal, &[], now),
+        QuarantineStatus::Trial
+    );
+    let (tried, _) = known.begin_request_trial(&fatal, now);
+    assert_eq!(tried, [print("deadly")]);
+    assert_eq!(
+        known.request_status(&sound, &[], at(4_010)),
+        QuarantineStatus::Free
+    );
+    let phase = AnswerPhase::Starting(at(4_100));
+    known.note_request_lost(&fatal, &tried, &target(9), phase, at(4_160));
+    assert_eq!(
+        known.request_status(&sound, &[], at(4_200)),
+        QuarantineStatus::Free
+    );
+    assert!(is_withheld(&known, &fatal, at(100_000)));
+}
+
+/// The answer of the trial went on, and its stream was then resumed at a target that was lost.
+#[test]
+fn a_trial_that_ended_well_still_condemns_its_parts() {
+    let mut known = three_crashed();
+    let both = request("b", &["first", "deadly"]);
+    let (tried, _) = known.begin_request_trial(&both, at(4_000));
+    known.note_request_progress(&both, at(4_100), at(4_400));
+    let phase = AnswerPhase::Starting(at(5_000));
+    let effect = known.note_request_lost(&both, &tried, &target(9), phase, at(5_060));
+    assert_eq!(effect.verdicts, []);
+    assert_eq!(
+        known.request_status(&both, &[], at(5_100)),
+        QuarantineStatus::Free
+    );
+}
+
+/// A peer condemned the other part while the trial ran.
+#[test]
+fn the_crash_of_a_trial_shortens_the_verdict_of_a_peer() {
+    let mut known = three_crashed();
+    let both = request("b", &["first", "deadly"]);
+    let (tried, _) = known.begin_request_trial(&both, at(4_000));
+    let mut verdict = known
+        .verdicts(at(4_010))
+        .into_iter()
+        .find(|v| v.print == print("deadly"))
+        .expect("it is on trial");
+    verdict.round += 1;
+    verdict.level = 2;
+    verdict.left = Millis::new(120_000);
+    verdict.trial = false;
+    assert!(known.receive(verdict, at(4_010)));
+    let phase = AnswerPhase::Starting(at(4_100));
+    known.note_request_lost(&both, &tried, &target(9), phase, at(4_160));
+    let alone = request("x", &["deadly"]);
+    assert!(is_withheld(&known, &alone, at(100_000)));
+}
+
+/// The peer received the loss of the request before the verdict on the combination.
+#[test]
+fn a_peer_condemns_a_request_that_was_tried_in_combination() {
+    let mut known = three_crashed();
+    let both = request("b", &["first", "deadly"]);
+    for number in 3..6 {
+        known.note_lost(both.whole, &target(number), at(400));
+    }
+    let (tried, trial) = known.begin_request_trial(&both, at(4_000));
+    assert_eq!(tried.len(), 3);
+    let mut peer = known.clone();
+    for verdict in trial {
+        peer.receive(verdict, at(4_001));
+    }
+    let phase = AnswerPhase::Starting(at(4_100));
+    let effect = known.note_request_lost(&both, &tried, &target(9), phase, at(4_160));
+    peer.note_lost(both.whole, &target(9), at(4_161));
+    for verdict in effect.verdicts {
+        peer.receive(verdict, at(4_162));
+    }
+    assert_eq!(peer.digest(), known.digest());
+    let status = peer.status(both.whole, at(5_200));
+    assert_eq!(status, QuarantineStatus::Trial);
+}
+
 #[test]
 fn parts_of_requests_that_waited_or_were_written_for_long_are_blamed() {
     for phase in [AnswerPhase::Waiting, AnswerPhase::Writing(START)] {
