--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod limits;
 mod lines;
 mod peers;
+mod plain;
 mod planner;
 mod proxy;
 mod quarantine;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -12,26 +12,23 @@
 use thistlesill_core::edge::RouteKind;
 use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::within;
-use thistlesill_platform::caller::{self, BodyEnd, CallerHead, KeyHeader};
+use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Admission, Key, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
-use thistlesill_policy::quarantine::AnswerPhase;
 use tokio::time::timeout_at;
 
-use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
+use crate::attempt::{Answered, AttemptPosition, Failure, attempt};
 use crate::choice::{Choice, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
 use crate::job::{Arrival, Job};
+use crate::plain;
 use crate::quarantine;
 use crate::relay;
-use crate::reply::{self, OutBody};
+use crate::reply::OutBody;
 use crate::state::Edge;
 use crate::track::Track;
 
-/// Plain answers up to this size are read completely before the first byte goes to the caller, so
-/// that one that breaks off can be requested again.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 /// Minimum time after which a caller may retry. Earlier, little has changed.
 const MIN_RETRY_AFTER: Millis = Millis::new(300);
 /// Maximum time after which a caller may retry where it follows from the load, which may fall
@@ -383,106 +380,7 @@
     if stream {
         return Ok(relay::begin(job.clone(), answered, attempts, track));
     }
-    buffer(job, answered, track).await
-}
-
-/// What was read of the body of a plain answer.
-enum ReadBody {
-    /// All of it.
-    Complete(Bytes),
-    /// Its start; the whole body is too large to hold.
-    Start(Bytes),
-}
-
-/// Reads a body, up to the size of answers that are read completely.
-async fn read_answer_body(body: &mut Incoming) -> Result<ReadBody, hyper::Error> {
-    let mut read = BytesMut::new();
-    while read.len() as u64 <= MAX_BUFFERED_BYTES {
-        let Some(frame) = body.frame().await.transpose()? else {
-            return Ok(ReadBody::Complete(read.freeze()));
-        };
-        if let Ok(data) = frame.into_data() {
-            read.extend_from_slice(&data);
-        }
-    }
-    Ok(ReadBody::Start(read.freeze()))
-}
-
-/// Reads a small plain answer completely and returns it; a large one is forwarded as it arrives.
-async fn buffer(
-    job: &Rc<Job>,
-    mut answered: Answered,
-    track: &mut Track,
-) -> Result<Response<OutBody>, Failure> {
-    let edge = &job.edge;
-    let large = hyper::body::Body::size_hint(&answered.body).lower() > MAX_BUFFERED_BYTES;
-    if large {
-        let forwarded = relay::forward_plain(job.clone(), answered, Bytes::new(), track);
-        return Ok(forwarded);
-    }
-    let began = edge.now();
-    let read = read_answer_body(&mut answered.body);
-    let read = edge.alarm.timeout_at(job.answer_deadline(), read).await;
-    let body = match read {
-        Some(Ok(ReadBody::Complete(body))) => body,
-        Some(Ok(ReadBody::Start(start))) => {
-            return Ok(relay::forward_plain(job.clone(), answered, start, track));
-        }
-        Some(Err(error)) => {
-            if let Some(target) = answered.origin.target() {
-                let phase = AnswerPhase::Starting(began);
-                quarantine::note_lost(job, target, phase, "the answer broke off");
-            }
-            return Err(Failure::new(Outcome::MayHaveRun, &error));
-        }
-        None => {
-            return Err(Failure::new(
-                Outcome::Late,
-                &"the answer did not end in time",
-            ));
-        }
-    };
-    Ok(finish_plain(job, answered, began, body, track))
-}
-
-/// Returns a plain answer that was read completely.
-fn finish_plain(
-    job: &Job,
-    answered: Answered,
-    began: Millis,
-    body: Bytes,
-    track: &mut Track,
-) -> Response<OutBody> {
-    let Answered {
-        status,
-        mut headers,
-        lane,
-        info,
-        origin,
-        ..
-    } = answered;
-    let target = match origin {
-        // The request no longer counts at the target.
-        Origin::Target { target, flight } => {
-            drop(flight);
-            Some(target)
-        }
-        Origin::Peer(_) => None,
-    };
-    if let Some(target) = &target {
-        let took = job.edge.now() - job.arrived;
-        job.edge.loads.borrow_mut().note_time(&target.id, took);
-        if status.is_success() && info.body_end == BodyEnd::Marked {
-            quarantine::note_success(job, began);
-        }
-        if !info.closing {
-            job.return_lane(&target.id, lane, info.keep_alive);
-        }
-    }
-    caller::remove_hop_by_hop(&mut headers);
-    let target = target.as_ref().map(|target| &target.id);
-    track.ended(status.as_u16(), target, body.len());
-    reply::complete(status, headers, body)
+    plain::deliver(job, answered, track).await
 }
 
 /// Forwards a target's own error answer.
@@ -491,7 +389,7 @@
     answered: Answered,
     track: &mut Track,
 ) -> Response<OutBody> {
-    match buffer(job, answered, track).await {
+    match plain::deliver(job, answered, track).await {
         Ok(response) => response,
         Err(failure) => {
             let kind = match failure.outcome {
--- a/crates/thistlesill-edge/tests/it/fatal_parts.rs
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -1,8 +1,7 @@
 //! Prompts with a part that crashes each target which begins to answer them, whatever else the
 //! request holds.
 //!
-//! Evidence was kept for the whole request, so of requests that shared only such a part each began
-//! anew and had all its attempts. The lines of their losses share the part and nothing else:
+//! No two of the requests are alike, so the lines of their losses share the part and nothing else:
 //!
 //! ```text
 //! ev=lost_with_target id=fatal-0 target=A print=P answer=starting parts=first,deadly
@@ -126,9 +125,9 @@
     let world = world(162, 3).await;
     let before = serve_sound(&world, Duration::from_secs(3)).await;
     world.targets.set_fatal_part(PART);
-    let warning = 2 * IN_TOUCH + Duration::from_secs(2);
+    let settle = 2 * IN_TOUCH + Duration::from_secs(2);
     let (_, beside) = tokio::join!(send_fatal(&world, "fatal", 90), async {
-        serve_sound(&world, warning).await;
+        serve_sound(&world, settle).await;
         serve_sound(&world, Duration::from_secs(6)).await
     });
     assert!(beside >= before / 2.0, "{before:.2} before, {beside:.2}");
