fix(policy): demand counts the slots of a group where they are scarcer than its computing time

The planner measured demand in computing time alone. With 20 slots and answers of 168 tokens all slots of a group are taken at half of its computing time: 30 groups were believed to be needed half while each answered 20 requests per second, its most, and the first events came after 0.7 s. Demand is now the larger of the two. Where the computing time is scarcer, as on engines with 34 slots, nothing changes.

--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -1,10 +1,15 @@
 //! Demand for each model.
 //!
 //! Each daemon measures the work of the requests that arrive at it, in the unit that determines how
-//! many groups there should be: the fraction of one group's time that the work takes up. The
-//! planner adds up the reports of all daemons.
+//! many groups there should be: the fraction of one group that the work takes up. A group has two
+//! resources, its computing time and its slots, and the scarcer one counts. The planner adds up the
+//! reports of all daemons.
+//!
+//! Load pattern: engines with few slots and long answers. Their slots are all taken while half of
+//! their computing time is free, and a demand in computing time alone shows no lack of groups.
 
 use std::collections::BTreeMap;
+use std::ops::{AddAssign, MulAssign};
 
 use thistlesill_core::edge::Engine;
 use thistlesill_core::{Millis, Model, ServiceName};
@@ -15,6 +20,9 @@
 const AVERAGING_MS: f64 = 4_000.0;
 /// Weight of a refused request's work: its caller usually retries once, and would be counted twice.
 const REFUSED_WEIGHT: f64 = 0.5;
+/// Ratio of its slots that a group has taken at the utilization that groups are planned for; a token
+/// step takes longer the more requests run.
+const PLANNED_OCCUPANCY: f64 = 0.6;
 /// Work below this fraction of a group is not reported: it would round to zero.
 const MIN_REPORTED_WORK: f64 = 0.001;
 
@@ -39,16 +47,50 @@
         if self.refused { REFUSED_WEIGHT } else { 1.0 }
     }
 
-    /// Returns the time of a group that the request takes up, in milliseconds; `None` if the
-    /// service does not run the model.
+    /// Returns what the request takes up of a group; `None` if the service does not run the model.
     ///
-    /// Prefill takes up the whole group. Of a decoding step only what each running request adds is
-    /// counted: the rest is shared by all requests.
-    fn work(&self) -> Option<f64> {
-        let plan = self.engine.plan(self.model)?;
-        let read = f64::from(self.prompt) / self.engine.read_rate.max(1.0) * 1_000.0;
-        let answer = self.answer.map_or(self.engine.mean_answer, |t| t as f64);
-        Some(self.weight() * plan.pace * (read + answer * self.engine.step_each))
+    /// Prefill takes up the whole group. Of a decoding step only what each running request adds
+    /// counts as computing time: the rest is shared by all requests. A slot is taken for the
+    /// prefill and for all steps.
+    fn usage(&self) -> Option<Usage> {
+        let (engine, plan) = (self.engine, self.engine.plan(self.model)?);
+        let read = f64::from(self.prompt) / engine.read_rate.max(1.0) * 1_000.0;
+        let answer = self.answer.map_or(engine.mean_answer, |t| t as f64);
+        let slots = f64::from(engine.slots.max(1));
+        let step = engine.step + engine.step_each * PLANNED_OCCUPANCY * slots;
+        let scale = self.weight() * plan.pace;
+        Some(Usage {
+            computing: scale * (read + answer * engine.step_each),
+            slots: scale * (read + answer * step) / slots,
+        })
+    }
+}
+
+/// Time of a group that requests take up, in milliseconds, by resource.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    computing: f64,
+    /// Time in which slots are taken, divided by their number.
+    slots: f64,
+}
+
+impl Usage {
+    const fn scarcer(self) -> f64 {
+        self.computing.max(self.slots)
+    }
+}
+
+impl AddAssign for Usage {
+    fn add_assign(&mut self, other: Self) {
+        self.computing += other.computing;
+        self.slots += other.slots;
+    }
+}
+
+impl MulAssign<f64> for Usage {
+    fn mul_assign(&mut self, factor: f64) {
+        self.computing *= factor;
+        self.slots *= factor;
     }
 }
 
@@ -58,8 +100,8 @@
 /// An exponentially decaying sum.
 #[derive(Debug, Clone, Copy, Default)]
 struct Average {
-    /// Work of about the last [`AVERAGING_MS`], in milliseconds of a group's time.
-    sum: f64,
+    /// Usage of about the last [`AVERAGING_MS`].
+    sum: Usage,
     /// Requests of the same time.
     requests: f64,
     updated_at: Millis,
@@ -86,20 +128,20 @@
 impl DemandMeter {
     /// Records a request that arrived, whether or not it was refused.
     pub fn record(&mut self, service: &ServiceName, sample: &DemandSample<'_>, now: Millis) {
-        let Some(work) = sample.work() else { return };
+        let Some(usage) = sample.usage() else { return };
         self.started_at.get_or_insert(now);
         let key = (service.clone(), sample.model.clone());
         let average = self.averages.entry(key).or_default();
         average.decay(now);
-        average.sum += work;
+        average.sum += usage;
         average.requests += sample.weight();
     }
 
-    /// Returns the average time of a group that one request of a model takes up, in milliseconds;
-    /// `None` if there was no request.
+    /// Returns the average time of a group that one request of a model takes up, in milliseconds of
+    /// its scarcer resource; `None` if there was no request.
     pub fn work_per_request(&self, service: &ServiceName, model: &Model) -> Option<f64> {
         let average = self.averages.get(&(service.clone(), model.clone()))?;
-        (average.requests > 0.0).then(|| average.sum / average.requests)
+        (average.requests > 0.0).then(|| average.sum.scarcer() / average.requests)
     }
 
     /// Returns the current demand.
@@ -113,7 +155,7 @@
             average.decay(now);
         }
         let reported = self.averages.iter().map(|(key, average)| {
-            let work = average.sum / AVERAGING_MS / covered;
+            let work = average.sum.scarcer() / AVERAGING_MS / covered;
             (key.clone(), work)
         });
         reported
--- a/crates/thistlesill-policy/tests/edge/asked.rs
+++ b/crates/thistlesill-policy/tests/edge/asked.rs
@@ -52,6 +52,30 @@
     assert_near(work(&mut meter, later), groups);
 }
 
+/// Long answers take all slots of a group long before its computing time. Counted by computing time
+/// alone, no group is missing while all slots of all groups are taken.
+#[test]
+fn slots_count_where_they_are_scarcer_than_computing_time() {
+    let mut few_slots = engine();
+    few_slots.slots = 10;
+    let (service, model) = (ServiceName::from("s"), Model::from("large"));
+    let mut meter = DemandMeter::default();
+    let sample = DemandSample {
+        engine: &few_slots,
+        model: &model,
+        prompt: 460,
+        answer: Some(200),
+        refused: false,
+    };
+    meter.record(&service, &sample, start());
+    // 10 ms of prefill and 200 steps of 6 ms and 0.24 ms for each of six running requests, in one
+    // of ten slots; the computing time is 58 ms.
+    let each = meter.work_per_request(&service, &model).unwrap_or(0.0);
+    let slot = (10.0 + 200.0 * (few_slots.step + 6.0 * few_slots.step_each)) / 10.0;
+    assert_near(each, slot);
+    assert!(each > 2.0 * 58.0, "{each}");
+}
+
 #[test]
 fn refused_requests_count_half_since_they_come_back() {
     let mut meter = DemandMeter::default();
