fix(policy): lost links need a failed target in each data centre

Cause: a daemon took its links to a service for lost as soon as any three targets failed and none answered.

Change: a target must also have failed in each data centre in which the service has targets that are neither leaving nor evacuated. While three have failed and a data centre lacks a failure, the change is `Undecided`, and one target of each such data centre is asked at once (a round each 250 ms at most), whatever streams go on. Checks draw one target of each data centre without a failure first. Undecided rounds also ask targets with a rate limit, under a grant, since a loss depends on them.

The new tests are red with the rule turned off (3 tests) and with checks drawn as before (1 test).

It was not timed with several data centres in processes.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -198,6 +198,7 @@
     }
     tokio::task::spawn_local(reach::check_lost(edge.clone()));
     tokio::task::spawn_local(reach::check_doubted(edge.clone()));
+    tokio::task::spawn_local(reach::check_undecided(edge.clone()));
     if options.parts != Parts::Plan {
         tokio::task::spawn_local(forward::serve(edge.clone()));
         let callers = listen(settings.callers.context(NoCallersSnafu)?).await?;
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -1,16 +1,16 @@
 //! Whether this daemon reaches the targets of each service, by what it observes itself.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use thistlesill_core::edge::Target;
 use thistlesill_core::{Millis, ServiceName};
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine::{self, Check};
-use thistlesill_policy::edge::reach::{Reach, ReachChange};
+use thistlesill_policy::edge::book::TargetRegistry;
+use thistlesill_policy::edge::reach::{FailedTarget, Reach, ReachChange};
 use tokio::sync::Notify;
 
 use crate::limits;
@@ -18,7 +18,7 @@
 use crate::peers::{Reach as Scope, link};
 use crate::state::Edge;
 
-/// Time between two rounds of checks while links are lost.
+/// Time between two rounds of checks while links are lost or a loss depends on the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two rounds of checks because of a doubt: a target that breaks off its answers
 /// raises doubts all the time, and a check costs a plain service as much as a request.
@@ -29,8 +29,6 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long an answer that confirms a failure is awaited.
 const CONFIRM_TIMEOUT: Millis = Millis::new(250);
-/// Number of targets of a service that are asked in one round.
-const CHECKED_TARGETS: usize = 3;
 
 /// This daemon's links to the targets, by service.
 #[derive(Debug, Default)]
@@ -38,12 +36,16 @@
     services: RefCell<HashMap<ServiceName, Reach>>,
     /// When targets of a service were last asked to confirm a failure.
     checked: RefCell<HashMap<ServiceName, Millis>>,
+    /// Services of which enough targets failed for a loss, but none in some data centre.
+    undecided: RefCell<HashSet<ServiceName>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
     /// Notified when links are lost.
     lost: Notify,
     /// Notified when a target has failed.
     doubted: Notify,
+    /// Notified when `undecided` grows.
+    unclear: Notify,
 }
 
 impl Links {
@@ -109,12 +111,28 @@
 
 /// Records that a target was not reached, by a connection or check that began at `begun`.
 pub(crate) fn note_failure(edge: &Edge, target: &Target, begun: Millis) {
-    let change = update(edge, &target.service, |reach, now, targets| {
-        reach.note_failure(&target.id, begun, now, targets)
-    });
+    let change = {
+        let registry = edge.registry.borrow();
+        let known = registry.of_service(&target.service);
+        let asked = known.into_iter().flat_map(HashMap::values);
+        let asked = asked.filter(|t| may_be_asked(&registry, t));
+        let failed = FailedTarget {
+            id: &target.id,
+            hall: &target.hall,
+            begun,
+        };
+        update(edge, &target.service, |reach, now, targets| {
+            reach.note_failure(failed, now, targets, asked.map(|t| &t.hall))
+        })
+    };
     react(edge, &target.service, change);
 }
 
+/// Returns whether a target is neither leaving nor evacuated.
+fn may_be_asked(registry: &TargetRegistry, target: &Target) -> bool {
+    !registry.is_leaving(&target.id) && !registry.is_evacuated(&target.hall)
+}
+
 /// Applies an observation to the links to a service, with the time and the number of its targets.
 fn update(
     edge: &Edge,
@@ -135,6 +153,12 @@
             edge.links.doubted.notify_one();
             return;
         }
+        ReachChange::Undecided => {
+            let mut undecided = edge.links.undecided.borrow_mut();
+            undecided.insert(service.clone());
+            edge.links.unclear.notify_one();
+            return;
+        }
         ReachChange::Lost => {
             let services = edge.links.services.borrow();
             let failed = services.get(service).map_or(0, |r| r.failed().count());
@@ -219,6 +243,22 @@
     }
 }
 
+/// Checks whether targets answer in data centres where none has failed, after enough others failed
+/// for a loss; never returns.
+///
+/// Streams that go on count for nothing here, since established connections may live on while new
+/// ones are refused.
+pub(crate) async fn check_undecided(edge: Rc<Edge>) {
+    loop {
+        edge.links.unclear.notified().await;
+        let undecided = std::mem::take(&mut *edge.links.undecided.borrow_mut());
+        for service in &undecided {
+            check_service(&edge, service, Occasion::Undecided);
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns once the links to the targets of a service are lost.
 pub(crate) async fn wait_until_lost(edge: &Edge, service: &ServiceName) {
     loop {
@@ -265,6 +305,8 @@
 enum Occasion {
     /// One of them failed.
     Doubt,
+    /// Enough of them failed for a loss, but none in some data centre.
+    Undecided,
     /// The links to all of them are lost.
     Loss,
 }
@@ -316,26 +358,23 @@
     }
 }
 
-/// Draws targets of a service, if possible others than those that failed. A doubt is worth no
-/// request of a target that takes only a limited number.
+/// Draws targets of a service to check. A doubt is worth no request of a target that takes only a
+/// limited number.
 fn draw_targets(edge: &Edge, service: &ServiceName, occasion: Occasion) -> Vec<Target> {
     let (registry, services) = (edge.registry.borrow(), edge.links.services.borrow());
     let Some(targets) = registry.of_service(service) else {
         return Vec::new();
     };
-    let reach = services.get(service);
     let now = edge.now();
     let may_ask = |t: &&Target| {
-        let gone = registry.is_leaving(&t.id) || registry.is_evacuated(&t.hall);
         let too_dear = occasion == Occasion::Doubt && edge.limits.is_limited(&t.id, now);
-        !gone && !too_dear && !edge.backoffs.is_active(&t.id, now)
+        may_be_asked(&registry, t) && !too_dear && !edge.backoffs.is_active(&t.id, now)
     };
-    let has_failed = |t: &Target| reach.is_some_and(|r| r.failed().any(|id| *id == t.id));
+    let asked = targets.values().filter(may_ask);
     let rng = &mut *edge.rng.borrow_mut();
-    let others = targets.values().filter(may_ask).filter(|t| !has_failed(t));
-    let mut drawn = others.sample(rng, CHECKED_TARGETS);
-    let missing = CHECKED_TARGETS - drawn.len();
-    let failed = targets.values().filter(may_ask).filter(|t| has_failed(t));
-    drawn.extend(failed.sample(rng, missing));
+    let drawn = match services.get(service) {
+        Some(reach) => reach.draw_checks(asked, rng),
+        None => Reach::default().draw_checks(asked, rng),
+    };
     drawn.into_iter().cloned().collect()
 }
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -1,13 +1,18 @@
 //! Whether a daemon reaches the targets of a service at all.
 //!
 //! A target that does not answer may have failed, or the daemon may have lost its own links. One
-//! target does not tell these apart, but several that fail while none answers do. Only connections
-//! that the daemon has just opened count: established ones may live on while new ones are refused.
+//! target does not tell these apart, but several that fail while none answers do, if some of them
+//! are in each data centre of the service. Only connections that the daemon has just opened count:
+//! established ones may live on while new ones are refused.
+//!
+//! Load pattern: one data centre becomes unreachable while another one is evacuated. The targets
+//! that a daemon tries first are all in the unreachable one, and those of the third one are up.
 
 use std::collections::{HashMap, HashSet};
 
-use thistlesill_core::Millis;
-use thistlesill_core::edge::TargetId;
+use rand::seq::SliceRandom;
+use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::{HallId, Millis};
 
 /// Number of targets that must have failed, without an answer of any, for links to count as lost;
 /// fewer if the service has fewer targets.
@@ -17,6 +22,9 @@
 const MIN_ANSWERED: usize = 2;
 /// How long a failure counts.
 const FAILURE_VALIDITY: Millis = Millis::new(2_000);
+/// Number of targets that are asked in one round of checks; more if the service has targets in more
+/// data centres without a failure.
+const CHECKED_TARGETS: usize = 3;
 
 /// What an observation changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,18 +33,39 @@
     Unchanged,
     /// A target failed; it should be checked whether others answer.
     Doubtful,
+    /// Enough targets failed for a loss, but none in some data centre; it should be checked at once
+    /// whether targets there answer.
+    Undecided,
     /// The links to the targets are lost.
     Lost,
     /// The links, which were lost for this time, work again.
     Restored(Millis),
 }
 
+/// A target that was not reached.
+#[derive(Debug, Clone, Copy)]
+pub struct FailedTarget<'a> {
+    /// Identifies the target.
+    pub id: &'a TargetId,
+    /// Data centre of the target.
+    pub hall: &'a HallId,
+    /// When the connection or check began.
+    pub begun: Millis,
+}
+
+/// The last attempt to reach a target, which failed.
+#[derive(Debug, Clone)]
+struct Failure {
+    hall: HallId,
+    begun: Millis,
+}
+
 /// A daemon's links to the targets of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
-    /// When the last attempt to reach each target began, for those that were not reached and after
-    /// which no target has answered.
-    failed: HashMap<TargetId, Millis>,
+    /// The last attempt to reach each target, for those that were not reached and after which no
+    /// target has answered.
+    failed: HashMap<TargetId, Failure>,
     /// When the last exchange began that a target broke off or left unanswered.
     doubted_at: Option<Millis>,
     /// When the connection on which a target answered last was opened, the latest one counting.
@@ -65,7 +94,7 @@
     /// target has answered since.
     #[must_use]
     pub fn doubted_since(&self) -> Option<Millis> {
-        let failed = self.failed.values().max().copied();
+        let failed = self.failed.values().map(|failure| failure.begun).max();
         let doubted = self.doubted_at;
         let doubted = doubted.filter(|at| !self.has_answered_since(*at));
         failed.max(doubted)
@@ -86,27 +115,62 @@
         ReachChange::Doubtful
     }
 
-    /// Records that a target was not reached, by a connection or check that began at `begun`.
-    /// `targets` is the number of targets of the service.
-    pub fn note_failure(
+    /// Records that a target was not reached. `targets` is the number of targets of the service,
+    /// and `halls` yields the data centre of each one that may be asked, which is neither leaving
+    /// nor evacuated.
+    pub fn note_failure<'a>(
         &mut self,
-        id: &TargetId,
-        begun: Millis,
+        failed: FailedTarget<'_>,
         now: Millis,
         targets: usize,
+        halls: impl IntoIterator<Item = &'a HallId>,
     ) -> ReachChange {
-        self.failed.retain(|_, at| now - *at < FAILURE_VALIDITY);
-        self.failed.insert(id.clone(), begun);
+        let is_valid = |failure: &Failure| now - failure.begun < FAILURE_VALIDITY;
+        self.failed.retain(|_, failure| is_valid(failure));
+        let failure = Failure {
+            hall: failed.hall.clone(),
+            begun: failed.begun,
+        };
+        self.failed.insert(failed.id.clone(), failure);
         if self.is_lost() {
             self.answered.clear();
             return ReachChange::Unchanged;
         }
-        if self.failed.len() >= MIN_FAILED.min(targets) {
-            self.lost_at = Some(now);
-            self.answered.clear();
-            return ReachChange::Lost;
+        if self.failed.len() < MIN_FAILED.min(targets) {
+            return ReachChange::Doubtful;
         }
-        ReachChange::Doubtful
+        let failed_halls = self.failed_halls();
+        if !halls.into_iter().all(|hall| failed_halls.contains(hall)) {
+            return ReachChange::Undecided;
+        }
+        self.lost_at = Some(now);
+        self.answered.clear();
+        ReachChange::Lost
+    }
+
+    /// Returns the data centres of the targets that were not reached since the last answer.
+    fn failed_halls(&self) -> HashSet<&HallId> {
+        self.failed.values().map(|failure| &failure.hall).collect()
+    }
+
+    /// Draws the targets to check among those of the service that may be asked.
+    ///
+    /// The first ones are one of each data centre without a failure, since a loss cannot be told
+    /// before these have failed. Others follow, if possible those that did not fail.
+    pub fn draw_checks<'a>(
+        &self,
+        targets: impl IntoIterator<Item = &'a Target>,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<&'a Target> {
+        let mut shuffled: Vec<&'a Target> = targets.into_iter().collect();
+        shuffled.shuffle(rng);
+        let mut halls = self.failed_halls();
+        let is_first = |target: &&'a Target| halls.insert(&target.hall);
+        let (mut drawn, mut others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_first);
+        others.sort_by_key(|target| self.failed.contains_key(&target.id));
+        others.truncate(CHECKED_TARGETS.saturating_sub(drawn.len()));
+        drawn.extend(others);
+        drawn
     }
 
     /// Records that a target answered on a connection that was opened at `opened`. `targets` is the
@@ -120,7 +184,7 @@
     ) -> ReachChange {
         self.answered_at = self.answered_at.max(Some(opened));
         // The answer does not refute what failed on later connections.
-        self.failed.retain(|_, begun| *begun > opened);
+        self.failed.retain(|_, failure| failure.begun > opened);
         let Some(lost_at) = self.lost_at.filter(|lost_at| opened >= *lost_at) else {
             return ReachChange::Unchanged;
         };
