feat(core): the catalog knows which services rank their callers

Cause: requests are to be admitted by urgency only where operators configured routes of different priorities, and the check runs for every request. Change: Catalog::ranks_callers; the lowest and highest priority of a service's routes are kept when routes are added, so a request costs two map look-ups.

--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -160,6 +160,8 @@
     hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
     keys: HashMap<Box<str>, KeyHolder>,
+    /// The most and the least urgent priority of the routes that lead to each service.
+    priorities: HashMap<ServiceName, (u8, u8)>,
     limits: Limits,
 }
 
@@ -172,12 +174,20 @@
             hosts: HashMap::new(),
             services: HashMap::new(),
             keys: HashMap::new(),
+            priorities: HashMap::new(),
             limits,
         }
     }
 
     /// Adds a route for a host, whose name is matched without regard to case.
     pub fn add_route(&mut self, host: &str, route: Route) {
+        let priority = route.priority;
+        for share in &route.shares {
+            let known = self.priorities.entry(share.service.clone());
+            let (lowest, highest) = known.or_insert((priority, priority));
+            *lowest = priority.min(*lowest);
+            *highest = priority.max(*highest);
+        }
         let routes = self
             .hosts
             .entry(host.to_ascii_lowercase().into())
@@ -225,6 +235,14 @@
         self.services.get(name)
     }
 
+    /// Returns whether a service admits its requests by their urgency: it runs models, and at least
+    /// two of the routes that lead to it have different priorities.
+    pub fn ranks_callers(&self, service: &ServiceName) -> bool {
+        let priorities = self.priorities.get(service);
+        let differ = priorities.is_some_and(|(lowest, highest)| lowest < highest);
+        differ && self.service(service).is_some_and(|s| s.engine.is_some())
+    }
+
     /// Returns all services in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
