feat(policy): first events are measured by target, and predicted from that

The published figures leave out a fixed time of first events (42 ms by them for a prompt of the most frequent kind; half of the requests take 183 ms or more under light load), so requests are admitted until they begin late.

Change: `FirstEvents` compares the time between a grant and the end of the prefill, as the counts of the daemon show it, with the prediction, and averages the difference by target and scope. `LoadTable` feeds it and has `predict`, `delay` and `prospect`. `begin` and `add_granted` take the target, the time and the prediction; the daemon passes `None`, so nothing is measured yet and no decision changes. `PickRequest` has an objective, which the daemon does not pass yet.

Existing tests: the calls have the new parameters; no assertion changed.

--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -150,6 +150,7 @@
             engine: service.engine.as_ref(),
             prompt: query.prompt,
             hall: &settings.hall,
+            aim: None,
         };
         let loads = self.loads.borrow();
         if query.first
--- a/crates/thistlesill-edge/src/flight.rs
+++ b/crates/thistlesill-edge/src/flight.rs
@@ -18,7 +18,8 @@
 
 impl InFlight {
     pub(crate) fn new(edge: &Rc<Edge>, target: &Target, prompt: u32) -> Self {
-        edge.loads.borrow_mut().begin(&target.id, prompt);
+        let now = edge.now();
+        edge.loads.borrow_mut().begin(target, prompt, None, now);
         let scope = Scope::of(target);
         place::send_counts(edge, &scope);
         Self {
@@ -33,10 +34,10 @@
     pub(crate) fn end_prefill(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         if unread > 0 {
-            self.edge
-                .loads
-                .borrow_mut()
-                .end_prefill(&self.target, unread);
+            let now = self.edge.now();
+            let mut loads = self.edge.loads.borrow_mut();
+            loads.end_prefill(&self.target, unread, now);
+            drop(loads);
             place::send_counts(&self.edge, &self.scope);
         }
     }
@@ -47,7 +48,7 @@
         let edge = &self.edge;
         {
             let mut loads = edge.loads.borrow_mut();
-            loads.end_prefill(&self.target, std::mem::take(&mut self.unread));
+            loads.cancel_prefill(&self.target, std::mem::take(&mut self.unread), edge.now());
             loads.end(&self.target);
         }
         place::send_counts(edge, &self.scope);
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -273,7 +273,7 @@
     let until = now + edge.peer_data_lifetime();
     edge.loads
         .borrow_mut()
-        .set_peer_counts(&heartbeat.from, counts, until);
+        .set_peer_counts(&heartbeat.from, counts, until, now);
     for target in &heartbeat.unresponsive {
         // Events that arrive here show that only the planner does not reach the target.
         let is_active = edge.loads.borrow().has_active_streams(target, now);
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -250,10 +250,11 @@
     let choice = edge.pick(&asking, Knowledge::Exact);
     let placement = match choice {
         Choice::Target(target) => {
-            let until = edge.now() + edge.peer_data_lifetime();
+            let now = edge.now();
+            let until = now + edge.peer_data_lifetime();
             let mut loads = edge.loads.borrow_mut();
-            loads.add_granted(&request.from, &target.id, request.prompt, until);
-            let permit = match edge.limits.take(&target.id, edge.now()) {
+            loads.add_granted(&request.from, &target, request.prompt, until, None, now);
+            let permit = match edge.limits.take(&target.id, now) {
                 Grant::Unlimited => Permit::NotNeeded,
                 Grant::Granted => Permit::Granted,
                 Grant::NotOwner | Grant::Exhausted(_) => Permit::Needed,
@@ -296,11 +297,12 @@
 
 /// As owner: receives the requests of a peer.
 pub(crate) fn receive_counts(edge: &Edge, counts: Counts) {
-    let until = edge.now() + edge.peer_data_lifetime();
+    let now = edge.now();
+    let until = now + edge.peer_data_lifetime();
     let list = counts.counts.into_iter().collect();
     edge.loads
         .borrow_mut()
-        .set_peer_counts(&counts.from, list, until);
+        .set_peer_counts(&counts.from, list, until, now);
 }
 
 /// Receives the totals that an owner sent for its targets.
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -8,15 +8,22 @@
 mod work;
 
 use std::collections::HashMap;
+use std::sync::LazyLock;
 
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use thistlesill_core::edge::{Engine, Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
 
 use self::pass::Pass;
 use self::peers::PeerCounts;
 pub use self::work::Work;
+use super::owner::Scope;
+use super::room::FirstEvents;
+use super::shortage::Prospect;
 
+/// Name under which this daemon's own requests are measured; no peer has it.
+static OWN: LazyLock<NodeId> = LazyLock::new(|| NodeId::new(""));
 /// Number of targets sampled in the own data centre to pick the best of, by a daemon that knows the
 /// load of other daemons only from older reports.
 const NEAR_SAMPLES: usize = 4;
@@ -67,6 +74,8 @@
     pub prompt: u32,
     /// Data centre of this daemon.
     pub hall: &'a HallId,
+    /// The latency objective, if targets of other data centres may be preferred to meet it.
+    pub aim: Option<Millis>,
 }
 
 /// State of one target, as observed by this daemon.
@@ -119,6 +128,7 @@
     peers: PeerCounts,
     /// Total work at targets as reported by their owners, and until when that is valid.
     totals: HashMap<TargetId, (Work, Millis)>,
+    first_events: FirstEvents,
 }
 
 /// How precisely the load of targets is known.
@@ -132,17 +142,32 @@
 }
 
 impl LoadTable {
-    /// Records that a request with a prompt of `unread` tokens was sent.
-    pub fn begin(&mut self, id: &TargetId, unread: u32) {
-        let own = &mut self.entry(id).own;
+    /// Records that a request with a prompt of `unread` tokens was sent, with its first event in
+    /// milliseconds as [`Self::predict`] has just returned it; `None` if it is not measured.
+    pub fn begin(&mut self, target: &Target, unread: u32, predicted: Option<f64>, now: Millis) {
+        let before = self.own_work(&target.id);
+        self.measure(&OWN, target, before, predicted, now);
+        let own = &mut self.entry(&target.id).own;
         own.requests += 1;
         own.unread += unread;
+        let own = *own;
+        self.first_events.counted_at(&OWN, &target.id, own, now);
     }
 
     /// Records that the prompt of a request was processed.
-    pub fn end_prefill(&mut self, id: &TargetId, unread: u32) {
+    pub fn end_prefill(&mut self, id: &TargetId, unread: u32, now: Millis) {
         let own = &mut self.entry(id).own;
         own.unread = own.unread.saturating_sub(unread);
+        let own = *own;
+        self.first_events.counted_at(&OWN, id, own, now);
+    }
+
+    /// Records that a request ended of whose prompt `unread` tokens were not processed.
+    pub fn cancel_prefill(&mut self, id: &TargetId, unread: u32, now: Millis) {
+        if unread > 0 {
+            self.first_events.mix(&OWN, id);
+            self.end_prefill(id, unread, now);
+        }
     }
 
     /// Records that a request at a target ended.
@@ -272,13 +297,47 @@
         peer: &NodeId,
         counts: HashMap<TargetId, Work>,
         until: Millis,
+        now: Millis,
     ) {
+        self.first_events.counted(peer, &counts, now);
         self.peers.replace(peer, counts, until);
     }
 
-    /// Counts a request that a peer is about to send to a target, until the peer's next counts.
-    pub fn add_granted(&mut self, peer: &NodeId, id: &TargetId, unread: u32, until: Millis) {
-        self.peers.add_granted(peer, id, unread, until);
+    /// Counts a request that a peer is about to send to a target, until the peer's next counts, with
+    /// its first event in milliseconds as [`Self::predict`] has just returned it; `None` if it is
+    /// not measured, as a request that engines start behind all others.
+    pub fn add_granted(
+        &mut self,
+        peer: &NodeId,
+        target: &Target,
+        unread: u32,
+        until: Millis,
+        predicted: Option<f64>,
+        now: Millis,
+    ) {
+        let before = self.peers.work_of(peer, &target.id);
+        self.measure(peer, target, before, predicted, now);
+        self.peers.add_granted(peer, &target.id, unread, until);
+    }
+
+    /// Starts the measurement of a first event, unless `before`, the work of the daemon at the target,
+    /// contains a prompt whose end cannot be told from that of this one.
+    fn measure(
+        &mut self,
+        daemon: &NodeId,
+        target: &Target,
+        before: Work,
+        predicted: Option<f64>,
+        now: Millis,
+    ) {
+        match predicted {
+            Some(predicted) if before.unread == 0 => {
+                self.first_events.assign(target);
+                self.first_events
+                    .granted(daemon, &target.id, predicted, now);
+            }
+            Some(_) | None => self.first_events.mix(daemon, &target.id),
+        }
     }
 
     /// Sets the total work at a target as reported by its owner, valid until `until`.
@@ -298,6 +357,7 @@
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
         self.totals.retain(|_, (_, until)| now < *until);
         self.peers.retain(now);
+        self.first_events.retain(&known, now);
     }
 
     /// Returns the work at a target, of this daemon and its peers.
@@ -305,12 +365,15 @@
     /// The total that an owner reported counts where it is higher: this daemon may not receive the
     /// counts of every daemon that has requests there.
     pub fn work(&self, id: &TargetId, now: Millis) -> Work {
-        let own = self.targets.get(id).map_or_else(Work::default, |l| l.own);
-        let counted = own + self.peers.work(id, now);
+        let counted = self.own_work(id) + self.peers.work(id, now);
         let total = self.totals.get(id).filter(|(_, until)| now < *until);
         total.map_or(counted, |(total, _)| counted.max(*total))
     }
 
+    fn own_work(&self, id: &TargetId) -> Work {
+        self.targets.get(id).map_or_else(Work::default, |l| l.own)
+    }
+
     /// Returns the number of requests at each target, of this daemon and its peers.
     pub fn requests(&self, now: Millis) -> HashMap<TargetId, u32> {
         let mut all: HashMap<TargetId, u32> = HashMap::new();
@@ -331,6 +394,59 @@
         Millis::new((MAX_SILENT_PAUSES * pass.pause() * slowdown) as u64)
     }
 
+    /// Returns the predicted time until one more request has its first event at a target, in
+    /// milliseconds; 0 for services that run no models.
+    ///
+    /// It is the published time at the observed pace, plus the time that first events of the target
+    /// were observed to take beyond that.
+    pub fn predict(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
+        let begin = self.begin_ms(target, request, now);
+        begin.map_or(0.0, |begin| begin + self.delay(target))
+    }
+
+    /// Returns the time in milliseconds that first events of a target take beyond the published time.
+    pub fn delay(&self, target: &Target) -> f64 {
+        if self.first_events.is_assigned(&target.id) {
+            self.first_events.delay(&target.id)
+        } else {
+            self.first_events.scope_delay(&Scope::of(target))
+        }
+    }
+
+    /// Returns the published time until one more request has its first event at a target, at the
+    /// observed pace.
+    fn begin_ms(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> Option<f64> {
+        let engine = request.engine?;
+        let mut work = self.work(&target.id, now);
+        work.unread += request.prompt;
+        let begin = Pass::of(target, engine, work).begin(engine, work);
+        Some(begin * self.slowdown(&target.id, now))
+    }
+
+    /// Returns the target that is predicted to begin a request first, of those that neither are
+    /// avoided nor refused a request recently; `None` if there is none, or if the service runs no
+    /// models.
+    pub fn prospect<'a>(
+        &self,
+        candidates: &[&'a Target],
+        request: &PickRequest<'_>,
+        now: Millis,
+    ) -> Option<(Prospect, &'a Target)> {
+        let engine = request.engine?;
+        let usable = |t: &&&Target| !self.is_suspect(&t.id, now) && !self.is_full(&t.id, now);
+        let usable = candidates.iter().filter(usable);
+        let predicted = usable.map(|t| (self.predict(t, request, now), *t));
+        let (begin, target) = predicted.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let prospect = Prospect {
+            begin,
+            slots: engine.slots,
+            requests: self.work(&target.id, now).requests,
+            has_room: self.has_room(candidates, engine, now),
+            open_groups: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
+        };
+        Some((prospect, target))
+    }
+
     /// Returns the expected duration of one more request at a target, in milliseconds, with the
     /// penalty for another data centre.
     fn expected_ms(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
@@ -418,6 +534,9 @@
         }
         let (near, far): (Vec<&Target>, Vec<&Target>) =
             pool.iter().copied().partition(|t| t.hall == *request.hall);
+        if let Some(target) = self.pick_far_in_time(&near, &far, request, now, rng) {
+            return Some(target);
+        }
         let near_samples = match knowledge {
             Knowledge::Exact => near.len(),
             Knowledge::Stale => NEAR_SAMPLES,
@@ -431,6 +550,24 @@
         best.map(|(_, target)| target)
     }
 
+    /// Draws one of the `far` targets that begin the request within its objective, if no `near` one
+    /// does. The draw is random, so that daemons with equal knowledge do not all pick one target.
+    fn pick_far_in_time<'a>(
+        &self,
+        near: &[&'a Target],
+        far: &[&'a Target],
+        request: &PickRequest<'_>,
+        now: Millis,
+        rng: &mut impl rand::Rng,
+    ) -> Option<&'a Target> {
+        let (aim, _) = (request.aim?.get() as f64, request.engine?);
+        let in_time = |t: &Target| self.predict(t, request, now) <= aim * LATE_RATIO;
+        if near.iter().any(|t| in_time(t)) {
+            return None;
+        }
+        only(far, in_time).choose(rng).copied()
+    }
+
     fn entry(&mut self, id: &TargetId) -> &mut TargetLoad {
         self.targets.entry(id.clone()).or_default()
     }
--- a/crates/thistlesill-policy/src/edge/load/peers.rs
+++ b/crates/thistlesill-policy/src/edge/load/peers.rs
@@ -84,6 +84,13 @@
         counts.copied().fold(Work::default(), Add::add)
     }
 
+    /// Returns the work of one peer at a target.
+    pub(super) fn work_of(&self, peer: &NodeId, id: &TargetId) -> Work {
+        let report = self.peers.get(peer);
+        let work = report.and_then(|report| report.counts.get(id));
+        work.copied().unwrap_or_default()
+    }
+
     /// Returns the valid counts of all peers, one item for each peer and target.
     pub(super) fn counts(&self, now: Millis) -> impl Iterator<Item = (&TargetId, &Work)> {
         self.valid(now).flat_map(|report| &report.counts)
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -42,6 +42,7 @@
         engine,
         prompt: 1_000,
         hall: &hall,
+        aim: None,
     };
     let both = [&first, &second];
     let mut rng = SmallRng::seed_from_u64(5);
@@ -56,7 +57,7 @@
     let mut loads = LoadTable::default();
     let mut taken = 0;
     while loads.has_room(&[&a], &engine, NOW) {
-        loads.begin(&a.id, 0);
+        loads.begin(&a, 0, None, NOW);
         taken += 1;
     }
     assert_eq!(taken, 16, "three fifths of 26 slots");
@@ -70,15 +71,16 @@
     let (a, engine, hall) = (leader("a"), engine(), HallId::from("h"));
     let mut loads = LoadTable::default();
     // One prompt whose prefill takes far longer than the objective.
-    loads.begin(&a.id, 100_000);
+    loads.begin(&a, 100_000, None, NOW);
     let request = PickRequest {
         engine: Some(&engine),
         prompt: 1_000,
         hall: &hall,
+        aim: None,
     };
     assert_eq!(loads.lateness(&[&a], &request, AIM, NOW), None);
     for _ in 0..16 {
-        loads.begin(&a.id, 0);
+        loads.begin(&a, 0, None, NOW);
     }
     assert!(loads.lateness(&[&a], &request, AIM, NOW).is_some());
 }
@@ -86,12 +88,12 @@
 #[test]
 fn prompts_that_wait_to_be_read_count_more_than_requests() {
     let mut loads = LoadTable::default();
-    loads.begin(&"a".into(), 6_000);
+    loads.begin(&leader("a"), 6_000, None, NOW);
     for _ in 0..3 {
-        loads.begin(&"b".into(), 0);
+        loads.begin(&leader("b"), 0, None, NOW);
     }
     assert_eq!(wins(&loads, NOW), 0);
-    loads.end_prefill(&"a".into(), 6_000);
+    loads.end_prefill(&"a".into(), 6_000, NOW);
     assert_eq!(wins(&loads, NOW), 40);
 }
 
@@ -106,6 +108,7 @@
         &"peer".into(),
         HashMap::from([("a".into(), work)]),
         NOW + COUNTS_VALIDITY,
+        NOW,
     );
     assert_eq!(wins(&loads, NOW), 0);
     assert_ne!(wins(&loads, NOW + Millis::new(5_000)), 0);
@@ -133,10 +136,11 @@
         engine: Some(&engine),
         prompt: 1_000,
         hall: &hall,
+        aim: None,
     };
     let mut loads = LoadTable::default();
     for _ in 0..26 {
-        loads.begin(&"a".into(), 1_000);
+        loads.begin(&leader("a"), 1_000, None, NOW);
     }
     assert_eq!(
         loads.lateness(&[&a, &b], &request, AIM, NOW),
@@ -144,7 +148,7 @@
         "b is free"
     );
     for _ in 0..26 {
-        loads.begin(&"b".into(), 1_000);
+        loads.begin(&leader("b"), 1_000, None, NOW);
     }
     assert!(loads.lateness(&[&a, &b], &request, AIM, NOW).is_some());
     assert_eq!(
@@ -164,6 +168,7 @@
         engine: Some(&engine),
         prompt: 600,
         hall: &HallId::from("h"),
+        aim: None,
     };
     let mut rng = SmallRng::seed_from_u64(5);
     let mut pick = |loads: &LoadTable| {
@@ -174,9 +179,9 @@
     };
     assert_eq!(pick(&loads), Some("a".into()));
     // One more prompt costs 20 ms there: 13 for its prefill, the rest for its answer.
-    loads.begin(&"a".into(), 600);
+    loads.begin(&leader("a"), 600, None, NOW);
     assert_eq!(pick(&loads), Some("a".into()));
-    loads.begin(&"a".into(), 600);
+    loads.begin(&leader("a"), 600, None, NOW);
     assert_eq!(pick(&loads), Some("b".into()));
 }
 
@@ -187,7 +192,7 @@
     let mut loads = LoadTable::default();
     let id = TargetId::from("t");
     let now = Millis::new(10_000);
-    loads.begin(&id, 100);
+    loads.begin(&leader("t"), 100, None, now);
     loads.note_progress(&id, now);
     loads.suspect(&id, now);
     assert!(loads.is_suspect(&id, now), "no new requests go there");
--- a/crates/thistlesill-policy/tests/edge/owner.rs
+++ b/crates/thistlesill-policy/tests/edge/owner.rs
@@ -61,12 +61,13 @@
             let id = TargetId::from(format!("t{target}"));
             let work = Work { requests: u32::from(kind), unread: u32::from(unread) };
             if kind % 3 == 0 {
-                loads.add_granted(&name, &id, u32::from(unread), until);
+                let group = leader(&format!("t{target}"));
+                loads.add_granted(&name, &group, u32::from(unread), until, None, now);
                 let counts = peers.entry(peer).or_insert((until, HashMap::new()));
                 let one = Work { requests: 1, unread: u32::from(unread) };
                 *counts.1.entry(target).or_default() += one;
             } else {
-                loads.set_peer_counts(&name, HashMap::from([(id, work)]), until);
+                loads.set_peer_counts(&name, HashMap::from([(id, work)]), until, now);
                 peers.insert(peer, (until, HashMap::from([(target, work)])));
             }
             if kind % 4 == 0 {
@@ -110,7 +111,7 @@
     let now = Millis::new(5_000);
     let until = now + Millis::new(800);
     let work = |requests, unread| Work { requests, unread };
-    loads.begin(&id, 500);
+    loads.begin(&leader("t0"), 500, None, now);
     loads.set_total(id.clone(), work(7, 200), until);
     assert_eq!(loads.work(&id, now), work(7, 500));
     assert_eq!(loads.work(&id, until), work(1, 500));
@@ -154,7 +155,7 @@
                 *daemon
             };
             if *read == now {
-                tables[table].end_prefill(&groups[*group].id, *prompt);
+                tables[table].end_prefill(&groups[*group].id, *prompt, at);
             }
             if *ends == now {
                 tables[table].end(&groups[*group].id);
@@ -173,15 +174,17 @@
             engine: Some(&engine),
             prompt,
             hall: &hall,
+            aim: None,
         };
         let (table, knowledge) = match chooser {
             Chooser::Each => (daemon, Knowledge::Stale),
             Chooser::Owner => (0, Knowledge::Exact),
         };
         let target = tables[table].pick(&candidates, &request, knowledge, at, &mut rng);
-        let id = &target.expect("there are groups").id;
-        tables[table].begin(id, prompt);
-        let group = groups.iter().position(|g| g.id == *id).expect("it is one");
+        let target = target.expect("there are groups");
+        tables[table].begin(target, prompt, None, at);
+        let group = groups.iter().position(|g| g.id == target.id);
+        let group = group.expect("it is one");
         let begins = free[group].max(now);
         waits.push(begins - now);
         let read = begins + u64::from(prompt) / 46 + 1;
@@ -202,7 +205,7 @@
             let counts: HashMap<TargetId, Work> = tables[from].counts().into_iter().collect();
             for (to, table) in tables.iter_mut().enumerate() {
                 if to != from {
-                    table.set_peer_counts(&daemons[from], counts.clone(), until);
+                    table.set_peer_counts(&daemons[from], counts.clone(), until, Millis::new(now));
                 }
             }
         }
--- a/crates/thistlesill-policy/tests/edge/restarts.rs
+++ b/crates/thistlesill-policy/tests/edge/restarts.rs
@@ -8,6 +8,7 @@
 use thistlesill_policy::edge::load::{LoadTable, Work};
 
 use crate::book::{listed, target};
+use crate::leaders::leader;
 use crate::stage::{Delivery, STEP, Simulation};
 
 const NOW: Millis = Millis::new(1_000_000);
@@ -155,9 +156,20 @@
 fn load_and_suspicion_stay_with_the_life_that_they_are_of() {
     let mut loads = LoadTable::default();
     let (old, new) = (target_id("a", FIRST), target_id("a", RESTARTED));
-    loads.begin(&old, 100);
+    let target = Target {
+        id: old.clone(),
+        ..leader("a")
+    };
+    loads.begin(&target, 100, None, NOW);
     loads.suspect(&old, NOW);
-    loads.add_granted(&"peer".into(), &old, 100, NOW + Millis::new(900));
+    loads.add_granted(
+        &"peer".into(),
+        &target,
+        100,
+        NOW + Millis::new(900),
+        None,
+        NOW,
+    );
     assert!(!loads.is_suspect(&new, NOW));
     assert_eq!(loads.work(&new, NOW), Work::default());
     loads.end(&old);
