feat(policy): models get groups in the order of urgency while targets are rationed

Cause: with a third to two thirds of the targets gone, all models were scaled down by the same ratio, and a model that was short gave no groups, so one model had room while the most urgent requests for another were refused. Refused requests counted half. Change: where the service ranks its callers and the models need more than 0.9 of the targets that are listed and alive, models get what they need by urgency, after each less urgent one has a quarter of its need and at least one group. A more urgent model may take groups down to that floor, and one below its floor may take what a more urgent one has above its part. Idle targets give up weights for a group that the more urgent model lacks. Refused requests of such services count in full. Daemons report the urgency in UrgentDemand; until the urgency of all demand is known, models count as equal. Requests that are less than a quarter of a model's work do not raise its urgency. Tests: stage.rs, asked.rs and the example looks.rs set the new fields; no assertion changed.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -15,6 +15,7 @@
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::asked::DemandSample;
 use thistlesill_policy::edge::attempt::Attempts;
+use thistlesill_policy::edge::shortage::Urgency;
 use thistlesill_policy::quarantine::RequestKeys;
 
 use crate::choice::{Pick, Sender, TargetQuery};
@@ -123,12 +124,18 @@
         let (Some(engine), Some(model)) = (&service.engine, &self.head.model) else {
             return;
         };
+        let catalog = self.edge.catalog();
+        let ranks_callers = catalog.is_some_and(|c| c.ranks_callers(&service.name));
         let sample = DemandSample {
             engine,
             model,
             prompt: self.prompt(),
             answer: self.head.length_hint.or(self.head.max_answer_tokens),
             refused,
+            urgency: ranks_callers.then(|| Urgency {
+                customer: self.admission.priority,
+                route: self.admission.route.priority,
+            }),
         };
         let now = self.edge.now();
         self.edge
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -19,11 +19,12 @@
 use thistlesill_core::edge::{GroupRef, TargetId};
 use thistlesill_core::{HallId, Millis, Model, NodeId, ServiceName};
 use thistlesill_policy::edge::fleet::{Demand, LateJoins};
+use thistlesill_policy::edge::shortage::Urgency;
 use thistlesill_policy::edge::spread;
 use thistlesill_policy::lease::LeaseSnapshot;
 use tokio::net::UdpSocket;
 
-use self::packet::{DemandReport, Heartbeat, LostLinks, StoreUse};
+use self::packet::{DemandReport, Heartbeat, LostLinks, StoreUse, UrgentDemand};
 use self::transfer::Member;
 use crate::state::Edge;
 
@@ -143,6 +144,8 @@
     pub(crate) received_lease: Option<LeaseSnapshot>,
     /// As planner: the last demand report of each daemon, and when it was received.
     demand_reports: HashMap<NodeId, (Millis, DemandReport)>,
+    /// As planner: the urgency of the demand of each daemon, and when it was received.
+    urgent_demand: HashMap<NodeId, (Millis, UrgentDemand)>,
     /// As planner: targets that answered no probe.
     pub(crate) unresponsive: Vec<TargetId>,
     /// Targets that answered no probe, in the planner's last heartbeat.
@@ -304,6 +307,40 @@
         demand
     }
 
+    /// Records the urgency of a peer's demand.
+    pub(crate) fn record_urgent_demand(&mut self, report: UrgentDemand, now: Millis) {
+        self.urgent_demand
+            .insert(report.from.clone(), (now, report));
+        let timeout = self.demand_timeout();
+        self.urgent_demand.retain(|_, (at, _)| now - *at < timeout);
+    }
+
+    /// Returns the urgency of the demand for one service that peers reported, by model, with the
+    /// work that each of them reported.
+    pub(crate) fn urgent_demand(
+        &self,
+        service: &ServiceName,
+        now: Millis,
+    ) -> Vec<(Model, Urgency, f64)> {
+        let timeout = self.demand_timeout();
+        let fresh = self.urgent_demand.iter();
+        let fresh = fresh.filter(|(_, (at, _))| now - *at < timeout);
+        let reported = fresh.flat_map(|(from, (_, report))| {
+            let models = report.work.iter().filter(|(name, ..)| name == service);
+            models.filter_map(move |(_, model, customer, route)| {
+                let (_, demand) = self.demand_reports.get(from)?;
+                let mut work = demand.work.iter();
+                let (_, _, work) = work.find(|(s, m, _)| s == service && m == model)?;
+                let urgency = Urgency {
+                    customer: *customer,
+                    route: *route,
+                };
+                Some((model.clone(), urgency, f64::from(*work)))
+            })
+        });
+        reported.collect()
+    }
+
     /// Returns a number that changes whenever [`Peers::members`] would return other daemons.
     pub(crate) const fn revision(&self) -> u64 {
         self.revision
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -7,7 +7,7 @@
 use thistlesill_policy::edge::beats::{DueHeartbeat, HeartbeatIntervals, HeartbeatSchedule};
 use tokio::net::UdpSocket;
 
-use super::packet::{DemandReport, Heartbeat, Packet, StoreUse};
+use super::packet::{DemandReport, Heartbeat, Packet, StoreUse, UrgentDemand};
 use super::{PeerChange, Reach, place};
 use crate::follow;
 use crate::leaving;
@@ -94,10 +94,22 @@
     let work = work.map(|((service, model), work)| (service, model, work as f32));
     let from = edge.settings().name.clone();
     let report = DemandReport {
-        from,
+        from: from.clone(),
         work: work.collect(),
     };
     send_to(edge, &planner, &Packet::DemandReport(report));
+    // Only services that rank their callers have demand of known urgency.
+    let urgency = edge.demand_meter.borrow_mut().urgency(edge.now());
+    if urgency.is_empty() {
+        return;
+    }
+    let work = urgency.into_iter();
+    let work = work.map(|((service, model), u)| (service, model, u.customer, u.route));
+    let report = UrgentDemand {
+        from,
+        work: work.collect(),
+    };
+    send_to(edge, &planner, &Packet::UrgentDemand(report));
 }
 
 /// Sends a heartbeat to peers.
@@ -237,6 +249,10 @@
                 .peers
                 .borrow_mut()
                 .record_demand_report(report, edge.now()),
+            Ok(Packet::UrgentDemand(report)) => edge
+                .peers
+                .borrow_mut()
+                .record_urgent_demand(report, edge.now()),
             Err(error) => {
                 metrics::counter!("thistlesill_edge_datagrams_refused_total").increment(1);
                 log::debug!("peers: {from}: {error}");
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -50,6 +50,9 @@
     /// Parts of prompts that targets were starting to answer when the sender lost them; goes to all
     /// daemons.
     PartsLost(Vec<PartLoss>),
+    /// The urgency of the demand of the sender's callers; goes to the planner with each
+    /// [`Packet::DemandReport`] if some service ranks its callers.
+    UrgentDemand(UrgentDemand),
 }
 
 impl Packet {
@@ -74,6 +77,7 @@
             Self::Grant(_) => "grant",
             Self::LinksLost(_) => "links_lost",
             Self::PartsLost(_) => "parts_lost",
+            Self::UrgentDemand(_) => "urgent_demand",
         }
     }
 }
@@ -253,6 +257,14 @@
     pub(crate) work: Vec<(ServiceName, Model, f32)>,
 }
 
+/// The urgency of the work that callers ask a daemon for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct UrgentDemand {
+    pub(crate) from: NodeId,
+    /// Priority of the customer and of the route, by service and model.
+    pub(crate) work: Vec<(ServiceName, Model, u8, u8)>,
+}
+
 /// Asks how fresh another daemon's knowledge is.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct FreshnessRequest {
--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -3,18 +3,20 @@
 mod actions;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use thistlesill_core::edge::{Catalog, GroupRef, RateLimit, Target, TargetId};
 use thistlesill_core::row::lease_key;
 use thistlesill_core::table::{Txn, TxnReply, TxnResult};
-use thistlesill_core::{DomainId, HallId, Millis, ServiceName};
+use thistlesill_core::{DomainId, HallId, Millis, Model, ServiceName};
 use thistlesill_net::clock::Clock;
 use thistlesill_policy::charts::{Charts, LeaseState};
 use thistlesill_policy::edge::admission::BALANCER_DETECTION;
+use thistlesill_policy::edge::asked::model_urgency;
 use thistlesill_policy::edge::fleet::{Demand, FleetPlanner, FleetView, capacity_ratio};
+use thistlesill_policy::edge::shortage::Urgency;
 use thistlesill_policy::lease::{Lease, LeaseChange, LeasePeriods, LeaseStep};
 
 use crate::figures;
@@ -287,6 +289,9 @@
                 fleet.receive_late_joins(announced);
             }
             let demand = self.demand(&service.name, now);
+            let ranks_callers = catalog.ranks_callers(&service.name);
+            let urgency = ranks_callers.then(|| self.urgency(&service.name, now));
+            let urgency = urgency.unwrap_or_default();
             let capacity_ratios = self.capacity_ratios(&service.name, targets);
             let view = FleetView {
                 targets,
@@ -296,6 +301,7 @@
                 working: &working,
                 requests: &requests,
                 demand: &demand,
+                urgency: &urgency,
                 capacity_ratios: &capacity_ratios,
                 evacuated: &evacuations.known().halls,
                 term,
@@ -367,6 +373,25 @@
         demand
     }
 
+    /// Returns the urgency of the demand of the callers of all daemons, by model of one service.
+    fn urgency(&self, service: &ServiceName, now: Millis) -> BTreeMap<Model, Urgency> {
+        let mut reported = self.edge.peers.borrow().urgent_demand(service, now);
+        let mut meter = self.edge.demand_meter.borrow_mut();
+        let work = meter.work(now);
+        for (key, urgency) in meter.urgency(now) {
+            if let (true, Some(work)) = (key.0 == *service, work.get(&key)) {
+                reported.push((key.1, urgency, *work));
+            }
+        }
+        let mut by_model: BTreeMap<Model, Vec<(Urgency, f64)>> = BTreeMap::new();
+        for (model, urgency, work) in reported {
+            by_model.entry(model).or_default().push((urgency, work));
+        }
+        let models = by_model.into_iter();
+        let ranked = models.filter_map(|(model, work)| Some((model, model_urgency(work)?)));
+        ranked.collect()
+    }
+
     /// Returns the leaders with a rate limit, and the share of their usual capacity that the limit
     /// leaves.
     fn capacity_ratios(
--- a/crates/thistlesill-policy/examples/looks.rs
+++ b/crates/thistlesill-policy/examples/looks.rs
@@ -5,7 +5,7 @@
 //!
 //! Run with `cargo run --release -p thistlesill-policy --example looks`.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -49,6 +49,7 @@
     let mut planner = FleetPlanner::default();
     let engine = engine();
     let (no_targets, no_requests, no_ratios) = (HashSet::new(), HashMap::new(), HashMap::new());
+    let no_urgency = BTreeMap::new();
     let (demand, no_halls) = (Demand::new(), BTreeSet::new());
     time(|now| {
         let view = FleetView {
@@ -59,6 +60,7 @@
             working: &no_targets,
             requests: &no_requests,
             demand: &demand,
+            urgency: &no_urgency,
             capacity_ratios: &no_ratios,
             evacuated: &no_halls,
             term: 1,
--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -9,15 +9,24 @@
 use thistlesill_core::edge::Engine;
 use thistlesill_core::{Millis, Model, ServiceName};
 
+use super::fleet::FLOOR_RATIO;
+use super::shortage::Urgency;
+
 /// Time constant of the moving averages, in milliseconds: long enough that some hundred requests
 /// count, and a quarter of the time that loading weights takes, so that the average has followed
 /// the demand before the weights are loaded.
 const AVERAGING_MS: f64 = 4_000.0;
 /// Weight of a refused request's work: its caller usually retries once, and would be counted twice.
+/// Where callers are ranked, refused requests count in full: models get groups in the order of
+/// urgency, and half of the demand would leave a more urgent model without groups that it needs.
 const REFUSED_WEIGHT: f64 = 0.5;
 /// Work below this fraction of a group is not reported: it would round to zero.
 const MIN_REPORTED_WORK: f64 = 0.001;
 
+/// Work of one urgency below this is forgotten, in milliseconds of a group's time: a fraction of the
+/// smallest requests, which take some milliseconds.
+const MIN_RANKED_MS: f64 = 0.1;
+
 /// The properties of a request that determine how much work it is.
 #[derive(Debug, Clone, Copy)]
 pub struct DemandSample<'a> {
@@ -31,12 +40,18 @@
     pub answer: Option<u64>,
     /// Whether the request was refused.
     pub refused: bool,
+    /// Urgency of the request; `None` if the service does not rank its callers.
+    pub urgency: Option<Urgency>,
 }
 
 impl DemandSample<'_> {
     /// Returns the weight with which the request counts.
     const fn weight(&self) -> f64 {
-        if self.refused { REFUSED_WEIGHT } else { 1.0 }
+        if self.refused && self.urgency.is_none() {
+            REFUSED_WEIGHT
+        } else {
+            1.0
+        }
     }
 
     /// Returns the time of a group that the request takes up, in milliseconds; `None` if the
@@ -55,13 +70,36 @@
 /// Work by service and model; 1 keeps one group fully busy.
 pub type WorkByModel = BTreeMap<(ServiceName, Model), f64>;
 
+/// The most urgent requests of each model, by service and model.
+pub type UrgencyByModel = BTreeMap<(ServiceName, Model), Urgency>;
+
+/// Returns the urgency of a model, given the work of its requests by urgency; `None` if there is
+/// none.
+///
+/// Requests that are less than a quarter of the work do not count: a model keeps a quarter
+/// of the groups that it needs in any case, which suffices for them. If they counted, one urgent
+/// customer among many would raise all requests of the model above those of other models.
+pub fn model_urgency(work: impl IntoIterator<Item = (Urgency, f64)>) -> Option<Urgency> {
+    let mut by_urgency: Vec<(Urgency, f64)> = work.into_iter().collect();
+    by_urgency.sort_by_key(|(urgency, _)| *urgency);
+    let total: f64 = by_urgency.iter().map(|(_, work)| work).sum();
+    let mut sum = 0.0;
+    let counts = |(_, work): &&(Urgency, f64)| {
+        sum += work;
+        sum > 0.0 && sum >= FLOOR_RATIO * total
+    };
+    by_urgency.iter().find(counts).map(|(urgency, _)| *urgency)
+}
+
 /// An exponentially decaying sum.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Average {
     /// Work of about the last [`AVERAGING_MS`], in milliseconds of a group's time.
     sum: f64,
     /// Requests of the same time.
     requests: f64,
+    /// The part of `sum` from callers that are ranked, by urgency.
+    ranked: BTreeMap<Urgency, f64>,
     updated_at: Millis,
 }
 
@@ -71,6 +109,10 @@
         let factor = (-elapsed / AVERAGING_MS).exp();
         self.sum *= factor;
         self.requests *= factor;
+        self.ranked.retain(|_, work| {
+            *work *= factor;
+            *work >= MIN_RANKED_MS
+        });
         self.updated_at = now;
     }
 }
@@ -93,6 +135,9 @@
         average.decay(now);
         average.sum += work;
         average.requests += sample.weight();
+        if let Some(urgency) = sample.urgency {
+            *average.ranked.entry(urgency).or_default() += work;
+        }
     }
 
     /// Returns the average time of a group that one request of a model takes up, in milliseconds;
@@ -102,6 +147,22 @@
         (average.requests > 0.0).then(|| average.sum / average.requests)
     }
 
+    /// Returns the urgency of the current demand for models of services that rank their callers.
+    pub fn urgency(&mut self, now: Millis) -> UrgencyByModel {
+        for average in self.averages.values_mut() {
+            average.decay(now);
+        }
+        let models = self.averages.iter();
+        let ranked = models.filter_map(|(key, average)| {
+            let work = average
+                .ranked
+                .iter()
+                .map(|(urgency, work)| (*urgency, *work));
+            Some((key.clone(), model_urgency(work)?))
+        });
+        ranked.collect()
+    }
+
     /// Returns the current demand.
     ///
     /// A meter that has just started extrapolates, as if requests had arrived at the same rate all
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -27,12 +27,15 @@
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
+pub(crate) use self::demand::FLOOR_RATIO;
+use self::demand::TargetCounts;
 pub use self::demand::{Demand, capacity_ratio};
 use self::forming::PlannedGroup;
 use self::loads::LoadRate;
 pub use self::release::LateJoins;
 use self::revisions::OrderCounts;
 use self::survey::{Decision, Survey};
+use super::shortage::Urgency;
 
 /// Bits of an epoch that number the groups of one term.
 const EPOCH_BITS: u32 = 20;
@@ -112,6 +115,9 @@
     pub requests: &'a HashMap<TargetId, u32>,
     /// The demand for each model, summed over all daemons.
     pub demand: &'a Demand,
+    /// The most urgent requests of each model with demand; empty if the service does not rank its
+    /// callers.
+    pub urgency: &'a BTreeMap<Model, Urgency>,
     /// For each leader that reports a rate limit, the ratio of its group's usual work that the
     /// limit leaves, at most 1.
     pub capacity_ratios: &'a HashMap<TargetId, f64>,
@@ -230,9 +236,8 @@
     leaders: BTreeMap<GroupRef, TargetId>,
     /// The largest number of targets that was seen.
     peak_targets: usize,
-    /// The number of targets from which groups may be formed, as of the last step: the largest
-    /// number seen, without the listed targets of evacuated data centres.
-    usable_targets: usize,
+    /// The numbers of targets from which groups may be formed, as of the last step.
+    target_counts: TargetCounts,
     /// When a target was last listed for the first time.
     last_appeared: Millis,
     addresses: BTreeMap<TargetId, SocketAddr>,
@@ -257,8 +262,7 @@
         let is_sole_planner = self.enter_term(view, now);
         self.observe(view.targets, is_sole_planner, now);
         let survey = Survey::new(view);
-        let evacuated = view.targets.values().filter(|t| view.is_evacuated(t));
-        self.usable_targets = self.peak_targets.saturating_sub(evacuated.count());
+        self.target_counts = self.count_targets(view);
         let mut actions = Vec::new();
         let mut free = BTreeSet::new();
         self.ended_groups.clear();
@@ -295,6 +299,16 @@
         actions
     }
 
+    fn count_targets(&self, view: &FleetView<'_>) -> TargetCounts {
+        let (evacuated, usable): (Vec<&Target>, Vec<&Target>) =
+            view.targets.values().partition(|t| view.is_evacuated(t));
+        let available = usable.iter().filter(|t| !t.leaving && !self.is_dead(&t.id));
+        TargetCounts {
+            peak: self.peak_targets.saturating_sub(evacuated.len()),
+            available: available.count(),
+        }
+    }
+
     /// Applies the reply to an order.
     pub fn record_reply(
         &mut self,
--- a/crates/thistlesill-policy/src/edge/fleet/census.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/census.rs
@@ -96,7 +96,7 @@
         ModelCensus {
             model: plan.model.clone(),
             open: view.targets.values().filter(leads).count(),
-            desired: desired_groups(view, plan, self.usable_targets),
+            desired: desired_groups(view, plan, self.target_counts),
             demand: view.demand.get(&plan.model).copied().unwrap_or(0.0),
         }
     }
--- a/crates/thistlesill-policy/src/edge/fleet/conversion.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/conversion.rs
@@ -11,7 +11,9 @@
 use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target, TargetId};
 use thistlesill_core::{DomainId, Millis, Model};
 
-use super::demand::{desired_groups, needed_groups, shortage};
+use super::demand::{
+    desired_groups, floor_groups, is_more_urgent, is_rationed, needed_groups, precedence, shortage,
+};
 use super::forming::{SHORTAGE_THRESHOLD, by_domain};
 use super::survey::{ObservedGroup, Survey};
 use super::{FleetAction, FleetPlanner, FleetView};
@@ -95,7 +97,7 @@
         groups: usize,
     ) -> bool {
         let groups = groups as f64;
-        let missing = desired_groups(view, plan, self.usable_targets) - groups;
+        let missing = desired_groups(view, plan, self.target_counts) - groups;
         missing >= MIN_MISSING_GROUPS
             && needed_groups(view, plan) >= CONVERSION_DEMAND_RATIO * groups
     }
@@ -278,8 +280,8 @@
         best.map(|(_, conversion)| conversion)
     }
 
-    /// Returns the model with the largest shortage among those that have lacked groups for long
-    /// enough.
+    /// Returns the first model by precedence among those that have lacked groups for long enough;
+    /// between models of equal precedence, the one with the largest shortage.
     fn scarcest_model<'v>(
         &self,
         view: &FleetView<'v>,
@@ -294,8 +296,9 @@
         };
         let plans = view.engine.models.iter().filter(short);
         plans.max_by(|a, b| {
-            let short = |plan| shortage(view, plan, count(plan), self.usable_targets);
-            short(a).total_cmp(&short(b))
+            let first = |plan| precedence(view, plan, count(plan), self.target_counts);
+            let short = |plan| shortage(view, plan, count(plan), self.target_counts);
+            first(b).cmp(&first(a)).then(short(a).total_cmp(&short(b)))
         })
     }
 
@@ -335,12 +338,13 @@
         let healthy = |t: &Target| self.is_usable(&t.id, view) && t.domain == leader.domain;
         let complete = observed.members.iter().all(|t| healthy(t));
         let is_convertible =
-            plan.model != short.model && self.convertible_count(view, plan, counts) >= 1;
+            plan.model != short.model && self.convertible_count(view, plan, short, counts) >= 1;
         (complete && is_convertible).then_some(leader)
     }
 
-    /// Returns how many groups a model can lose: none while its own demand calls for all of them,
-    /// even if all models have fewer than they need.
+    /// Returns how many groups a model can lose to another one: none while its own demand calls for
+    /// all of them, even if all models have fewer than they need. While targets are rationed, a model
+    /// keeps only its floor in favour of a more urgent one.
     ///
     /// When groups of a model with a shortage were converted to a model with a larger one, both
     /// models lacked them during the change. With one model asked for four times as often for 11 s,
@@ -351,13 +355,36 @@
         &self,
         view: &FleetView<'_>,
         plan: &ModelPlan,
+        short: &ModelPlan,
         counts: &BTreeMap<Model, usize>,
     ) -> usize {
-        let groups = counts.get(&plan.model).copied().unwrap_or(0);
-        let required =
-            desired_groups(view, plan, self.usable_targets).max(needed_groups(view, plan));
-        let kept = (required / SHORTAGE_THRESHOLD).ceil() as usize;
-        groups.saturating_sub(kept.max(1))
+        let count = |plan: &ModelPlan| counts.get(&plan.model).copied().unwrap_or(0);
+        let kept = self.kept_groups(view, plan, short, count(short)).ceil() as usize;
+        count(plan).saturating_sub(kept.max(1))
+    }
+
+    /// Returns the number of groups that a model keeps if another one, which has `short_groups`,
+    /// lacks groups.
+    ///
+    /// While targets are rationed, a model that has given groups lacks none of those that it keeps,
+    /// and takes none back.
+    fn kept_groups(
+        &self,
+        view: &FleetView<'_>,
+        plan: &ModelPlan,
+        short: &ModelPlan,
+        short_groups: usize,
+    ) -> f64 {
+        let desired = desired_groups(view, plan, self.target_counts);
+        let is_rationed = is_rationed(view, self.target_counts);
+        if is_rationed && is_more_urgent(view, short, plan) {
+            return floor_groups(view, plan);
+        }
+        let lacks_floor = (short_groups as f64) < floor_groups(view, short);
+        if is_rationed && lacks_floor && is_more_urgent(view, plan, short) {
+            return desired;
+        }
+        desired.max(needed_groups(view, plan)) / SHORTAGE_THRESHOLD
     }
 
     /// Returns the conversion in one domain with the number of loads that it needs, or `None` if
@@ -378,9 +405,9 @@
             if members.len() >= size {
                 break;
             }
-            let plan = observed.plan(view)?;
-            let count = converted_counts.entry(&plan.model).or_default();
-            if *count < self.convertible_count(view, plan, counts) {
+            let giver = observed.plan(view)?;
+            let count = converted_counts.entry(&giver.model).or_default();
+            if *count < self.convertible_count(view, giver, plan, counts) {
                 *count += 1;
                 converted.insert((*group).clone());
                 members.extend(&observed.members);
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -6,7 +6,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Order, Target, TargetId};
 use thistlesill_core::{DomainId, Millis, Model};
 
-use super::demand::shortage;
+use super::demand::{Precedence, precedence, shortage};
 use super::loads::max_initial_loads;
 use super::survey::Survey;
 use super::{DOMAIN_SETTLE_TIME, FleetAction, FleetPlanner, FleetView};
@@ -104,6 +104,13 @@
     member.is_some_and(|m| m.of == *group)
 }
 
+/// How much a model needs another group.
+struct Need<'a> {
+    plan: &'a ModelPlan,
+    shortage: f64,
+    precedence: Precedence,
+}
+
 /// A group that could be formed.
 #[derive(Debug)]
 struct Candidate<'a> {
@@ -112,6 +119,7 @@
     /// Members that must load the weights from the weight store.
     cold: usize,
     shortage: f64,
+    precedence: Precedence,
     /// Free targets that remain in the domain.
     remaining: usize,
 }
@@ -247,24 +255,37 @@
         now: Millis,
     ) -> Option<Candidate<'a>> {
         let domains = by_domain(view, free);
+        let targets = self.target_counts;
+        let needs: Vec<Need<'a>> = view
+            .engine
+            .models
+            .iter()
+            .map(|plan| {
+                let groups = counts.get(&plan.model).copied().unwrap_or(0);
+                Need {
+                    plan,
+                    shortage: shortage(view, plan, groups, targets),
+                    precedence: precedence(view, plan, groups, targets),
+                }
+            })
+            .collect();
         let mut found: Vec<Candidate<'a>> = Vec::new();
         for targets in domains.values() {
-            for plan in &view.engine.models {
-                let groups = counts.get(&plan.model).copied().unwrap_or(0);
-                let shortage = shortage(view, plan, groups, self.usable_targets);
-                found.extend(self.candidate(plan, targets, shortage));
-            }
+            found.extend(
+                needs
+                    .iter()
+                    .filter_map(|need| self.candidate(need, targets)),
+            );
         }
         found.sort_by(|a, b| {
-            let short = b.shortage.total_cmp(&a.shortage);
-            short
+            let first = a.precedence.cmp(&b.precedence);
+            let short = || b.shortage.total_cmp(&a.shortage);
+            first
+                .then_with(short)
                 .then(a.cold.cmp(&b.cold))
                 .then(a.waste().cmp(&b.waste()))
         });
-        let short = view.engine.models.iter().any(|plan| {
-            let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            shortage(view, plan, groups, self.usable_targets) > SHORTAGE_THRESHOLD
-        });
+        let short = needs.iter().any(|need| need.shortage > SHORTAGE_THRESHOLD);
         // Targets that a short model needs are not used up for a model that has enough.
         found.retain(|c| !short || view.before_traffic || c.shortage > SHORTAGE_THRESHOLD);
         found.into_iter().find(|c| self.is_allowed(view, c, now))
@@ -297,12 +318,8 @@
     }
 
     /// Returns the best group of a model among a domain's targets, if there are enough.
-    fn candidate<'a>(
-        &self,
-        plan: &'a ModelPlan,
-        targets: &[&'a Target],
-        shortage: f64,
-    ) -> Option<Candidate<'a>> {
+    fn candidate<'a>(&self, need: &Need<'a>, targets: &[&'a Target]) -> Option<Candidate<'a>> {
+        let plan = need.plan;
         let size = plan.size as usize;
         if targets.len() < size {
             return None;
@@ -326,7 +343,8 @@
             plan,
             members: sorted,
             cold,
-            shortage,
+            shortage: need.shortage,
+            precedence: need.precedence,
             remaining: targets.len() - size,
         })
     }
--- a/crates/thistlesill-policy/src/edge/fleet/spares.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/spares.rs
@@ -11,7 +11,7 @@
 use thistlesill_core::edge::{ModelPlan, Order, Target, TargetId};
 use thistlesill_core::{DomainId, Millis, Model};
 
-use super::demand::shortage;
+use super::demand::{Precedence, is_rationed, precedence, shortage};
 use super::forming::SHORTAGE_THRESHOLD;
 use super::loads::max_initial_loads;
 use super::survey::Survey;
@@ -41,6 +41,8 @@
     idle: BTreeMap<Option<&'a DomainId>, usize>,
     /// How short each model is of groups.
     short: BTreeMap<&'a Model, f64>,
+    /// The order in which models that lack groups get them; empty unless targets are rationed.
+    precedence: BTreeMap<&'a Model, Precedence>,
 }
 
 impl<'a> Holdings<'a> {
@@ -82,6 +84,19 @@
         COMPLETION_WEIGHT * f64::from(plan.size) * self.short(plan) / missing
     }
 
+    /// Returns whether idle targets give up a model's weights for a group that `plan` lacks. While
+    /// targets are rationed, a group that could serve counts more than spares for groups of a model
+    /// that lacks none, or that comes after it.
+    fn yields(&self, held: &ModelPlan, plan: &ModelPlan) -> bool {
+        let (Some(own), Some(other)) = (
+            self.precedence.get(&plan.model),
+            self.precedence.get(&held.model),
+        ) else {
+            return false;
+        };
+        self.short(held) < SHORTAGE_THRESHOLD || own < other
+    }
+
     fn add(&mut self, domain: Option<&'a DomainId>, plan: &'a ModelPlan) {
         *self.ready.entry((domain, &plan.model)).or_default() += 1;
     }
@@ -165,16 +180,22 @@
         idle: &[&'a Target],
     ) -> Holdings<'a> {
         let counts = self.count_groups(view, survey);
-        let short = view.engine.models.iter().map(|plan| {
-            let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            let short = shortage(view, plan, groups, self.usable_targets);
+        let groups = |plan: &ModelPlan| counts.get(&plan.model).copied().unwrap_or(0);
+        let targets = self.target_counts;
+        let plans = view.engine.models.iter();
+        let short = plans.clone().map(|plan| {
+            let short = shortage(view, plan, groups(plan), targets);
             (&plan.model, short.min(MAX_SHORTAGE))
         });
+        let rationed = plans.filter(|_| is_rationed(view, targets));
+        let precedence =
+            rationed.map(|plan| (&plan.model, precedence(view, plan, groups(plan), targets)));
         let mut holdings = Holdings {
             member_counts: self.count_members(view, survey),
             ready: BTreeMap::new(),
             idle: BTreeMap::new(),
             short: short.collect(),
+            precedence: precedence.collect(),
         };
         for target in idle {
             let domain = target.domain.as_ref();
@@ -247,6 +268,18 @@
             let gain = spare.max(holdings.completion_value(domain, plan));
             return Some(Load { target, plan, gain });
         }
+        let completion = holdings.completion_value(domain, plan);
+        if completion > spare
+            && self
+                .evicted(view, target)
+                .all(|held| holdings.yields(held, plan))
+        {
+            return Some(Load {
+                target,
+                plan,
+                gain: completion,
+            });
+        }
         let lost = held.map(|p| holdings.value(domain, p, holdings.ready(&(domain, &p.model))));
         let lost = lost.fold(0.0, f64::max);
         let better = !view.before_traffic && spare > RESTAGE_FACTOR * lost;
--- a/crates/thistlesill-policy/src/edge/fleet/standby.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/standby.rs
@@ -9,7 +9,7 @@
 use thistlesill_core::edge::{GroupRef, MemberState, ModelPlan, Target, TargetId};
 use thistlesill_core::{DomainId, Millis, Model};
 
-use super::demand::{configured_groups, desired_groups};
+use super::demand::{configured_groups, desired_groups, is_more_urgent, is_rationed};
 use super::forming::{PlannedGroup, SHORTAGE_THRESHOLD};
 use super::loads::max_initial_loads;
 use super::survey::{ObservedGroup, Survey};
@@ -48,8 +48,7 @@
         self.surplus.clear();
         let counts = self.count_groups(view, survey);
         for plan in &view.engine.models {
-            let groups = counts.get(&plan.model).copied().unwrap_or(0);
-            let supply = self.supply(view, survey, plan, groups);
+            let supply = self.supply(view, survey, plan, &counts);
             self.open_wanted(view, survey, plan, supply);
             self.find_surplus(view, survey, plan, supply, &counts, now);
         }
@@ -60,8 +59,9 @@
         view: &FleetView<'_>,
         survey: &Survey<'_>,
         plan: &ModelPlan,
-        groups: usize,
+        counts: &BTreeMap<Model, usize>,
     ) -> Supply {
+        let groups = counts.get(&plan.model).copied().unwrap_or(0);
         let open = open_groups(view, survey, plan);
         let leaders = open.filter_map(|(_, observed)| observed.leader);
         let healthy = leaders.filter(|t| !view.stalled.contains(&t.id) && !self.is_dead(&t.id));
@@ -70,21 +70,36 @@
             .sum::<u32>();
         let slots = f64::from(view.engine.slots.max(1));
         let busy = (f64::from(requests) / (slots * BUSY_RATIO)).ceil() as usize;
-        let desired = desired_groups(view, plan, self.usable_targets) / SHORTAGE_THRESHOLD;
+        let desired = desired_groups(view, plan, self.target_counts) / SHORTAGE_THRESHOLD;
         let desired = (desired.ceil() as usize).max(1);
         let fewer = groups.saturating_sub(1) as f64;
         // Below the model's configured share, groups are closed only for another model that lacks
         // groups: demand may return sooner than the groups could.
         let min_groups =
-            configured_groups(view.engine, plan, self.usable_targets) / SHORTAGE_THRESHOLD;
+            configured_groups(view.engine, plan, self.target_counts) / SHORTAGE_THRESHOLD;
         let min_groups = desired.max(min_groups.ceil() as usize);
+        // Targets that a more urgent model lacks are not used for the busy groups of this one.
+        let yields = is_rationed(view, self.target_counts) && self.is_preceded(view, plan, counts);
         Supply {
             groups,
-            wanted: desired.max(busy),
+            wanted: if yields { desired } else { desired.max(busy) },
             underused: groups > min_groups && f64::from(requests) < slots * UNDERUSED_RATIO * fewer,
         }
     }
 
+    /// Returns whether a model with more urgent requests lacks groups.
+    fn is_preceded(
+        &self,
+        view: &FleetView<'_>,
+        plan: &ModelPlan,
+        counts: &BTreeMap<Model, usize>,
+    ) -> bool {
+        view.engine.models.iter().any(|other| {
+            let groups = counts.get(&other.model).copied().unwrap_or(0);
+            is_more_urgent(view, other, plan) && self.needs_conversion(view, other, groups)
+        })
+    }
+
     fn open_wanted(
         &mut self,
         view: &FleetView<'_>,
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -48,3 +48,5 @@
 mod stage;
 #[path = "edge/start.rs"]
 mod start;
+#[path = "edge/urgent_groups.rs"]
+mod urgent_groups;
--- a/crates/thistlesill-policy/tests/edge/asked.rs
+++ b/crates/thistlesill-policy/tests/edge/asked.rs
@@ -2,7 +2,8 @@
 
 use thistlesill_core::{Millis, Model, ServiceName};
 use thistlesill_fakes::engines::engine;
-use thistlesill_policy::edge::asked::{DemandMeter, DemandSample};
+use thistlesill_policy::edge::asked::{DemandMeter, DemandSample, model_urgency};
+use thistlesill_policy::edge::shortage::Urgency;
 
 /// Time between two requests: 50 per second.
 const GAP: Millis = Millis::new(20);
@@ -16,6 +17,17 @@
 
 /// Records requests for the large model during `time`, and returns the end of that time.
 fn ask(meter: &mut DemandMeter, from: Millis, time: Millis, refused: bool) -> Millis {
+    ask_ranked(meter, from, time, refused, None)
+}
+
+/// Like [`ask`], for a service that ranks its callers if `urgency` is set.
+pub(crate) fn ask_ranked(
+    meter: &mut DemandMeter,
+    from: Millis,
+    time: Millis,
+    refused: bool,
+    urgency: Option<Urgency>,
+) -> Millis {
     let (engine, model) = (engine(), Model::from("large"));
     let mut now = from;
     while now < from + time {
@@ -25,6 +37,7 @@
             prompt: 1_840,
             answer: Some(50),
             refused,
+            urgency,
         };
         meter.record(&"s".into(), &sample, now);
         now = now + GAP;
@@ -79,6 +92,7 @@
         prompt: 1_000,
         answer: None,
         refused: false,
+        urgency: None,
     };
     meter.record(&"s".into(), &sample, start());
     assert!(meter.work(start()).is_empty());
@@ -96,3 +110,50 @@
         .expect("requests arrived");
     assert_near(each, WORK);
 }
+
+/// Guards against a model whose most urgent requests are refused and which gets no groups for them.
+#[test]
+fn refused_requests_count_in_full_where_callers_are_ranked() {
+    let mut meter = DemandMeter::default();
+    let urgent = Some(urgency(1, 0));
+    let end = ask_ranked(&mut meter, start(), Millis::new(10_000), true, urgent);
+    assert_near(work(&mut meter, end), WORK / GAP.get() as f64);
+}
+
+const fn urgency(customer: u8, route: u8) -> Urgency {
+    Urgency { customer, route }
+}
+
+/// Returns the urgency of the large model's demand.
+fn large_urgency(meter: &mut DemandMeter, now: Millis) -> Option<Urgency> {
+    let key = (ServiceName::from("s"), Model::from("large"));
+    meter.urgency(now).get(&key).copied()
+}
+
+/// Guards against an urgency that outlasts its requests, and against one where none is configured.
+#[test]
+fn a_model_is_as_urgent_as_its_recent_requests() {
+    let mut meter = DemandMeter::default();
+    let time = Millis::new(10_000);
+    let now = ask(&mut meter, start(), time, false);
+    assert_eq!(large_urgency(&mut meter, now), None);
+    let now = ask_ranked(&mut meter, now, time, false, Some(urgency(1, 0)));
+    assert_eq!(large_urgency(&mut meter, now), Some(urgency(1, 0)));
+    let now = ask_ranked(&mut meter, now, time, false, Some(urgency(1, 2)));
+    assert_eq!(large_urgency(&mut meter, now), Some(urgency(1, 2)));
+    assert_eq!(large_urgency(&mut meter, now + Millis::new(60_000)), None);
+}
+
+/// Guards against a few requests of an urgent customer that raise all requests of a model above the
+/// more urgent kind of another one.
+#[test]
+fn requests_that_are_less_than_a_quarter_of_the_work_do_not_decide_the_urgency() {
+    let (few, most) = (urgency(0, 1), urgency(1, 1));
+    assert_eq!(model_urgency([(most, 9.0), (few, 1.0)]), Some(most));
+    assert_eq!(model_urgency([(most, 3.0), (few, 1.0)]), Some(few));
+    // Requests of both urgencies together are a quarter.
+    let parts = [(urgency(2, 2), 8.0), (most, 2.0), (few, 1.0)];
+    assert_eq!(model_urgency(parts), Some(most));
+    assert_eq!(model_urgency([]), None);
+    assert_eq!(model_urgency([(few, 0.0)]), None);
+}
--- a/crates/thistlesill-policy/tests/edge/fleet_random.rs
+++ b/crates/thistlesill-policy/tests/edge/fleet_random.rs
@@ -9,12 +9,16 @@
 use thistlesill_core::edge::{Incarnation, TargetId};
 use thistlesill_fakes::seeded;
 use thistlesill_policy::edge::fleet::FleetPlanner;
+use thistlesill_policy::edge::shortage::Urgency;
 
 use crate::stage::{Delivery, STEP, Simulation};
 
 /// Steps of one run, 50 s.
 const STEPS: u32 = 500;
 
+/// Seeds that run with ranked callers and without.
+const RANKED_SEEDS: u64 = 30;
+
 fn disturb(sim: &mut Simulation, rng: &mut SmallRng) {
     let mut ids: Vec<TargetId> = sim.engines.listed().into_keys().collect();
     ids.sort();
@@ -76,11 +80,59 @@
     }
 }
 
+/// Changes the urgency of the models at random times; sometimes no callers are ranked, or not all
+/// reports have arrived. A separate generator is used here, too.
+fn change_urgency(sim: &mut Simulation, rng: &mut SmallRng) {
+    if rng.random_range(0..50) > 0 {
+        return;
+    }
+    sim.urgency.clear();
+    for model in ["large", "small"] {
+        let (customer, route) = (rng.random_range(0..2), rng.random_range(0..3));
+        if rng.random_range(0..6) > 0 {
+            let urgency = Urgency { customer, route };
+            sim.urgency.insert(model.into(), urgency);
+        }
+    }
+}
+
+/// Ranks the callers while the targets suffice for all models; `peak` is the largest number of
+/// targets so far. Returns whether they are ranked.
+fn rank_if_targets_suffice(sim: &mut Simulation, peak: &mut usize) -> bool {
+    let listed = sim.engines.listed();
+    *peak = listed.len().max(*peak);
+    let alive = listed
+        .values()
+        .filter(|t| !t.leaving && sim.engines.is_alive(&t.id));
+    let work = |model: &str, size: f64| size * sim.demand.get(model).unwrap_or(&0.0);
+    // Groups are planned for 0.6 of their time, and use 0.75 to 0.9 of the targets.
+    let needed = (work("large", 4.0) + work("small", 2.0)) / 0.6;
+    let suffices = 0.9 * alive.count() as f64 > needed.max(0.75 * *peak as f64);
+    sim.urgency.clear();
+    if suffices {
+        for (model, route) in [("large", 1), ("small", 0)] {
+            let urgency = Urgency { customer: 1, route };
+            sim.urgency.insert(model.into(), urgency);
+        }
+    }
+    suffices
+}
+
 fn run_seed(seed: u64) -> Simulation {
     run_with(seed, false)
 }
 
 fn run_with(seed: u64, restarts: bool) -> Simulation {
+    run_ranked(seed, restarts, |_, _| {})
+}
+
+/// Runs a seed; `rank` may set the urgency of the models before each step.
+fn run_ranked(
+    seed: u64,
+    restarts: bool,
+    mut rank: impl FnMut(&mut Simulation, &mut SmallRng),
+) -> Simulation {
+    let mut rank_rng = SmallRng::seed_from_u64(seed.rotate_left(16));
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut demand_rng = SmallRng::seed_from_u64(!seed);
     let mut restart_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
@@ -93,6 +145,7 @@
         if step > 60 {
             disturb(&mut sim, &mut rng);
             change_demand(&mut sim, &mut demand_rng);
+            rank(&mut sim, &mut rank_rng);
             if restarts {
                 restart(&mut sim, &mut restart_rng);
             }
@@ -111,6 +164,14 @@
         }
     }
 
+    fn none_does_where_callers_are_ranked(seed: u64) -> TestResult {
+        let sim = run_ranked(seed, true, change_urgency);
+        match sim.engines.breaches.first() {
+            None => TestResult::passed(),
+            Some(breach) => TestResult::error(format!("seed {seed}: {breach}")),
+        }
+    }
+
     fn none_does_where_engines_start_again_under_their_ids(seed: u64) -> TestResult {
         let sim = run_with(seed, true);
         match sim.engines.breaches.first() {
@@ -120,6 +181,21 @@
     }
 }
 
+/// Guards against plans that change where no model lacks targets.
+#[test]
+fn urgency_changes_no_order_while_the_targets_suffice() {
+    let mut ranked = 0;
+    for seed in 0..RANKED_SEEDS {
+        let mut peak = 0;
+        let with = run_ranked(seed, true, |sim, _| {
+            ranked += u32::from(rank_if_targets_suffice(sim, &mut peak));
+        });
+        let without = run_with(seed, true);
+        assert!(with.orders == without.orders, "seed {seed}");
+    }
+    assert!(ranked > RANKED_SEEDS as u32 * STEPS / 5, "{ranked} steps");
+}
+
 /// Seeds that once failed, with the cause.
 const REGRESSION_SEEDS: [(u64, &str); 1] = [(
     581,
--- a/crates/thistlesill-policy/tests/edge/stage.rs
+++ b/crates/thistlesill-policy/tests/edge/stage.rs
@@ -1,13 +1,14 @@
 //! Simulates a planner with fake engines in virtual time.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use thistlesill_core::edge::{Engine, Order, OrderReply, Target, TargetId};
-use thistlesill_core::{HallId, Millis};
+use thistlesill_core::{HallId, Millis, Model};
 use thistlesill_fakes::engines::{Engines, engine};
 use thistlesill_policy::edge::fleet::{
     Census, Demand, FleetAction, FleetPlanner, FleetView, ProbeOutcome,
 };
+use thistlesill_policy::edge::shortage::Urgency;
 
 /// The time of day at which virtual time begins, in Unix milliseconds.
 const UNIX_START_MS: u64 = 1_790_000_000_000;
@@ -34,6 +35,8 @@
     pub(crate) requests: HashMap<TargetId, u32>,
     /// Demand for each model, in groups.
     pub(crate) demand: Demand,
+    /// The most urgent requests of each model; empty unless callers are ranked.
+    pub(crate) urgency: BTreeMap<Model, Urgency>,
     /// For each leader with a rate limit, the ratio of its group's usual work that the limit
     /// leaves.
     pub(crate) capacity_ratios: HashMap<TargetId, f64>,
@@ -64,6 +67,7 @@
             working: HashSet::new(),
             requests: HashMap::new(),
             demand: Demand::new(),
+            urgency: BTreeMap::new(),
             capacity_ratios: HashMap::new(),
             evacuated: BTreeSet::new(),
             slow_targets: HashSet::new(),
@@ -114,6 +118,7 @@
             working: &self.working,
             requests: &self.requests,
             demand: &self.demand,
+            urgency: &self.urgency,
             capacity_ratios: &self.capacity_ratios,
             evacuated: &self.evacuated,
             term: self.term,
@@ -218,6 +223,7 @@
             working: &self.working,
             requests: &self.requests,
             demand: &self.demand,
+            urgency: &self.urgency,
             capacity_ratios: &self.capacity_ratios,
             evacuated: &self.evacuated,
             term: self.term,
