--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -178,7 +178,7 @@
         average.sum += usage;
         average.requests += sample.weight();
         if let Some(urgency) = sample.urgency {
-            *average.ranked.entry(urgency).or_default() += work;
+            *average.ranked.entry(urgency).or_default() += usage.scarcer();
         }
     }
 
--- a/crates/thistlesill-policy/tests/edge/asked.rs
+++ b/crates/thistlesill-policy/tests/edge/asked.rs
@@ -79,6 +79,7 @@
         prompt: 460,
         answer: Some(200),
         refused: false,
+        urgency: None,
     };
     meter.record(&service, &sample, start());
     // 10 ms of prefill and 200 steps of 6 ms and 0.24 ms for each of six running requests, in one
