--- a/crates/thistlesill-core/src/edge/catalog.rs
+++ b/crates/thistlesill-core/src/edge/catalog.rs
@@ -230,6 +230,19 @@
         self.services.values()
     }
 
+    /// Returns whether a service ranks its callers: it runs models, and its routes differ in priority.
+    pub fn ranks_callers(&self, service: &ServiceName) -> bool {
+        let runs_models = self
+            .service(service)
+            .is_some_and(|service| service.engine.is_some());
+        let routes = self.hosts.values().flatten();
+        let mut priorities = routes
+            .filter(|route| route.shares.iter().any(|s| s.service == *service))
+            .map(|route| route.priority);
+        let first = priorities.next();
+        runs_models && priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns the limits on callers' requests and connections.
     pub const fn limits(&self) -> Limits {
         self.limits
--- a/crates/thistlesill-policy/src/edge/admission.rs
+++ b/crates/thistlesill-policy/src/edge/admission.rs
@@ -7,6 +7,7 @@
 use thistlesill_core::{CustomerId, ErrorKind, Millis};
 
 use super::freshness::Freshness;
+use super::shortage::Urgency;
 
 /// The API key that came with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,12 +44,23 @@
     pub service: Arc<Service>,
     /// Customer that the key belongs to; `None` if the route is public.
     pub customer: Option<CustomerId>,
-    /// Priority of the request; 0 is the highest.
+    /// Priority of the customer, or of the route if the customer has none; 0 is the highest.
     pub priority: u8,
     /// Time until the request must have its final answer.
     pub timeout: Millis,
 }
 
+impl Admission {
+    /// Returns the rank of the request among those of its service.
+    #[must_use]
+    pub fn urgency(&self) -> Urgency {
+        Urgency {
+            customer: self.priority,
+            route: self.route.priority,
+        }
+    }
+}
+
 /// Decides whether a request is admitted.
 ///
 /// # Errors
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -16,6 +16,8 @@
 use self::pass::Pass;
 use self::peers::PeerCounts;
 pub use self::work::Work;
+use super::room::FirstEvents;
+use super::shortage::Prospect;
 
 /// Number of targets sampled in the own data centre to pick the best of, by a daemon that knows the
 /// load of other daemons only from older reports.
@@ -119,6 +121,8 @@
     peers: PeerCounts,
     /// Total work at targets as reported by their owners, and until when that is valid.
     totals: HashMap<TargetId, (Work, Millis)>,
+    /// Observed first events, of services that rank their callers.
+    first_events: FirstEvents,
 }
 
 /// How precisely the load of targets is known.
@@ -298,6 +302,7 @@
         self.targets.retain(|id, l| l.own.requests > 0 || known(id));
         self.totals.retain(|_, (_, until)| now < *until);
         self.peers.retain(now);
+        self.first_events.retain(known, now);
     }
 
     /// Returns the work at a target, of this daemon and its peers.
@@ -391,6 +396,72 @@
         candidates.iter().any(room)
     }
 
+    /// Returns the predicted time of the first event of a request at a target, in milliseconds.
+    pub fn predict(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
+        self.published_ms(target, request, now) + self.first_events.delay(&target.id)
+    }
+
+    /// Returns the prediction by the published figures and the observed slowdown.
+    fn published_ms(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
+        let Some(engine) = request.engine else {
+            return 0.0;
+        };
+        let mut work = self.work(&target.id, now);
+        work.unread += request.prompt;
+        Pass::of(target, engine, work).begin(engine, work) * self.slowdown(&target.id, now)
+    }
+
+    /// Returns the target that begins a request first, with what is known about it; `None` if there
+    /// is no target or the service runs no models.
+    pub fn prospect<'a>(
+        &self,
+        candidates: &[&'a Target],
+        request: &PickRequest<'_>,
+        now: Millis,
+    ) -> Option<(Prospect, &'a Target)> {
+        let engine = request.engine?;
+        let healthy = only(candidates, |t| !self.is_suspect(&t.id, now));
+        let pool = if healthy.is_empty() {
+            candidates
+        } else {
+            &healthy
+        };
+        let begins = pool.iter().map(|t| (self.predict(t, request, now), *t));
+        let (begin, target) = begins.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let prospect = Prospect {
+            begin,
+            slots: engine.slots,
+            requests: self.work(&target.id, now).requests,
+            has_room: self.has_room(candidates, engine, now),
+            open_groups: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
+        };
+        Some((prospect, target))
+    }
+
+    /// Begins to measure the first event of a request that was granted to a daemon. Call this before
+    /// the request is counted at the target.
+    pub fn note_granted(
+        &mut self,
+        daemon: &NodeId,
+        target: &Target,
+        request: &PickRequest<'_>,
+        now: Millis,
+    ) {
+        let predicted = self.published_ms(target, request, now);
+        self.first_events
+            .granted(daemon, &target.id, predicted, now);
+    }
+
+    /// Records the work that a daemon reports by target, which ends measurements of first events.
+    pub fn note_counts(&mut self, daemon: &NodeId, counts: &HashMap<TargetId, Work>, now: Millis) {
+        self.first_events.counted(daemon, counts, now);
+    }
+
+    /// Returns the time in milliseconds that first events of a target take beyond the prediction.
+    pub fn first_event_delay(&self, id: &TargetId) -> f64 {
+        self.first_events.delay(id)
+    }
+
     /// Returns whether counts of any peer are known.
     pub fn has_peer_counts(&self) -> bool {
         !self.peers.is_empty()
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -34,6 +34,8 @@
 mod load;
 #[path = "edge/owner.rs"]
 mod owner;
+#[path = "edge/ranked.rs"]
+mod ranked;
 #[path = "edge/reach.rs"]
 mod reach;
 #[path = "edge/release.rs"]
