feat(edge): owners decide on requests of services that rank their callers

Cause: a request was refused by its own prediction only, whoever sent it, and engines were told the customer's priority, which is the same for nearly all.

A daemon asks the owner of the scope with `PlaceRanked` and gets target, permit and decision in one `PlacedRanked`; without an answer it decides by its own table. First attempts are decided once, also if a limit denies the first target. Retries and resumed streams are placed as before and keep the request's priority. A late request may be silent for its predicted time in addition to the objective before its target is suspected: the target serves more urgent requests first. A daemon that is starting tells callers to retry after 1 to 2 s, at random. Services whose routes have equal priorities use the same datagrams and checks as before.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -266,7 +266,7 @@
     if !reused || job.admission.route.kind == RouteKind::Stream {
         return pending::<()>().await;
     }
-    tokio::time::sleep(job.admission.route.aim.duration()).await;
+    tokio::time::sleep(job.begin_timeout().duration()).await;
 }
 
 /// Classifies an answer by what it says about the request.
--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -1,17 +1,20 @@
 //! Picks the target of a request's next attempt.
 
 use thistlesill_core::edge::{Service, Target, TargetId};
-use thistlesill_core::{Millis, Model};
+use thistlesill_core::{HallId, Millis, Model};
 use thistlesill_policy::edge::book::TargetRegistry;
 use thistlesill_policy::edge::limit::Clearance;
-use thistlesill_policy::edge::load::{Knowledge, PickRequest};
+use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
+use thistlesill_policy::edge::shortage::RankedRequest;
 
+use crate::ranking::Ranking;
 use crate::state::Edge;
 
 /// Time after its start in which a daemon receives the load of its peers.
 const PEER_LOAD_DELAY: Millis = Millis::new(400);
 
 /// The properties of a request that decide on its target.
+#[derive(Clone)]
 pub(crate) struct TargetQuery<'a> {
     pub(crate) service: &'a Service,
     pub(crate) model: Option<&'a Model>,
@@ -23,6 +26,9 @@
     pub(crate) tried: &'a [TargetId],
     /// Whether this is the first attempt, so that the caller may still be told to retry later.
     pub(crate) first: bool,
+    /// What decides on the admission of the request; `None` if that is decided already, or if its
+    /// service does not rank its callers.
+    pub(crate) ranked: Option<RankedRequest>,
     /// The daemon that will send the request: backoffs bind only the daemon that was asked.
     pub(crate) sender: Sender,
 }
@@ -43,6 +49,24 @@
         self.model.filter(|_| self.service.engine.is_some())
     }
 
+    /// Returns the query for a request whose admission has been decided.
+    pub(crate) fn decided(self) -> Self {
+        Self {
+            first: false,
+            ranked: None,
+            ..self
+        }
+    }
+
+    /// Returns what the load table is asked.
+    pub(crate) fn pick_request<'a>(&'a self, hall: &'a HallId) -> PickRequest<'a> {
+        PickRequest {
+            engine: self.service.engine.as_ref(),
+            prompt: self.prompt,
+            hall,
+        }
+    }
+
     /// Returns the targets that serve the request and were not tried yet.
     fn untried<'a>(&'a self, registry: &'a TargetRegistry) -> impl Iterator<Item = &'a Target> {
         let serving = registry.serving(&self.service.name, self.served_model());
@@ -55,8 +79,8 @@
 pub(crate) enum Choice {
     /// The target of the next attempt.
     Target(Box<Target>),
-    /// No target now: the answer would begin too late by this much.
-    Overloaded(Millis),
+    /// No target now: those that serve the request have too much work.
+    Overloaded(Overload),
     /// No target now: the rate limits of the targets, or the backoffs that they requested, allow the
     /// request after this time.
     Unavailable(Millis),
@@ -64,12 +88,23 @@
     NoTarget,
 }
 
+/// Why the targets have too much work for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Overload {
+    /// The answer would begin too late by this much.
+    TooLate(Millis),
+    /// The request is refused by its rank; its caller may retry after this time.
+    Refused(Millis),
+}
+
 /// The decision on the next attempt of a request.
 pub(crate) struct Pick {
     pub(crate) choice: Choice,
     pub(crate) by: PlacedBy,
     /// The permission to send the request to the chosen target.
     pub(crate) clearance: Clearance,
+    /// The decision on the request by its rank, if that was due.
+    pub(crate) ranking: Option<Ranking>,
 }
 
 /// The daemon that chose the target of an attempt.
@@ -135,30 +170,49 @@
         wait.filter(|wait| *wait > Millis::ZERO)
     }
 
-    /// Picks the target for the next attempt of a request.
-    pub(crate) fn pick(&self, query: &TargetQuery<'_>, knowledge: Knowledge) -> Choice {
-        let service = query.service;
-        let registry = self.registry.borrow();
-        let now = self.now();
+    /// Returns the untried targets that may get the request now, or the time until one may.
+    pub(crate) fn available<'a>(
+        &self,
+        query: &'a TargetQuery<'_>,
+        registry: &'a TargetRegistry,
+    ) -> Result<Vec<&'a Target>, Millis> {
         if let Some(wait) = self.wait_for_any(query) {
-            return Choice::Unavailable(wait);
+            return Err(wait);
         }
-        let mut untried: Vec<&Target> = query.untried(&registry).collect();
+        let now = self.now();
+        let mut untried: Vec<&Target> = query.untried(registry).collect();
         untried.retain(|t| self.wait_for(&t.id, query.sender, now) == Millis::ZERO);
-        let settings = self.settings();
-        let request = PickRequest {
-            engine: service.engine.as_ref(),
-            prompt: query.prompt,
-            hall: &settings.hall,
+        Ok(untried)
+    }
+
+    /// Picks the target for the next attempt of a request.
+    pub(crate) fn pick(&self, query: &TargetQuery<'_>, knowledge: Knowledge) -> Choice {
+        let registry = self.registry.borrow();
+        let untried = match self.available(query, &registry) {
+            Ok(untried) => untried,
+            Err(wait) => return Choice::Unavailable(wait),
         };
+        let settings = self.settings();
+        let request = query.pick_request(&settings.hall);
         let loads = self.loads.borrow();
         if query.first
-            && let Some(lateness) = loads.lateness(&untried, &request, query.aim, now)
+            && let Some(lateness) = loads.lateness(&untried, &request, query.aim, self.now())
         {
-            return Choice::Overloaded(lateness);
+            return Choice::Overloaded(Overload::TooLate(lateness));
         }
+        self.pick_among(&loads, &untried, &request, knowledge)
+    }
+
+    /// Picks one of the candidates by their load.
+    pub(crate) fn pick_among(
+        &self,
+        loads: &LoadTable,
+        candidates: &[&Target],
+        request: &PickRequest<'_>,
+        knowledge: Knowledge,
+    ) -> Choice {
         let rng = &mut *self.rng.borrow_mut();
-        match loads.pick(&untried, &request, knowledge, now, rng) {
+        match loads.pick(candidates, request, knowledge, self.now(), rng) {
             Some(target) => Choice::Target(Box::new(target.clone())),
             None => Choice::NoTarget,
         }
--- a/crates/thistlesill-edge/src/figures.rs
+++ b/crates/thistlesill-edge/src/figures.rs
@@ -12,6 +12,8 @@
 use thistlesill_policy::edge::fleet::Census;
 use tokio::net::TcpListener;
 
+use crate::ranking::Ranking;
+
 /// Upper bounds of the buckets of the latency histograms, in milliseconds.
 const LATENCY_BUCKETS_MS: [f64; 12] = [
     5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
@@ -64,6 +66,17 @@
         .increment(idle.round() as u64);
 }
 
+/// Counts the decision on a request of a service that ranks its callers.
+pub(crate) fn record_decision(ranking: &Ranking) {
+    let ground = ranking.ground_name().unwrap_or("none");
+    let decision = ranking.decision_name();
+    metrics::counter!("thistlesill_edge_decisions_total", "decision" => decision, "ground" => ground)
+        .increment(1);
+    if let Some(standing) = ranking.standing_name() {
+        metrics::counter!("thistlesill_edge_returns_total", "standing" => standing).increment(1);
+    }
+}
+
 /// Serves the metrics; never returns.
 pub(crate) async fn serve(listener: TcpListener, handle: PrometheusHandle) {
     loop {
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -15,6 +15,8 @@
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::asked::DemandSample;
 use thistlesill_policy::edge::attempt::Attempts;
+use thistlesill_policy::edge::ranked::engine_priority;
+use thistlesill_policy::edge::shortage::{AdmissionDecision, Urgency};
 use thistlesill_policy::quarantine::RequestKeys;
 
 use crate::choice::{Pick, Sender, TargetQuery};
@@ -22,6 +24,7 @@
 use crate::lanes::max_idle;
 use crate::peers::place;
 use crate::quarantine;
+use crate::ranking;
 use crate::state::Edge;
 
 /// Added to a request's deadline before an attempt is given up, so that an answer that a target
@@ -46,6 +49,13 @@
     pub(crate) arrived: Millis,
     /// When the final answer is due.
     pub(crate) due: Millis,
+    /// The rank of the request; `None` if its service does not rank its callers.
+    pub(crate) urgency: Option<Urgency>,
+    /// The priority that targets are told.
+    priority: Cell<u8>,
+    /// Predicted time of the first event of a request that was admitted although it will be late;
+    /// zero for other requests.
+    late_begin: Cell<Millis>,
     /// The fingerprints of the request and of its parts, computed when first needed.
     cached_keys: OnceCell<RequestKeys>,
     /// What the peer that passed the request on says of it; `None` if a caller sent it here.
@@ -70,7 +80,14 @@
 impl Job {
     /// Creates a job for a request that was admitted.
     pub(crate) fn new(edge: Rc<Edge>, admission: Admission, arrival: Arrival) -> Self {
+        let ranks = edge.catalog();
+        let ranks = ranks.is_some_and(|c| c.ranks_callers(&admission.service.name));
+        let urgency = ranks.then(|| admission.urgency());
+        let priority = urgency.map_or(admission.priority, Urgency::engine_priority);
         Self {
+            urgency,
+            priority: Cell::new(priority),
+            late_begin: Cell::default(),
             hop: arrival.hop,
             paid: Cell::new(false),
             counted: Cell::new(arrival.hop.is_some_and(|hop| hop.counted)),
@@ -188,11 +205,29 @@
 
     /// Picks the target of the next attempt, other than `tried`, after the given attempts.
     pub(crate) async fn pick(&self, tried: &[TargetId], attempts: Attempts) -> Pick {
+        let first = attempts == Attempts::default();
         let query = TargetQuery {
-            first: attempts == Attempts::default(),
+            first,
+            ranked: first.then(|| ranking::ranked_request(self)).flatten(),
             ..self.query(tried)
         };
-        place::pick(&self.edge, query).await
+        let pick = place::pick(&self.edge, query).await;
+        if let (Some(urgency), Some(ranking)) = (self.urgency, &pick.ranking) {
+            self.priority
+                .set(engine_priority(urgency, ranking.decision));
+            if ranking.decision == AdmissionDecision::Late {
+                self.late_begin.set(ranking.begin);
+            }
+        }
+        pick
+    }
+
+    /// Returns how long the target of a request may be silent before the answer begins.
+    ///
+    /// A target that keeps a late request behind others is silent beyond the objective without a
+    /// fault, and must not be suspected for that.
+    pub(crate) fn begin_timeout(&self) -> Millis {
+        self.admission.route.aim + self.late_begin.get()
     }
 
     /// Returns the time until some target may get the request; `None` if that is now, or if no target
@@ -214,6 +249,7 @@
             aim: self.admission.route.aim,
             tried,
             first: false,
+            ranked: None,
             sender: Sender::Itself,
         }
     }
@@ -253,7 +289,7 @@
             customer: customer.map(thistlesill_core::CustomerId::as_str),
             target: &target.id,
             remaining: self.time_left(),
-            priority: self.admission.priority,
+            priority: self.priority.get(),
             last_event,
         };
         caller::set_target_headers(&mut headers, &head);
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod planner;
 mod proxy;
 mod quarantine;
+mod ranking;
 mod reach;
 mod relay;
 mod reply;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -221,7 +221,11 @@
             Ok(Packet::FreshnessReply(reply)) => follow::receive_reply(&edge, &reply),
             Ok(Packet::Changes(changes)) => follow::receive_changes(&edge, changes),
             Ok(Packet::Place(request)) => place::answer(&edge, &request),
-            Ok(Packet::Placed(reply)) => place::receive_reply(&edge, reply),
+            Ok(Packet::Placed(reply)) => place::receive_reply(&edge, reply, None),
+            Ok(Packet::PlaceRanked(request)) => place::answer_ranked(&edge, &request),
+            Ok(Packet::PlacedRanked(reply)) => {
+                place::receive_reply(&edge, reply.reply, reply.ranking);
+            }
             Ok(Packet::Counts(counts)) => place::receive_counts(&edge, counts),
             Ok(Packet::Totals(totals)) => place::receive_totals(&edge, totals),
             Ok(Packet::Lost(lost)) => quarantine::receive_losses(&edge, &lost),
@@ -271,9 +275,7 @@
     }
     let counts = heartbeat.counts.into_iter().collect();
     let until = now + edge.peer_data_lifetime();
-    edge.loads
-        .borrow_mut()
-        .set_peer_counts(&heartbeat.from, counts, until);
+    place::apply_counts(edge, &heartbeat.from, counts, until);
     for target in &heartbeat.unresponsive {
         // Events that arrive here show that only the planner does not reach the target.
         let is_active = edge.loads.borrow().has_active_streams(target, now);
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -6,8 +6,11 @@
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::limit::{Grant, LimitUpdate};
 use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::edge::shortage::RankedRequest;
 use thistlesill_policy::lease::LeaseSnapshot;
 
+use crate::ranking::Ranking;
+
 /// One datagram, encoded by postcard.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Packet {
@@ -50,6 +53,10 @@
     /// Parts of prompts that targets were starting to answer when the sender lost them; goes to all
     /// daemons.
     PartsLost(Vec<PartLoss>),
+    /// Asks the owner of a scope for a target and a decision on the admission of the request.
+    PlaceRanked(Box<RankedPlaceRequest>),
+    /// The answer to [`Packet::PlaceRanked`].
+    PlacedRanked(RankedPlaceReply),
 }
 
 impl Packet {
@@ -74,6 +81,8 @@
             Self::Grant(_) => "grant",
             Self::LinksLost(_) => "links_lost",
             Self::PartsLost(_) => "parts_lost",
+            Self::PlaceRanked(_) => "place_ranked",
+            Self::PlacedRanked(_) => "placed_ranked",
         }
     }
 }
@@ -163,6 +172,21 @@
     pub(crate) placement: Placement,
 }
 
+/// Asks for a target for one request of a service that ranks its callers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct RankedPlaceRequest {
+    pub(crate) request: PlaceRequest,
+    pub(crate) ranked: RankedRequest,
+}
+
+/// The decision of an owner on a request of a service that ranks its callers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct RankedPlaceReply {
+    pub(crate) reply: PlaceReply,
+    /// `None` if no target may get the request now, so that nothing was decided.
+    pub(crate) ranking: Option<Ranking>,
+}
+
 /// Whether a request that was placed at a target still needs a grant under the target's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Permit {
@@ -179,7 +203,8 @@
 pub(crate) enum Placement {
     /// To this target; the owner counts the request there from now on.
     At(TargetId, Permit),
-    /// Nowhere now: the request would begin too late by this much.
+    /// Nowhere now: the request would begin too late by this much, or is refused by its rank and may
+    /// be retried after this time.
     Overloaded(Millis),
     /// Nowhere now: no target takes the request before this time is over.
     Unavailable(Millis),
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -14,13 +14,18 @@
 use thistlesill_policy::edge::limit::{Clearance, Grant};
 use thistlesill_policy::edge::load::{Knowledge, Work};
 use thistlesill_policy::edge::owner::{OwnerHealth, Scope};
+use thistlesill_policy::edge::shortage::RankedRequest;
 
-use super::packet::{Counts, Packet, Permit, PlaceReply, PlaceRequest, Placement, Totals};
+use super::packet::{
+    Counts, Packet, Permit, PlaceReply, PlaceRequest, Placement, RankedPlaceReply,
+    RankedPlaceRequest, Totals,
+};
 use super::questions::{self, PendingReplies};
 use super::{Reach, link};
-use crate::choice::{Choice, Pick, PlacedBy, Sender, TargetQuery};
+use crate::choice::{Choice, Overload, Pick, PlacedBy, Sender, TargetQuery};
 use crate::leaving;
 use crate::limits;
+use crate::ranking::{self, Ranking};
 use crate::state::Edge;
 
 /// Time after its start until a daemon has received the requests in progress of its peers.
@@ -41,12 +46,27 @@
 /// Unanswered requests to owners, and the owner of each scope.
 #[derive(Debug, Default)]
 pub(crate) struct PlacementState {
-    questions: PendingReplies<Placement>,
+    questions: PendingReplies<OwnerReply>,
     owner_health: OwnerHealth,
     /// Owners of scopes, computed at most one round ago.
     owners: HashMap<Scope, Option<NodeId>>,
 }
 
+/// What an owner answers.
+#[derive(Debug)]
+struct OwnerReply {
+    placement: Placement,
+    ranking: Option<Ranking>,
+}
+
+/// The target that was chosen for a request, and the decision on its admission if one was due.
+struct Placed {
+    choice: Choice,
+    permit: Permit,
+    by: PlacedBy,
+    ranking: Option<Ranking>,
+}
+
 /// Returns whether this daemon may own scopes.
 pub(crate) fn may_own(edge: &Edge, now: Millis) -> bool {
     edge.stopping.get().is_none() && now - edge.started >= LEARNING_PERIOD
@@ -81,14 +101,21 @@
 
 /// Picks a target for a request, or has the owner of its scope pick one. A target with a limit is
 /// picked only with a grant of its bucket owner.
-pub(crate) async fn pick(edge: &Edge, asking: TargetQuery<'_>) -> Pick {
+pub(crate) async fn pick(edge: &Edge, mut asking: TargetQuery<'_>) -> Pick {
     let mut by = PlacedBy::Alone;
+    let mut ranking = None;
     for _ in 0..MAX_DENIALS {
         let asked = edge.now();
-        let (choice, permit, placed) = place(edge, &asking).await;
-        by = placed;
-        let clearance = match &choice {
-            Choice::Target(target) => limits::obtain_clearance(edge, target, permit, asked).await,
+        let placed = place(edge, &asking).await;
+        by = placed.by;
+        if placed.ranking.is_some() {
+            ranking = placed.ranking;
+            asking = asking.decided();
+        }
+        let clearance = match &placed.choice {
+            Choice::Target(target) => {
+                limits::obtain_clearance(edge, target, placed.permit, asked).await
+            }
             Choice::Overloaded(_) | Choice::Unavailable(_) | Choice::NoTarget => {
                 Some(Clearance::Unlimited)
             }
@@ -96,9 +123,10 @@
         if let Some(clearance) = clearance {
             metrics::counter!("thistlesill_edge_placed_total", "by" => by.name()).increment(1);
             return Pick {
-                choice,
+                choice: placed.choice,
                 by,
                 clearance,
+                ranking,
             };
         }
     }
@@ -106,10 +134,11 @@
         choice: Choice::Unavailable(Millis::ZERO),
         by,
         clearance: Clearance::Unlimited,
+        ranking,
     }
 }
 
-async fn place(edge: &Edge, asking: &TargetQuery<'_>) -> (Choice, Permit, PlacedBy) {
+async fn place(edge: &Edge, asking: &TargetQuery<'_>) -> Placed {
     let settings = edge.settings();
     let scope = Scope {
         hall: placing_hall(edge, asking),
@@ -118,16 +147,51 @@
     };
     let owner = owner(edge, &scope);
     if owner.as_ref() == Some(&settings.name) {
-        let choice = edge.pick(asking, Knowledge::Exact);
-        return (choice, Permit::NotNeeded, PlacedBy::Itself);
+        return place_here(edge, &scope, asking, PlacedBy::Itself);
     }
-    if let Some(owner) = owner
-        && let Some((choice, permit)) = ask_owner(edge, &owner, &scope, asking).await
-    {
-        return (choice, permit, PlacedBy::Owner);
+    let Some(owner) = owner else {
+        return place_here(edge, &scope, asking, PlacedBy::Alone);
+    };
+    let Some(reply) = ask_owner(edge, &owner, &scope, asking).await else {
+        return place_here(edge, &scope, asking, PlacedBy::Alone);
+    };
+    if let Some((choice, permit)) = choice_of_owner(edge, &owner, &scope, &reply) {
+        return Placed {
+            choice,
+            permit,
+            by: PlacedBy::Owner,
+            ranking: reply.ranking,
+        };
+    }
+    if reply.ranking.is_none() {
+        return place_here(edge, &scope, asking, PlacedBy::Alone);
+    }
+    // The request is admitted, but the owner's target is unknown here or wants no request now.
+    Placed {
+        ranking: reply.ranking,
+        ..place_here(edge, &scope, &asking.clone().decided(), PlacedBy::Alone)
+    }
+}
+
+/// Picks a target, and decides on the admission of the request if that is due.
+fn place_here(edge: &Edge, scope: &Scope, asking: &TargetQuery<'_>, by: PlacedBy) -> Placed {
+    let knowledge = match by {
+        PlacedBy::Itself => Knowledge::Exact,
+        PlacedBy::Owner | PlacedBy::Alone => Knowledge::Stale,
+    };
+    let (choice, ranking) = match &asking.ranked {
+        Some(ranked) => {
+            let me = &edge.settings().name;
+            ranking::pick(edge, me, scope, asking, ranked, knowledge)
+        }
+        None => (edge.pick(asking, knowledge), None),
+    };
+    Placed {
+        choice,
+        permit: Permit::NotNeeded,
+        by,
+        ranking,
     }
-    let choice = edge.pick(asking, Knowledge::Stale);
-    (choice, Permit::NotNeeded, PlacedBy::Alone)
 }
 
 /// Returns the data centre whose owner places a request: this daemon's, or while that one is
@@ -144,14 +208,13 @@
     drawn.map_or(hall, |target| target.hall.clone())
 }
 
-/// Asks an owner for a target. Returns `None` if the owner does not answer, or answers with a
-/// target that this daemon does not know.
+/// Asks an owner for a target. Returns `None` if the owner does not answer.
 async fn ask_owner(
     edge: &Edge,
     owner: &NodeId,
     scope: &Scope,
     asking: &TargetQuery<'_>,
-) -> Option<(Choice, Permit)> {
+) -> Option<OwnerReply> {
     let now = edge.now();
     if !edge.placing.borrow().owner_health.may_ask(owner, now) {
         return None;
@@ -167,29 +230,47 @@
         first: asking.first,
         avoid: targets_to_avoid(edge, scope, asking),
     };
-    link::send_to(edge, owner, &Packet::Place(request));
-    let Some(placement) = questions::in_time(answer).await else {
+    let packet = match asking.ranked.clone() {
+        Some(ranked) => Packet::PlaceRanked(Box::new(RankedPlaceRequest { request, ranked })),
+        None => Packet::Place(request),
+    };
+    link::send_to(edge, owner, &packet);
+    let reply = questions::in_time(answer).await;
+    if reply.is_none() {
         metrics::counter!("thistlesill_edge_owner_misses_total").increment(1);
         edge.placing
             .borrow_mut()
             .owner_health
             .missed(owner, edge.now());
-        return None;
-    };
-    let choice = match placement {
+    }
+    reply
+}
+
+/// Returns the choice in an owner's reply; `None` if the owner knows no target, or its target cannot
+/// be used by this daemon.
+fn choice_of_owner(
+    edge: &Edge,
+    owner: &NodeId,
+    scope: &Scope,
+    reply: &OwnerReply,
+) -> Option<(Choice, Permit)> {
+    let choice = match &reply.placement {
         Placement::At(id, permit) => {
-            leaving::update_owner(edge, owner, &id);
+            leaving::update_owner(edge, owner, id);
             // The target may have requested a backoff since the owner was asked.
-            let target = known_target(edge, scope, &id)
+            let target = known_target(edge, scope, id)
                 .filter(|target| !edge.backoffs.is_active(&target.id, edge.now()))?;
-            return Some((Choice::Target(Box::new(target)), permit));
+            return Some((Choice::Target(Box::new(target)), *permit));
+        }
+        Placement::Overloaded(time) => {
+            let refusal = reply.ranking.and_then(|ranking| ranking.overload());
+            Choice::Overloaded(refusal.unwrap_or(Overload::TooLate(*time)))
         }
-        Placement::Overloaded(late) => Some(Choice::Overloaded(late)),
-        Placement::Unavailable(wait) => Some(Choice::Unavailable(wait)),
+        Placement::Unavailable(wait) => Choice::Unavailable(*wait),
         // The owner may lag behind this daemon.
-        Placement::NoTarget => None,
+        Placement::NoTarget => return None,
     };
-    choice.map(|choice| (choice, Permit::NotNeeded))
+    Some((choice, Permit::NotNeeded))
 }
 
 /// Returns the targets of a scope that an owner must not pick for a request of this daemon: those
@@ -232,12 +313,27 @@
 
 /// As owner: places a request of a peer.
 pub(crate) fn answer(edge: &Edge, request: &PlaceRequest) {
-    let Some(catalog) = edge.catalog() else {
-        return;
-    };
-    let Some(service) = catalog.service(&request.service) else {
-        return;
-    };
+    if let Some((reply, _)) = place_for_peer(edge, request, None) {
+        link::send_to(edge, &request.from, &Packet::Placed(reply));
+    }
+}
+
+/// As owner: places a request of a peer to a service that ranks its callers.
+pub(crate) fn answer_ranked(edge: &Edge, asked: &RankedPlaceRequest) {
+    let request = &asked.request;
+    if let Some((reply, ranking)) = place_for_peer(edge, request, Some(&asked.ranked)) {
+        let reply = RankedPlaceReply { reply, ranking };
+        link::send_to(edge, &request.from, &Packet::PlacedRanked(reply));
+    }
+}
+
+fn place_for_peer(
+    edge: &Edge,
+    request: &PlaceRequest,
+    ranked: Option<&RankedRequest>,
+) -> Option<(PlaceReply, Option<Ranking>)> {
+    let catalog = edge.catalog()?;
+    let service = catalog.service(&request.service)?;
     let asking = TargetQuery {
         service,
         model: request.model.as_ref(),
@@ -245,9 +341,21 @@
         aim: request.aim,
         tried: &request.avoid,
         first: request.first,
+        ranked: None,
         sender: Sender::Peer,
     };
-    let choice = edge.pick(&asking, Knowledge::Exact);
+    let (choice, ranking) = match ranked {
+        Some(ranked) => {
+            let scope = Scope {
+                hall: edge.settings().hall.clone(),
+                service: request.service.clone(),
+                model: request.model.clone(),
+            };
+            let exact = Knowledge::Exact;
+            ranking::pick(edge, &request.from, &scope, &asking, ranked, exact)
+        }
+        None => (edge.pick(&asking, Knowledge::Exact), None),
+    };
     let placement = match choice {
         Choice::Target(target) => {
             let until = edge.now() + edge.peer_data_lifetime();
@@ -260,7 +368,9 @@
             };
             Placement::At(target.id.clone(), permit)
         }
-        Choice::Overloaded(late) => Placement::Overloaded(late),
+        Choice::Overloaded(Overload::TooLate(time) | Overload::Refused(time)) => {
+            Placement::Overloaded(time)
+        }
         Choice::Unavailable(wait) => Placement::Unavailable(wait),
         Choice::NoTarget => Placement::NoTarget,
     };
@@ -269,20 +379,25 @@
         id: request.id,
         placement,
     };
-    link::send_to(edge, &request.from, &Packet::Placed(reply));
+    Some((reply, ranking))
 }
 
 /// Receives an owner's reply.
-pub(crate) fn receive_reply(edge: &Edge, reply: PlaceReply) {
+pub(crate) fn receive_reply(edge: &Edge, reply: PlaceReply, ranking: Option<Ranking>) {
     let mut placing = edge.placing.borrow_mut();
     placing.owner_health.answered(&reply.from);
+    let answer = OwnerReply {
+        placement: reply.placement,
+        ranking,
+    };
     // If the reply comes too late, the owner drops the placement when it receives this daemon's
     // next counts.
-    placing.questions.resolve(reply.id, reply.placement);
+    placing.questions.resolve(reply.id, answer);
 }
 
 /// Sends this daemon's requests to the owner of a scope after one of them changed there.
 pub(crate) fn send_counts(edge: &Edge, scope: &Scope) {
+    ranking::note_own_counts(edge, scope);
     let settings = edge.settings();
     let Some(owner) = owner(edge, scope).filter(|o| *o != settings.name) else {
         return;
@@ -298,9 +413,19 @@
 pub(crate) fn receive_counts(edge: &Edge, counts: Counts) {
     let until = edge.now() + edge.peer_data_lifetime();
     let list = counts.counts.into_iter().collect();
-    edge.loads
-        .borrow_mut()
-        .set_peer_counts(&counts.from, list, until);
+    apply_counts(edge, &counts.from, list, until);
+}
+
+/// Replaces the counts of a peer's requests, which are valid until `until`.
+pub(crate) fn apply_counts(
+    edge: &Edge,
+    peer: &NodeId,
+    counts: HashMap<TargetId, Work>,
+    until: Millis,
+) {
+    let mut loads = edge.loads.borrow_mut();
+    loads.note_counts(peer, &counts, edge.now());
+    loads.set_peer_counts(peer, counts, until);
 }
 
 /// Receives the totals that an owner sent for its targets.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -18,12 +18,13 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, AttemptPosition, Failure, attempt};
-use crate::choice::{Choice, Pick};
+use crate::choice::{Choice, Overload, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
 use crate::job::{Arrival, Job};
 use crate::plain;
 use crate::quarantine;
+use crate::ranking;
 use crate::relay;
 use crate::reply::OutBody;
 use crate::state::Edge;
@@ -62,7 +63,12 @@
     };
     let admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
-        Err(kind) => return track.refuse(kind, None),
+        Err(kind) => {
+            let after = (kind == ErrorKind::NotReady)
+                .then(|| ranking::retry_after_start(&edge))
+                .flatten();
+            return track.refuse(kind, after);
+        }
     };
     track.admitted(&admission);
     if !is_accepted_while_stopping(&edge, admission.timeout) {
@@ -77,6 +83,7 @@
         hop,
     };
     let job = Rc::new(Job::new(edge, admission, request));
+    track.ranked(job.urgency);
     serve(job, track).await
 }
 
@@ -225,15 +232,22 @@
         choice,
         by,
         clearance,
+        ranking,
     } = job.pick(&tried.targets, attempts).await;
     track.placed(by);
+    if let Some(ranking) = ranking {
+        track.decided(ranking);
+    }
     if attempts == Attempts::default() {
         job.record_demand(!matches!(choice, Choice::Target(_)));
     }
     let target = match choice {
         Choice::Target(target) => target,
-        Choice::Overloaded(lateness) => {
-            let after = lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        Choice::Overloaded(overload) => {
+            let after = match overload {
+                Overload::TooLate(lateness) => lateness.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+                Overload::Refused(after) => after,
+            };
             return AttemptEnd::Answered(track.refuse(ErrorKind::Overloaded, Some(after)));
         }
         Choice::Unavailable(wait) => {
@@ -331,9 +345,12 @@
     next
 }
 
-/// Returns the time after which a caller may retry, if no target takes requests before that.
+/// Returns the time after which a caller may retry, if no target takes requests before that or this
+/// daemon is starting.
 fn retry_after(job: &Job) -> Option<Millis> {
-    job.wait_for_target().map(|wait| wait.max(MIN_RETRY_AFTER))
+    let wait = job.wait_for_target();
+    wait.map(|wait| wait.max(MIN_RETRY_AFTER))
+        .or_else(|| ranking::retry_after_start(&job.edge))
 }
 
 const fn unavailable_error(attempts: Attempts) -> ErrorKind {
--- /dev/null
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -0,0 +1,201 @@
+//! Admission of requests to services that rank their callers.
+//!
+//! The owner of a request's scope decides whether the request is admitted, together with the choice
+//! of its target. A daemon that gets no answer from the owner decides by its own table, which holds
+//! only its own requests.
+
+use std::cell::RefCell;
+
+use hyper::header::HOST;
+use rand::RngExt;
+use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
+use serde::{Deserialize, Serialize};
+use thistlesill_core::edge::Target;
+use thistlesill_core::{CustomerId, Millis, NodeId};
+use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
+use thistlesill_policy::edge::owner::Scope;
+use thistlesill_policy::edge::ranked::is_early_enough;
+use thistlesill_policy::edge::shortage::{
+    AdmissionDecision, Ground, Prospect, RankedRequest, ShortageTable,
+};
+
+use crate::choice::{Choice, Overload, TargetQuery};
+use crate::job::Job;
+use crate::state::Edge;
+
+/// Fixed seed, since all daemons must compute the same key for all attempts of one caller.
+const KEY_SECRETS: RapidSecrets = RapidSecrets::seed(0x7468_6973_746c_6502);
+/// Time in which a daemon that is starting has usually loaded the catalog and the targets, also if
+/// all daemons start at once.
+const START_TIME: Millis = Millis::new(1_000);
+/// Longest time that is added to the retry time of callers that a starting daemon refuses, so that
+/// they do not return together.
+const MAX_JITTER_MS: u64 = 1_000;
+
+/// The decisions of this daemon, as an owner or alone.
+#[derive(Debug, Default)]
+pub(crate) struct RankingState {
+    table: RefCell<ShortageTable>,
+}
+
+/// The decision on a request, which an owner's reply carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ranking {
+    pub(crate) decision: AdmissionDecision,
+    /// Predicted time of the first event, at the target of the request or, if it is refused, at the
+    /// target that would begin it first.
+    pub(crate) begin: Millis,
+}
+
+impl Ranking {
+    /// Returns the name of the decision in logs and metrics.
+    pub(crate) const fn decision_name(&self) -> &'static str {
+        match self.decision {
+            AdmissionDecision::InTime => "in_time",
+            AdmissionDecision::Late => "late",
+            AdmissionDecision::Refuse { .. } => "refused",
+        }
+    }
+
+    /// Returns the name of the ground in logs and metrics, if the request is refused.
+    pub(crate) const fn ground_name(&self) -> Option<&'static str> {
+        match self.decision {
+            AdmissionDecision::InTime | AdmissionDecision::Late => None,
+            AdmissionDecision::Refuse { ground, .. } => Some(match ground {
+                Ground::LessUrgent => "less_urgent",
+                Ground::OverShare => "over_share",
+                Ground::NoRoom => "no_room",
+                Ground::Early => "early",
+            }),
+        }
+    }
+
+    /// Returns the name of the caller's standing in logs and metrics, as far as the decision tells
+    /// it: a caller that came before its booked time is refused for that.
+    pub(crate) const fn standing_name(&self) -> Option<&'static str> {
+        match self.decision {
+            AdmissionDecision::Refuse {
+                ground: Ground::Early,
+                ..
+            } => Some("early"),
+            _ => None,
+        }
+    }
+
+    /// Returns the overload of a refused request; `None` if the request is admitted.
+    pub(crate) const fn overload(&self) -> Option<Overload> {
+        match self.decision {
+            AdmissionDecision::InTime | AdmissionDecision::Late => None,
+            AdmissionDecision::Refuse { after, .. } => Some(Overload::Refused(after)),
+        }
+    }
+}
+
+/// Returns what the owner is told about a request; `None` if its service does not rank its callers,
+/// or if its caller resumes a stream.
+pub(crate) fn ranked_request(job: &Job) -> Option<RankedRequest> {
+    let urgency = job.urgency?;
+    if job.head.last_event.is_some() {
+        return None;
+    }
+    Some(RankedRequest {
+        urgency,
+        customer: job.admission.customer.clone(),
+        key: key(job),
+        aim: job.admission.route.aim,
+        left: job.time_left(),
+    })
+}
+
+/// Returns a hash that is the same for all attempts of one caller, at any daemon.
+fn key(job: &Job) -> u64 {
+    let customer = job.admission.customer.as_ref();
+    let host = job.headers.get(HOST).map_or(&b""[..], |h| h.as_bytes());
+    let path = job.uri.path_and_query().map_or("", |path| path.as_str());
+    let body = rapidhash_v3_seeded(&job.body, &KEY_SECRETS);
+    let parts = [
+        customer.map_or("", CustomerId::as_str).as_bytes(),
+        job.method.as_str().as_bytes(),
+        host,
+        path.as_bytes(),
+        &body.to_le_bytes(),
+    ];
+    rapidhash_v3_seeded(&parts.join(&0), &KEY_SECRETS)
+}
+
+/// Picks a target for a request of `daemon` and decides whether the request is admitted. No
+/// decision is made if no target may get the request now.
+pub(crate) fn pick(
+    edge: &Edge,
+    daemon: &NodeId,
+    scope: &Scope,
+    query: &TargetQuery<'_>,
+    ranked: &RankedRequest,
+    knowledge: Knowledge,
+) -> (Choice, Option<Ranking>) {
+    let (registry, now, settings) = (edge.registry.borrow(), edge.now(), edge.settings());
+    let candidates = match edge.available(query, &registry) {
+        Ok(candidates) => candidates,
+        Err(wait) => return (Choice::Unavailable(wait), None),
+    };
+    let request = query.pick_request(&settings.hall);
+    let mut loads = edge.loads.borrow_mut();
+    let Some((prospect, first)) = loads.prospect(&candidates, &request, now) else {
+        let choice = edge.pick_among(&loads, &candidates, &request, knowledge);
+        return (choice, None);
+    };
+    let delay = loads.first_event_delay(&first.id);
+    metrics::histogram!("thistlesill_edge_first_event_delay_ms").record(delay);
+    let mut table = edge.ranking.table.borrow_mut();
+    let decision = table.decide(scope, ranked, prospect, now);
+    let ranking = |begin: f64| Ranking {
+        decision,
+        begin: Millis::new(begin as u64),
+    };
+    if let Some(overload) = ranking(prospect.begin).overload() {
+        return (Choice::Overloaded(overload), Some(ranking(prospect.begin)));
+    }
+    let usual = edge.pick_among(&loads, &candidates, &request, knowledge);
+    let target = match usual {
+        Choice::Target(target) if suits(&loads, &target, &request, &prospect, ranked, now) => {
+            target
+        }
+        _ => Box::new(first.clone()),
+    };
+    let begin = loads.predict(&target, &request, now);
+    loads.note_granted(daemon, &target, &request, now);
+    (Choice::Target(target), Some(ranking(begin)))
+}
+
+/// Returns whether an admitted request may go to the target of the usual choice.
+fn suits(
+    loads: &LoadTable,
+    target: &Target,
+    request: &PickRequest<'_>,
+    prospect: &Prospect,
+    ranked: &RankedRequest,
+    now: Millis,
+) -> bool {
+    is_early_enough(loads.predict(target, request, now), prospect, ranked.aim)
+}
+
+/// Records the counts of this daemon's own requests at the targets of a scope after they changed.
+pub(crate) fn note_own_counts(edge: &Edge, scope: &Scope) {
+    let catalog = edge.catalog();
+    if catalog.is_some_and(|catalog| catalog.ranks_callers(&scope.service)) {
+        let (now, mut loads) = (edge.now(), edge.loads.borrow_mut());
+        let counts = loads.counts().into_iter().collect();
+        loads.note_counts(&edge.settings().name, &counts, now);
+    }
+}
+
+/// Returns when a caller may retry that this daemon refuses because it is starting; `None` if it has
+/// started.
+pub(crate) fn retry_after_start(edge: &Edge) -> Option<Millis> {
+    let has_proof = edge.catalog_freshness.get().age(edge.now()).is_some();
+    if edge.has_loaded() && has_proof {
+        return None;
+    }
+    let jitter = edge.rng.borrow_mut().random_range(0..=MAX_JITTER_MS);
+    Some(START_TIME + Millis::new(jitter))
+}
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -49,7 +49,7 @@
         return pending::<()>().await;
     };
     let least = if first {
-        scaled(route.aim, FIRST_EVENT_RATIO)
+        scaled(job.begin_timeout(), FIRST_EVENT_RATIO)
     } else {
         scaled(pause, STALL_RATIO)
     };
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -33,6 +33,7 @@
 use crate::peers::transfer::PackedCache;
 use crate::peers::{Peers, link};
 use crate::quarantine::QuarantineState;
+use crate::ranking::RankingState;
 use crate::reach::Links;
 use crate::start::Start;
 use thistlesill_policy::edge::feed::Feed;
@@ -112,6 +113,8 @@
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placing: RefCell<PlacementState>,
+    /// Decisions on requests to services that rank their callers.
+    pub(crate) ranking: RankingState,
     /// Counts of the messages to peers.
     pub(crate) traffic: Traffic,
     /// Requests that crash targets.
@@ -177,6 +180,7 @@
             store: Store::new(settings.store, STORE_IDLE_TIMEOUT),
             peers: RefCell::new(Peers::default()),
             placing: RefCell::new(PlacementState::default()),
+            ranking: RankingState::default(),
             traffic: Traffic::default(),
             quarantine: QuarantineState::default(),
             limits: Limits::default(),
@@ -242,7 +246,7 @@
     }
 
     /// Returns whether the catalog and the targets have been loaded since the start.
-    fn has_loaded(&self) -> bool {
+    pub(crate) fn has_loaded(&self) -> bool {
         self.catalog.borrow().is_some() && self.feed.borrow().is_known()
     }
 
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -9,9 +9,12 @@
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::attempt::{NextStep, Outcome};
 use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::edge::shortage::Urgency;
 
 use crate::choice::PlacedBy;
 use crate::destination::Destination;
+use crate::figures;
+use crate::ranking::Ranking;
 use crate::relay::Pause;
 use crate::reply::{self, OutBody};
 use crate::state::Edge;
@@ -63,6 +66,10 @@
     retry_after: Option<Millis>,
     /// Which daemon chose the last target before the answer began.
     placed: Option<PlacedBy>,
+    /// The rank of the request, if its service ranks its callers.
+    urgency: Option<Urgency>,
+    /// The decision on the request by its rank.
+    ranking: Option<Ranking>,
     /// The peer that the request was last passed to.
     peer: Option<NodeId>,
     /// The longest pause of the stream.
@@ -90,6 +97,8 @@
             reason: None,
             retry_after: None,
             placed: None,
+            urgency: None,
+            ranking: None,
             peer: None,
             pause: None,
             resumes: 0,
@@ -104,6 +113,8 @@
         rest.route.clone_from(&self.route);
         rest.version = self.version;
         rest.placed = self.placed;
+        rest.urgency = self.urgency;
+        rest.ranking = self.ranking;
         rest.peer.clone_from(&self.peer);
         rest.aim = self.aim;
         rest.max_pause = self.max_pause;
@@ -155,6 +166,17 @@
         self.placed = Some(by);
     }
 
+    /// Records the rank of the request.
+    pub(crate) const fn ranked(&mut self, urgency: Option<Urgency>) {
+        self.urgency = urgency;
+    }
+
+    /// Records the decision on the request by its rank.
+    pub(crate) fn decided(&mut self, ranking: Ranking) {
+        figures::record_decision(&ranking);
+        self.ranking = Some(ranking);
+    }
+
     /// Records the longest pause of a stream that ends.
     pub(crate) fn paused(&mut self, pause: Pause) {
         metrics::histogram!("thistlesill_edge_longest_pause_ms").record(pause.length.get() as f64);
@@ -259,6 +281,8 @@
         metrics::histogram!("thistlesill_edge_request_ms").record(took.get() as f64);
         let age = self.edge.catalog_freshness.get().age(now);
         let late = self.late(took);
+        let urgency = self.urgency.map(|u| format!("{}.{}", u.customer, u.route));
+        let ranking = self.ranking.as_ref();
         // The state of the target explains why an answer was late; other lines don't need it.
         let sent = self.sent.filter(|_| late.is_some());
         self.edge
@@ -271,6 +295,11 @@
             .maybe("target", target)
             .maybe("peer", self.peer.as_ref())
             .maybe("placed", self.placed.map(PlacedBy::name))
+            .maybe("urgency", urgency)
+            .maybe("decision", ranking.map(Ranking::decision_name))
+            .maybe("ground", ranking.and_then(Ranking::ground_name))
+            .maybe("begin_ms", ranking.map(|r| r.begin.get()))
+            .maybe("return", ranking.and_then(Ranking::standing_name))
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
             .maybe("targets_age_ms", self.edge.targets_age().map(Millis::get))
