--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -150,7 +150,7 @@
     position: AttemptPosition,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
-    let flight = InFlight::new(edge, target, job.prompt());
+    let flight = InFlight::new(edge, target, job.prompt(), job.take_prediction());
     let sent = edge.now();
     let connect = within(CONNECT_TIMEOUT.min(job.time_left().duration()));
     // A pooled connection may be closing, or be dead without notice. A request that may run only
@@ -266,7 +266,7 @@
     if !reused || job.admission.route.kind == RouteKind::Stream {
         return pending::<()>().await;
     }
-    tokio::time::sleep(job.admission.route.aim.duration()).await;
+    tokio::time::sleep(job.begin_timeout().duration()).await;
 }
 
 /// Classifies an answer by what it says about the request.
--- a/crates/thistlesill-edge/src/flight.rs
+++ b/crates/thistlesill-edge/src/flight.rs
@@ -17,9 +17,18 @@
 }
 
 impl InFlight {
-    pub(crate) fn new(edge: &Rc<Edge>, target: &Target, prompt: u32) -> Self {
+    /// Counts a request with a prompt of that many tokens. `predicted` is the expected time of its
+    /// first event in milliseconds, if that is to be compared with the observed one.
+    pub(crate) fn new(
+        edge: &Rc<Edge>,
+        target: &Target,
+        prompt: u32,
+        predicted: Option<f64>,
+    ) -> Self {
         let now = edge.now();
-        edge.loads.borrow_mut().begin(target, prompt, None, now);
+        let mut loads = edge.loads.borrow_mut();
+        loads.begin(target, prompt, predicted, now);
+        drop(loads);
         let scope = Scope::of(target);
         place::send_counts(edge, &scope);
         Self {
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -233,7 +233,11 @@
             Ok(Packet::FreshnessReply(reply)) => follow::receive_reply(&edge, &reply),
             Ok(Packet::Changes(changes)) => follow::receive_changes(&edge, changes),
             Ok(Packet::Place(request)) => place::answer(&edge, &request),
-            Ok(Packet::Placed(reply)) => place::receive_reply(&edge, reply),
+            Ok(Packet::Placed(reply)) => place::receive_reply(&edge, reply, None),
+            Ok(Packet::PlaceRanked(request)) => place::answer_ranked(&edge, &request),
+            Ok(Packet::PlacedRanked(reply)) => {
+                place::receive_reply(&edge, reply.reply, reply.ranking);
+            }
             Ok(Packet::Counts(counts)) => place::receive_counts(&edge, counts),
             Ok(Packet::Totals(totals)) => place::receive_totals(&edge, totals),
             Ok(Packet::Lost(lost)) => quarantine::receive_losses(&edge, &lost),
