--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -8,6 +8,7 @@
 use thistlesill_policy::edge::load::Work;
 use thistlesill_policy::edge::shortage::RankedRequest;
 use thistlesill_policy::lease::LeaseSnapshot;
+use thistlesill_policy::quarantine::Refutation;
 
 use crate::ranking::Ranking;
 
@@ -60,6 +61,8 @@
     PlaceRanked(Box<RankedPlaceRequest>),
     /// The answer to [`Packet::PlaceRanked`].
     PlacedRanked(RankedPlaceReply),
+    /// Losses of targets that did not crash; goes to all daemons.
+    LossesRefuted(Vec<Refutation<TargetId>>),
 }
 
 impl Packet {
@@ -87,6 +90,7 @@
             Self::UrgentDemand(_) => "urgent_demand",
             Self::PlaceRanked(_) => "place_ranked",
             Self::PlacedRanked(_) => "placed_ranked",
+            Self::LossesRefuted(_) => "losses_refuted",
         }
     }
 }
