--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -464,7 +464,7 @@
         work.unread += request.prompt;
         let pass = Pass::of(target, engine, work);
         let duration = pass.begin(engine, work) + ANSWER_WEIGHT * pass.answer(engine);
-        far + duration * self.slowdown(&target.id, now)
+        far + duration * self.slowdown(&target.id, now) + self.delay(target)
     }
 
     /// Returns how much later than `aim` a request would begin at the best target if all targets
--- a/crates/thistlesill-policy/src/edge/room.rs
+++ b/crates/thistlesill-policy/src/edge/room.rs
@@ -54,8 +54,8 @@
 enum Stage {
     /// Nothing: counts without the request may have been sent before the grant arrived.
     Granted,
-    /// Its prompt is being read; the daemon has this many requests at the target.
-    Reading(u32),
+    /// Its prompt is being read; this is all work of the daemon at the target.
+    Reading(Work),
     /// Other requests of the daemon are being read there, so that the end of this one is unknown.
     Mixed,
 }
@@ -72,11 +72,14 @@
         let took = now - self.since;
         match self.stage {
             _ if took > MAX_MEASUREMENT => Outcome::Drop,
+            Stage::Granted if work.unread == 0 && took <= SEND_TIME => {
+                Outcome::Continue(Stage::Granted)
+            }
             Stage::Mixed if work.unread > 0 => Outcome::Continue(Stage::Mixed),
-            _ if work.unread > 0 => Outcome::Continue(Stage::Reading(work.requests)),
-            Stage::Granted if took <= SEND_TIME => Outcome::Continue(Stage::Granted),
-            // A request that ended together with its prompt may have failed or been cancelled.
-            Stage::Reading(requests) if work.requests >= requests => Outcome::Sample,
+            Stage::Reading(last) if work.unread > last.unread => Outcome::Continue(Stage::Mixed),
+            _ if work.unread > 0 => Outcome::Continue(Stage::Reading(work)),
+            // A request that ends together with its prompt may have failed or been cancelled.
+            Stage::Reading(last) if work.requests >= last.requests => Outcome::Sample,
             Stage::Granted | Stage::Mixed | Stage::Reading(_) => Outcome::Drop,
         }
     }
