feat(policy): admission of a scope that cannot begin all requests in time

The present refusal compares each request on its own with its own objective: urgent requests are refused while less urgent ones are served, one customer can take the capacity of the others, and repeating early pays.

--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -3,13 +3,52 @@
 //! Load pattern: demand for a model beyond what its groups can begin within the objectives of the
 //! requests, as in a burst of one kind, with one customer that sends a third of all requests, or with
 //! a data centre that is evacuated.
+//!
+//! The thresholds follow from the objectives of the callers: a request is admitted if it begins
+//! within its objective and within those of more urgent kinds, so that the prediction for these
+//! stays within their objectives, too. What is late in any case is sent only to free slots or at a
+//! booked time, and is at most a quarter of what is started.
+//!
+//! The test of the capped objective treats kinds alike only if their prompts are equally long. So a
+//! kind that was served more often than a more urgent one is refused until that one has caught up,
+//! and one that was served less often than all more urgent ones, and less than a quarter of its
+//! callers, is admitted by its own objective.
+
+mod fair;
+mod kinds;
+mod recent;
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::{CustomerId, Millis};
 
+use self::kinds::{Kinds, Treatment};
+use self::recent::Recent;
 use super::owner::Scope;
+use super::returns::{Returns, Standing};
+
+/// How long after a refusal a scope counts as short: a caller that honours its retry time returns
+/// within about a second.
+const SHORT_TIME: Millis = Millis::new(1_000);
+/// Part of the objective up to which a request is admitted whoever sends it; the rest is for
+/// customers below their share and for kinds that are served less often.
+const OPEN_RATIO: f64 = 0.8;
+/// Part of a target's slots below which a request that is late in any case takes no slot that
+/// requests in time need.
+const FREE_RATIO: f64 = 0.8;
+/// Part of the remaining time of a caller within which its booked retry must begin; the rest is for
+/// the answer.
+const BOOKED_RATIO: f64 = 0.5;
+/// Part of the started requests that may be late, at booked times or on free slots, so that three
+/// quarters remain for requests that can be in time. Free slots alone are no bound: where prompts
+/// wait, slots are free and time is not.
+const LATE_PART: f64 = 0.25;
+/// Booked retries per second and open group at least: a group begins several requests per second.
+const MIN_GROUP_RATE: f64 = 2.0;
+/// How long the state of a scope without requests is kept: longer than all times of the rules,
+/// and than the usual delay of a booked retry.
+const SCOPE_RETENTION: Millis = Millis::new(10_000);
 
 /// The header `Priority` of requests that will be late: the lowest one, so that engines start them
 /// behind all requests that can be in time.
@@ -92,9 +131,13 @@
 }
 
 /// State of the scopes that this daemon decides for.
+///
+/// A scope takes at most 16 kinds of 112 customers (9 KB each) and 4,096 bookings (80 bytes each),
+/// 0.7 MB in all with names and free space; with 24 customers and three kinds it takes 7 KB and its
+/// bookings.
 #[derive(Debug, Clone, Default)]
 pub struct ShortageTable {
-    scopes: HashMap<Scope, u64>,
+    scopes: HashMap<Scope, ScopeState>,
 }
 
 impl ShortageTable {
@@ -104,13 +147,157 @@
         scope: &Scope,
         request: &RankedRequest,
         prospect: Prospect,
-        _now: Millis,
+        now: Millis,
     ) -> AdmissionDecision {
-        *self.scopes.entry(scope.clone()).or_default() += 1;
-        if prospect.begin <= request.aim.get() as f64 {
-            AdmissionDecision::InTime
-        } else {
-            AdmissionDecision::Late
+        if let Some(state) = self.scopes.get_mut(scope) {
+            return state.decide(request, &prospect, now);
+        }
+        let state = self.scopes.entry(scope.clone()).or_default();
+        state.decide(request, &prospect, now)
+    }
+
+    /// Returns whether a caller has a booking in a scope and has kept it, for logs and metrics;
+    /// must be called before the decision on its request.
+    pub fn standing(&mut self, scope: &Scope, key: u64, now: Millis) -> Standing {
+        let state = self.scopes.get_mut(scope);
+        state.map_or(Standing::New, |s| s.returns.standing(key, now))
+    }
+
+    /// Returns the number of bookings in a scope.
+    pub fn bookings(&self, scope: &Scope) -> usize {
+        self.scopes.get(scope).map_or(0, |s| s.returns.len())
+    }
+
+    /// Removes the state of scopes without requests in the last 10 s.
+    pub fn retain(&mut self, now: Millis) {
+        self.scopes
+            .retain(|_, state| now - state.last < SCOPE_RETENTION);
+    }
+}
+
+/// Result of the rules for one request.
+enum Verdict {
+    InTime,
+    Late,
+    Refused(Ground),
+}
+
+#[derive(Debug, Clone, Default)]
+struct ScopeState {
+    kinds: Kinds,
+    returns: Returns,
+    started: Recent,
+    late: Recent,
+    refused_at: Option<Millis>,
+    last: Millis,
+}
+
+impl ScopeState {
+    fn decide(
+        &mut self,
+        request: &RankedRequest,
+        prospect: &Prospect,
+        now: Millis,
+    ) -> AdmissionDecision {
+        self.last = now;
+        let standing = self.returns.standing(request.key, now);
+        let verdict = self.judge(request, prospect, standing, now);
+        let started = !matches!(verdict, Verdict::Refused(_));
+        self.kinds.record(request, standing, started, now);
+        match verdict {
+            Verdict::InTime => {
+                self.start(request, now);
+                AdmissionDecision::InTime
+            }
+            Verdict::Late => {
+                self.start(request, now);
+                self.late.add(now);
+                AdmissionDecision::Late
+            }
+            Verdict::Refused(ground) => {
+                self.refused_at = Some(now);
+                let rate = (self.started.rate(now) * LATE_PART)
+                    .max(MIN_GROUP_RATE * f64::from(prospect.open_groups.max(1)));
+                let (Ok(after) | Err(after)) = self.returns.book(request, rate, now);
+                let ground = match standing {
+                    Standing::Early => Ground::Early,
+                    Standing::New | Standing::Kept => ground,
+                };
+                AdmissionDecision::Refuse { after, ground }
+            }
+        }
+    }
+
+    fn start(&mut self, request: &RankedRequest, now: Millis) {
+        self.started.add(now);
+        self.returns.remove(request.key);
+    }
+
+    /// Applies the rules in their order.
+    fn judge(
+        &mut self,
+        request: &RankedRequest,
+        prospect: &Prospect,
+        standing: Standing,
+        now: Millis,
+    ) -> Verdict {
+        let begins_within = |time: Millis| prospect.begin <= time.get() as f64;
+        let first = self.returns.first(request.key, now);
+        let aim = request.aim - first.map_or(Millis::ZERO, |first| now - first);
+        if prospect.has_room {
+            return if begins_within(aim) {
+                Verdict::InTime
+            } else {
+                Verdict::Late
+            };
+        }
+        let cap = self.kinds.cap(request.urgency, now);
+        let capped = cap.map_or(aim, |cap| cap.min(aim));
+        let treatment = self.kinds.treatment(request.urgency, now);
+        if self.is_short(now) {
+            let is_open = prospect.begin <= OPEN_RATIO * capped.get() as f64;
+            if !is_open && self.is_above_share(request, now) {
+                return Verdict::Refused(Ground::OverShare);
+            }
+            if treatment == Treatment::Preferred && standing != Standing::Kept {
+                return Verdict::Refused(Ground::LessUrgent);
+            }
         }
+        if begins_within(capped) {
+            return Verdict::InTime;
+        }
+        // Longer prompts begin later, so the capped test alone would starve kinds that have them.
+        if treatment == Treatment::Starved && begins_within(aim) {
+            return Verdict::InTime;
+        }
+        let promised = standing == Standing::Kept || treatment == Treatment::Starved;
+        if promised && prospect.begin <= BOOKED_RATIO * request.left.get() as f64 {
+            return Verdict::Late;
+        }
+        let is_free = f64::from(prospect.requests) < FREE_RATIO * f64::from(prospect.slots);
+        if is_free && self.returns.due(now) == 0 && self.may_be_late(now) {
+            return Verdict::Late;
+        }
+        Verdict::Refused(if begins_within(aim) {
+            Ground::LessUrgent
+        } else {
+            Ground::NoRoom
+        })
+    }
+
+    /// Returns whether fewer than a quarter of the requests that were started recently are late.
+    fn may_be_late(&self, now: Millis) -> bool {
+        let late = f64::from(self.late.count(now));
+        late <= LATE_PART * f64::from(self.started.count(now))
+    }
+
+    /// Returns whether a request was refused recently.
+    fn is_short(&self, now: Millis) -> bool {
+        self.refused_at.is_some_and(|at| now - at < SHORT_TIME)
+    }
+
+    fn is_above_share(&mut self, request: &RankedRequest, now: Millis) -> bool {
+        let kind = self.kinds.get_mut(request.urgency);
+        kind.is_some_and(|k| k.shares.is_above(request.customer.as_ref(), now))
     }
 }
--- /dev/null
+++ b/crates/thistlesill-policy/src/edge/shortage/kinds.rs
@@ -0,0 +1,148 @@
+//! Kinds of requests of a scope, by urgency: their objectives, and how often each is served.
+
+use thistlesill_core::Millis;
+
+use super::fair::FairShares;
+use super::recent::{Recent, WINDOW};
+use super::{RankedRequest, Standing, Urgency};
+
+/// Maximum number of kinds per scope; further kinds are served but not recorded. A service has
+/// priorities of a few routes for one or two priorities of customers.
+const MAX_KINDS: usize = 16;
+/// Part of its requests that a kind keeps whatever more urgent kinds need.
+const KEPT_RATIO: f64 = 0.25;
+
+/// Requests of one urgency.
+#[derive(Debug, Clone)]
+pub(super) struct Kind {
+    urgency: Urgency,
+    /// Shortest objective of the last two seconds.
+    aim: Millis,
+    aim_at: Millis,
+    last: Millis,
+    /// Requests of callers without a booking.
+    callers: Recent,
+    started: Recent,
+    pub(super) shares: FairShares,
+}
+
+impl Kind {
+    /// Returns the part of its callers whose requests were started; 1 if there were none.
+    fn served(&self, now: Millis) -> f64 {
+        match self.callers.count(now) {
+            0 => 1.0,
+            callers => f64::from(self.started.count(now)) / f64::from(callers),
+        }
+    }
+
+    fn is_active(&self, now: Millis) -> bool {
+        now - self.last < WINDOW
+    }
+}
+
+/// How often a kind is served, compared with more urgent kinds that sent requests recently.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Treatment {
+    /// Neither of the others.
+    Usual,
+    /// More often than a more urgent kind, and more than the part that it keeps in any case.
+    Preferred,
+    /// Less often than each more urgent kind, and less than the part that it keeps in any case.
+    Starved,
+}
+
+/// Kinds of a scope in the order of urgency.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Kinds {
+    kinds: Vec<Kind>,
+}
+
+impl Kinds {
+    /// Returns the kind of an urgency; `None` if it is not recorded.
+    pub(super) fn get_mut(&mut self, urgency: Urgency) -> Option<&mut Kind> {
+        let index = self.kinds.binary_search_by_key(&urgency, |k| k.urgency);
+        index.ok().map(|index| &mut self.kinds[index])
+    }
+
+    fn more_urgent(&self, urgency: Urgency, now: Millis) -> impl Iterator<Item = &Kind> {
+        let before = self.kinds.iter().take_while(move |k| k.urgency < urgency);
+        before.filter(move |k| k.is_active(now))
+    }
+
+    /// Returns the shortest objective of the more urgent kinds that sent requests recently.
+    pub(super) fn cap(&self, urgency: Urgency, now: Millis) -> Option<Millis> {
+        self.more_urgent(urgency, now).map(|k| k.aim).min()
+    }
+
+    /// Returns how a kind is treated compared with more urgent ones.
+    pub(super) fn treatment(&self, urgency: Urgency, now: Millis) -> Treatment {
+        let index = self.kinds.binary_search_by_key(&urgency, |k| k.urgency);
+        let Ok(index) = index else {
+            return Treatment::Usual;
+        };
+        let served = self.kinds[index].served(now);
+        let others = self.more_urgent(urgency, now).map(|k| k.served(now));
+        match others.min_by(f64::total_cmp) {
+            Some(least) if served > least && served > KEPT_RATIO => Treatment::Preferred,
+            Some(least) if served < least && served < KEPT_RATIO => Treatment::Starved,
+            _ => Treatment::Usual,
+        }
+    }
+
+    /// Records a request and whether it was started.
+    pub(super) fn record(
+        &mut self,
+        request: &RankedRequest,
+        standing: Standing,
+        started: bool,
+        now: Millis,
+    ) {
+        let found = self
+            .kinds
+            .binary_search_by_key(&request.urgency, |k| k.urgency);
+        let index = match found {
+            Ok(index) => index,
+            Err(_) => match self.insert(request, now) {
+                Some(index) => index,
+                None => return,
+            },
+        };
+        let kind = &mut self.kinds[index];
+        if request.aim <= kind.aim || now - kind.aim_at >= WINDOW {
+            (kind.aim, kind.aim_at) = (request.aim, now);
+        }
+        kind.last = now;
+        // A kind needs an answer per caller, however often callers repeat their requests.
+        if standing == Standing::New {
+            kind.callers.add(now);
+        }
+        if started {
+            kind.started.add(now);
+        }
+        if started || standing != Standing::Early {
+            kind.shares.record(request.customer.as_ref(), started, now);
+        }
+    }
+
+    /// Adds a kind; returns its index, or `None` if there is no space for it.
+    fn insert(&mut self, request: &RankedRequest, now: Millis) -> Option<usize> {
+        if self.kinds.len() >= MAX_KINDS {
+            self.kinds.retain(|k| k.is_active(now));
+        }
+        if self.kinds.len() >= MAX_KINDS {
+            return None;
+        }
+        let kind = Kind {
+            urgency: request.urgency,
+            aim: request.aim,
+            aim_at: now,
+            last: now,
+            callers: Recent::default(),
+            started: Recent::default(),
+            shares: FairShares::default(),
+        };
+        let index = self.kinds.partition_point(|k| k.urgency < request.urgency);
+        self.kinds.insert(index, kind);
+        Some(index)
+    }
+}
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -44,6 +44,8 @@
 mod returns;
 #[path = "edge/search.rs"]
 mod search;
+#[path = "edge/shortage.rs"]
+mod shortage;
 #[path = "edge/spread.rs"]
 mod spread;
 #[path = "edge/stage.rs"]
