--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -17,6 +17,7 @@
 pub mod owner;
 pub mod ranked;
 pub mod reach;
+pub mod returns;
 pub mod room;
 pub mod shortage;
 pub mod spread;
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -42,10 +42,14 @@
 mod release;
 #[path = "edge/restarts.rs"]
 mod restarts;
+#[path = "edge/returns.rs"]
+mod returns;
 #[path = "edge/room.rs"]
 mod room;
 #[path = "edge/search.rs"]
 mod search;
+#[path = "edge/shortage.rs"]
+mod shortage;
 #[path = "edge/spread.rs"]
 mod spread;
 #[path = "edge/stage.rs"]
