--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -482,14 +482,12 @@
         let engine = request.engine?;
         let mut least = f64::MAX;
         for target in candidates {
-            let mut work = self.work(&target.id, now);
-            let busy = f64::from(work.requests) >= BUSY_RATIO * f64::from(engine.slots);
+            let requests = self.work(&target.id, now).requests;
+            let busy = f64::from(requests) >= BUSY_RATIO * f64::from(engine.slots);
             if !busy && !self.is_suspect(&target.id, now) {
                 return None;
             }
-            work.unread += request.prompt;
-            let begin = Pass::of(target, engine, work).begin(engine, work);
-            least = least.min(begin * self.slowdown(&target.id, now));
+            least = least.min(self.begin_ms(target, request, now)?);
         }
         let aim = aim.get() as f64;
         let late = least - aim * LATE_RATIO;
