fix(policy): idle targets that did not answer are probed until they do

Cause: a target that left two probes unanswered counts as dead for 8 s after the last of them, and only members of groups that serve are probed again. A domain that nothing had reached for 9 s was idle for most of 8 s after it answered again. Change: idle targets that count as dead are probed once a second, as slow ones are; one that still does not answer stays dead while it is listed. The test failed on the code before.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -70,8 +70,8 @@
 const MAX_PROBE_ROUNDS: u32 = 4;
 /// Time from the first probe round of a stalled group until its rounds are counted anew.
 const PROBE_ROUND_INTERVAL: Millis = Millis::new(2_000);
-/// Time between two probes of an idle target that was slow.
-const SLOW_PROBE_INTERVAL: Millis = Millis::new(1_000);
+/// Time between two probes of an idle target that was slow or did not answer.
+const IDLE_PROBE_INTERVAL: Millis = Millis::new(1_000);
 /// Time between two probes of one target.
 const PROBE_INTERVAL: Millis = Millis::new(140);
 
@@ -289,7 +289,7 @@
             |id: &&TargetId| blocked.contains(id.instance()) || self.may_be_blocked(view, id, now);
         free.extend(ungrouped.filter(|id| !is_blocked(id)).cloned());
         self.advance_planned(view, now, &mut actions);
-        self.probe_slow(view, &free, now, &mut actions);
+        self.probe_idle(view, &free, now, &mut actions);
         self.remove_busy(&mut free, view, now);
         // Targets of an evacuated data centre join no new group until the evacuation ends.
         free.retain(|id| view.targets.get(id).is_none_or(|t| !view.is_evacuated(t)));
--- a/crates/thistlesill-policy/src/edge/fleet/orders.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/orders.rs
@@ -8,8 +8,8 @@
 
 use super::survey::{Decision, ObservedGroup};
 use super::{
-    FleetAction, FleetPlanner, FleetView, MAX_PROBE_ROUNDS, ORDER_RETRY_INTERVAL, PROBE_INTERVAL,
-    PROBE_ROUND_INTERVAL, SLOW_PROBE_INTERVAL,
+    FleetAction, FleetPlanner, FleetView, IDLE_PROBE_INTERVAL, MAX_FAILED_PROBES, MAX_PROBE_ROUNDS,
+    ORDER_RETRY_INTERVAL, PROBE_INTERVAL, PROBE_ROUND_INTERVAL,
 };
 
 impl FleetPlanner {
@@ -147,18 +147,22 @@
         true
     }
 
-    /// Probes idle targets that were slow, to learn whether they still are.
-    pub(super) fn probe_slow(
+    /// Probes idle targets that were slow or did not answer, to learn whether they still are: no
+    /// group whose members are probed tells of them.
+    pub(super) fn probe_idle(
         &mut self,
         view: &FleetView<'_>,
         free: &BTreeSet<TargetId>,
         now: Millis,
         actions: &mut Vec<FleetAction>,
     ) {
-        let slow = self.slow.iter().filter(|id| free.contains(*id));
-        let slow: Vec<&Target> = slow.filter_map(|id| view.targets.get(id)).collect();
-        for target in slow {
-            self.probe(target, SLOW_PROBE_INTERVAL, now, actions);
+        let failed = self.failed_probes.iter();
+        let failed = failed.filter(|(_, (probes, _))| *probes >= MAX_FAILED_PROBES);
+        let doubtful = self.slow.iter().chain(failed.map(|(id, _)| id));
+        let idle = doubtful.filter(|id| free.contains(*id));
+        let idle: Vec<&Target> = idle.filter_map(|id| view.targets.get(id)).collect();
+        for target in idle {
+            self.probe(target, IDLE_PROBE_INTERVAL, now, actions);
         }
     }
 
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -32,6 +32,8 @@
 mod limit;
 #[path = "edge/load.rs"]
 mod load;
+#[path = "edge/outage.rs"]
+mod outage;
 #[path = "edge/owner.rs"]
 mod owner;
 #[path = "edge/reach.rs"]
