test(edge): who is served, who decides and who returns under a shortage

Four process tests: only services with routes of different priorities send `PlaceRanked` and set `Priority` by kind; an urgent kind with a short objective is served as often as a less urgent one with a long objective; refused callers get different times and are served at another daemon; a daemon whose owner is stopped decides alone and refuses at once.

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -26,6 +26,8 @@
 mod partitions;
 #[path = "it/seeds.rs"]
 mod seeds;
+#[path = "it/shortage.rs"]
+mod shortage;
 #[path = "it/silence.rs"]
 mod silence;
 #[path = "it/soak.rs"]
