--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -56,8 +56,8 @@
     /// Predicted time of the first event of a request that was admitted although it will be late;
     /// zero for other requests.
     late_begin: Cell<Millis>,
-    /// Predicted time of the first event of a request that was admitted by its rank.
-    predicted: Cell<Option<Millis>>,
+    /// Predicted time of the first event, in milliseconds, that the observed one is compared with.
+    predicted: Cell<Option<f64>>,
     /// The fingerprints of the request and of its parts, computed when first needed.
     cached_keys: OnceCell<RequestKeys>,
     /// What the peer that passed the request on says of it; `None` if a caller sent it here.
@@ -219,7 +219,7 @@
         if let (Some(urgency), Some(ranking)) = (self.urgency, &pick.ranking) {
             self.priority
                 .set(engine_priority(urgency, ranking.decision));
-            self.predicted.set(Some(ranking.begin));
+            self.predicted.set(ranking.measured_prediction());
             if ranking.decision == AdmissionDecision::Late {
                 self.late_begin.set(ranking.begin);
             }
@@ -227,10 +227,10 @@
         pick
     }
 
-    /// Takes the predicted time of the first event, in milliseconds, of the attempt that the decision
-    /// on the request was made for.
+    /// Takes the predicted time of the first event, in milliseconds, for the attempt that the
+    /// decision on the request was made for.
     pub(crate) fn take_prediction(&self) -> Option<f64> {
-        self.predicted.take().map(|begin| begin.get() as f64)
+        self.predicted.take()
     }
 
     /// Returns how long the target of a request may be silent before the answer begins.
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -358,7 +358,7 @@
             let now = edge.now();
             let until = now + edge.peer_data_lifetime();
             let mut loads = edge.loads.borrow_mut();
-            let predicted = ranking.map(|ranking: Ranking| ranking.begin.get() as f64);
+            let predicted = ranking.and_then(|r| r.measured_prediction());
             loads.add_granted(
                 &request.from,
                 &target,
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -48,6 +48,14 @@
 }
 
 impl Ranking {
+    /// Returns the predicted time of the first event in milliseconds, if the observed one is to be
+    /// compared with it. The engine keeps a late request behind others, so that its time tells
+    /// nothing about requests in time.
+    pub(crate) fn measured_prediction(&self) -> Option<f64> {
+        let in_time = self.decision == AdmissionDecision::InTime;
+        in_time.then(|| self.begin.get() as f64)
+    }
+
     /// Returns the name of the decision in logs and metrics.
     pub(crate) const fn decision_name(&self) -> &'static str {
         match self.decision {
