--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -114,6 +114,19 @@
     Early,
 }
 
+impl Ground {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::LessUrgent => "less_urgent",
+            Self::OverShare => "over_share",
+            Self::NoRoom => "no_room",
+            Self::Early => "early",
+        }
+    }
+}
+
 /// How a request is admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AdmissionDecision {
@@ -130,6 +143,18 @@
     },
 }
 
+impl AdmissionDecision {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::InTime => "in_time",
+            Self::Late => "late",
+            Self::Refuse { .. } => "refused",
+        }
+    }
+}
+
 /// State of the scopes that this daemon decides for.
 ///
 /// A scope takes at most 16 kinds of 112 customers (9 KB each) and 4,096 bookings (80 bytes each),
