feat(cli): `explain losses` counts refusals by ground

A service that ranks its callers refuses for four reasons, which all counted as `refused at once`. Lines without these fields have the same causes as before.

--- a/crates/thistlesill-cli/src/losses.rs
+++ b/crates/thistlesill-cli/src/losses.rs
@@ -26,6 +26,14 @@
     Overloaded,
     /// The request was refused after it had waited.
     WaitedRefused,
+    /// The request was refused because it would have made more urgent ones late.
+    LessUrgent,
+    /// The request was refused because its customer was above its fair share.
+    OverShare,
+    /// The request was refused because no target had room.
+    NoRoom,
+    /// The request was refused because its caller retried before its booked time.
+    EarlyRetry,
     /// Several targets were lost while they ran the request, which is now withheld.
     Withheld,
     /// The target refused the request without running it.
@@ -38,6 +46,8 @@
     TargetLost,
     /// The request was lost with its target and may have run.
     Lost,
+    /// The request was sent although it could not be in time, behind those that could.
+    AdmittedLate,
     /// The request waited at its daemon before it was sent.
     Waited,
     /// Earlier prompts at the target were not prefilled yet.
@@ -59,12 +69,17 @@
             Self::NoGroup => "no group",
             Self::Overloaded => "refused at once",
             Self::WaitedRefused => "waited and refused",
+            Self::LessUrgent => "refused: less urgent",
+            Self::OverShare => "refused: over its share",
+            Self::NoRoom => "refused: no room",
+            Self::EarlyRetry => "refused: early retry",
             Self::Withheld => "withheld",
             Self::TargetShed => "shed by target",
             Self::SilentTarget => "silent target",
             Self::TargetFailed => "failed target",
             Self::TargetLost => "target lost midway",
             Self::Lost => "lost with target",
+            Self::AdmittedLate => "admitted late",
             Self::Waited => "waited at daemon",
             Self::UnreadPrompts => "unread prompts",
             Self::BusyTarget => "busy or slow target",
@@ -195,8 +210,7 @@
         "answered" => late_cause(last_line, earlier),
         "not_ready" => Some(Cause::NotReady),
         "no_group" => Some(Cause::NoGroup),
-        "overloaded" if number(last_line, "took_ms") >= MIN_WAIT_MS => Some(Cause::WaitedRefused),
-        "overloaded" => Some(Cause::Overloaded),
+        "overloaded" => Some(refusal_cause(last_line)),
         "withheld" => Some(Cause::Withheld),
         "target_refused" => Some(Cause::TargetShed),
         "sent_unknown" | "broke_off" | "late_answer" => Some(Cause::Lost),
@@ -205,10 +219,24 @@
     }
 }
 
+/// Returns why a request was refused: the ground of the decision, which only services that rank
+/// their callers log, or else whether the request had waited.
+fn refusal_cause(last_line: &Fields<'_>) -> Cause {
+    match last_line.get("ground").copied() {
+        Some("less_urgent") => Cause::LessUrgent,
+        Some("over_share") => Cause::OverShare,
+        Some("no_room") => Cause::NoRoom,
+        Some("early") => Cause::EarlyRetry,
+        _ if number(last_line, "took_ms") >= MIN_WAIT_MS => Cause::WaitedRefused,
+        _ => Cause::Overloaded,
+    }
+}
+
 fn late_cause(last_line: &Fields<'_>, earlier: EarlierEvents) -> Option<Cause> {
     let cause = match *last_line.get("late")? {
         "first" if earlier.unresponsive => Cause::SilentTarget,
         "first" if earlier.failed => Cause::TargetFailed,
+        "first" if last_line.get("decision") == Some(&"late") => Cause::AdmittedLate,
         "first" if number(last_line, "sent_ms") >= MIN_WAIT_MS => Cause::Waited,
         "first" if number(last_line, "sent_unread") > 0 => Cause::UnreadPrompts,
         "first" => Cause::BusyTarget,
--- a/crates/thistlesill-cli/tests/losses.rs
+++ b/crates/thistlesill-cli/tests/losses.rs
@@ -45,6 +45,27 @@
     );
 }
 
+/// Guards against refusals of ranked callers that are all counted as one cause.
+#[test]
+fn refusals_of_ranked_callers_are_counted_by_their_ground() {
+    let refused = |ground: &str| {
+        let fields = "outcome=overloaded status=503 took_ms=60 urgency=1.0 decision=refused";
+        cause(&end(&format!("{fields} ground={ground} back_ms=410")))
+    };
+    assert_eq!(refused("less_urgent"), Some(Cause::LessUrgent));
+    assert_eq!(refused("over_share"), Some(Cause::OverShare));
+    assert_eq!(refused("no_room"), Some(Cause::NoRoom));
+    assert_eq!(refused("early"), Some(Cause::EarlyRetry));
+    // A daemon of a later version may name another ground.
+    assert_eq!(refused("another"), Some(Cause::WaitedRefused));
+    let late = |decision: &str| {
+        let fields = "outcome=answered late=first sent_unread=0";
+        cause(&end(&format!("{fields} decision={decision}")))
+    };
+    assert_eq!(late("late"), Some(Cause::AdmittedLate));
+    assert_eq!(late("in_time"), Some(Cause::BusyTarget));
+}
+
 #[test]
 fn a_late_first_event_is_explained_by_what_came_before() {
     let late = "outcome=answered status=200 late=first first_ms=700";
