fix(policy): targets that restarted do not wait for a leader that restarted too

Cause: members of a group that no entry shows any more join no other group for 10 s after it vanished, if they have restarted, since their leader may still serve. This was held to also if the leader's own process had been replaced since. A domain that came back after an outage of 9 s stood idle with the weights on its hosts until 10 s after its entries had expired. Change: the wait ends when a later incarnation of that leader's instance is listed. The rule that a target may join another group if its last leader is another process holds already for groups that entries show; no other condition changes. The waits are kept by instance and leader, so that one that ends uncovers no other. Ruled out for this outage: the rule on needed_groups is for conversions only and blocks no formation.

--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -221,10 +221,10 @@
     missing_since: BTreeMap<TargetId, Millis>,
     /// Incarnations that are over because their instances have restarted.
     superseded: BTreeSet<TargetId>,
-    /// Incarnations of members whose last group's leader may still serve, by instance, with the
-    /// time by which that leader must have stopped. A later incarnation of the instance joins no
-    /// group until then.
-    blocked_until: BTreeMap<InstanceId, (TargetId, Millis)>,
+    /// Incarnations of members whose last group's leader may still serve, by instance and leader,
+    /// with the time by which that leader must have stopped. A later incarnation of the instance
+    /// joins no group until then, or until the leader's process has been replaced.
+    blocked_until: BTreeMap<(InstanceId, Option<TargetId>), (TargetId, Millis)>,
     /// All targets that were seen as members of each group.
     group_members: BTreeMap<GroupRef, BTreeSet<TargetId>>,
     /// When each group was first seen.
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -156,7 +156,11 @@
         let planned = &self.planned;
         self.formed
             .retain(|group| shown.contains(group) || planned.contains_key(group));
-        self.blocked_until.retain(|_, (_, until)| now < *until);
+        let superseded = &self.superseded;
+        self.blocked_until.retain(|(_, leader), (_, until)| {
+            let is_over = leader.as_ref().is_some_and(|id| superseded.contains(id));
+            now < *until && !is_over
+        });
         self.unanswered_joins
             .retain(|_, at| now - *at < LATE_ORDER_TIMEOUT);
         self.join_epochs.retain(|id, _| targets.contains_key(id));
--- a/crates/thistlesill-policy/src/edge/fleet/release.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/release.rs
@@ -137,8 +137,13 @@
         };
         let groups = self.group_members.iter();
         let vanished = groups.filter(|(group, _)| !shown.contains(group) && !ended(group));
-        let members = vanished.flat_map(|(_, members)| members);
-        let blocked = members.map(|id| (id.instance().clone(), (id.clone(), until)));
+        let blocked = vanished.flat_map(|(group, members)| {
+            let leader = self.leaders.get(group);
+            members.iter().map(move |id| {
+                let key = (id.instance().clone(), leader.cloned());
+                (key, (id.clone(), until))
+            })
+        });
         self.blocked_until.extend(blocked);
     }
 
