fix(edge): a starting daemon refuses with the time that its start is expected to take

Cause: a daemon without a catalog refused all callers with the same retry time, 1 s. After all daemons lost power, their callers came back together (1.0 s in eight of eight answers).

Change: `policy::edge::start::retry_after` gives the time that is left of 1 s for the read and 0.5 s for each level of the tree above the daemon, at least 300 ms, plus a random part of up to 1 s. A start that is late is expected to take half as long again as it has taken, 5 s at most. The other causes of `NotReady` stay as they are.

--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -26,6 +26,7 @@
 use crate::quarantine;
 use crate::relay;
 use crate::reply::OutBody;
+use crate::start;
 use crate::state::Edge;
 use crate::track::Track;
 
@@ -62,7 +63,13 @@
     };
     let admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
-        Err(kind) => return track.refuse(kind, None),
+        Err(kind) => {
+            let after = match kind {
+                ErrorKind::NotReady => start::retry_after(&edge),
+                _ => None,
+            };
+            return track.refuse(kind, after);
+        }
     };
     track.admitted(&admission);
     if !is_accepted_while_stopping(&edge, admission.timeout) {
--- a/crates/thistlesill-edge/src/start.rs
+++ b/crates/thistlesill-edge/src/start.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::start::{Source, source};
+use thistlesill_policy::edge::start::{self as policy, Source, source};
 
 use crate::evacuation;
 use crate::peers::transfer::{self, State, TransferError};
@@ -62,6 +62,22 @@
     edge.start_ended.notify_waiters();
 }
 
+/// Returns the time after which a caller may retry that this daemon refuses because it has no catalog
+/// yet; `None` once it has one.
+pub(crate) fn retry_after(edge: &Edge) -> Option<Millis> {
+    if edge.catalog.borrow().is_some() {
+        return None;
+    }
+    let settings = edge.settings();
+    let peers = edge.peers.borrow();
+    let rank = peers
+        .is_listed()
+        .then(|| peers.rank(&settings.name, &settings.hall));
+    let elapsed = edge.now() - edge.started;
+    let rng = &mut *edge.rng.borrow_mut();
+    Some(policy::retry_after(rank, elapsed, rng))
+}
+
 /// Waits until the daemon may read the store, unless it has obtained everything before.
 pub(crate) async fn await_turn(edge: &Edge) {
     while edge.start.get() == Start::Waiting {
--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -116,6 +116,16 @@
         ask(&world, 0, read("key").key(Some("k9"))).await.status,
         503
     );
+    // Callers that are refused during a start must not all come back at once.
+    let mut times = Vec::new();
+    for i in 0..8 {
+        let refused = ask(&world, 0, read(&format!("early-{i}"))).await;
+        times.push(refused.retry_after().expect("a time to come back"));
+    }
+    let (first, last) = (times.iter().copied()).fold((f64::MAX, 0.0), |(first, last), time| {
+        (time.min(first), time.max(last))
+    });
+    assert!(first >= 0.3 && last > first, "{times:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
