--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -24,9 +24,9 @@
 use crate::job::{Arrival, Job};
 use crate::plain;
 use crate::quarantine;
-use crate::ranking;
 use crate::relay;
 use crate::reply::OutBody;
+use crate::start;
 use crate::state::Edge;
 use crate::track::Track;
 
@@ -64,9 +64,10 @@
     let admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
         Err(kind) => {
-            let after = (kind == ErrorKind::NotReady)
-                .then(|| ranking::retry_after_start(&edge))
-                .flatten();
+            let after = match kind {
+                ErrorKind::NotReady => start::retry_after(&edge),
+                _ => None,
+            };
             return track.refuse(kind, after);
         }
     };
@@ -350,7 +351,7 @@
 fn retry_after(job: &Job) -> Option<Millis> {
     let wait = job.wait_for_target();
     wait.map(|wait| wait.max(MIN_RETRY_AFTER))
-        .or_else(|| ranking::retry_after_start(&job.edge))
+        .or_else(|| start::retry_after(&job.edge))
 }
 
 const fn unavailable_error(attempts: Attempts) -> ErrorKind {
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -7,7 +7,6 @@
 use std::cell::RefCell;
 
 use hyper::header::HOST;
-use rand::RngExt;
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::Target;
@@ -25,13 +24,6 @@
 
 /// Fixed seed, since all daemons must compute the same key for all attempts of one caller.
 const KEY_SECRETS: RapidSecrets = RapidSecrets::seed(0x7468_6973_746c_6502);
-/// Time in which a daemon that is starting has usually loaded the catalog and the targets, also if
-/// all daemons start at once.
-const START_TIME: Millis = Millis::new(1_000);
-/// Longest time that is added to the retry time of callers that a starting daemon refuses, so that
-/// they do not return together.
-const MAX_JITTER_MS: u64 = 1_000;
-
 /// The decisions of this daemon, as an owner or alone.
 #[derive(Debug, Default)]
 pub(crate) struct RankingState {
@@ -184,14 +176,3 @@
 ) -> bool {
     is_early_enough(loads.predict(target, request, now), prospect, ranked.aim)
 }
-
-/// Returns when a caller may retry that this daemon refuses because it is starting; `None` if it has
-/// started.
-pub(crate) fn retry_after_start(edge: &Edge) -> Option<Millis> {
-    let has_proof = edge.catalog_freshness.get().age(edge.now()).is_some();
-    if edge.has_loaded() && has_proof {
-        return None;
-    }
-    let jitter = edge.rng.borrow_mut().random_range(0..=MAX_JITTER_MS);
-    Some(START_TIME + Millis::new(jitter))
-}
