--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -227,6 +227,7 @@
         if rounds % ROUNDS_PER_SLOW_SWEEP == 0 {
             edge.lanes.sweep(edge.now());
             edge.quarantine.retain(edge.now());
+            edge.ranking.retain(edge.now());
             if rounds % ROUNDS_PER_STATUS == 0 {
                 log_status(&edge);
                 log_traffic(&edge);
--- a/crates/thistlesill-edge/src/figures.rs
+++ b/crates/thistlesill-edge/src/figures.rs
@@ -69,7 +69,7 @@
 /// Counts the decision on a request of a service that ranks its callers.
 pub(crate) fn record_decision(ranking: &Ranking) {
     let ground = ranking.ground_name().unwrap_or("none");
-    let decision = ranking.decision_name();
+    let decision = ranking.decision.name();
     metrics::counter!("thistlesill_edge_decisions_total", "decision" => decision, "ground" => ground)
         .increment(1);
     if let Some(standing) = ranking.standing_name() {
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -14,8 +14,9 @@
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
 use thistlesill_policy::edge::owner::Scope;
 use thistlesill_policy::edge::ranked::is_early_enough;
+use thistlesill_policy::edge::returns::Standing;
 use thistlesill_policy::edge::shortage::{
-    AdmissionDecision, Ground, Prospect, RankedRequest, ShortageTable,
+    AdmissionDecision, Prospect, RankedRequest, ShortageTable,
 };
 
 use crate::choice::{Choice, Overload, TargetQuery};
@@ -24,12 +25,20 @@
 
 /// Fixed seed, since all daemons must compute the same key for all attempts of one caller.
 const KEY_SECRETS: RapidSecrets = RapidSecrets::seed(0x7468_6973_746c_6502);
+
 /// The decisions of this daemon, as an owner or alone.
 #[derive(Debug, Default)]
 pub(crate) struct RankingState {
     table: RefCell<ShortageTable>,
 }
 
+impl RankingState {
+    /// Drops the state of scopes that this daemon no longer decides for.
+    pub(crate) fn retain(&self, now: Millis) {
+        self.table.borrow_mut().retain(now);
+    }
+}
+
 /// The decision on a request, which an owner's reply carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Ranking {
@@ -37,6 +46,8 @@
     /// Predicted time of the first event, at the target of the request or, if it is refused, at the
     /// target that would begin it first.
     pub(crate) begin: Millis,
+    /// Whether the caller was refused before and has kept its booked time.
+    pub(crate) standing: Standing,
 }
 
 impl Ranking {
@@ -48,37 +59,19 @@
         in_time.then(|| self.begin.get() as f64)
     }
 
-    /// Returns the name of the decision in logs and metrics.
-    pub(crate) const fn decision_name(&self) -> &'static str {
-        match self.decision {
-            AdmissionDecision::InTime => "in_time",
-            AdmissionDecision::Late => "late",
-            AdmissionDecision::Refuse { .. } => "refused",
-        }
-    }
-
     /// Returns the name of the ground in logs and metrics, if the request is refused.
     pub(crate) const fn ground_name(&self) -> Option<&'static str> {
         match self.decision {
             AdmissionDecision::InTime | AdmissionDecision::Late => None,
-            AdmissionDecision::Refuse { ground, .. } => Some(match ground {
-                Ground::LessUrgent => "less_urgent",
-                Ground::OverShare => "over_share",
-                Ground::NoRoom => "no_room",
-                Ground::Early => "early",
-            }),
+            AdmissionDecision::Refuse { ground, .. } => Some(ground.name()),
         }
     }
 
-    /// Returns the name of the caller's standing in logs and metrics, as far as the decision tells
-    /// it: a caller that came before its booked time is refused for that.
+    /// Returns the name of the caller's standing in logs and metrics, if the caller returned.
     pub(crate) const fn standing_name(&self) -> Option<&'static str> {
-        match self.decision {
-            AdmissionDecision::Refuse {
-                ground: Ground::Early,
-                ..
-            } => Some("early"),
-            _ => None,
+        match self.standing {
+            Standing::New => None,
+            Standing::Kept | Standing::Early => Some(self.standing.name()),
         }
     }
 
@@ -146,10 +139,12 @@
     let delay = loads.delay(first);
     metrics::histogram!("thistlesill_edge_first_event_delay_ms").record(delay);
     let mut table = edge.ranking.table.borrow_mut();
+    let standing = table.standing(scope, ranked.key, now);
     let decision = table.decide(scope, ranked, prospect, now);
     let ranking = |begin: f64| Ranking {
         decision,
         begin: Millis::new(begin as u64),
+        standing,
     };
     if let Some(overload) = ranking(prospect.begin).overload() {
         return (Choice::Overloaded(overload), Some(ranking(prospect.begin)));
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -296,7 +296,7 @@
             .maybe("peer", self.peer.as_ref())
             .maybe("placed", self.placed.map(PlacedBy::name))
             .maybe("urgency", urgency)
-            .maybe("decision", ranking.map(Ranking::decision_name))
+            .maybe("decision", ranking.map(|r| r.decision.name()))
             .maybe("ground", ranking.and_then(Ranking::ground_name))
             .maybe("begin_ms", ranking.map(|r| r.begin.get()))
             .maybe("return", ranking.and_then(Ranking::standing_name))
--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
 use thistlesill_core::Millis;
 
 use super::shortage::{RankedRequest, Urgency};
@@ -36,7 +37,7 @@
 const MAX_DROPS: usize = 16;
 
 /// Whether a caller has a booking, and whether it has kept it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// The caller has no booking.
     New,
