fix(policy): while a scope has room, its requests go where and as those of other services do

While a target was below 60% of its slots, a request with a prediction beyond its objective was sent at the lowest priority, to the target that begins it first. Owners with equal knowledge also chose the same target.

--- a/crates/thistlesill-policy/src/edge/ranked.rs
+++ b/crates/thistlesill-policy/src/edge/ranked.rs
@@ -15,16 +15,12 @@
 /// Returns whether a request may go to the target of the usual choice, where it would begin after
 /// `begin` milliseconds, instead of to the target of its prospect.
 ///
-/// A scope with room caps no objective, so any target will do that is in time.
+/// In a scope with room the usual choice stands: it spreads requests, while the target of the prospect
+/// is the same one for all owners with equal knowledge.
 #[must_use]
 pub fn is_early_enough(begin: f64, prospect: &Prospect, aim: Millis) -> bool {
-    let aim = aim.get() as f64;
-    let latest = if prospect.has_room {
-        aim
-    } else {
-        aim.min(prospect.begin + MAX_DELAY_MS)
-    };
-    begin <= latest
+    let latest = (aim.get() as f64).min(prospect.begin + MAX_DELAY_MS);
+    prospect.has_room || begin <= latest
 }
 
 /// Returns the value of the header `Priority` for a request, by the decision that admitted it.
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -273,11 +273,8 @@
         let first = self.returns.first(request.key, now);
         let aim = request.aim - first.map_or(Millis::ZERO, |first| now - first);
         if prospect.has_room {
-            return if begins_within(aim) {
-                Verdict::InTime
-            } else {
-                Verdict::Late
-            };
+            // Nothing competes with the request, whatever its prediction.
+            return Verdict::InTime;
         }
         let cap = self.kinds.cap(request.urgency, now);
         let capped = cap.map_or(aim, |cap| cap.min(aim));
