fix(policy): far targets are chosen where they begin clearly earlier, by load

A request whose near targets were all predicted to begin it late went to a random far one that is predicted in time, by counts that are 250 ms old: with most of a short objective spent at idle targets, that was the case all the time, and where a data centre is evacuated every target is far. A far target must now begin the request 25 ms earlier, as for the usual choice, and the better of two random ones is taken. The prospect counts the same penalty.

--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -11,7 +11,6 @@
 use std::sync::LazyLock;
 
 use rand::RngExt;
-use rand::seq::IndexedRandom;
 use thistlesill_core::edge::{Engine, Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
 
@@ -404,6 +403,14 @@
         begin.map_or(0.0, |begin| begin + self.delay(target))
     }
 
+    /// Returns the prediction with the penalty for a target in another data centre, whose load is
+    /// known less precisely.
+    fn predict_from(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
+        let is_far = target.hall != *request.hall;
+        let penalty = if is_far { FAR_PENALTY_MS } else { 0.0 };
+        self.predict(target, request, now) + penalty
+    }
+
     /// Returns the predicted time until a request would have its first event at a target that has no
     /// other one, in milliseconds.
     fn predict_idle(
@@ -452,7 +459,7 @@
         let engine = request.engine?;
         let usable = |t: &&&Target| !self.is_suspect(&t.id, now) && !self.is_full(&t.id, now);
         let usable = candidates.iter().filter(usable);
-        let predicted = usable.map(|t| (self.predict(t, request, now), *t));
+        let predicted = usable.map(|t| (self.predict_from(t, request, now), *t));
         let (begin, target) = predicted.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let prospect = Prospect {
             begin,
@@ -566,8 +573,9 @@
         best.map(|(_, target)| target)
     }
 
-    /// Draws one of the `far` targets that begin the request within its objective, if no `near` one
-    /// does. The draw is random, so that daemons with equal knowledge do not all pick one target.
+    /// Picks the best of a small sample of the `far` targets that begin the request within its
+    /// objective, if no `near` one does. The sample is random, so that daemons with equal knowledge
+    /// do not all pick one target.
     fn pick_far_in_time<'a>(
         &self,
         near: &[&'a Target],
@@ -576,12 +584,19 @@
         now: Millis,
         rng: &mut impl rand::Rng,
     ) -> Option<&'a Target> {
-        let (aim, _) = (request.aim?.get() as f64, request.engine?);
-        let in_time = |t: &Target| self.predict(t, request, now) <= aim * LATE_RATIO;
-        if near.iter().any(|t| in_time(t)) {
+        let aim = request.aim?.get() as f64 * LATE_RATIO;
+        request.engine?;
+        let begins = near.iter().map(|t| self.predict(t, request, now));
+        let earliest = begins.min_by(f64::total_cmp)?;
+        if earliest <= aim {
             return None;
         }
-        only(far, in_time).choose(rng).copied()
+        let latest = aim.min(earliest - FAR_PENALTY_MS);
+        let in_time = only(far, |t| self.predict(t, request, now) <= latest);
+        let sample = draw(&in_time, FAR_SAMPLES, rng).into_iter();
+        let expected = sample.map(|t| (self.expected_ms(t, request, now), t));
+        let best = expected.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, target)| target)
     }
 
     fn entry(&mut self, id: &TargetId) -> &mut TargetLoad {
