--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -64,7 +64,7 @@
             engine: self.service.engine.as_ref(),
             prompt: self.prompt,
             hall,
-            aim: Some(self.aim),
+            aim: None,
         }
     }
 
--- a/crates/thistlesill-policy/src/edge/asked.rs
+++ b/crates/thistlesill-policy/src/edge/asked.rs
@@ -14,7 +14,7 @@
 use thistlesill_core::edge::Engine;
 use thistlesill_core::{Millis, Model, ServiceName};
 
-use super::fleet::FLOOR_RATIO;
+use super::fleet::{FLOOR_RATIO, TARGET_UTILIZATION};
 use super::shortage::Urgency;
 
 /// Time constant of the moving averages, in milliseconds: long enough that some hundred requests
@@ -25,9 +25,9 @@
 /// Where callers are ranked, refused requests count in full: models get groups in the order of
 /// urgency, and half of the demand would leave a more urgent model without groups that it needs.
 const REFUSED_WEIGHT: f64 = 0.5;
-/// Ratio of its slots that a group has taken at the utilization that groups are planned for; a token
-/// step takes longer the more requests run.
-const PLANNED_OCCUPANCY: f64 = 0.6;
+/// Ratio of a group's slots that may be taken. It is higher than the ratio of computing time: a
+/// request waits for a slot only if all are taken, and for computing time behind each prompt.
+const SLOT_UTILIZATION: f64 = 0.75;
 /// Work below this fraction of a group is not reported: it would round to zero.
 const MIN_REPORTED_WORK: f64 = 0.001;
 
@@ -72,11 +72,12 @@
         let read = f64::from(self.prompt) / engine.read_rate.max(1.0) * 1_000.0;
         let answer = self.answer.map_or(engine.mean_answer, |t| t as f64);
         let slots = f64::from(engine.slots.max(1));
-        let step = engine.step + engine.step_each * PLANNED_OCCUPANCY * slots;
+        let step = engine.step + engine.step_each * SLOT_UTILIZATION * slots;
+        let planned = slots * SLOT_UTILIZATION / TARGET_UTILIZATION;
         let scale = self.weight() * plan.pace;
         Some(Usage {
             computing: scale * (read + answer * engine.step_each),
-            slots: scale * (read + answer * step) / slots,
+            slots: scale * (read + answer * step) / planned,
         })
     }
 }
@@ -85,7 +86,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Usage {
     computing: f64,
-    /// Time in which slots are taken, divided by their number.
+    /// Time in which slots are taken, divided by their number, on the scale of computing time: the
+    /// same value calls for the same number of groups.
     slots: f64,
 }
 
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -27,9 +27,9 @@
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
-pub(crate) use self::demand::FLOOR_RATIO;
 use self::demand::TargetCounts;
 pub use self::demand::{Demand, capacity_ratio};
+pub(crate) use self::demand::{FLOOR_RATIO, TARGET_UTILIZATION};
 use self::forming::PlannedGroup;
 use self::loads::LoadRate;
 pub use self::release::LateJoins;
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -20,7 +20,7 @@
 const MAX_GROUPED_RATIO: f64 = 0.9;
 /// Ratio of a group's time that requests may occupy while answers still begin in time. At 0.6 a
 /// prompt waits about as long as the prefill of one other prompt takes.
-const TARGET_UTILIZATION: f64 = 0.6;
+pub(crate) const TARGET_UTILIZATION: f64 = 0.6;
 /// Ratio of what a model needs that it keeps while more urgent models lack groups, so that no kind of
 /// request starves.
 pub(crate) const FLOOR_RATIO: f64 = 0.25;
