--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -58,13 +58,13 @@
         }
     }
 
-    /// Returns what the load table is asked.
-    pub(crate) fn pick_request<'a>(&'a self, hall: &'a HallId) -> PickRequest<'a> {
+    /// Returns what the load table is asked; `ranks` tells whether the service ranks its callers.
+    pub(crate) fn pick_request<'a>(&'a self, hall: &'a HallId, ranks: bool) -> PickRequest<'a> {
         PickRequest {
             engine: self.service.engine.as_ref(),
             prompt: self.prompt,
             hall,
-            aim: None,
+            aim: ranks.then_some(self.aim),
         }
     }
 
@@ -194,7 +194,9 @@
             Err(wait) => return Choice::Unavailable(wait),
         };
         let settings = self.settings();
-        let request = query.pick_request(&settings.hall);
+        let ranks = self.catalog();
+        let ranks = ranks.is_some_and(|c| c.ranks_callers(&query.service.name));
+        let request = query.pick_request(&settings.hall, ranks);
         let loads = self.loads.borrow();
         if query.first
             && let Some(lateness) = loads.lateness(&untried, &request, query.aim, self.now())
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -130,10 +130,7 @@
         Ok(candidates) => candidates,
         Err(wait) => return (Choice::Unavailable(wait), None),
     };
-    let request = PickRequest {
-        aim: Some(query.aim),
-        ..query.pick_request(&settings.hall)
-    };
+    let request = query.pick_request(&settings.hall, true);
     let loads = edge.loads.borrow();
     let Some((prospect, first)) = loads.prospect(&candidates, &request, now) else {
         let choice = edge.pick_among(&loads, &candidates, &request, knowledge);
