fix(policy): far targets count the delay of the near ones; near ones are not told apart by noise

An owner measures the first events of its own scope, so a target of another data centre seemed to begin each request 140 ms earlier and was preferred whenever the near ones were close to a short objective. Its counts go to another owner, too: measurements there ended with a heartbeat. And the choice among near targets added each one's own average, which differs by some tens of milliseconds between targets that are equally fast; now only what exceeds twice the average of the scope counts.

--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -358,7 +358,10 @@
             let now = edge.now();
             let until = now + edge.peer_data_lifetime();
             let mut loads = edge.loads.borrow_mut();
-            let predicted = ranking.and_then(|r| r.measured_prediction());
+            // The counts of requests in other data centres go to the owners there.
+            let is_near = target.hall == edge.settings().hall;
+            let predicted = ranking.filter(|_| is_near);
+            let predicted = predicted.and_then(|r| r.measured_prediction());
             loads.add_granted(
                 &request.from,
                 &target,
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -400,7 +400,7 @@
     /// were observed to take beyond that.
     pub fn predict(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
         let begin = self.begin_ms(target, request, now);
-        begin.map_or(0.0, |begin| begin + self.delay(target))
+        begin.map_or(0.0, |begin| begin + self.delay_seen_from(target, request))
     }
 
     /// Returns the prediction with the penalty for a target in another data centre, whose load is
@@ -425,7 +425,31 @@
             unread: request.prompt,
         };
         let begin = Pass::of(target, engine, alone).begin(engine, alone);
-        begin * self.slowdown(&target.id, now) + self.delay(target)
+        begin * self.slowdown(&target.id, now) + self.delay_seen_from(target, request)
+    }
+
+    /// Returns the delay of a target, or that of the same model in the own data centre if none is
+    /// known. An owner measures the targets of its own scope; without their delay, those of other
+    /// data centres would seem to begin every request earlier.
+    fn delay_seen_from(&self, target: &Target, request: &PickRequest<'_>) -> f64 {
+        let delay = self.delay(target);
+        if delay > 0.0 || target.hall == *request.hall {
+            return delay;
+        }
+        let near = Scope {
+            hall: request.hall.clone(),
+            ..Scope::of(target)
+        };
+        self.first_events.scope_delay(&near)
+    }
+
+    /// Returns the part of a target's delay by which it is slower than others of its scope.
+    ///
+    /// The averages of targets that are equally fast differ by some tens of milliseconds, which is
+    /// more than what one request adds to the load of a target.
+    fn excess_delay(&self, target: &Target) -> f64 {
+        let usual = self.first_events.scope_delay(&Scope::of(target));
+        (self.delay(target) - SLOW_RATIO * usual).max(0.0)
     }
 
     /// Returns the time in milliseconds that first events of a target take beyond the published time.
@@ -489,7 +513,7 @@
         work.unread += request.prompt;
         let pass = Pass::of(target, engine, work);
         let duration = pass.begin(engine, work) + ANSWER_WEIGHT * pass.answer(engine);
-        far + duration * self.slowdown(&target.id, now) + self.delay(target)
+        far + duration * self.slowdown(&target.id, now) + self.excess_delay(target)
     }
 
     /// Returns how much later than `aim` a request would begin at the best target if all targets
--- a/crates/thistlesill-policy/tests/edge/room.rs
+++ b/crates/thistlesill-policy/tests/edge/room.rs
@@ -394,3 +394,32 @@
     }
     assert!(loads.delay(&other) < 1.0, "another data centre");
 }
+
+/// An owner measures its own scope only. Targets of other data centres seemed to begin each request
+/// earlier by the whole delay, so that requests went there without a reason.
+#[test]
+fn far_targets_without_measurements_have_the_delay_of_the_near_ones() {
+    let (near, mut far) = (leader("a"), leader("b"));
+    far.hall = "other".into();
+    let mut loads = LoadTable::default();
+    let mut now = Millis::new(1_000);
+    for _ in 0..6 {
+        loads.begin(&near, PROMPT, Some(40.0 + loads.delay(&near)), now);
+        now = now + Millis::new(180);
+        loads.end_prefill(&near.id, PROMPT, now);
+        loads.end(&near.id);
+    }
+    let (engine, hall) = (engine(), near.hall.clone());
+    let request = PickRequest {
+        engine: Some(&engine),
+        prompt: PROMPT,
+        hall: &hall,
+        aim: None,
+    };
+    let [a, b] = [&near, &far].map(|target| loads.predict(target, &request, now));
+    assert!(a > 140.0 && (a - b).abs() < 1.0, "{a} {b}");
+    let (prospect, first) = loads
+        .prospect(&[&far, &near], &request, now)
+        .expect("both are usable");
+    assert_eq!((first.id.clone(), prospect.begin), (near.id.clone(), a));
+}
