fix(edge): a ranked caller keeps its data centre while its own is evacuated; no prediction of another target

While a data centre is evacuated its daemons drew another one for each request, so a caller that returned at its booked time often reached an owner that had not refused it. The data centre now follows from the caller's key. And where the target of the decision was replaced, for a limit or because it is not known here, the first event at the new one was compared with the prediction for the other.

--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -106,6 +106,9 @@
     pub(crate) clearance: Clearance,
     /// The decision on the request by its rank, if that was due.
     pub(crate) ranking: Option<Ranking>,
+    /// Predicted time of the first event, in milliseconds, if the observed one is to be compared
+    /// with it.
+    pub(crate) predicted: Option<f64>,
 }
 
 /// The daemon that chose the target of an attempt.
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -216,10 +216,10 @@
             ..self.query(tried)
         };
         let pick = place::pick(&self.edge, query).await;
+        self.predicted.set(pick.predicted);
         if let (Some(urgency), Some(ranking)) = (self.urgency, &pick.ranking) {
             self.priority
                 .set(engine_priority(urgency, ranking.decision));
-            self.predicted.set(ranking.measured_prediction());
             if ranking.decision == AdmissionDecision::Late {
                 self.late_begin.set(ranking.begin);
             }
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -10,7 +10,7 @@
 
 use rand::seq::IndexedRandom;
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::{HallId, Millis, NodeId};
+use thistlesill_core::{HallId, Millis, NodeId, rendezvous};
 use thistlesill_policy::edge::limit::{Clearance, Grant};
 use thistlesill_policy::edge::load::{Knowledge, Work};
 use thistlesill_policy::edge::owner::{OwnerHealth, Scope};
@@ -65,6 +65,9 @@
     permit: Permit,
     by: PlacedBy,
     ranking: Option<Ranking>,
+    /// Predicted time of the first event at the chosen target, in milliseconds, if the observed one
+    /// is to be compared with it.
+    predicted: Option<f64>,
 }
 
 /// Returns whether this daemon may own scopes.
@@ -127,6 +130,7 @@
                 by,
                 clearance,
                 ranking,
+                predicted: placed.predicted,
             };
         }
     }
@@ -135,6 +139,7 @@
         by,
         clearance: Clearance::Unlimited,
         ranking,
+        predicted: None,
     }
 }
 
@@ -161,6 +166,7 @@
             permit,
             by: PlacedBy::Owner,
             ranking: reply.ranking,
+            predicted: reply.ranking.and_then(|r| r.measured_prediction()),
         };
     }
     if reply.ranking.is_none() {
@@ -188,12 +194,14 @@
         permit: Permit::NotNeeded,
         by,
         ranking,
+        predicted: ranking.and_then(|r| r.measured_prediction()),
     }
 }
 
 /// Returns the data centre whose owner places a request: this daemon's, or while that one is
 /// evacuated another one, drawn in proportion to the targets that serve there. An owner knows the
-/// load of its own data centre exactly, and of others only what it last received.
+/// load of its own data centre exactly, and of others only what it last received. A caller that is
+/// ranked gets the same data centre each time, since only the owner that refused it knows its booking.
 fn placing_hall(edge: &Edge, asking: &TargetQuery<'_>) -> HallId {
     let hall = edge.settings().hall.clone();
     let book = edge.registry.borrow();
@@ -201,7 +209,13 @@
         return hall;
     }
     let serving = book.serving(&asking.service.name, asking.served_model());
-    let drawn = serving.choose(&mut *edge.rng.borrow_mut());
+    let drawn = match &asking.ranked {
+        Some(ranked) => {
+            let key = ranked.key.to_string();
+            rendezvous::first_item(serving.iter(), |target| target.id.as_str(), &key)
+        }
+        None => serving.choose(&mut *edge.rng.borrow_mut()),
+    };
     drawn.map_or(hall, |target| target.hall.clone())
 }
 
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -234,6 +234,7 @@
         by,
         clearance,
         ranking,
+        predicted: _,
     } = job.pick(&tried.targets, attempts).await;
     track.placed(by);
     if let Some(ranking) = ranking {
