refactor: split the largest modules of admission under overload

Cause: load.rs, quarantine.rs, peers.rs, place.rs, soak.rs and the tests of admission had grown past what reads well in one file. Change: prospects and choice, checks, demand reports, answers of owners, the overload load of the soak and the model of the tests each have a file of their own; no behaviour changes.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -4,27 +4,24 @@
 //! Losses, successes and verdicts go to all daemons in datagrams. Heartbeats carry a digest of the
 //! verdicts, so that a daemon that missed some asks for them. Each withheld request is also a row
 //! in the store, in case all daemons are lost at once. After a first verdict the lost engines are asked
-//! for their reports ([`check_losses`]).
+//! for their reports ([`checks`]).
+
+mod checks;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::{Incarnation, Target, TargetId};
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
-use thistlesill_net::lane::within;
-use thistlesill_platform::engine;
-use thistlesill_policy::quarantine::{
-    AnswerPhase, LossCheck, LossEffect, MIN_CHECK_DELAY, Quarantine, QuarantineStatus, Refutation,
-};
+use thistlesill_policy::quarantine::{AnswerPhase, LossEffect, Quarantine, QuarantineStatus};
 use tokio::sync::Notify;
 
+pub(crate) use self::checks::{check_losses, receive_refutations};
 use crate::job::Job;
 use crate::peers::packet::{Packet, PartLoss};
 use crate::peers::{Reach, link};
@@ -36,11 +33,6 @@
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of updates in one datagram; 60 bytes each.
 const MAX_PER_DATAGRAM: usize = 100;
-/// Maximum number of refutations in one datagram; up to 300 bytes each.
-const MAX_REFUTATIONS_PER_DATAGRAM: usize = 20;
-/// How long a lost engine has to answer a request for its report; a healthy one answers within some
-/// milliseconds.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of verdicts in a reply to a peer that asks for them; 30 bytes each.
 const MAX_PER_REPLY: usize = 200;
 /// Shortest interval between two requests for the verdicts of peers.
@@ -152,23 +144,6 @@
         self.send.notify_one();
     }
 
-    /// Queues what a first verdict is on for the check of the targets that were lost under it.
-    fn queue_check(&self, print: Fingerprint, now: Millis) {
-        if self.known.borrow().losses_to_check(print, now).is_empty() {
-            return;
-        }
-        let due = now + MIN_CHECK_DELAY;
-        self.unchecked.borrow_mut().push_back((due, print));
-        self.check.notify_one();
-    }
-
-    /// Takes what may be checked at a time.
-    fn take_due_checks(&self, now: Millis) -> Vec<Fingerprint> {
-        let mut unchecked = self.unchecked.borrow_mut();
-        let due = unchecked.iter().take_while(|(due, _)| *due <= now).count();
-        unchecked.drain(..due).map(|(_, print)| print).collect()
-    }
-
     /// Queues a verdict for the store, where it outlasts all daemons.
     fn store(&self, verdict: Verdict) {
         let mut unwritten = self.unwritten.borrow_mut();
@@ -342,109 +317,6 @@
     }
 }
 
-/// Asks the engines that were lost under requests with a first verdict of this daemon for their
-/// reports; never returns.
-pub(crate) async fn check_losses(edge: Rc<Edge>) {
-    loop {
-        let next = edge.quarantine.unchecked.borrow().front().copied();
-        let Some((due, _)) = next else {
-            edge.quarantine.check.notified().await;
-            continue;
-        };
-        edge.alarm.sleep_until(due).await;
-        // Requests that were lost with the same targets share the checks.
-        tokio::time::sleep(BATCH_DELAY).await;
-        let prints = edge.quarantine.take_due_checks(edge.now());
-        tokio::task::spawn_local(check_batch(edge.clone(), prints));
-    }
-}
-
-/// Asks each engine that was lost under some requests once, and removes the losses that the answers
-/// refute.
-async fn check_batch(edge: Rc<Edge>, prints: Vec<Fingerprint>) {
-    let now = edge.now();
-    let lost: BTreeSet<TargetId> = {
-        let known = edge.quarantine.known.borrow();
-        let losses = prints.iter().flat_map(|p| known.losses_to_check(*p, now));
-        losses
-            .filter(|(_, since)| now >= *since)
-            .map(|(target, _)| target)
-            .collect()
-    };
-    let checks = join_all(lost.into_iter().map(|target| check_loss(&edge, target))).await;
-    let refuted: Vec<Refutation<TargetId>> = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        let refuted = prints.iter().map(|p| known.refute(*p, &checks, edge.now()));
-        refuted.flatten().collect()
-    };
-    for refutation in &refuted {
-        note_refuted(&edge, refutation);
-    }
-    for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
-        link::broadcast(&edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
-    }
-    // Some targets may have been lost after the verdict, or again while they were asked.
-    for print in prints {
-        edge.quarantine.queue_check(print, edge.now());
-    }
-}
-
-/// Asks a lost target for its report, if it is an engine and listed under the same incarnation.
-async fn check_loss(edge: &Edge, lost: TargetId) -> LossCheck<TargetId> {
-    let begun = edge.now();
-    let answered = match engine_address(edge, &lost) {
-        Some(address) => engine::fetch_report(&lost, address, within(REPORT_TIMEOUT))
-            .await
-            .ok()
-            .map(|report| report.incarnation),
-        None => None,
-    };
-    // Engines that name no incarnation may have started again.
-    let answered = answered.filter(|incarnation| *incarnation != Incarnation::default());
-    let answered = answered.map(|i| TargetId::new(lost.instance().clone(), i));
-    LossCheck {
-        lost,
-        begun,
-        answered,
-    }
-}
-
-/// Returns the address of a target that runs models.
-fn engine_address(edge: &Edge, target: &TargetId) -> Option<SocketAddr> {
-    let registry = edge.registry.borrow();
-    let target = registry.target(target)?;
-    let catalog = edge.catalog()?;
-    let service = catalog.service(&target.service)?;
-    service.engine.is_some().then_some(target.address)
-}
-
-/// Logs the losses that this daemon refuted, and stores the verdict that is withdrawn by that.
-fn note_refuted(edge: &Edge, refuted: &Refutation<TargetId>) {
-    let count = refuted.targets.len();
-    metrics::counter!("thistlesill_edge_refuted_losses_total").increment(count as u64);
-    let line = edge
-        .lines
-        .line("losses_refuted")
-        .with("print", refuted.print);
-    line.with("targets", count).write();
-    if let Some(verdict) = refuted.withdrawn {
-        log_verdict(edge, &verdict, "reports of lost targets", None);
-        edge.quarantine.store(verdict);
-    }
-}
-
-/// Applies the refuted losses that a peer sent.
-pub(crate) fn receive_refutations(edge: &Edge, refuted: &[Refutation<TargetId>]) {
-    let now = edge.now();
-    let mut known = edge.quarantine.known.borrow_mut();
-    for refutation in refuted {
-        let is_withdrawn = known.receive_refutation(refutation, now);
-        if let Some(verdict) = refutation.withdrawn.filter(|_| is_withdrawn) {
-            log_verdict(edge, &verdict, "a peer", None);
-        }
-    }
-}
-
 /// Applies the losses that a peer observed. The daemon that observed the deciding loss sends the
 /// verdict.
 pub(crate) fn receive_losses(edge: &Edge, lost: &[(Fingerprint, TargetId)]) {
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -3,38 +3,28 @@
 //! A daemon counts the requests that it has at each target and adds the counts that its peers
 //! report. Targets that stopped making progress are avoided until they make progress again.
 
+mod choice;
 mod pass;
 mod peers;
+mod prospect;
 mod work;
 
 use std::collections::HashMap;
 use std::sync::LazyLock;
 
-use rand::RngExt;
 use thistlesill_core::edge::{Engine, Target, TargetId};
 use thistlesill_core::{HallId, Millis, NodeId};
 
 use self::pass::Pass;
 use self::peers::PeerCounts;
 pub use self::work::Work;
-use super::owner::Scope;
 use super::room::FirstEvents;
-use super::shortage::Prospect;
 
 /// Name under which this daemon's own requests are measured; no peer has it.
 static OWN: LazyLock<NodeId> = LazyLock::new(|| NodeId::new(""));
-/// Number of targets sampled in the own data centre to pick the best of, by a daemon that knows the
-/// load of other daemons only from older reports.
-const NEAR_SAMPLES: usize = 4;
-/// Number of targets sampled in other data centres, in addition. Their load is known less
-/// precisely, and daemons with the same knowledge should not all pick the same target.
-const FAR_SAMPLES: usize = 2;
 /// Penalty on the expected time at a target in another data centre, in milliseconds: it stands for
 /// the cost of traffic between data centres, and decides where the waits are about equal.
 const FAR_PENALTY_MS: f64 = 25.0;
-/// Weight of an answer's duration after the first event; the first event and the pauses determine
-/// whether an answer is in time.
-const ANSWER_WEIGHT: f64 = 0.25;
 /// Ratio of a target's slots from which on it counts as busy; no request is refused while any
 /// target is below that.
 const BUSY_RATIO: f64 = 0.6;
@@ -393,129 +383,6 @@
         Millis::new((MAX_SILENT_PAUSES * pass.pause() * slowdown) as u64)
     }
 
-    /// Returns the predicted time until one more request has its first event at a target, in
-    /// milliseconds; 0 for services that run no models.
-    ///
-    /// It is the published time at the observed pace, plus the time that first events of the target
-    /// were observed to take beyond that.
-    pub fn predict(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
-        let begin = self.begin_ms(target, request, now);
-        begin.map_or(0.0, |begin| begin + self.delay_seen_from(target, request))
-    }
-
-    /// Returns the prediction with the penalty for a target in another data centre, whose load is
-    /// known less precisely.
-    fn predict_from(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
-        let is_far = target.hall != *request.hall;
-        let penalty = if is_far { FAR_PENALTY_MS } else { 0.0 };
-        self.predict(target, request, now) + penalty
-    }
-
-    /// Returns the predicted time until a request would have its first event at a target that has no
-    /// other one, in milliseconds.
-    fn predict_idle(
-        &self,
-        target: &Target,
-        engine: &Engine,
-        request: &PickRequest<'_>,
-        now: Millis,
-    ) -> f64 {
-        let alone = Work {
-            requests: 0,
-            unread: request.prompt,
-        };
-        let begin = Pass::of(target, engine, alone).begin(engine, alone);
-        begin * self.slowdown(&target.id, now) + self.delay_seen_from(target, request)
-    }
-
-    /// Returns the delay of a target, or that of the same model in the own data centre if none is
-    /// known. An owner measures the targets of its own scope; without their delay, those of other
-    /// data centres would seem to begin every request earlier.
-    fn delay_seen_from(&self, target: &Target, request: &PickRequest<'_>) -> f64 {
-        let delay = self.delay(target);
-        if delay > 0.0 || target.hall == *request.hall {
-            return delay;
-        }
-        let near = Scope {
-            hall: request.hall.clone(),
-            ..Scope::of(target)
-        };
-        self.first_events.scope_delay(&near)
-    }
-
-    /// Returns the part of a target's delay by which it is slower than others of its scope.
-    ///
-    /// The averages of targets that are equally fast differ by some tens of milliseconds, which is
-    /// more than what one request adds to the load of a target.
-    fn excess_delay(&self, target: &Target) -> f64 {
-        let usual = self.first_events.scope_delay(&Scope::of(target));
-        (self.delay(target) - SLOW_RATIO * usual).max(0.0)
-    }
-
-    /// Returns the time in milliseconds that first events of a target take beyond the published time.
-    pub fn delay(&self, target: &Target) -> f64 {
-        if self.first_events.is_assigned(&target.id) {
-            self.first_events.delay(&target.id)
-        } else {
-            self.first_events.scope_delay(&Scope::of(target))
-        }
-    }
-
-    /// Returns the published time until one more request has its first event at a target, at the
-    /// observed pace.
-    fn begin_ms(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> Option<f64> {
-        let engine = request.engine?;
-        let mut work = self.work(&target.id, now);
-        work.unread += request.prompt;
-        let begin = Pass::of(target, engine, work).begin(engine, work);
-        Some(begin * self.slowdown(&target.id, now))
-    }
-
-    /// Returns the target that is predicted to begin a request first, of those that neither are
-    /// avoided nor refused a request recently; `None` if there is none, or if the service runs no
-    /// models.
-    pub fn prospect<'a>(
-        &self,
-        candidates: &[&'a Target],
-        request: &PickRequest<'_>,
-        now: Millis,
-    ) -> Option<(Prospect, &'a Target)> {
-        let engine = request.engine?;
-        let usable = |t: &&&Target| !self.is_suspect(&t.id, now) && !self.is_full(&t.id, now);
-        let usable = candidates.iter().filter(usable);
-        let predicted = usable.map(|t| (self.predict_from(t, request, now), *t));
-        let (begin, target) = predicted.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
-        let prospect = Prospect {
-            begin,
-            idle: self.predict_idle(target, engine, request, now),
-            slots: engine.slots,
-            requests: self.work(&target.id, now).requests,
-            has_room: self.has_room(candidates, engine, now),
-            open_groups: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
-        };
-        Some((prospect, target))
-    }
-
-    /// Returns the expected duration of one more request at a target, in milliseconds, with the
-    /// penalty for another data centre.
-    fn expected_ms(&self, target: &Target, request: &PickRequest<'_>, now: Millis) -> f64 {
-        let mut work = self.work(&target.id, now);
-        let far = if target.hall == *request.hall {
-            0.0
-        } else {
-            FAR_PENALTY_MS
-        };
-        let Some(engine) = request.engine else {
-            let slots = f64::from(target.slots.max(1));
-            let duration = self.targets.get(&target.id).map_or(0.0, |l| l.duration);
-            return far + duration.max(1.0) * (1.0 + f64::from(work.requests) / slots);
-        };
-        work.unread += request.prompt;
-        let pass = Pass::of(target, engine, work);
-        let duration = pass.begin(engine, work) + ANSWER_WEIGHT * pass.answer(engine);
-        far + duration * self.slowdown(&target.id, now) + self.excess_delay(target)
-    }
-
     /// Returns how much later than `aim` a request would begin at the best target if all targets
     /// are busy; `None` if the request may be sent.
     ///
@@ -559,86 +426,7 @@
         !self.peers.is_empty()
     }
 
-    /// Picks the best of `candidates`, as far as `knowledge` allows. Targets that refused a request
-    /// recently are picked only if there is no other, and avoided ones last.
-    pub fn pick<'a>(
-        &self,
-        candidates: &[&'a Target],
-        request: &PickRequest<'_>,
-        knowledge: Knowledge,
-        now: Millis,
-        rng: &mut impl rand::Rng,
-    ) -> Option<&'a Target> {
-        let healthy = only(candidates, |t| !self.is_suspect(&t.id, now));
-        let free = only(&healthy, |t| !self.is_full(&t.id, now));
-        let pool = match (free.is_empty(), healthy.is_empty()) {
-            (false, _) => &free,
-            (true, false) => &healthy,
-            (true, true) => candidates,
-        };
-        if pool.is_empty() {
-            return None;
-        }
-        let (near, far): (Vec<&Target>, Vec<&Target>) =
-            pool.iter().copied().partition(|t| t.hall == *request.hall);
-        if let Some(target) = self.pick_far_in_time(&near, &far, request, now, rng) {
-            return Some(target);
-        }
-        let near_samples = match knowledge {
-            Knowledge::Exact => near.len(),
-            Knowledge::Stale => NEAR_SAMPLES,
-        };
-        let mut sample = draw(&near, near_samples, rng);
-        sample.extend(draw(&far, FAR_SAMPLES, rng));
-        let expected = sample
-            .into_iter()
-            .map(|t| (self.expected_ms(t, request, now), t));
-        let best = expected.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, target)| target)
-    }
-
-    /// Picks the best of a small sample of the `far` targets that begin the request within its
-    /// objective, if no `near` one does. The sample is random, so that daemons with equal knowledge
-    /// do not all pick one target.
-    fn pick_far_in_time<'a>(
-        &self,
-        near: &[&'a Target],
-        far: &[&'a Target],
-        request: &PickRequest<'_>,
-        now: Millis,
-        rng: &mut impl rand::Rng,
-    ) -> Option<&'a Target> {
-        let aim = request.aim?.get() as f64 * LATE_RATIO;
-        request.engine?;
-        let begins = near.iter().map(|t| self.predict(t, request, now));
-        let earliest = begins.min_by(f64::total_cmp)?;
-        if earliest <= aim {
-            return None;
-        }
-        let latest = aim.min(earliest - FAR_PENALTY_MS);
-        let in_time = only(far, |t| self.predict(t, request, now) <= latest);
-        let sample = draw(&in_time, FAR_SAMPLES, rng).into_iter();
-        let expected = sample.map(|t| (self.expected_ms(t, request, now), t));
-        let best = expected.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, target)| target)
-    }
-
     fn entry(&mut self, id: &TargetId) -> &mut TargetLoad {
         self.targets.entry(id.clone()).or_default()
     }
 }
-
-/// Returns the targets for which `pass` is true.
-fn only<'a>(targets: &[&'a Target], pass: impl Fn(&Target) -> bool) -> Vec<&'a Target> {
-    targets.iter().copied().filter(|t| pass(t)).collect()
-}
-
-/// Draws up to `count` targets, from a random start and with a random stride that spreads them over
-/// the list.
-fn draw<'a>(pool: &[&'a Target], count: usize, rng: &mut impl rand::Rng) -> Vec<&'a Target> {
-    let length = pool.len().max(1);
-    let start = rng.random_range(0..length);
-    let stride = 1 + rng.random_range(0..(length / count.max(1)).max(1));
-    let sample = (0..count.min(pool.len())).map(|i| pool[(start + i * stride) % length]);
-    sample.collect()
-}
