fix(edge): refused callers are known to all owners of their service and model

Cause: a retry mostly reaches another data centre, whose owner took it for a new caller: its booking was lost and its objective counted from the second attempt; a killed owner's bookings were lost, too. A kind was refused only after it was ahead of a more urgent one; unbooked retry times overlapped with bookings or were all the same. Change: owners report refused and served callers to the other owners (RefusedCallers, batches of 50 ms), and to the daemon that takes over; a kind is refused if this request would put it ahead; unbooked times begin behind the last time that can be booked and are spread also after the deadline.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -189,6 +189,7 @@
     tokio::task::spawn_local(peers::link::run(edge.clone()));
     tokio::task::spawn_local(peers::transfer::serve(edge.clone()));
     tokio::task::spawn_local(peers::place::run(edge.clone()));
+    tokio::task::spawn_local(peers::callers::run(edge.clone()));
     tokio::task::spawn_local(follow::run(edge.clone()));
     tokio::task::spawn_local(quarantine::send_updates(edge.clone()));
     tokio::task::spawn_local(limits::run(edge.clone()));
--- a/crates/thistlesill-edge/src/peers.rs
+++ b/crates/thistlesill-edge/src/peers.rs
@@ -3,6 +3,7 @@
 //!
 //! Datagrams may be lost; a later one makes up for each.
 
+pub(crate) mod callers;
 mod demand;
 pub(crate) mod link;
 pub(crate) mod packet;
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::packet::{DemandReport, Heartbeat, Packet, StoreUse, UrgentDemand};
-use super::{PeerChange, Reach, place};
+use super::{PeerChange, Reach, callers, place};
 use crate::follow;
 use crate::leaving;
 use crate::limits;
@@ -245,6 +245,7 @@
             Ok(Packet::LossesRefuted(refuted)) => {
                 quarantine::receive_refutations(&edge, &refuted);
             }
+            Ok(Packet::RefusedCallers(reports)) => callers::receive(&edge, reports),
             Ok(Packet::Verdicts(verdicts)) => quarantine::receive_verdicts(&edge, &verdicts),
             Ok(Packet::VerdictsRequest(peer)) => quarantine::send_verdicts(&edge, &peer),
             Ok(Packet::Limits(updates)) => limits::receive(&edge, &updates),
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -6,6 +6,7 @@
 use thistlesill_policy::edge::feed::Batch;
 use thistlesill_policy::edge::limit::{Grant, LimitUpdate};
 use thistlesill_policy::edge::load::Work;
+use thistlesill_policy::edge::returns::CallerReport;
 use thistlesill_policy::edge::shortage::RankedRequest;
 use thistlesill_policy::lease::LeaseSnapshot;
 use thistlesill_policy::quarantine::Refutation;
@@ -63,6 +64,9 @@
     PlacedRanked(RankedPlaceReply),
     /// Losses of targets that did not crash; goes to all daemons.
     LossesRefuted(Vec<Refutation<TargetId>>),
+    /// Callers that the sender refused, or served after a refusal; goes to the other owners of the
+    /// same service and model.
+    RefusedCallers(RefusedCallers),
 }
 
 impl Packet {
@@ -91,10 +95,19 @@
             Self::PlaceRanked(_) => "place_ranked",
             Self::PlacedRanked(_) => "placed_ranked",
             Self::LossesRefuted(_) => "losses_refuted",
+            Self::RefusedCallers(_) => "refused_callers",
         }
     }
 }
 
+/// Reports on callers of one service and model.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct RefusedCallers {
+    pub(crate) service: ServiceName,
+    pub(crate) model: Option<Model>,
+    pub(crate) callers: Vec<CallerReport>,
+}
+
 /// A target that was lost while it was starting an answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PartLoss {
--- a/crates/thistlesill-edge/src/peers/roles.rs
+++ b/crates/thistlesill-edge/src/peers/roles.rs
@@ -1,6 +1,6 @@
 //! Which daemon does what for the others, as far as this daemon knows them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use rand::seq::IndexedRandom;
@@ -96,6 +96,12 @@
         owners.map(|(name, _)| name)
     }
 
+    /// Returns the data centres of the known peers.
+    pub(crate) fn halls(&self) -> HashSet<HallId> {
+        let halls = self.known.values().map(|peer| peer.hall.clone());
+        halls.collect()
+    }
+
     /// Returns the peers of all data centres that may own scopes; `own` is this daemon's data
     /// centre.
     pub(crate) fn all_owners(&self, own: &HallId, now: Millis) -> impl Iterator<Item = &NodeId> {
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -14,11 +14,13 @@
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
 use thistlesill_policy::edge::owner::Scope;
 use thistlesill_policy::edge::ranked::is_early_enough;
-use thistlesill_policy::edge::returns::Standing;
+use thistlesill_policy::edge::returns::{CallerReport, Standing};
 use thistlesill_policy::edge::shortage::{
     AdmissionDecision, Prospect, RankedRequest, ShortageTable,
 };
 
+use tokio::sync::Notify;
+
 use crate::choice::{Choice, Overload, TargetQuery};
 use crate::job::Job;
 use crate::state::Edge;
@@ -30,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RankingState {
     table: RefCell<ShortageTable>,
+    /// Notified when other owners have to learn of callers.
+    pub(crate) has_reports: Notify,
 }
 
 impl RankingState {
@@ -37,6 +41,19 @@
     pub(crate) fn retain(&self, now: Millis) {
         self.table.borrow_mut().retain(now);
     }
+
+    /// Returns what other owners have to learn of callers since the last call.
+    pub(crate) fn take_reports(&self, now: Millis) -> Vec<(Scope, CallerReport)> {
+        self.table.borrow_mut().take_reports(now)
+    }
+
+    /// Records what another owner reports of callers of a scope.
+    pub(crate) fn learn(&self, scope: &Scope, reports: Vec<CallerReport>, now: Millis) {
+        let mut table = self.table.borrow_mut();
+        for report in reports {
+            table.learn(scope, report, now);
+        }
+    }
 }
 
 /// The decision on a request, which an owner's reply carries.
@@ -141,6 +158,9 @@
     let mut table = edge.ranking.table.borrow_mut();
     let standing = table.standing(scope, ranked.key, now);
     let decision = table.decide(scope, ranked, prospect, now);
+    if table.has_reports() {
+        edge.ranking.has_reports.notify_one();
+    }
     let ranking = |begin: f64| Ranking {
         decision,
         begin: Millis::new(begin as u64),
--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -14,8 +14,9 @@
 /// Maximum number of bookings per scope. Each takes 88 bytes of content, up to twice that with the
 /// free space in the nodes of the trees.
 pub const MAX_BOOKINGS: usize = 4_096;
-/// Maximum number of callers without a booking that are remembered per scope, at 72 bytes of content.
-const MAX_UNBOOKED: usize = 4_096;
+/// Maximum number of callers that are remembered per scope besides those with a booking here: those
+/// without a booking and those that other owners reported. Each takes 72 bytes of content.
+const MAX_OTHERS: usize = 4_096;
 /// Maximum number of queues; bookings of further urgencies are made in the last queue.
 const MAX_QUEUES: usize = 16;
 /// Time until the first booking: a shorter one would return into the same burst.
@@ -61,12 +62,33 @@
     }
 }
 
+/// What other owners learn of a caller. Times are relative, since the clocks of daemons differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerReport {
+    /// The caller was refused.
+    Refused {
+        /// Hash of the request.
+        key: u64,
+        /// Time since the first refusal.
+        since: Millis,
+        /// Time until the booking, if there is one.
+        booked: Option<Millis>,
+        /// Time until the caller is forgotten.
+        left: Millis,
+    },
+    /// A caller that had been refused is served.
+    Served {
+        /// Hash of the request.
+        key: u64,
+    },
+}
+
 /// A caller that was refused and may return.
 #[derive(Debug, Clone, Copy)]
 struct RefusedCaller {
     /// When its first attempt was refused.
     first: Millis,
-    /// Its booked time, if it has one.
+    /// Its booked time, if it has one, here or at another owner.
     booked: Option<Millis>,
     /// When it is forgotten.
     end: Millis,
@@ -83,11 +105,12 @@
 /// Refused callers of one scope, and their bookings.
 ///
 /// Callers without a booking are remembered, too: the objective counts from the first attempt, and
-/// a caller that returns is not another one.
+/// a caller that returns is not another one. Callers that other owners booked are recognized, but
+/// take no turn in the queues here and are not counted as due.
 #[derive(Debug, Clone, Default)]
 pub struct Returns {
     callers: BTreeMap<u64, RefusedCaller>,
-    /// Booked times, with the keys of the callers.
+    /// Times that were booked here, with the keys of the callers.
     booked: BTreeSet<(Millis, u64)>,
     /// Times at which callers are forgotten, with their keys.
     ends: BTreeSet<(Millis, u64)>,
@@ -132,18 +155,29 @@
         Ok(at - now)
     }
 
-    /// Returns the time until capacity is expected for a caller that gets no booking. One that comes
-    /// before its booked time keeps that time.
+    /// Returns the time until a caller that gets no booking may come back. One that comes before its
+    /// booked time keeps that time.
+    ///
+    /// The times are spread from the latest time that can be booked to the caller's deadline: capacity may
+    /// be free then although none is booked. If the queue ends after the deadline, the time is later
+    /// than the deadline, too, so that the caller knows that nothing will be free.
     pub fn defer(&mut self, request: &RankedRequest, now: Millis) -> Millis {
         if let Some(left) = self.time_to_booking(request.key, now) {
             return left;
         }
-        let earliest = (now + MIN_DELAY).get() as f64;
-        let index = self.queue(request.urgency);
-        let at = self.queues[index].next.max(earliest);
-        let at = Millis::new(self.unbooked_time(at, request, now).ceil() as u64);
         self.remember(request.key, None, now + request.left, now);
-        at - now
+        self.turn = self.turn.wrapping_add(GOLDEN_RATIO);
+        let part = self.turn as f64 / u64::MAX as f64;
+        let index = self.queue(request.urgency);
+        let left = request.left.get() as f64;
+        let queued = self.queues[index].next - now.get() as f64;
+        let after = if queued > left {
+            queued + part * left
+        } else {
+            let earliest = left / WAIT_DIVISOR as f64 + MIN_DELAY.get() as f64;
+            earliest + part * (left - earliest).max(0.0)
+        };
+        Millis::new(after.ceil() as u64)
     }
 
     /// Returns whether a caller has a booking and has kept it.
@@ -169,6 +203,41 @@
         }
     }
 
+    /// Returns what other owners should learn of a caller that was refused or served.
+    pub fn report(&self, key: u64, now: Millis) -> CallerReport {
+        match self.callers.get(&key).filter(|caller| now <= caller.end) {
+            Some(caller) => CallerReport::Refused {
+                key,
+                since: now - caller.first,
+                booked: caller.booked.map(|at| at - now),
+                left: caller.end - now,
+            },
+            None => CallerReport::Served { key },
+        }
+    }
+
+    /// Records what another owner reports of a caller.
+    pub fn learn(&mut self, report: CallerReport, now: Millis) {
+        self.drop_ended(now);
+        match report {
+            CallerReport::Served { key } => self.remove(key),
+            CallerReport::Refused {
+                key,
+                since,
+                booked,
+                left,
+            } => {
+                let first = now - since;
+                let first = self.first(key, now).map_or(first, |known| known.min(first));
+                self.remove(key);
+                if !self.has_too_many_others() {
+                    let (booked, end) = (booked.map(|wait| now + wait), now + left);
+                    self.insert(key, RefusedCaller { first, booked, end });
+                }
+            }
+        }
+    }
+
     /// Returns the number of booked callers that should have returned within the last 150 ms and
     /// have not.
     pub fn due(&self, now: Millis) -> usize {
@@ -198,30 +267,27 @@
     fn remember(&mut self, key: u64, booked: Option<Millis>, end: Millis, now: Millis) {
         let first = self.first(key, now).unwrap_or(now);
         self.remove(key);
-        if booked.is_none() && self.callers.len() - self.booked.len() >= MAX_UNBOOKED {
-            return;
-        }
-        self.callers
-            .insert(key, RefusedCaller { first, booked, end });
-        self.ends.insert((end, key));
         if let Some(at) = booked {
             self.booked.insert((at, key));
+        } else if self.has_too_many_others() {
+            return;
         }
+        self.insert(key, RefusedCaller { first, booked, end });
     }
 
-    /// Returns the retry time of a caller without a booking. The times are spread from the end of the
-    /// queue to the caller's deadline, as it may come back then although nothing is booked.
-    fn unbooked_time(&mut self, at: f64, request: &RankedRequest, now: Millis) -> f64 {
-        self.turn = self.turn.wrapping_add(GOLDEN_RATIO);
-        let part = self.turn as f64 / u64::MAX as f64;
-        let deadline = (now + request.left).get() as f64;
-        at + part * (deadline - at).max(0.0)
+    fn insert(&mut self, key: u64, caller: RefusedCaller) {
+        self.ends.insert((caller.end, key));
+        self.callers.insert(key, caller);
+    }
+
+    fn has_too_many_others(&self) -> bool {
+        self.callers.len() - self.booked.len() >= MAX_OTHERS
     }
 
     fn drop_ended(&mut self, now: Millis) {
         for _ in 0..MAX_DROPS {
             match self.ends.first() {
-                Some((end, key)) if now > *end => self.remove(*key),
+                Some(&(end, key)) if now > end => self.remove(key),
                 _ => return,
             }
         }
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -23,10 +23,10 @@
 use serde::{Deserialize, Serialize};
 use thistlesill_core::{CustomerId, Millis};
 
-use self::kinds::{Attempt, Kinds, Treatment};
+use self::kinds::{Attempt, Kinds, Start, Treatment};
 use self::recent::Recent;
 use super::owner::Scope;
-use super::returns::{Returns, Standing};
+use super::returns::{CallerReport, Returns, Standing};
 
 /// How long after a refusal a scope counts as short: a caller that honours its retry time returns
 /// within about a second.
@@ -47,6 +47,9 @@
 const LATE_PART: f64 = 0.25;
 /// Booked retries per second and open group at least: a group begins several requests per second.
 const MIN_GROUP_RATE: f64 = 2.0;
+/// Maximum number of callers whose reports wait to be sent: more than a daemon refuses in the 50 ms
+/// between two rounds.
+const MAX_UNREPORTED: usize = 4_096;
 /// How long the state of a scope without requests is kept: longer than all times of the rules,
 /// and than the usual delay of a booked retry.
 const SCOPE_RETENTION: Millis = Millis::new(10_000);
@@ -166,6 +169,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ShortageTable {
     scopes: HashMap<Scope, ScopeState>,
+    /// Callers that other owners have to learn of, with their scopes.
+    unreported: Vec<(Scope, u64)>,
 }
 
 impl ShortageTable {
@@ -177,11 +182,43 @@
         prospect: Prospect,
         now: Millis,
     ) -> AdmissionDecision {
-        if let Some(state) = self.scopes.get_mut(scope) {
-            return state.decide(request, &prospect, now);
+        let state = self.scope_mut(scope);
+        let was_known = state.returns.first(request.key, now).is_some();
+        let decision = state.decide(request, &prospect, now);
+        let is_refused = matches!(decision, AdmissionDecision::Refuse { .. });
+        if (was_known || is_refused) && self.unreported.len() < MAX_UNREPORTED {
+            self.unreported.push((scope.clone(), request.key));
         }
-        let state = self.scopes.entry(scope.clone()).or_default();
-        state.decide(request, &prospect, now)
+        decision
+    }
+
+    /// Returns whether other owners have to learn of callers.
+    pub fn has_reports(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// Returns what other owners have to learn of the callers since the last call, by scope.
+    pub fn take_reports(&mut self, now: Millis) -> Vec<(Scope, CallerReport)> {
+        let callers = std::mem::take(&mut self.unreported).into_iter();
+        let report = |(scope, key): (Scope, u64)| {
+            let state = self.scopes.get(&scope)?;
+            Some((scope, state.returns.report(key, now)))
+        };
+        callers.filter_map(report).collect()
+    }
+
+    /// Records what another owner of a scope reports of a caller.
+    pub fn learn(&mut self, scope: &Scope, report: CallerReport, now: Millis) {
+        let state = self.scope_mut(scope);
+        state.last = now;
+        state.returns.learn(report, now);
+    }
+
+    fn scope_mut(&mut self, scope: &Scope) -> &mut ScopeState {
+        if !self.scopes.contains_key(scope) {
+            self.scopes.insert(scope.clone(), ScopeState::default());
+        }
+        self.scopes.get_mut(scope).expect("the scope was inserted")
     }
 
     /// Returns whether a caller has a booking in a scope and has kept it, for logs and metrics;
@@ -231,11 +268,15 @@
         let standing = self.returns.standing(request.key, now);
         let is_new = self.returns.first(request.key, now).is_none();
         let verdict = self.judge(request, prospect, standing, now);
-        let started = !matches!(verdict, Verdict::Refused(_));
+        let start = match verdict {
+            Verdict::InTime => Some(Start::InTime),
+            Verdict::Late => Some(Start::Late),
+            Verdict::Refused(_) => None,
+        };
         let attempt = Attempt {
             is_new,
             is_early: standing == Standing::Early,
-            started,
+            start,
         };
         self.kinds.record(request, attempt, now);
         match verdict {
--- a/crates/thistlesill-policy/src/edge/shortage/kinds.rs
+++ b/crates/thistlesill-policy/src/edge/shortage/kinds.rs
@@ -23,16 +23,30 @@
     /// Callers, each counted at its first attempt.
     callers: Recent,
     started: Recent,
+    /// Those of the started requests that can be in time.
+    in_time: Recent,
     pub(super) shares: FairShares,
 }
 
 impl Kind {
     /// Returns the part of its callers whose requests were started; 1 if there were none.
     fn served(&self, now: Millis) -> f64 {
-        match self.callers.count(now) {
-            0 => 1.0,
-            callers => f64::from(self.started.count(now)) / f64::from(callers),
-        }
+        ratio(self.started.count(now), self.callers.count(now))
+    }
+
+    /// Returns the part of its callers whose requests were started in time; 1 if there were none.
+    fn in_time(&self, now: Millis) -> f64 {
+        ratio(self.in_time.count(now), self.callers.count(now))
+    }
+
+    /// Returns whether one more request, sent in time, would have the kind served more often than
+    /// these parts of a more urgent kind, and more than the part that it keeps in any case. A kind
+    /// without a started request keeps its first one, however few callers it has.
+    fn would_pass(&self, served: f64, in_time: f64, now: Millis) -> bool {
+        let (started, callers) = (self.started.count(now), self.callers.count(now));
+        let next_served = ratio(started + 1, callers);
+        let next_in_time = ratio(self.in_time.count(now) + 1, callers);
+        started > 0 && next_served > KEPT_RATIO && (next_served > served || next_in_time > in_time)
     }
 
     fn is_active(&self, now: Millis) -> bool {
@@ -40,6 +54,20 @@
     }
 }
 
+fn ratio(part: u32, all: u32) -> f64 {
+    match all {
+        0 => 1.0,
+        all => f64::from(part) / f64::from(all),
+    }
+}
+
+/// How a request is started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Start {
+    InTime,
+    Late,
+}
+
 /// One attempt of a caller.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Attempt {
@@ -47,8 +75,8 @@
     pub(super) is_new: bool,
     /// Whether the caller came before its booked time.
     pub(super) is_early: bool,
-    /// Whether the request was started.
-    pub(super) started: bool,
+    /// How the request was started, if it was.
+    pub(super) start: Option<Start>,
 }
 
 /// How often a kind is served, compared with more urgent kinds that sent requests recently.
@@ -56,7 +84,7 @@
 pub(super) enum Treatment {
     /// Neither of the others.
     Usual,
-    /// More often than a more urgent kind, and more than the part that it keeps in any case.
+    /// With one more request, more often than a more urgent kind and than it keeps in any case.
     Preferred,
     /// Less often than each more urgent kind, and less than the part that it keeps in any case.
     Starved,
@@ -91,12 +119,20 @@
         let Ok(index) = index else {
             return Treatment::Usual;
         };
-        let served = self.kinds[index].served(now);
-        let others = self.more_urgent(urgency, now).map(|k| k.served(now));
-        match others.min_by(f64::total_cmp) {
-            Some(least) if served > least && served > KEPT_RATIO => Treatment::Preferred,
-            Some(least) if served < least && served < KEPT_RATIO => Treatment::Starved,
-            _ => Treatment::Usual,
+        let kind = &self.kinds[index];
+        let least = |part: fn(&Kind, Millis) -> f64| {
+            let parts = self.more_urgent(urgency, now).map(|k| part(k, now));
+            parts.min_by(f64::total_cmp)
+        };
+        let (Some(served), Some(in_time)) = (least(Kind::served), least(Kind::in_time)) else {
+            return Treatment::Usual;
+        };
+        if kind.would_pass(served, in_time, now) {
+            Treatment::Preferred
+        } else if kind.served(now) < served.min(KEPT_RATIO) {
+            Treatment::Starved
+        } else {
+            Treatment::Usual
         }
     }
 
@@ -121,12 +157,16 @@
         if attempt.is_new {
             kind.callers.add(now);
         }
-        if attempt.started {
+        let started = attempt.start.is_some();
+        if started {
             kind.started.add(now);
         }
-        if attempt.started || !attempt.is_early {
+        if attempt.start == Some(Start::InTime) {
+            kind.in_time.add(now);
+        }
+        if started || !attempt.is_early {
             let customer = request.customer.as_ref();
-            kind.shares.record(customer, attempt.started, now);
+            kind.shares.record(customer, started, now);
         }
     }
 
@@ -145,6 +185,7 @@
             last: now,
             callers: Recent::default(),
             started: Recent::default(),
+            in_time: Recent::default(),
             shares: FairShares::default(),
         };
         let index = self.kinds.partition_point(|k| k.urgency < request.urgency);
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -12,6 +12,8 @@
 pub(super) const ANSWER_MS: f64 = 700.0;
 pub(super) const EVENT_MS: f64 = 30.0;
 pub(super) const TOKENS_PER_MS: f64 = 46.0;
+/// Owners report refused callers to each other 50 ms after the first of a batch.
+const REPORT_INTERVAL: u64 = 50;
 pub(super) const START: u64 = 1_000_000;
 
 /// Requests of one route.
@@ -143,6 +145,9 @@
             .collect();
         for _ in 0..ms {
             self.now += 1;
+            if self.now.is_multiple_of(REPORT_INTERVAL) {
+                self.exchange_reports();
+            }
             self.groups.iter_mut().for_each(Group::tick);
             while let Some(entry) = self.returning.first_entry() {
                 if entry.key().0 > self.now {
@@ -161,6 +166,19 @@
         }
     }
 
+    /// Delivers the reports of each owner to all others.
+    fn exchange_reports(&mut self) {
+        for from in 0..self.tables.len() {
+            for (scope, report) in self.tables[from].take_reports(Millis::new(self.now)) {
+                for (to, table) in self.tables.iter_mut().enumerate() {
+                    if to != from {
+                        table.learn(&scope, report, Millis::new(self.now));
+                    }
+                }
+            }
+        }
+    }
+
     pub(super) fn forget_callers(&mut self) {
         self.tallies.clear();
         self.returning.clear();
