docs: daemons, targets and callers receive data instead of being told

Cause: comments and pages added since used "told" for what daemons, targets and callers receive, which reads figuratively. "Told apart" in the sense of "distinguished" stays.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -51,7 +51,7 @@
     pub(crate) due: Millis,
     /// The rank of the request; `None` if its service does not rank its callers.
     pub(crate) urgency: Option<Urgency>,
-    /// The priority that targets are told.
+    /// The priority that targets receive.
     priority: Cell<u8>,
     /// Predicted time of the first event of a request that was admitted although it will be late;
     /// zero for other requests.
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -101,8 +101,8 @@
     }
 }
 
-/// Returns what the owner is told about a request; `None` if its service does not rank its callers,
-/// or if its caller resumes a stream.
+/// Returns what the owner receives about a request; `None` if its service does not rank its
+/// callers, or if its caller resumes a stream.
 pub(crate) fn ranked_request(job: &Job) -> Option<RankedRequest> {
     let urgency = job.urgency?;
     if job.head.last_event.is_some() {
--- a/crates/thistlesill-edge/tests/it/shortage.rs
+++ b/crates/thistlesill-edge/tests/it/shortage.rs
@@ -73,13 +73,13 @@
     text.contains(metric)
 }
 
-/// Returns the priorities that a target was told of a request.
-fn told_priorities(world: &World, id: &str) -> Vec<Option<u8>> {
+/// Returns the priorities that a target received for a request.
+fn received_priorities(world: &World, id: &str) -> Vec<Option<u8>> {
     let runs = world.targets.ledger.runs(id);
     runs.iter().map(|run| run.priority).collect()
 }
 
-/// Before requests were ranked, engines were told the customer's priority, which is the same for
+/// Before requests were ranked, engines received the customer's priority, which is the same for
 /// all kinds. Services whose routes are equal must not change.
 #[tokio::test(flavor = "multi_thread")]
 async fn only_services_with_routes_of_different_priorities_rank_their_callers() {
@@ -88,7 +88,7 @@
     for daemon in NEAR {
         let id = format!("equal-{daemon}");
         assert_eq!(ask(&world, daemon, stream(&id)).await.status, 200);
-        assert_eq!(told_priorities(&world, &id), [Some(1)]);
+        assert_eq!(received_priorities(&world, &id), [Some(1)]);
         assert!(!has_metric(&world, daemon, ASKED).await, "{daemon}");
     }
     world.rank_callers(2, &["k1"]);
@@ -99,7 +99,7 @@
             let id = format!("{kind}-{daemon}");
             let request = unique(&id, &format!("/{kind}/s"));
             assert_eq!(ask(&world, daemon, request).await.status, 200);
-            assert_eq!(told_priorities(&world, &id), [Some(priority)], "{id}");
+            assert_eq!(received_priorities(&world, &id), [Some(priority)], "{id}");
         }
         assert!(has_metric(&world, daemon, IN_TIME).await, "{daemon}");
         asked += usize::from(has_metric(&world, daemon, ASKED).await);
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -75,7 +75,7 @@
     }
 }
 
-/// What an owner is told about a request in addition to its prompt.
+/// What an owner receives about a request in addition to its prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankedRequest {
     /// Rank of the request.
--- a/crates/thistlesill-policy/tests/edge/outage.rs
+++ b/crates/thistlesill-policy/tests/edge/outage.rs
@@ -81,8 +81,8 @@
     sim.assert_no_breaches();
 }
 
-/// Guards against targets that count as dead for 8 s after they answer again: no group told of them,
-/// so nothing probed them.
+/// Guards against targets that count as dead for 8 s after they answer again: no group reported
+/// them, so nothing probed them.
 #[test]
 fn idle_targets_that_did_not_answer_are_used_soon_after_they_answer_again() {
     let mut sim = Simulation::formed(6);
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -44,7 +44,7 @@
     prompt: 1_960.0,
 };
 
-/// Requests per second of one customer. Callers retry once at the time that they are told, or after
+/// Requests per second of one customer. Callers retry once at the time that they receive, or after
 /// a third of their time; if `hasty`, every 100 ms for a third of their time.
 #[derive(Clone, Copy)]
 pub(super) struct Load {
