test: comments name the failure that a test guards against

Cause: comments of the tests of admission under overload told the history of a fault. Change: one or two sentences each on the failure that the test guards against. Checks and bounds are as before.

--- a/crates/thistlesill-edge/tests/it/shortage.rs
+++ b/crates/thistlesill-edge/tests/it/shortage.rs
@@ -79,8 +79,8 @@
     runs.iter().map(|run| run.priority).collect()
 }
 
-/// Before requests were ranked, engines received the customer's priority, which is the same for
-/// all kinds. Services whose routes are equal must not change.
+/// Guards against kinds that reach the engines with equal priorities, and against changes to
+/// services whose routes have equal priorities.
 #[tokio::test(flavor = "multi_thread")]
 async fn only_services_with_routes_of_different_priorities_rank_their_callers() {
     let mut world = world(201, DAEMONS).await;
@@ -114,7 +114,8 @@
     assert_eq!(decisions, ["in_time", "in_time"]);
 }
 
-/// Requests with long objectives filled the groups until none with a short one could be in time.
+/// Guards against requests with long objectives that fill the groups so that none with a short one
+/// can be in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_kind_with_a_long_objective_displaces_a_more_urgent_one() {
     let world = ranked_world(202).await;
@@ -142,8 +143,7 @@
     ask(world, daemon, request).await
 }
 
-/// 5,928 of 6,131 refused callers got the same retry time, and were refused again when they all
-/// returned together.
+/// Guards against equal retry times: callers that return together are refused again.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_callers_return_together_and_are_refused_again() {
     let world = ranked_world(203).await;
@@ -173,7 +173,8 @@
     assert!(statuses.iter().all(|s| *s == 200), "{statuses:?}");
 }
 
-/// The owner freezes under load: its peers must not wait for it, and decide by their own tables.
+/// Guards against peers that wait for an owner that froze under load instead of deciding by their
+/// own tables.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_wait_for_the_decisions_of_an_owner_that_froze() {
     let world = ranked_world(204).await;
--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -234,8 +234,8 @@
     assert_eq!(plain_wins(&loads, ms(420)), 40);
 }
 
-/// The refusal considered all targets, but the choice only two of other data centres, so requests
-/// were admitted because of targets that they did not reach.
+/// Guards against requests that are admitted because of a target in another data centre that the
+/// choice then does not consider.
 #[test]
 fn any_far_target_is_picked_that_begins_in_time_if_no_near_one_does() {
     let mut groups: Vec<Target> = (0..40).map(|i| leader(&format!("t{i}"))).collect();
--- a/crates/thistlesill-policy/tests/edge/ranked.rs
+++ b/crates/thistlesill-policy/tests/edge/ranked.rs
@@ -17,7 +17,8 @@
     }
 }
 
-/// The usual choice sent requests that only one target could begin in time to another one.
+/// Guards against a usual choice that sends a request to another target than the only one that
+/// begins it in time.
 #[test]
 fn a_request_goes_where_it_is_late_although_a_target_begins_it_in_time() {
     let (roomy, short) = (prospect(20.0, true), prospect(200.0, false));
@@ -28,7 +29,8 @@
     assert!(!is_early_enough(255.0, &prospect(240.0, false), AIM));
 }
 
-/// A late request at the priority of its kind delays the requests that can be in time.
+/// Guards against late requests that delay those that can be in time, by having the priority of
+/// their kind.
 #[test]
 fn a_late_request_overtakes_others_at_its_target() {
     let urgency = |customer, route| Urgency { customer, route };
--- a/crates/thistlesill-policy/tests/edge/room.rs
+++ b/crates/thistlesill-policy/tests/edge/room.rs
@@ -257,8 +257,8 @@
     }
 }
 
-/// The prediction contains the delay that is known, so that averages of what is left would settle at
-/// half of it.
+/// Guards against differences from predictions that contain the known delay: their average would
+/// settle at half of the delay.
 #[test]
 fn the_delay_is_what_first_events_take_beyond_the_published_time() {
     let mut clock = Clock::default();
@@ -314,7 +314,8 @@
     }
 }
 
-/// Counts that were sent before the grant arrived show nothing of the request.
+/// Guards against measurements that end by counts that were sent before the grant arrived: they
+/// show nothing of the request.
 #[test]
 fn earlier_counts_do_not_end_a_measurement() {
     let mut clock = Clock::default();
@@ -367,7 +368,8 @@
     assert!(clock.delay() < 1.0);
 }
 
-/// A new target has the delay of its scope, and this daemon's own requests count as those of peers.
+/// Guards against new targets that count as faster than the others of their scope, and against own
+/// requests of the daemon that are not measured.
 #[test]
 fn new_targets_have_the_delay_of_their_scope() {
     let (old, new, mut other) = (leader("a"), leader("b"), leader("c"));
@@ -395,8 +397,8 @@
     assert!(loads.delay(&other) < 1.0, "another data centre");
 }
 
-/// An owner measures its own scope only. Targets of other data centres seemed to begin each request
-/// earlier by the whole delay, so that requests went there without a reason.
+/// Guards against requests that go to another data centre because the owner, which measures only its
+/// own scope, knows no delay there.
 #[test]
 fn far_targets_without_measurements_have_the_delay_of_the_near_ones() {
     let (near, mut far) = (leader("a"), leader("b"));
