test(edge): the urgent kind must be served at half of what a group can begin in time

Cause: the bound of 0.15 was far below the stated capacity: a group of four slots begins about 25 of 40 urgent requests per second in time, about 0.6. Change: the bound is 0.3, half of that; the test prints the served fractions.

--- a/crates/thistlesill-edge/tests/it/shortage.rs
+++ b/crates/thistlesill-edge/tests/it/shortage.rs
@@ -125,11 +125,13 @@
         send_through(&world, &NEAR, RATE, time, later),
     );
     let (urgent, later) = (served(&urgent), served(&later));
+    println!("served: {urgent:.2} of the urgent ones, {later:.2} of the others");
     assert!(
         urgent + 0.05 >= later,
         "{urgent:.2} urgent, {later:.2} later"
     );
-    assert!(urgent >= 0.15, "{urgent:.2} urgent");
+    // Half of the 25 of 40 requests per second that a group begins in time.
+    assert!(urgent >= 0.3, "{urgent:.2} urgent");
     assert!(later > 0.0, "the less urgent kind gets nothing");
 }
 
