--- a/crates/thistlesill-policy/tests/edge/load.rs
+++ b/crates/thistlesill-policy/tests/edge/load.rs
@@ -18,6 +18,16 @@
 const COUNTS_VALIDITY: Millis = Millis::new(1_500);
 const AIM: Millis = Millis::new(300);
 
+/// Builds a request without an objective.
+fn request<'a>(engine: &'a Engine, hall: &'a HallId, prompt: u32) -> PickRequest<'a> {
+    PickRequest {
+        engine: Some(engine),
+        prompt,
+        hall,
+        aim: None,
+    }
+}
+
 /// Picks one of two groups many times and counts how often that is the first one.
 fn wins(loads: &LoadTable, now: Millis) -> usize {
     wins_among(loads, [leader("a"), leader("b")], Some(&engine()), now)
@@ -73,12 +83,7 @@
     let mut loads = LoadTable::default();
     // One prompt whose prefill takes far longer than the objective.
     loads.begin(&a, 100_000, None, NOW);
-    let request = PickRequest {
-        engine: Some(&engine),
-        prompt: 1_000,
-        hall: &hall,
-        aim: None,
-    };
+    let request = request(&engine, &hall, 1_000);
     assert_eq!(loads.lateness(&[&a], &request, AIM, NOW), None);
     for _ in 0..16 {
         loads.begin(&a, 0, None, NOW);
@@ -133,12 +138,7 @@
     let (a, b) = (leader("a"), leader("b"));
     let engine = engine();
     let hall = HallId::from("h");
-    let request = PickRequest {
-        engine: Some(&engine),
-        prompt: 1_000,
-        hall: &hall,
-        aim: None,
-    };
+    let request = request(&engine, &hall, 1_000);
     let mut loads = LoadTable::default();
     for _ in 0..26 {
         loads.begin(&leader("a"), 1_000, None, NOW);
@@ -165,12 +165,8 @@
     let (near, mut far) = (leader("a"), leader("b"));
     far.hall = "other".into();
     let engine = engine();
-    let request = PickRequest {
-        engine: Some(&engine),
-        prompt: 600,
-        hall: &HallId::from("h"),
-        aim: None,
-    };
+    let hall = HallId::from("h");
+    let request = request(&engine, &hall, 600);
     let mut rng = SmallRng::seed_from_u64(5);
     let mut pick = |loads: &LoadTable| {
         let both = [&near, &far];
@@ -244,12 +240,7 @@
     }
     let (free, near) = (&groups[..4], &groups[39]);
     let (engine, hall) = (engine(), HallId::from("h"));
-    let mut request = PickRequest {
-        engine: Some(&engine),
-        prompt: 600,
-        hall: &hall,
-        aim: None,
-    };
+    let mut request = request(&engine, &hall, 600);
     let busy = Work {
         requests: 26,
         unread: 26_000,
@@ -295,12 +286,7 @@
 fn the_prospect_is_the_target_that_begins_first_of_those_that_may_be_asked() {
     let (a, b, c) = (leader("a"), leader("b"), leader("c"));
     let (engine, hall) = (engine(), HallId::from("h"));
-    let request = PickRequest {
-        engine: Some(&engine),
-        prompt: 600,
-        hall: &hall,
-        aim: None,
-    };
+    let request = request(&engine, &hall, 600);
     let mut loads = LoadTable::default();
     loads.begin(&c, 6_000, None, NOW);
     let all = [&a, &b, &c];
@@ -325,12 +311,7 @@
     let groups: Vec<Target> = (0..25).map(|i| leader(&format!("target-{i}"))).collect();
     let candidates: Vec<&Target> = groups.iter().collect();
     let (engine, hall) = (engine(), HallId::from("h"));
-    let request = PickRequest {
-        engine: Some(&engine),
-        prompt: 600,
-        hall: &hall,
-        aim: None,
-    };
+    let request = request(&engine, &hall, 600);
     let mut loads = LoadTable::default();
     for group in &groups[..12] {
         loads.begin(group, 600, Some(40.0), NOW);
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -192,20 +192,24 @@
     assert!(kinds[2].answered() > 0.25, "{kinds:?}");
 }
 
-/// Two daemons own a scope for a moment, and a caller's retry reaches the other one.
+/// Two daemons own a scope for a moment, and a caller's retry reaches the other one. Guards against
+/// owners that do not know each other's callers, and against more late work than two owners admit.
 #[test]
 fn two_owners_of_a_scope_still_serve_in_time_what_one_serves() {
-    let mut in_time = [0, 0];
+    let (mut in_time, mut late) = ([0, 0], [0, 0]);
     for owners in [1, 2] {
         let mut model = Model::new(4);
         model.tables = vec![ShortageTable::default(); owners];
         model.run(&mixed(250.0), 10_000);
         in_time[owners - 1] = model.all(BOOTH).in_time;
+        late[owners - 1] = model.late();
     }
+    println!("in time {in_time:?}, late {late:?}");
     assert!(
         f64::from(in_time[1]) > 0.8 * f64::from(in_time[0]),
         "{in_time:?}"
     );
+    assert!(late[1] <= 2 * late[0], "{late:?}");
 }
 
 #[test]
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -259,6 +259,12 @@
     pub(super) fn all(&self, kind: Kind) -> Tally {
         self.tally(kind, |_| true)
     }
+
+    /// Returns the number of requests of all kinds that were answered late.
+    pub(super) fn late(&self) -> u32 {
+        let late = self.tallies.values().map(|t| t.answered - t.in_time);
+        late.sum()
+    }
 }
 
 pub(super) fn scope() -> Scope {
