test(policy): callers reported by other owners, and an owner that is replaced in a flood

Cause: what an owner learns of other owners' callers was tested only by the load of two owners. Change: a reported caller is recognized at its booked time by an owner with another clock, is not counted as due and takes no booked time; reported and unbooked callers are bounded together; the model of a scope can replace an owner by one that received all, half or none of its reports.

--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::returns::{MAX_BOOKINGS, Returns, Standing};
+use thistlesill_policy::edge::returns::{CallerReport, MAX_BOOKINGS, Returns, Standing};
 use thistlesill_policy::edge::shortage::{RankedRequest, Urgency};
 
 const START: u64 = 1_000_000;
@@ -156,3 +156,67 @@
     let next = booked(&mut returns, 20_001).unwrap_err().get();
     assert!((10_300..16_300).contains(&next), "{next}");
 }
+
+/// Guards against a retry at another owner that counts as a new caller, and against bookings of
+/// other owners that keep slots or booked times from the callers here.
+#[test]
+fn a_caller_booked_by_another_owner_is_known_and_takes_nothing_here() {
+    let (mut booking, mut other) = (Returns::default(), Returns::default());
+    assert_eq!(book(&mut booking, 0, 1, 0), 300);
+    // The clock of the other owner is five seconds ahead.
+    let ahead = |ms: u64| at(5_000 + ms);
+    other.learn(booking.report(1, at(50)), ahead(50));
+    assert_eq!(other.first(1, ahead(50)), Some(ahead(0)));
+    assert_eq!(other.standing(1, ahead(149)), Standing::Early);
+    assert_eq!(book(&mut other, 0, 1, 5_149), 5_300, "it keeps its time");
+    assert_eq!(other.standing(1, ahead(150)), Standing::Kept);
+    assert_eq!((booking.due(at(300)), other.due(ahead(300))), (1, 0));
+    assert!(other.is_empty());
+    assert_eq!(
+        book(&mut other, 0, 2, 5_300),
+        5_600,
+        "the queue begins with it"
+    );
+    assert_eq!(other.standing(1, ahead(1_300)), Standing::Kept);
+    // The other owner serves it, so it is a new caller if it sends the same request again.
+    other.remove(1);
+    booking.learn(other.report(1, ahead(1_300)), at(1_300));
+    assert_eq!(booking.standing(1, at(1_300)), Standing::New);
+    assert_eq!(booking.first(1, at(1_300)), None);
+}
+
+/// Guards against memory that grows with the callers that other owners refuse.
+#[test]
+fn reported_callers_are_bounded_together_with_unbooked_ones() {
+    let mut returns = Returns::default();
+    let report = |key| CallerReport::Refused {
+        key,
+        since: Millis::ZERO,
+        booked: (key % 2 == 0).then_some(Millis::new(300)),
+        left: Millis::new(60_000),
+    };
+    for key in 0..3_000 {
+        returns.defer(&request(0, key, 60_000), at(0));
+    }
+    for key in 3_000..10_000 {
+        returns.learn(report(key), at(0));
+    }
+    let known = |returns: &Returns| {
+        let keys = 0..10_002;
+        keys.filter(|key| returns.first(*key, at(1)).is_some())
+            .count()
+    };
+    assert_eq!(known(&returns), 4_096);
+    returns.defer(&request(0, 10_000, 60_000), at(0));
+    assert_eq!(known(&returns), 4_096);
+    // Callers that are booked here have a bound of their own.
+    assert_eq!(book(&mut returns, 0, 10_001, 0), 300);
+    assert_eq!(known(&returns), 4_097);
+    // All are forgotten when they end.
+    for _ in 0..1_000 {
+        returns.standing(0, at(60_001));
+    }
+    returns.learn(report(10_000), at(60_001));
+    let first = |key| returns.first(key, at(60_001));
+    assert_eq!(first(10_000), Some(at(60_001)));
+}
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -212,6 +212,33 @@
     assert!(late[1] <= 2 * late[0], "{late:?}");
 }
 
+/// Returns the number of requests of the most urgent kind that begin in time in the five seconds
+/// after the owner is replaced in a flood, with these reports delivered, or without a replacement.
+fn served_in_time_after(replacement: Option<Delivery>) -> u32 {
+    let mut model = Model::new(4);
+    model.delivery = replacement.unwrap_or(Delivery::Nothing);
+    model.run(&mixed(250.0), 5_000);
+    let before = model.all(BOOTH).in_time;
+    if replacement.is_some() {
+        model.replace_owner();
+    }
+    model.run(&mixed(250.0), 5_000);
+    model.all(BOOTH).in_time - before
+}
+
+/// Guards against an owner that treats the refused callers of its predecessor as new ones, and
+/// against reports that do harm if only some of them arrive.
+#[test]
+fn a_successor_that_received_reports_serves_in_time_what_its_predecessor_would() {
+    let kept = served_in_time_after(None);
+    let [all, half, nothing] =
+        [Delivery::All, Delivery::Half, Delivery::Nothing].map(|d| served_in_time_after(Some(d)));
+    println!("in time: {kept}, replaced {all}, half of the reports {half}, none {nothing}");
+    assert!(f64::from(all) >= 0.8 * f64::from(kept), "{all} of {kept}");
+    assert!(half >= nothing, "{half} with half, {nothing} without");
+    assert!(all > nothing, "{all} with all, {nothing} without");
+}
+
 #[test]
 fn objectives_are_capped_by_more_urgent_kinds_of_the_last_two_seconds() {
     let mut owner = Owner::default();
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -112,9 +112,22 @@
     }
 }
 
+/// Which reports about refused callers are delivered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Delivery {
+    All,
+    Half,
+    Nothing,
+}
+
 pub(super) struct Model {
     /// One for each owner of the scope; attempts of a caller go to them in turn.
     pub(super) tables: Vec<ShortageTable>,
+    /// Table of the daemon that replaces an owner. It decides nothing until then.
+    pub(super) successor: ShortageTable,
+    pub(super) delivery: Delivery,
+    /// Number of reports that the owners sent.
+    pub(super) sent: u64,
     pub(super) groups: Vec<Group>,
     pub(super) now: u64,
     pub(super) next_key: u64,
@@ -131,6 +144,9 @@
         };
         Self {
             tables: vec![ShortageTable::default()],
+            successor: ShortageTable::default(),
+            delivery: Delivery::All,
+            sent: 0,
             groups: vec![group; groups],
             now: START,
             next_key: 0,
@@ -166,19 +182,34 @@
         }
     }
 
-    /// Delivers the reports of each owner to all others.
+    /// Delivers the reports of each owner to all others and to the successor.
     fn exchange_reports(&mut self) {
+        let now = Millis::new(self.now);
         for from in 0..self.tables.len() {
-            for (scope, report) in self.tables[from].take_reports(Millis::new(self.now)) {
-                for (to, table) in self.tables.iter_mut().enumerate() {
-                    if to != from {
-                        table.learn(&scope, report, Millis::new(self.now));
-                    }
+            for (scope, report) in self.tables[from].take_reports(now) {
+                self.sent += 1;
+                let is_delivered = match self.delivery {
+                    Delivery::All => true,
+                    Delivery::Half => self.sent.is_multiple_of(2),
+                    Delivery::Nothing => false,
+                };
+                if !is_delivered {
+                    continue;
+                }
+                let others = self.tables.iter_mut().enumerate();
+                let others = others.filter(|(to, _)| *to != from).map(|(_, table)| table);
+                for table in others.chain([&mut self.successor]) {
+                    table.learn(&scope, report, now);
                 }
             }
         }
     }
 
+    /// Replaces the first owner by its successor. Reports that it has not sent are lost.
+    pub(super) fn replace_owner(&mut self) {
+        self.tables[0] = std::mem::take(&mut self.successor);
+    }
+
     pub(super) fn forget_callers(&mut self) {
         self.tallies.clear();
         self.returning.clear();
