feat(policy): limits of late work and of what less urgent kinds keep are given to the decisions

Cause: a quarter for late requests and a quarter that each kind keeps were constants; deployments differ in the value of a late answer and in what less urgent kinds may lose. At a late ratio of 0 nothing is late and nothing is booked. The least rate of bookings scales with the ratio and is as before at the default.

--- a/crates/thistlesill-core/src/edge.rs
+++ b/crates/thistlesill-core/src/edge.rs
@@ -9,6 +9,7 @@
 mod incarnation;
 mod limit;
 mod order;
+mod overload;
 mod target;
 
 pub use bounds::{Bounds, EdgeSettings};
@@ -19,4 +20,5 @@
 pub use incarnation::{Incarnation, TargetId};
 pub use limit::{InvalidRateLimit, RateLimit};
 pub use order::{GroupRef, Order, OrderReply};
+pub use overload::{OutOfBounds, OverloadLimits};
 pub use target::{MemberState, Membership, Target};
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -7,12 +7,12 @@
 //! The thresholds follow from the objectives of the callers: a request is admitted if it begins
 //! within its objective and within those of more urgent kinds, so that the prediction for these
 //! stays within their objectives, too. What is late in any case is sent only to free slots or at a
-//! booked time, and is at most a quarter of what is started.
+//! booked time, and is at most a quarter of what is started, or the part that the operators set.
 //!
 //! The test of the capped objective treats kinds alike only if their prompts are equally long. So a
 //! kind that was served more often than a more urgent one is refused until that one has caught up,
 //! and one that was served less often than all more urgent ones, and less than a quarter of its
-//! callers, is admitted by its own objective.
+//! callers or the part that the operators set, is admitted by its own objective.
 
 mod fair;
 mod kinds;
@@ -21,6 +21,7 @@
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
+use thistlesill_core::edge::OverloadLimits;
 use thistlesill_core::{CustomerId, Millis};
 
 use self::kinds::{Attempt, Kinds, Start, Treatment};
@@ -41,12 +42,9 @@
 /// Part of the remaining time of a caller within which its booked retry must begin; the rest is for
 /// the answer.
 const BOOKED_RATIO: f64 = 0.5;
-/// Part of the started requests that may be late, at booked times or on free slots, so that three
-/// quarters remain for requests that can be in time. Free slots alone are no bound: where prompts
-/// wait, slots are free and time is not.
-const LATE_PART: f64 = 0.25;
-/// Booked retries per second and open group at least: a group begins several requests per second.
-const MIN_GROUP_RATE: f64 = 2.0;
+/// Requests per second that an open group starts at least, for the rate of bookings. With the usual
+/// part of late requests, two retries per second and group are booked at least.
+const MIN_GROUP_RATE: f64 = 8.0;
 /// Maximum number of callers whose reports wait to be sent: more than a daemon refuses in the 50 ms
 /// between two rounds.
 const MAX_UNREPORTED: usize = 4_096;
@@ -169,11 +167,26 @@
 #[derive(Debug, Clone, Default)]
 pub struct ShortageTable {
     scopes: HashMap<Scope, ScopeState>,
+    limits: OverloadLimits,
     /// Callers that other owners have to learn of, with their scopes.
     unreported: Vec<(Scope, u64)>,
 }
 
 impl ShortageTable {
+    /// Creates a table that decides by these limits.
+    #[must_use]
+    pub fn new(limits: OverloadLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the limits for all later decisions; bookings that were given stay.
+    pub fn set_limits(&mut self, limits: OverloadLimits) {
+        self.limits = limits;
+    }
+
     /// Decides how a request to a scope is admitted.
     pub fn decide(
         &mut self,
@@ -182,9 +195,10 @@
         prospect: Prospect,
         now: Millis,
     ) -> AdmissionDecision {
+        let limits = self.limits;
         let state = self.scope_mut(scope);
         let was_known = state.returns.first(request.key, now).is_some();
-        let decision = state.decide(request, &prospect, now);
+        let decision = state.decide(request, &prospect, limits, now);
         let is_refused = matches!(decision, AdmissionDecision::Refuse { .. });
         if (was_known || is_refused) && self.unreported.len() < MAX_UNREPORTED {
             self.unreported.push((scope.clone(), request.key));
@@ -262,12 +276,13 @@
         &mut self,
         request: &RankedRequest,
         prospect: &Prospect,
+        limits: OverloadLimits,
         now: Millis,
     ) -> AdmissionDecision {
         self.last = now;
         let standing = self.returns.standing(request.key, now);
         let is_new = self.returns.first(request.key, now).is_none();
-        let verdict = self.judge(request, prospect, standing, now);
+        let verdict = self.judge(request, prospect, standing, limits, now);
         let start = match verdict {
             Verdict::InTime => Some(Start::InTime),
             Verdict::Late => Some(Start::Late),
@@ -291,13 +306,16 @@
             }
             Verdict::Refused(ground) => {
                 self.refused_at = Some(now);
-                let rate = (self.started.rate(now) * LATE_PART)
-                    .max(MIN_GROUP_RATE * f64::from(prospect.open_groups.max(1)));
-                let treatment = self.kinds.treatment(request.urgency, now);
+                let least = MIN_GROUP_RATE * f64::from(prospect.open_groups.max(1));
+                let rate = self.started.rate(now).max(least) * limits.late_ratio();
+                let treatment = self
+                    .kinds
+                    .treatment(request.urgency, limits.kept_ratio(), now);
                 let is_ahead =
                     treatment == Treatment::Preferred || self.is_above_share(request, now);
-                let (Ok(after) | Err(after)) = if is_ahead {
-                    // At the booked time others might still have to go first.
+                let (Ok(after) | Err(after)) = if is_ahead || limits.late_ratio() == 0.0 {
+                    // At the booked time others might still have to go first, or the request would
+                    // be late and be refused again.
                     Err(self.returns.defer(request, now))
                 } else {
                     self.returns.book(request, rate, now)
@@ -322,6 +340,7 @@
         request: &RankedRequest,
         prospect: &Prospect,
         standing: Standing,
+        limits: OverloadLimits,
         now: Millis,
     ) -> Verdict {
         let begins_within = |time: Millis| prospect.begin <= time.get() as f64;
@@ -333,7 +352,9 @@
         }
         let cap = self.kinds.cap(request.urgency, now);
         let capped = cap.map_or(aim, |cap| cap.min(aim));
-        let treatment = self.kinds.treatment(request.urgency, now);
+        let treatment = self
+            .kinds
+            .treatment(request.urgency, limits.kept_ratio(), now);
         if self.is_short(now) {
             let wait = capped.get() as f64 - prospect.idle;
             let is_open = prospect.begin <= prospect.idle + OPEN_RATIO * wait;
@@ -351,13 +372,16 @@
         if treatment == Treatment::Starved && begins_within(aim) {
             return Verdict::InTime;
         }
-        let promised = standing == Standing::Kept || treatment == Treatment::Starved;
-        if promised && prospect.begin <= BOOKED_RATIO * request.left.get() as f64 {
-            return Verdict::Late;
-        }
-        let is_free = f64::from(prospect.requests) < FREE_RATIO * f64::from(prospect.slots);
-        if is_free && self.returns.due(now) == 0 && self.may_be_late(now) {
-            return Verdict::Late;
+        if limits.late_ratio() > 0.0 {
+            let promised = standing == Standing::Kept || treatment == Treatment::Starved;
+            if promised && prospect.begin <= BOOKED_RATIO * request.left.get() as f64 {
+                return Verdict::Late;
+            }
+            let is_free = f64::from(prospect.requests) < FREE_RATIO * f64::from(prospect.slots);
+            let is_open = self.returns.due(now) == 0 && self.may_be_late(limits.late_ratio(), now);
+            if is_free && is_open {
+                return Verdict::Late;
+            }
         }
         Verdict::Refused(if begins_within(aim) {
             Ground::LessUrgent
@@ -366,10 +390,11 @@
         })
     }
 
-    /// Returns whether fewer than a quarter of the requests that were started recently are late.
-    fn may_be_late(&self, now: Millis) -> bool {
+    /// Returns whether at most this part of the requests that were started recently is late. Free
+    /// slots alone are no bound: where prompts wait, slots are free and time is not.
+    fn may_be_late(&self, late_ratio: f64, now: Millis) -> bool {
         let late = f64::from(self.late.count(now));
-        late <= LATE_PART * f64::from(self.started.count(now))
+        late <= late_ratio * f64::from(self.started.count(now))
     }
 
     /// Returns whether a request was refused recently.
--- a/crates/thistlesill-policy/src/edge/shortage/kinds.rs
+++ b/crates/thistlesill-policy/src/edge/shortage/kinds.rs
@@ -9,8 +9,6 @@
 /// Maximum number of kinds per scope; further kinds are served but not recorded. A service has
 /// priorities of a few routes for one or two priorities of customers.
 const MAX_KINDS: usize = 16;
-/// Part of its requests that a kind keeps whatever more urgent kinds need.
-const KEPT_RATIO: f64 = 0.25;
 
 /// Requests of one urgency.
 #[derive(Debug, Clone)]
@@ -42,11 +40,11 @@
     /// Returns whether one more request, sent in time, would have the kind served more often than
     /// these parts of a more urgent kind, and more than the part that it keeps in any case. A kind
     /// without a started request keeps its first one, however few callers it has.
-    fn would_pass(&self, served: f64, in_time: f64, now: Millis) -> bool {
+    fn would_pass(&self, served: f64, in_time: f64, kept_ratio: f64, now: Millis) -> bool {
         let (started, callers) = (self.started.count(now), self.callers.count(now));
         let next_served = ratio(started + 1, callers);
         let next_in_time = ratio(self.in_time.count(now) + 1, callers);
-        started > 0 && next_served > KEPT_RATIO && (next_served > served || next_in_time > in_time)
+        started > 0 && next_served > kept_ratio && (next_served > served || next_in_time > in_time)
     }
 
     fn is_active(&self, now: Millis) -> bool {
@@ -113,8 +111,9 @@
         self.more_urgent(urgency, now).map(|k| k.aim).min()
     }
 
-    /// Returns how a kind is treated compared with more urgent ones.
-    pub(super) fn treatment(&self, urgency: Urgency, now: Millis) -> Treatment {
+    /// Returns how a kind is treated compared with more urgent ones, if each keeps the part
+    /// `kept_ratio` of its callers in any case.
+    pub(super) fn treatment(&self, urgency: Urgency, kept_ratio: f64, now: Millis) -> Treatment {
         let index = self.kinds.binary_search_by_key(&urgency, |k| k.urgency);
         let Ok(index) = index else {
             return Treatment::Usual;
@@ -127,9 +126,9 @@
         let (Some(served), Some(in_time)) = (least(Kind::served), least(Kind::in_time)) else {
             return Treatment::Usual;
         };
-        if kind.would_pass(served, in_time, now) {
+        if kind.would_pass(served, in_time, kept_ratio, now) {
             Treatment::Preferred
-        } else if kind.served(now) < served.min(KEPT_RATIO) {
+        } else if kind.served(now) < served.min(kept_ratio) {
             Treatment::Starved
         } else {
             Treatment::Usual
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -4,7 +4,8 @@
 mod model;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::returns::{MAX_BOOKINGS, Standing};
+use thistlesill_core::edge::OverloadLimits;
+use thistlesill_policy::edge::returns::{CallerReport, MAX_BOOKINGS, Standing};
 use thistlesill_policy::edge::shortage::{
     AdmissionDecision, Ground, Prospect, RankedRequest, ShortageTable,
 };
@@ -208,6 +209,56 @@
     );
 }
 
+fn limits(late_ratio: f64, kept_ratio: f64) -> OverloadLimits {
+    OverloadLimits::new(late_ratio, kept_ratio).expect("within the bounds")
+}
+
+/// Runs loads for 10 s at an owner with these limits.
+fn run_with(limits: OverloadLimits, loads: &[Load]) -> Model {
+    let mut model = Model::new(4);
+    model.tables = vec![ShortageTable::new(limits)];
+    model.run(loads, 10_000);
+    model
+}
+
+/// Guards against late work where the operators want none: by rule 6, for a caller that another
+/// owner booked, or by a booking that can only be late.
+#[test]
+fn without_a_late_ratio_nothing_is_sent_late_or_booked() {
+    let loads = mixed(600.0);
+    let model = run_with(OverloadLimits::default(), &loads);
+    assert!(model.late > 0 && model.tables[0].bookings(&scope()) > 0);
+    let model = run_with(limits(0.0, 0.25), &loads);
+    assert_eq!((model.late, model.tables[0].bookings(&scope())), (0, 0));
+    let mut owner = Owner(ShortageTable::new(limits(0.0, 0.25)));
+    let report = CallerReport::Refused {
+        key: 1,
+        since: Millis::ZERO,
+        booked: Some(Millis::new(300)),
+        left: Millis::new(1_300),
+    };
+    owner.0.learn(&scope(), report, Millis::new(START));
+    let kept = owner.decide(&request(BOOTH, "a", 1), full(200.0), 300);
+    assert!(refused_from(Ground::NoRoom)(kept), "{kept:?}");
+}
+
+/// Guards against less urgent kinds that take the place of a flood of the most urgent one although
+/// the operators keep nothing for them.
+#[test]
+fn without_a_kept_ratio_a_flood_of_the_urgent_kind_is_not_displaced() {
+    let others = ten(DISPUTE, 100.0).chain(ten(TARIFF, 100.0));
+    let loads: Vec<Load> = ten(BOOTH, 1_200.0).chain(others).collect();
+    let answered = |kept_ratio| {
+        let model = run_with(limits(0.25, kept_ratio), &loads);
+        [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind).answered())
+    };
+    let kept = answered(0.25);
+    assert!(kept[1] > kept[0], "the load is too low: {kept:?}");
+    let free = answered(0.0);
+    assert!(free[0] > free[1] && free[1] > free[2], "{free:?}");
+    assert!(free[0] > 1.1 * kept[0], "{free:?} {kept:?}");
+}
+
 #[test]
 fn objectives_are_capped_by_more_urgent_kinds_of_the_last_two_seconds() {
     let mut owner = Owner::default();
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -118,6 +118,8 @@
     pub(super) groups: Vec<Group>,
     pub(super) now: u64,
     pub(super) next_key: u64,
+    /// Requests that were sent late.
+    pub(super) late: u32,
     pub(super) returning: BTreeMap<(u64, u64), Caller>,
     /// By route and customer.
     pub(super) tallies: BTreeMap<(u8, u16), Tally>,
@@ -134,6 +136,7 @@
             groups: vec![group; groups],
             now: START,
             next_key: 0,
+            late: 0,
             returning: BTreeMap::new(),
             tallies: BTreeMap::new(),
         }
@@ -226,6 +229,7 @@
             let elapsed = (self.now - caller.first) as f64;
             tally.in_time += u32::from(begin + elapsed <= kind.aim as f64);
             tally.answered += 1;
+            self.late += u32::from(decision == AdmissionDecision::Late);
             group.requests += 1.0;
             group.unread_ms += kind.prompt / TOKENS_PER_MS;
             return;
