--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use super::OverloadLimits;
 use crate::{HallId, Millis, NodeId};
 
 /// Time and retry bounds that the operators set for all edge daemons.
@@ -51,6 +52,8 @@
     pub link: u32,
     /// Number of files and connections that the process may open, if it is limited.
     pub files: Option<usize>,
+    /// Limits of admission under overload.
+    pub overload: OverloadLimits,
 }
 
 impl EdgeSettings {
