feat(edge): an edge daemon decides by the limits of its settings under overload

Cause: the object overload of the settings had no effect yet. Change: the decisions of an owner, or of a daemon alone, use the limits of the settings, and those of a settings file that is read again. Reading the file again has no test of its own.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -302,6 +302,7 @@
 fn reload_settings(edge: &Edge, path: &Path) {
     match read_settings(path) {
         Ok(settings) => {
+            edge.ranking.set_limits(settings.overload);
             edge.settings.replace(Rc::new(settings));
             edge.lines.line("reload").with("result", "taken").write();
         }
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -9,7 +9,7 @@
 use hyper::header::HOST;
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 use serde::{Deserialize, Serialize};
-use thistlesill_core::edge::Target;
+use thistlesill_core::edge::{OverloadLimits, Target};
 use thistlesill_core::{CustomerId, Millis};
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
 use thistlesill_policy::edge::owner::Scope;
@@ -29,7 +29,7 @@
 const KEY_SECRETS: RapidSecrets = RapidSecrets::seed(0x7468_6973_746c_6502);
 
 /// The decisions of this daemon, as an owner or alone.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RankingState {
     table: RefCell<ShortageTable>,
     /// Notified when other owners have to learn of callers.
@@ -37,6 +37,18 @@
 }
 
 impl RankingState {
+    pub(crate) fn new(limits: OverloadLimits) -> Self {
+        Self {
+            table: RefCell::new(ShortageTable::new(limits)),
+            has_reports: Notify::new(),
+        }
+    }
+
+    /// Replaces the limits of the operators' settings.
+    pub(crate) fn set_limits(&self, limits: OverloadLimits) {
+        self.table.borrow_mut().set_limits(limits);
+    }
+
     /// Drops the state of scopes that this daemon no longer decides for.
     pub(crate) fn retain(&self, now: Millis) {
         self.table.borrow_mut().retain(now);
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -180,7 +180,7 @@
             store: Store::new(settings.store, STORE_IDLE_TIMEOUT),
             peers: RefCell::new(Peers::default()),
             placing: RefCell::new(PlacementState::default()),
-            ranking: RankingState::default(),
+            ranking: RankingState::new(settings.overload),
             traffic: Traffic::default(),
             quarantine: QuarantineState::default(),
             limits: Limits::default(),
