refactor(cli): reading of log lines has its own module

Cause: `explain refusal` reads the same lines as `explain losses`. Change: `fields` moves unchanged from losses.rs to lines.rs. Result: the 7 tests of losses pass unchanged.

--- a/crates/thistlesill-cli/src/lib.rs
+++ b/crates/thistlesill-cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod failure;
 pub mod flags;
+mod lines;
 pub mod losses;
 pub mod picture;
 pub mod report;
--- a/crates/thistlesill-cli/src/losses.rs
+++ b/crates/thistlesill-cli/src/losses.rs
@@ -8,6 +8,8 @@
 
 use serde::Serialize;
 
+use crate::lines::{Fields, fields};
+
 /// The shortest wait, before a refusal or before a request was sent, that counts as the cause.
 const MIN_WAIT_MS: u64 = 50;
 /// The part of a pause that must have been spent waiting for the target; otherwise the caller's
@@ -157,24 +159,6 @@
     losses
 }
 
-type Fields<'a> = HashMap<&'a str, &'a str>;
-
-/// Returns the `name=value` pairs of a line; a value in quotes may contain blanks.
-fn fields(line: &str) -> Fields<'_> {
-    let mut found = Fields::new();
-    let mut rest = line;
-    while let Some((head, tail)) = rest.split_once('=') {
-        let name = head.rsplit(char::is_whitespace).next().unwrap_or(head);
-        let (value, later) = match tail.strip_prefix('"') {
-            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
-            None => tail.split_once(char::is_whitespace).unwrap_or((tail, "")),
-        };
-        found.insert(name, value);
-        rest = later;
-    }
-    found
-}
-
 fn count(losses: &mut Losses, last_line: &Fields<'_>, earlier: EarlierEvents) {
     let Some(name) = last_line.get("route") else {
         return;
