feat(edge): request lines link the attempts of refused callers

Cause: attempts of one caller have different ids, so the log did not tell what became of a refused caller, nor whether its retry time was booked. Change: lines of ranked requests that were refused, or whose caller is known from an earlier refusal, have `caller` (the key as 16 hexadecimal digits), `daemon` and `hall`; those with a decision have `aim_ms`, refusals with a booking `booked=true`. The owner tells the daemon in two flags at the end of the reply whether the caller was refused before and is booked. Owners of the previous version leave them out; they then count as unset.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -60,6 +60,8 @@
     predicted: Cell<Option<f64>>,
     /// The fingerprints of the request and of its parts, computed when first needed.
     cached_keys: OnceCell<RequestKeys>,
+    /// The key of the caller, computed when first needed.
+    cached_caller: OnceCell<u64>,
     /// What the peer that passed the request on says of it; `None` if a caller sent it here.
     pub(crate) hop: Option<Hop>,
     /// Whether the retry budget of this daemon, or of one before, has counted the request.
@@ -104,6 +106,7 @@
             body: arrival.body,
             arrived: arrival.at,
             cached_keys: OnceCell::new(),
+            cached_caller: OnceCell::new(),
             tried: RefCell::default(),
         }
     }
@@ -171,6 +174,11 @@
         })
     }
 
+    /// Returns a hash that is the same for all attempts of the caller.
+    pub(crate) fn caller_key(&self) -> u64 {
+        *self.cached_caller.get_or_init(|| ranking::key(self))
+    }
+
     /// Returns the id of the part of the prompt with this fingerprint, for logs.
     pub(crate) fn part_of(&self, print: Fingerprint) -> Option<&str> {
         let at = self.keys().parts.iter().position(|part| *part == print)?;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -84,7 +84,9 @@
         hop,
     };
     let job = Rc::new(Job::new(edge, admission, request));
-    track.ranked(job.urgency);
+    if let Some(urgency) = job.urgency {
+        track.ranked(urgency, job.caller_key());
+    }
     serve(job, track).await
 }
 
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -8,7 +8,7 @@
 
 use hyper::header::HOST;
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use thistlesill_core::edge::Target;
 use thistlesill_core::{CustomerId, Millis};
 use thistlesill_policy::edge::load::{Knowledge, LoadTable, PickRequest};
@@ -65,6 +65,18 @@
     pub(crate) begin: Millis,
     /// Whether the caller was refused before and has kept its booked time.
     pub(crate) standing: Standing,
+    /// Whether the caller was refused before, with or without a booking.
+    #[serde(deserialize_with = "or_false")]
+    pub(crate) returned: bool,
+    /// Whether the retry time of a refused request is booked.
+    #[serde(deserialize_with = "or_false")]
+    pub(crate) booked: bool,
+}
+
+/// Reads a flag at the end of a datagram, which owners of the previous version do not send. Without
+/// this, their replies would be dropped, and each daemon would decide alone.
+fn or_false<'a, D: Deserializer<'a>>(deserializer: D) -> Result<bool, D::Error> {
+    bool::deserialize(deserializer).or(Ok(false))
 }
 
 impl Ranking {
@@ -92,6 +104,11 @@
         }
     }
 
+    /// Returns whether the request is refused with a booked retry time.
+    pub(crate) fn is_booked_refusal(&self) -> bool {
+        self.booked && self.overload().is_some()
+    }
+
     /// Returns the overload of a refused request; `None` if the request is admitted.
     pub(crate) const fn overload(&self) -> Option<Overload> {
         match self.decision {
@@ -111,14 +128,14 @@
     Some(RankedRequest {
         urgency,
         customer: job.admission.customer.clone(),
-        key: key(job),
+        key: job.caller_key(),
         aim: job.admission.route.aim,
         left: job.time_left(),
     })
 }
 
 /// Returns a hash that is the same for all attempts of one caller, at any daemon.
-fn key(job: &Job) -> u64 {
+pub(crate) fn key(job: &Job) -> u64 {
     let customer = job.admission.customer.as_ref();
     let host = job.headers.get(HOST).map_or(&b""[..], |h| h.as_bytes());
     let path = job.uri.path_and_query().map_or("", |path| path.as_str());
@@ -157,7 +174,9 @@
     metrics::histogram!("thistlesill_edge_first_event_delay_ms").record(delay);
     let mut table = edge.ranking.table.borrow_mut();
     let standing = table.standing(scope, ranked.key, now);
+    let returned = table.is_known(scope, ranked.key, now);
     let decision = table.decide(scope, ranked, prospect, now);
+    let booked = table.is_booked(scope, ranked.key, now);
     if table.has_reports() {
         edge.ranking.has_reports.notify_one();
     }
@@ -165,6 +184,8 @@
         decision,
         begin: Millis::new(begin as u64),
         standing,
+        returned,
+        booked,
     };
     if let Some(overload) = ranking(prospect.begin).overload() {
         return (Choice::Overloaded(overload), Some(ranking(prospect.begin)));
@@ -191,3 +212,30 @@
 ) -> bool {
     is_early_enough(loads.predict(target, request, now), prospect, ranked.aim)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against replies of owners of the previous version being dropped: these end before the
+    /// last two flags.
+    #[test]
+    fn a_decision_of_the_previous_version_is_read() {
+        let ranking = Ranking {
+            decision: AdmissionDecision::Late,
+            begin: Millis::new(300),
+            standing: Standing::Kept,
+            returned: true,
+            booked: true,
+        };
+        let bytes = postcard::to_stdvec(&ranking).unwrap();
+        assert_eq!(postcard::from_bytes(&bytes), Ok(ranking));
+        let previous = postcard::from_bytes::<Ranking>(&bytes[..bytes.len() - 2]);
+        let unset = Ranking {
+            returned: false,
+            booked: false,
+            ..ranking
+        };
+        assert_eq!(previous, Ok(unset));
+    }
+}
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -5,6 +5,7 @@
 
 use hyper::Response;
 use thistlesill_core::edge::{Target, TargetId};
+use thistlesill_core::error::Ran;
 use thistlesill_core::{ErrorKind, Fingerprint, Millis, NodeId};
 use thistlesill_policy::edge::admission::Admission;
 use thistlesill_policy::edge::attempt::{NextStep, Outcome};
@@ -68,6 +69,10 @@
     placed: Option<PlacedBy>,
     /// The rank of the request, if its service ranks its callers.
     urgency: Option<Urgency>,
+    /// Hash that is the same for all attempts of the caller, if the service ranks its callers.
+    caller: Option<u64>,
+    /// Whether this daemon answered with an error that says that the request has not run.
+    refused: bool,
     /// The decision on the request by its rank.
     ranking: Option<Ranking>,
     /// The peer that the request was last passed to.
@@ -98,6 +103,8 @@
             retry_after: None,
             placed: None,
             urgency: None,
+            caller: None,
+            refused: false,
             ranking: None,
             peer: None,
             pause: None,
@@ -114,6 +121,7 @@
         rest.version = self.version;
         rest.placed = self.placed;
         rest.urgency = self.urgency;
+        rest.caller = self.caller;
         rest.ranking = self.ranking;
         rest.peer.clone_from(&self.peer);
         rest.aim = self.aim;
@@ -166,9 +174,10 @@
         self.placed = Some(by);
     }
 
-    /// Records the rank of the request.
-    pub(crate) const fn ranked(&mut self, urgency: Option<Urgency>) {
-        self.urgency = urgency;
+    /// Records the rank of the request, and the key of its caller.
+    pub(crate) const fn ranked(&mut self, urgency: Urgency, caller: u64) {
+        self.urgency = Some(urgency);
+        self.caller = Some(caller);
     }
 
     /// Records the decision on the request by its rank.
@@ -256,6 +265,7 @@
     /// `after` is when the caller may retry, if a better estimate than the usual time is known.
     pub(crate) fn refuse(&mut self, kind: ErrorKind, after: Option<Millis>) -> Response<OutBody> {
         self.retry_after = after;
+        self.refused = kind.answer().ran == Ran::No;
         self.end(kind.answer().status, None, 0, kind.name());
         reply::error(kind, after)
     }
@@ -283,6 +293,11 @@
         let late = self.late(took);
         let urgency = self.urgency.map(|u| format!("{}.{}", u.customer, u.route));
         let ranking = self.ranking.as_ref();
+        // Links the attempts of a refused caller; other lines don't need it.
+        let returned = ranking.is_some_and(|r| r.returned);
+        let caller = self.caller.filter(|_| self.refused || returned);
+        let settings = self.edge.settings();
+        let aim = self.aim.filter(|_| ranking.is_some()).map(Millis::get);
         // The state of the target explains why an answer was late; other lines don't need it.
         let sent = self.sent.filter(|_| late.is_some());
         self.edge
@@ -299,7 +314,11 @@
             .maybe("decision", ranking.map(|r| r.decision.name()))
             .maybe("ground", ranking.and_then(Ranking::ground_name))
             .maybe("begin_ms", ranking.map(|r| r.begin.get()))
+            .maybe("aim_ms", aim)
             .maybe("return", ranking.and_then(Ranking::standing_name))
+            .maybe("caller", caller.map(|key| format!("{key:016x}")))
+            .maybe("daemon", caller.map(|_| &settings.name))
+            .maybe("hall", caller.map(|_| &settings.hall))
             .maybe("catalog", self.version)
             .maybe("proof_age_ms", age.map(Millis::get))
             .maybe("targets_age_ms", self.edge.targets_age().map(Millis::get))
@@ -315,6 +334,10 @@
             .maybe("why", self.reason)
             .maybe("print", self.fingerprint)
             .maybe("back_ms", self.retry_after.map(Millis::get))
+            .maybe(
+                "booked",
+                ranking.filter(|r| r.is_booked_refusal()).map(|_| true),
+            )
             .with("took_ms", took.get())
             .with("bytes", bytes)
             .write();
--- a/crates/thistlesill-edge/tests/it/shortage.rs
+++ b/crates/thistlesill-edge/tests/it/shortage.rs
@@ -65,6 +65,13 @@
     lines.filter_map(value).collect()
 }
 
+/// Returns the key of a caller in the last log line of its request.
+fn caller(world: &World, daemon: usize, id: &str) -> Option<String> {
+    let lines = world.log_lines(daemon, &format!("ev=request id={id} "));
+    let (_, rest) = lines.last()?.split_once(" caller=")?;
+    rest.split(' ').next().map(ToOwned::to_owned)
+}
+
 /// Returns whether a daemon has a metric, given with its labels.
 async fn has_metric(world: &World, daemon: usize, metric: &str) -> bool {
     let address = world.daemons[daemon].metrics_address();
@@ -171,6 +178,16 @@
     assert!(again.len() >= 2, "{refused:?}");
     let statuses: Vec<u16> = again.iter().map(|answer| answer.status).collect();
     assert!(statuses.iter().all(|s| *s == 200), "{statuses:?}");
+    // Without a common key, the log does not tell which attempts are one caller's.
+    sleep(300).await;
+    for (id, _) in refused
+        .iter()
+        .filter(|(_, after)| *after <= MAX_RETRY_AFTER)
+    {
+        let first = caller(&world, NEAR[0], id);
+        assert!(first.is_some(), "{id}");
+        assert_eq!(first, caller(&world, NEAR[1], &format!("{id}-again")));
+    }
 }
 
 /// The owner freezes under load: its peers must not wait for it, and decide by their own tables.
--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -193,6 +193,12 @@
         (now <= caller.end).then_some(caller.first)
     }
 
+    /// Returns whether a caller has a booking, here or at another owner.
+    pub fn is_booked(&self, key: u64, now: Millis) -> bool {
+        let caller = self.callers.get(&key).filter(|caller| now <= caller.end);
+        caller.is_some_and(|caller| caller.booked.is_some())
+    }
+
     /// Removes a caller that is served.
     pub fn remove(&mut self, key: u64) {
         if let Some(caller) = self.callers.remove(&key) {
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -228,6 +228,19 @@
         state.map_or(Standing::New, |s| s.returns.standing(key, now))
     }
 
+    /// Returns whether a caller is known from an earlier refusal, with or without a booking; must be
+    /// called before the decision on its request.
+    pub fn is_known(&self, scope: &Scope, key: u64, now: Millis) -> bool {
+        let state = self.scopes.get(scope);
+        state.is_some_and(|s| s.returns.first(key, now).is_some())
+    }
+
+    /// Returns whether a caller has a booking in a scope.
+    pub fn is_booked(&self, scope: &Scope, key: u64, now: Millis) -> bool {
+        let state = self.scopes.get(scope);
+        state.is_some_and(|s| s.returns.is_booked(key, now))
+    }
+
     /// Returns the number of bookings in a scope.
     pub fn bookings(&self, scope: &Scope) -> usize {
         self.scopes.get(scope).map_or(0, |s| s.returns.len())
--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::returns::{MAX_BOOKINGS, Returns, Standing};
+use thistlesill_policy::edge::returns::{CallerReport, MAX_BOOKINGS, Returns, Standing};
 use thistlesill_policy::edge::shortage::{RankedRequest, Urgency};
 
 const START: u64 = 1_000_000;
@@ -156,3 +156,27 @@
     let next = booked(&mut returns, 20_001).unwrap_err().get();
     assert!((10_300..16_300).contains(&next), "{next}");
 }
+
+/// Guards against a refusal that is logged as booked although its caller was only told when to try
+/// again, and against a booking from another owner that is logged as none.
+#[test]
+fn only_callers_with_a_booking_count_as_booked() {
+    let mut returns = Returns::default();
+    let time = book(&mut returns, 0, 1, 0);
+    returns.defer(&request(0, 2, 900), at(0));
+    returns.learn(
+        CallerReport::Refused {
+            key: 3,
+            since: Millis::new(50),
+            booked: Some(Millis::new(300)),
+            left: Millis::new(1_300),
+        },
+        at(0),
+    );
+    let booked = |key, ms| returns.is_booked(key, at(ms));
+    assert_eq!(
+        [1, 2, 3, 4].map(|key| booked(key, 0)),
+        [true, false, true, false]
+    );
+    assert!(!booked(1, time + 1_001), "the booking has ended");
+}
