feat(cli): `explain refusal` tells why a request was refused

Cause: a refusal had to be explained by hand, from lines of several daemons with different ids. Change: `thistlesill explain refusal ID FILES...` joins the lines of a caller's attempts by `caller` and explains ground, prediction, objective, retry time and outcome, also as JSON.

--- a/crates/thistlesill-cli/src/commands.rs
+++ b/crates/thistlesill-cli/src/commands.rs
@@ -1,7 +1,7 @@
 //! Implementations of the commands.
 
 mod fleet;
-mod losses;
+mod logs;
 mod settings;
 mod timeline;
 
@@ -41,7 +41,8 @@
         ThistlesillCmd::Drain(args) => fleet::drain(&open()?, &args.name, json).await,
         ThistlesillCmd::Explain(explain) => match explain.subcommand {
             ExplainCmd::Request(args) => timeline::explain(&open()?, &args.id, json).await,
-            ExplainCmd::Losses(args) => losses::show(&args.files, json),
+            ExplainCmd::Losses(args) => logs::losses(&args.files, json),
+            ExplainCmd::Refusal(args) => logs::refusal(&args.id, &args.files, json),
             ExplainCmd::Group(args) => fleet::explain(&open()?, &args.name, json).await,
         },
         ThistlesillCmd::Timeline(args) => timeline::show(&open()?, args, json).await,
--- a/crates/thistlesill-cli/src/flags.rs
+++ b/crates/thistlesill-cli/src/flags.rs
@@ -21,6 +21,7 @@
     ///   thistlesill settings get --resolved --hall concord --customer lowell
     ///   thistlesill explain group concord-1.3
     ///   thistlesill explain losses edge-1.log edge-2.log
+    ///   thistlesill explain refusal b-7 edge-1.log edge-2.log
     ///   thistlesill timeline --request 5f0c... --svg request.svg
     cmd thistlesill {
         /// File with the fleet's addresses (default: thistlesill.jsonc).
@@ -80,7 +81,7 @@
         cmd instances {}
         /// Show the daemons and the settings revision of each.
         cmd status {}
-        /// Explain a request, late answers, or a group.
+        /// Explain a request, late answers, a refusal, or a group.
         cmd explain {
             /// Why a request went where it went and ended as it did.
             cmd request {
@@ -94,6 +95,15 @@
                 /// input).
                 repeated files: PathBuf
             }
+            /// Why a request was refused and what became of its caller, from the log
+            /// lines of edge daemons.
+            cmd refusal {
+                /// The request's id, from its line or the caller.
+                required id: String
+                /// Files with log lines of any number of daemons (default: standard
+                /// input).
+                repeated files: PathBuf
+            }
             /// Why a group was formed, and what it waits for.
             cmd group {
                 /// The group's name.
@@ -133,6 +143,7 @@
     "explain",
     "request",
     "losses",
+    "refusal",
     "group",
     "timeline",
     "drain",
--- a/crates/thistlesill-cli/src/lib.rs
+++ b/crates/thistlesill-cli/src/lib.rs
@@ -9,4 +9,5 @@
 mod lines;
 pub mod losses;
 pub mod picture;
+pub mod refusal;
 pub mod report;
--- /dev/null
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -0,0 +1,113 @@
+//! Tests that a refusal is explained by the lines of its caller's attempts.
+
+use thistlesill_cli::refusal::{Explanation, explain};
+
+const FIRST: &str = "t=300.000 ev=request id=b-1 outcome=overloaded status=503 route=booth \
+    urgency=1.0 decision=refused ground=no_room begin_ms=2000 aim_ms=250 caller=00ab daemon=edge-1 \
+    hall=north back_ms=300 booked=true took_ms=0";
+const EARLY: &str = "t=300.100 ev=request id=b-7 outcome=overloaded status=503 route=booth \
+    urgency=1.0 decision=refused ground=early begin_ms=2000 aim_ms=250 return=early caller=00ab \
+    daemon=edge-2 hall=south back_ms=200 booked=true took_ms=0";
+const KEPT: &str = "t=300.700 ev=request id=b-9 outcome=answered status=200 route=booth urgency=1.0 \
+    decision=late begin_ms=200 aim_ms=250 return=kept caller=00ab daemon=edge-3 hall=south \
+    late=first took_ms=400";
+
+fn explained(id: &str, lines: &[&str]) -> Explanation {
+    explain(id, lines.iter().copied()).expect("the id is known")
+}
+
+fn ids(explanation: &Explanation) -> Vec<&str> {
+    let attempts = explanation.attempts.iter();
+    attempts.map(|attempt| attempt.id.as_str()).collect()
+}
+
+/// Guards against an explanation that leaves out a part of the reason or of the outcome.
+#[test]
+fn a_refusal_is_explained_with_all_attempts_of_its_caller() {
+    let text = explained("b-7", &[KEPT, "no line", EARLY, "ev=request", FIRST]).to_string();
+    let expected = "\
+Request b-7 was refused: its caller came back before its booked time.
+Its route is booth, with priority 0; its customer has priority 1 (lower is more urgent, the customer's counts first).
+Its target would begin it after 2000 ms; the objective is 250 ms after the first attempt.
+Its caller was told to retry after 200 ms, which was booked.
+Known attempts of its caller:
+  +0 ms  b-1 at edge-1 in north: refused (no_room), told to retry after 300 ms, which was booked
+  +100 ms  b-7 at edge-2 in south: refused (early), told to retry after 200 ms, which was booked
+  +300 ms  b-9 at edge-3 in south: answered, with a late first event
+";
+    assert_eq!(text, expected);
+}
+
+/// Guards against an error for a request that was served, and one for an unknown id that is missing.
+#[test]
+fn a_request_that_was_served_is_explained_and_an_unknown_one_is_not() {
+    let served = "t=300.7 ev=request id=s outcome=answered route=booth took_ms=9";
+    let with_millis = served.replace("300.7 ", "300.700 ");
+    let explanation = explained("s", &[&with_millis]);
+    assert!(!explanation.refused);
+    let text = explanation.to_string();
+    assert!(
+        text.starts_with("Request s was not refused: answered in time."),
+        "{text}"
+    );
+    assert!(explain("b-2", [FIRST, EARLY].into_iter()).is_none());
+}
+
+/// Guards against attempts that are taken for those of one caller because all lack the field, because
+/// another caller was served before, or because an identical request comes minutes later.
+#[test]
+fn attempts_of_other_callers_are_left_out() {
+    let unranked = |id: &str| format!("t=300.000 ev=request id={id} outcome=no_group took_ms=0");
+    let lines = [unranked("x"), unranked("y")];
+    assert_eq!(ids(&explained("x", &[&lines[0], &lines[1]])), ["x"]);
+    let again = FIRST.replace("t=300", "t=301").replace("b-1", "c-1");
+    let later = FIRST.replace("t=300", "t=400").replace("b-1", "d-1");
+    let lines = [FIRST, KEPT, &again, &later];
+    assert_eq!(ids(&explained("b-1", &lines)), ["b-1", "b-9"]);
+    assert_eq!(ids(&explained("c-1", &lines)), ["c-1"]);
+}
+
+/// Guards against a request that a peer refused and another one served being explained as refused.
+#[test]
+fn a_request_that_was_passed_on_is_explained_by_the_daemon_that_its_caller_asked() {
+    let passed = "t=300.050 ev=request id=b-1 outcome=answered peer=edge-2 route=booth took_ms=50";
+    assert!(!explained("b-1", &[passed, FIRST]).refused);
+}
+
+/// Guards against lost attempts of a caller that repeats its request under one id, and against a
+/// killed daemon's missing lines that look like a first attempt.
+#[test]
+fn repeated_ids_and_missing_lines_are_told() {
+    let early = EARLY.replace("b-7", "b-1");
+    let explanation = explained("b-1", &[FIRST, &early, KEPT]);
+    assert_eq!(explanation.request.ground.as_deref(), Some("early"));
+    assert_eq!(ids(&explanation), ["b-1", "b-1", "b-9"]);
+    let missing = "lines are missing";
+    assert!(!explanation.to_string().contains(missing));
+    assert!(
+        explained("b-7", &[EARLY, KEPT])
+            .to_string()
+            .contains(missing)
+    );
+    assert!(explained("b-9", &[KEPT]).to_string().contains(missing));
+}
+
+/// Guards against refusals that the ground does not explain, also of later versions.
+#[test]
+fn refusals_without_a_known_ground_name_what_the_line_tells() {
+    let reason = |fields: &str| {
+        let line = format!("t=1.000 ev=request id=a route=r took_ms=0 {fields}");
+        let text = explained("a", &[&line]).to_string();
+        text.lines().next().map(ToOwned::to_owned)
+    };
+    let found = reason("outcome=overloaded why=\"the targets' limits are used up\"");
+    assert_eq!(
+        found.as_deref(),
+        Some("Request a was refused: the targets' limits are used up.")
+    );
+    let found = reason("outcome=overloaded ground=another");
+    assert_eq!(
+        found.as_deref(),
+        Some("Request a was refused: ground another.")
+    );
+}
