fix(cli): a retry is late by the time since its caller's first attempt

On the log of a process test, `explain refusal` called a retry in time that was answered 340 ms after the first attempt, with an objective of 250 ms. Change: the time of the first event is counted from the first known attempt.

--- a/crates/thistlesill-cli/src/refusal.rs
+++ b/crates/thistlesill-cli/src/refusal.rs
@@ -46,6 +46,8 @@
     pub begin_ms: Option<u64>,
     /// The objective of the route.
     pub aim_ms: Option<u64>,
+    /// When its first event went to the caller.
+    pub first_ms: Option<u64>,
     /// The retry time that the caller was given.
     pub back_ms: Option<u64>,
     /// Whether the retry time was booked.
@@ -84,6 +86,7 @@
             why: text("why"),
             begin_ms: number("begin_ms"),
             aim_ms: number("aim_ms"),
+            first_ms: number("first_ms"),
             back_ms: number("back_ms"),
             booked: fields.get("booked") == Some(&"true"),
             standing: text("return"),
@@ -129,13 +132,16 @@
         text.or(known).unwrap_or_else(|| self.outcome.clone())
     }
 
-    /// Returns how the request ended, in a few words.
-    fn end(&self) -> String {
+    /// Returns how the request ended, in a few words; its caller's first attempt arrived at `start`.
+    fn end(&self, start: u64) -> String {
         if !self.is_refused() {
             return match (self.outcome.as_str(), self.late.as_deref()) {
-                ("answered", None) => "answered in time".to_owned(),
                 ("answered", Some("first")) => "answered, with a late first event".to_owned(),
                 ("answered", Some(_)) => "answered, with too long a pause".to_owned(),
+                ("answered", None) if self.is_late_since(start) => {
+                    "answered, late from the first attempt on".to_owned()
+                }
+                ("answered", None) => "answered in time".to_owned(),
                 ("caller_left", _) => "not answered, since its caller left".to_owned(),
                 (other, _) => format!("ended with {other}"),
             };
@@ -144,6 +150,14 @@
         format!("refused ({ground}), {}", self.retry())
     }
 
+    /// Returns whether the first event missed the objective, which counts from the first attempt;
+    /// `late` in a line counts from the arrival of its own request.
+    fn is_late_since(&self, start: u64) -> bool {
+        let took = self.first_ms.unwrap_or(self.took_ms);
+        let since = (self.arrived_ms - start).saturating_add(took);
+        self.aim_ms.is_some_and(|aim| since > aim)
+    }
+
     /// Returns what a refused caller was told.
     fn retry(&self) -> String {
         match self.back_ms {
@@ -166,7 +180,8 @@
 fn end_ms(fields: &Fields<'_>) -> Option<u64> {
     let (seconds, millis) = fields.get("t")?.split_once('.')?;
     let seconds: u64 = seconds.parse().ok()?;
-    Some(seconds.checked_mul(1_000)? + millis.parse::<u64>().ok().filter(|ms| *ms < 1_000)?)
+    let millis = millis.parse().ok().filter(|ms| *ms < 1_000)?;
+    seconds.checked_mul(1_000)?.checked_add(millis)
 }
 
 /// Why a request was refused, and what became of its caller.
@@ -224,6 +239,7 @@
 impl fmt::Display for Explanation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let request = &self.request;
+        let start = self.attempts.first().map_or(0, |a| a.arrived_ms);
         if self.refused {
             let (id, reason) = (&request.id, request.reason());
             writeln!(f, "Request {id} was refused: {reason}.")?;
@@ -232,7 +248,7 @@
                 f,
                 "Request {} was not refused: {}.",
                 request.id,
-                request.end()
+                request.end(start)
             )?;
         }
         let route = request.route.as_deref().unwrap_or("unknown");
@@ -258,14 +274,13 @@
             return writeln!(f, "Other attempts of its caller are not known.");
         }
         writeln!(f, "Known attempts of its caller:")?;
-        let start = self.attempts.first().map_or(0, |a| a.arrived_ms);
         for attempt in &self.attempts {
             let (after, place) = (attempt.arrived_ms - start, attempt.place());
             writeln!(
                 f,
                 "  +{after} ms  {} at {place}: {}",
                 attempt.id,
-                attempt.end()
+                attempt.end(start)
             )?;
         }
         // Only a caller that was refused before has the field without being refused.
--- a/crates/thistlesill-cli/tests/refusal.rs
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -92,6 +92,21 @@
     assert!(explained("b-9", &[KEPT]).to_string().contains(missing));
 }
 
+/// Guards against a retry that is called in time because its own line is not late: the objective
+/// counts from the first attempt. Seen in the log of a process test.
+#[test]
+fn a_retry_is_late_by_the_time_since_the_first_attempt() {
+    let kept = KEPT.replace("late=first", "first_ms=20");
+    let text = explained("b-1", &[FIRST, &kept]).to_string();
+    assert!(
+        text.ends_with("answered, late from the first attempt on\n"),
+        "{text}"
+    );
+    let soon = kept.replace("t=300.700", "t=300.620");
+    let text = explained("b-1", &[FIRST, &soon]).to_string();
+    assert!(text.ends_with("answered in time\n"), "{text}");
+}
+
 /// Guards against refusals that the ground does not explain, also of later versions.
 #[test]
 fn refusals_without_a_known_ground_name_what_the_line_tells() {
