--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -220,3 +220,27 @@
     let first = |key| returns.first(key, at(60_001));
     assert_eq!(first(10_000), Some(at(60_001)));
 }
+
+/// Guards against a refusal that is logged as booked although its caller was only told when to try
+/// again, and against a booking from another owner that is logged as none.
+#[test]
+fn only_callers_with_a_booking_count_as_booked() {
+    let mut returns = Returns::default();
+    let time = book(&mut returns, 0, 1, 0);
+    returns.defer(&request(0, 2, 900), at(0));
+    returns.learn(
+        CallerReport::Refused {
+            key: 3,
+            since: Millis::new(50),
+            booked: Some(Millis::new(300)),
+            left: Millis::new(1_300),
+        },
+        at(0),
+    );
+    let booked = |key, ms| returns.is_booked(key, at(ms));
+    assert_eq!(
+        [1, 2, 3, 4].map(|key| booked(key, 0)),
+        [true, false, true, false]
+    );
+    assert!(!booked(1, time + 1_001), "the booking has ended");
+}
