--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -78,6 +78,23 @@
     assert_spread(&[(1, 100.0, 30_000), (3, 8.0, 6_000)]);
 }
 
+/// Guards against equal retry times of callers whose queue ends after their deadline.
+#[test]
+fn callers_that_have_no_turn_before_their_deadline_come_back_spread() {
+    let mut returns = Returns::default();
+    for key in 0..3 {
+        let booked = returns.book(&request(0, key, 600_000), 0.1, at(0));
+        assert_eq!(booked, Ok(Millis::new(300 + 10_000 * key)));
+    }
+    let defer = |key| returns.defer(&request(0, key, 6_000), at(0)).get();
+    let times: Vec<u64> = (10..610).map(defer).collect();
+    let expected = 30_300..=36_300;
+    assert!(times.iter().all(|time| expected.contains(time)));
+    // Ten per 100 ms if they are even.
+    let (most, _) = bins(&times);
+    assert!(most <= 20.0, "{most} per 100 ms");
+}
+
 /// Guards against a returning caller that counts as a new one: its objective counts from its first
 /// attempt, with a booking or without.
 #[test]
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -91,6 +91,37 @@
     assert!(ordered, "{kinds:?}");
 }
 
+/// Guards against a less urgent kind that is refused only after it is ahead of a more urgent one.
+#[test]
+fn a_request_that_would_put_its_kind_ahead_of_a_more_urgent_one_is_refused() {
+    let mut owner = Owner::default();
+    let mut decide = |kind, key, begin| {
+        let customer = format!("c{key}");
+        owner.decide(&request(kind, &customer, key), full(begin), key)
+    };
+    // Half of the callers of each kind are served.
+    for key in 0..2 {
+        assert_eq!(decide(TARIFF, key, 100.0), AdmissionDecision::InTime);
+    }
+    for key in 2..7 {
+        assert_eq!(decide(BOOTH, key, 100.0), AdmissionDecision::InTime);
+    }
+    for key in 7..12 {
+        let refused = decide(BOOTH, key, 2_000.0);
+        assert!(refused_from(Ground::NoRoom)(refused), "{refused:?}");
+    }
+    for key in 12..14 {
+        decide(TARIFF, key, 2_000.0);
+    }
+    let ahead = decide(TARIFF, 14, 100.0);
+    assert!(refused_from(Ground::LessUrgent)(ahead), "{ahead:?}");
+    // With 8 of 13 of the urgent kind, 3 of 5 are not ahead.
+    for key in 15..18 {
+        assert_eq!(decide(BOOTH, key, 100.0), AdmissionDecision::InTime);
+    }
+    assert_eq!(decide(TARIFF, 18, 100.0), AdmissionDecision::InTime);
+}
+
 /// Guards against returning callers that take the place of requests that can be in time.
 #[test]
 fn a_caller_that_returns_without_a_booking_is_not_in_time_any_more() {
