test(edge): a booked caller keeps its booking at a daemon of another data centre

Cause: the reports of refused callers between owners were tested in the model only. Change: a process test refuses callers in the data centre of the targets, and lets the booked ones return at their times to the owner of the other one: their lines there have return=kept.

--- a/crates/thistlesill-edge/tests/it/shortage.rs
+++ b/crates/thistlesill-edge/tests/it/shortage.rs
@@ -12,6 +12,8 @@
 
 /// The daemons in the data centre of the targets, of four.
 const NEAR: [usize; 2] = [0, 2];
+/// The daemons in the other data centre.
+const FAR: [usize; 2] = [1, 3];
 const DAEMONS: u8 = 4;
 /// Requests per second of each kind. A group of four slots begins about 25 within the objective of
 /// the most urgent kind.
@@ -142,6 +144,41 @@
     ask(world, daemon, request).await
 }
 
+/// Sends 40 urgent requests at once, and those that are refused with a booked time again to a
+/// daemon at that time. Returns the refused callers with their retry times, and the answers to those
+/// that returned.
+async fn refuse_and_return(
+    world: &World,
+    daemon: usize,
+) -> (Vec<(String, f64)>, Vec<CallerAnswer>) {
+    sleep(2_000).await;
+    let ids: Vec<String> = (0..40).map(|n| format!("caller-{n}")).collect();
+    let first = ids.iter().map(|id| ask(world, NEAR[0], urgent(id)));
+    let first = futures_util::future::join_all(first).await;
+    let refused = ids.into_iter().zip(first).filter(|(_, a)| a.status == 503);
+    let refused: Vec<(String, f64)> = refused
+        .filter_map(|(id, answer)| Some((id, answer.retry_after()?)))
+        .collect();
+    let on_time = refused
+        .iter()
+        .filter(|(_, after)| *after <= MAX_RETRY_AFTER);
+    let again = on_time.map(|(id, after)| return_to(world, daemon, id.clone(), *after));
+    let again = futures_util::future::join_all(again).await;
+    (refused, again)
+}
+
+/// Returns the daemon that owns the scope of a data centre, of the daemons there.
+async fn find_owner(world: &World, daemons: &[usize]) -> usize {
+    for daemon in daemons {
+        ask(world, *daemon, urgent(&format!("find-{daemon}"))).await;
+    }
+    sleep(300).await;
+    let owns = |daemon: &&usize| values(world, **daemon, "urgent", "placed") == ["itself"];
+    let owners: Vec<&usize> = daemons.iter().filter(owns).collect();
+    assert_eq!(owners.len(), 1, "{owners:?}");
+    *owners[0]
+}
+
 /// 5,928 of 6,131 refused callers got the same retry time, and were refused again when they all
 /// returned together.
 #[tokio::test(flavor = "multi_thread")]
@@ -149,23 +186,7 @@
     let world = ranked_world(203).await;
     let time = Duration::from_secs(6);
     let load = send_through(&world, &NEAR, 2 * RATE, time, later);
-    let returns = async {
-        sleep(2_000).await;
-        let ids: Vec<String> = (0..40).map(|n| format!("caller-{n}")).collect();
-        let first = ids.iter().map(|id| ask(&world, NEAR[0], urgent(id)));
-        let first = futures_util::future::join_all(first).await;
-        let refused = ids.into_iter().zip(first).filter(|(_, a)| a.status == 503);
-        let refused: Vec<(String, f64)> = refused
-            .filter_map(|(id, answer)| Some((id, answer.retry_after()?)))
-            .collect();
-        let on_time = refused
-            .iter()
-            .filter(|(_, after)| *after <= MAX_RETRY_AFTER);
-        let again = on_time.map(|(id, after)| return_to(&world, NEAR[1], id.clone(), *after));
-        let again = futures_util::future::join_all(again).await;
-        (refused, again)
-    };
-    let (_, (refused, again)) = tokio::join!(load, returns);
+    let (_, (refused, again)) = tokio::join!(load, refuse_and_return(&world, NEAR[1]));
     let times: BTreeSet<u64> = refused.iter().map(|(_, s)| (s * 1e3) as u64).collect();
     assert!(times.len() >= 3, "{refused:?}");
     assert!(again.len() >= 2, "{refused:?}");
@@ -173,18 +194,27 @@
     assert!(statuses.iter().all(|s| *s == 200), "{statuses:?}");
 }
 
+/// Guards against owners that do not report refused callers: a retry that reached another data
+/// centre counted as a new request, and its booking was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booked_caller_that_returns_in_another_data_centre_counts_as_new() {
+    let world = ranked_world(205).await;
+    // The owner, since a daemon that gets no answer from it decides by its own table.
+    let far = find_owner(&world, &FAR).await;
+    let time = Duration::from_secs(6);
+    let load = send_through(&world, &NEAR, 2 * RATE, time, later);
+    let (_, (refused, again)) = tokio::join!(load, refuse_and_return(&world, far));
+    assert!(again.len() >= 2, "{refused:?}");
+    sleep(300).await;
+    let standings = values(&world, far, "urgent", "return");
+    assert_eq!(standings, vec!["kept"; again.len()], "{refused:?}");
+}
+
 /// The owner freezes under load: its peers must not wait for it, and decide by their own tables.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_wait_for_the_decisions_of_an_owner_that_froze() {
     let world = ranked_world(204).await;
-    for daemon in NEAR {
-        ask(&world, daemon, urgent(&format!("find-{daemon}"))).await;
-    }
-    sleep(300).await;
-    let owns = |daemon: &&usize| values(&world, **daemon, "urgent", "placed") == ["itself"];
-    let owners: Vec<&usize> = NEAR.iter().filter(owns).collect();
-    assert_eq!(owners.len(), 1, "{owners:?}");
-    let owner = *owners[0];
+    let owner = find_owner(&world, &NEAR).await;
     let other = NEAR[0] + NEAR[1] - owner;
     let before = send_through(&world, &[other], RATE, Duration::from_secs(1), urgent).await;
     let frozen_at = Instant::now();
