test(policy): nothing is kept for a kind that is served less often if the kept ratio is 0

Cause: with the old constant in the comparison of starved kinds, no test failed. Change: with a kept ratio of 0, a kind that is served less often than the urgent one is refused where only its own objective would admit it.

--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -257,6 +257,13 @@
     let free = answered(0.0);
     assert!(free[0] > free[1] && free[1] > free[2], "{free:?}");
     assert!(free[0] > 1.1 * kept[0], "{free:?} {kept:?}");
+    // Nor is a kind that is served less often admitted by its own, longer objective.
+    let mut owner = Owner(ShortageTable::new(limits(0.25, 0.0)));
+    owner.decide(&request(BOOTH, "a", 1), full(100.0), 0);
+    for key in 2..10 {
+        let tariff = owner.decide(&request(TARIFF, "a", key), full(400.0), key);
+        assert!(refused_from(Ground::LessUrgent)(tariff), "{tariff:?}");
+    }
 }
 
 #[test]
