fix(policy): of two owners that refused a caller, the last one's time counts; kinds compare exactly

Cause, from a review: a report replaced the receiver's own booking even if it was older or only repeated it, so that callers came at the time given last and were refused as early, and bookings were due nowhere; a kind of which all requests were served was refused for being ahead, since the request itself was not counted as a caller; callers known from reports were never counted here. Change: reports carry the time since the last refusal; early refusals are not reported; each caller is reported once per batch and only for models that the service runs; each owner counts a caller at its first attempt there; how a kind is treated is decided once.

--- a/crates/thistlesill-edge/src/peers/callers.rs
+++ b/crates/thistlesill-edge/src/peers/callers.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use thistlesill_core::edge::Catalog;
 use thistlesill_core::{Model, NodeId, ServiceName};
 use thistlesill_policy::edge::owner::Scope;
 use thistlesill_policy::edge::returns::CallerReport;
@@ -18,13 +19,14 @@
 /// Time for which reports are collected. The shortest retry time is 300 ms, so that a report
 /// arrives before its caller.
 const BATCH_TIME: Duration = Duration::from_millis(50);
-/// Callers in one datagram: 26 bytes each at most, with the names far below the largest datagram.
+/// Callers in one datagram, which may have 8 KB: a report takes 26 bytes if its times are below
+/// 4 hours, and 36 bytes if they are below centuries.
 const MAX_CALLERS: usize = 200;
 
 /// Sends reports of refused callers, without end.
 pub(crate) async fn run(edge: Rc<Edge>) {
     loop {
-        edge.ranking.has_reports.notified().await;
+        edge.ranking.reports_added().await;
         tokio::time::sleep(BATCH_TIME).await;
         send_reports(&edge);
     }
@@ -64,10 +66,20 @@
     peers.halls().into_iter().filter_map(owner).collect()
 }
 
+/// Returns whether a service runs a model; `None` stands for requests without one.
+fn serves(catalog: &Catalog, service: &ServiceName, model: Option<&Model>) -> bool {
+    let engine = catalog.service(service).and_then(|s| s.engine.as_ref());
+    let models = engine.map_or(&[][..], |e| &e.models[..]);
+    model.is_none_or(|model| models.iter().any(|m| m.model == *model))
+}
+
 /// Records the reports of another daemon.
 pub(crate) fn receive(edge: &Edge, reports: RefusedCallers) {
     let catalog = edge.catalog();
-    if !catalog.is_some_and(|c| c.ranks_callers(&reports.service)) {
+    let is_known = catalog.is_some_and(|c| {
+        c.ranks_callers(&reports.service) && serves(&c, &reports.service, reports.model.as_ref())
+    });
+    if !is_known {
         return;
     }
     let scope = Scope {
--- a/crates/thistlesill-edge/src/peers/place.rs
+++ b/crates/thistlesill-edge/src/peers/place.rs
@@ -202,7 +202,7 @@
 /// Returns the data centre whose owner places a request: this daemon's, or while that one is
 /// evacuated another one, drawn in proportion to the targets that serve there. An owner knows the
 /// load of its own data centre exactly, and of others only what it last received. A caller that is
-/// ranked gets the same data centre each time, since only the owner that refused it knows its booking.
+/// ranked gets the same data centre each time: its booking takes a place in that owner's queue.
 fn placing_hall(edge: &Edge, asking: &TargetQuery<'_>) -> HallId {
     let hall = edge.settings().hall.clone();
     let book = edge.registry.borrow();
--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -33,14 +33,14 @@
 pub(crate) struct RankingState {
     table: RefCell<ShortageTable>,
     /// Notified when other owners have to learn of callers.
-    pub(crate) has_reports: Notify,
+    reports_added: Notify,
 }
 
 impl RankingState {
     pub(crate) fn new(limits: OverloadLimits) -> Self {
         Self {
             table: RefCell::new(ShortageTable::new(limits)),
-            has_reports: Notify::new(),
+            reports_added: Notify::new(),
         }
     }
 
@@ -54,6 +54,13 @@
         self.table.borrow_mut().retain(now);
     }
 
+    /// Waits until other owners have to learn of callers.
+    pub(crate) async fn reports_added(&self) {
+        while !self.table.borrow().has_reports() {
+            self.reports_added.notified().await;
+        }
+    }
+
     /// Returns what other owners have to learn of callers since the last call.
     pub(crate) fn take_reports(&self, now: Millis) -> Vec<(Scope, CallerReport)> {
         self.table.borrow_mut().take_reports(now)
@@ -190,7 +197,7 @@
     let decision = table.decide(scope, ranked, prospect, now);
     let booked = table.is_booked(scope, ranked.key, now);
     if table.has_reports() {
-        edge.ranking.has_reports.notify_one();
+        edge.ranking.reports_added.notify_one();
     }
     let ranking = |begin: f64| Ranking {
         decision,
--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -71,6 +71,8 @@
         key: u64,
         /// Time since the first refusal.
         since: Millis,
+        /// Time since the last refusal.
+        ago: Millis,
         /// Time until the booking, if there is one.
         booked: Option<Millis>,
         /// Time until the caller is forgotten.
@@ -88,6 +90,10 @@
 struct RefusedCaller {
     /// When its first attempt was refused.
     first: Millis,
+    /// When its last attempt was refused.
+    last: Millis,
+    /// Whether an attempt came here, and not only to other owners.
+    counted: bool,
     /// Its booked time, if it has one, here or at another owner.
     booked: Option<Millis>,
     /// When it is forgotten.
@@ -199,6 +205,12 @@
         caller.is_some_and(|caller| caller.booked.is_some())
     }
 
+    /// Returns whether an earlier attempt of a caller was refused here.
+    pub fn is_counted(&self, key: u64, now: Millis) -> bool {
+        let caller = self.callers.get(&key);
+        caller.is_some_and(|caller| caller.counted && now <= caller.end)
+    }
+
     /// Removes a caller that is served.
     pub fn remove(&mut self, key: u64) {
         if let Some(caller) = self.callers.remove(&key) {
@@ -215,6 +227,7 @@
             Some(caller) => CallerReport::Refused {
                 key,
                 since: now - caller.first,
+                ago: now - caller.last,
                 booked: caller.booked.map(|at| at - now),
                 left: caller.end - now,
             },
@@ -222,7 +235,8 @@
         }
     }
 
-    /// Records what another owner reports of a caller.
+    /// Records what another owner reports of a caller. Of two owners that refused it, the one that did
+    /// so last gave the time that the caller keeps.
     pub fn learn(&mut self, report: CallerReport, now: Millis) {
         self.drop_ended(now);
         match report {
@@ -230,17 +244,33 @@
             CallerReport::Refused {
                 key,
                 since,
+                ago,
                 booked,
                 left,
-            } => {
-                let first = now - since;
-                let first = self.first(key, now).map_or(first, |known| known.min(first));
-                self.remove(key);
-                if !self.has_too_many_others() {
-                    let (booked, end) = (booked.map(|wait| now + wait), now + left);
-                    self.insert(key, RefusedCaller { first, booked, end });
-                }
+            } => self.learn_refused(
+                key,
+                RefusedCaller {
+                    first: now - since,
+                    last: now - ago,
+                    counted: false,
+                    booked: booked.map(|wait| now + wait),
+                    end: now + left,
+                },
+            ),
+        }
+    }
+
+    fn learn_refused(&mut self, key: u64, mut caller: RefusedCaller) {
+        if let Some(known) = self.callers.get_mut(&key) {
+            known.first = known.first.min(caller.first);
+            if known.last >= caller.last {
+                return;
             }
+            (caller.first, caller.counted) = (known.first, known.counted);
+            self.remove(key);
+        }
+        if !self.has_too_many_others() {
+            self.insert(key, caller);
         }
     }
 
@@ -278,7 +308,14 @@
         } else if self.has_too_many_others() {
             return;
         }
-        self.insert(key, RefusedCaller { first, booked, end });
+        let caller = RefusedCaller {
+            first,
+            last: now,
+            counted: true,
+            booked,
+            end,
+        };
+        self.insert(key, caller);
     }
 
     fn insert(&mut self, key: u64, caller: RefusedCaller) {
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -18,7 +18,7 @@
 mod kinds;
 mod recent;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::OverloadLimits;
@@ -45,7 +45,7 @@
 /// Requests per second that an open group starts at least, for the rate of bookings. With the usual
 /// part of late requests, two retries per second and group are booked at least.
 const MIN_GROUP_RATE: f64 = 8.0;
-/// Maximum number of callers whose reports wait to be sent: more than a daemon refuses in the 50 ms
+/// Maximum number of callers of a scope whose reports wait: more than an owner refuses in the 50 ms
 /// between two rounds.
 const MAX_UNREPORTED: usize = 4_096;
 /// How long the state of a scope without requests is kept: longer than all times of the rules,
@@ -161,15 +161,13 @@
 
 /// State of the scopes that this daemon decides for.
 ///
-/// A scope takes at most 16 kinds of 112 customers (9 KB each) and 4,096 bookings (80 bytes each),
-/// 0.7 MB in all with names and free space; with 24 customers and three kinds it takes 7 KB and its
+/// A scope takes at most 16 kinds of 112 customers (9 KB each), 4,096 bookings (112 bytes each) and
+/// 4,096 other callers (88 bytes each), 1.5 MB in all with names and free space; with 24 customers and three kinds it takes 7 KB and its
 /// bookings.
 #[derive(Debug, Clone, Default)]
 pub struct ShortageTable {
     scopes: HashMap<Scope, ScopeState>,
     limits: OverloadLimits,
-    /// Callers that other owners have to learn of, with their scopes.
-    unreported: Vec<(Scope, u64)>,
 }
 
 impl ShortageTable {
@@ -199,26 +197,32 @@
         let state = self.scope_mut(scope);
         let was_known = state.returns.first(request.key, now).is_some();
         let decision = state.decide(request, &prospect, limits, now);
-        let is_refused = matches!(decision, AdmissionDecision::Refuse { .. });
-        if (was_known || is_refused) && self.unreported.len() < MAX_UNREPORTED {
-            self.unreported.push((scope.clone(), request.key));
+        let is_reported = match decision {
+            AdmissionDecision::InTime | AdmissionDecision::Late => was_known,
+            // Its caller keeps the time that the owners know.
+            AdmissionDecision::Refuse { ground, .. } => ground != Ground::Early,
+        };
+        if is_reported && state.unreported.len() < MAX_UNREPORTED {
+            state.unreported.insert(request.key);
         }
         decision
     }
 
     /// Returns whether other owners have to learn of callers.
     pub fn has_reports(&self) -> bool {
-        !self.unreported.is_empty()
+        let mut scopes = self.scopes.values();
+        scopes.any(|state| !state.unreported.is_empty())
     }
 
     /// Returns what other owners have to learn of the callers since the last call, by scope.
     pub fn take_reports(&mut self, now: Millis) -> Vec<(Scope, CallerReport)> {
-        let callers = std::mem::take(&mut self.unreported).into_iter();
-        let report = |(scope, key): (Scope, u64)| {
-            let state = self.scopes.get(&scope)?;
-            Some((scope, state.returns.report(key, now)))
-        };
-        callers.filter_map(report).collect()
+        let mut reports = Vec::new();
+        for (scope, state) in &mut self.scopes {
+            for key in std::mem::take(&mut state.unreported) {
+                reports.push((scope.clone(), state.returns.report(key, now)));
+            }
+        }
+        reports
     }
 
     /// Records what another owner of a scope reports of a caller.
@@ -267,6 +271,13 @@
     }
 }
 
+/// How a caller and its kind stand before a decision.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    standing: Standing,
+    treatment: Treatment,
+}
+
 /// Result of the rules for one request.
 enum Verdict {
     InTime,
@@ -282,6 +293,8 @@
     late: Recent,
     refused_at: Option<Millis>,
     last: Millis,
+    /// Keys of the callers that other owners have to learn of.
+    unreported: BTreeSet<u64>,
 }
 
 impl ScopeState {
@@ -294,8 +307,16 @@
     ) -> AdmissionDecision {
         self.last = now;
         let standing = self.returns.standing(request.key, now);
-        let is_new = self.returns.first(request.key, now).is_none();
-        let verdict = self.judge(request, prospect, standing, limits, now);
+        let is_new = !self.returns.is_counted(request.key, now);
+        let kept_ratio = limits.kept_ratio();
+        let treatment = self
+            .kinds
+            .treatment(request.urgency, is_new, kept_ratio, now);
+        let caller = Caller {
+            standing,
+            treatment,
+        };
+        let verdict = self.judge(request, prospect, caller, limits, now);
         let start = match verdict {
             Verdict::InTime => Some(Start::InTime),
             Verdict::Late => Some(Start::Late),
@@ -321,9 +342,6 @@
                 self.refused_at = Some(now);
                 let least = MIN_GROUP_RATE * f64::from(prospect.open_groups.max(1));
                 let rate = self.started.rate(now).max(least) * limits.late_ratio();
-                let treatment = self
-                    .kinds
-                    .treatment(request.urgency, limits.kept_ratio(), now);
                 let is_ahead =
                     treatment == Treatment::Preferred || self.is_above_share(request, now);
                 let (Ok(after) | Err(after)) = if is_ahead || limits.late_ratio() == 0.0 {
@@ -352,10 +370,14 @@
         &mut self,
         request: &RankedRequest,
         prospect: &Prospect,
-        standing: Standing,
+        caller: Caller,
         limits: OverloadLimits,
         now: Millis,
     ) -> Verdict {
+        let Caller {
+            standing,
+            treatment,
+        } = caller;
         let begins_within = |time: Millis| prospect.begin <= time.get() as f64;
         let first = self.returns.first(request.key, now);
         let aim = request.aim - first.map_or(Millis::ZERO, |first| now - first);
@@ -365,9 +387,6 @@
         }
         let cap = self.kinds.cap(request.urgency, now);
         let capped = cap.map_or(aim, |cap| cap.min(aim));
-        let treatment = self
-            .kinds
-            .treatment(request.urgency, limits.kept_ratio(), now);
         if self.is_short(now) {
             let wait = capped.get() as f64 - prospect.idle;
             let is_open = prospect.begin <= prospect.idle + OPEN_RATIO * wait;
--- a/crates/thistlesill-policy/src/edge/shortage/kinds.rs
+++ b/crates/thistlesill-policy/src/edge/shortage/kinds.rs
@@ -37,14 +37,13 @@
         ratio(self.in_time.count(now), self.callers.count(now))
     }
 
-    /// Returns whether one more request, sent in time, would have the kind served more often than
-    /// these parts of a more urgent kind, and more than the part that it keeps in any case. A kind
-    /// without a started request keeps its first one, however few callers it has.
-    fn would_pass(&self, served: f64, in_time: f64, kept_ratio: f64, now: Millis) -> bool {
-        let (started, callers) = (self.started.count(now), self.callers.count(now));
-        let next_served = ratio(started + 1, callers);
-        let next_in_time = ratio(self.in_time.count(now) + 1, callers);
-        started > 0 && next_served > kept_ratio && (next_served > served || next_in_time > in_time)
+    /// Returns the parts of its callers that are served if one more request is sent in time.
+    fn with_one_more(&self, is_new: bool, now: Millis) -> Served {
+        let callers = self.callers.count(now) + u32::from(is_new);
+        Served {
+            served: ratio(self.started.count(now) + 1, callers),
+            in_time: ratio(self.in_time.count(now) + 1, callers),
+        }
     }
 
     fn is_active(&self, now: Millis) -> bool {
@@ -52,13 +51,21 @@
     }
 }
 
+/// Returns a part of callers. More may have been started than came, if they came earlier.
 fn ratio(part: u32, all: u32) -> f64 {
     match all {
         0 => 1.0,
-        all => f64::from(part) / f64::from(all),
+        all => (f64::from(part) / f64::from(all)).min(1.0),
     }
 }
 
+/// Parts of a kind's callers.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    served: f64,
+    in_time: f64,
+}
+
 /// How a request is started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Start {
@@ -112,8 +119,15 @@
     }
 
     /// Returns how a kind is treated compared with more urgent ones, if each keeps the part
-    /// `kept_ratio` of its callers in any case.
-    pub(super) fn treatment(&self, urgency: Urgency, kept_ratio: f64, now: Millis) -> Treatment {
+    /// `kept_ratio` of its callers in any case. The attempt that is decided on is not recorded yet;
+    /// `is_new` tells whether it is its caller's first one here.
+    pub(super) fn treatment(
+        &self,
+        urgency: Urgency,
+        is_new: bool,
+        kept_ratio: f64,
+        now: Millis,
+    ) -> Treatment {
         let index = self.kinds.binary_search_by_key(&urgency, |k| k.urgency);
         let Ok(index) = index else {
             return Treatment::Usual;
@@ -126,7 +140,10 @@
         let (Some(served), Some(in_time)) = (least(Kind::served), least(Kind::in_time)) else {
             return Treatment::Usual;
         };
-        if kind.would_pass(served, in_time, kept_ratio, now) {
+        let next = kind.with_one_more(is_new, now);
+        let is_ahead = next.served > served || next.in_time > in_time;
+        // A kind without a started request keeps its first one, however few callers it has.
+        if kind.started.count(now) > 0 && next.served > kept_ratio && is_ahead {
             Treatment::Preferred
         } else if kind.served(now) < served.min(kept_ratio) {
             Treatment::Starved
--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -202,6 +202,31 @@
     assert_eq!(booking.first(1, at(1_300)), None);
 }
 
+/// Guards against a report that replaces the time that its caller was given last, and against a
+/// booking that counts as due at none of two owners or at both.
+#[test]
+fn of_two_owners_the_one_that_refused_a_caller_last_books_its_retry() {
+    let (mut first, mut last) = (Returns::default(), Returns::default());
+    assert_eq!(book(&mut first, 0, 1, 0), 300);
+    assert_eq!(book(&mut last, 0, 1, 20), 320);
+    let (earlier, later) = (first.report(1, at(50)), last.report(1, at(50)));
+    last.learn(earlier, at(51));
+    first.learn(later, at(51));
+    assert_eq!((first.due(at(320)), last.due(at(320))), (0, 1));
+    for owner in [&mut first, &mut last] {
+        assert_eq!(owner.standing(1, at(169)), Standing::Early);
+        assert_eq!(owner.standing(1, at(171)), Standing::Kept);
+        assert!(
+            owner.first(1, at(171)) <= Some(at(1)),
+            "its first attempt counts"
+        );
+    }
+    // What the first owner learned is older than its next refusal.
+    assert_eq!(book(&mut first, 0, 1, 400), 700);
+    first.learn(later, at(401));
+    assert_eq!(first.due(at(700)), 1);
+}
+
 /// Guards against memory that grows with the callers that other owners refuse.
 #[test]
 fn reported_callers_are_bounded_together_with_unbooked_ones() {
@@ -209,6 +234,7 @@
     let report = |key| CallerReport::Refused {
         key,
         since: Millis::ZERO,
+        ago: Millis::ZERO,
         booked: (key % 2 == 0).then_some(Millis::new(300)),
         left: Millis::new(60_000),
     };
@@ -249,6 +275,7 @@
         CallerReport::Refused {
             key: 3,
             since: Millis::new(50),
+            ago: Millis::new(50),
             booked: Some(Millis::new(300)),
             left: Millis::new(1_300),
         },
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -139,6 +139,19 @@
     assert_eq!(other, AdmissionDecision::InTime);
 }
 
+/// Guards against a kind that is refused for being ahead of one of which all requests are served.
+#[test]
+fn a_kind_is_not_ahead_while_all_requests_of_more_urgent_ones_are_served() {
+    let mut owner = Owner::default();
+    for key in 0..10 {
+        owner.decide(&request(BOOTH, "a", key), full(100.0), key);
+        owner.decide(&request(DISPUTE, "a", 100 + key), full(100.0), key);
+    }
+    owner.refuse(&request(TARIFF, "a", 200), 20);
+    let next = owner.decide(&request(DISPUTE, "a", 201), full(100.0), 21);
+    assert_eq!(next, AdmissionDecision::InTime);
+}
+
 /// Guards against late work that fills free slots of targets whose prompts wait: slots are free
 /// there, time is not.
 #[test]
@@ -296,6 +309,7 @@
     let report = CallerReport::Refused {
         key: 1,
         since: Millis::ZERO,
+        ago: Millis::ZERO,
         booked: Some(Millis::new(300)),
         left: Millis::new(1_300),
     };
