fix(cli): lines of a refusal with the same id are one attempt

Cause: a request that was passed to a peer has a line at both daemons, and a file may be given twice; `explain refusal` showed each line as an attempt, as if the caller had retried. If the daemon that passed the request on logged `answered` with the peer's status 503, the refusal was explained as an answer in time. Change: lines with the same id are joined. The last line with a decision counts, unless it contradicts what the daemon that passed the request on answered; that daemon is told if its line names it. If only the line of a passed error is known, the explanation says that the peer's line is missing. In JSON, attempts have `passed_on`, `passed_by` and `status`.

--- a/crates/thistlesill-cli/src/refusal.rs
+++ b/crates/thistlesill-cli/src/refusal.rs
@@ -3,6 +3,7 @@
 //! The attempts of one caller have different ids; they are joined by the field `caller`, which only
 //! lines of ranked requests have that were refused or whose caller was refused before.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::Serialize;
@@ -15,7 +16,7 @@
 /// first attempt; an identical request that comes later belongs to another caller.
 const MAX_GAP_MS: u64 = 30_000;
 
-/// One request of a caller, from its last log line.
+/// One request of a caller, from the last log lines of the daemons that had it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Attempt {
     /// The request's id.
@@ -30,8 +31,14 @@
     pub hall: Option<String>,
     /// The daemon that the request was last passed to.
     pub peer: Option<String>,
+    /// Whether the daemon got the request from another one.
+    pub passed_on: bool,
+    /// The daemon that passed the request on, if its line names it.
+    pub passed_by: Option<String>,
     /// How it ended.
     pub outcome: String,
+    /// The status of the answer.
+    pub status: Option<u16>,
     /// The route.
     pub route: Option<String>,
     /// The priorities of the customer and of the route.
@@ -78,7 +85,10 @@
             daemon: text("daemon"),
             hall: text("hall"),
             peer: text("peer"),
+            passed_on: false,
+            passed_by: None,
             outcome: text("outcome")?,
+            status: fields.get("status").and_then(|value| value.parse().ok()),
             route: text("route"),
             urgency: text("urgency"),
             decision: text("decision"),
@@ -101,6 +111,20 @@
             .is_some_and(|kind| kind.answer().ran == Ran::No)
     }
 
+    /// Returns whether the answer is an error that the daemon got from a peer. The peer's line tells
+    /// whether the peer refused the request.
+    fn is_error_of_peer(&self) -> bool {
+        let is_error = self.status.is_some_and(|status| status >= 400);
+        self.peer.is_some() && self.outcome == "answered" && is_error
+    }
+
+    /// Returns whether a line of another daemon agrees with the end that this one, which passed the
+    /// request on, gave the caller.
+    fn agrees_with(&self, other: &Self) -> bool {
+        let both_refused = self.is_refused() && other.is_refused();
+        self.is_error_of_peer() || both_refused || self.outcome == other.outcome
+    }
+
     fn error(&self) -> Option<ErrorKind> {
         let known = ErrorKind::ALL.iter().copied();
         known.into_iter().find(|kind| kind.name() == self.outcome)
@@ -135,6 +159,9 @@
     /// Returns how the request ended, in a few words; its caller's first attempt arrived at `start`.
     fn end(&self, start: u64) -> String {
         if !self.is_refused() {
+            if let Some(status) = self.status.filter(|_| self.is_error_of_peer()) {
+                return format!("answered with status {status} by a peer, whose line is missing");
+            }
             return match (self.outcome.as_str(), self.late.as_deref()) {
                 ("answered", Some("first")) => "answered, with a late first event".to_owned(),
                 ("answered", Some(_)) => "answered, with too long a pause".to_owned(),
@@ -167,11 +194,17 @@
         }
     }
 
-    /// Returns the daemon and data centre.
+    /// Returns the daemon and data centre, and which other daemon had the request.
     fn place(&self) -> String {
-        match (&self.daemon, &self.hall) {
+        let place = match (&self.daemon, &self.hall) {
             (Some(daemon), Some(hall)) => format!("{daemon} in {hall}"),
             _ => "an unnamed daemon".to_owned(),
+        };
+        match (&self.peer, &self.passed_by) {
+            (Some(peer), _) => format!("{place}, passed on to {peer}"),
+            (None, Some(daemon)) => format!("{place}, passed on by {daemon}"),
+            (None, None) if self.passed_on => format!("{place}, passed on by another daemon"),
+            (None, None) => place,
         }
     }
 }
@@ -198,16 +231,13 @@
 /// Explains the request with this id by the lines of any number of daemons, in any order; `None` if
 /// no line of its end is known.
 pub fn explain<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Option<Explanation> {
-    let mut all: Vec<Attempt> = lines.filter_map(Attempt::read).collect();
+    let read = lines.filter_map(Attempt::read).collect();
+    let mut all = merge(read);
+    let caller = all.iter().find(|a| a.id == id)?.caller.clone();
+    all.retain(|a| a.id == id || (caller.is_some() && a.caller == caller));
     all.sort_by_key(|attempt| attempt.arrived_ms);
-    // A request that was passed on has a line at each daemon; the daemon that its caller asked
-    // names the peer, and knows the end. A caller may also repeat its request under one id.
-    let own = all.iter().filter(|attempt| attempt.id == id);
-    let rank = |a: &&Attempt| (a.peer.is_some(), a.is_refused(), a.arrived_ms + a.took_ms);
-    let request = own.max_by_key(rank)?.clone();
-    let caller = request.caller.as_ref();
-    all.retain(|a| *a == request || (caller.is_some() && a.caller.as_ref() == caller));
-    let at = all.iter().position(|a| *a == request)?;
+    let at = all.iter().position(|a| a.id == id)?;
+    let request = all[at].clone();
     Some(Explanation {
         refused: request.is_refused(),
         attempts: all[first(&all, at)..=last(&all, at)].to_vec(),
@@ -215,6 +245,42 @@
     })
 }
 
+/// Joins the lines of each request. Each attempt of a caller has its own id, so lines with the same id
+/// are of one attempt: a request that was passed to peers has a line at each daemon, and a file may be
+/// given twice.
+fn merge(lines: Vec<Attempt>) -> Vec<Attempt> {
+    let mut by_id = BTreeMap::<String, Vec<Attempt>>::new();
+    for line in lines {
+        by_id.entry(line.id.clone()).or_default().push(line);
+    }
+    by_id.into_values().filter_map(merge_one).collect()
+}
+
+/// Returns the attempt of lines with the same id: the last line whose decision is known, unless it
+/// contradicts what the daemon that passed the request on answered.
+fn merge_one(mut lines: Vec<Attempt>) -> Option<Attempt> {
+    let end_ms = |line: &Attempt| line.arrived_ms.saturating_add(line.took_ms);
+    // Only the daemon that the caller asked passes a request on.
+    let asked = lines.iter().filter(|line| line.peer.is_some());
+    let asked = asked.max_by_key(|line| end_ms(line)).cloned();
+    lines.retain(|line| asked.as_ref().is_none_or(|asked| asked.agrees_with(line)));
+    let rank = |line: &Attempt| {
+        let is_known = line.decision.is_some();
+        (!line.is_error_of_peer(), is_known, end_ms(line))
+    };
+    let mut kept = lines.into_iter().max_by_key(rank)?;
+    if let Some(asked) = asked.filter(|_| kept.peer.is_none()) {
+        kept.passed_on = true;
+        kept.passed_by = asked.daemon;
+        // The caller's times count from the arrival at the daemon that it asked.
+        kept.arrived_ms = asked.arrived_ms;
+        kept.took_ms = asked.took_ms;
+        kept.first_ms = asked.first_ms;
+        kept.late = asked.late;
+    }
+    Some(kept)
+}
+
 /// Returns whether a caller that made the first attempt may have made the second one next: a caller
 /// that is served does not retry, and one that returns does so soon.
 fn continues(pair: &[Attempt]) -> bool {
@@ -243,6 +309,9 @@
         if self.refused {
             let (id, reason) = (&request.id, request.reason());
             writeln!(f, "Request {id} was refused: {reason}.")?;
+        } else if request.is_error_of_peer() {
+            let (id, end) = (&request.id, request.end(start));
+            writeln!(f, "Whether request {id} was refused is not known: {end}.")?;
         } else {
             writeln!(
                 f,
