perf(cli): `explain refusal` holds the attempts of one caller only

Cause: every request line of all files became an attempt with about 15 strings before the lines of the caller were picked, and the text of the files was held twice. Change: the lines with the id are read first, then those with the ids of their caller's attempts; of other lines, the fields up to the id are looked at. Files are read into one buffer, which becomes the text without a copy if it is valid UTF-8.

--- a/crates/thistlesill-cli/src/commands/logs.rs
+++ b/crates/thistlesill-cli/src/commands/logs.rs
@@ -1,5 +1,6 @@
 //! `thistlesill explain losses` and `explain refusal`, which read log lines of daemons.
 
+use std::fs::File;
 use std::io::Read as _;
 use std::path::PathBuf;
 
@@ -42,12 +43,38 @@
             .context(FileSnafu)?;
     }
     for path in files {
-        let text = std::fs::read(path);
+        let read = File::open(path).and_then(|mut file| file.read_to_end(&mut bytes));
         let path = path.clone();
-        let text = text.map_err(|source| FileError::Unreadable { path, source });
-        bytes.extend(text.context(FileSnafu)?);
+        read.map_err(|source| FileError::Unreadable { path, source })
+            .context(FileSnafu)?;
         // The last line of a daemon that was killed may have no end.
         bytes.push(b'\n');
     }
-    Ok(String::from_utf8_lossy(&bytes).into_owned())
+    Ok(into_text(bytes))
+}
+
+/// Converts bytes to text; only if some of them are not UTF-8, they are copied.
+fn into_text(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes)
+        .unwrap_or_else(|error| String::from_utf8_lossy(error.as_bytes()).into_owned())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::into_text;
+
+    /// Guards against the text of all files being held twice.
+    #[test]
+    fn valid_text_is_not_copied() {
+        let bytes = b"ev=request".to_vec();
+        let start = bytes.as_ptr();
+        let text = into_text(bytes);
+        assert_eq!((text.as_ptr(), &*text), (start, "ev=request"));
+    }
+
+    /// Guards against files that cannot be read since a daemon was killed within a character.
+    #[test]
+    fn invalid_bytes_are_replaced() {
+        assert_eq!(into_text(b"why=\xc3\n".to_vec()), "why=\u{fffd}\n");
+    }
 }
--- a/crates/thistlesill-cli/src/refusal.rs
+++ b/crates/thistlesill-cli/src/refusal.rs
@@ -3,14 +3,14 @@
 //! The attempts of one caller have different ids; they are joined by the field `caller`, which only
 //! lines of ranked requests have that were refused or whose caller was refused before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 
 use serde::Serialize;
 use thistlesill_core::ErrorKind;
 use thistlesill_core::error::Ran;
 
-use crate::lines::{Fields, fields};
+use crate::lines::{Fields, field, fields};
 
 /// Longest time between two attempts of one caller. Callers retry within the deadline of their
 /// first attempt; an identical request that comes later belongs to another caller.
@@ -230,14 +230,26 @@
 
 /// Explains the request with this id by the lines of any number of daemons, in any order; `None` if
 /// no line of its end is known.
-pub fn explain<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Option<Explanation> {
-    let read = lines.filter_map(Attempt::read).collect();
-    let mut all = merge(read);
-    let caller = all.iter().find(|a| a.id == id)?.caller.clone();
-    all.retain(|a| a.id == id || (caller.is_some() && a.caller == caller));
+///
+/// Goes through the lines three times, so that only those of the caller's attempts are held in memory.
+pub fn explain<'a>(
+    id: &'a str,
+    lines: impl Iterator<Item = &'a str> + Clone,
+) -> Option<Explanation> {
+    let request = merge(read(lines.clone(), &HashSet::from([id]))).pop()?;
+    let mut all = vec![request.clone()];
+    if let Some(caller) = request.caller.as_deref() {
+        // A daemon that passed an attempt on may have left out the caller, so its line is found by
+        // the id.
+        let of_caller = lines.clone().filter(|line| line.contains(caller));
+        let of_caller = of_caller.filter(|line| field(line, "caller") == Some(caller));
+        let ids = of_caller.filter_map(|line| field(line, "id"));
+        let others = ids.filter(|other| *other != id).collect();
+        all.extend(merge(read(lines, &others)));
+        all.retain(|a| a.caller == request.caller);
+    }
     all.sort_by_key(|attempt| attempt.arrived_ms);
     let at = all.iter().position(|a| a.id == id)?;
-    let request = all[at].clone();
     Some(Explanation {
         refused: request.is_refused(),
         attempts: all[first(&all, at)..=last(&all, at)].to_vec(),
@@ -245,6 +257,12 @@
     })
 }
 
+/// Reads the last lines of requests with these ids.
+fn read<'a>(lines: impl Iterator<Item = &'a str>, ids: &HashSet<&str>) -> Vec<Attempt> {
+    let wanted = lines.filter(|line| field(line, "id").is_some_and(|id| ids.contains(id)));
+    wanted.filter_map(Attempt::read).collect()
+}
+
 /// Joins the lines of each request. Each attempt of a caller has its own id, so lines with the same id
 /// are of one attempt: a request that was passed to peers has a line at each daemon, and a file may be
 /// given twice.
--- a/crates/thistlesill-cli/tests/refusal.rs
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -187,3 +187,15 @@
         Some("Request a was refused: ground another.")
     );
 }
+
+/// Guards against lines without `caller` being left out for attempts other than the one asked for:
+/// each id of a caller has to give the same attempts.
+#[test]
+fn other_attempts_are_joined_with_lines_that_lack_the_caller() {
+    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=booth peer=edge-1 \
+        took_ms=60";
+    let lines = [asked, FIRST, EARLY];
+    let explanation = explained("b-7", &lines);
+    assert!(explanation.attempts[0].passed_on);
+    assert_eq!(explanation.attempts, explained("b-1", &lines).attempts);
+}
