fix(cli): a refusal without a retry time is told in clearer words

Change: `explain refusal` says "given no specific retry time" instead of "given no retry time of its own". Result: the extended test of refusals without a known ground fails before; the tests of the package pass.

--- a/crates/thistlesill-cli/src/refusal.rs
+++ b/crates/thistlesill-cli/src/refusal.rs
@@ -190,7 +190,7 @@
         match self.back_ms {
             Some(back) if self.booked => format!("told to retry after {back} ms, which was booked"),
             Some(back) => format!("told to retry after {back} ms, without a booking"),
-            None => "given no retry time of its own".to_owned(),
+            None => "given no specific retry time".to_owned(),
         }
     }
 
--- a/crates/thistlesill-cli/tests/refusal.rs
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -186,6 +186,10 @@
         found.as_deref(),
         Some("Request a was refused: ground another.")
     );
+    let line = "t=1.000 ev=request id=a outcome=overloaded took_ms=0";
+    let text = explained("a", &[line]).to_string();
+    let expected = "Its caller was given no specific retry time.";
+    assert!(text.contains(expected), "{text}");
 }
 
 /// Guards against lines without `caller` being left out for attempts other than the one asked for:
