--- a/crates/thistlesill-cli/tests/refusal.rs
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -203,36 +203,3 @@
     assert!(explanation.attempts[0].passed_on);
     assert_eq!(explanation.attempts, explained("b-1", &lines).attempts);
 }
-
-/// Guards against all requests of the files being held in memory to find the few of one caller: an
-/// hour of log lines of a fleet has millions.
-#[cfg(target_os = "linux")]
-#[test]
-fn only_the_attempts_of_the_caller_are_held() {
-    let peak_kib = || -> u64 {
-        let status = std::fs::read_to_string("/proc/self/status").expect("is readable");
-        let mut lines = status.lines();
-        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
-        let number = peak.and_then(|text| text.split_whitespace().next());
-        number.expect("is there").parse().expect("is a number")
-    };
-    let other = FIRST.replace("b-1", "x-1").replace("00ab", "00cd");
-    let lines = std::iter::repeat_n(&*other, 100_000).chain([KEPT, EARLY, FIRST]);
-    let before = peak_kib();
-    let explanation = explain("b-1", lines).expect("the id is known");
-    let grown = peak_kib() - before;
-    assert_eq!(ids(&explanation), ["b-1", "b-7", "b-9"]);
-    assert!(grown < 8 * 1024, "{grown} KiB more");
-}
-
-/// Guards against lines without `caller` being left out for attempts other than the one asked for:
-/// each id of a caller has to give the same attempts.
-#[test]
-fn other_attempts_are_joined_with_lines_that_lack_the_caller() {
-    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=booth peer=edge-1 \
-        took_ms=60";
-    let lines = [asked, FIRST, EARLY];
-    let explanation = explained("b-7", &lines);
-    assert!(explanation.attempts[0].passed_on);
-    assert_eq!(explanation.attempts, explained("b-1", &lines).attempts);
-}
