--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -164,8 +164,8 @@
     /// Returns the time until a caller that gets no booking may come back. One that comes before its
     /// booked time keeps that time.
     ///
-    /// The times are spread from the latest time that can be booked to the caller's deadline: capacity may
-    /// be free then although none is booked. If the queue ends after the deadline, the time is later
+    /// The times are spread from the latest time that can be booked to the caller's deadline: capacity
+    /// may be free then although none is booked. If the queue ends after the deadline, the time is later
     /// than the deadline, too, so that the caller knows that nothing will be free.
     pub fn defer(&mut self, request: &RankedRequest, now: Millis) -> Millis {
         if let Some(left) = self.time_to_booking(request.key, now) {
