--- a/crates/thistlesill-cli/tests/refusal.rs
+++ b/crates/thistlesill-cli/tests/refusal.rs
@@ -2,13 +2,13 @@
 
 use thistlesill_cli::refusal::{Explanation, explain};
 
-const FIRST: &str = "t=300.000 ev=request id=b-1 outcome=overloaded status=503 route=booth \
+const FIRST: &str = "t=300.000 ev=request id=b-1 outcome=overloaded status=503 route=chat \
     urgency=1.0 decision=refused ground=no_room begin_ms=2000 aim_ms=250 caller=00ab daemon=edge-1 \
     hall=north back_ms=300 booked=true took_ms=0";
-const EARLY: &str = "t=300.100 ev=request id=b-7 outcome=overloaded status=503 route=booth \
+const EARLY: &str = "t=300.100 ev=request id=b-7 outcome=overloaded status=503 route=chat \
     urgency=1.0 decision=refused ground=early begin_ms=2000 aim_ms=250 return=early caller=00ab \
     daemon=edge-2 hall=south back_ms=200 booked=true took_ms=0";
-const KEPT: &str = "t=300.700 ev=request id=b-9 outcome=answered status=200 route=booth urgency=1.0 \
+const KEPT: &str = "t=300.700 ev=request id=b-9 outcome=answered status=200 route=chat urgency=1.0 \
     decision=late begin_ms=200 aim_ms=250 return=kept caller=00ab daemon=edge-3 hall=south \
     late=first took_ms=400";
 
@@ -27,7 +27,7 @@
     let text = explained("b-7", &[KEPT, "no line", EARLY, "ev=request", FIRST]).to_string();
     let expected = "\
 Request b-7 was refused: its caller came back before its booked time.
-Its route is booth, with priority 0; its customer has priority 1 (lower is more urgent, the customer's counts first).
+Its route is chat, with priority 0; its customer has priority 1 (lower is more urgent, the customer's counts first).
 Its target would begin it after 2000 ms; the objective is 250 ms after the first attempt.
 Its caller was told to retry after 200 ms, which was booked.
 Known attempts of its caller:
@@ -41,7 +41,7 @@
 /// Guards against an error for a request that was served, and one for an unknown id that is missing.
 #[test]
 fn a_request_that_was_served_is_explained_and_an_unknown_one_is_not() {
-    let served = "t=300.7 ev=request id=s outcome=answered route=booth took_ms=9";
+    let served = "t=300.7 ev=request id=s outcome=answered route=chat took_ms=9";
     let with_millis = served.replace("300.7 ", "300.700 ");
     let explanation = explained("s", &[&with_millis]);
     assert!(!explanation.refused);
@@ -70,7 +70,7 @@
 /// Guards against a request that a peer refused and another one served being explained as refused.
 #[test]
 fn a_request_that_was_passed_on_is_explained_by_the_daemon_that_its_caller_asked() {
-    let passed = "t=300.050 ev=request id=b-1 outcome=answered peer=edge-2 route=booth took_ms=50";
+    let passed = "t=300.050 ev=request id=b-1 outcome=answered peer=edge-2 route=chat took_ms=50";
     assert!(!explained("b-1", &[passed, FIRST]).refused);
 }
 
@@ -112,7 +112,7 @@
 /// on logs `answered` with the status of the peer's answer, without its own name.
 #[test]
 fn a_refusal_by_a_peer_is_explained_by_the_line_of_the_peer() {
-    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=booth peer=edge-1 \
+    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=chat peer=edge-1 \
         took_ms=60";
     let explanation = explained("b-1", &[FIRST, asked]);
     assert!(explanation.refused);
@@ -196,7 +196,7 @@
 /// each id of a caller has to give the same attempts.
 #[test]
 fn other_attempts_are_joined_with_lines_that_lack_the_caller() {
-    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=booth peer=edge-1 \
+    let asked = "t=300.050 ev=request id=b-1 outcome=answered status=503 route=chat peer=edge-1 \
         took_ms=60";
     let lines = [asked, FIRST, EARLY];
     let explanation = explained("b-7", &lines);
--- a/crates/thistlesill-cli/tests/refusal_memory.rs
+++ b/crates/thistlesill-cli/tests/refusal_memory.rs
@@ -4,7 +4,7 @@
 
 use thistlesill_cli::refusal::explain;
 
-const REFUSED: &str = "t=300.000 ev=request id=b-1 outcome=overloaded status=503 route=booth \
+const REFUSED: &str = "t=300.000 ev=request id=b-1 outcome=overloaded status=503 route=chat \
     urgency=1.0 decision=refused ground=no_room begin_ms=2000 aim_ms=250 caller=00ab daemon=edge-1 \
     hall=north back_ms=300 booked=true took_ms=0";
 
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -39,31 +39,31 @@
 /// against less urgent ones that a burst keeps out.
 #[test]
 fn a_burst_of_an_urgent_kind_costs_no_kind_more_than_the_less_urgent_ones() {
-    for booths in [180.0, 250.0, 350.0] {
+    for urgent in [180.0, 250.0, 350.0] {
         let mut model = Model::new(4);
         model.run(&mixed(100.0), 3_000);
-        assert!((model.all(BOOTH).in_time() - 1.0).abs() < f64::EPSILON);
+        assert!((model.all(URGENT).in_time() - 1.0).abs() < f64::EPSILON);
         model.forget_callers();
-        model.run(&mixed(booths), 10_000);
-        let kinds = [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind));
+        model.run(&mixed(urgent), 10_000);
+        let kinds = [URGENT, NORMAL, RELAXED].map(|kind| model.all(kind));
         for pair in kinds.windows(2) {
             assert!(
                 pair[0].in_time() >= pair[1].in_time(),
-                "{booths}: {kinds:?}"
+                "{urgent}: {kinds:?}"
             );
             assert!(
                 pair[0].answered() >= pair[1].answered(),
-                "{booths}: {kinds:?}"
+                "{urgent}: {kinds:?}"
             );
         }
-        assert!(kinds[2].answered() > 0.25, "{booths}: {kinds:?}");
+        assert!(kinds[2].answered() > 0.25, "{urgent}: {kinds:?}");
         model.run(&mixed(100.0), 3_000);
         model.forget_callers();
         model.run(&mixed(100.0), 3_000);
         assert!(
-            model.all(BOOTH).in_time() > 0.99,
+            model.all(URGENT).in_time() > 0.99,
             "after the burst: {:?}",
-            model.all(BOOTH)
+            model.all(URGENT)
         );
     }
 }
@@ -74,7 +74,7 @@
 fn in_a_flood_that_leaves_each_kind_a_quarter_no_kind_starves() {
     let mut model = Model::new(4);
     model.run(&mixed(600.0), 10_000);
-    let kinds = [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind));
+    let kinds = [URGENT, NORMAL, RELAXED].map(|kind| model.all(kind));
     for kind in kinds {
         assert!(kind.answered() > 0.25, "{kinds:?}");
         assert!(kind.answered() < kinds[0].answered() + 0.1, "{kinds:?}");
@@ -87,7 +87,7 @@
 fn in_a_flood_no_kind_is_answered_less_often_than_a_less_urgent_one() {
     let mut model = Model::new(4);
     model.run(&mixed(600.0), 10_000);
-    let kinds = [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind));
+    let kinds = [URGENT, NORMAL, RELAXED].map(|kind| model.all(kind));
     let ordered = kinds.windows(2).all(|p| p[0].answered() >= p[1].answered());
     assert!(ordered, "{kinds:?}");
 }
@@ -102,25 +102,25 @@
     };
     // Half of the callers of each kind are served.
     for key in 0..2 {
-        assert_eq!(decide(TARIFF, key, 100.0), AdmissionDecision::InTime);
+        assert_eq!(decide(RELAXED, key, 100.0), AdmissionDecision::InTime);
     }
     for key in 2..7 {
-        assert_eq!(decide(BOOTH, key, 100.0), AdmissionDecision::InTime);
+        assert_eq!(decide(URGENT, key, 100.0), AdmissionDecision::InTime);
     }
     for key in 7..12 {
-        let refused = decide(BOOTH, key, 2_000.0);
+        let refused = decide(URGENT, key, 2_000.0);
         assert!(refused_from(Ground::NoRoom)(refused), "{refused:?}");
     }
     for key in 12..14 {
-        decide(TARIFF, key, 2_000.0);
+        decide(RELAXED, key, 2_000.0);
     }
-    let ahead = decide(TARIFF, 14, 100.0);
+    let ahead = decide(RELAXED, 14, 100.0);
     assert!(refused_from(Ground::LessUrgent)(ahead), "{ahead:?}");
     // With 8 of 13 of the urgent kind, 3 of 5 are not ahead.
     for key in 15..18 {
-        assert_eq!(decide(BOOTH, key, 100.0), AdmissionDecision::InTime);
+        assert_eq!(decide(URGENT, key, 100.0), AdmissionDecision::InTime);
     }
-    assert_eq!(decide(TARIFF, 18, 100.0), AdmissionDecision::InTime);
+    assert_eq!(decide(RELAXED, 18, 100.0), AdmissionDecision::InTime);
 }
 
 /// Guards against returning callers that take the place of requests that can be in time.
@@ -129,13 +129,13 @@
     let mut owner = Owner::default();
     let caller = |left| RankedRequest {
         left: Millis::new(left),
-        ..request(BOOTH, "a", 1)
+        ..request(URGENT, "a", 1)
     };
     // A third of its time is too short for a booking.
     owner.refuse(&caller(800), 0);
     let returned = owner.decide(&caller(500), full(200.0), 300);
     assert!(refused_from(Ground::NoRoom)(returned), "{returned:?}");
-    let other = owner.decide(&request(BOOTH, "a", 2), full(200.0), 301);
+    let other = owner.decide(&request(URGENT, "a", 2), full(200.0), 301);
     assert_eq!(other, AdmissionDecision::InTime);
 }
 
@@ -144,11 +144,11 @@
 fn a_kind_is_not_ahead_while_all_requests_of_more_urgent_ones_are_served() {
     let mut owner = Owner::default();
     for key in 0..10 {
-        owner.decide(&request(BOOTH, "a", key), full(100.0), key);
-        owner.decide(&request(DISPUTE, "a", 100 + key), full(100.0), key);
+        owner.decide(&request(URGENT, "a", key), full(100.0), key);
+        owner.decide(&request(NORMAL, "a", 100 + key), full(100.0), key);
     }
-    owner.refuse(&request(TARIFF, "a", 200), 20);
-    let next = owner.decide(&request(DISPUTE, "a", 201), full(100.0), 21);
+    owner.refuse(&request(RELAXED, "a", 200), 20);
+    let next = owner.decide(&request(NORMAL, "a", 201), full(100.0), 21);
     assert_eq!(next, AdmissionDecision::InTime);
 }
 
@@ -159,12 +159,12 @@
     let long = Kind {
         route: 0,
         aim: 500,
-        ..TARIFF
+        ..RELAXED
     };
     let short = Kind {
         route: 1,
         aim: 500,
-        ..BOOTH
+        ..URGENT
     };
     let mut model = Model::new(4);
     let loads: Vec<Load> = ten(long, 120.0).chain(ten(short, 120.0)).collect();
@@ -182,13 +182,13 @@
 fn the_flood_of_one_customer_leaves_the_others_what_they_had() {
     for flood in [100.0, 500.0] {
         let mut model = Model::new(4);
-        let mut loads: Vec<Load> = ten(BOOTH, 170.0).collect();
+        let mut loads: Vec<Load> = ten(URGENT, 170.0).collect();
         model.run(&loads, 3_000);
         model.forget_callers();
-        loads.push(load(BOOTH, 99, flood));
+        loads.push(load(URGENT, 99, flood));
         model.run(&loads, 10_000);
-        let others = model.tally(BOOTH, |customer| customer != 99);
-        let flooding = model.tally(BOOTH, |customer| customer == 99);
+        let others = model.tally(URGENT, |customer| customer != 99);
+        let flooding = model.tally(URGENT, |customer| customer == 99);
         assert!(others.in_time() > 0.95, "{flood}: {others:?} {flooding:?}");
         assert!(
             flooding.in_time > 100,
@@ -201,11 +201,11 @@
 fn callers_that_repeat_early_and_often_gain_nothing() {
     for rate in [250.0, 400.0] {
         let mut model = Model::new(4);
-        let mut loads: Vec<Load> = ten(BOOTH, rate).collect();
+        let mut loads: Vec<Load> = ten(URGENT, rate).collect();
         loads[5..].iter_mut().for_each(|load| load.hasty = true);
         model.run(&loads, 10_000);
-        let patient = model.tally(BOOTH, |customer| customer < 5);
-        let hasty = model.tally(BOOTH, |customer| customer >= 5);
+        let patient = model.tally(URGENT, |customer| customer < 5);
+        let hasty = model.tally(URGENT, |customer| customer >= 5);
         assert!(hasty.in_time() < patient.in_time(), "{patient:?} {hasty:?}");
         assert!(
             hasty.answered() < patient.answered() + 0.05,
@@ -220,7 +220,7 @@
     let mut model = Model::new(10);
     model.groups[0].pace = 4.0;
     model.run(&mixed(350.0), 10_000);
-    for kind in [BOOTH, DISPUTE, TARIFF] {
+    for kind in [URGENT, NORMAL, RELAXED] {
         assert!(model.all(kind).in_time() > 0.95, "{:?}", model.all(kind));
     }
     let mut model = Model::new(12);
@@ -228,7 +228,7 @@
     model.groups.truncate(8);
     model.forget_callers();
     model.run(&mixed(470.0), 10_000);
-    let kinds = [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind));
+    let kinds = [URGENT, NORMAL, RELAXED].map(|kind| model.all(kind));
     assert!(kinds[0].in_time() > 0.5, "{kinds:?}");
     assert!(
         kinds.windows(2).all(|p| p[0].answered() >= p[1].answered()),
@@ -246,7 +246,7 @@
         let mut model = Model::new(4);
         model.tables = vec![ShortageTable::default(); owners];
         model.run(&mixed(250.0), 10_000);
-        in_time[owners - 1] = model.all(BOOTH).in_time;
+        in_time[owners - 1] = model.all(URGENT).in_time;
         late[owners - 1] = model.late();
     }
     println!("in time {in_time:?}, late {late:?}");
@@ -263,12 +263,12 @@
     let mut model = Model::new(4);
     model.delivery = replacement.unwrap_or(Delivery::Nothing);
     model.run(&mixed(250.0), 5_000);
-    let before = model.all(BOOTH).in_time;
+    let before = model.all(URGENT).in_time;
     if replacement.is_some() {
         model.replace_owner();
     }
     model.run(&mixed(250.0), 5_000);
-    model.all(BOOTH).in_time - before
+    model.all(URGENT).in_time - before
 }
 
 /// Guards against an owner that treats the refused callers of its predecessor as new ones, and
@@ -314,7 +314,7 @@
         left: Millis::new(1_300),
     };
     owner.0.learn(&scope(), report, Millis::new(START));
-    let kept = owner.decide(&request(BOOTH, "a", 1), full(200.0), 300);
+    let kept = owner.decide(&request(URGENT, "a", 1), full(200.0), 300);
     assert!(refused_from(Ground::NoRoom)(kept), "{kept:?}");
 }
 
@@ -322,11 +322,11 @@
 /// the operators keep nothing for them.
 #[test]
 fn without_a_kept_ratio_a_flood_of_the_urgent_kind_is_not_displaced() {
-    let others = ten(DISPUTE, 100.0).chain(ten(TARIFF, 100.0));
-    let loads: Vec<Load> = ten(BOOTH, 1_200.0).chain(others).collect();
+    let others = ten(NORMAL, 100.0).chain(ten(RELAXED, 100.0));
+    let loads: Vec<Load> = ten(URGENT, 1_200.0).chain(others).collect();
     let answered = |kept_ratio| {
         let model = run_with(limits(0.25, kept_ratio), &loads);
-        [BOOTH, DISPUTE, TARIFF].map(|kind| model.all(kind).answered())
+        [URGENT, NORMAL, RELAXED].map(|kind| model.all(kind).answered())
     };
     let kept = answered(0.25);
     assert!(kept[1] > kept[0], "the load is too low: {kept:?}");
@@ -335,39 +335,39 @@
     assert!(free[0] > 1.1 * kept[0], "{free:?} {kept:?}");
     // Nor is a kind that is served less often admitted by its own, longer objective.
     let mut owner = Owner(ShortageTable::new(limits(0.25, 0.0)));
-    owner.decide(&request(BOOTH, "a", 1), full(100.0), 0);
+    owner.decide(&request(URGENT, "a", 1), full(100.0), 0);
     for key in 2..10 {
-        let tariff = owner.decide(&request(TARIFF, "a", key), full(400.0), key);
-        assert!(refused_from(Ground::LessUrgent)(tariff), "{tariff:?}");
+        let relaxed = owner.decide(&request(RELAXED, "a", key), full(400.0), key);
+        assert!(refused_from(Ground::LessUrgent)(relaxed), "{relaxed:?}");
     }
 }
 
 #[test]
 fn objectives_are_capped_by_more_urgent_kinds_of_the_last_two_seconds() {
     let mut owner = Owner::default();
-    let tariff = |key| request(TARIFF, "a", key);
+    let relaxed = |key| request(RELAXED, "a", key);
     assert_eq!(
-        owner.decide(&tariff(1), full(400.0), 0),
+        owner.decide(&relaxed(1), full(400.0), 0),
         AdmissionDecision::InTime
     );
-    owner.decide(&request(BOOTH, "a", 2), full(100.0), 10);
-    let capped = owner.decide(&tariff(3), full(400.0), 20);
+    owner.decide(&request(URGENT, "a", 2), full(100.0), 10);
+    let capped = owner.decide(&relaxed(3), full(400.0), 20);
     assert!(refused_from(Ground::LessUrgent)(capped), "{capped:?}");
     let room = Prospect {
         has_room: true,
         ..full(400.0)
     };
     assert_eq!(
-        owner.decide(&tariff(4), room, 30),
+        owner.decide(&relaxed(4), room, 30),
         AdmissionDecision::InTime
     );
     assert_eq!(
-        owner.decide(&tariff(5), full(400.0), 2_010),
+        owner.decide(&relaxed(5), full(400.0), 2_010),
         AdmissionDecision::InTime
     );
-    // The booth's objective has nothing to do with less urgent kinds.
+    // The urgent kind's objective has nothing to do with less urgent kinds.
     assert!(refused_from(Ground::NoRoom)(owner.decide(
-        &request(BOOTH, "a", 6),
+        &request(URGENT, "a", 6),
         full(400.0),
         2_020
     )));
@@ -383,11 +383,11 @@
         ..full(begin)
     };
     for key in 0..40 {
-        owner.decide(&request(BOOTH, "flood", key), begin_at(190.0), key);
+        owner.decide(&request(URGENT, "flood", key), begin_at(190.0), key);
     }
-    owner.decide(&request(BOOTH, "quiet", 100), begin_at(190.0), 50);
-    owner.decide(&request(BOOTH, "quiet", 101), begin_at(300.0), 51);
-    let mut flood = |key, begin| owner.decide(&request(BOOTH, "flood", key), begin_at(begin), 160);
+    owner.decide(&request(URGENT, "quiet", 100), begin_at(190.0), 50);
+    owner.decide(&request(URGENT, "quiet", 101), begin_at(300.0), 51);
+    let mut flood = |key, begin| owner.decide(&request(URGENT, "flood", key), begin_at(begin), 160);
     assert_eq!(flood(102, 230.0), AdmissionDecision::InTime);
     let refused = flood(103, 240.0);
     assert!(refused_from(Ground::OverShare)(refused), "{refused:?}");
@@ -398,7 +398,7 @@
 #[test]
 fn a_caller_is_served_at_its_booked_time_and_not_before() {
     let mut owner = Owner::default();
-    let caller = request(BOOTH, "a", 1);
+    let caller = request(URGENT, "a", 1);
     let after = owner.refuse(&caller, 0);
     assert!((300..2_000).contains(&after));
     let early = owner.decide(&caller, full(2_000.0), 100);
@@ -427,8 +427,8 @@
         after + 1
     )));
     // Another one is booked, but nothing begins within half of the time that is left.
-    let after = after + 1 + owner.refuse(&request(BOOTH, "b", 2), after + 1);
-    let late = owner.decide(&request(BOOTH, "b", 2), full(3_001.0), after);
+    let after = after + 1 + owner.refuse(&request(URGENT, "b", 2), after + 1);
+    let late = owner.decide(&request(URGENT, "b", 2), full(3_001.0), after);
     assert!(refused_from(Ground::NoRoom)(late), "{late:?}");
 }
 
@@ -440,7 +440,7 @@
         requests: 22,
         ..full(300.0)
     };
-    let caller = request(BOOTH, "a", 1);
+    let caller = request(URGENT, "a", 1);
     assert_eq!(owner.decide(&caller, free, 0), AdmissionDecision::Late);
     assert!(refused_from(Ground::NoRoom)(owner.decide(
         &caller,
@@ -459,7 +459,7 @@
 fn state_is_bounded_and_ends_with_time_that_passes_without_calls() {
     let mut owner = Owner::default();
     for key in 0..20_000 {
-        let mut request = request(BOOTH, &format!("c{}", key % 1_000), key);
+        let mut request = request(URGENT, &format!("c{}", key % 1_000), key);
         request.urgency.customer = (key % 50) as u8;
         request.left = Millis::new(600_000_000);
         owner.refuse(&request, key / 20);
@@ -467,10 +467,10 @@
     assert_eq!(owner.0.bookings(&scope()), MAX_BOOKINGS);
     // Suspended for two hours: no caller has kept its time, nothing is capped, nobody is above.
     let later = 7_200_000;
-    let tariff = owner.decide(&request(TARIFF, "c1", 1), full(900.0), later);
-    assert_eq!(tariff, AdmissionDecision::InTime);
+    let relaxed = owner.decide(&request(RELAXED, "c1", 1), full(900.0), later);
+    assert_eq!(relaxed, AdmissionDecision::InTime);
     let standing = owner.0.standing(&scope(), 2, Millis::new(START + later));
     assert_eq!(standing, Standing::New);
     // A clock that steps back does not end the decisions.
-    owner.refuse(&request(BOOTH, "c1", 3), 0);
+    owner.refuse(&request(URGENT, "c1", 3), 0);
 }
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -25,19 +25,19 @@
     pub(super) prompt: f64,
 }
 
-pub(super) const BOOTH: Kind = Kind {
+pub(super) const URGENT: Kind = Kind {
     route: 0,
     aim: 250,
     wait: 6_000,
     prompt: 674.0,
 };
-pub(super) const DISPUTE: Kind = Kind {
+pub(super) const NORMAL: Kind = Kind {
     route: 1,
     aim: 500,
     wait: 8_000,
     prompt: 1_420.0,
 };
-pub(super) const TARIFF: Kind = Kind {
+pub(super) const RELAXED: Kind = Kind {
     route: 2,
     aim: 1_000,
     wait: 8_000,
@@ -335,7 +335,7 @@
     }
 }
 
-pub(super) fn mixed(booths: f64) -> Vec<Load> {
-    let others = ten(DISPUTE, 33.0).chain(ten(TARIFF, 21.0));
-    ten(BOOTH, booths).chain(others).collect()
+pub(super) fn mixed(urgent: f64) -> Vec<Load> {
+    let others = ten(NORMAL, 33.0).chain(ten(RELAXED, 21.0));
+    ten(URGENT, urgent).chain(others).collect()
 }
