fix(policy): reports of a suspended owner, or beyond the bounds, make no owner forget a caller

Cause: a refused caller that an owner no longer remembered when it sent its reports, after a suspension or since there were too many callers, was reported as served, and others dropped what they knew of it, also a later booking. An answer that was reported late did the same. Change: such callers are not reported; a report of an answer carries its age and holds only for refusals before it.

--- a/crates/thistlesill-policy/src/edge/returns.rs
+++ b/crates/thistlesill-policy/src/edge/returns.rs
@@ -82,6 +82,8 @@
     Served {
         /// Hash of the request.
         key: u64,
+        /// Time since it was admitted.
+        ago: Millis,
     },
 }
 
@@ -221,26 +223,30 @@
         }
     }
 
-    /// Returns what other owners should learn of a caller that was refused or served.
-    pub fn report(&self, key: u64, now: Millis) -> CallerReport {
-        match self.callers.get(&key).filter(|caller| now <= caller.end) {
-            Some(caller) => CallerReport::Refused {
-                key,
-                since: now - caller.first,
-                ago: now - caller.last,
-                booked: caller.booked.map(|at| at - now),
-                left: caller.end - now,
-            },
-            None => CallerReport::Served { key },
-        }
+    /// Returns what other owners should learn of a refused caller; `None` if it is not remembered
+    /// any more, or was not because of the bounds.
+    pub fn report(&self, key: u64, now: Millis) -> Option<CallerReport> {
+        let caller = self.callers.get(&key).filter(|caller| now <= caller.end)?;
+        Some(CallerReport::Refused {
+            key,
+            since: now - caller.first,
+            ago: now - caller.last,
+            booked: caller.booked.map(|at| at - now),
+            left: caller.end - now,
+        })
     }
 
-    /// Records what another owner reports of a caller. Of two owners that refused it, the one that did
-    /// so last gave the time that the caller keeps.
+    /// Records what another owner reports of a caller, unless a later refusal is known: the time that
+    /// the caller was given last is the one that it keeps.
     pub fn learn(&mut self, report: CallerReport, now: Millis) {
         self.drop_ended(now);
         match report {
-            CallerReport::Served { key } => self.remove(key),
+            CallerReport::Served { key, ago } => {
+                let caller = self.callers.get(&key);
+                if caller.is_some_and(|caller| caller.last <= now - ago) {
+                    self.remove(key);
+                }
+            }
             CallerReport::Refused {
                 key,
                 since,
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -29,9 +29,6 @@
 use super::owner::Scope;
 use super::returns::{CallerReport, Standing};
 
-/// Maximum number of callers of a scope whose reports wait: more than an owner refuses in the 50 ms
-/// between two rounds.
-const MAX_UNREPORTED: usize = 4_096;
 /// How long the state of a scope without requests is kept: longer than all times of the rules,
 /// and than the usual delay of a booked retry.
 const SCOPE_RETENTION: Millis = Millis::new(10_000);
@@ -179,34 +176,23 @@
     ) -> AdmissionDecision {
         let limits = self.limits;
         let state = self.scope_mut(scope);
-        let was_known = state.returns.first(request.key, now).is_some();
-        let decision = state.decide(request, &prospect, limits, now);
-        let is_reported = match decision {
-            AdmissionDecision::InTime | AdmissionDecision::Late => was_known,
-            // Its caller keeps the time that the owners know.
-            AdmissionDecision::Refuse { ground, .. } => ground != Ground::Early,
-        };
-        if is_reported && state.unreported.len() < MAX_UNREPORTED {
-            state.unreported.insert(request.key);
-        }
-        decision
+        state.decide(request, &prospect, limits, now)
     }
 
     /// Returns whether other owners have to learn of callers.
     pub fn has_reports(&self) -> bool {
         let mut scopes = self.scopes.values();
-        scopes.any(|state| !state.unreported.is_empty())
+        scopes.any(ScopeState::has_reports)
     }
 
     /// Returns what other owners have to learn of the callers since the last call, by scope.
     pub fn take_reports(&mut self, now: Millis) -> Vec<(Scope, CallerReport)> {
-        let mut reports = Vec::new();
-        for (scope, state) in &mut self.scopes {
-            for key in std::mem::take(&mut state.unreported) {
-                reports.push((scope.clone(), state.returns.report(key, now)));
-            }
-        }
-        reports
+        let scopes = self.scopes.iter_mut();
+        let reports = scopes.flat_map(|(scope, state)| {
+            let reports = state.take_reports(now).into_iter();
+            reports.map(|report| (scope.clone(), report))
+        });
+        reports.collect()
     }
 
     /// Records what another owner of a scope reports of a caller.
--- a/crates/thistlesill-policy/src/edge/shortage/scope.rs
+++ b/crates/thistlesill-policy/src/edge/shortage/scope.rs
@@ -1,6 +1,6 @@
 //! The rules, and the state of one scope.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use thistlesill_core::Millis;
 use thistlesill_core::edge::OverloadLimits;
@@ -8,7 +8,7 @@
 use super::kinds::{Attempt, Kinds, Start, Treatment};
 use super::recent::Recent;
 use super::{AdmissionDecision, Ground, Prospect, RankedRequest};
-use crate::edge::returns::{Returns, Standing};
+use crate::edge::returns::{CallerReport, Returns, Standing};
 
 /// How long after a refusal a scope counts as short: a caller that honours its retry time returns
 /// within about a second.
@@ -26,6 +26,9 @@
 /// Requests per second that an open group starts at least, for the rate of bookings. With the usual
 /// part of late requests, two retries per second and group are booked at least.
 const MIN_GROUP_RATE: f64 = 8.0;
+/// Maximum number of callers of a scope whose reports wait: more than an owner refuses in the 50 ms
+/// between two rounds.
+const MAX_UNREPORTED: usize = 4_096;
 
 /// How a caller and its kind stand before a decision.
 #[derive(Debug, Clone, Copy)]
@@ -34,6 +37,14 @@
     treatment: Treatment,
 }
 
+/// What other owners have to learn of a caller.
+#[derive(Debug, Clone, Copy)]
+enum Unreported {
+    Refused,
+    /// Admitted at this time after a refusal.
+    Served(Millis),
+}
+
 /// Result of the rules for one request.
 enum Verdict {
     InTime,
@@ -50,18 +61,62 @@
     refused_at: Option<Millis>,
     /// When the last request or report came.
     pub(super) last: Millis,
-    /// Keys of the callers that other owners have to learn of.
-    pub(super) unreported: BTreeSet<u64>,
+    /// Callers that other owners have to learn of, by key.
+    unreported: BTreeMap<u64, Unreported>,
 }
 
 impl ScopeState {
-    /// Decides how a request is admitted.
+    /// Decides how a request is admitted, and notes what other owners have to learn of its caller.
     pub(super) fn decide(
         &mut self,
         request: &RankedRequest,
         prospect: &Prospect,
         limits: OverloadLimits,
         now: Millis,
+    ) -> AdmissionDecision {
+        let was_refused = self.returns.first(request.key, now).is_some();
+        let decision = self.apply_rules(request, prospect, limits, now);
+        let unreported = match decision {
+            AdmissionDecision::InTime | AdmissionDecision::Late => {
+                was_refused.then_some(Unreported::Served(now))
+            }
+            // Its caller keeps the time that the owners know.
+            AdmissionDecision::Refuse {
+                ground: Ground::Early,
+                ..
+            } => None,
+            AdmissionDecision::Refuse { .. } => Some(Unreported::Refused),
+        };
+        if let Some(unreported) = unreported
+            && self.unreported.len() < MAX_UNREPORTED
+        {
+            self.unreported.insert(request.key, unreported);
+        }
+        decision
+    }
+
+    /// Returns whether other owners have to learn of callers.
+    pub(super) fn has_reports(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// Returns what other owners have to learn of callers since the last call. What is no longer
+    /// true, after a suspension, is left out.
+    pub(super) fn take_reports(&mut self, now: Millis) -> Vec<CallerReport> {
+        let unreported = std::mem::take(&mut self.unreported).into_iter();
+        let report = |(key, what)| match what {
+            Unreported::Refused => self.returns.report(key, now),
+            Unreported::Served(at) => Some(CallerReport::Served { key, ago: now - at }),
+        };
+        unreported.filter_map(report).collect()
+    }
+
+    fn apply_rules(
+        &mut self,
+        request: &RankedRequest,
+        prospect: &Prospect,
+        limits: OverloadLimits,
+        now: Millis,
     ) -> AdmissionDecision {
         self.last = now;
         let standing = self.returns.standing(request.key, now);
--- a/crates/thistlesill-policy/tests/edge/returns.rs
+++ b/crates/thistlesill-policy/tests/edge/returns.rs
@@ -182,7 +182,7 @@
     assert_eq!(book(&mut booking, 0, 1, 0), 300);
     // The clock of the other owner is five seconds ahead.
     let ahead = |ms: u64| at(5_000 + ms);
-    other.learn(booking.report(1, at(50)), ahead(50));
+    other.learn(booking.report(1, at(50)).unwrap(), ahead(50));
     assert_eq!(other.first(1, ahead(50)), Some(ahead(0)));
     assert_eq!(other.standing(1, ahead(149)), Standing::Early);
     assert_eq!(book(&mut other, 0, 1, 5_149), 5_300, "it keeps its time");
@@ -197,7 +197,8 @@
     assert_eq!(other.standing(1, ahead(1_300)), Standing::Kept);
     // The other owner serves it, so it is a new caller if it sends the same request again.
     other.remove(1);
-    booking.learn(other.report(1, ahead(1_300)), at(1_300));
+    let ago = Millis::ZERO;
+    booking.learn(CallerReport::Served { key: 1, ago }, at(1_300));
     assert_eq!(booking.standing(1, at(1_300)), Standing::New);
     assert_eq!(booking.first(1, at(1_300)), None);
 }
@@ -209,7 +210,7 @@
     let (mut first, mut last) = (Returns::default(), Returns::default());
     assert_eq!(book(&mut first, 0, 1, 0), 300);
     assert_eq!(book(&mut last, 0, 1, 20), 320);
-    let (earlier, later) = (first.report(1, at(50)), last.report(1, at(50)));
+    let [earlier, later] = [&first, &last].map(|owner| owner.report(1, at(50)).unwrap());
     last.learn(earlier, at(51));
     first.learn(later, at(51));
     assert_eq!((first.due(at(320)), last.due(at(320))), (0, 1));
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Delivers the reports of one owner to another one.
+fn exchange(from: &mut Owner, to: &mut Owner, ms: u64) {
+    let now = Millis::new(START + ms);
+    for (scope, report) in from.0.take_reports(now) {
+        to.0.learn(&scope, report, now);
+    }
+}
+
 /// Guards against urgent requests that are late or refused while less urgent ones are served, and
 /// against less urgent ones that a burst keeps out.
 #[test]
@@ -152,6 +160,25 @@
     assert_eq!(next, AdmissionDecision::InTime);
 }
 
+/// Guards against a suspended owner that makes others forget callers which they have refused
+/// meanwhile: its refusals have ended, and its answers were to earlier requests.
+#[test]
+fn reports_of_a_suspended_owner_forget_no_caller() {
+    let caller = request(URGENT, "a", 1);
+    let mut suspended = Owner::default();
+    suspended.refuse(&caller, 0);
+    let mut other = Owner::default();
+    other.refuse(&caller, 3_000);
+    exchange(&mut suspended, &mut other, 3_010);
+    assert_eq!(other.0.bookings(&scope()), 1);
+    let served_at = 3_000 + suspended.refuse(&caller, 3_000);
+    let served = suspended.decide(&caller, full(200.0), served_at);
+    assert_eq!(served, AdmissionDecision::Late);
+    other.refuse(&caller, served_at + 2_000);
+    exchange(&mut suspended, &mut other, served_at + 2_010);
+    assert_eq!(other.0.bookings(&scope()), 1);
+}
+
 /// Guards against late work that fills free slots of targets whose prompts wait: slots are free
 /// there, time is not.
 #[test]
