refactor(policy): a decision comes with what was known of its caller

Cause: the owner looked a caller up four times a request, three of them bound to an order that only comments stated. Change: decide returns the decision, the caller's standing, whether it was refused before and whether its retry time is booked. The example takes reports as a daemon does.

--- a/crates/thistlesill-edge/src/ranking.rs
+++ b/crates/thistlesill-edge/src/ranking.rs
@@ -123,11 +123,6 @@
         }
     }
 
-    /// Returns whether the request is refused with a booked retry time.
-    pub(crate) fn is_booked_refusal(&self) -> bool {
-        self.booked && self.overload().is_some()
-    }
-
     /// Returns the overload of a refused request; `None` if the request is admitted.
     pub(crate) const fn overload(&self) -> Option<Overload> {
         match self.decision {
@@ -192,19 +187,16 @@
     let delay = loads.delay(first);
     metrics::histogram!("thistlesill_edge_first_event_delay_ms").record(delay);
     let mut table = edge.ranking.table.borrow_mut();
-    let standing = table.standing(scope, ranked.key, now);
-    let returned = table.is_known(scope, ranked.key, now);
-    let decision = table.decide(scope, ranked, prospect, now);
-    let booked = table.is_booked(scope, ranked.key, now);
+    let decided = table.decide(scope, ranked, prospect, now);
     if table.has_reports() {
         edge.ranking.reports_added.notify_one();
     }
     let ranking = |begin: f64| Ranking {
-        decision,
+        decision: decided.decision,
         begin: Millis::new(begin as u64),
-        standing,
-        returned,
-        booked,
+        standing: decided.standing,
+        returned: decided.returned,
+        booked: decided.booked,
     };
     if let Some(overload) = ranking(prospect.begin).overload() {
         return (Choice::Overloaded(overload), Some(ranking(prospect.begin)));
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -334,10 +334,7 @@
             .maybe("why", self.reason)
             .maybe("print", self.fingerprint)
             .maybe("back_ms", self.retry_after.map(Millis::get))
-            .maybe(
-                "booked",
-                ranking.filter(|r| r.is_booked_refusal()).map(|_| true),
-            )
+            .maybe("booked", ranking.filter(|r| r.booked).map(|_| true))
             .with("took_ms", took.get())
             .with("bytes", bytes)
             .write();
--- a/crates/thistlesill-policy/examples/shortage.rs
+++ b/crates/thistlesill-policy/examples/shortage.rs
@@ -64,11 +64,15 @@
             open_groups: 10,
         };
         let begin = Instant::now();
-        let decision = table.decide(&scope, &request, prospect, now);
+        let decision = table.decide(&scope, &request, prospect, now).decision;
         times.push(begin.elapsed());
         if matches!(decision, AdmissionDecision::Refuse { .. }) {
             refused.push(key);
         }
+        // As a daemon does, which sends reports 20 times a second.
+        if number % (RATE * 50) == 0 {
+            table.take_reports(now);
+        }
     }
     let mean = times.iter().sum::<Duration>() / DECISIONS as u32;
     times.sort_unstable();
--- a/crates/thistlesill-policy/src/edge/shortage.rs
+++ b/crates/thistlesill-policy/src/edge/shortage.rs
@@ -140,6 +140,19 @@
     }
 }
 
+/// A decision, and what was known of the caller; the latter is for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decided {
+    /// How the request is admitted.
+    pub decision: AdmissionDecision,
+    /// Whether the caller had a booking, and whether it has kept it.
+    pub standing: Standing,
+    /// Whether the caller was refused before, with or without a booking.
+    pub returned: bool,
+    /// Whether the retry time of a refused request is booked.
+    pub booked: bool,
+}
+
 /// State of the scopes that this daemon decides for.
 ///
 /// A scope takes at most 16 kinds of 112 customers (9 KB each), 4,096 bookings (112 bytes each) and
@@ -173,7 +186,7 @@
         request: &RankedRequest,
         prospect: Prospect,
         now: Millis,
-    ) -> AdmissionDecision {
+    ) -> Decided {
         let limits = self.limits;
         let state = self.scope_mut(scope);
         state.decide(request, &prospect, limits, now)
@@ -209,26 +222,6 @@
         self.scopes.get_mut(scope).expect("the scope was inserted")
     }
 
-    /// Returns whether a caller has a booking in a scope and has kept it, for logs and metrics;
-    /// must be called before the decision on its request.
-    pub fn standing(&mut self, scope: &Scope, key: u64, now: Millis) -> Standing {
-        let state = self.scopes.get_mut(scope);
-        state.map_or(Standing::New, |s| s.returns.standing(key, now))
-    }
-
-    /// Returns whether a caller is known from an earlier refusal, with or without a booking; must be
-    /// called before the decision on its request.
-    pub fn is_known(&self, scope: &Scope, key: u64, now: Millis) -> bool {
-        let state = self.scopes.get(scope);
-        state.is_some_and(|s| s.returns.first(key, now).is_some())
-    }
-
-    /// Returns whether a caller has a booking in a scope.
-    pub fn is_booked(&self, scope: &Scope, key: u64, now: Millis) -> bool {
-        let state = self.scopes.get(scope);
-        state.is_some_and(|s| s.returns.is_booked(key, now))
-    }
-
     /// Returns the number of bookings in a scope.
     pub fn bookings(&self, scope: &Scope) -> usize {
         self.scopes.get(scope).map_or(0, |s| s.returns.len())
--- a/crates/thistlesill-policy/src/edge/shortage/scope.rs
+++ b/crates/thistlesill-policy/src/edge/shortage/scope.rs
@@ -7,7 +7,7 @@
 
 use super::kinds::{Attempt, Kinds, Start, Treatment};
 use super::recent::Recent;
-use super::{AdmissionDecision, Ground, Prospect, RankedRequest};
+use super::{AdmissionDecision, Decided, Ground, Prospect, RankedRequest};
 use crate::edge::returns::{CallerReport, Returns, Standing};
 
 /// How long after a refusal a scope counts as short: a caller that honours its retry time returns
@@ -73,12 +73,13 @@
         prospect: &Prospect,
         limits: OverloadLimits,
         now: Millis,
-    ) -> AdmissionDecision {
-        let was_refused = self.returns.first(request.key, now).is_some();
-        let decision = self.apply_rules(request, prospect, limits, now);
+    ) -> Decided {
+        let standing = self.returns.standing(request.key, now);
+        let returned = self.returns.first(request.key, now).is_some();
+        let decision = self.apply_rules(request, prospect, standing, limits, now);
         let unreported = match decision {
             AdmissionDecision::InTime | AdmissionDecision::Late => {
-                was_refused.then_some(Unreported::Served(now))
+                returned.then_some(Unreported::Served(now))
             }
             // Its caller keeps the time that the owners know.
             AdmissionDecision::Refuse {
@@ -92,7 +93,12 @@
         {
             self.unreported.insert(request.key, unreported);
         }
-        decision
+        Decided {
+            decision,
+            standing,
+            returned,
+            booked: self.returns.is_booked(request.key, now),
+        }
     }
 
     /// Returns whether other owners have to learn of callers.
@@ -115,11 +121,11 @@
         &mut self,
         request: &RankedRequest,
         prospect: &Prospect,
+        standing: Standing,
         limits: OverloadLimits,
         now: Millis,
     ) -> AdmissionDecision {
         self.last = now;
-        let standing = self.returns.standing(request.key, now);
         let is_new = !self.returns.is_counted(request.key, now);
         let kept_ratio = limits.kept_ratio();
         let treatment = self
--- a/crates/thistlesill-policy/tests/edge/shortage.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage.rs
@@ -24,6 +24,7 @@
     fn decide(&mut self, request: &RankedRequest, at: Prospect, ms: u64) -> AdmissionDecision {
         self.0
             .decide(&scope(), request, at, Millis::new(START + ms))
+            .decision
     }
 
     /// Refuses a request and returns the time after which its caller may retry.
@@ -496,8 +497,9 @@
     let later = 7_200_000;
     let relaxed = owner.decide(&request(RELAXED, "c1", 1), full(900.0), later);
     assert_eq!(relaxed, AdmissionDecision::InTime);
-    let standing = owner.0.standing(&scope(), 2, Millis::new(START + later));
-    assert_eq!(standing, Standing::New);
+    let (caller, now) = (request(URGENT, "c1", 2), Millis::new(START + later));
+    let decided = owner.0.decide(&scope(), &caller, full(900.0), now);
+    assert_eq!((decided.standing, decided.returned), (Standing::New, false));
     // A clock that steps back does not end the decisions.
     owner.refuse(&request(URGENT, "c1", 3), 0);
 }
--- a/crates/thistlesill-policy/tests/edge/shortage/model.rs
+++ b/crates/thistlesill-policy/tests/edge/shortage/model.rs
@@ -253,7 +253,7 @@
         let now = Millis::new(self.now);
         let owner = (caller.key + u64::from(caller.attempts)) % self.tables.len() as u64;
         let table = &mut self.tables[owner as usize];
-        let decision = table.decide(&scope(), &request, prospect, now);
+        let decision = table.decide(&scope(), &request, prospect, now).decision;
         let tally = (kind.route, caller.load.customer);
         let tally = self.tallies.get_mut(&tally).unwrap();
         let AdmissionDecision::Refuse { after, .. } = decision else {
