test(review): a config without keys lets every request in

When the last key of a config with tenants is taken away, daemons ask for no key: revoked keys, unknown keys and none are all served.

--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,3 @@
+pub mod answer;
+pub mod keys;
+pub mod proof;
