--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,3 +1,3 @@
+pub mod answer;
 pub mod keys;
 pub mod proof;
-pub mod uploads;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod record;
 mod server;
+mod slow;
 mod store;
 mod world;
 
@@ -41,7 +42,7 @@
     let found = match case.as_str() {
         "keys" => cases::keys::run(&record, trouble),
         "proof" => cases::proof::run(&record, trouble),
-        "uploads" => cases::uploads::run(&record, trouble),
+        "answer" => cases::answer::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match found {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -7,7 +7,6 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,9 +30,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// The bounds of a small deployment, as the users' sheet of `anemct-thistle` has them.
 pub const REVOKE: Duration = Duration::from_millis(5_000);
-/// The memory of a machine on the same sheet.
-const MEMORY_MB: u64 = 260;
-const GRACE: Duration = Duration::from_secs(8);
+pub const GRACE: Duration = Duration::from_secs(8);
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -47,6 +44,7 @@
 #[derive(Debug, Clone, Copy)]
 pub enum Signal {
     Kill = 9,
+    Term = 15,
     Cont = 18,
     Stop = 19,
 }
@@ -186,48 +184,25 @@
         }
     }
 
-    /// Kills a daemon's process once it goes over its memory, as the platform does; the return says
-    /// whether that has happened.
-    pub fn watch_memory(&self, number: usize) -> Arc<AtomicBool> {
-        let killed = Arc::new(AtomicBool::new(false));
-        let (flag, record) = (killed.clone(), self.record.clone());
-        let name = self.daemons[number].name.clone();
-        let Some(pid) = self.daemons[number].pid else {
-            return killed;
-        };
-        thread::spawn(move || {
-            let mut peak = 0;
-            while let Some(used) = used_mb(pid) {
-                if used >= peak + 20 {
-                    peak = used;
-                    record.line(format!("platform  {name} uses {used} MB"));
-                }
-                if used > MEMORY_MB {
-                    record.line(format!("platform  kills {name}: over memoryMb"));
-                    flag.store(true, Ordering::SeqCst);
-                    // SAFETY: as in `signal`.
-                    unsafe { kill(pid.cast_signed(), Signal::Kill as i32) };
-                    return;
-                }
-                thread::sleep(Duration::from_millis(20));
-            }
-        });
-        killed
+    /// Returns whether a daemon's process has ended.
+    pub fn has_ended(&self, number: usize) -> bool {
+        let pid = self.daemons[number].pid;
+        let mut processes = self.processes.lock().expect("the lock is sound");
+        let child = processes.iter_mut().find(|child| Some(child.id()) == pid);
+        let ended = child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)));
+        if ended {
+            let name = &self.daemons[number].name;
+            self.record.line(format!("daemon    {name} has ended"));
+        }
+        ended
     }
 
     /// Waits until a daemon's process has ended; returns whether it did.
     pub fn wait_for_end(&self, number: usize, limit: Duration) -> bool {
-        let pid = self.daemons[number].pid;
         let until = Instant::now() + limit;
         while Instant::now() < until {
-            {
-                let mut processes = self.processes.lock().expect("the lock is sound");
-                let child = processes.iter_mut().find(|child| Some(child.id()) == pid);
-                if child.is_none_or(|child| !matches!(child.try_wait(), Ok(None))) {
-                    let name = &self.daemons[number].name;
-                    self.record.line(format!("daemon    {name} has ended"));
-                    return true;
-                }
+            if self.has_ended(number) {
+                return true;
             }
             thread::sleep(Duration::from_millis(10));
         }
@@ -335,14 +310,6 @@
     }
 }
 
-/// Returns the memory of a process in MB; `None` once it has ended.
-fn used_mb(pid: u32) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some(kilobytes / 1_024)
-}
-
 /// A consumer's request.
 pub struct Sent<'a> {
     pub id: &'a str,
