fix(edge): silence after a request's deadline is no evidence against its target

Cause: a daemon waits 60 ms past the deadline for a late answer. If the time after which a silent target counts as stalled ended in these 60 ms, the target was suspected and its links doubted, although targets end their work at the deadline. A stream with a deadline of 370 ms and an objective of 400 ms shows it.

The two waits now never end once the deadline has passed.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -274,7 +274,7 @@
 }
 
 /// Returns once a plain request on a reused connection has had no answer for the time of the
-/// route's objective.
+/// route's objective; never, if its deadline has passed by then.
 ///
 /// Only a timeout shows that a connection is dead without notice. When all pooled connections
 /// are, 6 of 6 requests are answered in time with this check, and none without it.
@@ -283,6 +283,9 @@
         return pending::<()>().await;
     }
     tokio::time::sleep(job.begin_timeout().duration()).await;
+    if job.is_over() {
+        pending::<()>().await;
+    }
 }
 
 /// Classifies an answer by what it says about the request.
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -42,7 +42,7 @@
 const LOST_SILENCE: Millis = Millis::new(150);
 
 /// Returns once the target of a resumable stream has sent nothing to any of this daemon's streams
-/// for too long; never, if the stream can't be resumed.
+/// for too long; never, if the stream can't be resumed or its deadline has passed.
 pub(crate) async fn wait_for_stall(job: &Job, target: &Target, first: bool) {
     let route = &job.admission.route;
     let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
@@ -69,6 +69,9 @@
                 timeout
             }
         };
+        if job.is_over() {
+            return pending::<()>().await;
+        }
         if due <= edge.now() {
             return;
         }
--- a/crates/thistlesill-edge/tests/it/deadlines.rs
+++ b/crates/thistlesill-edge/tests/it/deadlines.rs
@@ -18,6 +18,8 @@
 const INTERVAL_MS: u64 = 7;
 /// Deadline of streams; a whole one takes longer.
 const STREAM_DEADLINE: Duration = Duration::from_millis(100);
+/// Deadline of streams that begin much later.
+const SILENT_DEADLINE: Duration = Duration::from_millis(370);
 /// Deadline of plain requests, shorter than their target's work.
 const PLAIN_DEADLINE: Duration = Duration::from_millis(10);
 
@@ -99,6 +101,25 @@
     assert_no_loss(&world, &ids);
 }
 
+/// The objective for the first event, 400 ms, lies between the deadline and the time until which the
+/// daemon waits for a late answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_is_silent_after_the_deadline_is_not_suspected() {
+    let world = world(177, 1).await;
+    for (leader, _) in world.targets.serving() {
+        world.targets.set_fault(leader.as_str(), Fault::SlowStart);
+    }
+    // The requests before have left kept connections.
+    world.set_plain_fault(0, LinkFault::StalledToClient);
+    for request in [stream("silent-0").model("small"), read("silent-1")] {
+        let got = call_past_deadline(&world, request.deadline(SILENT_DEADLINE)).await;
+        assert!(got.starts_with("HTTP/1.1 504"), "{got}");
+    }
+    world.set_plain_fault(0, LinkFault::None);
+    sleep(300).await;
+    assert_no_loss(&world, &["silent-0".to_owned(), "silent-1".to_owned()]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_a_peer_ends_at_the_deadline_goes_to_no_other() {
     let world = world(171, 4).await;
