test(edge): answers break off when targets are silent together

Callers see streams that end midway and 502 after 0.4 s while sound targets stand still for 1.2 s.

Before any change of logic the lines tell hypotheses apart: links_lost has the kind of the failures and the peers that still reach the service, repeat_sent says whose budget covers a repeat.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -10,7 +10,7 @@
 use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, AnswerHead};
-use thistlesill_policy::edge::attempt::Outcome;
+use thistlesill_policy::edge::attempt::{Attempts, Outcome};
 use thistlesill_policy::edge::limit::Clearance;
 use thistlesill_policy::quarantine::AnswerPhase;
 
@@ -149,7 +149,7 @@
     }
 }
 
-/// Sends a request to a target and awaits the head of its answer.
+/// Sends a request, which has had `attempts` before, to a target and awaits the head of its answer.
 ///
 /// The last attempt waits as long as the request has time, since a late answer is worth more
 /// than none.
@@ -159,9 +159,10 @@
     clearance: Clearance,
     tried: &[TargetId],
     last_event: Option<&str>,
-    position: AttemptPosition,
+    attempts: Attempts,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
+    let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
     let flight = InFlight::new(edge, target, job.prompt(), job.take_prediction());
     let sent = edge.now();
     let connect = within(CONNECT_TIMEOUT.min(job.time_left().duration()));
@@ -179,7 +180,7 @@
     let PooledLane { mut lane, reused } = match taken {
         Ok(taken) => taken,
         Err(error) => {
-            reach::note_failure(edge, target, sent);
+            reach::note_failure(edge, target, sent, reach::failure_kind(&error));
             edge.suspect(&target.id, "no connection");
             return Err(Failure::new(Outcome::NotSent, &error));
         }
@@ -190,6 +191,9 @@
     }
     let request = job.request(target, last_event);
     limits::log_sent(job, target);
+    if attempts.sent > 0 {
+        log_repeat(job, target);
+    }
     let answer = {
         let last = job.answer_deadline();
         let send = lane.send(request, within((last - sent).duration()));
@@ -236,6 +240,14 @@
     }
 }
 
+/// Logs and counts a request that is sent to a further target, with the budget that covers it.
+fn log_repeat(job: &Job, target: &Target) {
+    let payer = job.payer().name();
+    metrics::counter!("thistlesill_edge_repeats_total", "payer" => payer).increment(1);
+    let line = job.edge.lines.line("repeat_sent").with("id", &job.head.id);
+    line.with("target", &target.id).with("payer", payer).write();
+}
+
 /// Returns why a request may no longer be sent to the target that was picked for it.
 fn reason_not_to_send(job: &Job, target: &Target, clearance: Clearance) -> Option<&'static str> {
     let edge = &job.edge;
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -74,6 +74,28 @@
     pub(crate) tried: RefCell<Vec<Fingerprint>>,
 }
 
+/// Whose retry budget covers an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Payer {
+    /// That of this daemon.
+    Itself,
+    /// That of the peer that passed the request on.
+    Peer,
+    /// None: the attempt is the first, or was taken for one.
+    Nobody,
+}
+
+impl Payer {
+    /// Returns the name in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Itself => "itself",
+            Self::Peer => "peer",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
 /// A request as received from its caller.
 pub(crate) struct Arrival {
     pub(crate) head: CallerHead,
@@ -296,6 +318,15 @@
         paid || forward::is_possible(self)
     }
 
+    /// Returns whose retry budget covers the attempt that is being sent.
+    pub(crate) fn payer(&self) -> Payer {
+        match self.hop {
+            _ if self.paid.get() => Payer::Itself,
+            Some(hop) if hop.sent > 0 => Payer::Peer,
+            _ => Payer::Nobody,
+        }
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.admission.route.may_repeat()
--- a/crates/thistlesill-edge/src/planner/actions.rs
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -9,6 +9,7 @@
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
 use thistlesill_policy::edge::fleet::{FleetAction, FleetPlanner, ProbeOutcome};
+use thistlesill_policy::edge::reach::FailureKind;
 
 use super::Planner;
 use crate::reach;
@@ -69,7 +70,10 @@
                 self.note_answer(target, begun);
                 true
             }
-            Err(_) => self.confirm_failure(service, target, begun).await,
+            Err(error) => {
+                let kind = reach::failure_kind(error);
+                self.confirm_failure(service, target, begun, kind).await
+            }
         };
         let line = lines.line("probe").with("target", target);
         match &report {
@@ -113,11 +117,16 @@
         begun: Millis,
     ) -> OrderReply {
         match reply {
-            OrderReply::Refused if !self.confirm_failure(service, target, begun).await => {
-                OrderReply::Unknown
+            OrderReply::Refused => {
+                let kind = FailureKind::Unreached;
+                if self.confirm_failure(service, target, begun, kind).await {
+                    reply
+                } else {
+                    OrderReply::Unknown
+                }
             }
             // An engine may leave an order unanswered although it is reached.
-            OrderReply::Refused | OrderReply::Unknown => reply,
+            OrderReply::Unknown => reply,
             _ => {
                 self.note_answer(target, begun);
                 reply
@@ -140,13 +149,14 @@
         service: &ServiceName,
         target: &TargetId,
         begun: Millis,
+        kind: FailureKind,
     ) -> bool {
         if reach::is_confirmed(&self.edge, service, begun).await {
             return true;
         }
         let target = self.edge.registry.borrow().target(target).cloned();
         if let Some(target) = target {
-            reach::note_failure(&self.edge, &target, begun);
+            reach::note_failure(&self.edge, &target, begun, kind);
         }
         false
     }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -17,7 +17,7 @@
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, last_step, next_step};
 use tokio::time::timeout_at;
 
-use crate::attempt::{Answered, AttemptPosition, Failure, attempt};
+use crate::attempt::{Answered, Failure, attempt};
 use crate::choice::{Choice, Overload, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
@@ -262,8 +262,7 @@
     }
     tried.targets.push(target.id.clone());
     track.sent(&target);
-    let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
-    let sent = attempt(job, &target, clearance, &tried.targets, None, position).await;
+    let sent = attempt(job, &target, clearance, &tried.targets, None, attempts).await;
     match pass_on(job, sent, attempts, track).await {
         Ok(response) => AttemptEnd::Answered(response),
         Err(failure) => AttemptEnd::Failed(failure, Destination::Target(target)),
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -7,10 +7,10 @@
 
 use thistlesill_core::edge::Target;
 use thistlesill_core::{Millis, ServiceName};
-use thistlesill_net::lane::within;
+use thistlesill_net::lane::{ConnectionError, within};
 use thistlesill_platform::engine::{self, Check};
 use thistlesill_policy::edge::book::TargetRegistry;
-use thistlesill_policy::edge::reach::{FailedTarget, Reach, ReachChange};
+use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, Reach, ReachChange};
 use tokio::sync::Notify;
 
 use crate::limits;
@@ -109,8 +109,16 @@
     react(edge, &target.service, change);
 }
 
+/// Returns what an error says of the target.
+pub(crate) const fn failure_kind(error: &ConnectionError) -> FailureKind {
+    match error {
+        ConnectionError::TimedOut => FailureKind::Silent,
+        _ => FailureKind::Unreached,
+    }
+}
+
 /// Records that a target was not reached, by a connection or check that began at `begun`.
-pub(crate) fn note_failure(edge: &Edge, target: &Target, begun: Millis) {
+pub(crate) fn note_failure(edge: &Edge, target: &Target, begun: Millis, kind: FailureKind) {
     let change = {
         let registry = edge.registry.borrow();
         let known = registry.of_service(&target.service);
@@ -120,6 +128,7 @@
             id: &target.id,
             hall: &target.hall,
             begun,
+            kind,
         };
         update(edge, &target.service, |reach, now, targets| {
             reach.note_failure(failed, now, targets, asked.map(|t| &t.hall))
@@ -160,10 +169,7 @@
             return;
         }
         ReachChange::Lost => {
-            let services = edge.links.services.borrow();
-            let failed = services.get(service).map_or(0, |r| r.failed().count());
-            let line = edge.lines.line("links_lost").with("service", service);
-            line.with("failed", failed).write();
+            log_loss(edge, service);
             forget_suspicions(edge, service);
             edge.links.lost.notify_waiters();
         }
@@ -177,6 +183,24 @@
     report(edge, Scope::All);
 }
 
+/// Logs that links are lost. A silence of the targets differs from a loss of the own links in the
+/// failures, and in the peers that report the same.
+fn log_loss(edge: &Edge, service: &ServiceName) {
+    let services = edge.links.services.borrow();
+    let failures = services.get(service).into_iter().flat_map(Reach::failures);
+    let failures: Vec<FailureKind> = failures.collect();
+    let silent = failures.iter().filter(|k| **k == FailureKind::Silent);
+    let (hall, now) = (edge.settings().hall.clone(), edge.now());
+    let reaching = edge.peers.borrow().reaching(service, &hall, now).count();
+    edge.lines
+        .line("links_lost")
+        .with("service", service)
+        .with("failed", failures.len())
+        .with("silent", silent.count())
+        .with("peers_reaching", reaching)
+        .write();
+}
+
 /// Drops the suspicions of the targets of a service, which the loss of the links explains, and the
 /// connections to them, which may be dead without notice.
 fn forget_suspicions(edge: &Edge, service: &ServiceName) {
@@ -353,7 +377,7 @@
         Ok(()) => note_answer(edge, target, opened),
         Err(error) => {
             log::debug!("reach: {}: {error}", target.id);
-            note_failure(edge, target, opened);
+            note_failure(edge, target, opened, failure_kind(&error));
         }
     }
 }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -21,7 +21,7 @@
 
 use self::cutter::{Added, Cutter};
 pub(crate) use self::passing::forward_plain;
-use crate::attempt::{Answered, AttemptPosition, Failure, Origin, attempt};
+use crate::attempt::{Answered, Failure, Origin, attempt};
 use crate::choice::{Choice, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Way};
@@ -444,10 +444,9 @@
         }
         self.tried.targets.push(target.id.clone());
         let last_event = self.last_event();
-        let position = AttemptPosition::after(self.attempts.sent, job.admission.route.attempts);
-        let tried = &self.tried.targets;
+        let (tried, attempts) = (&self.tried.targets, self.attempts);
         let last_event = last_event.as_deref();
-        let end = attempt(&job, &target, clearance, tried, last_event, position).await;
+        let end = attempt(&job, &target, clearance, tried, last_event, attempts).await;
         Some((Destination::Target(target), end))
     }
 
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -36,6 +36,8 @@
 mod shortage;
 #[path = "it/silence.rs"]
 mod silence;
+#[path = "it/silent_targets.rs"]
+mod silent_targets;
 #[path = "it/soak.rs"]
 mod soak;
 #[path = "it/starts.rs"]
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -42,6 +42,15 @@
     Restored(Millis),
 }
 
+/// How an attempt to reach a target failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureKind {
+    /// No connection was established, or it was closed at once.
+    Unreached,
+    /// The connection was established, but no answer came in time. The target may stand still.
+    Silent,
+}
+
 /// A target that was not reached.
 #[derive(Debug, Clone, Copy)]
 pub struct FailedTarget<'a> {
@@ -51,6 +60,8 @@
     pub hall: &'a HallId,
     /// When the connection or check began.
     pub begun: Millis,
+    /// How it failed.
+    pub kind: FailureKind,
 }
 
 /// The last attempt to reach a target, which failed.
@@ -58,6 +69,7 @@
 struct Failure {
     hall: HallId,
     begun: Millis,
+    kind: FailureKind,
 }
 
 /// A daemon's links to the targets of one service.
@@ -100,9 +112,9 @@
         failed.max(doubted)
     }
 
-    /// Returns the targets that were not reached since the last answer of any target.
-    pub fn failed(&self) -> impl Iterator<Item = &TargetId> {
-        self.failed.keys()
+    /// Returns how each target failed that was not reached since the last answer of any target.
+    pub fn failures(&self) -> impl Iterator<Item = FailureKind> {
+        self.failed.values().map(|failure| failure.kind)
     }
 
     /// Records that an exchange with a target, which began at `begun`, was broken off or had no
@@ -130,6 +142,7 @@
         let failure = Failure {
             hall: failed.hall.clone(),
             begun: failed.begun,
+            kind: failed.kind,
         };
         self.failed.insert(failed.id.clone(), failure);
         if self.is_lost() {
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis};
-use thistlesill_policy::edge::reach::{FailedTarget, Reach, ReachChange};
+use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, Reach, ReachChange};
 
 use crate::book::target;
 
@@ -33,6 +33,7 @@
         id: &id(number),
         hall: &HallId::from(hall),
         begun: at(ms),
+        kind: FailureKind::Unreached,
     };
     let halls: Vec<HallId> = halls.iter().map(|hall| HallId::from(*hall)).collect();
     reach.note_failure(failed, at(ms), targets, &halls)
@@ -150,6 +151,7 @@
                 id: &target.id,
                 hall: &target.hall,
                 begun: at(3),
+                kind: FailureKind::Unreached,
             };
             reach.note_failure(failed, at(203), 30, targets.iter().map(|t| &t.hall))
         });
