fix(edge): a stream whose source is open waits while all targets are silent

What callers saw: streams on kept connections that end midway, within half a second, when sound targets stand still for a second.

Cause: three unanswered checks make a daemon's links count as lost. It then broke off each stream that it could not resume elsewhere, although the source was open, since the caller could resume it at another daemon. All daemons were in the same state. The class: the silence of all is taken for a fault of one's own links.

Targets that accept connections and do not answer are told apart from targets that are not reached (`Silent` and `Down`; silent for two seconds at most). A stream with an open source breaks off only if links are down and a peer reaches the targets; otherwise it waits, and tries a peer every 100 ms instead of once.

The tests of partitions and streams pass.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -33,7 +33,7 @@
 const PEER_BACKOFF: Millis = Millis::new(500);
 /// Number of peers that a request is passed to at most.
 const MAX_PEERS: usize = 3;
-/// Interval between two checks whether the peer that has a request is still alive.
+/// Interval between two checks whether a peer is alive or may take a request.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Peers that take no requests for a while.
@@ -96,6 +96,16 @@
     matches!(way(job, &[]), Way::Peer(_))
 }
 
+/// Returns once a request could be passed to a peer other than `tried`, after some time at least.
+pub(crate) async fn wait_until_possible(job: &Job, tried: &[NodeId]) {
+    loop {
+        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+        if matches!(way(job, tried), Way::Peer(_)) {
+            return;
+        }
+    }
+}
+
 /// Draws a live peer that reaches the targets of a service, of the same data centre if there is
 /// one: traffic between data centres is expensive.
 fn pick_peer(edge: &Edge, service: &ServiceName, tried: &[NodeId]) -> Option<NodeId> {
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -10,7 +10,7 @@
 use thistlesill_net::lane::{ConnectionError, within};
 use thistlesill_platform::engine::{self, Check};
 use thistlesill_policy::edge::book::TargetRegistry;
-use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, Reach, ReachChange};
+use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, LinkState, Reach, ReachChange};
 use tokio::sync::Notify;
 
 use crate::limits;
@@ -62,6 +62,13 @@
         services.get(service).is_some_and(Reach::is_lost)
     }
 
+    /// Returns the state of the links to the targets of a service.
+    pub(crate) fn state(&self, service: &ServiceName, now: Millis) -> LinkState {
+        let services = self.services.borrow();
+        let reach = services.get(service);
+        reach.map_or(LinkState::Up, |reach| reach.state(now))
+    }
+
     /// Returns since when the links to the targets of a service are in doubt, if they are.
     pub(crate) fn doubted_since(&self, service: &ServiceName) -> Option<Millis> {
         self.services.borrow().get(service)?.doubted_since()
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -17,6 +17,7 @@
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
+use thistlesill_policy::edge::reach::LinkState;
 use thistlesill_policy::quarantine::AnswerProgress;
 
 use self::cutter::{Added, Cutter};
@@ -144,7 +145,7 @@
     source: Option<Source>,
     tried: Tried,
     /// Whether to wait for a silent source, since the stream may not or cannot be resumed elsewhere;
-    /// ends when this daemon loses its links to the targets.
+    /// ends with the next event, or when the stream can be resumed through a peer.
     stay: bool,
     bytes: usize,
     /// When the last events were forwarded.
@@ -292,11 +293,10 @@
             Origin::Peer(peer) => Some(peer.clone()),
         };
         let (awaited, forwarded) = (job.edge.now(), self.forwarded);
+        let tried = &self.tried.peers;
         let stalled = async {
             match (&target, &peer) {
-                (Some(target), _) if stay => {
-                    reach::wait_until_lost(&job.edge, &target.service).await;
-                }
+                (Some(_), _) if stay => forward::wait_until_possible(&job, tried).await,
                 (Some(target), _) => wait_for_stall(&job, target, first).await,
                 (None, Some(peer)) if !stay => {
                     forward::wait_for_peer_loss(&job.edge, peer).await;
@@ -314,6 +314,7 @@
                     source.end_prefill();
                     match self.cutter.push(&data) {
                         Added::Events => {
+                            self.stay = false;
                             source.record_event(&self.job);
                             if let Some(forwarded) = forwarded {
                                 self.longest_pause
@@ -391,19 +392,20 @@
                 }
             }
         }
-        // A caller that is cut off at once can resume the stream at another daemon.
-        let lost = self
-            .job
-            .edge
-            .links
-            .is_lost(&self.job.admission.service.name);
-        if self.source.is_some() && !lost {
+        if self.source.is_some() && !self.can_caller_resume() {
             self.stay = true;
             return Ok(());
         }
         Err(self.break_off(outcome))
     }
 
+    /// Returns whether a caller that is cut off can resume the stream at once at another daemon,
+    /// while this one does not reach the target.
+    fn can_caller_resume(&self) -> bool {
+        let (edge, service) = (&self.job.edge, &self.job.admission.service.name);
+        edge.links.state(service, edge.now()) == LinkState::Down && edge.is_reached_by_peer(service)
+    }
+
     /// Records what the end of the source says of its target.
     fn note_stop(&self, stop: Stop, reason: &str) {
         let Some(source) = &self.source else {
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -26,6 +26,22 @@
 /// data centres without a failure.
 const CHECKED_TARGETS: usize = 3;
 
+/// How long targets that accept connections but send no answer are taken for ones that stand still
+/// and will go on.
+const MAX_STANDSTILL: Millis = Millis::new(2_000);
+
+/// The state of a daemon's links to the targets of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// The targets are reached.
+    Up,
+    /// Targets accept connections, and none answers. They may all stand still, or the links are
+    /// lost in a way that a connection does not show.
+    Silent,
+    /// The targets are not reached.
+    Down,
+}
+
 /// What an observation changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReachChange {
@@ -95,6 +111,20 @@
         self.lost_at.is_some()
     }
 
+    /// Returns the state of the links.
+    #[must_use]
+    pub fn state(&self, now: Millis) -> LinkState {
+        let Some(lost_at) = self.lost_at else {
+            return LinkState::Up;
+        };
+        let is_silent = self.failures().all(|kind| kind == FailureKind::Silent);
+        if is_silent && now - lost_at < MAX_STANDSTILL {
+            LinkState::Silent
+        } else {
+            LinkState::Down
+        }
+    }
+
     /// Returns whether a target has answered on a connection opened at `since` or later. Only then
     /// does the silence of another one say something about that target.
     #[must_use]
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{HallId, Millis};
-use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, Reach, ReachChange};
+use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, LinkState, Reach, ReachChange};
 
 use crate::book::target;
 
@@ -248,3 +248,35 @@
         !reach.is_lost()
     }
 }
+
+/// Fails three targets of 40, all in the way that `kind` says but the last, which fails as `last`.
+fn lose(kind: FailureKind, last: FailureKind) -> Reach {
+    let mut reach = Reach::default();
+    let kinds = [kind, kind, last];
+    for (number, kind) in (0..).zip(kinds) {
+        let failed = FailedTarget {
+            id: &id(number),
+            hall: &HallId::from("h"),
+            begun: at(0),
+            kind,
+        };
+        reach.note_failure(failed, at(200), 40, &[HallId::from("h")]);
+    }
+    reach
+}
+
+#[test]
+fn targets_that_accept_connections_and_do_not_answer_are_silent_for_two_seconds() {
+    let reach = lose(FailureKind::Silent, FailureKind::Silent);
+    assert!(reach.is_lost());
+    assert_eq!(reach.state(at(200)), LinkState::Silent);
+    assert_eq!(reach.state(at(2_199)), LinkState::Silent);
+    assert_eq!(reach.state(at(2_200)), LinkState::Down);
+}
+
+#[test]
+fn links_are_down_if_one_target_accepts_no_connection() {
+    let reach = lose(FailureKind::Silent, FailureKind::Unreached);
+    assert_eq!(reach.state(at(200)), LinkState::Down);
+    assert_eq!(Reach::default().state(at(200)), LinkState::Up);
+}
