fix(edge): each repeat is covered by a retry budget when it is sent

Cause: whether a budget covers a repeat was decided when the attempt before had failed, apart from where the repeat is sent. A peer that had sent a request to a target, which turned it away, and that then lost its links declined the request as one that no target got. The daemon before it passed it to the next peer as a first attempt: up to three arrivals that no budget covers. Just after all targets stood still, full targets and daemons that still count their links as lost come together.

A retry is now taken out of a budget before, and used right when the request is sent; without one nothing is sent. A daemon says in each answer to a peer how many targets it has sent the request to; a declined request that was sent counts as not run, not as not sent.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::backoffs;
 use crate::flight::InFlight;
 use crate::forward;
-use crate::job::Job;
+use crate::job::{Job, Payer};
 use crate::lanes::PooledLane;
 use crate::leaving;
 use crate::limits;
@@ -102,6 +102,8 @@
     pub(crate) answer: Option<Box<Answered>>,
     /// Whether only the connection may be at fault, so that the same target may be tried again.
     pub(crate) by_connection: bool,
+    /// Number of targets that a peer sent the request to, beyond the one that the outcome tells of.
+    pub(crate) further: u32,
 }
 
 impl Failure {
@@ -111,6 +113,7 @@
             reason: reason.to_string(),
             answer: None,
             by_connection: false,
+            further: 0,
         }
     }
 
@@ -189,11 +192,16 @@
         job.return_lane(&target.id, lane, None);
         return Err(Failure::new(Outcome::NotSent, &reason));
     }
-    let request = job.request(target, last_event);
-    limits::log_sent(job, target);
     if attempts.sent > 0 {
-        log_repeat(job, target);
+        let Some(payer) = job.use_retry() else {
+            job.return_lane(&target.id, lane, None);
+            return Err(Failure::new(Outcome::NotSent, &"no retry budget covers it"));
+        };
+        log_repeat(job, target, payer);
     }
+    let request = job.request(target, last_event);
+    limits::log_sent(job, target);
+    job.sent.set(job.sent.get() + 1);
     let answer = {
         let last = job.answer_deadline();
         let send = lane.send(request, within((last - sent).duration()));
@@ -241,11 +249,12 @@
 }
 
 /// Logs and counts a request that is sent to a further target, with the budget that covers it.
-fn log_repeat(job: &Job, target: &Target) {
-    let payer = job.payer().name();
-    metrics::counter!("thistlesill_edge_repeats_total", "payer" => payer).increment(1);
+fn log_repeat(job: &Job, target: &Target, payer: Payer) {
+    metrics::counter!("thistlesill_edge_repeats_total", "payer" => payer.name()).increment(1);
     let line = job.edge.lines.line("repeat_sent").with("id", &job.head.id);
-    line.with("target", &target.id).with("payer", payer).write();
+    line.with("target", &target.id)
+        .with("payer", payer.name())
+        .write();
 }
 
 /// Returns why a request may no longer be sent to the target that was picked for it.
@@ -344,6 +353,7 @@
             reason: status.to_string(),
             answer: Some(Box::new(answered)),
             by_connection: false,
+            further: 0,
         });
     }
     Ok(answered)
--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -121,7 +121,7 @@
 
 /// Passes a request to a peer and awaits the head of the answer.
 ///
-/// A request that the peer declined was not sent to any target.
+/// A request that the peer declined has run at no target.
 pub(crate) async fn attempt(
     job: &Rc<Job>,
     peer: &NodeId,
@@ -154,31 +154,47 @@
         answer = lane.send(request, limit) => answer,
         () = edge.alarm.sleep_until(last) => Err(ConnectionError::TimedOut),
         () = wait_for_peer_loss(edge, peer) => {
-            return Err(Failure::new(Outcome::MayHaveRun, &"the peer is lost"));
+            return Err(passed_on(job, Outcome::MayHaveRun, &"the peer is lost"));
         }
     };
     let mut response = match answer {
         Ok(response) => response,
         Err(ConnectionError::TimedOut) => {
-            return Err(Failure::new(Outcome::Late, &"no answer in time"));
+            return Err(passed_on(job, Outcome::Late, &"no answer in time"));
         }
         Err(error) if error.is_unsent() => return Err(Failure::new(Outcome::NotSent, &error)),
-        Err(error) => return Err(Failure::new(Outcome::MayHaveRun, &error)),
+        Err(error) => return Err(passed_on(job, Outcome::MayHaveRun, &error)),
     };
     let Some(sent) = head::take_sent(response.headers_mut()) else {
         let reason = "the answer does not come from a daemon";
-        return Err(Failure::new(Outcome::MayHaveRun, &reason));
+        return Err(passed_on(job, Outcome::MayHaveRun, &reason));
     };
     if let Some(decline) = head::declined(response.headers()) {
         if decline == Decline::Any {
             edge.forwarding.avoid(peer, edge.now());
         }
         let reason = format!("the peer declined: {}", head::reason(response.headers()));
-        return Err(Failure::new(Outcome::NotSent, &reason));
+        return Err(declined(job, sent, &reason));
     }
+    job.forget_retry();
     Ok(Answered::from_peer(job, peer, response, lane, sent))
 }
 
+/// Returns the failure of a request that a peer has and may have sent to a target.
+fn passed_on(job: &Job, outcome: Outcome, reason: &impl ToString) -> Failure {
+    job.forget_retry();
+    Failure::new(outcome, reason)
+}
+
+/// Returns the failure of a request that a peer declined after `sent` targets had turned it away.
+fn declined(job: &Job, sent: u32, reason: &impl ToString) -> Failure {
+    let Some(further) = sent.checked_sub(1) else {
+        return Failure::new(Outcome::NotSent, reason);
+    };
+    let failure = passed_on(job, Outcome::NotRun, reason);
+    Failure { further, ..failure }
+}
+
 /// Returns once a peer counts as dead.
 pub(crate) async fn wait_for_peer_loss(edge: &Edge, peer: &NodeId) {
     loop {
--- a/crates/thistlesill-edge/src/forward/head.rs
+++ b/crates/thistlesill-edge/src/forward/head.rs
@@ -8,14 +8,14 @@
 use thistlesill_platform::caller::{PeerHead, set_peer_headers};
 use thistlesill_policy::edge::attempt::Attempts;
 
-use crate::job::Job;
+use crate::job::{Job, Payer};
 
 /// Marks a request that a peer passes on, with [`Hop`] as its value.
 const HOP: HeaderName = HeaderName::from_static("thistlesill-hop");
 /// Marks the answer of a daemon that declined to send a request; its value is the reason.
 const DECLINED: HeaderName = HeaderName::from_static("thistlesill-declined");
-/// Number of targets that a daemon sent a request to before its answer began; in all answers of a
-/// daemon that takes requests of peers.
+/// Number of targets that a daemon sent a request to before its answer began, or in vain; in all
+/// answers of a daemon that takes requests of peers.
 const SENT: HeaderName = HeaderName::from_static("thistlesill-sent");
 
 /// What a daemon says of a request that it passes to a peer.
@@ -44,6 +44,15 @@
         self.sent > 0 && !self.paid
     }
 
+    /// Returns whose budget covers the attempt, if it is a retry that the sender's budget covers.
+    pub(crate) const fn payer(self) -> Option<Payer> {
+        if self.sent > 0 && self.paid {
+            Some(Payer::Peer)
+        } else {
+            None
+        }
+    }
+
     /// Reads the hop of a request and removes its header; `None` if it is missing or malformed.
     pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(HOP)?;
@@ -83,7 +92,7 @@
         attempts.sent,
         u8::from(attempts.may_have_run),
         u8::from(job.counted.get()),
-        u8::from(job.paid.get()),
+        u8::from(job.is_paid()),
     );
     set(&mut headers, HOP, &hop);
     *request.headers_mut() = headers;
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -15,8 +15,7 @@
 use super::head::{self, Hop};
 use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
 use crate::proxy;
-use crate::relay::SentTargets;
-use crate::reply::{self, OutBody};
+use crate::reply::{self, OutBody, SentTargets};
 use crate::state::Edge;
 
 /// Takes the requests that peers pass on; never returns. A daemon that cannot listen logs an error
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -68,8 +68,10 @@
     pub(crate) hop: Option<Hop>,
     /// Whether the retry budget of this daemon, or of one before, has counted the request.
     pub(crate) counted: Cell<bool>,
-    /// Whether this daemon's retry budget covers the next attempt.
-    pub(crate) paid: Cell<bool>,
+    /// Whose retry budget covers the next attempt, if that is known.
+    paid_by: Cell<Option<Payer>>,
+    /// Number of targets that this daemon sent the request to.
+    pub(crate) sent: Cell<u32>,
     /// The suspects of which this request is the trial.
     pub(crate) tried: RefCell<Vec<Fingerprint>>,
 }
@@ -81,8 +83,6 @@
     Itself,
     /// That of the peer that passed the request on.
     Peer,
-    /// None: the attempt is the first, or was taken for one.
-    Nobody,
 }
 
 impl Payer {
@@ -91,7 +91,6 @@
         match self {
             Self::Itself => "itself",
             Self::Peer => "peer",
-            Self::Nobody => "nobody",
         }
     }
 }
@@ -118,7 +117,8 @@
             late_begin: Cell::default(),
             predicted: Cell::default(),
             hop: arrival.hop,
-            paid: Cell::new(false),
+            paid_by: Cell::new(arrival.hop.and_then(Hop::payer)),
+            sent: Cell::default(),
             counted: Cell::new(arrival.hop.is_some_and(|hop| hop.counted)),
             due: arrival.at + admission.timeout,
             headers: caller::forwarded_headers(&arrival.parts.headers),
@@ -310,21 +310,33 @@
         }
     }
 
-    /// Takes a retry for the next attempt out of this daemon's budget, or leaves that to a peer that
-    /// the request can be passed to. Returns whether an attempt may be made.
+    /// Takes a retry for the next attempt out of this daemon's budget, unless one was taken that no
+    /// attempt has used, or leaves that to a peer that the request can be passed to. Returns whether
+    /// an attempt may be made.
     pub(crate) fn withdraw_retry(&self) -> bool {
-        let paid = self.edge.withdraw_retry(&self.admission.service.name);
-        self.paid.set(paid);
-        paid || forward::is_possible(self)
+        let paid_by = self.use_retry();
+        self.paid_by.set(paid_by);
+        paid_by.is_some() || forward::is_possible(self)
     }
 
-    /// Returns whose retry budget covers the attempt that is being sent.
-    pub(crate) fn payer(&self) -> Payer {
-        match self.hop {
-            _ if self.paid.get() => Payer::Itself,
-            Some(hop) if hop.sent > 0 => Payer::Peer,
-            _ => Payer::Nobody,
-        }
+    /// Returns whether a retry was taken out of a budget that no attempt has used.
+    pub(crate) fn is_paid(&self) -> bool {
+        self.paid_by.get().is_some()
+    }
+
+    /// Forgets the retry that was taken out of a budget, since a peer has used it.
+    pub(crate) fn forget_retry(&self) {
+        self.paid_by.set(None);
+    }
+
+    /// Uses the retry that was taken out of a budget, or takes one now; returns whose budget covers
+    /// it, or `None` if none does.
+    pub(crate) fn use_retry(&self) -> Option<Payer> {
+        let withdraw = || {
+            let paid = self.edge.withdraw_retry(&self.admission.service.name);
+            paid.then_some(Payer::Itself)
+        };
+        self.paid_by.take().or_else(withdraw)
     }
 
     /// Returns whether the request may run more than once.
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -25,7 +25,7 @@
 use crate::plain;
 use crate::quarantine;
 use crate::relay;
-use crate::reply::OutBody;
+use crate::reply::{OutBody, SentTargets};
 use crate::start;
 use crate::state::Edge;
 use crate::track::Track;
@@ -87,7 +87,9 @@
     if let Some(urgency) = job.urgency {
         track.ranked(urgency, job.caller_key());
     }
-    serve(job, track).await
+    let mut answer = serve(job.clone(), track).await;
+    answer.extensions_mut().insert(SentTargets(job.sent.get()));
+    answer
 }
 
 /// Returns whether a request with a time limit is accepted; while the daemon is stopping, only if
@@ -148,7 +150,7 @@
     let mut attempts = job.hop.map_or_else(Attempts::default, Hop::attempts);
     let mut tried = Tried::default();
     let needs_retry = job.hop.is_some_and(Hop::needs_retry);
-    if needs_retry && !job.edge.withdraw_retry(&job.admission.service.name) {
+    if needs_retry && !job.withdraw_retry() {
         return track.refuse(ErrorKind::RetryBudget, None);
     }
     if job.head.last_event.is_some() && attempts.sent == 0 {
@@ -331,6 +333,7 @@
     track: &Track,
 ) -> NextStep {
     let outcome = failure.outcome;
+    attempts.sent += failure.further;
     let next = if job.is_over() {
         last_step(outcome, attempts)
     } else {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -216,11 +216,6 @@
     }
 }
 
-/// Number of targets that this daemon sent a request to before its answer began, as an extension of
-/// the answer.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct SentTargets(pub(crate) u32);
-
 /// Starts to relay a stream to its caller.
 pub(crate) fn begin(
     job: Rc<Job>,
@@ -234,7 +229,6 @@
     attempts.sent += answered.sent;
     attempts.may_have_run = true;
     let edge = job.edge.clone();
-    let sent = SentTargets(attempts.sent - attempts.before);
     let relay = Relay {
         tried: Tried::by(&answered.origin),
         source: Some(Source::new(answered, edge.now())),
@@ -247,9 +241,7 @@
         forwarded: None,
         longest_pause: Pause::default(),
     };
-    let mut answer = reply::streamed(status, headers, relay.chunks());
-    answer.extensions_mut().insert(sent);
-    answer
+    reply::streamed(status, headers, relay.chunks())
 }
 
 impl Relay {
--- a/crates/thistlesill-edge/src/reply.rs
+++ b/crates/thistlesill-edge/src/reply.rs
@@ -17,6 +17,11 @@
 #[snafu(display("the answer broke off"))]
 pub(crate) struct Interrupted;
 
+/// Number of targets that this daemon sent a request to before its answer began, as an extension of
+/// the answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SentTargets(pub(crate) u32);
+
 type Chunks = Pin<Box<dyn Stream<Item = Result<Bytes, Interrupted>>>>;
 
 /// The body of an answer.
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -30,6 +30,8 @@
 mod owners;
 #[path = "it/partitions.rs"]
 mod partitions;
+#[path = "it/repeats.rs"]
+mod repeats;
 #[path = "it/seeds.rs"]
 mod seeds;
 #[path = "it/shortage.rs"]
