fix(edge): the silence of all targets is no evidence against each of them

What callers saw: requests that had been sent ended with 502 after their objective, with seconds left, and new ones got 503, while all targets stood still for a second.

Cause: each daemon took the silence of a target for its fault, whatever the others did. It gave requests up there for further targets that were as silent, spent the retry budgets on that, and passed requests to peers that had not noticed yet.

A target counts as silent alone only while others go on (a request made progress, or a check was answered), and only since a common silence ended. A request is given up there only once a budget covers the next attempt, and for a peer 300 ms after the links were lost at the earliest if targets accept connections. While they do and no peer reaches them, first attempts go to a target.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -12,6 +12,7 @@
 use thistlesill_platform::caller::{self, AnswerHead};
 use thistlesill_policy::edge::attempt::{Attempts, Outcome};
 use thistlesill_policy::edge::limit::Clearance;
+use thistlesill_policy::edge::reach::LinkState;
 use thistlesill_policy::quarantine::AnswerPhase;
 
 use crate::backoffs;
@@ -29,7 +30,7 @@
 /// means a lost packet or a dead machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Interval between two checks whether a late stream may be requested from another target.
+/// Interval between two checks whether a late request may be sent to another target.
 const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A target's answer of which the head has arrived.
@@ -173,10 +174,11 @@
     // once, or has no further attempt, would then be lost. Later attempts use new connections
     // too: what broke the pooled ones of one target may have broken those of the next.
     let reuse = job.may_repeat() && position == AttemptPosition::First;
+    let is_silent = edge.links.state(&target.service, sent) == LinkState::Silent;
     let taken = tokio::select! {
         biased;
         taken = edge.lanes.get(target, reuse, sent, connect) => taken,
-        () = reach::wait_until_lost(edge, &target.service) => {
+        () = reach::wait_until_lost(edge, &target.service), if !is_silent => {
             return Err(Failure::new(Outcome::NotSent, &"the links to all targets are lost"));
         }
     };
@@ -212,7 +214,7 @@
             }
             tokio::select! {
                 () = wait_to_abandon(job, target, tried) => {}
-                () = wait_for_silence(job, reused) => {}
+                () = wait_for_silence(job, target, sent, reused) => {}
             }
         };
         tokio::select! {
@@ -277,35 +279,51 @@
 }
 
 /// Returns once a stream should be requested from another target instead of awaited: its target
-/// has been silent for too long, and another one may get the stream or this one is known to be
-/// dead.
+/// has been silent for too long, and another one may get the stream, which the retry budget covers,
+/// or this one is known to be dead.
 ///
 /// Without these two conditions, all of 16 streams of two groups that began 1.2 s late ended as
 /// "it may have run"; with them all 16 are served.
 async fn wait_to_abandon(job: &Job, target: &Target, tried: &[TargetId]) {
     let edge = &job.edge;
-    relay::wait_for_stall(job, target, true).await;
-    edge.suspect(&target.id, "no answer begins");
-    while !job.can_retry_elsewhere(tried)
-        && !forward::is_possible(job)
-        && !edge.peers.borrow().is_unresponsive(&target.id)
-    {
+    let sent = edge.now();
+    loop {
+        relay::wait_for_stall(job, target, sent, true).await;
+        edge.suspect(&target.id, "no answer begins");
+        if edge.peers.borrow().is_unresponsive(&target.id) {
+            return;
+        }
+        let has_way = edge.links.is_lost(&target.service) || job.can_retry_elsewhere(tried);
+        if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
+            return;
+        }
         tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
     }
 }
 
-/// Returns once a plain request on a reused connection has had no answer for the time of the
-/// route's objective; never, if its deadline has passed by then.
+/// Returns once a plain request, which was sent at `sent` on a reused connection, has had no answer
+/// for the time of the route's objective, other targets have answered or a peer may take it, and the
+/// retry budget covers that; never, if its deadline has passed by then.
 ///
 /// Only a timeout shows that a connection is dead without notice. When all pooled connections
 /// are, 6 of 6 requests are answered in time with this check, and none without it.
-async fn wait_for_silence(job: &Job, reused: bool) {
+async fn wait_for_silence(job: &Job, target: &Target, sent: Millis, reused: bool) {
     if !reused || job.admission.route.kind == RouteKind::Stream {
         return pending::<()>().await;
     }
-    tokio::time::sleep(job.begin_timeout().duration()).await;
-    if job.is_over() {
-        pending::<()>().await;
+    let edge = &job.edge;
+    loop {
+        let since = edge.links.silent_since(&target.service, sent);
+        edge.alarm.sleep_until(since + job.begin_timeout()).await;
+        if job.is_over() {
+            return pending::<()>().await;
+        }
+        let is_lost = edge.links.is_lost(&target.service);
+        let has_way = is_lost || reach::is_silent_alone(edge, target, sent).await;
+        if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
+            return;
+        }
+        tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
     }
 }
 
@@ -332,9 +350,7 @@
         }
         return Err(failure);
     }
-    edge.loads
-        .borrow_mut()
-        .note_progress(&target.id, edge.now());
+    reach::note_progress(edge, target);
     let answered = Answered {
         status,
         headers: parts.headers,
--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -17,6 +17,7 @@
 use thistlesill_core::{Millis, NodeId, ServiceName};
 use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use thistlesill_policy::edge::attempt::{Attempts, Outcome};
+use thistlesill_policy::edge::reach::LinkState;
 
 use self::head::Decline;
 pub(crate) use self::head::Hop;
@@ -79,6 +80,19 @@
     pick_peer(edge, service, tried).map_or(Way::Nowhere, Way::Peer)
 }
 
+/// Returns the way of a request's next attempt after the given ones, as [`way`] does. The first one
+/// goes to a target that is silent if there is no other way: it may stand still for a moment.
+pub(crate) fn way_of(job: &Job, tried: &[NodeId], attempts: Attempts) -> Way {
+    let (edge, service) = (&job.edge, &job.admission.service.name);
+    let way = way(job, tried);
+    let is_first = job.hop.is_none() && attempts.sent == 0;
+    let is_silent = edge.links.state(service, edge.now()) == LinkState::Silent;
+    if way == Way::Nowhere && is_first && is_silent {
+        return Way::Direct;
+    }
+    way
+}
+
 /// Returns a peer for a request that no target is left for, if this daemon's links are the reason:
 /// a target failed, and no other answers either.
 pub(crate) async fn peer_for_doubted(job: &Job, tried: &[NodeId]) -> Option<NodeId> {
@@ -91,6 +105,17 @@
     pick_peer(edge, service, tried)
 }
 
+/// Returns whether a request that a target has may now be sent elsewhere: to another target while
+/// this daemon reaches them, or through a peer.
+pub(crate) fn may_leave_target(job: &Job) -> bool {
+    let (edge, service) = (&job.edge, &job.admission.service.name);
+    match way(job, &[]) {
+        Way::Direct => true,
+        Way::Peer(_) => edge.links.may_leave_target(service, edge.now()),
+        Way::Nowhere => false,
+    }
+}
+
 /// Returns whether a request could now be passed to a peer.
 pub(crate) fn is_possible(job: &Job) -> bool {
     matches!(way(job, &[]), Way::Peer(_))
@@ -100,7 +125,7 @@
 pub(crate) async fn wait_until_possible(job: &Job, tried: &[NodeId]) {
     loop {
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
-        if matches!(way(job, tried), Way::Peer(_)) {
+        if matches!(way(job, tried), Way::Peer(_)) && may_leave_target(job) {
             return;
         }
     }
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -29,6 +29,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long an answer that confirms a failure is awaited.
 const CONFIRM_TIMEOUT: Millis = Millis::new(250);
+/// Time after a check was answered in which a target that stood still with the others goes on.
+const RESUME_TIME: Millis = Millis::new(100);
 
 /// This daemon's links to the targets, by service.
 #[derive(Debug, Default)]
@@ -69,6 +71,27 @@
         reach.map_or(LinkState::Up, |reach| reach.state(now))
     }
 
+    /// Returns whether a request that a target of a service has may be passed to a peer.
+    pub(crate) fn may_leave_target(&self, service: &ServiceName, now: Millis) -> bool {
+        let services = self.services.borrow();
+        let reach = services.get(service);
+        reach.is_some_and(|reach| reach.may_leave_target(now))
+    }
+
+    /// Returns when a target of a service that made its last progress at `seen` began to be silent
+    /// alone.
+    pub(crate) fn silent_since(&self, service: &ServiceName, seen: Millis) -> Millis {
+        let services = self.services.borrow();
+        let reach = services.get(service);
+        reach.map_or(seen, |reach| reach.silent_since(seen))
+    }
+
+    fn is_progressing(&self, service: &ServiceName, now: Millis) -> bool {
+        let services = self.services.borrow();
+        let reach = services.get(service);
+        reach.is_some_and(|reach| reach.is_progressing(now))
+    }
+
     /// Returns since when the links to the targets of a service are in doubt, if they are.
     pub(crate) fn doubted_since(&self, service: &ServiceName) -> Option<Millis> {
         self.services.borrow().get(service)?.doubted_since()
@@ -82,10 +105,11 @@
     }
 
     /// Returns whether targets of a service should be asked to confirm a failure that began at
-    /// `since`; one round of checks confirms all that failed before it.
+    /// `since`; one round of checks confirms all that failed before it, and is not repeated at once.
     fn begin_check(&self, service: &ServiceName, since: Millis, now: Millis) -> bool {
         let mut checked = self.checked.borrow_mut();
-        if checked.get(service).is_some_and(|at| *at >= since) {
+        let suffices = |at: &Millis| *at >= since || now - *at < CONFIRM_TIMEOUT;
+        if checked.get(service).is_some_and(suffices) {
             return false;
         }
         checked.insert(service.clone(), now);
@@ -110,6 +134,15 @@
     react(edge, &target.service, change);
 }
 
+/// Records that a target made progress on a request.
+pub(crate) fn note_progress(edge: &Edge, target: &Target) {
+    let now = edge.now();
+    edge.loads.borrow_mut().note_progress(&target.id, now);
+    let mut services = edge.links.services.borrow_mut();
+    let reach = services.entry(target.service.clone()).or_default();
+    reach.note_progress(now);
+}
+
 /// Records that an exchange with a target, which began at `begun`, was broken off or had no answer.
 pub(crate) fn note_doubt(edge: &Edge, target: &Target, begun: Millis) {
     let change = update(edge, &target.service, |reach, _, _| reach.note_doubt(begun));
@@ -322,6 +355,24 @@
     }
 }
 
+/// Returns whether a target that made its last progress at `seen` is silent alone: others go on. If
+/// no request shows that, some targets are asked, unless none may be.
+///
+/// Otherwise all may stand still, and a request that is sent to a further one is no better off there.
+pub(crate) async fn is_silent_alone(edge: &Rc<Edge>, target: &Target, seen: Millis) -> bool {
+    let service = &target.service;
+    let is_proved = edge.links.is_progressing(service, edge.now())
+        || draw_targets(edge, service, Occasion::Doubt).is_empty();
+    if is_proved {
+        return true;
+    }
+    if !is_confirmed(edge, service, seen).await {
+        return false;
+    }
+    edge.alarm.sleep_until(edge.now() + RESUME_TIME).await;
+    edge.loads.borrow().progress(&target.id) <= seen
+}
+
 /// Returns whether a target of a service has sent something to this daemon after `since`.
 fn has_progress(edge: &Edge, service: &ServiceName, since: Millis) -> bool {
     let (registry, loads) = (edge.registry.borrow(), edge.loads.borrow());
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -43,8 +43,11 @@
 const LOST_SILENCE: Millis = Millis::new(150);
 
 /// Returns once the target of a resumable stream has sent nothing to any of this daemon's streams
-/// for too long; never, if the stream can't be resumed or its deadline has passed.
-pub(crate) async fn wait_for_stall(job: &Job, target: &Target, first: bool) {
+/// for too long, while other targets did or the links to all are lost; never, if the stream can't be
+/// resumed or its deadline has passed.
+///
+/// The silence counts from `start` at the earliest.
+pub(crate) async fn wait_for_stall(job: &Job, target: &Target, start: Millis, first: bool) {
     let route = &job.admission.route;
     let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
         return pending::<()>().await;
@@ -56,25 +59,29 @@
     };
     let engine = job.admission.service.engine.as_ref();
     let edge = &job.edge;
-    let start = edge.now();
     loop {
         let lost = edge.links.is_lost(&target.service);
-        let due = {
+        let (seen, due) = {
             let loads = edge.loads.borrow();
             let seen = loads.progress(&target.id).max(start);
             let timeout = engine.map(|e| loads.stall_timeout(target, e, edge.now()));
             let timeout = timeout.map_or(least, |timeout| timeout.max(least));
-            seen + if lost {
+            let timeout = if lost {
                 timeout.min(LOST_SILENCE)
             } else {
                 timeout
-            }
+            };
+            let since = edge.links.silent_since(&target.service, seen);
+            (seen, since + timeout)
         };
         if job.is_over() {
             return pending::<()>().await;
         }
         if due <= edge.now() {
-            return;
+            if lost || reach::is_silent_alone(edge, target, seen).await {
+                return;
+            }
+            continue;
         }
         tokio::select! {
             () = edge.alarm.sleep_until(due) => {}
@@ -180,12 +187,12 @@
         if is_past_start {
             quarantine::note_progress(job, self.began);
         }
-        let mut loads = job.edge.loads.borrow_mut();
         let engine = job.admission.service.engine.as_ref();
         if let (Some(last), Some(engine)) = (last, engine) {
+            let mut loads = job.edge.loads.borrow_mut();
             loads.note_pause(target, engine, now - last, now);
         }
-        loads.note_progress(&target.id, now);
+        reach::note_progress(&job.edge, target);
     }
 
     /// Returns whether an answer that ends now was cut off before its first event. An end that only
@@ -289,7 +296,7 @@
         let stalled = async {
             match (&target, &peer) {
                 (Some(_), _) if stay => forward::wait_until_possible(&job, tried).await,
-                (Some(target), _) => wait_for_stall(&job, target, first).await,
+                (Some(target), _) => wait_for_stall(&job, target, awaited, first).await,
                 (None, Some(peer)) if !stay => {
                     forward::wait_for_peer_loss(&job.edge, peer).await;
                 }
@@ -340,7 +347,8 @@
             self.source = None;
             self.cutter.drop_partial();
         }
-        let mut retry = self.may_go_on();
+        let can_leave = self.source.is_none() || forward::may_leave_target(&self.job);
+        let mut retry = can_leave && self.may_go_on();
         let mut outcome = "broke_off";
         while retry {
             let job = self.job.clone();
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -30,6 +30,11 @@
 /// and will go on.
 const MAX_STANDSTILL: Millis = Millis::new(2_000);
 
+/// Time without progress at any target after which the next progress ends a common silence.
+const SILENCE_GAP: Millis = Millis::new(150);
+/// Time in which peers notice a silence of all targets, too: a doubt and a round of checks.
+const PEER_NOTICE_TIME: Millis = Millis::new(300);
+
 /// The state of a daemon's links to the targets of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkState {
@@ -102,6 +107,10 @@
     lost_at: Option<Millis>,
     /// Targets that have answered since the links were lost.
     answered: HashSet<TargetId>,
+    /// When a target last made progress on a request.
+    progress_at: Option<Millis>,
+    /// When the last common silence of all targets ended.
+    resumed_at: Option<Millis>,
 }
 
 impl Reach {
@@ -125,6 +134,38 @@
         }
     }
 
+    /// Returns whether a request that a target has may be passed to a peer that reaches the targets.
+    /// Targets that are silent may all stand still, which the peers have to notice first.
+    #[must_use]
+    pub fn may_leave_target(&self, now: Millis) -> bool {
+        match self.state(now) {
+            LinkState::Up => false,
+            LinkState::Silent => self.lost_at.is_some_and(|at| now - at >= PEER_NOTICE_TIME),
+            LinkState::Down => true,
+        }
+    }
+
+    /// Records that a target made progress on a request.
+    pub fn note_progress(&mut self, now: Millis) {
+        if !self.is_progressing(now) {
+            self.resumed_at = Some(now);
+        }
+        self.progress_at = Some(now);
+    }
+
+    /// Returns whether a target has made progress on a request a moment ago.
+    #[must_use]
+    pub fn is_progressing(&self, now: Millis) -> bool {
+        self.progress_at.is_some_and(|at| now - at < SILENCE_GAP)
+    }
+
+    /// Returns when a target that made its last progress at `seen` began to be silent alone: not
+    /// before the last common silence ended.
+    #[must_use]
+    pub fn silent_since(&self, seen: Millis) -> Millis {
+        self.resumed_at.map_or(seen, |at| at.max(seen))
+    }
+
     /// Returns whether a target has answered on a connection opened at `since` or later. Only then
     /// does the silence of another one say something about that target.
     #[must_use]
@@ -236,6 +277,7 @@
             return ReachChange::Unchanged;
         }
         self.lost_at = None;
+        self.resumed_at = Some(now);
         self.answered.clear();
         ReachChange::Restored(now - lost_at)
     }
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -280,3 +280,40 @@
     assert_eq!(reach.state(at(200)), LinkState::Down);
     assert_eq!(Reach::default().state(at(200)), LinkState::Up);
 }
+
+#[test]
+fn a_request_leaves_a_silent_target_for_a_peer_only_after_peers_could_notice_the_silence() {
+    let silent = lose(FailureKind::Silent, FailureKind::Silent);
+    assert!(!silent.may_leave_target(at(499)));
+    assert!(silent.may_leave_target(at(500)));
+    let down = lose(FailureKind::Unreached, FailureKind::Unreached);
+    assert!(down.may_leave_target(at(200)));
+    assert!(!Reach::default().may_leave_target(at(200)));
+}
+
+#[test]
+fn a_target_is_silent_alone_only_since_the_others_go_on() {
+    let mut reach = Reach::default();
+    assert_eq!(reach.silent_since(at(0)), at(0));
+    for ms in (0..1_000).step_by(100) {
+        reach.note_progress(at(ms));
+    }
+    // The others have gone on all the time.
+    assert_eq!(reach.silent_since(at(500)), at(500));
+    assert!(reach.is_progressing(at(1_049)));
+    assert!(!reach.is_progressing(at(1_050)));
+    // All stood still from 900 ms on.
+    reach.note_progress(at(2_000));
+    assert_eq!(reach.silent_since(at(900)), at(2_000));
+}
+
+#[test]
+fn a_target_is_silent_alone_only_since_links_are_restored() {
+    let mut reach = lose(FailureKind::Silent, FailureKind::Silent);
+    answer(&mut reach, 4, 700);
+    assert_eq!(
+        answer(&mut reach, 5, 700),
+        ReachChange::Restored(Millis::new(500))
+    );
+    assert_eq!(reach.silent_since(at(0)), at(700));
+}
