test(soak): targets that stand still together; bounds on repeats; lost answers

The soak stalled single connections and daemons, never all targets, added up no repeats, and its callers often gave a new connection up unused (a connection is not ready until its task has run). Now sets of targets stand still together in each run, beside changes of idle timeouts and time limits; repeats over a window, targets at a time and deadlines are held against the operators' bounds.

--- a/crates/thistlesill-edge/tests/it/silent_targets.rs
+++ b/crates/thistlesill-edge/tests/it/silent_targets.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use thistlesill_platform_standin::daemon::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
-use thistlesill_platform_standin::exchange::{Exchange, Exchanges};
+use thistlesill_platform_standin::exchange::{Exchange, Exchanges, Patience};
 use thistlesill_platform_standin::ledger::{RetryBounds, SentRequest};
 use thistlesill_platform_standin::targets::{PLAIN, POOL};
 use thistlesill_platform_standin::world::World;
@@ -45,7 +45,11 @@
                 };
                 (request, CALLER_PAUSE)
             };
-            tokio::spawn(exchanges.clone().run_caller(move || address, next));
+            tokio::spawn(
+                exchanges
+                    .clone()
+                    .run_caller(move || address, next, Patience::AsTold),
+            );
         }
     }
     exchanges
--- a/crates/thistlesill-edge/tests/it/soak.rs
+++ b/crates/thistlesill-edge/tests/it/soak.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use thistlesill_platform_standin::soak;
+use thistlesill_platform_standin::soak::{self, Size};
 
-use crate::support::claim;
+use crate::support::{claim, place};
 
 /// The seed of the run in CI.
 const SEED: u64 = 7;
@@ -18,7 +18,7 @@
     "the soak itself did not start a daemon again that ended after the rest was healed",
 )];
 
-async fn play(net: u8, seed: u64) -> Vec<String> {
+async fn run(net: u8, seed: u64) -> Vec<String> {
     let program = Path::new(env!("CARGO_BIN_EXE_thistlesill-edge"));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     drop(std::fs::remove_dir_all(&folder));
@@ -28,15 +28,26 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults_break_no_promise() {
     claim(41);
-    let faults = play(41, SEED).await;
+    let faults = run(41, SEED).await;
     assert!(faults.is_empty(), "{faults:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_stand_still_together_break_no_promise() {
+    let (program, folder) = place(43);
+    let size = Size {
+        daemons: 6,
+        callers: 40,
+    };
+    let violations = soak::run_standstills(program, &folder, 43, SEED, TIME, size).await;
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_once_failed_are_kept() {
     claim(42);
     for (seed, cause) in CASES {
-        let faults = play(42, seed).await;
+        let faults = run(42, seed).await;
         assert!(faults.is_empty(), "seed {seed} ({cause}): {faults:?}");
     }
 }
