fix(edge): a trial of a withheld request goes to a request that a target serves

Cause: the fingerprint of a request does not hold its model. A trial began before a target was picked, and ended undecided within milliseconds if none served the model. 27 trials in a row went to requests for the model without a group, which came most often, and each kept the others from theirs for a second.

A request that no target serves begins no trial; it is refused as before.

--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -232,4 +232,10 @@
         let usable = |t: &Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
         has_retry && untried.any(usable)
     }
+
+    /// Returns whether some target serves a request that it was not sent to yet.
+    pub(crate) fn is_served(&self, query: &TargetQuery<'_>) -> bool {
+        let registry = self.registry.borrow();
+        query.untried(&registry).next().is_some()
+    }
 }
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -290,6 +290,11 @@
         self.edge.can_retry_elsewhere(&self.query(tried))
     }
 
+    /// Returns whether some target serves the request.
+    pub(crate) fn is_served(&self) -> bool {
+        self.edge.is_served(&self.query(&[]))
+    }
+
     fn query<'a>(&'a self, tried: &'a [TargetId]) -> TargetQuery<'a> {
         TargetQuery {
             service: &self.admission.service,
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -164,6 +164,8 @@
     match status(job) {
         QuarantineStatus::Free => None,
         QuarantineStatus::Tried(left) | QuarantineStatus::Withheld(left) => Some(left),
+        // A trial that no target can get would keep requests from theirs that one serves.
+        QuarantineStatus::Trial if !job.is_served() => None,
         QuarantineStatus::Trial => {
             let (tried, verdicts) = {
                 let mut known = edge.quarantine.known.borrow_mut();
--- a/crates/thistlesill-edge/tests/it/fatal.rs
+++ b/crates/thistlesill-edge/tests/it/fatal.rs
@@ -245,3 +245,29 @@
     }
     None
 }
+
+/// Of requests that share a body, those for a model without a group took all trials, none of which
+/// was sent. Requests for the other model, which had not crashed anything, were withheld for 28 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_no_target_serves_takes_the_trial_of_one_that_is_served() {
+    let world = world(186, 1).await;
+    let fatal = |id: String, model| {
+        let request = CallerRequest::new(id, "POST", "/large/s").body(FATAL);
+        request.model(model)
+    };
+    let is_withheld = || !world.log_lines(0, "ev=request_withheld").is_empty();
+    for number in 0..40 {
+        if is_withheld() {
+            break;
+        }
+        ask(&world, 0, fatal(format!("small-{number}"), "small")).await;
+        sleep(GAP).await;
+    }
+    assert!(is_withheld());
+    for number in 0..30 {
+        ask(&world, 0, fatal(format!("absent-{number}"), "absent")).await;
+        sleep(100).await;
+    }
+    let tried = world.log_lines(0, "ev=withheld_tried id=absent");
+    assert_eq!(tried, Vec::<String>::new());
+}
