fix(edge): a stream that waited out a common silence is watched again

Cause (read): a stream that could not be resumed while links were lost waited for an event or for a peer. If its own target stayed silent after the links were back, it waited for its deadline. It now counts as stalled again as a stream that never waited.

Also: a request that could not be sent on a kept connection does not count among those that a daemon tells its peer.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -237,6 +237,7 @@
         Ok(response) => classify_answer(job, target, response, lane, flight, sent),
         Err(ConnectionError::TimedOut) => Err(Failure::new(Outcome::Late, &"no answer in time")),
         Err(error) if error.is_unsent() => {
+            job.sent.set(job.sent.get() - 1);
             Err(Failure::new(Outcome::NotSent, &error).on_connection(job, target, reused))
         }
         // The bytes may have followed the answer to an earlier request.
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -334,6 +334,17 @@
     }
 }
 
+/// Returns once the links to the targets of a service are not lost.
+pub(crate) async fn wait_until_restored(edge: &Edge, service: &ServiceName) {
+    loop {
+        let answered = edge.links.answered.notified();
+        if !edge.links.is_lost(service) {
+            return;
+        }
+        answered.await;
+    }
+}
+
 /// Returns whether the targets of a service have answered since `since`, which an exchange with one
 /// of them that failed began at. If none has, some are asked.
 ///
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -3,6 +3,7 @@
 
 mod cutter;
 mod passing;
+mod stall;
 
 use std::future::pending;
 use std::rc::Rc;
@@ -11,7 +12,7 @@
 use futures_util::stream::{self, Stream};
 use http_body_util::BodyExt;
 use hyper::Response;
-use thistlesill_core::edge::{RouteKind, Target};
+use thistlesill_core::edge::Target;
 use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_net::stream::BudgetedBody;
@@ -22,6 +23,8 @@
 
 use self::cutter::{Added, Cutter};
 pub(crate) use self::passing::forward_plain;
+pub(crate) use self::stall::wait_for_stall;
+use self::stall::wait_for_way;
 use crate::attempt::{Answered, Failure, Origin, attempt};
 use crate::choice::{Choice, Pick};
 use crate::destination::{Destination, Tried};
@@ -33,67 +36,6 @@
 use crate::reply::{self, Interrupted, OutBody};
 use crate::track::Track;
 
-/// Share of the longest allowed pause after which a silent target counts as stalled; the rest is
-/// for resuming the stream at another target.
-const STALL_RATIO: f64 = 0.8;
-/// Share of the objective for the first event after which a silent target counts as stalled.
-const FIRST_EVENT_RATIO: f64 = 1.0;
-/// Silence after which a target counts as stalled while this daemon's links to all targets are lost;
-/// established connections may still carry streams then.
-const LOST_SILENCE: Millis = Millis::new(150);
-
-/// Returns once the target of a resumable stream has sent nothing to any of this daemon's streams
-/// for too long, while other targets did or the links to all are lost; never, if the stream can't be
-/// resumed or its deadline has passed.
-///
-/// The silence counts from `start` at the earliest.
-pub(crate) async fn wait_for_stall(job: &Job, target: &Target, start: Millis, first: bool) {
-    let route = &job.admission.route;
-    let (RouteKind::Stream, true, Some(pause)) = (route.kind, route.resumable, route.pause) else {
-        return pending::<()>().await;
-    };
-    let least = if first {
-        scaled(job.begin_timeout(), FIRST_EVENT_RATIO)
-    } else {
-        scaled(pause, STALL_RATIO)
-    };
-    let engine = job.admission.service.engine.as_ref();
-    let edge = &job.edge;
-    loop {
-        let lost = edge.links.is_lost(&target.service);
-        let (seen, due) = {
-            let loads = edge.loads.borrow();
-            let seen = loads.progress(&target.id).max(start);
-            let timeout = engine.map(|e| loads.stall_timeout(target, e, edge.now()));
-            let timeout = timeout.map_or(least, |timeout| timeout.max(least));
-            let timeout = if lost {
-                timeout.min(LOST_SILENCE)
-            } else {
-                timeout
-            };
-            let since = edge.links.silent_since(&target.service, seen);
-            (seen, since + timeout)
-        };
-        if job.is_over() {
-            return pending::<()>().await;
-        }
-        if due <= edge.now() {
-            if lost || reach::is_silent_alone(edge, target, seen).await {
-                return;
-            }
-            continue;
-        }
-        tokio::select! {
-            () = edge.alarm.sleep_until(due) => {}
-            () = reach::wait_until_lost(edge, &target.service), if !lost => {}
-        }
-    }
-}
-
-fn scaled(time: Millis, ratio: f64) -> Millis {
-    Millis::new((time.get() as f64 * ratio) as u64)
-}
-
 /// A pause between two events of a stream, as the caller observes it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Pause {
@@ -295,7 +237,7 @@
         let tried = &self.tried.peers;
         let stalled = async {
             match (&target, &peer) {
-                (Some(_), _) if stay => forward::wait_until_possible(&job, tried).await,
+                (Some(target), _) if stay => wait_for_way(&job, target, tried, first).await,
                 (Some(target), _) => wait_for_stall(&job, target, awaited, first).await,
                 (None, Some(peer)) if !stay => {
                     forward::wait_for_peer_loss(&job.edge, peer).await;
