fix(edge): a request leaves a silent target for a peer only while links are down

Cause: 300 ms after its links were lost a daemon passed streams whose targets were silent to a peer that had not noticed the silence, having no traffic or just started. The peer sent them to the same targets again, and broke them off when it was killed in its turn. Each cost a retry and a second prefill as well.

A target that accepts connections is reached; what it has waits there while links are silent, now for 1.5 s, below the two seconds after which callers leave a stream.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -106,13 +106,14 @@
 }
 
 /// Returns whether a request that a target has may now be sent elsewhere: to another target while
-/// this daemon reaches them, or through a peer.
+/// this daemon reaches them, or through a peer while it does not. Targets that accept connections
+/// are reached: the request may wait there for targets that all stand still.
 pub(crate) fn may_leave_target(job: &Job) -> bool {
     let (edge, service) = (&job.edge, &job.admission.service.name);
-    match way(job, &[]) {
-        Way::Direct => true,
-        Way::Peer(_) => edge.links.may_leave_target(service, edge.now()),
-        Way::Nowhere => false,
+    match edge.links.state(service, edge.now()) {
+        LinkState::Up => true,
+        LinkState::Silent => false,
+        LinkState::Down => is_possible(job),
     }
 }
 
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -71,13 +71,6 @@
         reach.map_or(LinkState::Up, |reach| reach.state(now))
     }
 
-    /// Returns whether a request that a target of a service has may be passed to a peer.
-    pub(crate) fn may_leave_target(&self, service: &ServiceName, now: Millis) -> bool {
-        let services = self.services.borrow();
-        let reach = services.get(service);
-        reach.is_some_and(|reach| reach.may_leave_target(now))
-    }
-
     /// Returns when a target of a service that made its last progress at `seen` began to be silent
     /// alone.
     pub(crate) fn silent_since(&self, service: &ServiceName, seen: Millis) -> Millis {
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -28,12 +28,10 @@
 
 /// How long targets that accept connections but send no answer are taken for ones that stand still
 /// and will go on.
-const MAX_STANDSTILL: Millis = Millis::new(2_000);
+const MAX_STANDSTILL: Millis = Millis::new(1_500);
 
 /// Time without progress at any target after which the next progress ends a common silence.
 const SILENCE_GAP: Millis = Millis::new(150);
-/// Time in which peers notice a silence of all targets, too: a doubt and a round of checks.
-const PEER_NOTICE_TIME: Millis = Millis::new(300);
 
 /// The state of a daemon's links to the targets of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,17 +132,6 @@
         }
     }
 
-    /// Returns whether a request that a target has may be passed to a peer that reaches the targets.
-    /// Targets that are silent may all stand still, which the peers have to notice first.
-    #[must_use]
-    pub fn may_leave_target(&self, now: Millis) -> bool {
-        match self.state(now) {
-            LinkState::Up => false,
-            LinkState::Silent => self.lost_at.is_some_and(|at| now - at >= PEER_NOTICE_TIME),
-            LinkState::Down => true,
-        }
-    }
-
     /// Records that a target made progress on a request.
     pub fn note_progress(&mut self, now: Millis) {
         if !self.is_progressing(now) {
