test(edge): silent targets run copies of requests beyond their deadlines

The soak compared the time of each arrival with the caller's whole deadline only, which no repeat can exceed, and the stand-in had one group of the larger model and three attempts, so that hardly a stream was repeated.

The line repeat_sent says when the further target was last seen, which tells a repeat to a silent target from one to a target that falls silent later.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -251,12 +251,16 @@
     }
 }
 
-/// Logs and counts a request that is sent to a further target, with the budget that covers it.
+/// Logs and counts a request that is sent to a further target, with the budget that covers it and
+/// the time since that target last sent something here.
 fn log_repeat(job: &Job, target: &Target, payer: Payer) {
+    let edge = &job.edge;
     metrics::counter!("thistlesill_edge_repeats_total", "payer" => payer.name()).increment(1);
-    let line = job.edge.lines.line("repeat_sent").with("id", &job.head.id);
+    let seen = edge.now() - edge.loads.borrow().progress(&target.id);
+    let line = edge.lines.line("repeat_sent").with("id", &job.head.id);
     line.with("target", &target.id)
         .with("payer", payer.name())
+        .with("seen_ms", seen.get())
         .write();
 }
 
--- a/crates/thistlesill-edge/tests/it/soak.rs
+++ b/crates/thistlesill-edge/tests/it/soak.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use thistlesill_platform_standin::soak::{self, Size};
+use thistlesill_platform_standin::soak;
+use thistlesill_platform_standin::world::Size;
 
 use crate::support::{claim, place};
 
@@ -35,11 +36,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn targets_that_stand_still_together_break_no_promise() {
     let (program, folder) = place(43);
-    let size = Size {
-        daemons: 6,
-        callers: 40,
-    };
-    let violations = soak::run_standstills(program, &folder, 43, SEED, TIME, size).await;
+    let size = Size::with_many_groups(6);
+    let violations = soak::run_standstills(program, &folder, 43, SEED, TIME, size, 40).await;
     assert!(violations.is_empty(), "{violations:?}");
 }
 
