fix(edge): a repeat goes only to a target that goes on

What callers saw: nothing at first; targets ran the rest of streams a second after another target, or beyond the deadline of the caller.

Cause: a stream whose target fell silent was requested from a further one as soon as anything had come from any target in the last 150 ms. When targets fall silent together, that includes their last events; and nothing was asked of the further target, which read the request when it went on, with the time that had been left a second before.

Change: only what was sent in the last 50 ms, or the answer to a check that began then, shows that targets go on. Before each repeat, whichever way it goes, its own target must show that; otherwise nothing is sent there, and it is avoided for a second. A stream that found no way is watched again after 300 ms, where it waited for its target alone.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -166,6 +166,10 @@
     attempts: Attempts,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
+    if attempts.sent > 0 && !reach::shows_life(edge, &job.admission.service, target).await {
+        edge.suspect(&target.id, "no sign of life");
+        return Err(Failure::new(Outcome::NotSent, &"no sign of life"));
+    }
     let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
     let flight = InFlight::new(edge, target, job.prompt(), job.take_prediction());
     let sent = edge.now();
@@ -324,7 +328,7 @@
             return pending::<()>().await;
         }
         let is_lost = edge.links.is_lost(&target.service);
-        let has_way = is_lost || reach::do_targets_go_on(edge, &target.service, sent).await;
+        let has_way = is_lost || reach::do_targets_go_on(edge, &target.service).await;
         if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
             return;
         }
--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -8,6 +8,7 @@
 use thistlesill_policy::edge::shortage::RankedRequest;
 
 use crate::ranking::Ranking;
+use crate::reach;
 use crate::state::Edge;
 
 /// Time after its start in which a daemon receives the load of its peers.
@@ -233,6 +234,18 @@
         has_retry && untried.any(usable)
     }
 
+    /// Returns the untried targets that have just answered no check, or none if all have not.
+    pub(crate) fn unresponsive(&self, query: &TargetQuery<'_>) -> Vec<TargetId> {
+        let registry = self.registry.borrow();
+        let untried = query.untried(&registry).map(|target| &target.id);
+        let (silent, others): (Vec<_>, Vec<_>) =
+            untried.partition(|id| reach::is_unresponsive(self, id));
+        if others.is_empty() {
+            return Vec::new();
+        }
+        silent.into_iter().cloned().collect()
+    }
+
     /// Returns whether some target serves a request that it was not sent to yet.
     pub(crate) fn is_served(&self, query: &TargetQuery<'_>) -> bool {
         let registry = self.registry.borrow();
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -385,6 +385,7 @@
     edge.loads
         .borrow_mut()
         .retain(|id| registry.is_current(id), now);
+    edge.links.retain(|id| registry.is_current(id));
     limits::sweep(edge);
     backoffs::sweep(edge);
     edge.lines.flush();
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -248,10 +248,14 @@
     /// Picks the target of the next attempt, other than `tried`, after the given attempts.
     pub(crate) async fn pick(&self, tried: &[TargetId], attempts: Attempts) -> Pick {
         let first = attempts == Attempts::default();
+        let mut avoided = tried.to_vec();
+        if !first {
+            avoided.extend(self.edge.unresponsive(&self.query(tried)));
+        }
         let query = TargetQuery {
             first,
             ranked: first.then(|| ranking::ranked_request(self)).flatten(),
-            ..self.query(tried)
+            ..self.query(&avoided)
         };
         let pick = place::pick(&self.edge, query).await;
         self.predicted.set(pick.predicted);
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -1,18 +1,22 @@
 //! Whether this daemon reaches the targets of each service, by what it observes itself.
 
+mod life;
+
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use thistlesill_core::edge::Target;
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{Millis, ServiceName};
 use thistlesill_net::lane::{ConnectionError, within};
 use thistlesill_platform::engine::{self, Check};
 use thistlesill_policy::edge::book::TargetRegistry;
+use thistlesill_policy::edge::life::{Checks, Verdict, signs_since};
 use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, LinkState, Reach, ReachChange};
 use tokio::sync::Notify;
 
+pub(crate) use self::life::{is_unresponsive, shows_life};
 use crate::limits;
 use crate::peers::packet::{LostLinks, Packet, Permit};
 use crate::peers::{Reach as Scope, link};
@@ -38,10 +42,14 @@
     services: RefCell<HashMap<ServiceName, Reach>>,
     /// When targets of a service were last asked to confirm a failure.
     checked: RefCell<HashMap<ServiceName, Millis>>,
+    /// The last check of each target.
+    checks: RefCell<Checks>,
     /// Services of which enough targets failed for a loss, but none in some data centre.
     undecided: RefCell<HashSet<ServiceName>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
+    /// Notified when a check of a target has ended.
+    checked_one: Notify,
     /// Notified when links are lost.
     lost: Notify,
     /// Notified when a target has failed.
@@ -79,10 +87,15 @@
         reach.map_or(seen, |reach| reach.silent_since(seen))
     }
 
-    fn is_progressing(&self, service: &ServiceName, now: Millis) -> bool {
+    fn has_progressed_since(&self, service: &ServiceName, since: Millis) -> bool {
         let services = self.services.borrow();
         let reach = services.get(service);
-        reach.is_some_and(|reach| reach.is_progressing(now))
+        reach.is_some_and(|reach| reach.has_progressed_since(since))
+    }
+
+    /// Forgets the checks of targets that are not `known`.
+    pub(crate) fn retain(&self, known: impl Fn(&TargetId) -> bool) {
+        self.checks.borrow_mut().retain(known);
     }
 
     /// Returns since when the links to the targets of a service are in doubt, if they are.
@@ -361,20 +374,18 @@
 
 /// Returns whether a target that made its last progress at `seen` is silent alone: others go on.
 pub(crate) async fn is_silent_alone(edge: &Rc<Edge>, target: &Target, seen: Millis) -> bool {
-    do_targets_go_on(edge, &target.service, seen).await
+    do_targets_go_on(edge, &target.service).await
         && edge.loads.borrow().progress(&target.id) <= seen
 }
 
-/// Returns whether targets of a service go on while an exchange, in which nothing has come since
-/// `since`, is silent. If no request shows that, some are asked, unless none may be.
+/// Returns whether targets of a service go on now. If no request shows that, some are asked, unless
+/// none may be.
 ///
 /// Otherwise all may stand still, and a request that is sent to a further one is no better off there.
-pub(crate) async fn do_targets_go_on(
-    edge: &Rc<Edge>,
-    service: &ServiceName,
-    since: Millis,
-) -> bool {
-    let is_proved = edge.links.is_progressing(service, edge.now())
+/// What targets sent before a silence was noticed says nothing: they may have fallen silent together.
+pub(crate) async fn do_targets_go_on(edge: &Rc<Edge>, service: &ServiceName) -> bool {
+    let since = signs_since(edge.now());
+    let is_proved = edge.links.has_progressed_since(service, since)
         || draw_targets(edge, service, Occasion::Doubt).is_empty();
     if is_proved {
         return true;
@@ -416,16 +427,7 @@
         return;
     };
     for target in draw_targets(edge, &service.name, occasion) {
-        let (edge, health) = (edge.clone(), service.health.clone());
-        let runs_models = service.engine.is_some();
-        tokio::task::spawn_local(async move {
-            let check = if runs_models {
-                Check::Report
-            } else {
-                Check::Health(&health)
-            };
-            check_target(&edge, &target, check).await;
-        });
+        life::begin_check(edge, service, &target);
     }
 }
 
@@ -433,6 +435,16 @@
 /// report does not.
 async fn check_target(edge: &Edge, target: &Target, check: Check<'_>) {
     let opened = edge.now();
+    edge.links.checks.borrow_mut().begin(&target.id, opened);
+    let verdict = ask_target(edge, target, check, opened).await;
+    edge.links
+        .checks
+        .borrow_mut()
+        .end(&target.id, opened, verdict);
+    edge.links.checked_one.notify_waiters();
+}
+
+async fn ask_target(edge: &Edge, target: &Target, check: Check<'_>, opened: Millis) -> Verdict {
     let may_ask = match check {
         Check::Report => true,
         Check::Health(_) => {
@@ -441,14 +453,22 @@
         }
     };
     if !may_ask {
-        return;
+        return Verdict::Unknown;
     }
     let until = within(CHECK_TIMEOUT);
     match engine::check(&target.id, target.address, check, until).await {
-        Ok(()) => note_answer(edge, target, opened),
+        Ok(()) => {
+            note_answer(edge, target, opened);
+            Verdict::Answers
+        }
         Err(error) => {
             log::debug!("reach: {}: {error}", target.id);
-            note_failure(edge, target, opened, failure_kind(&error));
+            let kind = failure_kind(&error);
+            note_failure(edge, target, opened, kind);
+            match kind {
+                FailureKind::Silent => Verdict::Silent,
+                FailureKind::Unreached => Verdict::Unreached,
+            }
         }
     }
 }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -235,9 +235,12 @@
         };
         let (awaited, forwarded) = (job.edge.now(), self.forwarded);
         let tried = &self.tried.peers;
+        let may_retry = self.attempts.sent < job.admission.route.attempts;
         let stalled = async {
             match (&target, &peer) {
-                (Some(target), _) if stay => wait_for_way(&job, target, tried, first).await,
+                (Some(target), _) if stay => {
+                    wait_for_way(&job, target, tried, first, may_retry).await;
+                }
                 (Some(target), _) => wait_for_stall(&job, target, awaited, first).await,
                 (None, Some(peer)) if !stay => {
                     forward::wait_for_peer_loss(&job.edge, peer).await;
@@ -324,6 +327,7 @@
                     // the partial event is kept until another target resumes the stream.
                     self.cutter.drop_partial();
                     self.source = Some(Source::new(answered, job.edge.now()));
+                    self.stay = false;
                     return Ok(());
                 }
                 Ok(_) => break,
--- a/crates/thistlesill-edge/src/relay/stall.rs
+++ b/crates/thistlesill-edge/src/relay/stall.rs
@@ -18,6 +18,9 @@
 /// established connections may still carry streams then.
 const LOST_SILENCE: Millis = Millis::new(150);
 
+/// Time after which a stream that could not be resumed elsewhere is watched again.
+const RETRY_INTERVAL: Millis = Millis::new(300);
+
 /// Returns once the target of a resumable stream has sent nothing to any of this daemon's streams
 /// for too long, while other targets did or the links to all are lost; never, if the stream can't be
 /// resumed or its deadline has passed.
@@ -67,15 +70,35 @@
 }
 
 /// Returns once a stream that could not be resumed elsewhere may be: through a peer other than
-/// `tried`, or once links that were lost work again, if its target then is silent alone.
-pub(super) async fn wait_for_way(job: &Job, target: &Target, tried: &[NodeId], first: bool) {
+/// `tried`, or once links that were lost work again, if its target then is silent alone; also after a
+/// while in which it has stayed so, if another attempt is `allowed`.
+pub(super) async fn wait_for_way(
+    job: &Job,
+    target: &Target,
+    tried: &[NodeId],
+    first: bool,
+    allowed: bool,
+) {
     let edge = &job.edge;
-    reach::wait_until_lost(edge, &target.service).await;
-    tokio::select! {
-        () = forward::wait_until_possible(job, tried) => {}
-        () = reach::wait_until_restored(edge, &target.service) => {
-            wait_for_stall(job, target, edge.now(), first).await;
+    let watch_again = async {
+        if !allowed {
+            pending::<()>().await;
+        }
+        edge.alarm.sleep_until(edge.now() + RETRY_INTERVAL).await;
+        wait_for_stall(job, target, edge.now(), first).await;
+    };
+    let find_way = async {
+        reach::wait_until_lost(edge, &target.service).await;
+        tokio::select! {
+            () = forward::wait_until_possible(job, tried) => {}
+            () = reach::wait_until_restored(edge, &target.service) => {
+                wait_for_stall(job, target, edge.now(), first).await;
+            }
         }
+    };
+    tokio::select! {
+        () = watch_again => {}
+        () = find_way => {}
     }
 }
 
--- a/crates/thistlesill-edge/tests/it/silent_targets.rs
+++ b/crates/thistlesill-edge/tests/it/silent_targets.rs
@@ -153,3 +153,54 @@
     println!("{} requests: {time_left}", exchanges.len());
     assert!(!time_left.is_excess(), "{time_left}");
 }
+
+/// Places of the leaders that serve a model whose groups have this many members.
+fn leaders(world: &World, members: usize) -> Vec<usize> {
+    let serving = world.targets.serving();
+    let groups = serving.iter().filter(|(_, all)| all.len() == members);
+    let place = |leader: &str| leader.trim_start_matches("i-").parse();
+    let places = groups.map(|(leader, _)| place(leader.instance().as_str()));
+    places
+        .map(|place| place.expect("engines are numbered"))
+        .collect()
+}
+
+/// All groups of one model fell silent while those of the other one went on. The rest of a stream was
+/// requested from a second silent target, which read that a second later.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_repeated_at_targets_that_are_silent_too() {
+    let (program, folder) = place(188);
+    let size = Size::with_many_groups(3);
+    let world = World::start_sized(program, &folder, 188, size).await;
+    let exchanges = start_callers(&world, CALLERS, ["large", "small"]);
+    sleep(2_000).await;
+    let small = leaders(&world, 2);
+    assert!(small.len() > 1, "{small:?}");
+    for version in 2..5 {
+        pause(&world, version, &small, PAUSE_MS).await;
+    }
+    let sent: Vec<SentRequest> = exchanges.take().iter().map(Exchange::sent).collect();
+    let time_left = world.targets.ledger.time_left(&sent);
+    assert_eq!(time_left.endless, 0, "{time_left}");
+}
+
+/// A target that had not read its requests was left for another one; it read and ran them when it
+/// went on, with nearly all of their time.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_a_silent_target_has_not_read_run_at_a_second_one() {
+    let (program, folder) = place(189);
+    let size = Size::with_many_groups(3);
+    let world = World::start_sized(program, &folder, 189, size).await;
+    let exchanges = start_callers(&world, CALLERS, ["large", "small"]);
+    sleep(2_000).await;
+    // One leader, and one of two plain targets.
+    let paused = [leaders(&world, 2)[0], world.targets.links.len() - 1];
+    for version in 2..5 {
+        pause(&world, version, &paused, PAUSE_MS).await;
+    }
+    let exchanges = exchanges.take();
+    assert_eq!(lost(&exchanges), 0, "of {} requests", exchanges.len());
+    let sent: Vec<SentRequest> = exchanges.iter().map(Exchange::sent).collect();
+    let time_left = world.targets.ledger.time_left(&sent);
+    assert_eq!(time_left.endless, 0, "{time_left}");
+}
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod intake;
+pub mod life;
 pub mod limit;
 pub mod load;
 pub mod owner;
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -146,6 +146,12 @@
         self.progress_at.is_some_and(|at| now - at < SILENCE_GAP)
     }
 
+    /// Returns whether a target has made progress on a request at `since` or later.
+    #[must_use]
+    pub fn has_progressed_since(&self, since: Millis) -> bool {
+        self.progress_at.is_some_and(|at| at >= since)
+    }
+
     /// Returns when a target that made its last progress at `seen` began to be silent alone: not
     /// before the last common silence ended.
     #[must_use]
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -28,6 +28,8 @@
 mod intake;
 #[path = "edge/leaders.rs"]
 mod leaders;
+#[path = "edge/life.rs"]
+mod life;
 #[path = "edge/limit.rs"]
 mod limit;
 #[path = "edge/load.rs"]
--- /dev/null
+++ b/crates/thistlesill-policy/tests/edge/life.rs
@@ -0,0 +1,43 @@
+//! Checks of single targets.
+
+use thistlesill_core::Millis;
+use thistlesill_core::edge::TargetId;
+use thistlesill_policy::edge::life::{CheckState, Checks, Verdict};
+
+const NOW: Millis = Millis::new(10_000);
+
+fn after(ms: u64) -> Millis {
+    NOW + Millis::new(ms)
+}
+
+/// A target that answered and then fell silent was taken for one that goes on.
+#[test]
+fn a_check_says_nothing_of_the_time_after_it() {
+    let (mut checks, id) = (Checks::default(), TargetId::from("a"));
+    checks.begin(&id, NOW);
+    assert_eq!(checks.state(&id, NOW), CheckState::Pending);
+    checks.end(&id, NOW, Verdict::Answers);
+    assert_eq!(checks.state(&id, NOW), CheckState::Ended(Verdict::Answers));
+    assert_eq!(checks.state(&id, after(1)), CheckState::Missing);
+}
+
+/// The end of an earlier check was taken for that of the one under way.
+#[test]
+fn an_earlier_check_does_not_end_a_later_one() {
+    let (mut checks, id) = (Checks::default(), TargetId::from("a"));
+    checks.begin(&id, NOW);
+    checks.begin(&id, after(100));
+    checks.end(&id, NOW, Verdict::Silent);
+    assert_eq!(checks.state(&id, NOW), CheckState::Pending);
+}
+
+/// A target that goes on was avoided for its silence before that.
+#[test]
+fn a_failed_check_speaks_against_a_target_until_it_sends_something() {
+    let (mut checks, id) = (Checks::default(), TargetId::from("a"));
+    checks.begin(&id, NOW);
+    checks.end(&id, NOW, Verdict::Silent);
+    assert!(checks.speak_against(&id, Millis::ZERO, after(200)));
+    assert!(!checks.speak_against(&id, after(100), after(200)));
+    assert!(!checks.speak_against(&id, Millis::ZERO, after(2_000)));
+}
