fix(edge): a request that its target may still read is not sent to another one

What callers saw: a safe request or a stream without an answer ended with 502 with seconds left if no retry was left, while its target stood still for a second; with one left, another target answered. The first target read its copy when it went on, with nearly all of the caller's time, and ran it for nobody.

Cause: a request without an answer for its objective was sent elsewhere, whatever its target did. Closing a connection recalls nothing.

Change: such a target is asked on a new connection. If it accepts that and does not answer, it stands still, and the request waits there for as long as targets do (1.5 s). One that answers has read the request, or its kept connection is at fault; one that accepts no connection is gone. A request also leaves only once another target has shown that it goes on.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -218,7 +218,7 @@
             }
             tokio::select! {
                 () = wait_to_abandon(job, target, tried) => {}
-                () = wait_for_silence(job, target, sent, reused) => {}
+                () = wait_for_silence(job, target, tried, sent, reused) => {}
             }
         };
         tokio::select! {
@@ -288,10 +288,10 @@
 }
 
 /// Returns once a stream should be requested from another target instead of awaited: its target
-/// has been silent for too long, and another one may get the stream, which the retry budget covers,
-/// or this one is known to be dead.
+/// has been silent for too long and will not read the request later, and another one that goes on
+/// may get the stream, which the retry budget covers, or this one is known to be dead.
 ///
-/// Without these two conditions, all of 16 streams of two groups that began 1.2 s late ended as
+/// Without these conditions, all of 16 streams of two groups that began 1.2 s late ended as
 /// "it may have run"; with them all 16 are served.
 async fn wait_to_abandon(job: &Job, target: &Target, tried: &[TargetId]) {
     let edge = &job.edge;
@@ -299,24 +299,39 @@
     loop {
         relay::wait_for_stall(job, target, sent, true).await;
         edge.suspect(&target.id, "no answer begins");
-        if edge.peers.borrow().is_unresponsive(&target.id) {
-            return;
-        }
-        let has_way = edge.links.is_lost(&target.service) || job.can_retry_elsewhere(tried);
-        if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
-            return;
+        if !reach::may_read_late(edge, &job.admission.service, target, sent).await {
+            if edge.peers.borrow().is_unresponsive(&target.id) {
+                return;
+            }
+            let has_way = edge.links.is_lost(&target.service) || can_go_elsewhere(job, tried).await;
+            if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
+                return;
+            }
         }
         tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
     }
 }
 
+/// Returns whether a request may be sent to a target that it was not sent to yet and that goes on.
+async fn can_go_elsewhere(job: &Job, tried: &[TargetId]) -> bool {
+    let targets = job.retry_targets(tried);
+    reach::any_shows_life(&job.edge, &job.admission.service, &targets).await
+}
+
 /// Returns once a plain request, which was sent at `sent` on a reused connection, has had no answer
-/// for the time of the route's objective, other targets have answered or a peer may take it, and the
-/// retry budget covers that; never, if its deadline has passed by then.
+/// for the time of the route's objective and its target will not read it later, the connection is at
+/// fault or another way is open, and the retry budget covers that; never, if its deadline has passed
+/// by then.
 ///
 /// Only a timeout shows that a connection is dead without notice. When all pooled connections
 /// are, 6 of 6 requests are answered in time with this check, and none without it.
-async fn wait_for_silence(job: &Job, target: &Target, sent: Millis, reused: bool) {
+async fn wait_for_silence(
+    job: &Job,
+    target: &Target,
+    tried: &[TargetId],
+    sent: Millis,
+    reused: bool,
+) {
     if !reused || job.admission.route.kind == RouteKind::Stream {
         return pending::<()>().await;
     }
@@ -327,15 +342,26 @@
         if job.is_over() {
             return pending::<()>().await;
         }
-        let is_lost = edge.links.is_lost(&target.service);
-        let has_way = is_lost || reach::do_targets_go_on(edge, &target.service).await;
-        if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
+        if !reach::may_read_late(edge, &job.admission.service, target, sent).await
+            && has_way_for_plain(job, target, tried).await
+            && forward::may_leave_target(job)
+            && job.withdraw_retry()
+        {
             return;
         }
         tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
     }
 }
 
+/// Returns whether a plain request that a target has may be sent once more: to the same target if it
+/// goes on, so that only the connection is at fault, to another one, or through a peer.
+async fn has_way_for_plain(job: &Job, target: &Target, tried: &[TargetId]) -> bool {
+    let edge = &job.edge;
+    edge.links.is_lost(&target.service)
+        || reach::shows_life(edge, &job.admission.service, target).await
+        || can_go_elsewhere(job, tried).await
+}
+
 /// Classifies an answer by what it says about the request.
 fn classify_answer(
     job: &Rc<Job>,
--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -227,11 +227,17 @@
 
     /// Returns whether a further attempt may be made now and there is an untried target for it.
     pub(crate) fn can_retry_elsewhere(&self, query: &TargetQuery<'_>) -> bool {
-        let has_retry = self.with_budget(&query.service.name, |budget| budget.has_retry());
+        !self.retry_targets(query).is_empty()
+    }
+
+    /// Returns the untried targets for a further attempt; none if no retry is left for it.
+    pub(crate) fn retry_targets(&self, query: &TargetQuery<'_>) -> Vec<Target> {
+        if !self.with_budget(&query.service.name, |budget| budget.has_retry()) {
+            return Vec::new();
+        }
         let (registry, loads, now) = (self.registry.borrow(), self.loads.borrow(), self.now());
-        let mut untried = query.untried(&registry);
-        let usable = |t: &Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
-        has_retry && untried.any(usable)
+        let usable = |t: &&Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
+        query.untried(&registry).filter(usable).cloned().collect()
     }
 
     /// Returns the untried targets that have just answered no check, or none if all have not.
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -294,6 +294,11 @@
         self.edge.can_retry_elsewhere(&self.query(tried))
     }
 
+    /// Returns the targets that the request may now be sent to and was not sent to yet.
+    pub(crate) fn retry_targets(&self, tried: &[TargetId]) -> Vec<Target> {
+        self.edge.retry_targets(&self.query(tried))
+    }
+
     /// Returns whether some target serves the request.
     pub(crate) fn is_served(&self) -> bool {
         self.edge.is_served(&self.query(&[]))
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -16,7 +16,7 @@
 use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, LinkState, Reach, ReachChange};
 use tokio::sync::Notify;
 
-pub(crate) use self::life::{is_unresponsive, shows_life};
+pub(crate) use self::life::{any_shows_life, is_unresponsive, may_read_late, shows_life};
 use crate::limits;
 use crate::peers::packet::{LostLinks, Packet, Permit};
 use crate::peers::{Reach as Scope, link};
--- a/crates/thistlesill-edge/src/reach/life.rs
+++ b/crates/thistlesill-edge/src/reach/life.rs
@@ -2,14 +2,18 @@
 
 use std::rc::Rc;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Service, Target, TargetId};
 use thistlesill_platform::engine::Check;
-use thistlesill_policy::edge::life::{CheckState, Verdict, signs_since};
+use thistlesill_policy::edge::life::{CheckState, Verdict, may_stand_still, signs_since};
 
 use super::check_target;
 use crate::state::Edge;
 
+/// Targets that are asked at once whether one of them goes on.
+const ASKED_TARGETS: usize = 3;
 /// Time in which a check has ended, with what it waits for before it begins.
 const CHECK_END: Millis = Millis::new(400);
 
@@ -26,6 +30,40 @@
     }
 }
 
+/// Returns whether one of some targets goes on, as [`shows_life`] does.
+pub(crate) async fn any_shows_life(edge: &Rc<Edge>, service: &Service, targets: &[Target]) -> bool {
+    if targets
+        .iter()
+        .any(|target| has_sent_lately(edge, &target.id))
+    {
+        return true;
+    }
+    let asked = targets.iter().take(ASKED_TARGETS);
+    let mut answers: FuturesUnordered<_> = asked
+        .map(|target| shows_life(edge, service, target))
+        .collect();
+    while let Some(goes_on) = answers.next().await {
+        if goes_on {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns whether a target may still read a request that was sent to it at `sent`: it accepts
+/// connections, answers no check that began after that, and has been silent for less time than
+/// targets stand still.
+pub(crate) async fn may_read_late(
+    edge: &Rc<Edge>,
+    service: &Service,
+    target: &Target,
+    sent: Millis,
+) -> bool {
+    let verdict = verdict(edge, service, target, sent).await;
+    let since = edge.loads.borrow().progress(&target.id).max(sent);
+    may_stand_still(verdict, edge.now() - since)
+}
+
 /// Returns whether the last check of a target was not answered, and nothing came from it since.
 pub(crate) fn is_unresponsive(edge: &Edge, id: &TargetId) -> bool {
     let progress = edge.loads.borrow().progress(id);
@@ -38,12 +76,7 @@
 }
 
 /// Returns what a check of a target shows that began at `since` or later; begins one if there is none.
-pub(crate) async fn verdict(
-    edge: &Rc<Edge>,
-    service: &Service,
-    target: &Target,
-    since: Millis,
-) -> Verdict {
+async fn verdict(edge: &Rc<Edge>, service: &Service, target: &Target, since: Millis) -> Verdict {
     let deadline = edge.now() + CHECK_END;
     loop {
         let ended = edge.links.checked_one.notified();
--- a/crates/thistlesill-policy/src/edge/life.rs
+++ b/crates/thistlesill-policy/src/edge/life.rs
@@ -8,6 +8,8 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::TargetId;
 
+use super::reach::MAX_STANDSTILL;
+
 /// How long something that a target sent shows that it goes on: the usual time between two events
 /// of all the streams at a target.
 const SIGN_VALIDITY: Millis = Millis::new(50);
@@ -100,3 +102,13 @@
 pub fn signs_since(now: Millis) -> Millis {
     now - SIGN_VALIDITY
 }
+
+/// Returns whether a target that has been silent for this time may stand still, so that it will read
+/// what it was sent; `verdict` is that of a check since then.
+///
+/// One that answers has read it, unless the connection is at fault. One that accepts no connection is
+/// gone, or reads nothing from here.
+#[must_use]
+pub fn may_stand_still(verdict: Verdict, silent_for: Millis) -> bool {
+    verdict == Verdict::Silent && silent_for < MAX_STANDSTILL
+}
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -28,7 +28,7 @@
 
 /// How long targets that accept connections but send no answer are taken for ones that stand still
 /// and will go on.
-const MAX_STANDSTILL: Millis = Millis::new(1_500);
+pub(super) const MAX_STANDSTILL: Millis = Millis::new(1_500);
 
 /// Time without progress at any target after which the next progress ends a common silence.
 const SILENCE_GAP: Millis = Millis::new(150);
