fix(edge): a planner keeps its lease while targets only stand still

What operators saw: two terms of the planner within half a second, and no orders between them, when all targets stood still for a second.

Cause: a planner whose links count as lost gave its lease up if a peer still reached the targets; a peer that has not noticed a common silence yet says so too.

--- a/crates/thistlesill-edge/src/planner.rs
+++ b/crates/thistlesill-edge/src/planner.rs
@@ -16,6 +16,7 @@
 use thistlesill_policy::edge::admission::BALANCER_DETECTION;
 use thistlesill_policy::edge::asked::model_urgency;
 use thistlesill_policy::edge::fleet::{Demand, FleetPlanner, FleetView, capacity_ratio};
+use thistlesill_policy::edge::reach::LinkState;
 use thistlesill_policy::edge::shortage::Urgency;
 use thistlesill_policy::lease::{Lease, LeaseChange, LeasePeriods, LeaseStep};
 
@@ -94,15 +95,17 @@
     }
 
     /// Returns whether this daemon has lost its links to engines that another one reaches, which can
-    /// then form groups in its place.
+    /// then form groups in its place. Engines that accept connections may all stand still for a
+    /// moment, and peers notice that later.
     fn is_cut_off(&self) -> bool {
         let Some(catalog) = self.edge.catalog() else {
             return false;
         };
-        let services = catalog.services().filter(|s| s.engine.is_some());
-        services
-            .into_iter()
-            .any(|s| self.edge.links.is_lost(&s.name) && self.edge.is_reached_by_peer(&s.name))
+        let (links, now) = (&self.edge.links, self.edge.now());
+        let mut services = catalog.services().filter(|s| s.engine.is_some());
+        services.any(|s| {
+            links.state(&s.name, now) == LinkState::Down && self.edge.is_reached_by_peer(&s.name)
+        })
     }
 
     /// Releases the lease, so that another daemon need not wait for its end. If the write is lost,
--- a/crates/thistlesill-edge/tests/it/silent_targets.rs
+++ b/crates/thistlesill-edge/tests/it/silent_targets.rs
@@ -6,9 +6,10 @@
 use thistlesill_platform_standin::daemon::RETRY_BOUNDS;
 use thistlesill_platform_standin::exchange::{Exchange, Exchanges, Patience};
 use thistlesill_platform_standin::ledger::SentRequest;
+use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::world::{Size, World};
 
-use crate::support::{place, read, sleep, stream, world};
+use crate::support::{place, planner, read, send_steadily_to, sleep, stream, world};
 
 /// Number of daemons.
 const DAEMONS: u8 = 6;
@@ -204,3 +205,23 @@
     let time_left = world.targets.ledger.time_left(&sent);
     assert_eq!(time_left.endless, 0, "{time_left}");
 }
+
+/// The planner gave its lease up as soon as it noticed the silence, if a peer had not noticed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_gives_its_lease_up_when_targets_are_silent() {
+    let world = world(190, 3).await;
+    let planner = planner(&world);
+    let address = [world.daemons[planner].caller_address()];
+    let calls = send_steadily_to(&address, 20, Duration::from_secs(3), stream);
+    let silence = async {
+        sleep(1_000).await;
+        world.set_engine_fault(planner, LinkFault::Stalled);
+        sleep(PAUSE_MS).await;
+        world.set_engine_fault(planner, LinkFault::None);
+    };
+    tokio::join!(calls, silence);
+    let lost = world.log_lines(planner, "ev=links_lost");
+    assert!(!lost.is_empty(), "the daemon notices the silence");
+    let given_up = world.log_lines(planner, "ev=lease_given_up");
+    assert!(given_up.is_empty(), "{given_up:#?}");
+}
