fix(policy): the silence of some targets is no loss of the own links

What callers saw: while half of the targets stood still, some daemons sent all their requests through peers, or refused repeats.

Cause: a loss was concluded from three targets that answered no check, although others sent events all the time; established connections count for nothing, since they may live on while new ones are refused. But the silent ones had accepted the new connections.

Change: failures that are all of this kind show no loss within 150 ms of any progress.

Evidence: links_are_not_lost_while_targets_make_progress, red before.

--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -213,7 +213,8 @@
             self.answered.clear();
             return ReachChange::Unchanged;
         }
-        if self.failed.len() < MIN_FAILED.min(targets) {
+        let is_few = self.failed.len() < MIN_FAILED.min(targets);
+        if is_few || self.is_silence_of_some(now) {
             return ReachChange::Doubtful;
         }
         let failed_halls = self.failed_halls();
@@ -225,6 +226,12 @@
         ReachChange::Lost
     }
 
+    /// Returns whether all targets that failed accept connections while others make progress: then
+    /// the failed ones stand still.
+    fn is_silence_of_some(&self, now: Millis) -> bool {
+        self.is_progressing(now) && self.failures().all(|kind| kind == FailureKind::Silent)
+    }
+
     /// Returns the data centres of the targets that were not reached since the last answer.
     fn failed_halls(&self) -> HashSet<&HallId> {
         self.failed.values().map(|failure| &failure.hall).collect()
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -274,6 +274,32 @@
     assert_eq!(reach.state(at(1_700)), LinkState::Down);
 }
 
+/// Half of the targets stood still, and the checks met only these.
+#[test]
+fn links_are_not_lost_while_targets_make_progress() {
+    let fail_all = |reach: &mut Reach, kind, ms| {
+        for number in 0..5 {
+            let failed = FailedTarget {
+                id: &id(number),
+                hall: &HallId::from("h"),
+                begun: at(ms),
+                kind,
+            };
+            reach.note_failure(failed, at(ms), 40, [&HallId::from("h")]);
+        }
+    };
+    let mut reach = Reach::default();
+    reach.note_progress(at(100));
+    fail_all(&mut reach, FailureKind::Silent, 200);
+    assert!(!reach.is_lost());
+    // Established connections may live on while new ones are refused.
+    let mut cut = reach.clone();
+    fail_all(&mut cut, FailureKind::Unreached, 210);
+    assert!(cut.is_lost());
+    fail_all(&mut reach, FailureKind::Silent, 300);
+    assert!(reach.is_lost());
+}
+
 #[test]
 fn links_are_down_if_one_target_accepts_no_connection() {
     let reach = lose(FailureKind::Silent, FailureKind::Unreached);
