fix(edge): a target found unresponsive keeps its requests once it goes on

Cause: a request was given up, with no retry left, at a target that the planner had found unresponsive while it stood still, although it had answered a check of this daemon since.

Change: such a target must also show no sign of life here.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -300,7 +300,7 @@
         relay::wait_for_stall(job, target, sent, true).await;
         edge.suspect(&target.id, "no answer begins");
         if !reach::may_read_late(edge, &job.admission.service, target, sent).await {
-            if edge.peers.borrow().is_unresponsive(&target.id) {
+            if is_known_dead(job, target).await {
                 return;
             }
             let has_way = edge.links.is_lost(&target.service) || can_go_elsewhere(job, tried).await;
@@ -312,6 +312,13 @@
     }
 }
 
+/// Returns whether the planner found a target unresponsive, which shows no sign of life here either.
+async fn is_known_dead(job: &Job, target: &Target) -> bool {
+    let edge = &job.edge;
+    edge.peers.borrow().is_unresponsive(&target.id)
+        && !reach::shows_life(edge, &job.admission.service, target).await
+}
+
 /// Returns whether a request may be sent to a target that it was not sent to yet and that goes on.
 async fn can_go_elsewhere(job: &Job, tried: &[TargetId]) -> bool {
     let targets = job.retry_targets(tried);
