fix(edge): a daemon that stops takes no request of a peer that it cannot end

What callers saw: a stream that had run for 1.1 s at a sound daemon was cut off. Its links were silent, so it had passed the stream to a peer that had been stopping for 2.6 s, and that ended 1.1 s later.

Cause: until the balancer has noticed a stop, a daemon takes all requests, since their callers cannot avoid it. It took those of peers as well, which can choose another daemon.

Change: a request of a peer is taken only if its time limit ends within the stop; otherwise it is declined, as one that has not run.

Evidence: a_stopping_daemon_cuts_a_stream_off_that_a_peer_passed_to_it, red before.

--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -13,7 +13,7 @@
 use thistlesill_net::lane::within;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
-use thistlesill_policy::edge::admission::{self, Admission, Key, admit};
+use thistlesill_policy::edge::admission::{self, Admission, Key, SentBy, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, last_step, next_step};
 use tokio::time::timeout_at;
 
@@ -72,7 +72,8 @@
         }
     };
     track.admitted(&admission);
-    if !is_accepted_while_stopping(&edge, admission.timeout) {
+    let sender = hop.map_or(SentBy::Caller, |_| SentBy::Peer);
+    if !is_accepted_while_stopping(&edge, sender, admission.timeout) {
         let reason = "the daemon stops before the request would end";
         return track.with_reason(reason).refuse(ErrorKind::NotReady, None);
     }
@@ -94,10 +95,10 @@
 
 /// Returns whether a request with a time limit is accepted; while the daemon is stopping, only if
 /// the request can end in time.
-fn is_accepted_while_stopping(edge: &Edge, limit: Millis) -> bool {
+fn is_accepted_while_stopping(edge: &Edge, sender: SentBy, limit: Millis) -> bool {
     edge.stopping.get().is_none_or(|since| {
         let elapsed = edge.now() - since;
-        admission::accepts_while_stopping(elapsed, limit, edge.grace())
+        admission::accepts_while_stopping(sender, elapsed, limit, edge.grace())
     })
 }
 
--- a/crates/thistlesill-edge/tests/it/repeats.rs
+++ b/crates/thistlesill-edge/tests/it/repeats.rs
@@ -2,17 +2,14 @@
 
 use std::time::Duration;
 
-use thistlesill_core::edge::EdgeSettings;
+use thistlesill_platform_standin::daemon::RETRY_BOUNDS;
+use thistlesill_platform_standin::exchange::{Exchange, Exchanges, Patience};
+use thistlesill_platform_standin::ledger::SentRequest;
 use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::targets::Fault;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
-use crate::support::{ask, book, read, sleep, world};
+use crate::support::{ask, book, pass_on, read, read_answer, sleep, world};
 
-/// What a peer says of a request that it passes on for the first time: version of the catalog, then
-/// no attempts, none that may have run, not counted and not paid for.
-const FIRST_HOP: &str = "thistlesill-hop: 1 0 0 0 0";
 /// Delay in each direction between the daemon and its targets.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 
@@ -25,11 +22,7 @@
         world.targets.set_fault(target, Fault::Full);
     }
     world.set_plain_fault(0, LinkFault::Delay(LINK_DELAY));
-    let address = EdgeSettings::forward_address_of(world.daemons[0].peer_address());
-    let mut peer = TcpStream::connect(address).await.expect("it listens");
-    let request = read("passed-on").head_text(FIRST_HOP);
-    let sent = peer.write_all(request.as_bytes()).await;
-    sent.expect("the request is sent");
+    let peer = pass_on(&world, 0, &read("passed-on")).await;
     sleep(190).await;
     // The target has turned the request away, and its answer is on the way. The links are lost
     // meanwhile.
@@ -37,9 +30,7 @@
     for number in 0..4 {
         ask(&world, 0, book(&format!("lost-{number}"))).await;
     }
-    let mut answer = String::new();
-    let read = peer.read_to_string(&mut answer).await;
-    read.expect("the answer ends with its connection");
+    let answer = read_answer(peer).await;
     let arrivals = world.targets.ledger.arrivals();
     let count = arrivals.iter().filter(|a| a.id == "passed-on").count();
     assert_eq!(count, 1, "arrivals");
@@ -49,3 +40,35 @@
     );
     assert!(answer.contains("thistlesill-sent: 1\r\n"), "{answer}");
 }
+
+/// Callers that send reads at the same time.
+const CALLERS: usize = 40;
+/// Time for which they send them: the window of the operators' bound.
+const TIME_MS: u64 = 10_000;
+
+/// Targets that turn requests away got each of them twice. Only the budget bounds that.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_exceed_the_budget_while_all_targets_are_full() {
+    let world = world(191, 3).await;
+    for target in ["p-0", "p-1"] {
+        world.targets.set_fault(target, Fault::Full);
+    }
+    let exchanges = Exchanges::default();
+    for caller in 0..CALLERS {
+        let address = world.daemons[caller % 3].caller_address();
+        let mut count = 0;
+        let next = move || {
+            count += 1;
+            (
+                read(&format!("{caller}-{count}")),
+                Duration::from_millis(50),
+            )
+        };
+        let sent = exchanges.clone();
+        tokio::spawn(sent.run_caller(move || address, next, Patience::None));
+    }
+    sleep(TIME_MS).await;
+    let sent: Vec<SentRequest> = exchanges.take().iter().map(Exchange::sent).collect();
+    let excess = world.targets.ledger.excess_repeats(&sent, RETRY_BOUNDS);
+    assert_eq!(excess, Vec::<String>::new(), "of {} requests", sent.len());
+}
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -11,7 +11,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-use crate::support::{ask, book, read, sleep, stream, world};
+use crate::support::{ask, book, pass_on, read, read_answer, sleep, stream, world};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_ends_what_runs_and_then_the_process() {
@@ -34,6 +34,21 @@
     assert!(!world.log_lines(0, "ev=stop ").is_empty());
 }
 
+/// The stopping daemon took a stream of a peer, which it could not end before its exit, and cut it
+/// off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_daemon_cuts_a_stream_off_that_a_peer_passed_to_it() {
+    let world = world(192, 1).await;
+    world.daemons[0].signal(Signal::SIGTERM);
+    sleep(100).await;
+    let peer = pass_on(&world, 0, &stream("passed-on")).await;
+    let answer = read_answer(peer).await;
+    assert!(
+        answer.contains("thistlesill-declined: not_ready"),
+        "{answer}"
+    );
+}
+
 /// Size of an answer that the kernel does not hold for a slow caller, and that the daemon reads
 /// completely before it passes it on.
 const LARGE_ANSWER_BYTES: usize = 250_000;
--- a/crates/thistlesill-edge/tests/it/support.rs
+++ b/crates/thistlesill-edge/tests/it/support.rs
@@ -6,10 +6,13 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use thistlesill_core::edge::EdgeSettings;
 use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::ledger::Arrival;
 use thistlesill_platform_standin::world::World;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Starts a deployment; `net` selects its address range and differs between tests.
 pub(crate) async fn world(net: u8, daemons: u8) -> World {
@@ -56,6 +59,28 @@
     got.unwrap_or_else(|e| panic!("{}: {e}", ask.id))
 }
 
+/// What a peer says of a request that it passes on for the first time: version of the catalog, then
+/// no attempts, none that may have run, not counted and not paid for.
+const FIRST_HOP: &str = "thistlesill-hop: 1 0 0 0 0";
+
+/// Passes a request without a body to a daemon, as a peer does for the first time.
+pub(crate) async fn pass_on(world: &World, daemon: usize, request: &CallerRequest) -> TcpStream {
+    let address = EdgeSettings::forward_address_of(world.daemons[daemon].peer_address());
+    let mut peer = TcpStream::connect(address).await.expect("it listens");
+    let text = request.head_text(FIRST_HOP);
+    let sent = peer.write_all(text.as_bytes()).await;
+    sent.expect("the request is sent");
+    peer
+}
+
+/// Returns the answer to a request that was passed on.
+pub(crate) async fn read_answer(mut peer: TcpStream) -> String {
+    let mut answer = String::new();
+    let read = peer.read_to_string(&mut answer).await;
+    read.expect("the answer ends with its connection");
+    answer
+}
+
 /// Builds a request that may run only once.
 pub(crate) fn book(id: &str) -> CallerRequest {
     CallerRequest::new(id, "POST", "/book/bunk").body("two bunks")
--- a/crates/thistlesill-policy/src/edge/admission.rs
+++ b/crates/thistlesill-policy/src/edge/admission.rs
@@ -107,6 +107,15 @@
 /// second and acts on the second answer that says so.
 pub const BALANCER_DETECTION: Millis = Millis::new(2_600);
 
+/// Who sent a request to a daemon that stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentBy {
+    /// A caller, whose connection the balancer passed on.
+    Caller,
+    /// A peer, which can choose another one.
+    Peer,
+}
+
 /// Returns whether a daemon that began to stop `gone` ago still accepts a request that may last for
 /// `timeout`, where the daemon must exit within `grace`.
 ///
@@ -114,8 +123,14 @@
 /// the balancer has no other daemon, and a request that does not end within `grace` would be cut
 /// off.
 #[must_use]
-pub fn accepts_while_stopping(gone: Millis, timeout: Millis, grace: Millis) -> bool {
-    gone < BALANCER_DETECTION || gone + timeout < grace
+pub fn accepts_while_stopping(
+    sender: SentBy,
+    gone: Millis,
+    timeout: Millis,
+    grace: Millis,
+) -> bool {
+    let is_unavoidable = sender == SentBy::Caller && gone < BALANCER_DETECTION;
+    is_unavoidable || gone + timeout < grace
 }
 
 /// Draws one of the route's services by weight.
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{Bounds, Catalog, Limits, Route, RouteKind, Service, ServiceShare};
 use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_policy::edge::admission::{
-    Admission, AdmissionRequest, Key, accepts_while_stopping, admit,
+    Admission, AdmissionRequest, Key, SentBy, accepts_while_stopping, admit,
 };
 use thistlesill_policy::edge::freshness::{Freshness, MARGIN};
 
@@ -192,8 +192,41 @@
 fn a_stopping_daemon_takes_only_what_ends_in_time() {
     let grace = Millis::new(7_600);
     let (long, short) = (Millis::new(6_000), Millis::new(1_000));
-    assert!(accepts_while_stopping(Millis::new(2_500), long, grace));
-    assert!(!accepts_while_stopping(Millis::new(2_700), long, grace));
-    assert!(accepts_while_stopping(Millis::new(6_500), short, grace));
-    assert!(!accepts_while_stopping(Millis::new(6_700), short, grace));
+    assert!(accepts_while_stopping(
+        SentBy::Caller,
+        Millis::new(2_500),
+        long,
+        grace
+    ));
+    assert!(!accepts_while_stopping(
+        SentBy::Caller,
+        Millis::new(2_700),
+        long,
+        grace
+    ));
+    assert!(accepts_while_stopping(
+        SentBy::Caller,
+        Millis::new(6_500),
+        short,
+        grace
+    ));
+    assert!(!accepts_while_stopping(
+        SentBy::Caller,
+        Millis::new(6_700),
+        short,
+        grace
+    ));
+    // A peer can choose another daemon at once.
+    assert!(!accepts_while_stopping(
+        SentBy::Peer,
+        Millis::new(2_000),
+        long,
+        grace
+    ));
+    assert!(accepts_while_stopping(
+        SentBy::Peer,
+        Millis::new(2_000),
+        short,
+        grace
+    ));
 }
