refactor(edge): how long an attempt waits has a file of its own

The waiting of an attempt moves to attempt/patience.rs and its connecting to a function; the outcome of a check is no longer called a verdict, which is what the quarantine gives. No decision changes; the tests of silent targets and connections pass.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt to get an answer to a request from a target.
 
+mod patience;
+
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::{HeaderMap, Response, StatusCode};
-use thistlesill_core::edge::{RouteKind, Target, TargetId};
+use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use thistlesill_net::stream::BudgetedBody;
@@ -15,24 +17,20 @@
 use thistlesill_policy::edge::reach::LinkState;
 use thistlesill_policy::quarantine::AnswerPhase;
 
+use self::patience::{wait_for_silence, wait_to_abandon};
 use crate::backoffs;
 use crate::flight::InFlight;
-use crate::forward;
 use crate::job::{Job, Payer};
 use crate::lanes::PooledLane;
 use crate::leaving;
 use crate::limits;
 use crate::quarantine;
 use crate::reach;
-use crate::relay;
 
 /// Time to connect to a target. Targets answer within a few milliseconds, so a longer wait
 /// means a lost packet or a dead machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Interval between two checks whether a late request may be sent to another target.
-const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// A target's answer of which the head has arrived.
 pub(crate) struct Answered {
     pub(crate) status: StatusCode,
@@ -173,27 +171,7 @@
     let position = AttemptPosition::after(attempts.sent, job.admission.route.attempts);
     let flight = InFlight::new(edge, target, job.prompt(), job.take_prediction());
     let sent = edge.now();
-    let connect = within(CONNECT_TIMEOUT.min(job.time_left().duration()));
-    // A pooled connection may be closing, or be dead without notice. A request that may run only
-    // once, or has no further attempt, would then be lost. Later attempts use new connections
-    // too: what broke the pooled ones of one target may have broken those of the next.
-    let reuse = job.may_repeat() && position == AttemptPosition::First;
-    let is_silent = edge.links.state(&target.service, sent) == LinkState::Silent;
-    let taken = tokio::select! {
-        biased;
-        taken = edge.lanes.get(target, reuse, sent, connect) => taken,
-        () = reach::wait_until_lost(edge, &target.service), if !is_silent => {
-            return Err(Failure::new(Outcome::NotSent, &"the links to all targets are lost"));
-        }
-    };
-    let PooledLane { mut lane, reused } = match taken {
-        Ok(taken) => taken,
-        Err(error) => {
-            reach::note_failure(edge, target, sent, reach::failure_kind(&error));
-            edge.suspect(&target.id, "no connection");
-            return Err(Failure::new(Outcome::NotSent, &error));
-        }
-    };
+    let PooledLane { mut lane, reused } = connect(job, target, position, sent).await?;
     if let Some(reason) = reason_not_to_send(job, target, clearance) {
         job.return_lane(&target.id, lane, None);
         return Err(Failure::new(Outcome::NotSent, &reason));
@@ -255,6 +233,34 @@
     }
 }
 
+/// Returns a connection for an attempt that begins at `begun`.
+async fn connect(
+    job: &Job,
+    target: &Target,
+    position: AttemptPosition,
+    begun: Millis,
+) -> Result<PooledLane, Failure> {
+    let edge = &job.edge;
+    let until = within(CONNECT_TIMEOUT.min(job.time_left().duration()));
+    // A pooled connection may be closing, or be dead without notice. A request that may run only
+    // once, or has no further attempt, would then be lost. Later attempts use new connections
+    // too: what broke the pooled ones of one target may have broken those of the next.
+    let reuse = job.may_repeat() && position == AttemptPosition::First;
+    let is_silent = edge.links.state(&target.service, begun) == LinkState::Silent;
+    let taken = tokio::select! {
+        biased;
+        taken = edge.lanes.get(target, reuse, begun, until) => taken,
+        () = reach::wait_until_lost(edge, &target.service), if !is_silent => {
+            return Err(Failure::new(Outcome::NotSent, &"the links to all targets are lost"));
+        }
+    };
+    taken.map_err(|error| {
+        reach::note_failure(edge, target, begun, reach::failure_kind(&error));
+        edge.suspect(&target.id, "no connection");
+        Failure::new(Outcome::NotSent, &error)
+    })
+}
+
 /// Logs and counts a request that is sent to a further target, with the budget that covers it and
 /// the time since that target last sent something here.
 fn log_repeat(job: &Job, target: &Target, payer: Payer) {
@@ -287,88 +293,6 @@
     }
 }
 
-/// Returns once a stream should be requested from another target instead of awaited: its target
-/// has been silent for too long and will not read the request later, and another one that goes on
-/// may get the stream, which the retry budget covers, or this one is known to be dead.
-///
-/// Without these conditions, all of 16 streams of two groups that began 1.2 s late ended as
-/// "it may have run"; with them all 16 are served.
-async fn wait_to_abandon(job: &Job, target: &Target, tried: &[TargetId]) {
-    let edge = &job.edge;
-    let sent = edge.now();
-    loop {
-        relay::wait_for_stall(job, target, sent, true).await;
-        edge.suspect(&target.id, "no answer begins");
-        if !reach::may_read_late(edge, &job.admission.service, target, sent).await {
-            if is_known_dead(job, target).await {
-                return;
-            }
-            let has_way = edge.links.is_lost(&target.service) || can_go_elsewhere(job, tried).await;
-            if has_way && forward::may_leave_target(job) && job.withdraw_retry() {
-                return;
-            }
-        }
-        tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
-    }
-}
-
-/// Returns whether the planner found a target unresponsive, which shows no sign of life here either.
-async fn is_known_dead(job: &Job, target: &Target) -> bool {
-    let edge = &job.edge;
-    edge.peers.borrow().is_unresponsive(&target.id)
-        && !reach::shows_life(edge, &job.admission.service, target).await
-}
-
-/// Returns whether a request may be sent to a target that it was not sent to yet and that goes on.
-async fn can_go_elsewhere(job: &Job, tried: &[TargetId]) -> bool {
-    let targets = job.retry_targets(tried);
-    reach::any_shows_life(&job.edge, &job.admission.service, &targets).await
-}
-
-/// Returns once a plain request, which was sent at `sent` on a reused connection, has had no answer
-/// for the time of the route's objective and its target will not read it later, the connection is at
-/// fault or another way is open, and the retry budget covers that; never, if its deadline has passed
-/// by then.
-///
-/// Only a timeout shows that a connection is dead without notice. When all pooled connections
-/// are, 6 of 6 requests are answered in time with this check, and none without it.
-async fn wait_for_silence(
-    job: &Job,
-    target: &Target,
-    tried: &[TargetId],
-    sent: Millis,
-    reused: bool,
-) {
-    if !reused || job.admission.route.kind == RouteKind::Stream {
-        return pending::<()>().await;
-    }
-    let edge = &job.edge;
-    loop {
-        let since = edge.links.silent_since(&target.service, sent);
-        edge.alarm.sleep_until(since + job.begin_timeout()).await;
-        if job.is_over() {
-            return pending::<()>().await;
-        }
-        if !reach::may_read_late(edge, &job.admission.service, target, sent).await
-            && has_way_for_plain(job, target, tried).await
-            && forward::may_leave_target(job)
-            && job.withdraw_retry()
-        {
-            return;
-        }
-        tokio::time::sleep(RETRY_CHECK_INTERVAL).await;
-    }
-}
-
-/// Returns whether a plain request that a target has may be sent once more: to the same target if it
-/// goes on, so that only the connection is at fault, to another one, or through a peer.
-async fn has_way_for_plain(job: &Job, target: &Target, tried: &[TargetId]) -> bool {
-    let edge = &job.edge;
-    edge.links.is_lost(&target.service)
-        || reach::shows_life(edge, &job.admission.service, target).await
-        || can_go_elsewhere(job, tried).await
-}
-
 /// Classifies an answer by what it says about the request.
 fn classify_answer(
     job: &Rc<Job>,
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -12,7 +12,7 @@
 use thistlesill_net::lane::{ConnectionError, within};
 use thistlesill_platform::engine::{self, Check};
 use thistlesill_policy::edge::book::TargetRegistry;
-use thistlesill_policy::edge::life::{Checks, Verdict, signs_since};
+use thistlesill_policy::edge::life::{CheckOutcome, Checks, signs_since};
 use thistlesill_policy::edge::reach::{FailedTarget, FailureKind, LinkState, Reach, ReachChange};
 use tokio::sync::Notify;
 
@@ -436,15 +436,20 @@
 async fn check_target(edge: &Edge, target: &Target, check: Check<'_>) {
     let opened = edge.now();
     edge.links.checks.borrow_mut().begin(&target.id, opened);
-    let verdict = ask_target(edge, target, check, opened).await;
+    let outcome = ask_target(edge, target, check, opened).await;
     edge.links
         .checks
         .borrow_mut()
-        .end(&target.id, opened, verdict);
+        .end(&target.id, opened, outcome);
     edge.links.checked_one.notify_waiters();
 }
 
-async fn ask_target(edge: &Edge, target: &Target, check: Check<'_>, opened: Millis) -> Verdict {
+async fn ask_target(
+    edge: &Edge,
+    target: &Target,
+    check: Check<'_>,
+    opened: Millis,
+) -> CheckOutcome {
     let may_ask = match check {
         Check::Report => true,
         Check::Health(_) => {
@@ -453,21 +458,21 @@
         }
     };
     if !may_ask {
-        return Verdict::Unknown;
+        return CheckOutcome::Unknown;
     }
     let until = within(CHECK_TIMEOUT);
     match engine::check(&target.id, target.address, check, until).await {
         Ok(()) => {
             note_answer(edge, target, opened);
-            Verdict::Answers
+            CheckOutcome::Answers
         }
         Err(error) => {
             log::debug!("reach: {}: {error}", target.id);
             let kind = failure_kind(&error);
             note_failure(edge, target, opened, kind);
             match kind {
-                FailureKind::Silent => Verdict::Silent,
-                FailureKind::Unreached => Verdict::Unreached,
+                FailureKind::Silent => CheckOutcome::Silent,
+                FailureKind::Unreached => CheckOutcome::Unreached,
             }
         }
     }
--- a/crates/thistlesill-edge/src/reach/life.rs
+++ b/crates/thistlesill-edge/src/reach/life.rs
@@ -7,7 +7,7 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Service, Target, TargetId};
 use thistlesill_platform::engine::Check;
-use thistlesill_policy::edge::life::{CheckState, Verdict, may_stand_still, signs_since};
+use thistlesill_policy::edge::life::{CheckOutcome, CheckState, may_stand_still, signs_since};
 
 use super::check_target;
 use crate::state::Edge;
@@ -24,9 +24,9 @@
         return true;
     }
     let since = signs_since(edge.now());
-    match verdict(edge, service, target, since).await {
-        Verdict::Answers | Verdict::Unknown => true,
-        Verdict::Silent | Verdict::Unreached => false,
+    match check_since(edge, service, target, since).await {
+        CheckOutcome::Answers | CheckOutcome::Unknown => true,
+        CheckOutcome::Silent | CheckOutcome::Unreached => false,
     }
 }
 
@@ -59,9 +59,9 @@
     target: &Target,
     sent: Millis,
 ) -> bool {
-    let verdict = verdict(edge, service, target, sent).await;
+    let outcome = check_since(edge, service, target, sent).await;
     let since = edge.loads.borrow().progress(&target.id).max(sent);
-    may_stand_still(verdict, edge.now() - since)
+    may_stand_still(outcome, edge.now() - since)
 }
 
 /// Returns whether the last check of a target was not answered, and nothing came from it since.
@@ -76,20 +76,25 @@
 }
 
 /// Returns what a check of a target shows that began at `since` or later; begins one if there is none.
-async fn verdict(edge: &Rc<Edge>, service: &Service, target: &Target, since: Millis) -> Verdict {
+async fn check_since(
+    edge: &Rc<Edge>,
+    service: &Service,
+    target: &Target,
+    since: Millis,
+) -> CheckOutcome {
     let deadline = edge.now() + CHECK_END;
     loop {
         let ended = edge.links.checked_one.notified();
         match edge.links.checks.borrow().state(&target.id, since) {
-            CheckState::Ended(verdict) => return verdict,
+            CheckState::Ended(outcome) => return outcome,
             CheckState::Pending => {}
             CheckState::Missing if edge.limits.is_limited(&target.id, edge.now()) => {
-                return Verdict::Unknown;
+                return CheckOutcome::Unknown;
             }
             CheckState::Missing => begin_check(edge, service, target),
         }
         if edge.alarm.timeout_at(deadline, ended).await.is_none() {
-            return Verdict::Unknown;
+            return CheckOutcome::Unknown;
         }
     }
 }
--- a/crates/thistlesill-policy/src/edge/life.rs
+++ b/crates/thistlesill-policy/src/edge/life.rs
@@ -18,7 +18,7 @@
 
 /// What a check of a target showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum CheckOutcome {
     /// The target answered.
     Answers,
     /// The target accepted the connection and did not answer in time.
@@ -37,14 +37,15 @@
     /// It is under way.
     Pending,
     /// It has ended.
-    Ended(Verdict),
+    Ended(CheckOutcome),
 }
 
 /// A check of a target.
 #[derive(Debug, Clone, Copy)]
 struct Check {
     opened: Millis,
-    verdict: Option<Verdict>,
+    /// `None` while the check is under way.
+    outcome: Option<CheckOutcome>,
 }
 
 /// The last check of each target.
@@ -58,16 +59,16 @@
     pub fn begin(&mut self, id: &TargetId, now: Millis) {
         let check = Check {
             opened: now,
-            verdict: None,
+            outcome: None,
         };
         self.by_target.insert(id.clone(), check);
     }
 
-    /// Records the verdict of the check that began at `opened`, unless a later one has begun.
-    pub fn end(&mut self, id: &TargetId, opened: Millis, verdict: Verdict) {
+    /// Records the outcome of the check that began at `opened`, unless a later one has begun.
+    pub fn end(&mut self, id: &TargetId, opened: Millis, outcome: CheckOutcome) {
         let check = self.by_target.get_mut(id);
         if let Some(check) = check.filter(|check| check.opened == opened) {
-            check.verdict = Some(verdict);
+            check.outcome = Some(outcome);
         }
     }
 
@@ -77,7 +78,7 @@
         let check = self.by_target.get(id);
         match check.filter(|check| check.opened >= since) {
             None => CheckState::Missing,
-            Some(check) => check.verdict.map_or(CheckState::Pending, CheckState::Ended),
+            Some(check) => check.outcome.map_or(CheckState::Pending, CheckState::Ended),
         }
     }
 
@@ -86,7 +87,10 @@
     #[must_use]
     pub fn speak_against(&self, id: &TargetId, progress: Millis, now: Millis) -> bool {
         self.by_target.get(id).is_some_and(|check| {
-            let failed = matches!(check.verdict, Some(Verdict::Silent | Verdict::Unreached));
+            let failed = matches!(
+                check.outcome,
+                Some(CheckOutcome::Silent | CheckOutcome::Unreached)
+            );
             failed && check.opened >= progress && now - check.opened < FAILURE_VALIDITY
         })
     }
@@ -104,11 +108,11 @@
 }
 
 /// Returns whether a target that has been silent for this time may stand still, so that it will read
-/// what it was sent; `verdict` is that of a check since then.
+/// what it was sent; `outcome` is that of a check since then.
 ///
 /// One that answers has read it, unless the connection is at fault. One that accepts no connection is
 /// gone, or reads nothing from here.
 #[must_use]
-pub fn may_stand_still(verdict: Verdict, silent_for: Millis) -> bool {
-    verdict == Verdict::Silent && silent_for < MAX_STANDSTILL
+pub fn may_stand_still(outcome: CheckOutcome, silent_for: Millis) -> bool {
+    outcome == CheckOutcome::Silent && silent_for < MAX_STANDSTILL
 }
--- a/crates/thistlesill-policy/tests/edge/life.rs
+++ b/crates/thistlesill-policy/tests/edge/life.rs
@@ -2,7 +2,7 @@
 
 use thistlesill_core::Millis;
 use thistlesill_core::edge::TargetId;
-use thistlesill_policy::edge::life::{CheckState, Checks, Verdict};
+use thistlesill_policy::edge::life::{CheckOutcome, CheckState, Checks};
 
 const NOW: Millis = Millis::new(10_000);
 
@@ -16,8 +16,11 @@
     let (mut checks, id) = (Checks::default(), TargetId::from("a"));
     checks.begin(&id, NOW);
     assert_eq!(checks.state(&id, NOW), CheckState::Pending);
-    checks.end(&id, NOW, Verdict::Answers);
-    assert_eq!(checks.state(&id, NOW), CheckState::Ended(Verdict::Answers));
+    checks.end(&id, NOW, CheckOutcome::Answers);
+    assert_eq!(
+        checks.state(&id, NOW),
+        CheckState::Ended(CheckOutcome::Answers)
+    );
     assert_eq!(checks.state(&id, after(1)), CheckState::Missing);
 }
 
@@ -27,7 +30,7 @@
     let (mut checks, id) = (Checks::default(), TargetId::from("a"));
     checks.begin(&id, NOW);
     checks.begin(&id, after(100));
-    checks.end(&id, NOW, Verdict::Silent);
+    checks.end(&id, NOW, CheckOutcome::Silent);
     assert_eq!(checks.state(&id, NOW), CheckState::Pending);
 }
 
@@ -36,7 +39,7 @@
 fn a_failed_check_speaks_against_a_target_until_it_sends_something() {
     let (mut checks, id) = (Checks::default(), TargetId::from("a"));
     checks.begin(&id, NOW);
-    checks.end(&id, NOW, Verdict::Silent);
+    checks.end(&id, NOW, CheckOutcome::Silent);
     assert!(checks.speak_against(&id, Millis::ZERO, after(200)));
     assert!(!checks.speak_against(&id, after(100), after(200)));
     assert!(!checks.speak_against(&id, Millis::ZERO, after(2_000)));
