fix(edge): a check that failed holds a request back for 300 ms

A check of a target times out after 200 ms, also for want of processor time at the daemon or on the way. Its result counted until the request had waited as long as targets stand still, although the target might answer the next check. It is now repeated after 300 ms, and a check that was answered since the request was sent shows for good that the target has read it.

--- a/crates/thistlesill-edge/src/reach/life.rs
+++ b/crates/thistlesill-edge/src/reach/life.rs
@@ -7,7 +7,9 @@
 use thistlesill_core::Millis;
 use thistlesill_core::edge::{Service, Target, TargetId};
 use thistlesill_platform::engine::Check;
-use thistlesill_policy::edge::life::{CheckOutcome, CheckState, may_stand_still, signs_since};
+use thistlesill_policy::edge::life::{
+    CheckOutcome, CheckState, checks_since, may_stand_still, signs_since,
+};
 
 use super::check_target;
 use crate::state::Edge;
@@ -59,7 +61,15 @@
     target: &Target,
     sent: Millis,
 ) -> bool {
-    let outcome = check_since(edge, service, target, sent).await;
+    let has_read = edge
+        .links
+        .checks
+        .borrow()
+        .has_answered_since(&target.id, sent);
+    if has_read {
+        return false;
+    }
+    let outcome = check_since(edge, service, target, checks_since(sent, edge.now())).await;
     let since = edge.loads.borrow().progress(&target.id).max(sent);
     may_stand_still(outcome, edge.now() - since)
 }
--- a/crates/thistlesill-policy/src/edge/life.rs
+++ b/crates/thistlesill-policy/src/edge/life.rs
@@ -13,6 +13,9 @@
 /// How long something that a target sent shows that it goes on: the usual time between two events
 /// of all the streams at a target.
 const SIGN_VALIDITY: Millis = Millis::new(50);
+/// How long a check that was not answered holds a request back; a check may fail for want of
+/// processor time here.
+const CHECK_VALIDITY: Millis = Millis::new(300);
 /// How long a check that was not answered speaks against a target.
 const FAILURE_VALIDITY: Millis = Millis::new(1_000);
 
@@ -46,6 +49,8 @@
     opened: Millis,
     /// `None` while the check is under way.
     outcome: Option<CheckOutcome>,
+    /// When the last check of the target began that it answered.
+    answered: Option<Millis>,
 }
 
 /// The last check of each target.
@@ -57,9 +62,11 @@
 impl Checks {
     /// Records that a check begins at `now`.
     pub fn begin(&mut self, id: &TargetId, now: Millis) {
+        let answered = self.by_target.get(id).and_then(|check| check.answered);
         let check = Check {
             opened: now,
             outcome: None,
+            answered,
         };
         self.by_target.insert(id.clone(), check);
     }
@@ -69,9 +76,19 @@
         let check = self.by_target.get_mut(id);
         if let Some(check) = check.filter(|check| check.opened == opened) {
             check.outcome = Some(outcome);
+            if outcome == CheckOutcome::Answers {
+                check.answered = Some(opened);
+            }
         }
     }
 
+    /// Returns whether a target has answered a check that began at `since` or later.
+    #[must_use]
+    pub fn has_answered_since(&self, id: &TargetId, since: Millis) -> bool {
+        let check = self.by_target.get(id);
+        check.is_some_and(|check| check.answered.is_some_and(|at| at >= since))
+    }
+
     /// Returns the state of a check of a target that began at `since` or later.
     #[must_use]
     pub fn state(&self, id: &TargetId, since: Millis) -> CheckState {
@@ -107,6 +124,12 @@
     now - SIGN_VALIDITY
 }
 
+/// Returns since when a check shows whether a target has read a request that was sent at `sent`.
+#[must_use]
+pub fn checks_since(sent: Millis, now: Millis) -> Millis {
+    sent.max(now - CHECK_VALIDITY)
+}
+
 /// Returns whether a target that has been silent for this time may stand still, so that it will read
 /// what it was sent; `outcome` is that of a check since then.
 ///
--- a/crates/thistlesill-policy/tests/edge/life.rs
+++ b/crates/thistlesill-policy/tests/edge/life.rs
@@ -2,7 +2,7 @@
 
 use thistlesill_core::Millis;
 use thistlesill_core::edge::TargetId;
-use thistlesill_policy::edge::life::{CheckOutcome, CheckState, Checks};
+use thistlesill_policy::edge::life::{CheckOutcome, CheckState, Checks, checks_since};
 
 const NOW: Millis = Millis::new(10_000);
 
@@ -44,3 +44,23 @@
     assert!(!checks.speak_against(&id, after(100), after(200)));
     assert!(!checks.speak_against(&id, Millis::ZERO, after(2_000)));
 }
+
+/// A target that had read a request and then stood still kept it.
+#[test]
+fn an_answered_check_counts_after_a_later_one_failed() {
+    let (mut checks, id) = (Checks::default(), TargetId::from("a"));
+    checks.begin(&id, NOW);
+    checks.end(&id, NOW, CheckOutcome::Answers);
+    checks.begin(&id, after(400));
+    checks.end(&id, after(400), CheckOutcome::Silent);
+    assert!(checks.has_answered_since(&id, NOW));
+    assert!(!checks.has_answered_since(&id, after(1)));
+}
+
+/// One check that failed for want of processor time held a request for as long as targets stand
+/// still, although its target had read it.
+#[test]
+fn a_failed_check_holds_a_request_for_a_short_time() {
+    assert_eq!(checks_since(NOW, after(200)), NOW);
+    assert_eq!(checks_since(NOW, after(700)), after(400));
+}
