fix(policy): a loss that is noticed late is no failed trial

Cause: after a verdict and its second of withholding, any further loss raised the level, though no trial had begun. A daemon that had been suspended noticed 1.3 s late that a stream of before the verdict had broken off, and the request was withheld for 120 s.

Change: once there is a verdict, only the loss of a trial raises it.

--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -297,8 +297,9 @@
         let record = self.records.entry(print).or_default();
         record.count_lost(target, now);
         record.expires_at = record.expires_at.max(now + LOSS_RETENTION);
-        if record.is_withheld(now) && !record.trial {
-            // The request was sent before the verdict was known.
+        if record.level > 0 && !record.trial {
+            // The request was sent before the verdict was known, and its loss is noticed late: only
+            // a trial may be sent after one, also once the request is no longer withheld.
             return None;
         }
         if record.level == 0 && record.counted().count() < LOSSES_UNTIL_WITHHELD {
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -402,3 +402,15 @@
         assert!(left > Millis::new(90_000), "withheld for {left}");
     }
 }
+
+/// A loss from before the verdict that a daemon noticed after a second, once it had been suspended,
+/// counted as a trial that failed: a sound request was withheld for two minutes.
+#[test]
+fn a_loss_that_is_noticed_late_is_no_trial() {
+    let (mut known, verdict) = lost(print(1), 0..3);
+    assert!(verdict.is_some_and(|v| v.level == 1));
+    let late = after(1_500);
+    assert_eq!(known.status(print(1), late), QuarantineStatus::Trial);
+    assert_eq!(known.note_lost(print(1), &target(3), late), None);
+    assert_eq!(known.status(print(1), late), QuarantineStatus::Trial);
+}
