feat(edge): a stream that ends says why it was requested nowhere else

broke_off did not tell a lack of ways from a retry budget that is used up, and repeat_sent printed the age of a target that was never heard as 1,000,025,563 ms.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -262,15 +262,16 @@
 }
 
 /// Logs and counts a request that is sent to a further target, with the budget that covers it and
-/// the time since that target last sent something here.
+/// the time since that target last sent something here, if it has.
 fn log_repeat(job: &Job, target: &Target, payer: Payer) {
     let edge = &job.edge;
     metrics::counter!("thistlesill_edge_repeats_total", "payer" => payer.name()).increment(1);
-    let seen = edge.now() - edge.loads.borrow().progress(&target.id);
+    let progress = edge.loads.borrow().progress(&target.id);
+    let seen = (progress > Millis::ZERO).then(|| (edge.now() - progress).get());
     let line = edge.lines.line("repeat_sent").with("id", &job.head.id);
     line.with("target", &target.id)
         .with("payer", payer.name())
-        .with("seen_ms", seen.get())
+        .maybe("seen_ms", seen)
         .write();
 }
 
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -85,6 +85,47 @@
     Late,
 }
 
+/// Why the rest of a stream cannot be requested from another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    /// The target has the request, and others are reached no better.
+    Waiting,
+    /// No attempt is left, or no retry budget covers it.
+    Spent,
+    /// Neither this daemon nor a peer reaches the targets.
+    NoWay,
+    /// No target takes the request now.
+    NoTarget,
+    /// The request is withheld.
+    Withheld,
+    /// The target or peer that was asked answered with a failure.
+    Refused,
+}
+
+impl Obstacle {
+    /// Returns the reason in the request's log line.
+    const fn text(self) -> &'static str {
+        match self {
+            Self::Waiting => "its target may go on",
+            Self::Spent => "no attempt is left or no retry budget covers it",
+            Self::NoWay => "neither this daemon nor a peer reaches the targets",
+            Self::NoTarget => "no target takes the rest of the stream",
+            Self::Withheld => "the request is withheld",
+            Self::Refused => "the rest of the stream was answered with a failure",
+        }
+    }
+
+    /// Returns the outcome of a stream that ends for this reason.
+    const fn outcome(self) -> &'static str {
+        match self {
+            Self::Withheld => ErrorKind::Withheld.name(),
+            Self::Waiting | Self::Spent | Self::NoWay | Self::NoTarget | Self::Refused => {
+                "broke_off"
+            }
+        }
+    }
+}
+
 /// A stream in progress.
 struct Relay {
     job: Rc<Job>,
@@ -292,30 +333,44 @@
             self.source = None;
             self.cutter.drop_partial();
         }
-        let can_leave = self.source.is_none() || forward::may_leave_target(&self.job);
-        let mut retry = can_leave && self.may_go_on();
-        let mut outcome = "broke_off";
-        while retry {
+        let Err(obstacle) = self.request_rest(reason).await else {
+            return Ok(());
+        };
+        if self.source.is_some() && !self.can_caller_resume() {
+            self.stay = true;
+            return Ok(());
+        }
+        self.track.with_reason(obstacle.text());
+        Err(self.break_off(obstacle.outcome()))
+    }
+
+    /// Requests the rest of the stream from another target or through a peer, until one sends it or
+    /// no further attempt can be made; returns why not.
+    async fn request_rest(&mut self, reason: &str) -> Result<(), Obstacle> {
+        if self.source.is_some() && !forward::may_leave_target(&self.job) {
+            return Err(Obstacle::Waiting);
+        }
+        if !self.may_go_on() {
+            return Err(Obstacle::Spent);
+        }
+        loop {
             let job = self.job.clone();
             let way = forward::way(&job, &self.tried.peers);
             if way == Way::Direct && quarantine::withheld(&job).is_some() {
                 self.track.withheld(job.fingerprint());
-                outcome = ErrorKind::Withheld.name();
-                break;
+                return Err(Obstacle::Withheld);
             }
             let mut end = match way {
                 Way::Direct => self.try_target().await,
                 Way::Peer(peer) => Some(self.try_peer(peer).await),
-                Way::Nowhere => break,
+                Way::Nowhere => return Err(Obstacle::NoWay),
             };
             if end.is_none()
                 && let Some(peer) = forward::peer_for_doubted(&job, &self.tried.peers).await
             {
                 end = Some(self.try_peer(peer).await);
             }
-            let Some((destination, end)) = end else {
-                break;
-            };
+            let (destination, end) = end.ok_or(Obstacle::NoTarget)?;
             match end {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.targets.first().cloned().unwrap_or_default();
@@ -330,19 +385,16 @@
                     self.stay = false;
                     return Ok(());
                 }
-                Ok(_) => break,
+                Ok(_) => return Err(Obstacle::Refused),
                 Err(failure) => {
                     let attempts = &mut self.attempts;
                     let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
-                    retry = next == NextStep::Retry;
+                    if next != NextStep::Retry {
+                        return Err(Obstacle::Spent);
+                    }
                 }
             }
         }
-        if self.source.is_some() && !self.can_caller_resume() {
-            self.stay = true;
-            return Ok(());
-        }
-        Err(self.break_off(outcome))
     }
 
     /// Returns whether a caller that is cut off can resume the stream at once at another daemon,
