test(edge): lost peers, dead entries, heads cut off and odd entries

Odd entries (nesting, numbers, ports) in four tables end no daemon: that test passes on the code before.

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -8,6 +8,10 @@
 mod calls;
 #[path = "it/crowded.rs"]
 mod crowded;
+#[path = "it/cut_heads.rs"]
+mod cut_heads;
+#[path = "it/dead_entries.rs"]
+mod dead_entries;
 #[path = "it/deadlines.rs"]
 mod deadlines;
 #[path = "it/evacuation.rs"]
@@ -26,6 +30,8 @@
 mod limits;
 #[path = "it/lines.rs"]
 mod lines;
+#[path = "it/lost_peers.rs"]
+mod lost_peers;
 #[path = "it/owners.rs"]
 mod owners;
 #[path = "it/partitions.rs"]
--- /dev/null
+++ b/crates/thistlesill-edge/tests/it/lost_peers.rs
@@ -0,0 +1,129 @@
+//! Requests that were passed to a peer which is lost, or which fails with them.
+
+use std::time::Duration;
+
+use thistlesill_net::lane::ConnectionError;
+use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
+use thistlesill_platform_standin::link::LinkFault;
+use thistlesill_platform_standin::targets::{EVENTS, Fault};
+use thistlesill_platform_standin::world::{Size, World};
+use tokio::task::JoinHandle;
+
+use crate::support::{place, read, send_through, sleep, stream};
+
+/// The daemon that loses its links; the others are its peers.
+const CUT: usize = 0;
+/// The only peer in its data centre, which gets its requests.
+const PEER: usize = 2;
+/// Number of requests that are in progress when the peer is lost.
+const REQUESTS: usize = 8;
+
+async fn start(net: u8) -> World {
+    let (program, folder) = place(net);
+    World::start_sized(program, &folder, net, Size::with_many_groups(3)).await
+}
+
+/// Returns the places of the targets that a request has reached, in the order of the links.
+fn places_of(world: &World, id: &str) -> Vec<usize> {
+    let arrivals = world.targets.ledger.arrivals();
+    let reached = arrivals.iter().filter(|arrival| arrival.id == id);
+    let places = reached.map(|a| a.instance.as_str().trim_start_matches("i-").parse());
+    places.map(|place| place.expect("an engine")).collect()
+}
+
+/// Waits until a request has reached `count` targets; returns whether it did so in time.
+async fn wait_for_arrivals(world: &World, id: &str, count: usize) -> bool {
+    for _ in 0..150 {
+        if places_of(world, id).len() >= count {
+            return true;
+        }
+        sleep(20).await;
+    }
+    false
+}
+
+/// Its first target stands still, and the peer that requests the rest has sent it to a second one in
+/// vain. The daemon then sent it to a third one itself, where the route allows two.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resume_that_fails_at_a_peer_counts_as_no_attempt() {
+    let world = start(193).await;
+    let request = stream("resumed").deadline(Duration::from_secs(8));
+    let address = world.daemons[CUT].caller_address();
+    let running = tokio::spawn(async move { call(address, &request).await });
+    assert!(wait_for_arrivals(&world, "resumed", 1).await);
+    let first = places_of(&world, "resumed")[0];
+    world.targets.pause_only(&[first]);
+    world.set_engine_fault(CUT, LinkFault::ResetNew);
+    let others = (0..world.engine_count()).filter(|place| *place != first);
+    let others: Vec<String> = others.map(|place| format!("i-{place:03}")).collect();
+    for other in &others {
+        world.targets.set_fault(other, Fault::FullUnclearLate);
+    }
+    assert!(wait_for_arrivals(&world, "resumed", 2).await, "no resume");
+    // The links are restored before the peer has its answer.
+    world.set_engine_fault(CUT, LinkFault::None);
+    for other in &others {
+        world.targets.set_fault(other, Fault::None);
+    }
+    sleep(3_000).await;
+    world.targets.pause_only(&[]);
+    let got = running.await.expect("the task ends").expect("an answer");
+    let reached = places_of(&world, "resumed");
+    assert_eq!(reached.len(), world.attempts(), "{reached:?}");
+    assert!(got.status == 200 && got.is_complete, "{got:?}");
+}
+
+/// Sends requests to the daemon that is cut off from the targets, which passes them to its peer.
+async fn start_requests(
+    world: &World,
+    ask: fn(&str) -> CallerRequest,
+) -> Vec<JoinHandle<Result<CallerAnswer, ConnectionError>>> {
+    send_through(world, &[CUT], 20, Duration::from_secs(1), ask).await;
+    let address = world.daemons[CUT].caller_address();
+    let start = |number: usize| {
+        let request = ask(&format!("passed-{number}"));
+        tokio::spawn(async move { call(address, &request).await })
+    };
+    (0..REQUESTS).map(start).collect()
+}
+
+/// Lets all targets stand still for 1.1 s. In that time the links of the cut daemon are given back,
+/// and its peer is killed.
+async fn lose_peer_in_standstill(world: &mut World) {
+    let all: Vec<usize> = (0..world.targets.links.len()).collect();
+    world.targets.pause_only(&all);
+    world.set_target_fault(CUT, LinkFault::None);
+    sleep(700).await;
+    world.daemons[PEER].kill().await;
+    world.daemons[PEER].start();
+    sleep(400).await;
+    world.targets.pause_only(&[]);
+}
+
+/// The stream ended at once with seconds left, since at that moment no daemon reached the targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_lost_with_its_peer_while_all_targets_stand_still() {
+    let mut world = start(194).await;
+    world.set_target_fault(CUT, LinkFault::Reset);
+    let requests = start_requests(&world, stream).await;
+    sleep(60).await;
+    lose_peer_in_standstill(&mut world).await;
+    for request in requests {
+        let got = request.await.expect("the task ends").expect("an answer");
+        assert!(got.status == 200 && got.is_complete, "{got:?}");
+        assert_eq!(got.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    }
+}
+
+/// A request whose peer was lost ended with an error at once, although targets only stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_fails_with_its_peer_while_all_targets_stand_still() {
+    let mut world = start(195).await;
+    world.set_target_fault(CUT, LinkFault::Reset);
+    let requests = start_requests(&world, read).await;
+    lose_peer_in_standstill(&mut world).await;
+    for request in requests {
+        let got = request.await.expect("the task ends").expect("an answer");
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -70,6 +70,127 @@
     assert!(refused.iter().all(|line| line.len() < 400), "{refused:?}");
 }
 
+/// Entries of plain targets and of engines that are nested deeply, or hold a number or port that is
+/// out of range.
+fn odd_entries() -> Vec<String> {
+    let nested = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let address = r#""address":"127.6.71.9:9""#;
+    let plain =
+        |fields: &str| format!(r#"{{"service":"{PLAIN}","zone":"h","state":"ready",{fields}}}"#);
+    let engine = |fields: &str| {
+        let service = format!(r#""service":"{POOL}","zone":"h","state":"ready""#);
+        format!(
+            r#"{{{service},{address},"slots":1,"models":[],"domain":"d","staged":[],{fields}}}"#
+        )
+    };
+    let mut entries = Vec::new();
+    for depth in [100, 1_000, 50_000] {
+        entries.push(nested(depth));
+        entries.push(r#"{"a":"#.repeat(depth) + "1" + &"}".repeat(depth));
+        entries.push(plain(&format!(
+            r#"{address},"slots":6,"more":{}"#,
+            nested(depth)
+        )));
+    }
+    for port in ["99999", "65536", "-1", "0", "4294967376"] {
+        entries.push(plain(&format!(r#""address":"127.0.0.1:{port}","slots":6"#)));
+        entries.push(plain(&format!(r#""address":"[::1]:{port}","slots":6"#)));
+    }
+    let numbers = [
+        "-1",
+        "1e30",
+        "1e999",
+        "4294967296",
+        "18446744073709551615",
+        "1e308",
+    ];
+    for number in numbers
+        .into_iter()
+        .chain(["123456789012345678901234", "0.5", "NaN"])
+    {
+        entries.push(plain(&format!(r#"{address},"slots":{number}"#)));
+        entries.push(plain(&format!(
+            r#"{address},"slots":6,"coldRemainingMs":{number}"#
+        )));
+        entries.push(plain(&format!(r#"{address},"slots":6,"born":{number}"#)));
+        entries.push(plain(&format!(r#"{address},"slots":6,"seq":{number}"#)));
+        for field in ["epoch", "rank"] {
+            let (epoch, rank) = if field == "epoch" {
+                (number, "0")
+            } else {
+                ("1", number)
+            };
+            let group = format!(r#"{{"name":"g","epoch":{epoch},"rank":{rank},"state":"open"}}"#);
+            entries.push(engine(&format!(r#""group":{group}"#)));
+        }
+    }
+    entries
+}
+
+/// One such entry ended the daemons that read it, or kept them from following the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_of_another_writer_ends_the_daemons_that_read_it() {
+    let mut world = world(199, DAEMONS as u8).await;
+    for table in ["daemons", "halls", "op", "servers"] {
+        for (number, entry) in odd_entries().iter().enumerate() {
+            let key = format!("odd-{number}");
+            world.store.put_bytes(table, &key, entry.as_bytes());
+            if number % 10 == 0 {
+                // Some of them arrive as changes, some with the whole table.
+                sleep(30).await;
+                world.store.compact();
+            }
+        }
+    }
+    sleep(1_000).await;
+    for daemon in &mut world.daemons {
+        assert!(daemon.is_running(), "{} ended", daemon.name);
+    }
+    for (number, _) in odd_entries().iter().enumerate() {
+        world.store.remove("servers", &format!("odd-{number}"));
+    }
+    world.targets.leave("p-0");
+    sleep(1_500).await;
+    assert_all_serve(&world, "followed").await;
+    for daemon in 0..DAEMONS {
+        let starts = world.log_lines(daemon, "ev=start ").len();
+        assert_eq!(starts, 1, "daemon {daemon} started again");
+        let id = format!("followed-plain-{daemon}");
+        let runs = world.targets.ledger.runs(&id);
+        assert!(runs.iter().all(|r| r.target.as_str() == "p-1"), "{runs:?}");
+    }
+}
+
+/// Keys that mean something else in a query unless they are encoded.
+const ODD_KEYS: [&str; 6] = [
+    "f-&from=z",
+    "f-#",
+    "f-%41%",
+    "f-+ \u{1}\u{7f}",
+    "f-ü\u{1F600}",
+    "f-?\"\\",
+];
+
+/// The list of targets is read in pages, the next one from the last key of the one before. After a key
+/// with special characters the rest was never read.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_with_an_odd_key_hides_the_targets_after_it() {
+    for (net, key) in (206..).zip(ODD_KEYS) {
+        let mut world = world(net, 1).await;
+        // One page has 500 rows: the entries of the targets follow these.
+        for number in 0..499 {
+            let key = format!("a-{number:03}");
+            world.store.put_bytes("servers", &key, b"{}");
+        }
+        world.store.put_bytes("servers", key, b"{}");
+        world.daemons[0].kill().await;
+        world.daemons[0].start();
+        sleep(1_500).await;
+        let got = ask(&world, 0, read("after")).await;
+        assert_eq!(got.status, 200, "{key:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_turned_into_garbage_takes_its_target_out_on_every_daemon() {
     let mut world = world(72, DAEMONS as u8).await;
