fix(edge): what a peer sent in vain counts towards the attempts

Callers' requests reached three targets where their route allows two (BUDGET): a stream stands still, its daemon requests the rest through a peer, that sends it to a second target and ends it with an error; the daemon then sent it to a third one. The number that a peer reports was added for successes and declined requests only, not for failures; nor was it for plain answers whose body breaks off.

a_resume_that_fails_at_a_peer_counts_as_no_attempt: 3 targets before, 2 now.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    /// Creates the failure of an answer of which the body did not arrive whole.
+    pub(crate) fn of_answer(answered: &Answered, outcome: Outcome, reason: &impl ToString) -> Self {
+        Self {
+            further: answered.sent.saturating_sub(1),
+            ..Self::new(outcome, reason)
+        }
+    }
+
     /// Attributes the failure to the connection if an earlier request used it, and closes the idle
     /// connections to the target, which may have the same fault.
     fn on_connection(self, job: &Job, target: &Target, reused: bool) -> Self {
--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -69,13 +69,11 @@
                 let phase = AnswerPhase::Starting(began);
                 quarantine::note_lost(job, target, phase, "the answer broke off");
             }
-            return Err(Failure::new(Outcome::MayHaveRun, &error));
+            return Err(Failure::of_answer(&answered, Outcome::MayHaveRun, &error));
         }
         None => {
-            return Err(Failure::new(
-                Outcome::Late,
-                &"the answer did not end in time",
-            ));
+            let reason = "the answer did not end in time";
+            return Err(Failure::of_answer(&answered, Outcome::Late, &reason));
         }
     };
     Ok(finish(job, answered, began, body, track))
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -385,7 +385,10 @@
                     self.stay = false;
                     return Ok(());
                 }
-                Ok(_) => return Err(Obstacle::Refused),
+                Ok(answered) => {
+                    self.attempts.sent += answered.sent;
+                    return Err(Obstacle::Refused);
+                }
                 Err(failure) => {
                     let attempts = &mut self.attempts;
                     let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
