fix(edge): a stream whose peer is lost waits for targets that stand still

Callers' streams ended at once, with seconds left, when the peer that their daemon had passed them to was killed while all targets stood still (LOST): at that moment neither the daemon nor a peer reached the targets, so there was no way for the rest. Targets went on a moment later, and the caller could not have resumed the stream elsewhere either. Reads ended with 502 in the same way.

A stream without a source is requested again every 100 ms until its deadline, as long as there is no way or the targets show no sign of life. A request that was sent does so while links are silent. A peer that has just declined is no daemon where a caller can resume. Requests of peers end as before, so that the daemon before may find a way.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -34,6 +34,8 @@
 const PEER_BACKOFF: Millis = Millis::new(500);
 /// Number of peers that a request is passed to at most.
 const MAX_PEERS: usize = 3;
+/// Time after which a request that could be sent nowhere is tried again.
+const RETRY_INTERVAL: Millis = Millis::new(100);
 /// Interval between two checks whether a peer is alive or may take a request.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -132,6 +134,31 @@
     }
 }
 
+/// Waits until a request that could be sent nowhere may be tried again: after a moment, and once
+/// there is a way to the targets. Returns whether its deadline has not passed by then.
+pub(crate) async fn wait_to_try_again(job: &Job, tried: &[NodeId]) -> bool {
+    let edge = &job.edge;
+    loop {
+        let next = edge.now() + RETRY_INTERVAL;
+        edge.alarm.sleep_until(next.min(job.due)).await;
+        if job.is_over() {
+            return false;
+        }
+        if way(job, tried) != Way::Nowhere {
+            return true;
+        }
+    }
+}
+
+/// Returns whether a request that was sent, and that has no way now, waits for one: targets that
+/// accept connections may go on in a moment. A peer's request does not, since the peer may have
+/// another way.
+pub(crate) fn may_wait_for_way(job: &Job, attempts: Attempts) -> bool {
+    let (edge, service) = (&job.edge, &job.admission.service.name);
+    let is_silent = edge.links.state(service, edge.now()) == LinkState::Silent;
+    job.hop.is_none() && attempts.sent > 0 && is_silent
+}
+
 /// Draws a live peer that reaches the targets of a service, of the same data centre if there is
 /// one: traffic between data centres is expensive.
 fn pick_peer(edge: &Edge, service: &ServiceName, tried: &[NodeId]) -> Option<NodeId> {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -175,6 +175,12 @@
         let mut end = match way {
             Way::Direct => try_target(&job, &mut tried, attempts, &mut track).await,
             Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, &mut track).await,
+            Way::Nowhere if forward::may_wait_for_way(&job, attempts) => {
+                if !forward::wait_to_try_again(&job, &tried.peers).await {
+                    return track.refuse(ErrorKind::LateAnswer, None);
+                }
+                continue;
+            }
             Way::Nowhere => {
                 let kind = unreached_error(attempts);
                 return track.refuse(kind, Some(MIN_RETRY_AFTER));
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -94,6 +94,8 @@
     Spent,
     /// Neither this daemon nor a peer reaches the targets.
     NoWay,
+    /// The targets that were tried accept no connection, or show no sign of life.
+    Unsent,
     /// No target takes the request now.
     NoTarget,
     /// The request is withheld.
@@ -109,6 +111,7 @@
             Self::Waiting => "its target may go on",
             Self::Spent => "no attempt is left or no retry budget covers it",
             Self::NoWay => "neither this daemon nor a peer reaches the targets",
+            Self::Unsent => "the targets that were tried take no request",
             Self::NoTarget => "no target takes the rest of the stream",
             Self::Withheld => "the request is withheld",
             Self::Refused => "the rest of the stream was answered with a failure",
@@ -119,11 +122,30 @@
     const fn outcome(self) -> &'static str {
         match self {
             Self::Withheld => ErrorKind::Withheld.name(),
-            Self::Waiting | Self::Spent | Self::NoWay | Self::NoTarget | Self::Refused => {
-                "broke_off"
-            }
+            Self::Waiting
+            | Self::Spent
+            | Self::NoWay
+            | Self::Unsent
+            | Self::NoTarget
+            | Self::Refused => "broke_off",
         }
     }
+
+    /// Returns whether the rest of the stream may be requested after a while.
+    const fn is_passing(self) -> bool {
+        matches!(self, Self::NoWay | Self::Unsent)
+    }
+}
+
+/// What follows when the rest of a stream cannot be requested elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// The stream goes on if its silent source does.
+    Stay,
+    /// The rest is requested again after a while.
+    Wait,
+    /// The stream ends.
+    End,
 }
 
 /// A stream in progress.
@@ -333,15 +355,42 @@
             self.source = None;
             self.cutter.drop_partial();
         }
-        let Err(obstacle) = self.request_rest(reason).await else {
-            return Ok(());
-        };
-        if self.source.is_some() && !self.can_caller_resume() {
-            self.stay = true;
-            return Ok(());
+        loop {
+            let Err(obstacle) = self.request_rest(reason).await else {
+                return Ok(());
+            };
+            match self.after(obstacle) {
+                Next::Stay => {
+                    self.stay = true;
+                    return Ok(());
+                }
+                Next::Wait => {
+                    if !forward::wait_to_try_again(&self.job, &self.tried.peers).await {
+                        return Err(self.break_off("late_answer"));
+                    }
+                }
+                Next::End => {
+                    self.track.with_reason(obstacle.text());
+                    return Err(self.break_off(obstacle.outcome()));
+                }
+            }
+        }
+    }
+
+    /// Decides what follows when the rest of the stream cannot be requested elsewhere.
+    ///
+    /// A stream that has no source left waits for targets that all stand still. One that a peer passed
+    /// on ends, since that peer may have another way.
+    fn after(&self, obstacle: Obstacle) -> Next {
+        if self.can_caller_resume() {
+            Next::End
+        } else if self.source.is_some() {
+            Next::Stay
+        } else if obstacle.is_passing() && self.job.hop.is_none() {
+            Next::Wait
+        } else {
+            Next::End
         }
-        self.track.with_reason(obstacle.text());
-        Err(self.break_off(obstacle.outcome()))
     }
 
     /// Requests the rest of the stream from another target or through a peer, until one sends it or
@@ -350,9 +399,13 @@
         if self.source.is_some() && !forward::may_leave_target(&self.job) {
             return Err(Obstacle::Waiting);
         }
+        if forward::way(&self.job, &self.tried.peers) == Way::Nowhere {
+            return Err(Obstacle::NoWay);
+        }
         if !self.may_go_on() {
             return Err(Obstacle::Spent);
         }
+        self.attempts.unsent = 0;
         loop {
             let job = self.job.clone();
             let way = forward::way(&job, &self.tried.peers);
@@ -392,8 +445,10 @@
                 Err(failure) => {
                     let attempts = &mut self.attempts;
                     let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
-                    if next != NextStep::Retry {
-                        return Err(Obstacle::Spent);
+                    match (failure.outcome, next) {
+                        (_, NextStep::Retry) => {}
+                        (Outcome::NotSent, _) => return Err(Obstacle::Unsent),
+                        _ => return Err(Obstacle::Spent),
                     }
                 }
             }
@@ -403,8 +458,13 @@
     /// Returns whether a caller that is cut off can resume the stream at once at another daemon,
     /// while this one does not reach the target.
     fn can_caller_resume(&self) -> bool {
-        let (edge, service) = (&self.job.edge, &self.job.admission.service.name);
-        edge.links.state(service, edge.now()) == LinkState::Down && edge.is_reached_by_peer(service)
+        let job = &self.job;
+        let (edge, service) = (&job.edge, &job.admission.service.name);
+        let is_reached = || match job.hop {
+            Some(_) => edge.is_reached_by_peer(service),
+            None => forward::is_possible(job),
+        };
+        edge.links.state(service, edge.now()) == LinkState::Down && is_reached()
     }
 
     /// Records what the end of the source says of its target.
