fix(edge): dead targets beside sound ones are no loss of the own links

Callers got 503 at once while two sound targets stood idle: 1 of 641 reads served with sixteen entries beside them whose ports refuse connections, by another writer or left by targets that crashed. Three refused connections without an answer between them counted as a loss of the daemon's own links; that cleared the suspicions of all targets, and checks of three among eighteen hardly ever met the two sound ones in a row.

The eight targets that were heard last, on any connection, must have failed as well, and are checked at once when three others have failed. A failed check does not refute answers to checks that began with it.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -101,6 +101,8 @@
     pub(crate) answer: Option<Box<Answered>>,
     /// Whether only the connection may be at fault, so that the same target may be tried again.
     pub(crate) by_connection: bool,
+    /// Whether the target's machine refused the connection, which takes no time.
+    pub(crate) refused: bool,
     /// Number of targets that a peer sent the request to, beyond the one that the outcome tells of.
     pub(crate) further: u32,
 }
@@ -112,6 +114,7 @@
             reason: reason.to_string(),
             answer: None,
             by_connection: false,
+            refused: false,
             further: 0,
         }
     }
@@ -265,7 +268,10 @@
     taken.map_err(|error| {
         reach::note_failure(edge, target, begun, reach::failure_kind(&error));
         edge.suspect(&target.id, "no connection");
-        Failure::new(Outcome::NotSent, &error)
+        Failure {
+            refused: error == ConnectionError::Refused,
+            ..Failure::new(Outcome::NotSent, &error)
+        }
     })
 }
 
@@ -340,11 +346,8 @@
     };
     if status.is_server_error() {
         return Err(Failure {
-            outcome: Outcome::Failed,
-            reason: status.to_string(),
             answer: Some(Box::new(answered)),
-            by_connection: false,
-            further: 0,
+            ..Failure::new(Outcome::Failed, &status)
         });
     }
     Ok(answered)
--- a/crates/thistlesill-edge/src/choice.rs
+++ b/crates/thistlesill-edge/src/choice.rs
@@ -235,9 +235,25 @@
         if !self.with_budget(&query.service.name, |budget| budget.has_retry()) {
             return Vec::new();
         }
-        let (registry, loads, now) = (self.registry.borrow(), self.loads.borrow(), self.now());
-        let usable = |t: &&Target| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now);
-        query.untried(&registry).filter(usable).cloned().collect()
+        let registry = self.registry.borrow();
+        self.sound_targets(query, &registry).cloned().collect()
+    }
+
+    /// Returns whether there is an untried target that has not just failed and may get a request now.
+    pub(crate) fn has_sound_target(&self, query: &TargetQuery<'_>) -> bool {
+        let registry = self.registry.borrow();
+        self.sound_targets(query, &registry).next().is_some()
+    }
+
+    /// Returns the untried targets that have not just failed and may get a request now.
+    fn sound_targets<'a>(
+        &'a self,
+        query: &'a TargetQuery<'_>,
+        registry: &'a TargetRegistry,
+    ) -> impl Iterator<Item = &'a Target> {
+        let (loads, now) = (self.loads.borrow(), self.now());
+        let untried = query.untried(registry);
+        untried.filter(move |t| !loads.is_suspect(&t.id, now) && self.is_available(&t.id, now))
     }
 
     /// Returns the untried targets that have just answered no check, or none if all have not.
--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -299,6 +299,13 @@
         self.edge.retry_targets(&self.query(tried))
     }
 
+    /// Returns whether the request can still be answered in time by a target that it was not sent to
+    /// yet and that has not just failed.
+    pub(crate) fn has_sound_target(&self, tried: &[TargetId]) -> bool {
+        let elapsed = self.edge.now() - self.arrived;
+        elapsed < self.admission.route.aim && self.edge.has_sound_target(&self.query(tried))
+    }
+
     /// Returns whether some target serves the request.
     pub(crate) fn is_served(&self) -> bool {
         self.edge.is_served(&self.query(&[]))
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -198,7 +198,7 @@
             }
             AttemptEnd::Failed(failure, destination) => (failure, destination),
         };
-        let next = resolve_failure(&job, &destination, &failure, &mut attempts, &track);
+        let next = resolve_failure(&job, &destination, &failure, &tried, &mut attempts, &track);
         match next {
             // A new connection to the same target may do.
             NextStep::Retry
@@ -336,6 +336,7 @@
     job: &Job,
     destination: &Destination,
     failure: &Failure,
+    tried: &Tried,
     attempts: &mut Attempts,
     track: &Track,
 ) -> NextStep {
@@ -349,7 +350,8 @@
         let withdraw = || job.withdraw_retry();
         let next = next_step(outcome, attempts, job.may_repeat(), allowed, withdraw);
         // What was not sent can go another way, however often connecting failed.
-        if lost && outcome == Outcome::NotSent {
+        let has_way = lost || (failure.refused && job.has_sound_target(&tried.targets));
+        if has_way && outcome == Outcome::NotSent {
             NextStep::Retry
         } else {
             next
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -44,7 +44,8 @@
     checked: RefCell<HashMap<ServiceName, Millis>>,
     /// The last check of each target.
     checks: RefCell<Checks>,
-    /// Services of which enough targets failed for a loss, but none in some data centre.
+    /// Services of which enough targets failed for a loss, but none in some data centre, or not all
+    /// that were heard last.
     undecided: RefCell<HashSet<ServiceName>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
@@ -147,6 +148,7 @@
     let mut services = edge.links.services.borrow_mut();
     let reach = services.entry(target.service.clone()).or_default();
     reach.note_progress(now);
+    reach.note_heard(&target.id);
 }
 
 /// Records that an exchange with a target, which began at `begun`, was broken off or had no answer.
@@ -168,6 +170,13 @@
     let change = {
         let registry = edge.registry.borrow();
         let known = registry.of_service(&target.service);
+        let can_ask = |id: &TargetId| {
+            let listed = known.and_then(|targets| targets.get(id));
+            let now = edge.now();
+            listed.is_some_and(|t| may_be_asked(&registry, t))
+                && !edge.limits.is_limited(id, now)
+                && !edge.backoffs.is_active(id, now)
+        };
         let asked = known.into_iter().flat_map(HashMap::values);
         let asked = asked.filter(|t| may_be_asked(&registry, t));
         let failed = FailedTarget {
@@ -177,6 +186,7 @@
             kind,
         };
         update(edge, &target.service, |reach, now, targets| {
+            reach.retain_heard(can_ask);
             reach.note_failure(failed, now, targets, asked.map(|t| &t.hall))
         })
     };
@@ -313,8 +323,8 @@
     }
 }
 
-/// Checks whether targets answer in data centres where none has failed, after enough others failed
-/// for a loss; never returns.
+/// Checks whether targets answer in data centres where none has failed, and those that were heard
+/// last, after enough others failed for a loss; never returns.
 ///
 /// Streams that go on count for nothing here, since established connections may live on while new
 /// ones are refused.
@@ -411,7 +421,7 @@
 enum Occasion {
     /// One of them failed.
     Doubt,
-    /// Enough of them failed for a loss, but none in some data centre.
+    /// Enough of them failed for a loss, but others have to be asked.
     Undecided,
     /// The links to all of them are lost.
     Loss,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -443,8 +443,10 @@
                     return Err(Obstacle::Refused);
                 }
                 Err(failure) => {
-                    let attempts = &mut self.attempts;
-                    let next = resolve_failure(&job, &destination, &failure, attempts, &self.track);
+                    let (tried, attempts) = (&self.tried, &mut self.attempts);
+                    let track = &self.track;
+                    let next =
+                        resolve_failure(&job, &destination, &failure, tried, attempts, track);
                     match (failure.outcome, next) {
                         (_, NextStep::Retry) => {}
                         (Outcome::NotSent, _) => return Err(Obstacle::Unsent),
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -7,6 +7,10 @@
 //!
 //! Load pattern: one data centre becomes unreachable while another one is evacuated. The targets
 //! that a daemon tries first are all in the unreachable one, and those of the third one are up.
+//!
+//! Load pattern: most targets end at once, and their entries stay for some heartbeats, or another
+//! writer leaves entries of targets that do not exist. A daemon tries these first, and the others
+//! are up. So those that were heard last must have failed, too.
 
 use std::collections::{HashMap, HashSet};
 
@@ -20,6 +24,8 @@
 /// Number of targets that must answer again for lost links to count as restored; fewer if the
 /// service has fewer targets.
 const MIN_ANSWERED: usize = 2;
+/// Number of targets that were heard last and must have failed, too, for links to count as lost.
+const MAX_HEARD: usize = 8;
 /// How long a failure counts.
 const FAILURE_VALIDITY: Millis = Millis::new(2_000);
 /// Number of targets that are asked in one round of checks; more if the service has targets in more
@@ -52,8 +58,8 @@
     Unchanged,
     /// A target failed; it should be checked whether others answer.
     Doubtful,
-    /// Enough targets failed for a loss, but none in some data centre; it should be checked at once
-    /// whether targets there answer.
+    /// Enough targets failed for a loss, but none in some data centre, or not all that were heard last;
+    /// it should be checked at once whether these answer.
     Undecided,
     /// The links to the targets are lost.
     Lost,
@@ -105,6 +111,8 @@
     lost_at: Option<Millis>,
     /// Targets that have answered since the links were lost.
     answered: HashSet<TargetId>,
+    /// The targets that were heard last, the latest first.
+    heard: Vec<TargetId>,
     /// When a target last made progress on a request.
     progress_at: Option<Millis>,
     /// When the last common silence of all targets ended.
@@ -140,6 +148,21 @@
         self.progress_at = Some(now);
     }
 
+    /// Records that a target sent something, also on a connection that has been open for long.
+    pub fn note_heard(&mut self, id: &TargetId) {
+        if let Some(place) = self.heard.iter().position(|heard| heard == id) {
+            self.heard[..=place].rotate_right(1);
+        } else {
+            self.heard.truncate(MAX_HEARD - 1);
+            self.heard.insert(0, id.clone());
+        }
+    }
+
+    /// Forgets that targets were heard that cannot be asked now.
+    pub fn retain_heard(&mut self, can_ask: impl Fn(&TargetId) -> bool) {
+        self.heard.retain(can_ask);
+    }
+
     /// Returns whether a target has made progress on a request a moment ago.
     #[must_use]
     pub fn is_progressing(&self, now: Millis) -> bool {
@@ -210,7 +233,10 @@
         };
         self.failed.insert(failed.id.clone(), failure);
         if self.is_lost() {
-            self.answered.clear();
+            // A failure does not refute the answers to checks that began with it.
+            if !self.has_answered_since(failed.begun) {
+                self.answered.clear();
+            }
             return ReachChange::Unchanged;
         }
         let is_few = self.failed.len() < MIN_FAILED.min(targets);
@@ -218,7 +244,9 @@
             return ReachChange::Doubtful;
         }
         let failed_halls = self.failed_halls();
-        if !halls.into_iter().all(|hall| failed_halls.contains(hall)) {
+        let in_all_halls = halls.into_iter().all(|hall| failed_halls.contains(hall));
+        let all_heard = self.heard.iter().all(|id| self.failed.contains_key(id));
+        if !in_all_halls || !all_heard {
             return ReachChange::Undecided;
         }
         self.lost_at = Some(now);
@@ -240,7 +268,8 @@
     /// Draws the targets to check among those of the service that may be asked.
     ///
     /// The first ones are one of each data centre without a failure, since a loss cannot be told
-    /// before these have failed. Others follow, if possible those that did not fail.
+    /// before these have failed; for the same reason, once enough targets have failed, all that were
+    /// heard last. Others follow, if possible those that did not fail.
     pub fn draw_checks<'a>(
         &self,
         targets: impl IntoIterator<Item = &'a Target>,
@@ -248,8 +277,10 @@
     ) -> Vec<&'a Target> {
         let mut shuffled: Vec<&'a Target> = targets.into_iter().collect();
         shuffled.shuffle(rng);
+        let asks_heard = self.is_lost() || self.failed.len() >= MIN_FAILED.min(shuffled.len());
         let mut halls = self.failed_halls();
-        let is_first = |target: &&'a Target| halls.insert(&target.hall);
+        let is_heard = |target: &Target| asks_heard && self.heard.contains(&target.id);
+        let is_first = |target: &&'a Target| halls.insert(&target.hall) || is_heard(target);
         let (mut drawn, mut others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_first);
         others.sort_by_key(|target| self.failed.contains_key(&target.id));
         others.truncate(CHECKED_TARGETS.saturating_sub(drawn.len()));
@@ -266,6 +297,7 @@
         now: Millis,
         targets: usize,
     ) -> ReachChange {
+        self.note_heard(id);
         self.answered_at = self.answered_at.max(Some(opened));
         // The answer does not refute what failed on later connections.
         self.failed.retain(|_, failure| failure.begun > opened);
