fix(edge): a target that begins an answer is reached

Callers got 503 as if no target were reached, and reads went nowhere although a sound target was listed, while targets closed connections in the middle of their answers' heads: such an end was taken for one before anything arrived, and three of them without an answer counted as a loss of the daemon's own links. The connection now tells whether a part of a head arrived.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -224,6 +224,7 @@
     match &answer {
         Ok(_) if reused => {}
         Ok(_) => reach::note_answer(edge, target, sent),
+        Err(error) if error.has_reached() && !reused => reach::note_answer(edge, target, sent),
         Err(_) => reach::note_doubt(edge, target, sent),
     }
     match answer {
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -476,6 +476,10 @@
             note_answer(edge, target, opened);
             CheckOutcome::Answers
         }
+        Err(error) if error.has_reached() => {
+            note_answer(edge, target, opened);
+            CheckOutcome::Answers
+        }
         Err(error) => {
             log::debug!("reach: {}: {error}", target.id);
             let kind = failure_kind(&error);
--- a/crates/thistlesill-edge/tests/it/cut_heads.rs
+++ b/crates/thistlesill-edge/tests/it/cut_heads.rs
@@ -27,6 +27,11 @@
 async fn an_answer_whose_head_is_cut_off_looks_whole() {
     let world = world(197, 1).await;
     for (turn, text) in CUTS.into_iter().enumerate() {
+        // Each request adds to the retry budget.
+        for count in 0..30 {
+            let got = ask(&world, 0, read(&format!("before-{turn}-{count}"))).await;
+            assert_eq!(got.status, 200, "{text:?}");
+        }
         cut_heads(&world, 0..10, LinkFault::CutAfter(text));
         let got = ask(&world, 0, book(&format!("once-{turn}"))).await;
         assert_eq!(got.status, 502, "{text:?}: {got:?}");
--- a/crates/thistlesill-net/src/lane.rs
+++ b/crates/thistlesill-net/src/lane.rs
@@ -61,6 +61,12 @@
         /// The cause.
         text: String,
     },
+    /// The server closed the connection within the head of its answer; the request may have arrived.
+    #[snafu(display("the head of the answer broke off: {text}"))]
+    HeadCut {
+        /// The cause.
+        text: String,
+    },
     /// The server sent bytes that are no answer; the request may have arrived.
     #[snafu(display("not an answer: {text}"))]
     Garbled {
@@ -151,6 +157,8 @@
                     ConnectionError::Unsent { text }
                 } else if error.is_parse() {
                     ConnectionError::Garbled { text }
+                } else if !self.budget.is_untouched() {
+                    ConnectionError::HeadCut { text }
                 } else {
                     ConnectionError::Lost { text }
                 })
@@ -195,6 +203,11 @@
     pub const fn is_unsent(&self) -> bool {
         matches!(self, Self::Refused | Self::Unsent { .. })
     }
+
+    /// Returns whether the server has sent something, so that it was reached.
+    pub const fn has_reached(&self) -> bool {
+        matches!(self, Self::HeadCut { .. } | Self::Garbled { .. })
+    }
 }
 
 /// The size to which a connection's read buffer may grow.
--- a/crates/thistlesill-net/src/stream.rs
+++ b/crates/thistlesill-net/src/stream.rs
@@ -38,6 +38,12 @@
         self.0.store(MAX_BYTES, Ordering::Relaxed);
     }
 
+    /// Returns whether nothing has arrived since the count was started.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == MAX_BYTES
+    }
+
     fn is_exhausted(&self) -> bool {
         self.0.load(Ordering::Relaxed) == 0
     }
