--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -161,6 +161,34 @@
     }
 }
 
+/// An engine whose id cannot be sent in a header got an order, and the planner that gave it ended; then
+/// the next one did.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_with_an_odd_id_ends_the_daemon_that_gives_it_orders() {
+    let mut world = world(212, DAEMONS as u8).await;
+    let entry = json!({"service": POOL, "address": "127.6.212.9:9", "zone": "h", "slots": 1,
+        "state": "ready", "born": 1, "models": [], "domain": "odd", "staged": [], "group": null});
+    for number in 0..8 {
+        world
+            .store
+            .put("servers", &format!("x-{number}\u{1}"), &entry);
+        world
+            .store
+            .put("servers", &format!("x-{number}\u{7f}"), &entry);
+    }
+    // All groups of the other domain are lost, so that the planner needs these engines.
+    for (_, members) in world.targets.serving() {
+        world.targets.kill(&members[1]);
+    }
+    sleep(6_000).await;
+    for daemon in &mut world.daemons {
+        assert!(daemon.is_running(), "{} ended", daemon.name);
+    }
+    assert_all_serve(&world, "after").await;
+    let refused = (0..DAEMONS).map(|d| world.log_lines(d, "ev=target_refused").len());
+    assert!(refused.max() >= Some(16), "the entries are refused");
+}
+
 /// Keys that mean something else in a query unless they are encoded.
 const ODD_KEYS: [&str; 6] = [
     "f-&from=z",
