fix(edge): a stream that waits tries targets again that it was not sent to

Streams ended with their peer while all targets of their model stood still and other targets went on, so that links were up: one target after the other showed no sign of life, counted as tried although nothing was sent there, and none was left. What was not sent anywhere may be tried again after 250 ms, targets and peers alike.

a_stream_is_lost_with_its_peer_while_the_targets_of_its_model_stand_still: red 2 of 2 before, green 3 of 3 now.

--- a/crates/thistlesill-edge/src/forward.rs
+++ b/crates/thistlesill-edge/src/forward.rs
@@ -35,7 +35,7 @@
 /// Number of peers that a request is passed to at most.
 const MAX_PEERS: usize = 3;
 /// Time after which a request that could be sent nowhere is tried again.
-const RETRY_INTERVAL: Millis = Millis::new(100);
+const RETRY_INTERVAL: Millis = Millis::new(250);
 /// Interval between two checks whether a peer is alive or may take a request.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -134,20 +134,13 @@
     }
 }
 
-/// Waits until a request that could be sent nowhere may be tried again: after a moment, and once
-/// there is a way to the targets. Returns whether its deadline has not passed by then.
-pub(crate) async fn wait_to_try_again(job: &Job, tried: &[NodeId]) -> bool {
+/// Waits a moment before a request that could be sent nowhere is tried again; returns whether its
+/// deadline has not passed by then.
+pub(crate) async fn wait_to_try_again(job: &Job) -> bool {
     let edge = &job.edge;
-    loop {
-        let next = edge.now() + RETRY_INTERVAL;
-        edge.alarm.sleep_until(next.min(job.due)).await;
-        if job.is_over() {
-            return false;
-        }
-        if way(job, tried) != Way::Nowhere {
-            return true;
-        }
-    }
+    let next = edge.now() + RETRY_INTERVAL;
+    edge.alarm.sleep_until(next.min(job.due)).await;
+    !job.is_over()
 }
 
 /// Returns whether a request that was sent, and that has no way now, waits for one: targets that
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -176,9 +176,12 @@
             Way::Direct => try_target(&job, &mut tried, attempts, &mut track).await,
             Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, &mut track).await,
             Way::Nowhere if forward::may_wait_for_way(&job, attempts) => {
-                if !forward::wait_to_try_again(&job, &tried.peers).await {
+                if !forward::wait_to_try_again(&job).await {
                     return track.refuse(ErrorKind::LateAnswer, None);
                 }
+                // What was not sent may be tried there again.
+                tried = Tried::default();
+                attempts.unsent = 0;
                 continue;
             }
             Way::Nowhere => {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -365,7 +365,10 @@
                     return Ok(());
                 }
                 Next::Wait => {
-                    if !forward::wait_to_try_again(&self.job, &self.tried.peers).await {
+                    // What was not sent may be tried there again.
+                    self.tried = Tried::default();
+                    self.attempts.unsent = 0;
+                    if !forward::wait_to_try_again(&self.job).await {
                         return Err(self.break_off("late_answer"));
                     }
                 }
@@ -405,7 +408,6 @@
         if !self.may_go_on() {
             return Err(Obstacle::Spent);
         }
-        self.attempts.unsent = 0;
         loop {
             let job = self.job.clone();
             let way = forward::way(&job, &self.tried.peers);
@@ -423,7 +425,14 @@
             {
                 end = Some(self.try_peer(peer).await);
             }
-            let (destination, end) = end.ok_or(Obstacle::NoTarget)?;
+            let Some((destination, end)) = end else {
+                let is_unsent = self.attempts.unsent > 0;
+                return Err(if is_unsent {
+                    Obstacle::Unsent
+                } else {
+                    Obstacle::NoTarget
+                });
+            };
             match end {
                 Ok(answered) if answered.status.is_success() => {
                     let from = self.tried.targets.first().cloned().unwrap_or_default();
--- a/crates/thistlesill-edge/tests/it/lost_peers.rs
+++ b/crates/thistlesill-edge/tests/it/lost_peers.rs
@@ -9,6 +9,7 @@
 use thistlesill_platform_standin::world::{Size, World};
 use tokio::task::JoinHandle;
 
+use crate::silent_targets::leaders;
 use crate::support::{place, read, send_through, sleep, stream};
 
 /// The daemon that loses its links; the others are its peers.
@@ -84,9 +85,7 @@
     // Each request adds to the retry budget of its daemon.
     send_through(world, &[0, 1, 2], 60, Duration::from_secs(1), ask).await;
     world.set_target_fault(CUT, LinkFault::Stalled);
-    for number in 0..2 {
-        start_request(world, CUT, ask(&format!("before-{number}")));
-    }
+    start_request(world, CUT, ask("before"));
     for _ in 0..200 {
         if !world.log_lines(CUT, "ev=links_lost").is_empty() {
             break;
@@ -114,17 +113,21 @@
     stream(id).body(id)
 }
 
-/// Lets all targets stand still for 1.4 s, which all daemons notice by a request. In that time the
-/// links of the cut daemon are given back, and its peer is killed.
-async fn lose_peer_in_standstill(world: &mut World, ask: fn(&str) -> CallerRequest) {
-    let all: Vec<usize> = (0..world.targets.links.len()).collect();
-    world.targets.pause_only(&all);
+/// Lets targets stand still for 1.4 s, which all daemons notice by a request. In that time the
+/// links of the cut daemon are given back, and its peer is killed after `ms`.
+async fn lose_peer_in_standstill(
+    world: &mut World,
+    places: &[usize],
+    ms: u64,
+    ask: fn(&str) -> CallerRequest,
+) {
+    world.targets.pause_only(places);
     world.set_target_fault(CUT, LinkFault::None);
     start_request(world, OTHER, ask("during"));
-    sleep(1_000).await;
+    sleep(ms).await;
     world.daemons[PEER].kill().await;
     world.daemons[PEER].start();
-    sleep(400).await;
+    sleep(1_400 - ms).await;
     world.targets.pause_only(&[]);
 }
 
@@ -134,7 +137,28 @@
     let mut world = start(194).await;
     let requests = start_requests(&world, own_stream).await;
     sleep(60).await;
-    lose_peer_in_standstill(&mut world, own_stream).await;
+    let all = all_places(&world);
+    lose_peer_in_standstill(&mut world, &all, 1_000, own_stream).await;
+    assert_whole(requests).await;
+}
+
+/// Other targets went on, so links were up, and the targets of the stream's model were given up one
+/// after the other although they only stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_lost_with_its_peer_while_the_targets_of_its_model_stand_still() {
+    let mut world = start(213).await;
+    let requests = start_requests(&world, own_stream).await;
+    sleep(60).await;
+    let leaders = leaders(&world, 4);
+    lose_peer_in_standstill(&mut world, &leaders, 200, own_stream).await;
+    assert_whole(requests).await;
+}
+
+fn all_places(world: &World) -> Vec<usize> {
+    (0..world.targets.links.len()).collect()
+}
+
+async fn assert_whole(requests: Vec<JoinHandle<Result<CallerAnswer, ConnectionError>>>) {
     for request in requests {
         let got = request.await.expect("the task ends").expect("an answer");
         assert!(got.status == 200 && got.is_complete, "{got:?}");
@@ -147,7 +171,8 @@
 async fn a_read_fails_with_its_peer_while_all_targets_stand_still() {
     let mut world = start(195).await;
     let requests = start_requests(&world, read).await;
-    lose_peer_in_standstill(&mut world, read).await;
+    let all = all_places(&world);
+    lose_peer_in_standstill(&mut world, &all, 1_000, read).await;
     for request in requests {
         let got = request.await.expect("the task ends").expect("an answer");
         assert_eq!(got.status, 200, "{got:?}");
--- a/crates/thistlesill-edge/tests/it/silent_targets.rs
+++ b/crates/thistlesill-edge/tests/it/silent_targets.rs
@@ -156,7 +156,7 @@
 }
 
 /// Places of the leaders that serve a model whose groups have this many members.
-fn leaders(world: &World, members: usize) -> Vec<usize> {
+pub(crate) fn leaders(world: &World, members: usize) -> Vec<usize> {
     let serving = world.targets.serving();
     let groups = serving.iter().filter(|(_, all)| all.len() == members);
     let place = |leader: &str| leader.trim_start_matches("i-").parse();
