--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -3,6 +3,7 @@
 
 mod cutter;
 mod passing;
+mod resume;
 mod stall;
 
 use std::future::pending;
@@ -12,25 +13,22 @@
 use futures_util::stream::{self, Stream};
 use http_body_util::BodyExt;
 use hyper::Response;
+use thistlesill_core::Millis;
 use thistlesill_core::edge::Target;
-use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
-use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, next_step};
-use thistlesill_policy::edge::reach::LinkState;
+use thistlesill_policy::edge::attempt::Attempts;
 use thistlesill_policy::quarantine::AnswerProgress;
 
 use self::cutter::{Added, Cutter};
 pub(crate) use self::passing::forward_plain;
 pub(crate) use self::stall::wait_for_stall;
 use self::stall::wait_for_way;
-use crate::attempt::{Answered, Failure, Origin, attempt};
-use crate::choice::{Choice, Pick};
-use crate::destination::{Destination, Tried};
-use crate::forward::{self, Way};
+use crate::attempt::{Answered, Origin};
+use crate::destination::Tried;
+use crate::forward;
 use crate::job::Job;
-use crate::proxy::resolve_failure;
 use crate::quarantine;
 use crate::reach;
 use crate::reply::{self, Interrupted, OutBody};
@@ -85,69 +83,6 @@
     Late,
 }
 
-/// Why the rest of a stream cannot be requested from another target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Obstacle {
-    /// The target has the request, and others are reached no better.
-    Waiting,
-    /// No attempt is left, or no retry budget covers it.
-    Spent,
-    /// Neither this daemon nor a peer reaches the targets.
-    NoWay,
-    /// The targets that were tried accept no connection, or show no sign of life.
-    Unsent,
-    /// No target takes the request now.
-    NoTarget,
-    /// The request is withheld.
-    Withheld,
-    /// The target or peer that was asked answered with a failure.
-    Refused,
-}
-
-impl Obstacle {
-    /// Returns the reason in the request's log line.
-    const fn text(self) -> &'static str {
-        match self {
-            Self::Waiting => "its target may go on",
-            Self::Spent => "no attempt is left or no retry budget covers it",
-            Self::NoWay => "neither this daemon nor a peer reaches the targets",
-            Self::Unsent => "the targets that were tried take no request",
-            Self::NoTarget => "no target takes the rest of the stream",
-            Self::Withheld => "the request is withheld",
-            Self::Refused => "the rest of the stream was answered with a failure",
-        }
-    }
-
-    /// Returns the outcome of a stream that ends for this reason.
-    const fn outcome(self) -> &'static str {
-        match self {
-            Self::Withheld => ErrorKind::Withheld.name(),
-            Self::Waiting
-            | Self::Spent
-            | Self::NoWay
-            | Self::Unsent
-            | Self::NoTarget
-            | Self::Refused => "broke_off",
-        }
-    }
-
-    /// Returns whether the rest of the stream may be requested after a while.
-    const fn is_passing(self) -> bool {
-        matches!(self, Self::NoWay | Self::Unsent)
-    }
-}
-
-/// What follows when the rest of a stream cannot be requested elsewhere.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Next {
-    /// The stream goes on if its silent source does.
-    Stay,
-    /// The rest is requested again after a while.
-    Wait,
-    /// The stream ends.
-    End,
-}
-
 /// A stream in progress.
 struct Relay {
     job: Rc<Job>,
@@ -342,142 +277,6 @@
         }
     }
 
-    /// Resumes the stream at another target or through a peer, if that is allowed and one can.
-    /// Otherwise keeps waiting for a stalled source, and fails if the source is lost.
-    async fn resume(&mut self, stop: Stop) -> Result<(), Interrupted> {
-        let reason = match stop {
-            Stop::Stalled => "no event for too long",
-            Stop::Endless => "an event does not end",
-            _ => "the stream broke off",
-        };
-        self.note_stop(stop, reason);
-        if stop != Stop::Stalled {
-            self.source = None;
-            self.cutter.drop_partial();
-        }
-        loop {
-            let Err(obstacle) = self.request_rest(reason).await else {
-                return Ok(());
-            };
-            match self.after(obstacle) {
-                Next::Stay => {
-                    self.stay = true;
-                    return Ok(());
-                }
-                Next::Wait => {
-                    // What was not sent may be tried there again.
-                    self.tried = Tried::default();
-                    self.attempts.unsent = 0;
-                    if !forward::wait_to_try_again(&self.job).await {
-                        return Err(self.break_off("late_answer"));
-                    }
-                }
-                Next::End => {
-                    self.track.with_reason(obstacle.text());
-                    return Err(self.break_off(obstacle.outcome()));
-                }
-            }
-        }
-    }
-
-    /// Decides what follows when the rest of the stream cannot be requested elsewhere.
-    ///
-    /// A stream that has no source left waits for targets that all stand still. One that a peer passed
-    /// on ends, since that peer may have another way.
-    fn after(&self, obstacle: Obstacle) -> Next {
-        if self.can_caller_resume() {
-            Next::End
-        } else if self.source.is_some() {
-            Next::Stay
-        } else if obstacle.is_passing() && self.job.hop.is_none() {
-            Next::Wait
-        } else {
-            Next::End
-        }
-    }
-
-    /// Requests the rest of the stream from another target or through a peer, until one sends it or
-    /// no further attempt can be made; returns why not.
-    async fn request_rest(&mut self, reason: &str) -> Result<(), Obstacle> {
-        if self.source.is_some() && !forward::may_leave_target(&self.job) {
-            return Err(Obstacle::Waiting);
-        }
-        if forward::way(&self.job, &self.tried.peers) == Way::Nowhere {
-            return Err(Obstacle::NoWay);
-        }
-        if !self.may_go_on() {
-            return Err(Obstacle::Spent);
-        }
-        loop {
-            let job = self.job.clone();
-            let way = forward::way(&job, &self.tried.peers);
-            if way == Way::Direct && quarantine::withheld(&job).is_some() {
-                self.track.withheld(job.fingerprint());
-                return Err(Obstacle::Withheld);
-            }
-            let mut end = match way {
-                Way::Direct => self.try_target().await,
-                Way::Peer(peer) => Some(self.try_peer(peer).await),
-                Way::Nowhere => return Err(Obstacle::NoWay),
-            };
-            if end.is_none()
-                && let Some(peer) = forward::peer_for_doubted(&job, &self.tried.peers).await
-            {
-                end = Some(self.try_peer(peer).await);
-            }
-            let Some((destination, end)) = end else {
-                let is_unsent = self.attempts.unsent > 0;
-                return Err(if is_unsent {
-                    Obstacle::Unsent
-                } else {
-                    Obstacle::NoTarget
-                });
-            };
-            match end {
-                Ok(answered) if answered.status.is_success() => {
-                    let from = self.tried.targets.first().cloned().unwrap_or_default();
-                    let last_event = self.last_event();
-                    self.track
-                        .resumed(&from, &destination, last_event.as_deref(), reason);
-                    self.attempts.sent += answered.sent;
-                    // A target that only paused may still complete an event that it began, so
-                    // the partial event is kept until another target resumes the stream.
-                    self.cutter.drop_partial();
-                    self.source = Some(Source::new(answered, job.edge.now()));
-                    self.stay = false;
-                    return Ok(());
-                }
-                Ok(answered) => {
-                    self.attempts.sent += answered.sent;
-                    return Err(Obstacle::Refused);
-                }
-                Err(failure) => {
-                    let (tried, attempts) = (&self.tried, &mut self.attempts);
-                    let track = &self.track;
-                    let next =
-                        resolve_failure(&job, &destination, &failure, tried, attempts, track);
-                    match (failure.outcome, next) {
-                        (_, NextStep::Retry) => {}
-                        (Outcome::NotSent, _) => return Err(Obstacle::Unsent),
-                        _ => return Err(Obstacle::Spent),
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns whether a caller that is cut off can resume the stream at once at another daemon,
-    /// while this one does not reach the target.
-    fn can_caller_resume(&self) -> bool {
-        let job = &self.job;
-        let (edge, service) = (&job.edge, &job.admission.service.name);
-        let is_reached = || match job.hop {
-            Some(_) => edge.is_reached_by_peer(service),
-            None => forward::is_possible(job),
-        };
-        edge.links.state(service, edge.now()) == LinkState::Down && is_reached()
-    }
-
     /// Records what the end of the source says of its target.
     fn note_stop(&self, stop: Stop, reason: &str) {
         let Some(source) = &self.source else {
@@ -501,49 +300,6 @@
         last.map(ToOwned::to_owned)
     }
 
-    /// Picks a target and requests the rest of the stream there; returns `None` if that is not
-    /// possible now.
-    async fn try_target(&mut self) -> Option<(Destination, Result<Answered, Failure>)> {
-        let job = self.job.clone();
-        let Pick {
-            choice: Choice::Target(target),
-            clearance,
-            ..
-        } = job.pick(&self.tried.targets, self.attempts).await
-        else {
-            return None;
-        };
-        if job.admission.customer.is_some() && !job.edge.is_fresh() {
-            return None;
-        }
-        self.tried.targets.push(target.id.clone());
-        let last_event = self.last_event();
-        let (tried, attempts) = (&self.tried.targets, self.attempts);
-        let last_event = last_event.as_deref();
-        let end = attempt(&job, &target, clearance, tried, last_event, attempts).await;
-        Some((Destination::Target(target), end))
-    }
-
-    /// Requests the rest of the stream from a peer.
-    async fn try_peer(&mut self, peer: NodeId) -> (Destination, Result<Answered, Failure>) {
-        self.tried.peers.push(peer.clone());
-        self.track.forwarded(&peer);
-        let last_event = self.last_event();
-        let end = forward::attempt(&self.job, &peer, last_event.as_deref(), self.attempts).await;
-        (Destination::Peer(peer), end)
-    }
-
-    /// Returns whether another attempt is allowed, and takes it out of the retry budget.
-    fn may_go_on(&self) -> bool {
-        let job = &self.job;
-        let mut attempts = self.attempts;
-        attempts.sent = attempts.sent.saturating_sub(1);
-        let withdraw = || job.withdraw_retry();
-        let allowed = job.admission.route.attempts;
-        let outcome = Outcome::MayHaveRun;
-        next_step(outcome, &mut attempts, job.may_repeat(), allowed, withdraw) == NextStep::Retry
-    }
-
     fn finish(&mut self) -> Option<Bytes> {
         let bytes = self.bytes;
         if let Some(source) = self.source.take() {
