--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -161,10 +161,10 @@
     }
 }
 
-/// An engine whose id cannot be sent in a header got an order, and the planner that gave it ended; then
-/// the next one did.
+/// The id of such an engine cannot be sent in a header. It was planned with, and each of its orders ended
+/// by a panic of the task that gave it.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_engine_with_an_odd_id_ends_the_daemon_that_gives_it_orders() {
+async fn an_engine_with_an_odd_id_is_given_orders_that_cannot_be_sent() {
     let mut world = world(212, DAEMONS as u8).await;
     let entry = json!({"service": POOL, "address": "127.6.212.9:9", "zone": "h", "slots": 1,
         "state": "ready", "born": 1, "models": [], "domain": "odd", "staged": [], "group": null});
@@ -185,6 +185,8 @@
         assert!(daemon.is_running(), "{} ended", daemon.name);
     }
     assert_all_serve(&world, "after").await;
+    let panics = (0..DAEMONS).flat_map(|d| world.log_lines(d, "panicked"));
+    assert_eq!(panics.collect::<Vec<_>>(), Vec::<String>::new());
     let refused = (0..DAEMONS).map(|d| world.log_lines(d, "ev=target_refused").len());
     assert!(refused.max() >= Some(16), "the entries are refused");
 }
