fix(edge): an open source is given up only if its daemon stays cut off

The lines say why: all of them had failed to be requested elsewhere since peers had no retry budget, at daemons whose links counted as down. The peers' checks had found the targets 10 to 30 ms before the own ones, so the callers counted as able to resume there.

A silent source is given up only if a peer has reached the targets, and this daemon has not, for 500 ms: two rounds of its checks. Sources that are closed end as before, and a real cut is told 500 ms later.

--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -94,6 +94,8 @@
     /// Whether to wait for a silent source, since the stream may not or cannot be resumed elsewhere;
     /// ends with the next event, or when the stream can be resumed through a peer.
     stay: bool,
+    /// Since when a peer reaches the targets and this daemon does not, while the source is silent.
+    cut_off: Option<Millis>,
     bytes: usize,
     /// When the last events were forwarded.
     forwarded: Option<Millis>,
@@ -184,6 +186,7 @@
         attempts,
         cutter: Cutter::default(),
         stay: false,
+        cut_off: None,
         bytes: 0,
         forwarded: None,
         longest_pause: Pause::default(),
@@ -257,6 +260,7 @@
                     match self.cutter.push(&data) {
                         Added::Events => {
                             self.stay = false;
+                            self.cut_off = None;
                             source.record_event(&self.job);
                             if let Some(forwarded) = forwarded {
                                 self.longest_pause
--- a/crates/thistlesill-edge/src/relay/resume.rs
+++ b/crates/thistlesill-edge/src/relay/resume.rs
@@ -1,6 +1,6 @@
 //! Resumes streams at another target or through a peer.
 
-use thistlesill_core::{ErrorKind, NodeId};
+use thistlesill_core::{ErrorKind, Millis, NodeId};
 use thistlesill_policy::edge::attempt::{NextStep, Outcome, next_step};
 use thistlesill_policy::edge::reach::LinkState;
 
@@ -13,6 +13,10 @@
 use crate::quarantine;
 use crate::reply::Interrupted;
 
+/// How long a peer must reach the targets, and this daemon not, before a silent source is given up: two
+/// rounds of the checks of lost links.
+const MIN_CUT_OFF: Millis = Millis::new(500);
+
 /// Why the rest of a stream cannot be requested from another target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Obstacle {
@@ -118,12 +122,19 @@
     /// Decides what follows when the rest of the stream cannot be requested elsewhere.
     ///
     /// A stream that has no source left waits for targets that all stand still. One that a peer passed
-    /// on ends, since that peer may have another way.
-    fn after(&self, obstacle: Obstacle) -> Next {
-        if self.can_caller_resume() {
+    /// on ends, since that peer may have another way. A source that is open is given up only if this
+    /// daemon stays cut off: after a common silence peers may reach the targets a moment earlier.
+    fn after(&mut self, obstacle: Obstacle) -> Next {
+        let now = self.job.edge.now();
+        let cut_off = self.can_caller_resume();
+        if !cut_off {
+            self.cut_off = None;
+        }
+        if self.source.is_some() {
+            let is_lasting = cut_off && now - *self.cut_off.get_or_insert(now) >= MIN_CUT_OFF;
+            if is_lasting { Next::End } else { Next::Stay }
+        } else if cut_off {
             Next::End
-        } else if self.source.is_some() {
-            Next::Stay
         } else if obstacle.is_passing() && self.job.hop.is_none() {
             Next::Wait
         } else {
--- a/crates/thistlesill-edge/tests/it/lost_peers.rs
+++ b/crates/thistlesill-edge/tests/it/lost_peers.rs
@@ -166,6 +166,26 @@
     }
 }
 
+/// Its links were down by then, and the peers, which reached the targets a moment earlier, had no retry
+/// budget left. The streams ended although their sources were open.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_cut_off_at_the_end_of_a_long_standstill() {
+    let world = start(214).await;
+    let streams = (0..24).map(|number| {
+        let request = own_stream(&format!("standing-{number}"));
+        start_request(&world, number % 2 * OTHER, request)
+    });
+    let streams: Vec<_> = streams.collect();
+    sleep(60).await;
+    world.targets.pause_only(&all_places(&world));
+    world.set_engine_fault(CUT, LinkFault::Stalled);
+    sleep(2_200).await;
+    world.targets.pause_only(&[]);
+    sleep(300).await;
+    world.set_engine_fault(CUT, LinkFault::None);
+    assert_whole(streams).await;
+}
+
 /// A request whose peer was lost ended with an error at once, although targets only stood still.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_read_fails_with_its_peer_while_all_targets_stand_still() {
