fix(edge): a stream without an attempt left ends at once

Found in a second reading of this work: a stream whose peer was lost, and whose route allows no further attempt, waited for a way to the targets that it could not use, and ended only once targets went on or at its deadline. Whether a way exists was asked before whether an attempt is left. The order is turned round; the line tells a lack of attempts from a lack of retry budget. A stream that goes on at another source also forgets since when its daemon was cut off.

--- a/crates/thistlesill-edge/src/relay/resume.rs
+++ b/crates/thistlesill-edge/src/relay/resume.rs
@@ -1,7 +1,7 @@
 //! Resumes streams at another target or through a peer.
 
 use thistlesill_core::{ErrorKind, Millis, NodeId};
-use thistlesill_policy::edge::attempt::{NextStep, Outcome, next_step};
+use thistlesill_policy::edge::attempt::{NextStep, Outcome};
 use thistlesill_policy::edge::reach::LinkState;
 
 use super::{Relay, Source, Stop};
@@ -22,8 +22,10 @@
 enum Obstacle {
     /// The target has the request, and others are reached no better.
     Waiting,
-    /// No attempt is left, or no retry budget covers it.
+    /// No attempt is left.
     Spent,
+    /// No retry budget covers another attempt.
+    Unpaid,
     /// Neither this daemon nor a peer reaches the targets.
     NoWay,
     /// The targets that were tried accept no connection, or show no sign of life.
@@ -40,8 +42,9 @@
     /// Returns the reason in the request's log line.
     const fn text(self) -> &'static str {
         match self {
-            Self::Waiting => "its target may go on",
-            Self::Spent => "no attempt is left or no retry budget covers it",
+            Self::Waiting => "its target has the request, and no peer reaches another one",
+            Self::Spent => "no attempt is left",
+            Self::Unpaid => "no retry budget covers another attempt",
             Self::NoWay => "neither this daemon nor a peer reaches the targets",
             Self::Unsent => "the targets that were tried take no request",
             Self::NoTarget => "no target takes the rest of the stream",
@@ -56,6 +59,7 @@
             Self::Withheld => ErrorKind::Withheld.name(),
             Self::Waiting
             | Self::Spent
+            | Self::Unpaid
             | Self::NoWay
             | Self::Unsent
             | Self::NoTarget
@@ -148,11 +152,14 @@
         if self.source.is_some() && !forward::may_leave_target(&self.job) {
             return Err(Obstacle::Waiting);
         }
+        if !self.has_attempt() {
+            return Err(Obstacle::Spent);
+        }
         if forward::way(&self.job, &self.tried.peers) == Way::Nowhere {
             return Err(Obstacle::NoWay);
         }
-        if !self.may_go_on() {
-            return Err(Obstacle::Spent);
+        if !self.job.withdraw_retry() {
+            return Err(Obstacle::Unpaid);
         }
         loop {
             let job = self.job.clone();
@@ -203,6 +210,7 @@
         self.cutter.drop_partial();
         self.source = Some(Source::new(answered, self.job.edge.now()));
         self.stay = false;
+        self.cut_off = None;
         Ok(())
     }
 
@@ -217,6 +225,7 @@
         match resolve_failure(job, destination, failure, tried, attempts, track) {
             NextStep::Retry => Ok(()),
             _ if failure.outcome == Outcome::NotSent => Err(Obstacle::Unsent),
+            _ if self.has_attempt() => Err(Obstacle::Unpaid),
             _ => Err(Obstacle::Spent),
         }
     }
@@ -265,14 +274,8 @@
         (Destination::Peer(peer), end)
     }
 
-    /// Returns whether another attempt is allowed, and takes it out of the retry budget.
-    fn may_go_on(&self) -> bool {
-        let job = &self.job;
-        let mut attempts = self.attempts;
-        attempts.sent = attempts.sent.saturating_sub(1);
-        let withdraw = || job.withdraw_retry();
-        let allowed = job.admission.route.attempts;
-        let outcome = Outcome::MayHaveRun;
-        next_step(outcome, &mut attempts, job.may_repeat(), allowed, withdraw) == NextStep::Retry
+    /// Returns whether the route allows another attempt.
+    fn has_attempt(&self) -> bool {
+        self.job.may_repeat() && self.attempts.sent < self.job.admission.route.attempts
     }
 }
--- a/crates/thistlesill-edge/tests/it/lost_peers.rs
+++ b/crates/thistlesill-edge/tests/it/lost_peers.rs
@@ -22,8 +22,18 @@
 const REQUESTS: usize = 2;
 
 async fn start(net: u8) -> World {
+    let size = Size::with_many_groups(3);
+    start_with(net, size.attempts).await
+}
+
+/// Starts a deployment whose requests may be sent to this number of targets.
+async fn start_with(net: u8, attempts: u32) -> World {
     let (program, folder) = place(net);
-    World::start_sized(program, &folder, net, Size::with_many_groups(3)).await
+    let size = Size {
+        attempts,
+        ..Size::with_many_groups(3)
+    };
+    World::start_sized(program, &folder, net, size).await
 }
 
 /// Returns the places of the targets that a request has reached, in the order of the links.
@@ -154,6 +164,25 @@
     assert_whole(requests).await;
 }
 
+/// Its route allows no further attempt, so that the stream could not go on once targets did. It was held
+/// until then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_an_attempt_left_is_held_when_its_peer_is_lost() {
+    let mut world = start_with(215, 1).await;
+    let requests = start_requests(&world, own_stream).await;
+    // By this one the other peer notices the standstill.
+    start_request(&world, OTHER, own_stream("during"));
+    sleep(60).await;
+    world.targets.pause_only(&all_places(&world));
+    sleep(1_000).await;
+    world.daemons[PEER].kill().await;
+    for request in requests {
+        let ended = tokio::time::timeout(Duration::from_millis(500), request).await;
+        let got = ended.expect("it ends at once").expect("the task ends");
+        assert!(got.is_ok_and(|got| !got.is_complete));
+    }
+}
+
 fn all_places(world: &World) -> Vec<usize> {
     (0..world.targets.links.len()).collect()
 }
@@ -173,7 +202,7 @@
     let world = start(214).await;
     let streams = (0..24).map(|number| {
         let request = own_stream(&format!("standing-{number}"));
-        start_request(&world, number % 2 * OTHER, request)
+        start_request(&world, [CUT, OTHER][number % 2], request)
     });
     let streams: Vec<_> = streams.collect();
     sleep(60).await;
