--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -45,7 +45,7 @@
     /// The last check of each target.
     checks: RefCell<Checks>,
     /// Services of which enough targets failed for a loss, but none in some data centre, or not all
-    /// that were heard last.
+    /// that were active last.
     undecided: RefCell<HashSet<ServiceName>>,
     /// Notified when a target answers on a new connection.
     answered: Notify,
@@ -148,7 +148,7 @@
     let mut services = edge.links.services.borrow_mut();
     let reach = services.entry(target.service.clone()).or_default();
     reach.note_progress(now);
-    reach.note_heard(&target.id);
+    reach.note_active(&target.id);
 }
 
 /// Records that an exchange with a target, which began at `begun`, was broken off or had no answer.
@@ -186,7 +186,7 @@
             kind,
         };
         update(edge, &target.service, |reach, now, targets| {
-            reach.retain_heard(can_ask);
+            reach.retain_recent(can_ask);
             reach.note_failure(failed, now, targets, asked.map(|t| &t.hall))
         })
     };
--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -10,7 +10,7 @@
 //!
 //! Load pattern: most targets end at once, and their entries stay for some heartbeats, or another
 //! writer leaves entries of targets that do not exist. A daemon tries these first, and the others
-//! are up. So those that were heard last must have failed, too.
+//! are up. So those that were active last must have failed, too.
 
 use std::collections::{HashMap, HashSet};
 
@@ -24,8 +24,8 @@
 /// Number of targets that must answer again for lost links to count as restored; fewer if the
 /// service has fewer targets.
 const MIN_ANSWERED: usize = 2;
-/// Number of targets that were heard last and must have failed, too, for links to count as lost.
-const MAX_HEARD: usize = 8;
+/// Number of targets that were active last and must have failed, too, for links to count as lost.
+const MAX_RECENT: usize = 8;
 /// How long a failure counts.
 const FAILURE_VALIDITY: Millis = Millis::new(2_000);
 /// Number of targets that are asked in one round of checks; more if the service has targets in more
@@ -58,7 +58,7 @@
     Unchanged,
     /// A target failed; it should be checked whether others answer.
     Doubtful,
-    /// Enough targets failed for a loss, but none in some data centre, or not all that were heard last;
+    /// Enough targets failed for a loss, but none in some data centre, or not all that were active last;
     /// it should be checked at once whether these answer.
     Undecided,
     /// The links to the targets are lost.
@@ -111,8 +111,8 @@
     lost_at: Option<Millis>,
     /// Targets that have answered since the links were lost.
     answered: HashSet<TargetId>,
-    /// The targets that were heard last, the latest first.
-    heard: Vec<TargetId>,
+    /// The targets that were active last, the latest first.
+    recent: Vec<TargetId>,
     /// When a target last made progress on a request.
     progress_at: Option<Millis>,
     /// When the last common silence of all targets ended.
@@ -149,18 +149,18 @@
     }
 
     /// Records that a target sent something, also on a connection that has been open for long.
-    pub fn note_heard(&mut self, id: &TargetId) {
-        if let Some(place) = self.heard.iter().position(|heard| heard == id) {
-            self.heard[..=place].rotate_right(1);
+    pub fn note_active(&mut self, id: &TargetId) {
+        if let Some(place) = self.recent.iter().position(|known| known == id) {
+            self.recent[..=place].rotate_right(1);
         } else {
-            self.heard.truncate(MAX_HEARD - 1);
-            self.heard.insert(0, id.clone());
+            self.recent.truncate(MAX_RECENT - 1);
+            self.recent.insert(0, id.clone());
         }
     }
 
-    /// Forgets that targets were heard that cannot be asked now.
-    pub fn retain_heard(&mut self, can_ask: impl Fn(&TargetId) -> bool) {
-        self.heard.retain(can_ask);
+    /// Forgets the recent targets that cannot be asked now.
+    pub fn retain_recent(&mut self, can_ask: impl Fn(&TargetId) -> bool) {
+        self.recent.retain(can_ask);
     }
 
     /// Returns whether a target has made progress on a request a moment ago.
@@ -245,8 +245,8 @@
         }
         let failed_halls = self.failed_halls();
         let in_all_halls = halls.into_iter().all(|hall| failed_halls.contains(hall));
-        let all_heard = self.heard.iter().all(|id| self.failed.contains_key(id));
-        if !in_all_halls || !all_heard {
+        let all_recent = self.recent.iter().all(|id| self.failed.contains_key(id));
+        if !in_all_halls || !all_recent {
             return ReachChange::Undecided;
         }
         self.lost_at = Some(now);
@@ -269,7 +269,7 @@
     ///
     /// The first ones are one of each data centre without a failure, since a loss cannot be told
     /// before these have failed; for the same reason, once enough targets have failed, all that were
-    /// heard last. Others follow, if possible those that did not fail.
+    /// active last. Others follow, if possible those that did not fail.
     pub fn draw_checks<'a>(
         &self,
         targets: impl IntoIterator<Item = &'a Target>,
@@ -277,10 +277,10 @@
     ) -> Vec<&'a Target> {
         let mut shuffled: Vec<&'a Target> = targets.into_iter().collect();
         shuffled.shuffle(rng);
-        let asks_heard = self.is_lost() || self.failed.len() >= MIN_FAILED.min(shuffled.len());
+        let asks_recent = self.is_lost() || self.failed.len() >= MIN_FAILED.min(shuffled.len());
         let mut halls = self.failed_halls();
-        let is_heard = |target: &Target| asks_heard && self.heard.contains(&target.id);
-        let is_first = |target: &&'a Target| halls.insert(&target.hall) || is_heard(target);
+        let is_recent = |target: &Target| asks_recent && self.recent.contains(&target.id);
+        let is_first = |target: &&'a Target| halls.insert(&target.hall) || is_recent(target);
         let (mut drawn, mut others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_first);
         others.sort_by_key(|target| self.failed.contains_key(&target.id));
         others.truncate(CHECKED_TARGETS.saturating_sub(drawn.len()));
@@ -297,7 +297,7 @@
         now: Millis,
         targets: usize,
     ) -> ReachChange {
-        self.note_heard(id);
+        self.note_active(id);
         self.answered_at = self.answered_at.max(Some(opened));
         // The answer does not refute what failed on later connections.
         self.failed.retain(|_, failure| failure.begun > opened);
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -340,13 +340,13 @@
 
 /// Sixteen targets that ended have left their entries beside two that serve on kept connections.
 #[test]
-fn links_are_not_lost_while_targets_that_were_heard_last_answer() {
+fn links_are_not_lost_while_targets_that_were_active_last_answer() {
     let mut reach = Reach::default();
     let targets = targets_in(&["h", "h", "h"]);
     let rng = &mut SmallRng::seed_from_u64(7);
     for ms in 0..200 {
-        reach.note_heard(&id(0));
-        reach.note_heard(&id(1));
+        reach.note_active(&id(0));
+        reach.note_active(&id(1));
         let dead = 2 + (ms % 16) as u8;
         if fail(&mut reach, dead, 10 * ms) == ReachChange::Undecided {
             let checks = reach.draw_checks(&targets, rng);
@@ -358,12 +358,12 @@
     }
 }
 
-/// Most of the targets that were heard last ended as well; one of them is up.
+/// Most of the targets that were active last ended as well; one of them is up.
 #[test]
-fn links_are_lost_only_once_all_targets_that_were_heard_last_have_failed() {
+fn links_are_lost_only_once_all_targets_that_were_active_last_have_failed() {
     let mut reach = Reach::default();
     for number in 0..8 {
-        reach.note_heard(&id(number));
+        reach.note_active(&id(number));
     }
     for number in (1..8).chain(20..30) {
         assert_ne!(fail(&mut reach, number, 0), ReachChange::Lost);
@@ -372,13 +372,13 @@
 }
 
 #[test]
-fn targets_that_were_heard_long_ago_or_cannot_be_asked_do_not_hide_a_loss() {
+fn targets_that_were_active_long_ago_or_cannot_be_asked_do_not_hide_a_loss() {
     let mut reach = Reach::default();
     for number in 0..10 {
-        reach.note_heard(&id(number));
+        reach.note_active(&id(number));
     }
     // Only the last eight count, and one of them has left.
-    reach.retain_heard(|known| *known != id(9));
+    reach.retain_recent(|known| *known != id(9));
     for number in 2..8 {
         fail(&mut reach, number, 0);
     }
