--- a/crates/thistlesill-edge/src/reach/life.rs
+++ b/crates/thistlesill-edge/src/reach/life.rs
@@ -11,7 +11,7 @@
     CheckOutcome, CheckState, checks_since, may_stand_still, signs_since,
 };
 
-use super::check_target;
+use super::checks::check_target;
 use crate::state::Edge;
 
 /// Targets that are asked at once whether one of them goes on.
