--- a/crates/thistlesill-edge/tests/it/cut_heads.rs
+++ b/crates/thistlesill-edge/tests/it/cut_heads.rs
@@ -1,21 +1,10 @@
 //! Targets that close the connection in the middle of the head of an answer.
 
-use thistlesill_platform_standin::link::LinkFault;
+use thistlesill_platform_standin::link::{HEAD_CUTS, LinkFault};
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{ask, book, pass_on, read, read_answer, sleep, stream, world};
 
-/// Texts of a head after which the connection is closed: within the status line, after it, within a
-/// header's name and value, and before the last line feed.
-const CUTS: [&str; 6] = [
-    "HTTP/1.1 2",
-    "HTTP/1.1 200 OK\r\n",
-    "thistlesill-att",
-    "thistlesill-response-seal: 5",
-    "5ea1\r\n",
-    "\r\n\r",
-];
-
 fn cut_heads(world: &World, places: std::ops::Range<usize>, fault: LinkFault) {
     for link in &world.targets.links[places] {
         link.set_fault(fault);
@@ -26,7 +15,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_whose_head_is_cut_off_looks_whole() {
     let world = world(197, 1).await;
-    for (turn, text) in CUTS.into_iter().enumerate() {
+    for (turn, text) in HEAD_CUTS.into_iter().enumerate() {
         // Each request adds to the retry budget.
         for count in 0..30 {
             let got = ask(&world, 0, read(&format!("before-{turn}-{count}"))).await;
--- a/crates/thistlesill-edge/tests/it/dead_entries.rs
+++ b/crates/thistlesill-edge/tests/it/dead_entries.rs
@@ -3,9 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use serde_json::json;
 use thistlesill_platform_standin::daemon::Daemon;
-use thistlesill_platform_standin::targets::PLAIN;
+use thistlesill_platform_standin::entries::dead_plain;
 use thistlesill_platform_standin::world::World;
 
 use crate::support::{read, send_steadily_to, sleep, world};
@@ -20,8 +19,7 @@
 fn write_dead_entries(world: &World, net: u8, count: u8) {
     for number in 0..count {
         let address = SocketAddr::from((Ipv4Addr::new(127, 6, net, 10 + number), 9));
-        let entry = json!({"service": PLAIN, "address": address, "zone": "h", "slots": 6,
-                           "state": "ready", "born": 1});
+        let entry = dead_plain(address);
         world
             .store
             .put("servers", &format!("dead-{number}"), &entry);
--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -3,6 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
+use thistlesill_platform_standin::entries::{dead_engine, odd_entries};
 use thistlesill_platform_standin::targets::{PLAIN, POOL};
 use thistlesill_platform_standin::world::World;
 use tokio::io::AsyncWriteExt;
@@ -70,64 +71,8 @@
     assert!(refused.iter().all(|line| line.len() < 400), "{refused:?}");
 }
 
-/// Entries of plain targets and of engines that are nested deeply, or hold a number or port that is
-/// out of range.
-fn odd_entries() -> Vec<String> {
-    let nested = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
-    let address = r#""address":"127.6.71.9:9""#;
-    let plain =
-        |fields: &str| format!(r#"{{"service":"{PLAIN}","zone":"h","state":"ready",{fields}}}"#);
-    let engine = |fields: &str| {
-        let service = format!(r#""service":"{POOL}","zone":"h","state":"ready""#);
-        format!(
-            r#"{{{service},{address},"slots":1,"models":[],"domain":"d","staged":[],{fields}}}"#
-        )
-    };
-    let mut entries = Vec::new();
-    for depth in [100, 1_000, 50_000] {
-        entries.push(nested(depth));
-        entries.push(r#"{"a":"#.repeat(depth) + "1" + &"}".repeat(depth));
-        entries.push(plain(&format!(
-            r#"{address},"slots":6,"more":{}"#,
-            nested(depth)
-        )));
-    }
-    for port in ["99999", "65536", "-1", "0", "4294967376"] {
-        entries.push(plain(&format!(r#""address":"127.0.0.1:{port}","slots":6"#)));
-        entries.push(plain(&format!(r#""address":"[::1]:{port}","slots":6"#)));
-    }
-    let numbers = [
-        "-1",
-        "1e30",
-        "1e999",
-        "4294967296",
-        "18446744073709551615",
-        "1e308",
-    ];
-    for number in numbers
-        .into_iter()
-        .chain(["123456789012345678901234", "0.5", "NaN"])
-    {
-        entries.push(plain(&format!(r#"{address},"slots":{number}"#)));
-        entries.push(plain(&format!(
-            r#"{address},"slots":6,"coldRemainingMs":{number}"#
-        )));
-        entries.push(plain(&format!(r#"{address},"slots":6,"born":{number}"#)));
-        entries.push(plain(&format!(r#"{address},"slots":6,"seq":{number}"#)));
-        for field in ["epoch", "rank"] {
-            let (epoch, rank) = if field == "epoch" {
-                (number, "0")
-            } else {
-                ("1", number)
-            };
-            let group = format!(r#"{{"name":"g","epoch":{epoch},"rank":{rank},"state":"open"}}"#);
-            entries.push(engine(&format!(r#""group":{group}"#)));
-        }
-    }
-    entries
-}
-
-/// One such entry ended the daemons that read it, or kept them from following the others.
+/// Guards against one entry, nested deeply or with a number or port out of range, that ends the daemons
+/// which read it, or keeps them from following the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_odd_entry_of_another_writer_ends_the_daemons_that_read_it() {
     let mut world = world(199, DAEMONS as u8).await;
@@ -166,8 +111,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_with_an_odd_id_is_given_orders_that_cannot_be_sent() {
     let mut world = world(212, DAEMONS as u8).await;
-    let entry = json!({"service": POOL, "address": "127.6.212.9:9", "zone": "h", "slots": 1,
-        "state": "ready", "born": 1, "models": [], "domain": "odd", "staged": [], "group": null});
+    let entry = dead_engine();
     for number in 0..8 {
         world
             .store
