--- a/crates/thistlesill-edge/src/reach/life.rs
+++ b/crates/thistlesill-edge/src/reach/life.rs
@@ -104,11 +104,21 @@
             CheckState::Missing => begin_check(edge, service, target),
         }
         if edge.alarm.timeout_at(deadline, ended).await.is_none() {
-            return CheckOutcome::Unknown;
+            return unfinished(edge, target);
         }
     }
 }
 
+/// Returns what it shows that no check of a target has ended in time, which later checks that began
+/// meanwhile may cause: no life, unless the check may have waited for the target's rate limit.
+fn unfinished(edge: &Edge, target: &Target) -> CheckOutcome {
+    if edge.limits.is_limited(&target.id, edge.now()) {
+        CheckOutcome::Unknown
+    } else {
+        CheckOutcome::Silent
+    }
+}
+
 /// Asks one target whether it answers.
 pub(super) fn begin_check(edge: &Rc<Edge>, service: &Service, target: &Target) {
     let (edge, target, health) = (edge.clone(), target.clone(), service.health.clone());
