fix(policy): checks of lost links ask others than the recent targets, too

While links are lost, the eight targets that were active last took all places of a round of checks, so that links stayed lost as long as these stood still, whatever the others did; and without requests no others become recent.

The recent targets are asked beside the three that are drawn, not in their place. checks_of_lost_links_ask_others_than_those_that_were_active_last: 8 asked before, 11 now.

--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -268,8 +268,8 @@
     /// Draws the targets to check among those of the service that may be asked.
     ///
     /// The first ones are one of each data centre without a failure, since a loss cannot be told
-    /// before these have failed; for the same reason, once enough targets have failed, all that were
-    /// active last. Others follow, if possible those that did not fail.
+    /// before these have failed. Others follow, if possible those that did not fail. Once enough targets
+    /// have failed, all that were active last are asked as well, for the same reason.
     pub fn draw_checks<'a>(
         &self,
         targets: impl IntoIterator<Item = &'a Target>,
@@ -278,13 +278,16 @@
         let mut shuffled: Vec<&'a Target> = targets.into_iter().collect();
         shuffled.shuffle(rng);
         let asks_recent = self.is_lost() || self.failed.len() >= MIN_FAILED.min(shuffled.len());
+        let is_recent = |target: &&'a Target| asks_recent && self.recent.contains(&target.id);
+        let (recent, others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_recent);
         let mut halls = self.failed_halls();
-        let is_recent = |target: &Target| asks_recent && self.recent.contains(&target.id);
-        let is_first = |target: &&'a Target| halls.insert(&target.hall) || is_recent(target);
-        let (mut drawn, mut others): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_first);
+        halls.extend(recent.iter().map(|target| &target.hall));
+        let is_first = |target: &&'a Target| halls.insert(&target.hall);
+        let (mut drawn, mut others): (Vec<_>, Vec<_>) = others.into_iter().partition(is_first);
         others.sort_by_key(|target| self.failed.contains_key(&target.id));
         others.truncate(CHECKED_TARGETS.saturating_sub(drawn.len()));
         drawn.extend(others);
+        drawn.extend(recent);
         drawn
     }
 
--- a/crates/thistlesill-policy/tests/edge/reach.rs
+++ b/crates/thistlesill-policy/tests/edge/reach.rs
@@ -397,3 +397,23 @@
     let restored = ReachChange::Restored(Millis::new(250));
     assert_eq!(answer(&mut reach, 11, 250), restored);
 }
+
+/// The targets that were active last stood still longer than the others. Only they were asked, and links
+/// that worked stayed lost.
+#[test]
+fn checks_of_lost_links_ask_others_than_those_that_were_active_last() {
+    let mut reach = Reach::default();
+    for number in 0..8 {
+        reach.note_active(&id(number));
+    }
+    for number in 0..8 {
+        fail(&mut reach, number, 0);
+    }
+    assert!(reach.is_lost());
+    let targets = targets_in(&["h", "h", "h"]);
+    let rng = &mut SmallRng::seed_from_u64(7);
+    let drawn = reach.draw_checks(&targets, rng);
+    let is_recent = |target: &&&Target| (0..8).any(|number| target.id == id(number));
+    assert_eq!(drawn.iter().filter(is_recent).count(), 8);
+    assert_eq!(drawn.len(), 8 + 3);
+}
