feat(edge): lines tell what a loss is evidence against, and trials without an outcome

lost_with_target named the parts of a request whether the loss counted against them or not, a verdict did not say how many lost targets it rests on, and a trial that ended undecided left no line, so that a part that is never suspected could not be told from one whose verdict was lost on its way. Adds suspected, tried and lost, and trial_undecided.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -208,11 +208,23 @@
             known.end_trial(print, edge.now())
         };
         if let Some(verdict) = verdict {
+            let line = edge.lines.line("trial_undecided").with("id", &job.head.id);
+            line.with("print", print)
+                .maybe("part", job.part_of(print))
+                .with("attempts", job.sent.get())
+                .write();
             edge.quarantine.announce(verdict);
         }
     }
 }
 
+/// Returns the ids of those of the keys that are parts of a request's prompt, for logs; `None` if
+/// there are none.
+fn part_names(job: &Job, keys: &[Fingerprint]) -> Option<String> {
+    let names: Vec<&str> = keys.iter().filter_map(|key| job.part_of(*key)).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
 /// Records that the connection to a target was lost while the target ran a request.
 ///
 /// `phase` tells how far the target's answer had come. A connection that ends after the deadline of
@@ -223,6 +235,11 @@
     }
     let (edge, print) = (&job.edge, job.fingerprint());
     let requests = edge.loads.borrow().work(&target.id, edge.now()).requests;
+    let effect = {
+        let mut known = edge.quarantine.known.borrow_mut();
+        let tried = job.tried.borrow();
+        known.note_request_lost(job.keys(), &tried, &target.id, phase, edge.now())
+    };
     edge.lines
         .line("lost_with_target")
         .with("id", &job.head.id)
@@ -232,13 +249,10 @@
         .with("requests", requests)
         .with("answer", phase.name())
         .maybe("parts", job.part_list())
+        .maybe("suspected", part_names(job, &effect.suspected))
+        .maybe("tried", part_names(job, &job.tried.borrow()))
         .write();
     edge.suspect(&target.id, reason);
-    let effect = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        let tried = job.tried.borrow();
-        known.note_request_lost(job.keys(), &tried, &target.id, phase, edge.now())
-    };
     edge.quarantine.queue_loss(print, target, &effect, phase);
     for verdict in effect.verdicts {
         log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
@@ -287,8 +301,10 @@
     }
 }
 
-/// Logs a verdict; `part` is the id of the part of a prompt that it is on, if that is known here.
+/// Logs a verdict with the number of lost targets that are known here; `part` is the id of the part
+/// of a prompt that it is on, if that is known here.
 fn log_verdict(edge: &Edge, verdict: &Verdict, from: &str, part: Option<&str>) {
+    let lost = edge.quarantine.known.borrow().lost_targets(verdict.print);
     let event = if verdict.level > 0 {
         "request_withheld"
     } else {
@@ -299,6 +315,7 @@
         .with("from", from)
         .with("round", verdict.round)
         .with("level", verdict.level)
+        .with("lost", lost)
         .with("for_ms", verdict.left.get())
         .write();
 }
@@ -327,9 +344,10 @@
 /// verdict.
 pub(crate) fn receive_losses(edge: &Edge, lost: &[(Fingerprint, TargetId)]) {
     let now = edge.now();
-    let mut known = edge.quarantine.known.borrow_mut();
+    let known = &edge.quarantine.known;
     for (print, target) in lost {
-        if let Some(verdict) = known.note_lost(*print, target, now) {
+        let verdict = known.borrow_mut().note_lost(*print, target, now);
+        if let Some(verdict) = verdict {
             log_verdict(edge, &verdict, "losses of peers", None);
         }
     }
@@ -338,10 +356,13 @@
 /// Applies the losses of parts of prompts that a peer observed.
 pub(crate) fn receive_part_losses(edge: &Edge, lost: &[PartLoss]) {
     let now = edge.now();
-    let mut known = edge.quarantine.known.borrow_mut();
+    let known = &edge.quarantine.known;
     for loss in lost {
         let began = now - loss.answer_age;
-        if let Some(verdict) = known.note_part_lost(loss.part, &loss.target, began, now) {
+        let verdict = known
+            .borrow_mut()
+            .note_part_lost(loss.part, &loss.target, began, now);
+        if let Some(verdict) = verdict {
             log_verdict(edge, &verdict, "losses of peers", None);
         }
     }
@@ -350,9 +371,9 @@
 /// Applies the verdicts of a peer.
 pub(crate) fn receive_verdicts(edge: &Edge, verdicts: &[Verdict]) {
     let now = edge.now();
-    let mut known = edge.quarantine.known.borrow_mut();
     for verdict in verdicts {
-        if known.receive(*verdict, now) && verdict.round > 0 {
+        let is_new = edge.quarantine.known.borrow_mut().receive(*verdict, now);
+        if is_new && verdict.round > 0 {
             log_verdict(edge, verdict, "a peer", None);
         }
     }
@@ -428,12 +449,12 @@
                 left: Millis::new(stored.until.saturating_sub(wall)),
                 trial: false,
             };
-            if edge
+            let is_new = edge
                 .quarantine
                 .known
                 .borrow_mut()
-                .receive(verdict, edge.now())
-            {
+                .receive(verdict, edge.now());
+            if is_new {
                 log_verdict(edge, &verdict, "the store", None);
             }
         }
--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -136,9 +136,12 @@
 /// Applies the refuted losses that a peer sent.
 pub(crate) fn receive_refutations(edge: &Edge, refuted: &[Refutation<TargetId>]) {
     let now = edge.now();
-    let mut known = edge.quarantine.known.borrow_mut();
     for refutation in refuted {
-        let is_withdrawn = known.receive_refutation(refutation, now);
+        let is_withdrawn = edge
+            .quarantine
+            .known
+            .borrow_mut()
+            .receive_refutation(refutation, now);
         if let Some(verdict) = refutation.withdrawn.filter(|_| is_withdrawn) {
             log_verdict(edge, &verdict, "a peer", None);
         }
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -441,6 +441,13 @@
         all
     }
 
+    /// Returns the number of lost targets that count against a request.
+    #[must_use]
+    pub fn lost_targets(&self, print: Fingerprint) -> usize {
+        let record = self.records.get(&print);
+        record.map_or(0, |record| record.counted().count())
+    }
+
     /// Returns the number of withheld requests.
     #[must_use]
     pub fn withheld(&self, now: Millis) -> usize {
