test(edge): a part that crashes targets before the answer's head

The stand-in's targets crashed only after the head of an answer, and were back at once. CrashPoint sets when they crash; otherwise their process is gone for 1.5 s, with its connections and its port.

--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -6,6 +6,8 @@
 mod backoffs;
 #[path = "it/calls.rs"]
 mod calls;
+#[path = "it/crash_points.rs"]
+mod crash_points;
 #[path = "it/crowded.rs"]
 mod crowded;
 #[path = "it/cut_heads.rs"]
