fix(policy): targets that are lost before the answer's head are evidence against parts

Parts were suspected only where an answer was starting, since the crashes known so far came after the head. A process that dies takes along what was not flushed or read, so that its daemon still waits. Such a loss blamed the whole request alone, of which no two are alike, and a trial that ended so had no outcome: its level stayed, and the next one crashed the next target a second later. Sound streams that were starting at the same targets named their parts, which were condemned in place of the fatal one.

A loss is evidence against the parts now unless the answer was past its start, and the outcome of a trial. As before, it counts only if it began after the loss before; for a request that waits, that is when it was sent. Whether a loss counts no longer hangs on which of two requests at the target is noted first. Peers get a part once for each target.

parts_of_requests_that_waited_or_were_written_for_long_are_blamed asked that losses of waiting requests name no parts, which is the fault. It is kept for answers that were written for long; that sound parts are free after losses of waiting requests is asked by four new tests.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -197,6 +197,7 @@
     let request = job.request(target, last_event);
     limits::log_sent(job, target);
     job.sent.set(job.sent.get() + 1);
+    let handed_over = edge.now();
     let answer = {
         let last = job.answer_deadline();
         let send = lane.send(request, within((last - sent).duration()));
@@ -239,7 +240,8 @@
             Err(Failure::new(Outcome::MayHaveRun, &error).on_connection(job, target, reused))
         }
         Err(error) => {
-            quarantine::note_lost(job, target, AnswerPhase::Waiting, "connection lost");
+            let phase = AnswerPhase::Waiting(handed_over);
+            quarantine::note_lost(job, target, phase, "connection lost");
             Err(Failure::new(Outcome::MayHaveRun, &error))
         }
     }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -52,8 +52,8 @@
     /// Services to whose targets the sender has lost its own links; goes to all daemons while there
     /// are any, and once when there are none any more.
     LinksLost(LostLinks),
-    /// Parts of prompts that targets were starting to answer when the sender lost them; goes to all
-    /// daemons.
+    /// Parts of prompts whose answers were not past their start when the sender lost the targets; goes
+    /// to all daemons.
     PartsLost(Vec<PartLoss>),
     /// The urgency of the demand of the sender's callers; goes to the planner with each
     /// [`Packet::DemandReport`] if some service ranks its callers.
@@ -108,14 +108,14 @@
     pub(crate) callers: Vec<CallerReport>,
 }
 
-/// A target that was lost while it was starting an answer.
+/// A target that was lost with a request whose answer was not past its start.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PartLoss {
     /// Fingerprint of a part of the prompt.
     pub(crate) part: Fingerprint,
     pub(crate) target: TargetId,
-    /// How long ago the answer began when the sender sent this.
-    pub(crate) answer_age: Millis,
+    /// For how long the request may have been crashing the target when the sender sent this.
+    pub(crate) suspect_for: Millis,
 }
 
 /// How a daemon follows the store, ordered by how much other daemons prefer to depend on it.
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -81,8 +81,8 @@
 struct UnsentPart {
     part: Fingerprint,
     target: TargetId,
-    /// When the answer began.
-    began: Millis,
+    /// Since when the request may have been crashing the target.
+    since: Millis,
 }
 
 /// The stored row of a withheld request.
@@ -95,13 +95,30 @@
     until: u64,
 }
 
+impl Unsent {
+    /// Adds the loss of a part, once for all requests with the part that were lost with the target:
+    /// the latest of them is the strongest evidence.
+    fn add_part(&mut self, part: Fingerprint, target: &TargetId, since: Millis) {
+        let known = self.parts.iter_mut();
+        let mut same = known.filter(|known| known.part == part && known.target == *target);
+        match same.next() {
+            Some(known) => known.since = known.since.max(since),
+            None => self.parts.push(UnsentPart {
+                part,
+                target: target.clone(),
+                since,
+            }),
+        }
+    }
+}
+
 impl UnsentPart {
     /// Returns the loss as peers receive it.
     fn aged(self, now: Millis) -> PartLoss {
         PartLoss {
             part: self.part,
             target: self.target,
-            answer_age: now - self.began,
+            suspect_for: now - self.since,
         }
     }
 }
@@ -133,13 +150,10 @@
     ) {
         let mut unsent = self.unsent.borrow_mut();
         unsent.lost.push((print, target.id.clone()));
-        if let AnswerPhase::Starting(began) = phase {
-            let parts = effect.suspected.iter().map(|part| UnsentPart {
-                part: *part,
-                target: target.id.clone(),
-                began,
-            });
-            unsent.parts.extend(parts);
+        if let Some(since) = phase.suspect_since() {
+            for part in &effect.suspected {
+                unsent.add_part(*part, &target.id, since);
+            }
         }
         self.send.notify_one();
     }
@@ -358,10 +372,10 @@
     let now = edge.now();
     let known = &edge.quarantine.known;
     for loss in lost {
-        let began = now - loss.answer_age;
+        let since = now - loss.suspect_for;
         let verdict = known
             .borrow_mut()
-            .note_part_lost(loss.part, &loss.target, began, now);
+            .note_part_lost(loss.part, &loss.target, since, now);
         if let Some(verdict) = verdict {
             log_verdict(edge, &verdict, "losses of peers", None);
         }
--- a/crates/thistlesill-edge/tests/it/crash_points.rs
+++ b/crates/thistlesill-edge/tests/it/crash_points.rs
@@ -16,6 +16,7 @@
 use thistlesill_platform_standin::caller::{CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::exchange::{Exchange, Exchanges, Patience};
+use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::targets::CrashPoint;
 use thistlesill_platform_standin::world::{Size, World};
 use tokio::task::JoinHandle;
@@ -202,6 +203,47 @@
     }
 }
 
+/// Crashes the engines of one domain after the other, all at once and one by one in turn, and resets
+/// the connections of engines that live, between standstills.
+async fn lose_targets(world: &World) {
+    for domain in 0..3 {
+        for engine in 8 * domain..8 * domain + 8 {
+            world.targets.crash(&format!("i-{engine:03}"));
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        for engine in 8 * domain..8 * domain + 8 {
+            world.targets.crash(&format!("i-{engine:03}"));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let others: Vec<usize> = (0..world.engine_count())
+            .filter(|p| p / 8 != domain)
+            .collect();
+        world.targets.pause_only(&others);
+        tokio::time::sleep(STANDSTILL).await;
+        world.targets.pause_only(&[]);
+        for place in others {
+            world.targets.links[place].set_fault(LinkFault::Reset);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            world.targets.links[place].set_fault(LinkFault::None);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_sound_requests_share_is_withheld_while_targets_are_lost_for_other_reasons() {
+    let (program, folder) = place(210);
+    let world = World::start_sized(program, &folder, 210, Size::with_many_groups(8)).await;
+    let exchanges = Exchanges::default();
+    let callers = start_callers(&world, &exchanges);
+    lose_targets(&world).await;
+    callers.iter().for_each(JoinHandle::abort);
+    let served = share_served(exchanges.take().iter());
+    let verdicts = sound_verdicts(&world);
+    println!("{verdicts} verdicts, {served:.2} served");
+    assert_eq!(verdicts, 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_targets_before_the_answers_head_is_never_withheld() {
     let outcome = observe(207, CrashPoint::BeforeHead, Beside::Nothing).await;
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -153,10 +153,16 @@
         }
     }
 
-    /// Records a loss that counts towards the first verdict, unless the target is known to be lost.
+    /// Records a loss that counts towards the first verdict, unless the loss of the target does so
+    /// already.
     fn count_lost(&mut self, target: &T, now: Millis) {
-        if self.repeat_loss(target, now) {
-            return;
+        let known = self.lost.iter().position(|loss| loss.target == *target);
+        if let Some(known) = known {
+            if self.lost[known].counted {
+                self.repeat_loss(target, now);
+                return;
+            }
+            self.lost.remove(known);
         }
         self.last_change = now;
         if self.lost.len() >= MAX_LOST {
--- a/crates/thistlesill-policy/src/quarantine/progress.rs
+++ b/crates/thistlesill-policy/src/quarantine/progress.rs
@@ -12,8 +12,9 @@
 /// The phase of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerPhase {
-    /// The target had not begun to answer.
-    Waiting,
+    /// The target had not begun to answer a request that was sent at this time, as far as is known
+    /// here: a crash may also take the start of an answer along.
+    Waiting(Millis),
     /// The target began to answer at this time, and has not written for long.
     Starting(Millis),
     /// The target is past the start of an answer that began at this time.
@@ -21,11 +22,21 @@
 }
 
 impl AnswerPhase {
+    /// Returns since when the request may have been crashing its target; `None` if the answer is past
+    /// its start.
+    #[must_use]
+    pub const fn suspect_since(self) -> Option<Millis> {
+        match self {
+            Self::Waiting(since) | Self::Starting(since) => Some(since),
+            Self::Writing(_) => None,
+        }
+    }
+
     /// Returns the name in logs.
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
-            Self::Waiting => "waiting",
+            Self::Waiting(_) => "waiting",
             Self::Starting(_) => "starting",
             Self::Writing(_) => "writing",
         }
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -5,11 +5,12 @@
 //! other parts, and many of them are lost with each target. Evidence under the whole request never
 //! reaches a verdict then, so it is kept under each shared part as well.
 //!
-//! A part is suspected only where its answer was starting, since that is when such parts crash
-//! targets. An answer that is written past its start clears all its parts, which keeps parts of
-//! sound requests free however often targets are lost. Of the losses of a part only those count
-//! whose answer began after the loss before: one outage may take many targets at once, and would
-//! otherwise condemn what many requests share.
+//! A part is suspected unless its answer was past its start, since such parts crash targets as these
+//! begin to answer, before or after the head of the answer has arrived. An answer that is written past
+//! its start clears all its parts, which keeps parts of sound requests free however often targets are
+//! lost. Of the losses of a part only those count whose answer began, or whose request was sent if it
+//! waited, after the loss before: one outage may take many targets at once, and would otherwise condemn
+//! what many requests share.
 //!
 //! A request with several suspects is tried only when no request with a single one came for a
 //! while. If it crashes its target, the combination is withheld for long, and each suspect may
@@ -43,7 +44,7 @@
 /// What follows from the loss of a target.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LossEffect {
-    /// Parts that are suspected; empty if the answer was not starting.
+    /// Parts that are suspected; empty if the answer was past its start.
     pub suspected: Vec<Fingerprint>,
     /// Verdicts to broadcast.
     pub verdicts: Vec<Verdict>,
@@ -91,7 +92,7 @@
         now: Millis,
     ) -> LossEffect {
         let mut effect = LossEffect::default();
-        let AnswerPhase::Starting(began) = phase else {
+        let Some(since) = phase.suspect_since() else {
             effect
                 .verdicts
                 .extend(self.note_lost(keys.whole, target, now));
@@ -112,22 +113,24 @@
             let verdict = if on_trial.contains(part) {
                 self.note_lost(*part, target, now)
             } else {
-                self.note_part_lost(*part, target, began, now)
+                self.note_part_lost(*part, target, since, now)
             };
             effect.verdicts.extend(verdict);
         }
         effect
     }
 
-    /// Records that a target was lost while it was starting an answer with a part of its prompt that
-    /// is not on trial here. Returns the verdict to broadcast if the part is withheld from now on.
+    /// Records that a target was lost with a request whose answer was not past its start. `part` is a
+    /// part of its prompt that is not on trial here. Returns the verdict to broadcast if the part is
+    /// withheld from now on.
     ///
-    /// `began` is when the answer began.
+    /// `since` is when the request may have begun to crash the target, as
+    /// [`AnswerPhase::suspect_since`] returns it.
     pub fn note_part_lost(
         &mut self,
         part: Fingerprint,
         target: &T,
-        began: Millis,
+        since: Millis,
         now: Millis,
     ) -> Option<Verdict> {
         match self.records.get_mut(&part) {
@@ -140,7 +143,7 @@
                 None
             }
             // The same outage may have taken both targets.
-            Some(record) if began < record.last_change => {
+            Some(record) if since < record.last_change => {
                 record.remember(target, now);
                 None
             }
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -299,23 +299,100 @@
 }
 
 #[test]
-fn parts_of_requests_that_waited_or_were_written_for_long_are_blamed() {
-    for phase in [AnswerPhase::Waiting, AnswerPhase::Writing(START)] {
+fn parts_of_requests_that_were_written_for_long_are_blamed() {
+    let mut known = Known::default();
+    for number in 0..5 {
+        let keys = request(&number.to_string(), &["first"]);
+        let now = at(500 * u64::from(number));
+        let phase = AnswerPhase::Writing(START);
+        let effect = known.note_request_lost(&keys, &[], &target(number), phase, now);
+        assert!(effect.suspected.is_empty());
+    }
+    let keys = request("new", &["first"]);
+    assert_eq!(
+        known.request_status(&keys, &[], at(3_000)),
+        QuarantineStatus::Free
+    );
+}
+
+/// Loses a target with a request that waited for `waited` ms.
+fn lose_waiting(known: &mut Known, keys: &RequestKeys, number: u32, waited: u64, ms: u64) {
+    let phase = AnswerPhase::Waiting(at(ms - waited));
+    known.note_request_lost(keys, &[], &target(number), phase, at(ms));
+}
+
+/// Each target crashes before its daemon gets the head of the answer.
+#[test]
+fn a_part_that_crashes_targets_before_the_head_is_never_suspected() {
+    let mut known = Known::default();
+    for number in 0..3 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        lose_waiting(
+            &mut known,
+            &keys,
+            number,
+            50,
+            1_000 + 400 * u64::from(number),
+        );
+        let sound = request(&format!("sound {number}"), &["first", "other"]);
+        let began = at(1_020 + 400 * u64::from(number));
+        known.note_request_progress(&sound, began, began + Millis::new(310));
+    }
+    assert!(is_withheld(&known, &request("x", &["deadly"]), at(1_900)));
+    let sound = request("sound", &["first", "other"]);
+    let status = known.request_status(&sound, &[], at(1_900));
+    assert_eq!(status, QuarantineStatus::Free);
+}
+
+/// Requests wait at all targets that one outage takes.
+#[test]
+fn an_outage_of_many_targets_at_once_withholds_what_waits_there() {
+    let mut known = Known::default();
+    for number in 0..20 {
+        let keys = request(&number.to_string(), &["first"]);
+        lose_waiting(&mut known, &keys, number, 50, 1_000 + u64::from(number));
+    }
+    let next = request("next", &["first"]);
+    let status = known.request_status(&next, &[], at(1_100));
+    assert_eq!(status, QuarantineStatus::Free);
+}
+
+/// One request at the target was sent before the last loss, another one after it.
+#[test]
+fn the_first_of_two_losses_with_one_target_decides_whether_it_counts() {
+    for is_early_first in [false, true] {
         let mut known = Known::default();
-        for number in 0..5 {
-            let keys = request(&number.to_string(), &["first"]);
-            let now = at(500 * u64::from(number));
-            let effect = known.note_request_lost(&keys, &[], &target(number), phase, now);
-            assert!(effect.suspected.is_empty());
+        for number in 0..3 {
+            let ms = 1_000 + 500 * u64::from(number);
+            let mut waited = [600, 50];
+            if !is_early_first {
+                waited.reverse();
+            }
+            for (copy, waited) in waited.into_iter().enumerate() {
+                let keys = request(&format!("{number} {copy}"), &["deadly"]);
+                lose_waiting(&mut known, &keys, number, waited, ms);
+            }
         }
-        let keys = request("new", &["first"]);
-        assert_eq!(
-            known.request_status(&keys, &[], at(3_000)),
-            QuarantineStatus::Free
-        );
+        let next = request("next", &["deadly"]);
+        assert!(is_withheld(&known, &next, at(2_050)), "{is_early_first}");
     }
 }
 
+#[test]
+fn a_trial_that_crashes_its_target_before_the_head_has_no_outcome() {
+    let mut known = three_crashed();
+    let sound = request("sound", &["first", "other"]);
+    known.note_request_progress(&sound, at(300), at(700));
+    let fatal = request("fatal", &["first", "deadly"]);
+    let (own, _) = known.begin_request_trial(&fatal, at(1_300));
+    let phase = AnswerPhase::Waiting(at(1_310));
+    let effect = known.note_request_lost(&fatal, &own, &target(9), phase, at(1_340));
+    assert_eq!(effect.verdicts.len(), 1);
+    assert!(is_withheld(&known, &request("x", &["deadly"]), at(100_000)));
+    let status = known.request_status(&sound, &[], at(1_400));
+    assert_eq!(status, QuarantineStatus::Free);
+}
+
 #[test]
 fn a_sound_part_stays_withheld_that_was_suspected_together_with_a_fatal_one() {
     let mut known = three_crashed();
