fix(policy): a sound answer withdraws a first verdict on a part that it outlived

Sound requests were refused for a second and more after the first crashes, until a trial cleared what they share: an answer that had begun before the verdict was no evidence against it, though it began after the first loss and was past its start, which no answer with a fatal part gets to.

Such an answer clears a part now unless a trial decided or is under way. Red before: a_first_verdict_outlasts_a_sound_answer_that_began_before_it.

--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -199,13 +199,14 @@
     }
 
     /// Returns the time from which on a sound answer disproves the evidence. What crashed a target
-    /// would crash each later one, so a sound answer after the first loss disproves them all.
+    /// would crash each later one, so a sound answer after the first loss disproves them all, and a
+    /// verdict that rests on nothing else. Once there was a trial, only its own answer is evidence.
     fn suspected_since(&self) -> Millis {
-        if self.level == 0 {
-            let first = self.counted().map(|loss| loss.first).min();
-            first.unwrap_or(Millis::ZERO)
-        } else {
-            self.last_change
+        let first = self.counted().map(|loss| loss.first).min();
+        match (self.level, first) {
+            (0, first) => first.unwrap_or(Millis::ZERO),
+            (1, Some(first)) if self.ended.is_none() && !self.trial => first,
+            _ => self.last_change,
         }
     }
 
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -357,6 +357,30 @@
     assert_eq!(status, QuarantineStatus::Free);
 }
 
+/// The answer began after the first loss and before the third one.
+#[test]
+fn a_first_verdict_outlasts_a_sound_answer_that_began_before_it() {
+    let mut known = Known::default();
+    for number in 0..3 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        lose_waiting(
+            &mut known,
+            &keys,
+            number,
+            50,
+            1_000 + 100 * u64::from(number),
+        );
+    }
+    let sound = request("sound", &["first", "other"]);
+    assert!(is_withheld(&known, &sound, at(1_210)));
+    known.note_request_progress(&sound, at(990), at(1_295));
+    assert!(is_withheld(&known, &sound, at(1_300)));
+    known.note_request_progress(&sound, at(1_050), at(1_355));
+    let status = known.request_status(&sound, &[], at(1_360));
+    assert_eq!(status, QuarantineStatus::Free);
+    assert!(is_withheld(&known, &request("x", &["deadly"]), at(1_360)));
+}
+
 /// One request at the target was sent before the last loss, another one after it.
 #[test]
 fn the_first_of_two_losses_with_one_target_decides_whether_it_counts() {
