fix(edge): a part that crashes targets is known for all models at once

Evidence against a part was kept by model, so that a part which crashes targets whatever else a request holds had to crash three, and one more in a trial, for each of them: with two models 8 and 9 runs before it was withheld, 4 and 5 now (BeforeHead; ByTurns the same).

a_part_that_is_withheld_for_one_model_crashes_the_targets_of_another: 200 before, 503 now. During a rolling update daemons of the two versions do not share evidence on parts.

--- a/crates/thistlesill-edge/src/job.rs
+++ b/crates/thistlesill-edge/src/job.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::{Fingerprint, Millis, Model};
+use thistlesill_core::{Fingerprint, Millis};
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_platform::caller::{self, CallerHead, TargetHead};
 use thistlesill_policy::edge::admission::Admission;
@@ -234,14 +234,12 @@
         ])
     }
 
-    /// Computes the fingerprints of the parts of the prompt. They are the same for all customers: a
-    /// part crashes targets whoever sends it.
+    /// Computes the fingerprints of the parts of the prompt. They are the same for all customers and
+    /// models: a part crashes targets whoever sends it, and whatever they run.
     fn fingerprint_parts(&self) -> Vec<Fingerprint> {
         let service = self.admission.service.name.as_str().as_bytes();
-        let model = self.head.model.as_ref().map_or("", Model::as_str);
         let parts = self.head.shared_parts.iter().take(MAX_PARTS);
-        let print =
-            |id: &str| Fingerprint::of(&[PART_LABEL, service, model.as_bytes(), id.as_bytes()]);
+        let print = |id: &str| Fingerprint::of(&[PART_LABEL, service, id.as_bytes()]);
         parts.map(|id| print(id)).collect()
     }
 
--- a/crates/thistlesill-edge/tests/it/fatal_parts.rs
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -105,6 +105,18 @@
     assert!(world.targets.ledger.runs("refused").is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_is_withheld_for_one_model_crashes_the_targets_of_another() {
+    let world = world(211, 2).await;
+    world.targets.set_fatal_part(PART);
+    send_fatal(&world, "small", 25).await;
+    let before = world.targets.ledger.runs_of_part(PART).len();
+    let large = fatal("large").model("large");
+    let refused = ask(&world, 0, large).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_eq!(world.targets.ledger.runs_of_part(PART).len(), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_end_that_only_the_connection_marks_clears_the_part_that_crashed_the_target() {
     let world = world(166, 3).await;
