fix(policy): a crashed target among silent ones does not mean that links are down

While most targets stood still and two had crashed, a planner took its links for lost (failed=11 silent=9) since one failure that was no silence sufficed, and peers seemed to reach the targets. It gave up its lease, and its successor must wait for the old groups of targets that start again under their ids. Streams whose targets stand still end in that state, too, if a peer seems to reach others.

Links that are lost count as down only if most of the failed targets accept no connection, and none has answered since.

--- a/crates/thistlesill-policy/src/edge/reach.rs
+++ b/crates/thistlesill-policy/src/edge/reach.rs
@@ -44,10 +44,10 @@
 pub enum LinkState {
     /// The targets are reached.
     Up,
-    /// Targets accept connections, and none answers. They may all stand still, or the links are
-    /// lost in a way that a connection does not show.
+    /// Most targets accept connections, and at most one answers. They may all stand still, or the
+    /// links are lost in a way that a connection does not show.
     Silent,
-    /// The targets are not reached.
+    /// The targets are not reached: most accept no connection, or they have been silent for long.
     Down,
 }
 
@@ -132,7 +132,10 @@
         let Some(lost_at) = self.lost_at else {
             return LinkState::Up;
         };
-        let is_silent = self.failures().all(|kind| kind == FailureKind::Silent);
+        // A few that accept no connection may have crashed while the others stand still.
+        let silent = self.failures().filter(|kind| *kind == FailureKind::Silent);
+        let are_most_silent = 2 * silent.count() >= self.failed.len();
+        let is_silent = are_most_silent || !self.answered.is_empty();
         if is_silent && now - lost_at < MAX_STANDSTILL {
             LinkState::Silent
         } else {
