fix(policy): targets that lost nothing but an answer's connection are asked first

Where nothing of an answer had arrived, the daemon that notes the third loss asks the targets for their reports, 0.1 s later, before a verdict on a part, and after a trial. One that answers under its id has not crashed. The outcome of a trial stands meanwhile, and is taken back if its target lives.

--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -5,6 +5,7 @@
 
 use thistlesill_core::{Millis, NodeId};
 use thistlesill_policy::edge::beats::{DueHeartbeat, HeartbeatIntervals, HeartbeatSchedule};
+use thistlesill_policy::quarantine::LossCause;
 use tokio::net::UdpSocket;
 
 use super::packet::{DemandReport, Heartbeat, Packet, StoreUse, UrgentDemand};
@@ -241,7 +242,12 @@
             Ok(Packet::Counts(counts)) => place::receive_counts(&edge, counts),
             Ok(Packet::Totals(totals)) => place::receive_totals(&edge, totals),
             Ok(Packet::Lost(lost)) => quarantine::receive_losses(&edge, &lost),
-            Ok(Packet::PartsLost(lost)) => quarantine::receive_part_losses(&edge, &lost),
+            Ok(Packet::PartsLost(lost)) => {
+                quarantine::receive_part_losses(&edge, &lost, LossCause::Crash);
+            }
+            Ok(Packet::UnclearPartsLost(lost)) => {
+                quarantine::receive_part_losses(&edge, &lost, LossCause::Unclear);
+            }
             Ok(Packet::LossesRefuted(refuted)) => {
                 quarantine::receive_refutations(&edge, &refuted);
             }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -52,8 +52,8 @@
     /// Services to whose targets the sender has lost its own links; goes to all daemons while there
     /// are any, and once when there are none any more.
     LinksLost(LostLinks),
-    /// Parts of prompts whose answers were not past their start when the sender lost the targets; goes
-    /// to all daemons.
+    /// Parts of prompts that targets were starting to answer when the sender lost them; goes to all
+    /// daemons.
     PartsLost(Vec<PartLoss>),
     /// The urgency of the demand of the sender's callers; goes to the planner with each
     /// [`Packet::DemandReport`] if some service ranks its callers.
@@ -67,6 +67,8 @@
     /// Callers that the sender refused, or served after a refusal; goes to the other owners of the
     /// same service and model.
     RefusedCallers(RefusedCallers),
+    /// As [`Packet::PartsLost`], where nothing of an answer had arrived, so that the targets may live.
+    UnclearPartsLost(Vec<PartLoss>),
 }
 
 impl Packet {
@@ -91,6 +93,7 @@
             Self::Grant(_) => "grant",
             Self::LinksLost(_) => "links_lost",
             Self::PartsLost(_) => "parts_lost",
+            Self::UnclearPartsLost(_) => "unclear_parts_lost",
             Self::UrgentDemand(_) => "urgent_demand",
             Self::PlaceRanked(_) => "place_ranked",
             Self::PlacedRanked(_) => "placed_ranked",
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -18,7 +18,9 @@
 use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_net::clock::Clock;
-use thistlesill_policy::quarantine::{AnswerPhase, LossEffect, Quarantine, QuarantineStatus};
+use thistlesill_policy::quarantine::{
+    AnswerPhase, LossCause, LossEffect, Quarantine, QuarantineStatus,
+};
 use tokio::sync::Notify;
 
 pub(crate) use self::checks::{check_losses, receive_refutations};
@@ -83,6 +85,7 @@
     target: TargetId,
     /// Since when the request may have been crashing the target.
     since: Millis,
+    cause: LossCause,
 }
 
 /// The stored row of a withheld request.
@@ -98,15 +101,18 @@
 impl Unsent {
     /// Adds the loss of a part, once for all requests with the part that were lost with the target:
     /// the latest of them is the strongest evidence.
-    fn add_part(&mut self, part: Fingerprint, target: &TargetId, since: Millis) {
+    fn add_part(&mut self, part: Fingerprint, target: &TargetId, since: Millis, cause: LossCause) {
         let known = self.parts.iter_mut();
-        let mut same = known.filter(|known| known.part == part && known.target == *target);
-        match same.next() {
+        let is_same = |known: &&mut UnsentPart| {
+            known.part == part && known.target == *target && known.cause == cause
+        };
+        match known.filter(is_same).next() {
             Some(known) => known.since = known.since.max(since),
             None => self.parts.push(UnsentPart {
                 part,
                 target: target.clone(),
                 since,
+                cause,
             }),
         }
     }
@@ -152,7 +158,7 @@
         unsent.lost.push((print, target.id.clone()));
         if let Some(since) = phase.suspect_since() {
             for part in &effect.suspected {
-                unsent.add_part(*part, &target.id, since);
+                unsent.add_part(*part, &target.id, since, phase.loss_cause());
             }
         }
         self.send.notify_one();
@@ -274,6 +280,9 @@
         edge.quarantine.store(verdict);
         edge.quarantine.queue_check(verdict.print, edge.now());
     }
+    for part in effect.doubtful {
+        edge.quarantine.queue_check(part, edge.now());
+    }
 }
 
 /// Records that a request was answered successfully, with an answer that began at `began`.
@@ -344,9 +353,14 @@
             link::broadcast(&edge, &Packet::Lost(batch.to_vec()), Reach::All);
         }
         let now = edge.now();
-        let parts: Vec<PartLoss> = unsent.parts.into_iter().map(|p| p.aged(now)).collect();
-        for batch in parts.chunks(MAX_PER_DATAGRAM) {
-            link::broadcast(&edge, &Packet::PartsLost(batch.to_vec()), Reach::All);
+        let parts = unsent.parts.into_iter();
+        let (crashes, unclear): (Vec<_>, Vec<_>) = parts.partition(|p| p.cause == LossCause::Crash);
+        let aged = |parts: &[UnsentPart]| parts.iter().map(|p| p.clone().aged(now)).collect();
+        for batch in crashes.chunks(MAX_PER_DATAGRAM) {
+            link::broadcast(&edge, &Packet::PartsLost(aged(batch)), Reach::All);
+        }
+        for batch in unclear.chunks(MAX_PER_DATAGRAM) {
+            link::broadcast(&edge, &Packet::UnclearPartsLost(aged(batch)), Reach::All);
         }
         for batch in unsent.verdicts.chunks(MAX_PER_DATAGRAM) {
             link::broadcast(&edge, &Packet::Verdicts(batch.to_vec()), Reach::All);
@@ -368,14 +382,14 @@
 }
 
 /// Applies the losses of parts of prompts that a peer observed.
-pub(crate) fn receive_part_losses(edge: &Edge, lost: &[PartLoss]) {
+pub(crate) fn receive_part_losses(edge: &Edge, lost: &[PartLoss], cause: LossCause) {
     let now = edge.now();
     let known = &edge.quarantine.known;
     for loss in lost {
         let since = now - loss.suspect_for;
         let verdict = known
             .borrow_mut()
-            .note_part_lost(loss.part, &loss.target, since, now);
+            .note_part_lost(loss.part, &loss.target, since, cause, now);
         if let Some(verdict) = verdict {
             log_verdict(edge, &verdict, "losses of peers", None);
         }
--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -7,10 +7,10 @@
 
 use futures_util::future::join_all;
 use thistlesill_core::edge::{Incarnation, TargetId};
-use thistlesill_core::{Fingerprint, Millis};
+use thistlesill_core::{Fingerprint, Millis, Verdict};
 use thistlesill_net::lane::within;
 use thistlesill_platform::engine;
-use thistlesill_policy::quarantine::{LossCheck, MIN_CHECK_DELAY, Refutation};
+use thistlesill_policy::quarantine::{CheckAnswer, LossCheck, MIN_CHECK_DELAY, Refutation};
 
 use super::{BATCH_DELAY, QuarantineState, log_verdict};
 use crate::peers::packet::Packet;
@@ -24,14 +24,17 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl QuarantineState {
-    /// Queues what a first verdict is on for the check of the targets that were lost under it.
+    /// Queues what a verdict is on, or depends on checks, for the check of the targets that were lost under it.
     pub(super) fn queue_check(&self, print: Fingerprint, now: Millis) {
         if self.known.borrow().losses_to_check(print, now).is_empty() {
             return;
         }
         let due = now + MIN_CHECK_DELAY;
-        self.unchecked.borrow_mut().push_back((due, print));
-        self.check.notify_one();
+        let mut unchecked = self.unchecked.borrow_mut();
+        if unchecked.iter().all(|(_, queued)| *queued != print) {
+            unchecked.push_back((due, print));
+            self.check.notify_one();
+        }
     }
 
     /// Takes what may be checked at a time.
@@ -72,14 +75,15 @@
             .collect()
     };
     let checks = join_all(lost.into_iter().map(|target| check_loss(&edge, target))).await;
-    let refuted: Vec<Refutation<TargetId>> = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        let refuted = prints.iter().map(|p| known.refute(*p, &checks, edge.now()));
-        refuted.flatten().collect()
-    };
+    let (refuted, verdicts) = apply_checks(&edge, &prints, &checks);
     for refutation in &refuted {
         note_refuted(&edge, refutation);
     }
+    for verdict in verdicts {
+        log_verdict(&edge, &verdict, "checks of lost targets", None);
+        edge.quarantine.announce(verdict);
+        edge.quarantine.store(verdict);
+    }
     for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
         link::broadcast(&edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
     }
@@ -89,23 +93,43 @@
     }
 }
 
+/// Applies the results of checks; returns the losses that they refute, and the verdicts that follow.
+fn apply_checks(
+    edge: &Edge,
+    prints: &[Fingerprint],
+    checks: &[LossCheck<TargetId>],
+) -> (Vec<Refutation<TargetId>>, Vec<Verdict>) {
+    let (mut refuted, mut verdicts) = (Vec::new(), Vec::new());
+    let mut known = edge.quarantine.known.borrow_mut();
+    for print in prints {
+        let now = edge.now();
+        verdicts.extend(known.reopen_trial(*print, checks, now));
+        refuted.extend(known.refute(*print, checks, now));
+        verdicts.extend(known.conclude(*print, now));
+    }
+    (refuted, verdicts)
+}
+
 /// Asks a lost target for its report, if it is an engine and listed under the same incarnation.
 async fn check_loss(edge: &Edge, lost: TargetId) -> LossCheck<TargetId> {
     let begun = edge.now();
-    let answered = match engine_address(edge, &lost) {
+    let report = match engine_address(edge, &lost) {
         Some(address) => engine::fetch_report(&lost, address, within(REPORT_TIMEOUT))
             .await
-            .ok()
-            .map(|report| report.incarnation),
+            .ok(),
         None => None,
     };
-    // Engines that name no incarnation may have started again.
-    let answered = answered.filter(|incarnation| *incarnation != Incarnation::default());
-    let answered = answered.map(|i| TargetId::new(lost.instance().clone(), i));
+    let answer = match report.map(|report| report.incarnation) {
+        None => CheckAnswer::None,
+        Some(incarnation) if incarnation == Incarnation::default() => CheckAnswer::Unnamed,
+        Some(incarnation) => {
+            CheckAnswer::Named(TargetId::new(lost.instance().clone(), incarnation))
+        }
+    };
     LossCheck {
         lost,
         begun,
-        answered,
+        answer,
     }
 }
 
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -19,7 +19,8 @@
 //!
 //! Live targets reset connections too, and sound requests were withheld because of that. After a first
 //! verdict, the daemon that made it therefore asks the lost targets for their reports, and losses of
-//! targets that did not crash are refuted.
+//! targets that did not crash are refuted. Where nothing of an answer had arrived, they are asked before
+//! a first verdict on a part, and after a trial.
 //!
 //! What crashes targets may be one part of a prompt instead of a whole request; [`RequestKeys`] has
 //! the keys of both, and the evidence against a part has rules of its own.
@@ -32,7 +33,7 @@
 
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
-pub use self::check::{LossCheck, MIN_CHECK_DELAY, Refutation};
+pub use self::check::{CheckAnswer, LossCheck, MIN_CHECK_DELAY, Refutation};
 pub use self::progress::{AnswerPhase, AnswerProgress};
 pub use self::request::{LossEffect, RequestKeys};
 
@@ -83,6 +84,16 @@
     Tried(Millis),
 }
 
+/// What a loss says of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossCause {
+    /// The target ended while it wrote an answer.
+    Crash,
+    /// A connection ended on which nothing of an answer had arrived. Live targets lose answers this
+    /// way, too, so they are asked for their reports before the loss decides anything.
+    Unclear,
+}
+
 /// The loss of a target under a request.
 #[derive(Debug, Clone)]
 struct Loss<T> {
@@ -93,6 +104,8 @@
     last: Millis,
     /// Whether the loss counts towards the first verdict.
     counted: bool,
+    /// How the target was lost.
+    cause: LossCause,
     /// Whether the target was asked for its report after the last loss, which refuted nothing.
     checked: bool,
 }
@@ -149,17 +162,20 @@
     /// Remembers a loss that does not count towards the first verdict, if there is room.
     fn remember(&mut self, target: &T, now: Millis) {
         if !self.repeat_loss(target, now) && self.lost.len() < MAX_LOST {
-            self.add_loss(target, false, now);
+            self.add_loss(target, false, LossCause::Crash, now);
         }
     }
 
     /// Records a loss that counts towards the first verdict, unless the loss of the target does so
     /// already.
-    fn count_lost(&mut self, target: &T, now: Millis) {
+    fn count_lost(&mut self, target: &T, cause: LossCause, now: Millis) {
         let known = self.lost.iter().position(|loss| loss.target == *target);
         if let Some(known) = known {
             if self.lost[known].counted {
                 self.repeat_loss(target, now);
+                if cause == LossCause::Crash {
+                    self.lost[known].cause = cause;
+                }
                 return;
             }
             self.lost.remove(known);
@@ -170,19 +186,31 @@
             let Some(uncounted) = uncounted else { return };
             self.lost.remove(uncounted);
         }
-        self.add_loss(target, true, now);
+        self.add_loss(target, true, cause, now);
     }
 
-    fn add_loss(&mut self, target: &T, counted: bool, now: Millis) {
+    fn add_loss(&mut self, target: &T, counted: bool, cause: LossCause, now: Millis) {
         self.lost.push(Loss {
             target: target.clone(),
             first: now,
             last: now,
             counted,
+            cause,
             checked: false,
         });
     }
 
+    /// Returns whether enough targets were lost for a first verdict, some of which may live.
+    fn is_doubtful(&self) -> bool {
+        self.level == 0 && self.counted().count() >= LOSSES_UNTIL_WITHHELD
+    }
+
+    /// Returns whether enough targets have crashed for a first verdict.
+    fn is_evident(&self) -> bool {
+        let crashed = self.counted().filter(|loss| loss.cause == LossCause::Crash);
+        self.level == 0 && crashed.count() >= LOSSES_UNTIL_WITHHELD
+    }
+
     /// Records that a target was lost once more; returns whether it is known to be lost.
     fn repeat_loss(&mut self, target: &T, now: Millis) -> bool {
         let Some(loss) = self.lost.iter_mut().find(|loss| loss.target == *target) else {
@@ -300,16 +328,26 @@
     /// Records that a target was lost while it had a request. Returns the verdict to broadcast if
     /// the request is withheld from now on.
     pub fn note_lost(&mut self, print: Fingerprint, target: &T, now: Millis) -> Option<Verdict> {
+        self.note_loss(print, target, LossCause::Crash, now)
+    }
+
+    fn note_loss(
+        &mut self,
+        print: Fingerprint,
+        target: &T,
+        cause: LossCause,
+        now: Millis,
+    ) -> Option<Verdict> {
         self.make_room(print);
         let record = self.records.entry(print).or_default();
-        record.count_lost(target, now);
+        record.count_lost(target, cause, now);
         record.expires_at = record.expires_at.max(now + LOSS_RETENTION);
         if record.level > 0 && !record.trial {
             // The request was sent before the verdict was known, and its loss is noticed late: only
             // a trial may be sent after one, also once the request is no longer withheld.
             return None;
         }
-        if record.level == 0 && record.counted().count() < LOSSES_UNTIL_WITHHELD {
+        if record.level == 0 && !record.is_evident() {
             return None;
         }
         if record.is_tried(now) {
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -5,11 +5,17 @@
 //! incarnation has not crashed, so its loss is removed on all daemons, and the verdict is withdrawn
 //! if too few losses remain. The request stays withheld while the targets are asked, so that one that
 //! does crash its targets gains nothing.
+//!
+//! Load pattern: answers of live targets are lost before their heads, some fifty a second, and many
+//! requests share the parts of each. Such losses withhold a part only once the targets were asked: a
+//! part that does crash its targets gains a tenth of a second. The outcome of a trial stands meanwhile,
+//! and is taken back if its target lives.
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
-use super::{LOSSES_UNTIL_WITHHELD, Quarantine, Record, VERDICT_RETENTION};
+use super::{FIRST_HOLD, LOSSES_UNTIL_WITHHELD, Loss, LossCause, Quarantine, Record};
+use super::{VERDICT_RETENTION, hold_duration};
 
 /// Shortest time from a loss to a check that may refute it: an engine may still send a report in the
 /// time from the first broken connection to the end of its process.
@@ -22,8 +28,19 @@
     pub lost: T,
     /// When the check began.
     pub begun: Millis,
-    /// The target as it answered; `None` if it did not answer, or did not name its incarnation.
-    pub answered: Option<T>,
+    /// How it answered.
+    pub answer: CheckAnswer<T>,
+}
+
+/// The answer of a target that was asked for its report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CheckAnswer<T> {
+    /// It did not answer.
+    None,
+    /// It answered without naming its incarnation, so it may have started again meanwhile.
+    Unnamed,
+    /// It answered as this target.
+    Named(T),
 }
 
 /// Losses under a request that were no crashes.
@@ -37,12 +54,44 @@
     pub withdrawn: Option<Verdict>,
 }
 
+impl<T: PartialEq> Loss<T> {
+    /// Returns the check of the target that began late enough to say something of the loss.
+    fn find_check<'a>(&self, checks: &'a [LossCheck<T>]) -> Option<&'a LossCheck<T>> {
+        let since = self.last + MIN_CHECK_DELAY;
+        let mut checks = checks.iter();
+        checks.find(|check| check.lost == self.target && check.begun >= since)
+    }
+
+    /// Returns whether the answer to a check shows that the target did not crash.
+    fn is_refuted(&self, answer: &CheckAnswer<T>) -> bool {
+        match answer {
+            CheckAnswer::None => false,
+            // A process that has crashed takes longer to start again.
+            CheckAnswer::Unnamed => self.cause == LossCause::Unclear,
+            CheckAnswer::Named(target) => *target == self.target,
+        }
+    }
+}
+
 impl<T: Clone + PartialEq> Record<T> {
     /// Returns whether checks may withdraw the verdict. The outcome of a trial is better evidence.
     fn is_first_verdict(&self, now: Millis) -> bool {
         self.level == 1 && !self.is_tried(now)
     }
 
+    /// Returns whether checks may decide on the record: on a verdict that they may withdraw, or on one
+    /// that depends on them.
+    fn is_open(&self, now: Millis) -> bool {
+        self.is_first_verdict(now) || self.is_doubtful() || self.unclear_trial().is_some()
+    }
+
+    /// Returns the loss with the last trial, if it is unclear whether its target crashed.
+    fn unclear_trial(&self) -> Option<&Loss<T>> {
+        let ended = self.ended.as_ref().filter(|_| self.level > 1)?;
+        let loss = self.lost.iter().find(|loss| loss.target == *ended)?;
+        (loss.cause == LossCause::Unclear).then_some(loss)
+    }
+
     fn remove_losses(&mut self, targets: &[T]) {
         self.lost.retain(|loss| !targets.contains(&loss.target));
     }
@@ -65,7 +114,7 @@
     #[must_use]
     pub fn losses_to_check(&self, print: Fingerprint, now: Millis) -> Vec<(T, Millis)> {
         let record = self.records.get(&print);
-        let record = record.filter(|record| record.is_first_verdict(now));
+        let record = record.filter(|record| record.is_open(now));
         let losses = record.into_iter().flat_map(Record::counted);
         let unchecked = losses.filter(|loss| !loss.checked);
         let due = unchecked.map(|loss| (loss.target.clone(), loss.last + MIN_CHECK_DELAY));
@@ -73,7 +122,7 @@
     }
 
     /// Applies the results of checks to the losses under a request. Returns what to broadcast, if any
-    /// loss is refuted.
+    /// loss is refuted. Losses that are not refuted count as crashes from now on.
     pub fn refute(
         &mut self,
         print: Fingerprint,
@@ -83,14 +132,14 @@
         let record = self.records.get_mut(&print)?;
         let mut targets = Vec::new();
         for loss in &mut record.lost {
-            let since = loss.last + MIN_CHECK_DELAY;
-            let valid = |check: &&LossCheck<T>| check.lost == loss.target && check.begun >= since;
-            let Some(check) = checks.iter().find(valid) else {
+            let Some(check) = loss.find_check(checks) else {
                 continue;
             };
             loss.checked = true;
-            if check.answered.as_ref() == Some(&loss.target) {
+            if loss.is_refuted(&check.answer) {
                 targets.push(loss.target.clone());
+            } else {
+                loss.cause = LossCause::Crash;
             }
         }
         if targets.is_empty() {
@@ -110,6 +159,36 @@
         })
     }
 
+    /// Takes back the outcome of a trial whose target lives; it is tried again. Returns the verdict to
+    /// broadcast.
+    pub fn reopen_trial(
+        &mut self,
+        print: Fingerprint,
+        checks: &[LossCheck<T>],
+        now: Millis,
+    ) -> Option<Verdict> {
+        let record = self.records.get_mut(&print)?;
+        let loss = record.unclear_trial()?;
+        let check = loss.find_check(checks)?;
+        if !loss.is_refuted(&check.answer) {
+            return None;
+        }
+        record.ended = None;
+        record.reconsider(record.level - 1, FIRST_HOLD, now);
+        Some(record.verdict(print, now))
+    }
+
+    /// Decides on a part that was in doubt until its lost targets had been asked. Returns the verdict
+    /// to broadcast.
+    pub fn conclude(&mut self, part: Fingerprint, now: Millis) -> Option<Verdict> {
+        let record = self.records.get_mut(&part)?;
+        if !record.is_evident() {
+            return None;
+        }
+        record.decide(1, hold_duration(1), now);
+        Some(record.verdict(part, now))
+    }
+
     /// Applies what another daemon refuted. Returns whether a verdict is withdrawn by it.
     pub fn receive_refutation(&mut self, refuted: &Refutation<T>, now: Millis) -> bool {
         if let Some(record) = self.records.get_mut(&refuted.print) {
--- a/crates/thistlesill-policy/src/quarantine/progress.rs
+++ b/crates/thistlesill-policy/src/quarantine/progress.rs
@@ -2,6 +2,8 @@
 
 use thistlesill_core::Millis;
 
+use super::LossCause;
+
 /// Time that a target must write an answer for until the answer counts as past its start. Requests
 /// that crash their targets do so within the first events.
 const START_DURATION: Millis = Millis::new(300);
@@ -32,6 +34,15 @@
         }
     }
 
+    /// Returns what the loss of the target says of it.
+    #[must_use]
+    pub const fn loss_cause(self) -> LossCause {
+        match self {
+            Self::Waiting(_) => LossCause::Unclear,
+            Self::Starting(_) | Self::Writing(_) => LossCause::Crash,
+        }
+    }
+
     /// Returns the name in logs.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -19,7 +19,8 @@
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
 use super::{
-    AnswerPhase, FIRST_HOLD, Quarantine, QuarantineStatus, TRIAL_RETRY_AFTER, hold_duration,
+    AnswerPhase, FIRST_HOLD, LossCause, Quarantine, QuarantineStatus, Record, TRIAL_RETRY_AFTER,
+    hold_duration,
 };
 
 /// How much longer a request with several suspects is withheld than one with a single suspect: long
@@ -48,6 +49,8 @@
     pub suspected: Vec<Fingerprint>,
     /// Verdicts to broadcast.
     pub verdicts: Vec<Verdict>,
+    /// Parts on which a verdict depends on the reports of the lost targets.
+    pub doubtful: Vec<Fingerprint>,
 }
 
 impl<T: Clone + PartialEq> Quarantine<T> {
@@ -109,14 +112,17 @@
         effect
             .verdicts
             .extend(self.note_lost(keys.whole, target, now));
+        let cause = phase.loss_cause();
         for part in &keys.parts {
             let verdict = if on_trial.contains(part) {
-                self.note_lost(*part, target, now)
+                self.note_loss(*part, target, cause, now)
             } else {
-                self.note_part_lost(*part, target, since, now)
+                self.note_part_lost(*part, target, since, cause, now)
             };
             effect.verdicts.extend(verdict);
         }
+        let parts = keys.parts.iter().copied();
+        effect.doubtful = parts.filter(|part| self.is_doubtful(*part)).collect();
         effect
     }
 
@@ -131,6 +137,7 @@
         part: Fingerprint,
         target: &T,
         since: Millis,
+        cause: LossCause,
         now: Millis,
     ) -> Option<Verdict> {
         match self.records.get_mut(&part) {
@@ -147,7 +154,7 @@
                 record.remember(target, now);
                 None
             }
-            _ => self.note_lost(part, target, now),
+            _ => self.note_loss(part, target, cause, now),
         }
     }
 
@@ -170,6 +177,10 @@
         verdicts.collect()
     }
 
+    fn is_doubtful(&self, key: Fingerprint) -> bool {
+        self.records.get(&key).is_some_and(Record::is_doubtful)
+    }
+
     fn has_verdict(&self, key: Fingerprint) -> bool {
         self.records.get(&key).is_some_and(|r| r.level > 0)
     }
