fix(policy): a trial that no target got is soon followed by another

Sound requests stayed withheld for seconds while targets were full. A trial begins before a target is picked, and was over if the request was refused as overloaded; the part was withheld for a second more then, and the next trial met the same.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -225,7 +225,11 @@
     for print in job.tried.take() {
         let verdict = {
             let mut known = edge.quarantine.known.borrow_mut();
-            known.end_trial(print, edge.now())
+            if job.sent.get() == 0 {
+                known.cancel_trial(print, edge.now())
+            } else {
+                known.end_trial(print, edge.now())
+            }
         };
         if let Some(verdict) = verdict {
             let line = edge.lines.line("trial_undecided").with("id", &job.head.id);
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -57,6 +57,9 @@
 const MAX_HOLD: Millis = Millis::new(12 * 3_600_000);
 /// How long a trial may take before the next one may begin: longer than callers wait for answers.
 const TRIAL_TIMEOUT: Millis = Millis::new(10_000);
+/// How long a request is withheld after a trial that no target got: the next one may be admitted, and
+/// each trial is announced to all daemons.
+const UNSENT_TRIAL_HOLD: Millis = Millis::new(100);
 /// Retry delay given to callers while another request is being tried: a fatal request takes some
 /// tenths of a second to crash its target.
 const TRIAL_RETRY_AFTER: Millis = Millis::new(300);
@@ -320,8 +323,18 @@
     /// Records that a trial ended without an outcome, for example because its caller disconnected.
     /// Returns the verdict to broadcast if the trial was still running.
     pub fn end_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
+        self.end_trial_with(print, FIRST_HOLD, now)
+    }
+
+    /// Records that no target got the request of a trial, for example because all were full. Returns
+    /// the verdict to broadcast if the trial was still running.
+    pub fn cancel_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
+        self.end_trial_with(print, UNSENT_TRIAL_HOLD, now)
+    }
+
+    fn end_trial_with(&mut self, print: Fingerprint, hold: Millis, now: Millis) -> Option<Verdict> {
         let record = self.records.get_mut(&print).filter(|c| c.is_tried(now))?;
-        record.decide(record.level, FIRST_HOLD, now);
+        record.decide(record.level, hold, now);
         Some(record.verdict(print, now))
     }
 
--- a/crates/thistlesill-policy/tests/quarantine.rs
+++ b/crates/thistlesill-policy/tests/quarantine.rs
@@ -185,6 +185,23 @@
     );
 }
 
+/// All targets were full, so that the request of the trial was refused.
+#[test]
+fn a_trial_that_no_target_got_withholds_the_request_as_long_as_one_that_was_sent() {
+    let (mut known, _) = lost(print(1), 0..3);
+    known.begin_trial(print(1), after(1_300));
+    known.cancel_trial(print(1), after(1_305));
+    let status = known.status(print(1), after(1_310));
+    assert!(
+        matches!(status, QuarantineStatus::Withheld(_)),
+        "{status:?}"
+    );
+    assert_eq!(
+        known.status(print(1), after(1_405)),
+        QuarantineStatus::Trial
+    );
+}
+
 #[test]
 fn a_trial_without_an_outcome_is_followed_by_another() {
     let (mut known, _) = lost(print(1), 0..3);
