--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -102,11 +102,11 @@
     /// Adds the loss of a part, once for all requests with the part that were lost with the target:
     /// the latest of them is the strongest evidence.
     fn add_part(&mut self, part: Fingerprint, target: &TargetId, since: Millis, cause: LossCause) {
-        let known = self.parts.iter_mut();
+        let mut known = self.parts.iter_mut();
         let is_same = |known: &&mut UnsentPart| {
             known.part == part && known.target == *target && known.cause == cause
         };
-        match known.filter(is_same).next() {
+        match known.find(is_same) {
             Some(known) => known.since = known.since.max(since),
             None => self.parts.push(UnsentPart {
                 part,
