--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -24,7 +24,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl QuarantineState {
-    /// Queues what a verdict is on, or depends on checks, for the check of the targets that were lost under it.
+    /// Queues a request or part for the check of the targets that were lost under it, if its verdict
+    /// may change by that.
     pub(super) fn queue_check(&self, print: Fingerprint, now: Millis) {
         if self.known.borrow().losses_to_check(print, now).is_empty() {
             return;
@@ -120,7 +121,7 @@
         None => None,
     };
     let answer = match report.map(|report| report.incarnation) {
-        None => CheckAnswer::None,
+        None => CheckAnswer::Nothing,
         Some(incarnation) if incarnation == Incarnation::default() => CheckAnswer::Unnamed,
         Some(incarnation) => {
             CheckAnswer::Named(TargetId::new(lost.instance().clone(), incarnation))
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CheckAnswer<T> {
     /// It did not answer.
-    None,
+    Nothing,
     /// It answered without naming its incarnation, so it may have started again meanwhile.
     Unnamed,
     /// It answered as this target.
@@ -65,7 +65,7 @@
     /// Returns whether the answer to a check shows that the target did not crash.
     fn is_refuted(&self, answer: &CheckAnswer<T>) -> bool {
         match answer {
-            CheckAnswer::None => false,
+            CheckAnswer::Nothing => false,
             // A process that has crashed takes longer to start again.
             CheckAnswer::Unnamed => self.cause == LossCause::Unclear,
             CheckAnswer::Named(target) => *target == self.target,
--- a/crates/thistlesill-policy/tests/quarantine_checks.rs
+++ b/crates/thistlesill-policy/tests/quarantine_checks.rs
@@ -37,7 +37,7 @@
 /// A check that began at `ms` and got no answer.
 fn silence(number: u32, ms: u64) -> LossCheck<TargetId> {
     LossCheck {
-        answer: CheckAnswer::None,
+        answer: CheckAnswer::Nothing,
         ..answer(number, ms)
     }
 }
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -354,7 +354,7 @@
         known.note_request_progress(&sound, began, began + Millis::new(310));
     }
     for part in ["first", "deadly"] {
-        ask(&mut known, part, &CheckAnswer::None, 1_900);
+        ask(&mut known, part, &CheckAnswer::Nothing, 1_900);
     }
     assert!(is_withheld(&known, &request("x", &["deadly"]), at(1_900)));
     let sound = request("sound", &["first", "other"]);
@@ -428,7 +428,7 @@
         );
     }
     for part in ["first", "deadly"] {
-        ask(&mut known, part, &CheckAnswer::None, 1_310);
+        ask(&mut known, part, &CheckAnswer::Nothing, 1_310);
     }
     let sound = request("sound", &["first", "other"]);
     assert!(is_withheld(&known, &sound, at(1_310)));
@@ -456,7 +456,7 @@
                 lose_waiting(&mut known, &keys, number, waited, ms);
             }
         }
-        ask(&mut known, "deadly", &CheckAnswer::None, 2_150);
+        ask(&mut known, "deadly", &CheckAnswer::Nothing, 2_150);
         let next = request("next", &["deadly"]);
         assert!(is_withheld(&known, &next, at(2_150)), "{is_early_first}");
     }
