--- a/crates/thistlesill-edge/tests/it/crash_points.rs
+++ b/crates/thistlesill-edge/tests/it/crash_points.rs
@@ -232,8 +232,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn what_sound_requests_share_is_withheld_while_targets_are_lost_for_other_reasons() {
-    let (program, folder) = place(210);
-    let world = World::start_sized(program, &folder, 210, Size::with_many_groups(8)).await;
+    let (program, folder) = place(224);
+    let world = World::start_sized(program, &folder, 224, Size::with_many_groups(8)).await;
     let exchanges = Exchanges::default();
     let callers = start_callers(&world, &exchanges);
     lose_targets(&world).await;
@@ -246,18 +246,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_targets_before_the_answers_head_is_never_withheld() {
-    let outcome = observe(207, CrashPoint::BeforeHead, Beside::Nothing).await;
+    let outcome = observe(221, CrashPoint::BeforeHead, Beside::Nothing).await;
     outcome.assert_allowed();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_targets_before_or_after_the_answers_head_is_withheld_too_late() {
-    let outcome = observe(208, CrashPoint::ByTurns, Beside::Nothing).await;
+    let outcome = observe(222, CrashPoint::ByTurns, Beside::Nothing).await;
     outcome.assert_allowed();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_targets_which_stood_still_is_withheld_too_late() {
-    let outcome = observe(209, CrashPoint::ByTurns, Beside::Standstills).await;
+    let outcome = observe(223, CrashPoint::ByTurns, Beside::Standstills).await;
     outcome.assert_allowed();
 }
--- a/crates/thistlesill-edge/tests/it/fatal_parts.rs
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -107,7 +107,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_is_withheld_for_one_model_crashes_the_targets_of_another() {
-    let world = world(211, 2).await;
+    let world = world(225, 2).await;
     world.targets.set_fatal_part(PART);
     send_fatal(&world, "small", 25).await;
     let before = world.targets.ledger.runs_of_part(PART).len();
