fix(policy): every trial whose answer a live target lost is repeated

Since losses without a head are outcomes of trials, one lost answer of a live target withheld requests with two suspected parts for two minutes, so that sound requests that share both were refused: the checks knew of trials of a single part only. The trial of a whole request was condemned the same way, as before this work. And at a daemon that had the verdict from a peer, and no losses of its own, the check cleared a part that was withheld rightly.

The loss is kept for the combination and the whole request, too, and a trial that is taken back withdraws nothing else. apply_checks is one step now.

--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -81,7 +81,7 @@
         note_refuted(&edge, refutation);
     }
     for verdict in verdicts {
-        log_verdict(&edge, &verdict, "checks of lost targets", None);
+        log_verdict(&edge, &verdict, "reports of lost targets", None);
         edge.quarantine.announce(verdict);
         edge.quarantine.store(verdict);
     }
@@ -103,10 +103,9 @@
     let (mut refuted, mut verdicts) = (Vec::new(), Vec::new());
     let mut known = edge.quarantine.known.borrow_mut();
     for print in prints {
-        let now = edge.now();
-        verdicts.extend(known.reopen_trial(*print, checks, now));
-        refuted.extend(known.refute(*print, checks, now));
-        verdicts.extend(known.conclude(*print, now));
+        let effect = known.apply_checks(*print, checks, edge.now());
+        refuted.extend(effect.refuted);
+        verdicts.extend(effect.verdict);
     }
     (refuted, verdicts)
 }
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -33,7 +33,7 @@
 
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
-pub use self::check::{CheckAnswer, LossCheck, MIN_CHECK_DELAY, Refutation};
+pub use self::check::{CheckAnswer, CheckEffect, LossCheck, MIN_CHECK_DELAY, Refutation};
 pub use self::progress::{AnswerPhase, AnswerProgress};
 pub use self::request::{LossEffect, RequestKeys};
 
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -43,6 +43,15 @@
     Named(T),
 }
 
+/// What follows from the checks of the targets that were lost under a request or part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CheckEffect<T> {
+    /// The losses that are refuted, to be broadcast.
+    pub refuted: Option<Refutation<T>>,
+    /// The verdict to broadcast: a first one, or that of a trial which is repeated.
+    pub verdict: Option<Verdict>,
+}
+
 /// Losses under a request that were no crashes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refutation<T> {
@@ -121,8 +130,27 @@
         due.collect()
     }
 
-    /// Applies the results of checks to the losses under a request. Returns what to broadcast, if any
-    /// loss is refuted. Losses that are not refuted count as crashes from now on.
+    /// Applies the results of checks to a request or part.
+    pub fn apply_checks(
+        &mut self,
+        print: Fingerprint,
+        checks: &[LossCheck<T>],
+        now: Millis,
+    ) -> CheckEffect<T> {
+        let record = self.records.get(&print);
+        let tried = record.and_then(|record| Some(record.unclear_trial()?.target.clone()));
+        let refuted = self.refute(print, checks, now);
+        let lives = |target: &T| refuted.as_ref().is_some_and(|r| r.targets.contains(target));
+        let verdict = if tried.as_ref().is_some_and(lives) {
+            self.reopen_trial(print, now)
+        } else {
+            self.conclude(print, now)
+        };
+        CheckEffect { refuted, verdict }
+    }
+
+    /// Removes the losses under a request that checks refute. Returns what to broadcast, if there are
+    /// any. Losses that are not refuted count as crashes from now on.
     pub fn refute(
         &mut self,
         print: Fingerprint,
@@ -159,28 +187,16 @@
         })
     }
 
-    /// Takes back the outcome of a trial whose target lives; it is tried again. Returns the verdict to
-    /// broadcast.
-    pub fn reopen_trial(
-        &mut self,
-        print: Fingerprint,
-        checks: &[LossCheck<T>],
-        now: Millis,
-    ) -> Option<Verdict> {
+    /// Takes back the outcome of a trial whose target lives; it is tried again.
+    fn reopen_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
         let record = self.records.get_mut(&print)?;
-        let loss = record.unclear_trial()?;
-        let check = loss.find_check(checks)?;
-        if !loss.is_refuted(&check.answer) {
-            return None;
-        }
         record.ended = None;
         record.reconsider(record.level - 1, FIRST_HOLD, now);
         Some(record.verdict(print, now))
     }
 
-    /// Decides on a part that was in doubt until its lost targets had been asked. Returns the verdict
-    /// to broadcast.
-    pub fn conclude(&mut self, part: Fingerprint, now: Millis) -> Option<Verdict> {
+    /// Decides on a part that was in doubt until its lost targets had been asked.
+    fn conclude(&mut self, part: Fingerprint, now: Millis) -> Option<Verdict> {
         let record = self.records.get_mut(&part)?;
         if !record.is_evident() {
             return None;
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -104,15 +104,19 @@
         effect.suspected.clone_from(&keys.parts);
         let mut on_trial = own.to_vec();
         on_trial.retain(|key| self.is_tried(*key, now));
+        let cause = phase.loss_cause();
         let suspects = self.suspects(keys, Some(target));
         if !on_trial.is_empty() && suspects.len() > 1 {
-            effect.verdicts = self.withhold_combination(&suspects, &on_trial, now);
+            let loss = (target, cause);
+            effect.verdicts = self.withhold_combination(&suspects, &on_trial, loss, now);
             on_trial.clear();
         }
-        effect
-            .verdicts
-            .extend(self.note_lost(keys.whole, target, now));
-        let cause = phase.loss_cause();
+        let whole = if on_trial.contains(&keys.whole) {
+            self.note_loss(keys.whole, target, cause, now)
+        } else {
+            self.note_lost(keys.whole, target, now)
+        };
+        effect.verdicts.extend(whole);
         for part in &keys.parts {
             let verdict = if on_trial.contains(part) {
                 self.note_loss(*part, target, cause, now)
@@ -230,11 +234,12 @@
     }
 
     /// Withholds requests with all of these suspects for long, since one of them crashed a target;
-    /// those `on_trial` may be tried alone soon.
+    /// those `on_trial` may be tried alone soon. The target may live if `cause` is unclear.
     fn withhold_combination(
         &mut self,
         suspects: &[Fingerprint],
         on_trial: &[Fingerprint],
+        (target, cause): (&T, LossCause),
         now: Millis,
     ) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
@@ -247,6 +252,8 @@
         let key = combination(suspects);
         self.make_room(key);
         let record = self.records.entry(key).or_default();
+        record.count_lost(target, cause, now);
+        record.ended = Some(target.clone());
         let level = record.level.max(1) + 1;
         record.decide(level, hold_duration(level), now);
         verdicts.push(record.verdict(key, now));
--- a/crates/thistlesill-policy/tests/quarantine_parts.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts.rs
@@ -324,16 +324,19 @@
 
 /// Asks the targets that were lost under a part, of which each gives the same answer.
 fn ask(known: &mut Known, part: &str, answer: &CheckAnswer<TargetId>, ms: u64) {
-    let losses = known.losses_to_check(print(part), at(ms));
+    ask_under(known, print(part), answer, ms);
+}
+
+/// Asks the targets that were lost under a key.
+fn ask_under(known: &mut Known, key: Fingerprint, answer: &CheckAnswer<TargetId>, ms: u64) {
+    let losses = known.losses_to_check(key, at(ms));
     let check = |(lost, _): (TargetId, Millis)| LossCheck {
         lost,
         begun: at(ms),
         answer: answer.clone(),
     };
     let checks: Vec<LossCheck<TargetId>> = losses.into_iter().map(check).collect();
-    known.reopen_trial(print(part), &checks, at(ms));
-    known.refute(print(part), &checks, at(ms));
-    known.conclude(print(part), at(ms));
+    known.apply_checks(key, &checks, at(ms));
 }
 
 /// Each target crashes before its daemon gets the head of the answer.
@@ -400,6 +403,57 @@
     assert_eq!(status, QuarantineStatus::Trial);
 }
 
+/// The daemon of the trial has the verdict from a peer, and knows of no loss itself.
+#[test]
+fn a_trial_whose_answer_a_live_target_lost_clears_a_part_that_a_peer_withheld() {
+    let mut known = Known::default();
+    for verdict in three_crashed().verdicts(at(300)) {
+        known.receive(verdict, at(300));
+    }
+    let fatal = request("fatal", &["deadly"]);
+    let (own, _) = known.begin_request_trial(&fatal, at(1_300));
+    let phase = AnswerPhase::Waiting(at(1_310));
+    known.note_request_lost(&fatal, &own, &target(9), phase, at(1_340));
+    ask(&mut known, "deadly", &CheckAnswer::Unnamed, 1_450);
+    assert!(is_withheld(&known, &fatal, at(1_500)));
+    let status = known.request_status(&fatal, &[], at(2_450));
+    assert_eq!(status, QuarantineStatus::Trial);
+}
+
+/// A request with two suspects is tried, and a live target loses its answer before the head.
+#[test]
+fn a_combination_whose_answer_a_live_target_lost_is_condemned() {
+    let mut known = three_crashed();
+    let both = request("both", &["first", "deadly"]);
+    let (own, _) = known.begin_request_trial(&both, at(4_000));
+    assert_eq!(own.len(), 2);
+    let phase = AnswerPhase::Waiting(at(4_010));
+    let effect = known.note_request_lost(&both, &own, &target(9), phase, at(4_040));
+    assert!(is_withheld(&known, &both, at(7_500)));
+    for verdict in effect.verdicts {
+        ask_under(&mut known, verdict.print, &CheckAnswer::Unnamed, 4_150);
+    }
+    let status = known.request_status(&both, &[], at(8_500));
+    assert_eq!(status, QuarantineStatus::Trial);
+}
+
+/// The request as a whole is on trial, since it was lost with three targets.
+#[test]
+fn a_request_whose_answer_a_live_target_lost_at_its_trial_is_condemned() {
+    let mut known = Known::default();
+    let whole = request("whole", &[]);
+    for number in 0..3 {
+        known.note_lost(whole.whole, &target(number), at(100 * u64::from(number)));
+    }
+    let (own, _) = known.begin_request_trial(&whole, at(1_300));
+    let phase = AnswerPhase::Waiting(at(1_310));
+    known.note_request_lost(&whole, &own, &target(9), phase, at(1_340));
+    assert!(is_withheld(&known, &whole, at(1_400)));
+    ask_under(&mut known, whole.whole, &CheckAnswer::Unnamed, 1_450);
+    let status = known.request_status(&whole, &[], at(2_450));
+    assert_eq!(status, QuarantineStatus::Trial);
+}
+
 /// Requests wait at all targets that one outage takes.
 #[test]
 fn an_outage_of_many_targets_at_once_withholds_what_waits_there() {
@@ -408,8 +462,9 @@
         let keys = request(&number.to_string(), &["first"]);
         lose_waiting(&mut known, &keys, number, 50, 1_000 + u64::from(number));
     }
+    ask(&mut known, "first", &CheckAnswer::Nothing, 1_130);
     let next = request("next", &["first"]);
-    let status = known.request_status(&next, &[], at(1_100));
+    let status = known.request_status(&next, &[], at(1_150));
     assert_eq!(status, QuarantineStatus::Free);
 }
 
