--- a/crates/thistlesill-edge/tests/it/crash_points.rs
+++ b/crates/thistlesill-edge/tests/it/crash_points.rs
@@ -43,6 +43,9 @@
 const STANDSTILL: Duration = Duration::from_millis(1_200);
 const REST: Duration = Duration::from_millis(1_300);
 
+/// Text in the heads of answers to requests, and of no reports, behind which connections are cut.
+const ANSWER_CUT: &str = "thistlesill-response-seal: 5";
+
 /// What targets do beside the crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Beside {
@@ -203,8 +206,8 @@
     }
 }
 
-/// Crashes the engines of one domain after the other, all at once and one by one in turn, and resets
-/// the connections of engines that live, between standstills.
+/// Crashes the engines of one domain after the other, all at once and one by one in turn. Between
+/// that, engines stand still, and live ones lose connections and answers.
 async fn lose_targets(world: &World) {
     for domain in 0..3 {
         for engine in 8 * domain..8 * domain + 8 {
@@ -227,6 +230,15 @@
             tokio::time::sleep(Duration::from_millis(60)).await;
             world.targets.links[place].set_fault(LinkFault::None);
         }
+        set_engine_faults(world, LinkFault::CutAfter(ANSWER_CUT));
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        set_engine_faults(world, LinkFault::None);
+    }
+}
+
+fn set_engine_faults(world: &World, fault: LinkFault) {
+    for link in &world.targets.links[..world.engine_count()] {
+        link.set_fault(fault);
     }
 }
 
