--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -3,31 +3,29 @@
 //!
 //! Losses, successes and verdicts go to all daemons in datagrams. Heartbeats carry a digest of the
 //! verdicts, so that a daemon that missed some asks for them. Each withheld request is also a row
-//! in the store, in case all daemons are lost at once. After a first verdict the lost engines are asked
-//! for their reports ([`checks`]).
+//! in the store, in case all daemons are lost at once ([`rows`]). Where lost engines may live, they are
+//! asked for their reports ([`checks`]).
 
 mod checks;
+mod rows;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use thistlesill_core::edge::{Target, TargetId};
-use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
-use thistlesill_net::clock::Clock;
 use thistlesill_policy::quarantine::{
     AnswerPhase, LossCause, LossEffect, Quarantine, QuarantineStatus,
 };
 use tokio::sync::Notify;
 
 pub(crate) use self::checks::{check_losses, receive_refutations};
+pub(crate) use self::rows::persist;
 use crate::job::Job;
 use crate::peers::packet::{Packet, PartLoss};
 use crate::peers::{Reach, link};
-use crate::start::{self, Start};
 use crate::state::Edge;
 
 /// How long updates are batched for one datagram: all requests at a target are lost within some
@@ -42,14 +40,6 @@
 /// Maximum number of verdicts that wait to be written. The oldest are dropped; the daemons still
 /// know them.
 const MAX_UNWRITTEN: usize = 256;
-/// Time limit of a store call.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Backoff after a store call that failed.
-const STORE_BACKOFF: Duration = Duration::from_millis(800);
-/// How long a row is kept after the end of the time for which its request is withheld.
-const ROW_RETENTION_MS: u64 = 600_000;
-/// The table of withheld requests.
-const TABLE: &str = "withheld/";
 
 /// What this daemon knows about requests that crash targets, and has not sent or stored yet.
 #[derive(Debug, Default)]
@@ -57,8 +47,8 @@
     known: RefCell<Quarantine<TargetId>>,
     unsent: RefCell<Unsent>,
     unwritten: RefCell<Vec<Verdict>>,
-    /// What first verdicts of this daemon are on, and when the targets lost there may be checked;
-    /// the earliest first.
+    /// Requests and parts whose verdicts may change by checks, and when the targets lost there may be
+    /// checked; the earliest first.
     unchecked: RefCell<VecDeque<(Millis, Fingerprint)>>,
     /// Notified when `unchecked` grows.
     check: Notify,
@@ -88,16 +78,6 @@
     cause: LossCause,
 }
 
-/// The stored row of a withheld request.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct WithheldRow {
-    print: Fingerprint,
-    round: u32,
-    level: u32,
-    /// When the request is no longer withheld, in Unix milliseconds.
-    until: u64,
-}
-
 impl Unsent {
     /// Adds the loss of a part, once for all requests with the part that were lost with the target:
     /// the latest of them is the strongest evidence.
@@ -432,96 +412,3 @@
     all.truncate(MAX_PER_REPLY);
     link::send_to(edge, peer, &Packet::Verdicts(all));
 }
-
-/// Writes verdicts to the store; never returns.
-///
-/// First reads the stored verdicts, for the case that all daemons were lost, if this daemon reads
-/// the store for others that start.
-pub(crate) async fn persist(edge: Rc<Edge>) {
-    start::await_turn(&edge).await;
-    if edge.start.get() == Start::ReadsStore && !edge.settings().first_start {
-        read_rows(&edge).await;
-    }
-    loop {
-        edge.quarantine.write.notified().await;
-        loop {
-            let next = edge.quarantine.unwritten.borrow().first().copied();
-            let Some(verdict) = next else { break };
-            if write_row(&edge, &verdict).await {
-                let mut unwritten = edge.quarantine.unwritten.borrow_mut();
-                unwritten.retain(|v| *v != verdict);
-            } else {
-                tokio::time::sleep(STORE_BACKOFF).await;
-            }
-        }
-    }
-}
-
-async fn read_rows(edge: &Edge) {
-    let rows = loop {
-        match edge.store.read_own(TABLE, STORE_TIMEOUT).await {
-            Ok(rows) => break rows.rows,
-            Err(error) => log::debug!("quarantine: not read: {error}"),
-        }
-        tokio::time::sleep(STORE_BACKOFF).await;
-    };
-    for row in rows {
-        load_row(edge, &row).await;
-    }
-}
-
-async fn load_row(edge: &Edge, row: &Row) {
-    let wall = Clock::wall();
-    match serde_json::from_str::<WithheldRow>(&row.value) {
-        Ok(stored) if wall < stored.until + ROW_RETENTION_MS => {
-            let verdict = Verdict {
-                print: stored.print,
-                round: stored.round,
-                level: stored.level,
-                left: Millis::new(stored.until.saturating_sub(wall)),
-                trial: false,
-            };
-            let is_new = edge
-                .quarantine
-                .known
-                .borrow_mut()
-                .receive(verdict, edge.now());
-            if is_new {
-                log_verdict(edge, &verdict, "the store", None);
-            }
-        }
-        Ok(_) => remove_row(edge, &row.key).await,
-        Err(error) => {
-            let line = edge.lines.line("withheld_refused").with("key", &row.key);
-            line.with("why", error).write();
-            remove_row(edge, &row.key).await;
-        }
-    }
-}
-
-/// Removes an expired or unreadable row. If that fails, a later start removes the row.
-async fn remove_row(edge: &Edge, key: &str) {
-    let txn = Txn::new().delete(key.to_owned());
-    edge.write(&txn, STORE_TIMEOUT, "quarantine: a row not removed")
-        .await;
-}
-
-/// Writes a verdict to the store; returns whether the store confirmed the write.
-///
-/// The write is idempotent, so one with an unknown outcome is repeated.
-async fn write_row(edge: &Edge, verdict: &Verdict) -> bool {
-    let key = format!("{TABLE}{}", verdict.print);
-    let txn = if verdict.level == 0 {
-        Txn::new().delete(key)
-    } else {
-        let row = WithheldRow {
-            print: verdict.print,
-            round: verdict.round,
-            level: verdict.level,
-            until: Clock::wall() + verdict.left.get(),
-        };
-        Txn::new().put(key, &row)
-    };
-    edge.write(&txn, STORE_TIMEOUT, "quarantine: not written")
-        .await
-}
--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -1,4 +1,4 @@
-//! Checks of the engines whose losses led to a first verdict.
+//! Checks of lost engines that may live.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -46,8 +46,7 @@
     }
 }
 
-/// Asks the engines that were lost under requests with a first verdict of this daemon for their
-/// reports; never returns.
+/// Asks lost engines for their reports, if a verdict may change by that; never returns.
 pub(crate) async fn check_losses(edge: Rc<Edge>) {
     loop {
         let next = edge.quarantine.unchecked.borrow().front().copied();
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -27,6 +27,7 @@
 
 mod check;
 mod progress;
+mod record;
 mod request;
 
 use std::collections::HashMap;
@@ -35,6 +36,8 @@
 
 pub use self::check::{CheckAnswer, CheckEffect, LossCheck, MIN_CHECK_DELAY, Refutation};
 pub use self::progress::{AnswerPhase, AnswerProgress};
+pub use self::record::LossCause;
+use self::record::{Loss, Record};
 pub use self::request::{LossEffect, RequestKeys};
 
 /// Targets that must be lost in a row under a request before it is withheld. One or two can be lost
@@ -63,8 +66,6 @@
 /// Retry delay given to callers while another request is being tried: a fatal request takes some
 /// tenths of a second to crash its target.
 const TRIAL_RETRY_AFTER: Millis = Millis::new(300);
-/// Maximum number of lost targets remembered per request.
-const MAX_LOST: usize = 8;
 /// How long a loss is remembered for a request that is not withheld.
 const LOSS_RETENTION: Millis = Millis::new(300_000);
 /// How long a request is remembered after its time of being withheld has passed or it was cleared:
@@ -87,185 +88,6 @@
     Tried(Millis),
 }
 
-/// What a loss says of its target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LossCause {
-    /// The target ended while it wrote an answer.
-    Crash,
-    /// A connection ended on which nothing of an answer had arrived. Live targets lose answers this
-    /// way, too, so they are asked for their reports before the loss decides anything.
-    Unclear,
-}
-
-/// The loss of a target under a request.
-#[derive(Debug, Clone)]
-struct Loss<T> {
-    target: T,
-    /// When the target was first lost under the request.
-    first: Millis,
-    /// When the target was last lost under the request.
-    last: Millis,
-    /// Whether the loss counts towards the first verdict.
-    counted: bool,
-    /// How the target was lost.
-    cause: LossCause,
-    /// Whether the target was asked for its report after the last loss, which refuted nothing.
-    checked: bool,
-}
-
-/// State of one request.
-#[derive(Debug, Clone)]
-struct Record<T> {
-    /// Targets lost under the request since it last completed; at most [`MAX_LOST`].
-    lost: Vec<Loss<T>>,
-    /// When the last loss that counts or the last verdict was recorded.
-    last_change: Millis,
-    round: u32,
-    level: u32,
-    /// Until when the request is withheld.
-    until: Millis,
-    /// Whether the request is withheld because it is being tried.
-    trial: bool,
-    /// Target that crashed under the last trial.
-    ended: Option<T>,
-    /// When the record is removed.
-    expires_at: Millis,
-}
-
-impl<T> Default for Record<T> {
-    fn default() -> Self {
-        Self {
-            lost: Vec::new(),
-            last_change: Millis::ZERO,
-            round: 0,
-            level: 0,
-            until: Millis::ZERO,
-            trial: false,
-            ended: None,
-            expires_at: Millis::ZERO,
-        }
-    }
-}
-
-impl<T: Clone + PartialEq> Record<T> {
-    fn verdict(&self, print: Fingerprint, now: Millis) -> Verdict {
-        Verdict {
-            print,
-            round: self.round,
-            level: self.level,
-            left: self.until - now,
-            trial: self.trial,
-        }
-    }
-
-    fn is_tried(&self, now: Millis) -> bool {
-        self.trial && self.is_withheld(now)
-    }
-
-    /// Remembers a loss that does not count towards the first verdict, if there is room.
-    fn remember(&mut self, target: &T, now: Millis) {
-        if !self.repeat_loss(target, now) && self.lost.len() < MAX_LOST {
-            self.add_loss(target, false, LossCause::Crash, now);
-        }
-    }
-
-    /// Records a loss that counts towards the first verdict, unless the loss of the target does so
-    /// already.
-    fn count_lost(&mut self, target: &T, cause: LossCause, now: Millis) {
-        let known = self.lost.iter().position(|loss| loss.target == *target);
-        if let Some(known) = known {
-            if self.lost[known].counted {
-                self.repeat_loss(target, now);
-                if cause == LossCause::Crash {
-                    self.lost[known].cause = cause;
-                }
-                return;
-            }
-            self.lost.remove(known);
-        }
-        self.last_change = now;
-        if self.lost.len() >= MAX_LOST {
-            let uncounted = self.lost.iter().position(|loss| !loss.counted);
-            let Some(uncounted) = uncounted else { return };
-            self.lost.remove(uncounted);
-        }
-        self.add_loss(target, true, cause, now);
-    }
-
-    fn add_loss(&mut self, target: &T, counted: bool, cause: LossCause, now: Millis) {
-        self.lost.push(Loss {
-            target: target.clone(),
-            first: now,
-            last: now,
-            counted,
-            cause,
-            checked: false,
-        });
-    }
-
-    /// Returns whether enough targets were lost for a first verdict, some of which may live.
-    fn is_doubtful(&self) -> bool {
-        self.level == 0 && self.counted().count() >= LOSSES_UNTIL_WITHHELD
-    }
-
-    /// Returns whether enough targets have crashed for a first verdict.
-    fn is_evident(&self) -> bool {
-        let crashed = self.counted().filter(|loss| loss.cause == LossCause::Crash);
-        self.level == 0 && crashed.count() >= LOSSES_UNTIL_WITHHELD
-    }
-
-    /// Records that a target was lost once more; returns whether it is known to be lost.
-    fn repeat_loss(&mut self, target: &T, now: Millis) -> bool {
-        let Some(loss) = self.lost.iter_mut().find(|loss| loss.target == *target) else {
-            return false;
-        };
-        loss.last = now;
-        loss.checked = false;
-        true
-    }
-
-    /// Returns the losses that count towards the first verdict.
-    fn counted(&self) -> impl Iterator<Item = &Loss<T>> {
-        self.lost.iter().filter(|loss| loss.counted)
-    }
-
-    /// Returns the time from which on a sound answer disproves the evidence. What crashed a target
-    /// would crash each later one, so a sound answer after the first loss disproves them all, and a
-    /// verdict that rests on nothing else. Once there was a trial, only its own answer is evidence.
-    fn suspected_since(&self) -> Millis {
-        let first = self.counted().map(|loss| loss.first).min();
-        match (self.level, first) {
-            (0, first) => first.unwrap_or(Millis::ZERO),
-            (1, Some(first)) if self.ended.is_none() && !self.trial => first,
-            _ => self.last_change,
-        }
-    }
-
-    fn is_withheld(&self, now: Millis) -> bool {
-        self.level > 0 && now < self.until
-    }
-
-    /// Starts a new verdict.
-    fn decide(&mut self, level: u32, left: Millis, now: Millis) {
-        self.round += 1;
-        self.level = level;
-        self.until = now + left;
-        self.trial = false;
-        self.last_change = now;
-        if level == 0 {
-            self.lost.clear();
-        }
-        self.expires_at = self.until + VERDICT_RETENTION;
-    }
-
-    /// Starts a new verdict that also replaces one that another daemon made at the same time with
-    /// less information.
-    fn reconsider(&mut self, level: u32, left: Millis, now: Millis) {
-        self.round += 1;
-        self.decide(level, left, now);
-    }
-}
-
 /// Requests under which targets were lost; `T` identifies one incarnation of a target.
 #[derive(Debug, Clone)]
 pub struct Quarantine<T> {
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -1,4 +1,4 @@
-//! Checks of the targets whose losses led to a verdict.
+//! Checks of lost targets that may live.
 //!
 //! Load pattern: live targets reset connections now and then, and a request that meets three such
 //! resets in a row is withheld although no target crashed. An engine that still answers as the same
@@ -118,8 +118,8 @@
 }
 
 impl<T: Clone + PartialEq> Quarantine<T> {
-    /// Returns the targets that must be asked for their reports because of a first verdict, each with
-    /// the time from which on a check may refute its loss.
+    /// Returns the targets that must be asked for their reports since a verdict may change by that, each
+    /// with the time from which on a check may refute its loss.
     #[must_use]
     pub fn losses_to_check(&self, print: Fingerprint, now: Millis) -> Vec<(T, Millis)> {
         let record = self.records.get(&print);
