fix(policy): lost targets whose ports refuse connections have crashed, and count at once

Callers saw targets crash under a part for a tenth of a second and more after it was in doubt: losses before the head of an answer waited for a check that may begin 100 ms after the loss, and only the daemon of the third loss asked. Where that daemon knew of fewer losses than its peers, nobody asked until the next loss.

The daemon of such a loss now asks the engine once, with the first datagram. If its port refuses connections, its process is gone: the loss counts as a crash here, and the peers get it as one. A part is then withheld by whoever knows of the third.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -197,6 +197,7 @@
     tokio::task::spawn_local(quarantine::send_updates(edge.clone()));
     tokio::task::spawn_local(limits::run(edge.clone()));
     tokio::task::spawn_local(quarantine::check_losses(edge.clone()));
+    tokio::task::spawn_local(quarantine::confirm_crashes(edge.clone()));
     tokio::task::spawn_local(quarantine::persist(edge.clone()));
     if options.parts != Parts::Serve {
         tokio::task::spawn_local(planner::run(edge.clone(), charts));
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -21,7 +21,7 @@
 };
 use tokio::sync::Notify;
 
-pub(crate) use self::checks::{check_losses, receive_refutations};
+pub(crate) use self::checks::{check_losses, confirm_crashes, receive_refutations};
 pub(crate) use self::rows::persist;
 use crate::job::Job;
 use crate::peers::packet::{Packet, PartLoss};
@@ -52,6 +52,10 @@
     unchecked: RefCell<VecDeque<(Millis, Fingerprint)>>,
     /// Notified when `unchecked` grows.
     check: Notify,
+    /// Losses of parts after which the target may live, until it is asked for the first time.
+    unclear: RefCell<Vec<UnsentPart>>,
+    /// Notified when `unclear` grows.
+    ask: Notify,
     /// Notified when `unsent` grows.
     send: Notify,
     /// Notified when `unwritten` grows.
@@ -78,23 +82,15 @@
     cause: LossCause,
 }
 
-impl Unsent {
-    /// Adds the loss of a part, once for all requests with the part that were lost with the target:
-    /// the latest of them is the strongest evidence.
-    fn add_part(&mut self, part: Fingerprint, target: &TargetId, since: Millis, cause: LossCause) {
-        let mut known = self.parts.iter_mut();
-        let is_same = |known: &&mut UnsentPart| {
-            known.part == part && known.target == *target && known.cause == cause
-        };
-        match known.find(is_same) {
-            Some(known) => known.since = known.since.max(since),
-            None => self.parts.push(UnsentPart {
-                part,
-                target: target.clone(),
-                since,
-                cause,
-            }),
-        }
+/// Adds the loss of a part, once for all requests with the part that were lost with the target: the
+/// latest of them is the strongest evidence.
+fn add_part(parts: &mut Vec<UnsentPart>, added: UnsentPart) {
+    let is_same = |known: &&mut UnsentPart| {
+        known.part == added.part && known.target == added.target && known.cause == added.cause
+    };
+    match parts.iter_mut().find(is_same) {
+        Some(known) => known.since = known.since.max(added.since),
+        None => parts.push(added),
     }
 }
 
@@ -138,7 +134,17 @@
         unsent.lost.push((print, target.id.clone()));
         if let Some(since) = phase.suspect_since() {
             for part in &effect.suspected {
-                unsent.add_part(*part, &target.id, since, phase.loss_cause());
+                let lost = UnsentPart {
+                    part: *part,
+                    target: target.id.clone(),
+                    since,
+                    cause: phase.loss_cause(),
+                };
+                if lost.cause == LossCause::Unclear {
+                    add_part(&mut self.unclear.borrow_mut(), lost.clone());
+                    self.ask.notify_one();
+                }
+                add_part(&mut unsent.parts, lost);
             }
         }
         self.send.notify_one();
--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -8,11 +8,13 @@
 use futures_util::future::join_all;
 use thistlesill_core::edge::{Incarnation, TargetId};
 use thistlesill_core::{Fingerprint, Millis, Verdict};
-use thistlesill_net::lane::within;
+use thistlesill_net::lane::{ConnectionError, within};
 use thistlesill_platform::engine;
-use thistlesill_policy::quarantine::{CheckAnswer, LossCheck, MIN_CHECK_DELAY, Refutation};
+use thistlesill_policy::quarantine::{
+    CheckAnswer, LossCause, LossCheck, MIN_CHECK_DELAY, Refutation,
+};
 
-use super::{BATCH_DELAY, QuarantineState, log_verdict};
+use super::{BATCH_DELAY, QuarantineState, UnsentPart, add_part, log_verdict};
 use crate::peers::packet::Packet;
 use crate::peers::{Reach, link};
 use crate::state::Edge;
@@ -62,6 +64,59 @@
     }
 }
 
+/// Asks lost engines that may live whether their processes are gone; never returns.
+pub(crate) async fn confirm_crashes(edge: Rc<Edge>) {
+    loop {
+        edge.quarantine.ask.notified().await;
+        tokio::time::sleep(BATCH_DELAY).await;
+        let mut unclear = std::mem::take(&mut *edge.quarantine.unclear.borrow_mut());
+        while let Some(target) = unclear.first().map(|lost| lost.target.clone()) {
+            let is_of_target = |lost: &mut UnsentPart| lost.target == target;
+            let lost = unclear.extract_if(.., is_of_target).collect();
+            tokio::task::spawn_local(confirm_crash(edge.clone(), target, lost));
+        }
+    }
+}
+
+/// Asks an engine whether its process is gone. If it is, the losses of parts there are crashes, and
+/// the peers are told so.
+async fn confirm_crash(edge: Rc<Edge>, target: TargetId, lost: Vec<UnsentPart>) {
+    if !is_gone(&edge, &target).await {
+        return;
+    }
+    let verdicts = {
+        let mut known = edge.quarantine.known.borrow_mut();
+        known.note_crash(&target, edge.now())
+    };
+    for lost in lost {
+        let crash = UnsentPart {
+            cause: LossCause::Crash,
+            ..lost
+        };
+        add_part(&mut edge.quarantine.unsent.borrow_mut().parts, crash);
+    }
+    edge.quarantine.send.notify_one();
+    announce_verdicts(&edge, verdicts);
+}
+
+/// Returns whether the port of a lost engine refuses connections.
+async fn is_gone(edge: &Edge, target: &TargetId) -> bool {
+    let Some(address) = engine_address(edge, target) else {
+        return false;
+    };
+    let report = engine::fetch_report(target, address, within(REPORT_TIMEOUT)).await;
+    matches!(report, Err(ConnectionError::Refused))
+}
+
+/// Logs, announces and stores verdicts that follow from what was asked of lost engines.
+fn announce_verdicts(edge: &Edge, verdicts: Vec<Verdict>) {
+    for verdict in verdicts {
+        log_verdict(edge, &verdict, "reports of lost targets", None);
+        edge.quarantine.announce(verdict);
+        edge.quarantine.store(verdict);
+    }
+}
+
 /// Asks each engine that was lost under some requests once, and removes the losses that the answers
 /// refute.
 async fn check_batch(edge: Rc<Edge>, prints: Vec<Fingerprint>) {
@@ -79,11 +134,7 @@
     for refutation in &refuted {
         note_refuted(&edge, refutation);
     }
-    for verdict in verdicts {
-        log_verdict(&edge, &verdict, "reports of lost targets", None);
-        edge.quarantine.announce(verdict);
-        edge.quarantine.store(verdict);
-    }
+    announce_verdicts(&edge, verdicts);
     for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
         link::broadcast(&edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
     }
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -7,9 +7,10 @@
 //! does crash its targets gains nothing.
 //!
 //! Load pattern: answers of live targets are lost before their heads, some fifty a second, and many
-//! requests share the parts of each. Such losses withhold a part only once the targets were asked: a
-//! part that does crash its targets gains a tenth of a second. The outcome of a trial stands meanwhile,
-//! and is taken back if its target lives.
+//! requests share the parts of each. Such losses withhold a part only once the targets were asked. A
+//! target whose port refuses connections has crashed, and counts at once; where none refuses, a part that
+//! does crash its targets gains a tenth of a second. The outcome of a trial stands meanwhile, and is taken
+//! back if its target lives.
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::{Fingerprint, Millis, Verdict};
@@ -187,6 +188,16 @@
         })
     }
 
+    /// Records that a lost target has crashed for certain, for example because its port refuses
+    /// connections. Returns the verdicts to broadcast.
+    pub fn note_crash(&mut self, target: &T, now: Millis) -> Vec<Verdict> {
+        let records = self.records.iter_mut();
+        let confirmed = records.filter_map(|(print, r)| r.confirm_crash(target).then_some(*print));
+        let confirmed: Vec<Fingerprint> = confirmed.collect();
+        let verdicts = confirmed.into_iter().filter_map(|p| self.conclude(p, now));
+        verdicts.collect()
+    }
+
     /// Takes back the outcome of a trial whose target lives; it is tried again.
     fn reopen_trial(&mut self, print: Fingerprint, now: Millis) -> Option<Verdict> {
         let record = self.records.get_mut(&print)?;
@@ -195,8 +206,8 @@
         Some(record.verdict(print, now))
     }
 
-    /// Decides on a part that was in doubt until its lost targets had been asked.
-    fn conclude(&mut self, part: Fingerprint, now: Millis) -> Option<Verdict> {
+    /// Decides on a part that was in doubt until it was known that its lost targets have crashed.
+    pub(super) fn conclude(&mut self, part: Fingerprint, now: Millis) -> Option<Verdict> {
         let record = self.records.get_mut(&part)?;
         if !record.is_evident() {
             return None;
--- a/crates/thistlesill-policy/src/quarantine/record.rs
+++ b/crates/thistlesill-policy/src/quarantine/record.rs
@@ -112,6 +112,17 @@
         self.add_loss(target, true, cause, now);
     }
 
+    /// Records that a target that was lost has crashed. Returns whether that was unclear.
+    pub(super) fn confirm_crash(&mut self, target: &T) -> bool {
+        let mut losses = self.lost.iter_mut();
+        let unclear = losses.find(|l| l.target == *target && l.cause == LossCause::Unclear);
+        let is_unclear = unclear.is_some();
+        if let Some(loss) = unclear {
+            loss.cause = LossCause::Crash;
+        }
+        is_unclear
+    }
+
     fn add_loss(&mut self, target: &T, counted: bool, cause: LossCause, now: Millis) {
         self.lost.push(Loss {
             target: target.clone(),
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -144,6 +144,10 @@
         cause: LossCause,
         now: Millis,
     ) -> Option<Verdict> {
+        let known = self.records.get_mut(&part);
+        if cause == LossCause::Crash && known.is_some_and(|r| r.confirm_crash(target)) {
+            return self.conclude(part, now);
+        }
         match self.records.get_mut(&part) {
             // The daemon that tries the part decides on it.
             Some(record) if record.level > 0 => {
--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -3,7 +3,7 @@
 use thistlesill_core::edge::TargetId;
 use thistlesill_core::{Fingerprint, Millis};
 use thistlesill_policy::quarantine::{
-    AnswerPhase, CheckAnswer, LossCheck, QuarantineStatus, RequestKeys,
+    AnswerPhase, CheckAnswer, LossCause, LossCheck, QuarantineStatus, RequestKeys,
 };
 
 use super::{Known, at, is_withheld, print, request, target, three_crashed};
@@ -81,6 +81,35 @@
     }
 }
 
+/// The ports of the lost targets refuse connections, so there is nothing to wait for.
+#[test]
+fn a_part_crashes_further_targets_until_gone_ones_were_asked() {
+    let mut known = Known::default();
+    let next = request("next", &["deadly"]);
+    for number in 0..3 {
+        let ms = 1_000 + 20 * u64::from(number);
+        let keys = request(&number.to_string(), &["deadly"]);
+        lose_waiting(&mut known, &keys, number, 5, ms);
+        assert!(!is_withheld(&known, &next, at(ms)));
+        known.note_crash(&target(number), at(ms + 10));
+    }
+    assert!(is_withheld(&known, &next, at(1_050)));
+}
+
+/// Each loss arrives twice, at first while it is unclear whether the target has crashed.
+#[test]
+fn a_part_crashes_further_targets_as_the_daemon_of_the_last_loss_knows_too_few() {
+    let mut known = Known::default();
+    let next = request("next", &["deadly"]);
+    for number in 0..3 {
+        let ms = 1_000 + 20 * u64::from(number);
+        for (cause, ms) in [(LossCause::Unclear, ms), (LossCause::Crash, ms + 10)] {
+            known.note_part_lost(print("deadly"), &target(number), at(ms - 5), cause, at(ms));
+        }
+        assert_eq!(is_withheld(&known, &next, at(ms + 10)), number == 2);
+    }
+}
+
 #[test]
 fn a_trial_whose_answer_a_live_target_lost_condemns_its_part() {
     let mut known = three_crashed();
