fix(policy): what remains is withheld once the part that was blamed for its crashes is cleared

Callers saw ten runs of a part (3 are allowed) after five targets had crashed under it. They crash together as a standstill ends, under what they got meanwhile, and count as one loss, as in an outage of many targets. The part that all requests share is withheld for these crashes, since sound requests are lost there, too, a little later. Once a trial clears it, the fatal part is free with two counted losses, and the next standstill collects requests with it at further targets.

The crashes have a cause. When a withheld part is cleared by an answer, the parts that are left with three of its crashes are withheld in its place, as by a first verdict: for a second, then a trial, and any sound answer that began after the first loss withdraws it. Without a verdict that is cleared nothing changes, so an outage still counts once.

The new step test fails without the change.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -285,7 +285,7 @@
         let mut known = edge.quarantine.known.borrow_mut();
         known.note_success(job.fingerprint(), edge.now())
     };
-    announce_cleared(job, verdict);
+    announce_progress(job, verdict);
     note_progress(job, began);
 }
 
@@ -299,17 +299,19 @@
         let mut known = edge.quarantine.known.borrow_mut();
         known.note_request_progress(job.keys(), began, edge.now())
     };
-    announce_cleared(job, verdicts);
+    announce_progress(job, verdicts);
 }
 
-/// Sends and stores verdicts by which a request or parts of its prompt are cleared.
-fn announce_cleared(job: &Job, verdicts: impl IntoIterator<Item = Verdict>) {
+/// Sends and stores verdicts that follow from the progress of an answer: by most of them the request or
+/// parts of its prompt are cleared.
+fn announce_progress(job: &Job, verdicts: impl IntoIterator<Item = Verdict>) {
     let edge = &job.edge;
     for verdict in verdicts {
         edge.quarantine.announce(verdict);
         if verdict.round > 0 {
             log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
             edge.quarantine.store(verdict);
+            edge.quarantine.queue_check(verdict.print, edge.now());
         }
     }
 }
--- a/crates/thistlesill-policy/src/quarantine/record.rs
+++ b/crates/thistlesill-policy/src/quarantine/record.rs
@@ -83,9 +83,9 @@
     }
 
     /// Remembers a loss that does not count towards the first verdict, if there is room.
-    pub(super) fn remember(&mut self, target: &T, now: Millis) {
+    pub(super) fn remember(&mut self, target: &T, cause: LossCause, now: Millis) {
         if !self.repeat_loss(target, now) && self.lost.len() < MAX_LOST {
-            self.add_loss(target, false, LossCause::Crash, now);
+            self.add_loss(target, false, cause, now);
         }
     }
 
@@ -160,6 +160,12 @@
         self.lost.iter().filter(|loss| loss.counted)
     }
 
+    /// Returns the targets that have crashed under the request.
+    pub(super) fn crashed(&self) -> impl Iterator<Item = &T> {
+        let crashes = self.lost.iter().filter(|l| l.cause == LossCause::Crash);
+        crashes.map(|loss| &loss.target)
+    }
+
     /// Returns the time from which on a sound answer disproves the evidence. What crashed a target
     /// would crash each later one, so a sound answer after the first loss disproves them all, and a
     /// verdict that rests on nothing else. Once there was a trial, only its own answer is evidence.
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -12,6 +12,10 @@
 //! waited, after the loss before: one outage may take many targets at once, and would otherwise condemn
 //! what many requests share.
 //!
+//! Targets that stood still together crash together under the requests with a fatal part that they got
+//! meanwhile, and that counts as one loss. Once a part that was withheld for these crashes is cleared,
+//! the parts that are left with three of them are withheld in its place.
+//!
 //! A request with several suspects is tried only when no request with a single one came for a
 //! while. If it crashes its target, the combination is withheld for long, and each suspect may
 //! still be tried alone.
@@ -19,8 +23,8 @@
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 
 use super::{
-    AnswerPhase, FIRST_HOLD, LossCause, Quarantine, QuarantineStatus, Record, TRIAL_RETRY_AFTER,
-    hold_duration,
+    AnswerPhase, FIRST_HOLD, LOSSES_UNTIL_WITHHELD, LossCause, Quarantine, QuarantineStatus,
+    Record, TRIAL_RETRY_AFTER, hold_duration,
 };
 
 /// How much longer a request with several suspects is withheld than one with a single suspect: long
@@ -154,12 +158,12 @@
                 if record.is_tried(now) {
                     record.ended = Some(target.clone());
                 }
-                record.remember(target, now);
+                record.remember(target, cause, now);
                 None
             }
             // The same outage may have taken both targets.
             Some(record) if since < record.last_change => {
-                record.remember(target, now);
+                record.remember(target, cause, now);
                 None
             }
             _ => self.note_loss(part, target, cause, now),
@@ -179,10 +183,31 @@
             record.is_some_and(|record| began >= record.suspected_since())
         };
         let cleared: Vec<Fingerprint> = keys.parts.iter().copied().filter(cleared_by).collect();
-        let verdicts = cleared
-            .into_iter()
-            .filter_map(|part| self.note_success(part, now));
-        verdicts.collect()
+        let records = cleared.iter().filter_map(|part| self.records.get(part));
+        let withheld = records.filter(|record| record.level > 0);
+        let crashed: Vec<T> = withheld.flat_map(Record::crashed).cloned().collect();
+        let cleared = cleared.into_iter();
+        let mut verdicts: Vec<Verdict> = cleared
+            .filter_map(|part| self.note_success(part, now))
+            .collect();
+        verdicts.extend(self.withhold_others(&crashed, now));
+        verdicts
+    }
+
+    /// Withholds what else may have crashed targets whose crashes withheld a part that is cleared now.
+    /// One of the suspects did crash them, also if they were lost at the same time.
+    fn withhold_others(&mut self, crashed: &[T], now: Millis) -> Vec<Verdict> {
+        let is_suspect = |record: &Record<T>| {
+            let shared = record.crashed().filter(|target| crashed.contains(target));
+            record.level == 0 && shared.count() >= LOSSES_UNTIL_WITHHELD
+        };
+        let records = self.records.iter_mut();
+        let suspects = records.filter(|(_, record)| is_suspect(record));
+        let withhold = |(print, record): (&Fingerprint, &mut Record<T>)| {
+            record.decide(1, hold_duration(1), now);
+            record.verdict(*print, now)
+        };
+        suspects.map(withhold).collect()
     }
 
     fn is_doubtful(&self, key: Fingerprint) -> bool {
--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -189,6 +189,32 @@
     assert_eq!(status, QuarantineStatus::Free);
 }
 
+/// Targets that stood still crash under the requests that they got meanwhile, and the part that all
+/// requests share is withheld for it.
+#[test]
+fn a_part_crashes_further_targets_after_the_one_withheld_for_its_crashes_is_cleared() {
+    let mut known = Known::default();
+    for number in 0..3 {
+        let keys = request(&number.to_string(), &["first", "deadly"]);
+        lose_waiting(&mut known, &keys, number, 900, 1_000 + u64::from(number));
+        known.note_crash(&target(number), at(1_011));
+    }
+    for number in 1..3 {
+        let keys = request(&format!("sound {number}"), &["first", "other"]);
+        let ms = 1_010 + 20 * u64::from(number);
+        let phase = AnswerPhase::Starting(at(ms - 5));
+        known.note_request_lost(&keys, &[], &target(number), phase, at(ms));
+    }
+    let fatal = request("fatal", &["deadly"]);
+    let sound = request("sound", &["first", "other"]);
+    assert!(is_withheld(&known, &sound, at(1_100)));
+    assert!(!is_withheld(&known, &fatal, at(1_100)));
+    known.note_request_progress(&sound, at(1_020), at(1_330));
+    assert!(is_withheld(&known, &fatal, at(1_330)));
+    let status = known.request_status(&sound, &[], at(1_330));
+    assert_eq!(status, QuarantineStatus::Free);
+}
+
 /// The answer began after the first loss and before the third one.
 #[test]
 fn a_first_verdict_outlasts_a_sound_answer_that_began_before_it() {
