--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -215,6 +215,31 @@
     assert_eq!(status, QuarantineStatus::Free);
 }
 
+/// Only a part that was withheld leaves crashes without a cause, and only targets that have crashed.
+#[test]
+fn what_a_sound_answer_does_not_share_is_withheld_after_an_outage() {
+    for (is_withheld_first, have_crashed) in [(false, true), (true, false)] {
+        let mut known = Known::default();
+        for number in 0..4 {
+            let keys = request(&number.to_string(), &["rare"]);
+            lose_waiting(&mut known, &keys, number, 900, 1_000 + u64::from(number));
+            if have_crashed {
+                known.note_crash(&target(number), at(1_011));
+            }
+            let keys = request(&format!("sound {number}"), &["first"]);
+            let waited = if is_withheld_first { 5 } else { 900 };
+            let ms = 1_010 + 20 * u64::from(number);
+            let phase = AnswerPhase::Starting(at(ms - waited));
+            known.note_request_lost(&keys, &[], &target(number), phase, at(ms));
+        }
+        let sound = request("sound", &["first"]);
+        assert_eq!(is_withheld(&known, &sound, at(1_100)), is_withheld_first);
+        known.note_request_progress(&sound, at(1_020), at(1_330));
+        let status = known.request_status(&request("rare", &["rare"]), &[], at(1_330));
+        assert_eq!(status, QuarantineStatus::Free);
+    }
+}
+
 /// The answer began after the first loss and before the third one.
 #[test]
 fn a_first_verdict_outlasts_a_sound_answer_that_began_before_it() {
