--- a/crates/thistlesill-edge/tests/it/deadlines.rs
+++ b/crates/thistlesill-edge/tests/it/deadlines.rs
@@ -20,6 +20,8 @@
 const STREAM_DEADLINE: Duration = Duration::from_millis(100);
 /// Deadline of streams that begin much later.
 const SILENT_DEADLINE: Duration = Duration::from_millis(370);
+/// How much later than its deadline an answer arrives, within the time that daemons wait for it.
+const LATENESS: Duration = Duration::from_millis(25);
 /// Deadline of plain requests, shorter than their target's work.
 const PLAIN_DEADLINE: Duration = Duration::from_millis(10);
 
@@ -104,6 +106,23 @@
     assert_no_loss(&world, &ids);
 }
 
+/// The target answers in time, and its answer arrives while the daemon still waits for late ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_begins_after_its_deadline_ends_without_a_status() {
+    let world = world(226, 1).await;
+    for n in 0..5 {
+        world.set_engine_fault(0, LinkFault::StalledToClient);
+        let request = stream(&format!("late-{n}")).model("small");
+        let call = call_past_deadline(&world, request.deadline(SILENT_DEADLINE));
+        let release = async {
+            tokio::time::sleep(SILENT_DEADLINE + LATENESS).await;
+            world.set_engine_fault(0, LinkFault::None);
+        };
+        let (got, ()) = tokio::join!(call, release);
+        assert!(got.starts_with("HTTP/1.1 504"), "{got:?}");
+    }
+}
+
 /// The objective for the first event, 400 ms, lies between the deadline and the time until which the
 /// daemon waits for a late answer.
 #[tokio::test(flavor = "multi_thread")]
