fix(policy): a later loss with an answer counts after an unclear one

Parts went on crashing targets: once a loss without a head was known, a loss of the same target with the head of an answer was taken for the report that the target has crashed, and did not count, though its request was sent after the loss before.

Only a report on a loss that counts no more than the known one is taken for a confirmation.

--- a/crates/thistlesill-policy/src/quarantine/record.rs
+++ b/crates/thistlesill-policy/src/quarantine/record.rs
@@ -112,6 +112,14 @@
         self.add_loss(target, true, cause, now);
     }
 
+    /// Returns whether a loss, of which the request may have begun to crash the target at `since`, is
+    /// known as an unclear one and does not count more than that.
+    pub(super) fn is_repeated(&self, target: &T, since: Millis) -> bool {
+        let mut losses = self.lost.iter();
+        let unclear = losses.find(|l| l.target == *target && l.cause == LossCause::Unclear);
+        unclear.is_some() && (self.level > 0 || since < self.last_change)
+    }
+
     /// Records that a target that was lost has crashed. Returns whether that was unclear.
     pub(super) fn confirm_crash(&mut self, target: &T) -> bool {
         let mut losses = self.lost.iter_mut();
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -148,11 +148,12 @@
         cause: LossCause,
         now: Millis,
     ) -> Option<Verdict> {
-        let known = self.records.get_mut(&part);
-        if cause == LossCause::Crash && known.is_some_and(|r| r.confirm_crash(target)) {
-            return self.conclude(part, now);
-        }
         match self.records.get_mut(&part) {
+            // The loss is known, and its daemon found meanwhile that the target has crashed.
+            Some(record) if cause == LossCause::Crash && record.is_repeated(target, since) => {
+                record.confirm_crash(target);
+                self.conclude(part, now)
+            }
             // The daemon that tries the part decides on it.
             Some(record) if record.level > 0 => {
                 if record.is_tried(now) {
--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -289,6 +289,22 @@
     }
 }
 
+/// The request that waited at the target was sent before the last loss, the one that was answered after it.
+#[test]
+fn a_loss_with_an_answer_does_not_count_after_an_unclear_one() {
+    let mut known = Known::default();
+    for number in 0..3 {
+        let ms = 1_000 + 500 * u64::from(number);
+        let keys = request(&format!("{number} waits"), &["deadly"]);
+        lose_waiting(&mut known, &keys, number, 600, ms);
+        let keys = request(&format!("{number} starts"), &["deadly"]);
+        let phase = AnswerPhase::Starting(at(ms - 50));
+        known.note_request_lost(&keys, &[], &target(number), phase, at(ms + 1));
+    }
+    let next = request("next", &["deadly"]);
+    assert!(is_withheld(&known, &next, at(2_010)));
+}
+
 #[test]
 fn a_trial_that_crashes_its_target_before_the_head_has_no_outcome() {
     let mut known = three_crashed();
