--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -14,6 +14,16 @@
     known.note_request_lost(keys, &[], &target(number), phase, at(ms));
 }
 
+/// Loses targets, `interval` ms apart, each with another request that has the parts and waited for
+/// `waited` ms.
+fn lose_in_turn(known: &mut Known, targets: u32, parts: &[&str], waited: u64, interval: u64) {
+    for number in 0..targets {
+        let ms = 1_000 + interval * u64::from(number);
+        let keys = request(&number.to_string(), parts);
+        lose_waiting(known, &keys, number, waited, ms);
+    }
+}
+
 /// Asks the targets that were lost under a part, of which each gives the same answer.
 fn ask(known: &mut Known, part: &str, answer: &CheckAnswer<TargetId>, ms: u64) {
     ask_under(known, print(part), answer, ms);
@@ -62,16 +72,7 @@
 fn a_part_is_withheld_because_live_targets_lose_answers() {
     for answer in [CheckAnswer::Unnamed, CheckAnswer::Named(target(2))] {
         let mut known = Known::default();
-        for number in 0..3 {
-            let keys = request(&number.to_string(), &["first"]);
-            lose_waiting(
-                &mut known,
-                &keys,
-                number,
-                20,
-                1_000 + 50 * u64::from(number),
-            );
-        }
+        lose_in_turn(&mut known, 3, &["first"], 20, 50);
         let next = request("next", &["first"]);
         let status = known.request_status(&next, &[], at(1_150));
         assert_eq!(status, QuarantineStatus::Free);
@@ -179,10 +180,7 @@
 #[test]
 fn an_outage_of_many_targets_at_once_withholds_what_waits_there() {
     let mut known = Known::default();
-    for number in 0..20 {
-        let keys = request(&number.to_string(), &["first"]);
-        lose_waiting(&mut known, &keys, number, 50, 1_000 + u64::from(number));
-    }
+    lose_in_turn(&mut known, 20, &["first"], 50, 1);
     ask(&mut known, "first", &CheckAnswer::Nothing, 1_130);
     let next = request("next", &["first"]);
     let status = known.request_status(&next, &[], at(1_150));
@@ -194,9 +192,8 @@
 #[test]
 fn a_part_crashes_further_targets_after_the_one_withheld_for_its_crashes_is_cleared() {
     let mut known = Known::default();
+    lose_in_turn(&mut known, 3, &["first", "deadly"], 900, 1);
     for number in 0..3 {
-        let keys = request(&number.to_string(), &["first", "deadly"]);
-        lose_waiting(&mut known, &keys, number, 900, 1_000 + u64::from(number));
         known.note_crash(&target(number), at(1_011));
     }
     for number in 1..3 {
@@ -244,16 +241,7 @@
 #[test]
 fn a_first_verdict_outlasts_a_sound_answer_that_began_before_it() {
     let mut known = Known::default();
-    for number in 0..3 {
-        let keys = request(&number.to_string(), &["first", "deadly"]);
-        lose_waiting(
-            &mut known,
-            &keys,
-            number,
-            50,
-            1_000 + 100 * u64::from(number),
-        );
-    }
+    lose_in_turn(&mut known, 3, &["first", "deadly"], 50, 100);
     for part in ["first", "deadly"] {
         ask(&mut known, part, &CheckAnswer::Nothing, 1_310);
     }
