--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -202,6 +202,9 @@
             let shared = record.crashed().filter(|target| crashed.contains(target));
             record.level == 0 && shared.count() >= LOSSES_UNTIL_WITHHELD
         };
+        if crashed.len() < LOSSES_UNTIL_WITHHELD {
+            return Vec::new();
+        }
         let records = self.records.iter_mut();
         let suspects = records.filter(|(_, record)| is_suspect(record));
         let withhold = |(print, record): (&Fingerprint, &mut Record<T>)| {
