--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -198,13 +198,13 @@
     /// Withholds what else may have crashed targets whose crashes withheld a part that is cleared now.
     /// One of the suspects did crash them, also if they were lost at the same time.
     fn withhold_others(&mut self, crashed: &[T], now: Millis) -> Vec<Verdict> {
+        if crashed.len() < LOSSES_UNTIL_WITHHELD {
+            return Vec::new();
+        }
         let is_suspect = |record: &Record<T>| {
             let shared = record.crashed().filter(|target| crashed.contains(target));
             record.level == 0 && shared.count() >= LOSSES_UNTIL_WITHHELD
         };
-        if crashed.len() < LOSSES_UNTIL_WITHHELD {
-            return Vec::new();
-        }
         let records = self.records.iter_mut();
         let suspects = records.filter(|(_, record)| is_suspect(record));
         let withhold = |(print, record): (&Fingerprint, &mut Record<T>)| {
