fix(edge): a large plain answer that begins after its deadline is answered with 504

The same as for streams: daemons wait 60 ms longer for answers, what is passed on as it arrives breaks off at the deadline, and the connection closed before the head was written. The mend stood where streams are delivered; the check is in the relay now, for all answers that are passed on as they arrive. The process test has a large plain answer too, which got no status before.

--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -53,8 +53,7 @@
     let edge = &job.edge;
     let large = hyper::body::Body::size_hint(&answered.body).lower() > MAX_BUFFERED_BYTES;
     if large {
-        let forwarded = relay::forward_plain(job.clone(), answered, Bytes::new(), track);
-        return Ok(forwarded);
+        return relay::forward_plain(job.clone(), answered, Bytes::new(), track);
     }
     let began = edge.now();
     let read = read_answer_body(&mut answered.body);
@@ -62,7 +61,7 @@
     let body = match read {
         Some(Ok(ReadBody::Complete(body))) => body,
         Some(Ok(ReadBody::Start(start))) => {
-            return Ok(relay::forward_plain(job.clone(), answered, start, track));
+            return relay::forward_plain(job.clone(), answered, start, track);
         }
         Some(Err(error)) => {
             if let Some(target) = answered.origin.target() {
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -413,13 +413,8 @@
     track: &mut Track,
 ) -> Result<Response<OutBody>, Failure> {
     let stream = job.admission.route.kind == RouteKind::Stream && answered.status.is_success();
-    if stream && job.time_left() == Millis::ZERO {
-        // The relay would break off at once, and the connection close before the head is written.
-        let reason = "the stream began after the deadline";
-        return Err(Failure::of_answer(&answered, Outcome::Late, &reason));
-    }
     if stream {
-        return Ok(relay::begin(job.clone(), answered, attempts, track));
+        return relay::begin(job.clone(), answered, attempts, track);
     }
     plain::deliver(job, answered, track).await
 }
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -18,14 +18,14 @@
 use thistlesill_net::lane::HttpConnection;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
-use thistlesill_policy::edge::attempt::Attempts;
+use thistlesill_policy::edge::attempt::{Attempts, Outcome};
 use thistlesill_policy::quarantine::AnswerProgress;
 
 use self::cutter::{Added, Cutter};
 pub(crate) use self::passing::forward_plain;
 pub(crate) use self::stall::wait_for_stall;
 use self::stall::wait_for_way;
-use crate::attempt::{Answered, Origin};
+use crate::attempt::{Answered, Failure, Origin};
 use crate::destination::Tried;
 use crate::forward;
 use crate::job::Job;
@@ -165,13 +165,28 @@
     }
 }
 
+/// Fails if an answer that is passed on as it arrives began after the deadline: the relay would break
+/// off at once, and the connection close before the head is written.
+fn check_deadline(job: &Job, answered: &Answered) -> Result<(), Failure> {
+    if job.time_left() > Millis::ZERO {
+        return Ok(());
+    }
+    let reason = "the answer began after the deadline";
+    Err(Failure::of_answer(answered, Outcome::Late, &reason))
+}
+
 /// Starts to relay a stream to its caller.
+///
+/// # Errors
+///
+/// Fails if the deadline has passed.
 pub(crate) fn begin(
     job: Rc<Job>,
     answered: Answered,
     mut attempts: Attempts,
     track: &mut Track,
-) -> Response<OutBody> {
+) -> Result<Response<OutBody>, Failure> {
+    check_deadline(&job, &answered)?;
     let status = answered.status;
     let mut headers = answered.headers.clone();
     caller::remove_hop_by_hop(&mut headers);
@@ -191,7 +206,7 @@
         forwarded: None,
         longest_pause: Pause::default(),
     };
-    reply::streamed(status, headers, relay.chunks())
+    Ok(reply::streamed(status, headers, relay.chunks()))
 }
 
 impl Relay {
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -8,8 +8,8 @@
 use hyper::Response;
 use thistlesill_platform::caller::{self, BodyEnd};
 
-use super::Source;
-use crate::attempt::Answered;
+use super::{Source, check_deadline};
+use crate::attempt::{Answered, Failure};
 use crate::job::Job;
 use crate::quarantine;
 use crate::reply::{self, Interrupted, OutBody};
@@ -27,12 +27,17 @@
 
 /// Forwards a large plain answer to the caller as it arrives, after the `start` of its body, which
 /// was read already.
+///
+/// # Errors
+///
+/// Fails if the deadline has passed.
 pub(crate) fn forward_plain(
     job: Rc<Job>,
     answered: Answered,
     start: Bytes,
     track: &mut Track,
-) -> Response<OutBody> {
+) -> Result<Response<OutBody>, Failure> {
+    check_deadline(&job, &answered)?;
     let status = answered.status;
     let mut headers = answered.headers.clone();
     caller::remove_hop_by_hop(&mut headers);
@@ -47,7 +52,7 @@
         let chunk = forwarding.next().await?;
         Ok(chunk.map(|chunk| (chunk, forwarding)))
     });
-    reply::streamed(status, headers, chunks)
+    Ok(reply::streamed(status, headers, chunks))
 }
 
 impl Forwarding {
--- a/crates/thistlesill-edge/tests/it/deadlines.rs
+++ b/crates/thistlesill-edge/tests/it/deadlines.rs
@@ -108,21 +108,30 @@
 
 /// The target answers in time, and its answer arrives while the daemon still waits for late ones.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_stream_that_begins_after_its_deadline_ends_without_a_status() {
+async fn what_is_relayed_after_its_deadline_ends_without_a_status() {
     let world = world(226, 1).await;
     for n in 0..5 {
-        world.set_engine_fault(0, LinkFault::StalledToClient);
-        let request = stream(&format!("late-{n}")).model("small");
-        let call = call_past_deadline(&world, request.deadline(SILENT_DEADLINE));
-        let release = async {
-            tokio::time::sleep(SILENT_DEADLINE + LATENESS).await;
-            world.set_engine_fault(0, LinkFault::None);
-        };
-        let (got, ()) = tokio::join!(call, release);
-        assert!(got.starts_with("HTTP/1.1 504"), "{got:?}");
+        let mut large = read(&format!("large-{n}"));
+        large.path = "/read/x?pad=700000".to_owned();
+        for request in [stream(&format!("late-{n}")).model("small"), large] {
+            set_faults(&world, LinkFault::StalledToClient);
+            let call = call_past_deadline(&world, request.deadline(SILENT_DEADLINE));
+            let release = async {
+                tokio::time::sleep(SILENT_DEADLINE + LATENESS).await;
+                set_faults(&world, LinkFault::None);
+            };
+            let (got, ()) = tokio::join!(call, release);
+            let status = got.lines().next();
+            assert_eq!(status, Some("HTTP/1.1 504 Gateway Timeout"));
+        }
     }
 }
 
+fn set_faults(world: &World, fault: LinkFault) {
+    world.set_engine_fault(0, fault);
+    world.set_plain_fault(0, fault);
+}
+
 /// The objective for the first event, 400 ms, lies between the deadline and the time until which the
 /// daemon waits for a late answer.
 #[tokio::test(flavor = "multi_thread")]
