--- a/crates/thistlesill-edge/tests/it/crash_points.rs
+++ b/crates/thistlesill-edge/tests/it/crash_points.rs
@@ -16,7 +16,7 @@
 use thistlesill_platform_standin::caller::{CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::exchange::{Exchange, Exchanges, Patience};
-use thistlesill_platform_standin::link::LinkFault;
+use thistlesill_platform_standin::link::{LinkFault, SEAL_CUT};
 use thistlesill_platform_standin::targets::CrashPoint;
 use thistlesill_platform_standin::world::{Size, World};
 use tokio::task::JoinHandle;
@@ -43,9 +43,6 @@
 const STANDSTILL: Duration = Duration::from_millis(1_200);
 const REST: Duration = Duration::from_millis(1_300);
 
-/// Text in the heads of answers to requests, and of no reports, behind which connections are cut.
-const ANSWER_CUT: &str = "thistlesill-response-seal: 5";
-
 /// What targets do beside the crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Beside {
@@ -230,7 +227,7 @@
             tokio::time::sleep(Duration::from_millis(60)).await;
             world.targets.links[place].set_fault(LinkFault::None);
         }
-        set_engine_faults(world, LinkFault::CutAfter(ANSWER_CUT));
+        set_engine_faults(world, LinkFault::CutAfter(SEAL_CUT));
         tokio::time::sleep(Duration::from_millis(700)).await;
         set_engine_faults(world, LinkFault::None);
     }
