fix(edge): a loss that a sound answer cleared is no evidence again at peers

A daemon that found out that a lost target has crashed sent that to its peers also for parts that a sound answer had cleared since the loss. A peer that had forgotten the part took it for a new loss. Only parts of which the loss still stands are sent.

--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -79,16 +79,16 @@
 }
 
 /// Asks an engine whether its process is gone. If it is, the losses of parts there are crashes, and
-/// the peers are told so.
+/// are broadcast as such.
 async fn confirm_crash(edge: Rc<Edge>, target: TargetId, lost: Vec<UnsentPart>) {
     if !is_gone(&edge, &target).await {
         return;
     }
-    let verdicts = {
+    let (confirmed, verdicts) = {
         let mut known = edge.quarantine.known.borrow_mut();
         known.note_crash(&target, edge.now())
     };
-    for lost in lost {
+    for lost in lost.into_iter().filter(|l| confirmed.contains(&l.part)) {
         let crash = UnsentPart {
             cause: LossCause::Crash,
             ..lost
--- a/crates/thistlesill-policy/src/quarantine/check.rs
+++ b/crates/thistlesill-policy/src/quarantine/check.rs
@@ -189,13 +189,15 @@
     }
 
     /// Records that a lost target has crashed for certain, for example because its port refuses
-    /// connections. Returns the verdicts to broadcast.
-    pub fn note_crash(&mut self, target: &T, now: Millis) -> Vec<Verdict> {
+    /// connections. Returns the requests and parts of which that was unclear, without those that were
+    /// cleared since the loss, and the verdicts to broadcast.
+    pub fn note_crash(&mut self, target: &T, now: Millis) -> (Vec<Fingerprint>, Vec<Verdict>) {
         let records = self.records.iter_mut();
         let confirmed = records.filter_map(|(print, r)| r.confirm_crash(target).then_some(*print));
         let confirmed: Vec<Fingerprint> = confirmed.collect();
-        let verdicts = confirmed.into_iter().filter_map(|p| self.conclude(p, now));
-        verdicts.collect()
+        let verdicts = confirmed.iter().filter_map(|p| self.conclude(*p, now));
+        let verdicts = verdicts.collect();
+        (confirmed, verdicts)
     }
 
     /// Takes back the outcome of a trial whose target lives; it is tried again.
--- a/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
+++ b/crates/thistlesill-policy/tests/quarantine_parts/unclear.rs
@@ -111,6 +111,19 @@
     }
 }
 
+/// A sound answer has cleared the part when its lost target turns out to have crashed.
+#[test]
+fn a_loss_that_is_cleared_is_evidence_once_its_target_has_crashed() {
+    let mut known = Known::default();
+    let keys = request("lost", &["first"]);
+    lose_waiting(&mut known, &keys, 0, 5, 1_000);
+    let sound = request("sound", &["first"]);
+    known.note_request_progress(&sound, at(1_001), at(1_005));
+    let (confirmed, _) = known.note_crash(&target(0), at(1_011));
+    assert_eq!(confirmed, []);
+    assert_eq!(known.lost_targets(print("first")), 0);
+}
+
 #[test]
 fn a_trial_whose_answer_a_live_target_lost_condemns_its_part() {
     let mut known = three_crashed();
