fix(edge): a lost engine that is listed under another incarnation has crashed

An instance that is listed under another incarnation has started again, so its loss was a crash.

Such verdicts are logged as from "crashes of lost targets", which tells them from those that waited.

--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -96,11 +96,20 @@
         add_part(&mut edge.quarantine.unsent.borrow_mut().parts, crash);
     }
     edge.quarantine.send.notify_one();
-    announce_verdicts(&edge, verdicts);
+    announce_verdicts(&edge, verdicts, "crashes of lost targets");
 }
 
-/// Returns whether the port of a lost engine refuses connections.
+/// Returns whether the process of a lost engine is known to be gone: its port refuses connections, or
+/// its instance is listed under another incarnation.
 async fn is_gone(edge: &Edge, target: &TargetId) -> bool {
+    let listed = edge
+        .registry
+        .borrow()
+        .incarnation(target.instance())
+        .cloned();
+    if listed.is_some_and(|listed| listed != *target) {
+        return true;
+    }
     let Some(address) = engine_address(edge, target) else {
         return false;
     };
@@ -109,9 +118,9 @@
 }
 
 /// Logs, announces and stores verdicts that follow from what was asked of lost engines.
-fn announce_verdicts(edge: &Edge, verdicts: Vec<Verdict>) {
+fn announce_verdicts(edge: &Edge, verdicts: Vec<Verdict>, from: &str) {
     for verdict in verdicts {
-        log_verdict(edge, &verdict, "reports of lost targets", None);
+        log_verdict(edge, &verdict, from, None);
         edge.quarantine.announce(verdict);
         edge.quarantine.store(verdict);
     }
@@ -134,7 +143,7 @@
     for refutation in &refuted {
         note_refuted(&edge, refutation);
     }
-    announce_verdicts(&edge, verdicts);
+    announce_verdicts(&edge, verdicts, "reports of lost targets");
     for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
         link::broadcast(&edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
     }
--- a/crates/thistlesill-edge/tests/it/crash_points.rs
+++ b/crates/thistlesill-edge/tests/it/crash_points.rs
@@ -253,6 +253,31 @@
     assert_eq!(verdicts, 0);
 }
 
+/// The processes of the engines are gone as soon as their daemon has lost them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_crashes_further_targets_until_gone_ones_were_asked() {
+    let (program, folder) = place(227);
+    let world = World::start_sized(program, &folder, 227, Size::with_many_groups(1)).await;
+    world.targets.set_crash_point(CrashPoint::BeforeHead);
+    world.targets.set_fatal_part(FATAL_PART);
+    let mut number = 0;
+    let first = loop {
+        let own = format!("fatal-{number}");
+        let request = stream(&own).model("small").body(&own);
+        let request = request.prompt_parts(&[FATAL_PART, &own]);
+        drop(call(world.daemons[0].caller_address(), &request).await);
+        tokio::time::sleep(FATAL_INTERVAL).await;
+        let verdicts = world.log_lines(0, "ev=request_withheld");
+        if let Some(first) = verdicts.first() {
+            break first.clone();
+        }
+        number += 1;
+        assert!(number < 100, "the part is never withheld");
+    };
+    let from = "from=\"crashes of lost targets\"";
+    assert!(first.contains(from), "{first}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_targets_before_the_answers_head_is_never_withheld() {
     let outcome = observe(221, CrashPoint::BeforeHead, Beside::Nothing).await;
