--- a/review/standin-2/src/bin/bodies.rs
+++ b/review/standin-2/src/bin/bodies.rs
@@ -126,7 +126,7 @@
 #[tokio::main]
 async fn main() {
     let case = Case::from_args();
-    let mut world = World::start(&program(), &case.folder, 202, DAEMONS).await;
+    let mut world = World::start(&program(), &case.folder, 242, DAEMONS).await;
     let mut config = catalog(3, &["k1"]);
     config["limits"]["maxBodyBytes"] = json!(MAX_BODY);
     for route in config["routes"].as_array_mut().into_iter().flatten() {
--- a/review/standin-2/src/bin/dark.rs
+++ b/review/standin-2/src/bin/dark.rs
@@ -27,7 +27,7 @@
 #[tokio::main]
 async fn main() {
     let case = Case::from_args();
-    let world = World::start(&program(), &case.folder, 203, DAEMONS).await;
+    let world = World::start(&program(), &case.folder, 243, DAEMONS).await;
     let (trouble, record) = (case.trouble, case.record.clone());
     let links = world.targets.links.clone();
     let targets = world.targets.clone();
--- a/review/standin-2/src/bin/epochs.rs
+++ b/review/standin-2/src/bin/epochs.rs
@@ -12,7 +12,7 @@
 use thistlesill_review_2::{Case, Record, program};
 
 const DAEMONS: u8 = 3;
-const NET: u8 = 207;
+const NET: u8 = 245;
 /// The epoch in the entry of the other writer: 2 to the power of 62.
 const EPOCH: u64 = 1 << 62;
 /// When the entry is written, and when the servers crash, after the start of traffic.
--- a/review/standin-2/src/bin/lines.rs
+++ b/review/standin-2/src/bin/lines.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 const DAEMONS: u8 = 3;
-const NET: u8 = 206;
+const NET: u8 = 244;
 const SERVICE: &str = "streams";
 /// Events of each stream.
 const EVENTS: u64 = 12;
--- a/review/standin-2/src/bin/settings.rs
+++ b/review/standin-2/src/bin/settings.rs
@@ -33,7 +33,7 @@
 #[tokio::main]
 async fn main() {
     let case = Case::from_args();
-    let world = World::start(&program(), &case.folder, 201, DAEMONS).await;
+    let world = World::start(&program(), &case.folder, 241, DAEMONS).await;
     let paths: Vec<_> = world
         .daemons
         .iter()
