fix(lease): a row with numbers that no planner reaches is taken like one that cannot be read

Cause: the term and the renewal counter of a lease row were carried on whatever wrote the row.

Change: rows with higher numbers than 2^39 are not valid, and after the highest valid number both begin again.

--- a/crates/thistlesill-core/src/row.rs
+++ b/crates/thistlesill-core/src/row.rs
@@ -21,6 +21,26 @@
     pub free: bool,
 }
 
+/// Highest term or renewal counter that counts as valid: epochs hold the term in their upper bits. Rows
+/// with higher ones come from another writer.
+const MAX_LEASE_NUMBER: u64 = 1 << 39;
+
+impl LeaseRow {
+    /// Returns whether a planner may have written the row.
+    pub const fn is_valid(&self) -> bool {
+        self.term <= MAX_LEASE_NUMBER && self.beat <= MAX_LEASE_NUMBER
+    }
+}
+
+/// Returns the term or renewal counter that follows one. After the highest one they begin again.
+pub const fn next_lease_number(number: u64) -> u64 {
+    if number >= MAX_LEASE_NUMBER {
+        1
+    } else {
+        number + 1
+    }
+}
+
 /// The term of a hall's lease in a row of its own.
 ///
 /// Unlike the row of the lease, this row does not change with renewals, only when a daemon takes
@@ -31,6 +51,13 @@
     pub term: u64,
 }
 
+impl TermRow {
+    /// Returns whether a planner may have written the row.
+    pub const fn is_valid(&self) -> bool {
+        self.term <= MAX_LEASE_NUMBER
+    }
+}
+
 /// A group of the plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupRow {
--- a/crates/thistlesill-policy/src/lease.rs
+++ b/crates/thistlesill-policy/src/lease.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use thistlesill_core::chart::Chart;
-use thistlesill_core::row::{LeaseRow, TermRow, lease_key, term_key};
+use thistlesill_core::row::{LeaseRow, TermRow, lease_key, next_lease_number, term_key};
 use thistlesill_core::table::{Row, Rows, Txn, TxnReply, TxnResult};
 use thistlesill_core::{HallId, Millis, NodeId};
 
@@ -288,7 +288,8 @@
     fn decode(&self, rows: &Rows, now: Millis) -> Option<KnownRow> {
         let lease = rows.find(&lease_key(&self.hall))?;
         let term = rows.find(&term_key(&self.hall));
-        let row = lease.decode().unwrap_or_else(|_| self.fallback_row(term));
+        let row = lease.decode().ok().filter(LeaseRow::is_valid);
+        let row = row.unwrap_or_else(|| self.fallback_row(term));
         let term_version = term.map_or(0, |r| r.version);
         let same = self.known.as_ref().filter(|k| k.version == lease.version);
         Some(KnownRow {
@@ -299,13 +300,14 @@
         })
     }
 
-    /// Returns the row to assume when the lease row cannot be decoded because something else wrote
-    /// to it: the last known row.
+    /// Returns the row to assume when the lease row cannot be decoded, or holds numbers that no planner
+    /// has reached, because something else wrote to it: the last known row.
     ///
     /// Such a lease runs out like any other. If it counted as absent, it would never be replaced,
     /// and no more groups would be formed.
     fn fallback_row(&self, term: Option<&Row>) -> LeaseRow {
         let term_row = term.and_then(|row| row.decode::<TermRow>().ok());
+        let term_row = term_row.filter(TermRow::is_valid);
         let known = self.known.as_ref().map(|k| k.row.clone());
         let last = known.unwrap_or_else(|| LeaseRow {
             holder: NodeId::default(),
@@ -334,8 +336,8 @@
 
     fn send_takeover(&mut self, now: Millis) -> LeaseStep {
         let old = self.known.as_ref();
-        let term = old.map_or(0, |k| k.row.term) + 1;
-        let beat = old.map_or(0, |k| k.row.beat).max(self.last_beat) + 1;
+        let term = next_lease_number(old.map_or(0, |k| k.row.term));
+        let beat = next_lease_number(old.map_or(0, |k| k.row.beat).max(self.last_beat));
         let row = LeaseRow {
             holder: self.me.clone(),
             term,
@@ -357,7 +359,7 @@
             return LeaseStep::Wait;
         };
         let row = LeaseRow {
-            beat: known.row.beat.max(self.last_beat) + 1,
+            beat: next_lease_number(known.row.beat.max(self.last_beat)),
             ..known.row.clone()
         };
         let key = lease_key(&self.hall);
--- a/crates/thistlesill-policy/tests/lease.rs
+++ b/crates/thistlesill-policy/tests/lease.rs
@@ -5,6 +5,7 @@
 
 use thistlesill_core::Millis;
 use thistlesill_core::message::{Heartbeat, ObservedState, Sighting};
+use thistlesill_core::row::{LeaseRow, TermRow, lease_key, term_key};
 use thistlesill_core::settings::{Branch, Shape, Tree};
 use thistlesill_core::table::{Read, RowKey, Rows, Txn, TxnReply, TxnResult};
 use thistlesill_fakes::Table;
@@ -342,3 +343,41 @@
     let reply = table.txn(&late[0]);
     assert!(matches!(reply, TxnReply::Refused { .. }), "{reply:?}");
 }
+
+/// Guards against a row of another writer whose term or renewal counter no later one exceeds: no planner
+/// took the lease, or all had the same term.
+#[test]
+fn a_lease_row_with_the_largest_numbers_is_never_taken() {
+    for number in [u64::MAX, 1 << 63, (1 << 39) + 1, 1 << 39, (1 << 39) - 1] {
+        let mut table = Table::default();
+        let (mut a, mut b) = (lease("a"), lease("b"));
+        run_lease(&mut a, &mut table, START);
+        let row = LeaseRow {
+            holder: "odd".into(),
+            term: number,
+            beat: number,
+            free: false,
+        };
+        let hall = "h".into();
+        table.txn(
+            &Txn::new()
+                .put(lease_key(&hall), &row)
+                .put(term_key(&hall), &TermRow { term: number }),
+        );
+        let mut terms = Vec::new();
+        // Each holder is gone by the time at which the other one asks again.
+        for round in 1..6 {
+            for (wait, planner) in [&mut a, &mut b].into_iter().enumerate() {
+                let begun = START + Millis::new(round * 200_000 + wait as u64 * 100_000);
+                for second in 0..30 {
+                    let now = begun + Millis::new(second * 1_000);
+                    run_lease(planner, &mut table, now);
+                    terms.extend(planner.term(now));
+                }
+            }
+        }
+        terms.dedup();
+        assert!(terms.len() >= 8, "{number}: {terms:?}");
+        assert!(terms.iter().all(|term| *term <= 1 << 39), "{terms:?}");
+    }
+}
