fix(edge): a verdict in the store with numbers out of range is refused

Cause: the round of a stored verdict was counted on, and the time until which it holds was taken as it stood, whoever wrote the row: the highest ones overflow, or withhold a request for ever.

Change: such a row is refused with a line and removed, as one that cannot be decoded is.

--- a/crates/thistlesill-edge/src/quarantine/rows.rs
+++ b/crates/thistlesill-edge/src/quarantine/rows.rs
@@ -1,5 +1,6 @@
 //! Rows of withheld requests in the store, for the case that all daemons are lost at once.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use thistlesill_core::table::{Row, Txn};
 use thistlesill_core::{Fingerprint, Millis, Verdict};
 use thistlesill_net::clock::Clock;
+use thistlesill_policy::quarantine::MAX_HOLD;
 
 use super::log_verdict;
 use crate::start::{self, Start};
@@ -18,6 +20,10 @@
 const STORE_BACKOFF: Duration = Duration::from_millis(800);
 /// How long a row is kept after the end of the time for which its request is withheld.
 const ROW_RETENTION_MS: u64 = 600_000;
+/// How far apart the clocks of two daemons may be.
+const MAX_CLOCK_ERROR: Millis = Millis::new(60_000);
+/// Highest round of a verdict that counts as valid; each verdict on a request starts another one.
+const MAX_ROUND: u32 = 1 << 24;
 /// The table of withheld requests.
 const TABLE: &str = "withheld/";
 
@@ -31,6 +37,14 @@
     until: u64,
 }
 
+impl WithheldRow {
+    /// Returns whether a daemon may have written the row at a time of day, in Unix milliseconds.
+    fn is_valid(self, wall: u64) -> bool {
+        let left = Millis::new(self.until.saturating_sub(wall));
+        self.round <= MAX_ROUND && left <= MAX_HOLD + MAX_CLOCK_ERROR
+    }
+}
+
 /// Writes verdicts to the store; never returns.
 ///
 /// First reads the stored verdicts, for the case that all daemons were lost, if this daemon reads
@@ -71,7 +85,10 @@
 async fn load_row(edge: &Edge, row: &Row) {
     let wall = Clock::wall();
     match serde_json::from_str::<WithheldRow>(&row.value) {
-        Ok(stored) if wall < stored.until + ROW_RETENTION_MS => {
+        Ok(stored) if !stored.is_valid(wall) => {
+            refuse_row(edge, &row.key, &"its numbers are out of range").await;
+        }
+        Ok(stored) if wall < stored.until.saturating_add(ROW_RETENTION_MS) => {
             let verdict = Verdict {
                 print: stored.print,
                 round: stored.round,
@@ -89,14 +106,17 @@
             }
         }
         Ok(_) => remove_row(edge, &row.key).await,
-        Err(error) => {
-            let line = edge.lines.line("withheld_refused").with("key", &row.key);
-            line.with("why", error).write();
-            remove_row(edge, &row.key).await;
-        }
+        Err(error) => refuse_row(edge, &row.key, &error).await,
     }
 }
 
+/// Logs and removes a row that no daemon has written.
+async fn refuse_row(edge: &Edge, key: &str, why: &impl Display) {
+    let line = edge.lines.line("withheld_refused").with("key", key);
+    line.with("why", why).write();
+    remove_row(edge, key).await;
+}
+
 /// Removes an expired or unreadable row. If that fails, a later start removes the row.
 async fn remove_row(edge: &Edge, key: &str) {
     let txn = Txn::new().delete(key.to_owned());
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -57,7 +57,7 @@
 const HOLD_FACTOR: u32 = 10;
 /// Upper bound of these times: two more trials a day cost less than withholding a request whose
 /// cause has been fixed meanwhile.
-const MAX_HOLD: Millis = Millis::new(12 * 3_600_000);
+pub const MAX_HOLD: Millis = Millis::new(12 * 3_600_000);
 /// How long a trial may take before the next one may begin: longer than callers wait for answers.
 const TRIAL_TIMEOUT: Millis = Millis::new(10_000);
 /// How long a request is withheld after a trial that no target got: the next one may be admitted, and
