fix(policy): an odd epoch counts for the groups of the target that shows it alone

Callers got 503 for each request for a model, for good: another writer's entry had the epoch 2^62, and after a crash of the targets no group served again.

Cause: next_group took the highest epoch of any entry plus one, whoever wrote it, so one entry decided what the planner may assign. Daemons refuse entries with higher epochs than 2^62, and so refused the targets that had joined. Evidence: target_refused for each of them in the log of the case, and the orders' epochs.

Change: a new group's epoch exceeds those that its own members have shown. One that no planner of this term can have assigned raises the groups of its target alone, which joins before the others are ordered to; the term is added above it, so that two planners still differ. All epochs but the last are accepted. Why this works: targets decide by their own epochs whether they take a join.

The test epochs_exceed_all_that_were_seen asked that any listed epoch is exceeded, which is the fault. In its place epochs_exceed_all_that_their_members_have_shown asks that each join exceeds what its target has shown and that no group is named twice, with a lost term and with one that begins anew at the same number.

--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
-use thistlesill_platform_standin::entries::{dead_engine, odd_entries};
+use thistlesill_platform_standin::entries::{dead_engine, largest_entries, odd_entries};
 use thistlesill_platform_standin::targets::{PLAIN, POOL};
 use thistlesill_platform_standin::world::World;
 use tokio::io::AsyncWriteExt;
@@ -106,6 +106,65 @@
     }
 }
 
+/// Restarts all engines, and waits until they serve in groups again.
+async fn restart_engines(world: &World) {
+    for number in 0..world.engine_count() {
+        world.targets.restart(&format!("i-{number:03}"));
+    }
+    sleep(15_000).await;
+}
+
+/// Guards against an epoch of another writer's entry that ends all groups: the planner gave its own groups
+/// the next higher one, which no daemon accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_epoch_ends_all_groups_that_are_formed_after_it() {
+    let world = world(228, DAEMONS as u8).await;
+    let mut entry = dead_engine();
+    entry["group"] = json!({"name": "odd", "epoch": 1_u64 << 62, "rank": 0, "state": "broken"});
+    world.store.put("servers", "odd", &entry);
+    sleep(1_000).await;
+    restart_engines(&world).await;
+    assert_all_serve(&world, "restarted").await;
+}
+
+/// Guards against a number of another writer's row that is carried on as a maximum, a sum, a product or a
+/// shift, and ends service that way. One kind of row after the other is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_numbers_in_rows_of_other_writers_end_service() {
+    let mut world = world(229, DAEMONS as u8).await;
+    for (number, entry) in largest_entries("d-0").iter().enumerate() {
+        let key = format!("odd-{number}");
+        world.store.put("servers", &key, entry);
+        sleep(500).await;
+        assert_all_serve(&world, &key).await;
+    }
+    let lease = json!({"holder": "nobody", "term": u64::MAX, "beat": u64::MAX, "free": false});
+    let print = [255_u8; 16];
+    let withheld = json!({
+        "print": print, "round": u32::MAX, "level": u32::MAX, "until": u64::MAX,
+    });
+    world.store.put("halls", "fleet/lease", &lease);
+    let term = json!({"term": u64::MAX});
+    world.store.put("halls", "fleet/term", &term);
+    world.store.put("withheld", "odd", &withheld);
+    sleep(4_000).await;
+    for daemon in &mut world.daemons {
+        daemon.kill().await;
+    }
+    for daemon in &mut world.daemons {
+        daemon.start();
+    }
+    sleep(4_000).await;
+    restart_engines(&world).await;
+    for daemon in 0..DAEMONS {
+        let starts = world.log_lines(daemon, "ev=start ").len();
+        assert_eq!(starts, 2, "daemon {daemon} started again");
+        let panics = world.log_lines(daemon, "panicked");
+        assert_eq!(panics, Vec::<String>::new());
+    }
+    assert_all_serve(&world, "restarted").await;
+}
+
 /// The id of such an engine cannot be sent in a header. It was planned with, and each of its orders ended
 /// by a panic of the task that gave it.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/thistlesill-fakes/src/engines.rs
+++ b/crates/thistlesill-fakes/src/engines.rs
@@ -262,6 +262,13 @@
         }
     }
 
+    /// Has an engine's entry show a membership that no order caused.
+    pub fn ascribe(&mut self, id: &TargetId, member: Membership) {
+        if let Some(engine) = self.by_instance.get_mut(id.instance()) {
+            engine.target.member = Some(member);
+        }
+    }
+
     /// Advances all engines to `now`.
     pub fn advance(&mut self, now: Millis) {
         let ids: Vec<TargetId> = self
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -3,12 +3,12 @@
 //!
 //! All knowledge of groups is in the targets' own entries, so a planner that takes over needs no
 //! plan from its predecessor and continues from the entries. Epochs begin with the term of the
-//! lease, so no two planners ever assign the same one, and a target refuses a join that is older
-//! than one it has seen.
+//! lease, so no two planners ever assign the same one ([`epochs`]).
 
 mod census;
 mod conversion;
 mod demand;
+mod epochs;
 mod forming;
 mod loads;
 mod memory;
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 use thistlesill_core::edge::{Engine, GroupRef, Incarnation, Order, OrderReply, Target, TargetId};
-use thistlesill_core::{GroupId, HallId, InstanceId, Millis, Model};
+use thistlesill_core::{HallId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
@@ -37,8 +37,6 @@
 use self::survey::{Decision, Survey};
 use super::shortage::Urgency;
 
-/// Bits of an epoch that number the groups of one term.
-const EPOCH_BITS: u32 = 20;
 /// Time after which an order without effect is sent again. An engine takes some milliseconds to
 /// carry it out, and the target's entry is updated some milliseconds later.
 const ORDER_RETRY_INTERVAL: Millis = Millis::new(700);
@@ -198,6 +196,8 @@
     last_announcement: Option<Millis>,
     /// The highest epoch among the joins that were sent to each target in the present term.
     join_epochs: BTreeMap<TargetId, u64>,
+    /// The highest epoch that the entry of each listed target has shown.
+    held_epochs: BTreeMap<TargetId, u64>,
     /// Groups that have ended, as of the last step.
     ended_groups: BTreeSet<GroupRef>,
     /// Groups that are complete and not needed, as of the last step.
@@ -505,21 +505,8 @@
                 .is_some_and(|at| now - *at < ORDER_RETRY_INTERVAL)
         };
         let may_take_stale = |id: &TargetId| self.order_counts.may_take_stale_join(id, now);
-        free.retain(|id| self.is_usable(id, view) && !busy(id) && !may_take_stale(id));
-    }
-
-    fn next_group(&mut self, view: &FleetView<'_>) -> GroupRef {
-        self.counter += 1;
-        let seen = view.targets.values().filter_map(|t| t.member.as_ref());
-        let highest = seen.map(|m| m.of.epoch).max().unwrap_or(0);
-        let epoch = ((view.term << EPOCH_BITS) + self.counter).max(highest.saturating_add(1));
-        self.counter = self
-            .counter
-            .max(epoch.saturating_sub(view.term << EPOCH_BITS));
-        GroupRef {
-            group: GroupId::from(format!("g{epoch:x}")),
-            epoch,
-        }
+        let can_join = |id: &TargetId| !may_take_stale(id) && !self.has_last_epoch(id);
+        free.retain(|id| self.is_usable(id, view) && !busy(id) && can_join(id));
     }
 }
 
--- a/crates/thistlesill-policy/src/edge/fleet/forming.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/forming.rs
@@ -32,6 +32,8 @@
     pub(super) accepted: BTreeSet<TargetId>,
     /// Whether the group stays closed once it is complete, until it is needed.
     pub(super) standby: bool,
+    /// Members that must join before the others are ordered to.
+    first: Vec<TargetId>,
     /// Joins that each member did not accept.
     attempts: BTreeMap<TargetId, u32>,
 }
@@ -43,6 +45,7 @@
             model: plan.model.clone(),
             accepted: BTreeSet::new(),
             standby: false,
+            first: Vec::new(),
             attempts: BTreeMap::new(),
         }
     }
@@ -55,6 +58,17 @@
         }
     }
 
+    /// Has some members join before the others are ordered to.
+    fn with_first(self, first: Vec<TargetId>) -> Self {
+        Self { first, ..self }
+    }
+
+    /// Returns whether a member is not ordered to join yet, since others must join first.
+    fn must_wait(&self, id: &TargetId, group: &GroupRef, view: &FleetView<'_>) -> bool {
+        let has_joined = |id| self.accepted.contains(id) || is_listed_in(id, group, view);
+        !self.first.contains(id) && !self.first.iter().all(has_joined)
+    }
+
     /// Counts a join that a member did not accept, and returns the number of such joins.
     pub(super) fn record_attempt(&mut self, target: &TargetId) -> u32 {
         let count = self.attempts.entry(target.clone()).or_default();
@@ -178,7 +192,8 @@
         actions: &mut Vec<FleetAction>,
         view: &FleetView<'_>,
     ) {
-        let group = self.next_group(view);
+        let group = self.next_group(view, members);
+        let planned = planned.with_first(self.first_to_join(view.term, members));
         let member_ids: Vec<TargetId> = members.iter().map(|t| t.id.clone()).collect();
         for id in &member_ids {
             self.last_orders.remove(&(id.clone(), JOIN_ORDER));
@@ -201,6 +216,10 @@
     ) {
         for target in members.iter().filter_map(|id| view.targets.get(id)) {
             let id = &target.id;
+            let planned = self.planned.get(group);
+            if planned.is_some_and(|p| p.must_wait(id, group, view)) {
+                continue;
+            }
             if view.before_traffic && target.member.is_none() && self.order_counts.get(id).is_none()
             {
                 // The target has almost certainly taken no order yet. If it has, it refuses the
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -137,6 +137,7 @@
                 self.leaders.insert(member.of.clone(), target.id.clone());
             }
         }
+        self.record_epochs(targets);
         for id in self.addresses.keys() {
             if !targets.contains_key(id) {
                 self.missing_since.entry(id.clone()).or_insert(now);
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -14,6 +14,8 @@
 mod book;
 #[path = "edge/demand.rs"]
 mod demand;
+#[path = "edge/epochs.rs"]
+mod epochs;
 #[path = "edge/evacuated_groups.rs"]
 mod evacuated_groups;
 #[path = "edge/evacuation.rs"]
