fix(edge): a target that ends in silence is lost under the requests that it left unanswered

Cause: a request that ends at its deadline, or as its caller leaves, before its connection breaks was no loss whatever became of its target, and a trial that ended so was undecided and repeated after a second. Evidence: target_restarted without lost_with_target or request_withheld in the logs of the case.

Change: each daemon keeps such requests until their targets show life, which clears them, or are found to have ended: listed under another incarnation, or no longer. Then it is a loss, with the evidence against the parts and the outcome of a trial as for any other. What was answered elsewhere meanwhile is no suspect; a target that is listed again under the same incarnation has not ended. Why this works: silence proves nothing, silence and then another process does, also seconds after the end of the request.

No verdict while sound targets stand still.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::lanes::PooledLane;
 use crate::leaving;
 use crate::limits;
-use crate::quarantine;
+use crate::quarantine::{self, Awaited};
 use crate::reach;
 
 /// Time to connect to a target. Targets answer within a few milliseconds, so a longer wait
@@ -73,6 +73,8 @@
         target: Box<Target>,
         /// Counts the request at the target until the answer has ended.
         flight: InFlight,
+        /// Keeps the request as unanswered if the answer does not end.
+        awaited: Awaited,
     },
     /// A peer, which sent the request to a target.
     Peer(NodeId),
@@ -87,6 +89,31 @@
         }
     }
 
+    /// Records that the connection to the target was lost while the target answered, if this daemon
+    /// sent the request there.
+    pub(crate) fn note_lost(&mut self, job: &Job, phase: AnswerPhase, reason: &str) {
+        if let Self::Target {
+            target, awaited, ..
+        } = self
+        {
+            awaited.note_lost(job, target, phase, reason);
+        }
+    }
+
+    /// Records that the answer of the target has come this far.
+    pub(crate) fn note_progress(&mut self, phase: AnswerPhase) {
+        if let Self::Target { awaited, .. } = self {
+            awaited.note_progress(phase);
+        }
+    }
+
+    /// Records that the answer has ended.
+    pub(crate) fn settle(&mut self) {
+        if let Self::Target { awaited, .. } = self {
+            awaited.settle();
+        }
+    }
+
     /// Returns the id of the target, if this daemon sent the request there.
     pub(crate) fn target_id(&self) -> Option<&TargetId> {
         self.target().map(|target| &target.id)
@@ -197,6 +224,7 @@
     let request = job.request(target, last_event);
     limits::log_sent(job, target);
     job.sent.set(job.sent.get() + 1);
+    let mut awaited = Awaited::new(job, &target.id);
     let handed_over = edge.now();
     let answer = {
         let last = job.answer_deadline();
@@ -229,19 +257,28 @@
         Err(_) => reach::note_doubt(edge, target, sent),
     }
     match answer {
-        Ok(response) => classify_answer(job, target, response, lane, flight, sent),
+        Ok(response) => {
+            let origin = Origin::Target {
+                target: Box::new(target.clone()),
+                flight,
+                awaited,
+            };
+            classify_answer(job, target, response, lane, origin, sent)
+        }
         Err(ConnectionError::TimedOut) => Err(Failure::new(Outcome::Late, &"no answer in time")),
         Err(error) if error.is_unsent() => {
             job.sent.set(job.sent.get() - 1);
+            awaited.settle();
             Err(Failure::new(Outcome::NotSent, &error).on_connection(job, target, reused))
         }
         // The bytes may have followed the answer to an earlier request.
         Err(error @ ConnectionError::Garbled { .. }) if reused => {
+            awaited.settle();
             Err(Failure::new(Outcome::MayHaveRun, &error).on_connection(job, target, reused))
         }
         Err(error) => {
             let phase = AnswerPhase::Waiting(handed_over);
-            quarantine::note_lost(job, target, phase, "connection lost");
+            awaited.note_lost(job, target, phase, "connection lost");
             Err(Failure::new(Outcome::MayHaveRun, &error))
         }
     }
@@ -317,7 +354,7 @@
     target: &Target,
     response: Response<BudgetedBody>,
     lane: HttpConnection,
-    flight: InFlight,
+    mut origin: Origin,
     sent: Millis,
 ) -> Result<Answered, Failure> {
     let edge = &job.edge;
@@ -328,6 +365,7 @@
     backoffs::note_answer(job, target, &info);
     leaving::note_answer(job, target, &info);
     if let Some(failure) = failure_of_answer(&info, status) {
+        origin.settle();
         edge.loads.borrow_mut().note_refused(&target.id, edge.now());
         if info.not_run && status == StatusCode::MISDIRECTED_REQUEST {
             edge.suspect(&target.id, "it is another incarnation");
@@ -335,16 +373,17 @@
         return Err(failure);
     }
     reach::note_progress(edge, target);
+    origin.note_progress(AnswerPhase::Starting(edge.now()));
+    if status.is_server_error() {
+        origin.settle();
+    }
     let answered = Answered {
         status,
         headers: parts.headers,
         body,
         lane,
         info,
-        origin: Origin::Target {
-            target: Box::new(target.clone()),
-            flight,
-        },
+        origin,
         sent: 1,
     };
     if status.is_server_error() {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -382,6 +382,7 @@
     if edge.registry.borrow_mut().expire(catalog.as_deref(), now) {
         edge.fleet_changed.notify_one();
     }
+    quarantine::review(edge);
     let registry = edge.registry.borrow();
     edge.loads
         .borrow_mut()
--- a/crates/thistlesill-edge/src/peers/link.rs
+++ b/crates/thistlesill-edge/src/peers/link.rs
@@ -248,6 +248,9 @@
             Ok(Packet::UnclearPartsLost(lost)) => {
                 quarantine::receive_part_losses(&edge, &lost, LossCause::Unclear);
             }
+            Ok(Packet::SilentPartsLost(lost)) => {
+                quarantine::receive_part_losses(&edge, &lost, LossCause::Silence);
+            }
             Ok(Packet::LossesRefuted(refuted)) => {
                 quarantine::receive_refutations(&edge, &refuted);
             }
--- a/crates/thistlesill-edge/src/peers/packet.rs
+++ b/crates/thistlesill-edge/src/peers/packet.rs
@@ -9,7 +9,7 @@
 use thistlesill_policy::edge::returns::CallerReport;
 use thistlesill_policy::edge::shortage::RankedRequest;
 use thistlesill_policy::lease::LeaseSnapshot;
-use thistlesill_policy::quarantine::Refutation;
+use thistlesill_policy::quarantine::{LossCause, Refutation};
 
 use crate::ranking::Ranking;
 
@@ -69,9 +69,20 @@
     RefusedCallers(RefusedCallers),
     /// As [`Packet::PartsLost`], where nothing of an answer had arrived, so that the targets may live.
     UnclearPartsLost(Vec<PartLoss>),
+    /// As [`Packet::PartsLost`], where the targets fell silent and were found to have ended later.
+    SilentPartsLost(Vec<PartLoss>),
 }
 
 impl Packet {
+    /// Creates the datagram with losses of parts that have this cause.
+    pub(crate) const fn parts_lost(lost: Vec<PartLoss>, cause: LossCause) -> Self {
+        match cause {
+            LossCause::Crash => Self::PartsLost(lost),
+            LossCause::Unclear => Self::UnclearPartsLost(lost),
+            LossCause::Silence => Self::SilentPartsLost(lost),
+        }
+    }
+
     /// Returns the name of the datagram's kind in logs and metrics.
     pub(crate) const fn kind(&self) -> &'static str {
         match self {
@@ -94,6 +105,7 @@
             Self::LinksLost(_) => "links_lost",
             Self::PartsLost(_) => "parts_lost",
             Self::UnclearPartsLost(_) => "unclear_parts_lost",
+            Self::SilentPartsLost(_) => "silent_parts_lost",
             Self::UrgentDemand(_) => "urgent_demand",
             Self::PlaceRanked(_) => "place_ranked",
             Self::PlacedRanked(_) => "placed_ranked",
--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -64,10 +64,9 @@
             return relay::forward_plain(job.clone(), answered, start, track);
         }
         Some(Err(error)) => {
-            if let Some(target) = answered.origin.target() {
-                let phase = AnswerPhase::Starting(began);
-                quarantine::note_lost(job, target, phase, "the answer broke off");
-            }
+            let phase = AnswerPhase::Starting(began);
+            let origin = &mut answered.origin;
+            origin.note_lost(job, phase, "the answer broke off");
             return Err(Failure::of_answer(&answered, Outcome::MayHaveRun, &error));
         }
         None => {
@@ -91,12 +90,13 @@
         mut headers,
         lane,
         info,
-        origin,
+        mut origin,
         ..
     } = answered;
+    origin.settle();
     let target = match origin {
         // The request no longer counts at the target.
-        Origin::Target { target, flight } => {
+        Origin::Target { target, flight, .. } => {
             drop(flight);
             Some(target)
         }
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -4,10 +4,12 @@
 //! Losses, successes and verdicts go to all daemons in datagrams. Heartbeats carry a digest of the
 //! verdicts, so that a daemon that missed some asks for them. Each withheld request is also a row
 //! in the store, in case all daemons are lost at once ([`rows`]). Where lost engines may live, they are
-//! asked for their reports ([`checks`]).
+//! asked for their reports ([`checks`]). Requests that end while their targets are silent are kept until
+//! it is known what became of these ([`unanswered`]).
 
 mod checks;
 mod rows;
+mod unanswered;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -17,12 +19,13 @@
 use thistlesill_core::edge::{Target, TargetId};
 use thistlesill_core::{Fingerprint, Millis, NodeId, Verdict};
 use thistlesill_policy::quarantine::{
-    AnswerPhase, LossCause, LossEffect, Quarantine, QuarantineStatus,
+    AnswerPhase, LossCause, LossEffect, Quarantine, QuarantineStatus, Unanswered,
 };
 use tokio::sync::Notify;
 
 pub(crate) use self::checks::{check_losses, confirm_crashes, receive_refutations};
 pub(crate) use self::rows::persist;
+pub(crate) use self::unanswered::{Awaited, review};
 use crate::job::Job;
 use crate::peers::packet::{Packet, PartLoss};
 use crate::peers::{Reach, link};
@@ -45,6 +48,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineState {
     known: RefCell<Quarantine<TargetId>>,
+    /// Requests that ended without an answer while their targets were silent.
+    unanswered: RefCell<Unanswered<TargetId>>,
     unsent: RefCell<Unsent>,
     unwritten: RefCell<Vec<Verdict>>,
     /// Requests and parts whose verdicts may change by checks, and when the targets lost there may be
@@ -96,10 +101,10 @@
 
 impl UnsentPart {
     /// Returns the loss as peers receive it.
-    fn aged(self, now: Millis) -> PartLoss {
+    fn aged(&self, now: Millis) -> PartLoss {
         PartLoss {
             part: self.part,
-            target: self.target,
+            target: self.target.clone(),
             suspect_for: now - self.since,
         }
     }
@@ -117,6 +122,11 @@
         metrics::gauge!("thistlesill_edge_withheld").set(self.known.borrow().withheld(now) as f64);
     }
 
+    /// Returns whether signs of sound answers matter to requests that were not answered.
+    fn awaits_signs(&self) -> bool {
+        !self.unanswered.borrow().is_empty()
+    }
+
     fn announce(&self, verdict: Verdict) {
         self.unsent.borrow_mut().verdicts.push(verdict);
         self.send.notify_one();
@@ -126,19 +136,20 @@
     fn queue_loss(
         &self,
         print: Fingerprint,
-        target: &Target,
+        target: &TargetId,
         effect: &LossEffect,
         phase: AnswerPhase,
+        cause: LossCause,
     ) {
         let mut unsent = self.unsent.borrow_mut();
-        unsent.lost.push((print, target.id.clone()));
+        unsent.lost.push((print, target.clone()));
         if let Some(since) = phase.suspect_since() {
             for part in &effect.suspected {
                 let lost = UnsentPart {
                     part: *part,
-                    target: target.id.clone(),
+                    target: target.clone(),
                     since,
-                    cause: phase.loss_cause(),
+                    cause,
                 };
                 if lost.cause == LossCause::Unclear {
                     add_part(&mut self.unclear.borrow_mut(), lost.clone());
@@ -217,17 +228,39 @@
                 known.end_trial(print, edge.now())
             }
         };
-        if let Some(verdict) = verdict {
-            let line = edge.lines.line("trial_undecided").with("id", &job.head.id);
-            line.with("print", print)
-                .maybe("part", job.part_of(print))
-                .with("attempts", job.sent.get())
-                .write();
-            edge.quarantine.announce(verdict);
-        }
+        let part = job.part_of(print);
+        announce_undecided(edge, verdict, &job.head.id, part, job.sent.get());
+    }
+}
+
+/// Ends trials of which it did not become known what their target did.
+fn end_silent_trials(edge: &Edge, id: &str, tried: &[Fingerprint]) {
+    for print in tried {
+        let verdict = {
+            let mut known = edge.quarantine.known.borrow_mut();
+            known.end_trial(*print, edge.now())
+        };
+        announce_undecided(edge, verdict, id, None, 1);
     }
 }
 
+/// Logs and sends the verdict that follows a trial without an outcome, after this many attempts.
+fn announce_undecided(
+    edge: &Edge,
+    verdict: Option<Verdict>,
+    id: &str,
+    part: Option<&str>,
+    attempts: u32,
+) {
+    let Some(verdict) = verdict else { return };
+    let line = edge.lines.line("trial_undecided").with("id", id);
+    line.with("print", verdict.print)
+        .maybe("part", part)
+        .with("attempts", attempts)
+        .write();
+    edge.quarantine.announce(verdict);
+}
+
 /// Returns the ids of those of the keys that are parts of a request's prompt, for logs; `None` if
 /// there are none.
 fn part_names(job: &Job, keys: &[Fingerprint]) -> Option<String> {
@@ -237,11 +270,11 @@
 
 /// Records that the connection to a target was lost while the target ran a request.
 ///
-/// `phase` tells how far the target's answer had come. A connection that ends after the deadline of
-/// the request is no loss.
-pub(crate) fn note_lost(job: &Job, target: &Target, phase: AnswerPhase, reason: &str) {
+/// `phase` tells how far the target's answer had come. Returns whether that is a loss: a connection
+/// that ends after the deadline of the request is none.
+pub(crate) fn note_lost(job: &Job, target: &Target, phase: AnswerPhase, reason: &str) -> bool {
     if job.is_over() {
-        return;
+        return false;
     }
     let (edge, print) = (&job.edge, job.fingerprint());
     let requests = edge.loads.borrow().work(&target.id, edge.now()).requests;
@@ -263,9 +296,23 @@
         .maybe("tried", part_names(job, &job.tried.borrow()))
         .write();
     edge.suspect(&target.id, reason);
-    edge.quarantine.queue_loss(print, target, &effect, phase);
+    let cause = phase.loss_cause();
+    edge.quarantine
+        .queue_loss(print, &target.id, &effect, phase, cause);
+    announce_effect(edge, effect, &job.head.id, |print| job.part_of(print));
+    true
+}
+
+/// Logs, sends and stores the verdicts that follow from a loss; `part_of` names the parts of the
+/// request's prompt.
+fn announce_effect<'a>(
+    edge: &Edge,
+    effect: LossEffect,
+    id: &str,
+    part_of: impl Fn(Fingerprint) -> Option<&'a str>,
+) {
     for verdict in effect.verdicts {
-        log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
+        log_verdict(edge, &verdict, id, part_of(verdict.print));
         edge.quarantine.announce(verdict);
         edge.quarantine.store(verdict);
         edge.quarantine.queue_check(verdict.print, edge.now());
@@ -278,20 +325,27 @@
 /// Records that a request was answered successfully, with an answer that began at `began`.
 pub(crate) fn note_success(job: &Job, began: Millis) {
     let edge = &job.edge;
-    if edge.quarantine.known.borrow().is_empty() {
-        return;
+    if edge.quarantine.awaits_signs() {
+        let mut unanswered = edge.quarantine.unanswered.borrow_mut();
+        unanswered.note_sound([job.fingerprint()], began);
+    }
+    if !edge.quarantine.known.borrow().is_empty() {
+        let verdict = {
+            let mut known = edge.quarantine.known.borrow_mut();
+            known.note_success(job.fingerprint(), edge.now())
+        };
+        announce_progress(job, verdict);
     }
-    let verdict = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        known.note_success(job.fingerprint(), edge.now())
-    };
-    announce_progress(job, verdict);
     note_progress(job, began);
 }
 
 /// Records that the answer to a request, which began at `began`, was written past its start.
 pub(crate) fn note_progress(job: &Job, began: Millis) {
     let edge = &job.edge;
+    if edge.quarantine.awaits_signs() {
+        let mut unanswered = edge.quarantine.unanswered.borrow_mut();
+        unanswered.note_sound(job.keys().parts.iter().copied(), began);
+    }
     if edge.quarantine.known.borrow().is_empty() {
         return;
     }
@@ -345,14 +399,16 @@
             link::broadcast(&edge, &Packet::Lost(batch.to_vec()), Reach::All);
         }
         let now = edge.now();
-        let parts = unsent.parts.into_iter();
-        let (crashes, unclear): (Vec<_>, Vec<_>) = parts.partition(|p| p.cause == LossCause::Crash);
-        let aged = |parts: &[UnsentPart]| parts.iter().map(|p| p.clone().aged(now)).collect();
-        for batch in crashes.chunks(MAX_PER_DATAGRAM) {
-            link::broadcast(&edge, &Packet::PartsLost(aged(batch)), Reach::All);
-        }
-        for batch in unclear.chunks(MAX_PER_DATAGRAM) {
-            link::broadcast(&edge, &Packet::UnclearPartsLost(aged(batch)), Reach::All);
+        for cause in [LossCause::Crash, LossCause::Unclear, LossCause::Silence] {
+            let parts = unsent.parts.iter().filter(|part| part.cause == cause);
+            let aged: Vec<PartLoss> = parts.map(|part| part.aged(now)).collect();
+            for batch in aged.chunks(MAX_PER_DATAGRAM) {
+                link::broadcast(
+                    &edge,
+                    &Packet::parts_lost(batch.to_vec(), cause),
+                    Reach::All,
+                );
+            }
         }
         for batch in unsent.verdicts.chunks(MAX_PER_DATAGRAM) {
             link::broadcast(&edge, &Packet::Verdicts(batch.to_vec()), Reach::All);
--- a/crates/thistlesill-edge/src/quarantine/checks.rs
+++ b/crates/thistlesill-edge/src/quarantine/checks.rs
@@ -139,20 +139,25 @@
             .collect()
     };
     let checks = join_all(lost.into_iter().map(|target| check_loss(&edge, target))).await;
-    let (refuted, verdicts) = apply_checks(&edge, &prints, &checks);
-    for refutation in &refuted {
-        note_refuted(&edge, refutation);
-    }
-    announce_verdicts(&edge, verdicts, "reports of lost targets");
-    for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
-        link::broadcast(&edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
-    }
+    conclude(&edge, &prints, &checks);
     // Some targets may have been lost after the verdict, or again while they were asked.
     for print in prints {
         edge.quarantine.queue_check(print, edge.now());
     }
 }
 
+/// Applies the results of checks, and logs, sends and stores what follows.
+pub(super) fn conclude(edge: &Edge, prints: &[Fingerprint], checks: &[LossCheck<TargetId>]) {
+    let (refuted, verdicts) = apply_checks(edge, prints, checks);
+    for refutation in &refuted {
+        note_refuted(edge, refutation);
+    }
+    announce_verdicts(edge, verdicts, "reports of lost targets");
+    for batch in refuted.chunks(MAX_REFUTATIONS_PER_DATAGRAM) {
+        link::broadcast(edge, &Packet::LossesRefuted(batch.to_vec()), Reach::All);
+    }
+}
+
 /// Applies the results of checks; returns the losses that they refute, and the verdicts that follow.
 fn apply_checks(
     edge: &Edge,
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -123,6 +123,7 @@
         let now = job.edge.now();
         let last = self.last_event.replace(now);
         let is_past_start = self.progress.note_event(now);
+        self.origin.note_progress(self.progress.phase());
         let Some(target) = self.origin.target() else {
             return;
         };
@@ -297,8 +298,8 @@
     }
 
     /// Records what the end of the source says of its target.
-    fn note_stop(&self, stop: Stop, reason: &str) {
-        let Some(source) = &self.source else {
+    fn note_stop(&mut self, stop: Stop, reason: &str) {
+        let Some(source) = &mut self.source else {
             return;
         };
         let Some(target) = source.origin.target() else {
@@ -308,7 +309,10 @@
         reach::note_doubt(&self.job.edge, target, begun);
         match stop {
             Stop::Stalled | Stop::Endless => self.job.edge.suspect(&target.id, reason),
-            _ => quarantine::note_lost(&self.job, target, source.progress.phase(), reason),
+            _ => {
+                let phase = source.progress.phase();
+                source.origin.note_lost(&self.job, phase, reason);
+            }
         }
     }
 
@@ -321,7 +325,8 @@
 
     fn finish(&mut self) -> Option<Bytes> {
         let bytes = self.bytes;
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
+            source.origin.settle();
             self.track.paused(self.longest_pause);
             self.track.ended(200, source.origin.target_id(), bytes);
             if let Origin::Target { target, .. } = &source.origin {
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -70,6 +70,7 @@
             };
             match frame {
                 None => {
+                    self.source.origin.settle();
                     let target = self.source.origin.target_id();
                     self.track.ended(200, target, self.bytes);
                     if target.is_some() && self.source.body_end == BodyEnd::Marked {
@@ -81,14 +82,15 @@
                     return Err(self.break_off("late_answer"));
                 }
                 Some(Err(_)) => {
-                    if let Some(target) = self.source.origin.target() {
-                        let phase = self.source.progress.phase();
-                        quarantine::note_lost(&self.job, target, phase, "the answer broke off");
-                    }
+                    let phase = self.source.progress.phase();
+                    let origin = &mut self.source.origin;
+                    origin.note_lost(&self.job, phase, "the answer broke off");
                     return Err(self.break_off("broke_off"));
                 }
                 Some(Ok(frame)) => {
                     self.source.progress.note_event(self.job.edge.now());
+                    let phase = self.source.progress.phase();
+                    self.source.origin.note_progress(phase);
                     if let Ok(data) = frame.into_data() {
                         self.bytes += data.len();
                         return Ok(Some(data));
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -46,6 +46,8 @@
 mod shortage;
 #[path = "it/silence.rs"]
 mod silence;
+#[path = "it/silent_crashes.rs"]
+mod silent_crashes;
 #[path = "it/silent_targets.rs"]
 mod silent_targets;
 #[path = "it/soak.rs"]
--- a/crates/thistlesill-policy/src/quarantine.rs
+++ b/crates/thistlesill-policy/src/quarantine.rs
@@ -22,6 +22,9 @@
 //! targets that did not crash are refuted. Where nothing of an answer had arrived, they are asked before
 //! a first verdict on a part, and after a trial.
 //!
+//! A target may also stop without a word, and its request end before that is known. [`Unanswered`] keeps
+//! such requests until it is.
+//!
 //! What crashes targets may be one part of a prompt instead of a whole request; [`RequestKeys`] has
 //! the keys of both, and the evidence against a part has rules of its own.
 
@@ -29,6 +32,7 @@
 mod progress;
 mod record;
 mod request;
+mod unanswered;
 
 use std::collections::HashMap;
 
@@ -39,6 +43,7 @@
 pub use self::record::LossCause;
 use self::record::{Loss, Record};
 pub use self::request::{LossEffect, RequestKeys};
+pub use self::unanswered::{Fate, Finding, Unanswered, UnansweredRequest};
 
 /// Targets that must be lost in a row under a request before it is withheld. One or two can be lost
 /// for other reasons, or because of another request that ran there: a request that shares a target
@@ -163,19 +168,21 @@
     /// Records that a target was lost while it had a request. Returns the verdict to broadcast if
     /// the request is withheld from now on.
     pub fn note_lost(&mut self, print: Fingerprint, target: &T, now: Millis) -> Option<Verdict> {
-        self.note_loss(print, target, LossCause::Crash, now)
+        self.note_loss(print, target, LossCause::Crash, now, now)
     }
 
+    /// Records a loss that is noticed now, of a target that was gone at `gone`.
     fn note_loss(
         &mut self,
         print: Fingerprint,
         target: &T,
         cause: LossCause,
+        gone: Millis,
         now: Millis,
     ) -> Option<Verdict> {
         self.make_room(print);
         let record = self.records.entry(print).or_default();
-        record.count_lost(target, cause, now);
+        record.count_lost(target, cause, gone, now);
         record.expires_at = record.expires_at.max(now + LOSS_RETENTION);
         if record.level > 0 && !record.trial {
             // The request was sent before the verdict was known, and its loss is noticed late: only
--- a/crates/thistlesill-policy/src/quarantine/record.rs
+++ b/crates/thistlesill-policy/src/quarantine/record.rs
@@ -7,6 +7,9 @@
 /// Maximum number of lost targets remembered per request.
 const MAX_LOST: usize = 8;
 
+/// How long a request takes to crash its target: within the first events of the answer.
+const CRASH_DURATION: Millis = Millis::new(500);
+
 /// What a loss says of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LossCause {
@@ -15,6 +18,19 @@
     /// A connection ended on which nothing of an answer had arrived. Live targets lose answers this
     /// way, too, so they are asked for their reports before the loss decides anything.
     Unclear,
+    /// The target fell silent, and was found to have ended some time after that.
+    Silence,
+}
+
+impl LossCause {
+    /// Returns when a target was gone whose loss is noticed at `now`, if the request may have begun to
+    /// crash it at `since`.
+    pub(super) fn gone_at(self, since: Millis, now: Millis) -> Millis {
+        match self {
+            Self::Crash | Self::Unclear => now,
+            Self::Silence => now.min(since + CRASH_DURATION),
+        }
+    }
 }
 
 /// The loss of a target under a request.
@@ -91,25 +107,28 @@
 
     /// Records a loss that counts towards the first verdict, unless the loss of the target does so
     /// already.
-    pub(super) fn count_lost(&mut self, target: &T, cause: LossCause, now: Millis) {
+    ///
+    /// The target was gone at `gone`, which is noticed now.
+    pub(super) fn count_lost(&mut self, target: &T, cause: LossCause, gone: Millis, now: Millis) {
         let known = self.lost.iter().position(|loss| loss.target == *target);
         if let Some(known) = known {
             if self.lost[known].counted {
                 self.repeat_loss(target, now);
-                if cause == LossCause::Crash {
+                if cause != LossCause::Unclear {
                     self.lost[known].cause = cause;
                 }
                 return;
             }
             self.lost.remove(known);
         }
-        self.last_change = now;
+        self.last_change = self.last_change.max(gone);
         if self.lost.len() >= MAX_LOST {
             let uncounted = self.lost.iter().position(|loss| !loss.counted);
             let Some(uncounted) = uncounted else { return };
             self.lost.remove(uncounted);
         }
-        self.add_loss(target, true, cause, now);
+        self.add_loss(target, true, cause, gone);
+        self.repeat_loss(target, now);
     }
 
     /// Returns whether a loss, of which the request may have begun to crash the target at `since`, is
@@ -149,7 +168,9 @@
 
     /// Returns whether enough targets have crashed for a first verdict.
     pub(super) fn is_evident(&self) -> bool {
-        let crashed = self.counted().filter(|loss| loss.cause == LossCause::Crash);
+        let crashed = self
+            .counted()
+            .filter(|loss| loss.cause != LossCause::Unclear);
         self.level == 0 && crashed.count() >= LOSSES_UNTIL_WITHHELD
     }
 
@@ -170,7 +191,7 @@
 
     /// Returns the targets that have crashed under the request.
     pub(super) fn crashed(&self) -> impl Iterator<Item = &T> {
-        let crashes = self.lost.iter().filter(|l| l.cause == LossCause::Crash);
+        let crashes = self.lost.iter().filter(|l| l.cause != LossCause::Unclear);
         crashes.map(|loss| &loss.target)
     }
 
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -24,7 +24,7 @@
 
 use super::{
     AnswerPhase, FIRST_HOLD, LOSSES_UNTIL_WITHHELD, LossCause, Quarantine, QuarantineStatus,
-    Record, TRIAL_RETRY_AFTER, hold_duration,
+    Record, TRIAL_RETRY_AFTER, UnansweredRequest, hold_duration,
 };
 
 /// How much longer a request with several suspects is withheld than one with a single suspect: long
@@ -41,7 +41,8 @@
 }
 
 impl RequestKeys {
-    fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+    /// Returns all keys.
+    pub(super) fn iter(&self) -> impl Iterator<Item = Fingerprint> {
         std::iter::once(self.whole).chain(self.parts.iter().copied())
     }
 }
@@ -97,6 +98,29 @@
         target: &T,
         phase: AnswerPhase,
         now: Millis,
+    ) -> LossEffect {
+        self.note_loss_of_request(keys, own, target, phase, phase.loss_cause(), now)
+    }
+
+    /// Records that a target has ended under which a request fell silent, as far as is known now.
+    pub fn note_silent_loss(
+        &mut self,
+        request: &UnansweredRequest,
+        target: &T,
+        now: Millis,
+    ) -> LossEffect {
+        let (keys, tried) = (&request.keys, &request.tried);
+        self.note_loss_of_request(keys, tried, target, request.phase, LossCause::Silence, now)
+    }
+
+    fn note_loss_of_request(
+        &mut self,
+        keys: &RequestKeys,
+        own: &[Fingerprint],
+        target: &T,
+        phase: AnswerPhase,
+        cause: LossCause,
+        now: Millis,
     ) -> LossEffect {
         let mut effect = LossEffect::default();
         let Some(since) = phase.suspect_since() else {
@@ -105,10 +129,10 @@
                 .extend(self.note_lost(keys.whole, target, now));
             return effect;
         };
+        let gone = cause.gone_at(since, now);
         effect.suspected.clone_from(&keys.parts);
         let mut on_trial = own.to_vec();
         on_trial.retain(|key| self.is_tried(*key, now));
-        let cause = phase.loss_cause();
         let suspects = self.suspects(keys, Some(target));
         if !on_trial.is_empty() && suspects.len() > 1 {
             let loss = (target, cause);
@@ -116,14 +140,14 @@
             on_trial.clear();
         }
         let whole = if on_trial.contains(&keys.whole) {
-            self.note_loss(keys.whole, target, cause, now)
+            self.note_loss(keys.whole, target, cause, gone, now)
         } else {
             self.note_lost(keys.whole, target, now)
         };
         effect.verdicts.extend(whole);
         for part in &keys.parts {
             let verdict = if on_trial.contains(part) {
-                self.note_loss(*part, target, cause, now)
+                self.note_loss(*part, target, cause, gone, now)
             } else {
                 self.note_part_lost(*part, target, since, cause, now)
             };
@@ -150,7 +174,7 @@
     ) -> Option<Verdict> {
         match self.records.get_mut(&part) {
             // The loss is known, and its daemon found meanwhile that the target has crashed.
-            Some(record) if cause == LossCause::Crash && record.is_repeated(target, since) => {
+            Some(record) if cause != LossCause::Unclear && record.is_repeated(target, since) => {
                 record.confirm_crash(target);
                 self.conclude(part, now)
             }
@@ -167,7 +191,7 @@
                 record.remember(target, cause, now);
                 None
             }
-            _ => self.note_loss(part, target, cause, now),
+            _ => self.note_loss(part, target, cause, cause.gone_at(since, now), now),
         }
     }
 
@@ -285,7 +309,7 @@
         let key = combination(suspects);
         self.make_room(key);
         let record = self.records.entry(key).or_default();
-        record.count_lost(target, cause, now);
+        record.count_lost(target, cause, now, now);
         record.ended = Some(target.clone());
         let level = record.level.max(1) + 1;
         record.decide(level, hold_duration(level), now);
--- /dev/null
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -0,0 +1,152 @@
+//! Requests that ended without an answer while their targets were silent.
+//!
+//! Load pattern: the machine of a target stops without a word as the target begins to run a request. The
+//! request ends at its deadline, or as its caller leaves, and nothing has shown a loss by then. The same
+//! request comes again some seconds later, and stops the next machine.
+//!
+//! Silence alone proves nothing: sound targets stand still for a second, and links hang. So the request
+//! is kept until its target shows life, which clears it, or is found to have ended: it is listed under
+//! another incarnation, or no longer listed. Then the target was lost under the request, unless what the
+//! request consists of was answered elsewhere meanwhile.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use thistlesill_core::{Fingerprint, Millis};
+
+use super::{AnswerPhase, RequestKeys};
+
+/// How long a request is kept: longer than an entry takes to lapse and a machine to start again.
+const RETENTION: Millis = Millis::new(20_000);
+/// Maximum number of requests that are kept; each takes some 200 bytes. The oldest are dropped first.
+const MAX_KEPT: usize = 1_024;
+
+/// A request that ended without an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnansweredRequest {
+    /// The id of the request, for logs.
+    pub id: String,
+    /// The keys under which evidence about the request is kept.
+    pub keys: RequestKeys,
+    /// The suspects of which the request is the trial. The trial goes on while the request is kept.
+    pub tried: Vec<Fingerprint>,
+    /// How far the answer had come.
+    pub phase: AnswerPhase,
+    /// When the target last sent something of the answer, or was sent the request.
+    pub seen: Millis,
+    /// When the request ended.
+    pub ended: Millis,
+}
+
+/// What is known of a target that was silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is listed, and last sent something at this time.
+    Listed(Millis),
+    /// It left as planned.
+    Left,
+    /// It has ended without notice.
+    Ended,
+}
+
+/// What follows for a request that was kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Finding<T> {
+    /// Its target has ended, and is lost under the request.
+    Lost(T, UnansweredRequest),
+    /// Its target lives, or nothing became known of it in time.
+    Dropped(UnansweredRequest),
+    /// A target that was taken for lost under requests with these keys is listed again.
+    Returned(T, Vec<Fingerprint>),
+}
+
+/// Requests that ended without an answer; `T` identifies one incarnation of a target.
+#[derive(Debug, Clone)]
+pub struct Unanswered<T> {
+    kept: VecDeque<(T, UnansweredRequest)>,
+    /// When the last answer began that was whole or past its start, by the keys of kept requests.
+    sound: HashMap<Fingerprint, Millis>,
+    /// Targets that were taken for lost, with the keys of the requests and the time.
+    lost: BTreeMap<T, (Vec<Fingerprint>, Millis)>,
+}
+
+impl<T> Default for Unanswered<T> {
+    fn default() -> Self {
+        Self {
+            kept: VecDeque::new(),
+            sound: HashMap::new(),
+            lost: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T: Clone + Ord> Unanswered<T> {
+    /// Returns whether nothing is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty() && self.lost.is_empty()
+    }
+
+    /// Keeps a request that ended without an answer at a target. Returns the request that is dropped
+    /// for want of room.
+    pub fn keep(&mut self, target: T, request: UnansweredRequest) -> Option<UnansweredRequest> {
+        for key in request.keys.iter() {
+            self.sound.entry(key).or_insert(Millis::ZERO);
+        }
+        self.kept.push_back((target, request));
+        let is_full = self.kept.len() > MAX_KEPT;
+        let dropped = is_full.then(|| self.kept.pop_front()).flatten();
+        dropped.map(|(_, request)| request)
+    }
+
+    /// Records that the answer to a request with these keys, which began at `began`, was whole or is
+    /// past its start.
+    pub fn note_sound(&mut self, keys: impl IntoIterator<Item = Fingerprint>, began: Millis) {
+        for key in keys {
+            if let Some(last) = self.sound.get_mut(&key) {
+                *last = began.max(*last);
+            }
+        }
+    }
+
+    /// Returns what follows from the fates of the targets, and keeps the other requests.
+    pub fn review(&mut self, fate: impl Fn(&T) -> Fate, now: Millis) -> Vec<Finding<T>> {
+        let mut findings = Vec::new();
+        for (target, request) in std::mem::take(&mut self.kept) {
+            match fate(&target) {
+                Fate::Listed(last) if last <= request.ended && now - request.ended < RETENTION => {
+                    self.kept.push_back((target, request));
+                }
+                Fate::Listed(_) | Fate::Left => findings.push(Finding::Dropped(request)),
+                Fate::Ended => findings.push(self.find_lost(target, request, now)),
+            }
+        }
+        let returned = |target: &T, _: &mut (Vec<Fingerprint>, Millis)| {
+            matches!(fate(target), Fate::Listed(_))
+        };
+        let returned = self.lost.extract_if(.., returned);
+        findings.extend(returned.map(|(target, (keys, _))| Finding::Returned(target, keys)));
+        self.lost.retain(|_, (_, at)| now - *at < RETENTION);
+        if self.kept.is_empty() {
+            self.sound.clear();
+        }
+        findings
+    }
+
+    /// Decides on a request whose target has ended: what was answered elsewhere since is no suspect.
+    fn find_lost(&mut self, target: T, mut request: UnansweredRequest, now: Millis) -> Finding<T> {
+        let sound = |key: &Fingerprint| {
+            let last = self.sound.get(key);
+            last.is_some_and(|began| *began > request.seen)
+        };
+        if sound(&request.keys.whole) {
+            return Finding::Dropped(request);
+        }
+        request.keys.parts.retain(|part| !sound(part));
+        let (keys, _) = self
+            .lost
+            .entry(target.clone())
+            .or_insert_with(|| (Vec::new(), now));
+        keys.extend(request.keys.iter());
+        Finding::Lost(target, request)
+    }
+}
