fix(net): an answer with a status that none may have is no answer

Callers got answers with the statuses 600, 999 and 101 as they were, by every way: plain, streams, large answers, through a peer. And where targets answered with 000, which the codec refuses, the request that callers asked for most was withheld.

Cause: nothing checked the status beyond what the codec refuses, and bytes that are no answer counted as a crash of the target under the request.

Change: all clients refuse statuses other than 200 to 599 as bytes that are no answer; HTTP knows no others, those below 200 precede an answer, and no request asks for another protocol. A target that sends such bytes is avoided for a moment and not lost under the request. The four tests of statuses.rs fail before.

--- a/crates/thistlesill-edge/src/attempt.rs
+++ b/crates/thistlesill-edge/src/attempt.rs
@@ -271,9 +271,13 @@
             awaited.settle();
             Err(Failure::new(Outcome::NotSent, &error).on_connection(job, target, reused))
         }
-        // The bytes may have followed the answer to an earlier request.
-        Err(error @ ConnectionError::Garbled { .. }) if reused => {
+        // The bytes may have followed the answer to an earlier request. A target that sends some has
+        // not crashed.
+        Err(error @ ConnectionError::Garbled { .. }) => {
             awaited.settle();
+            if !reused {
+                edge.suspect(&target.id, "not an answer");
+            }
             Err(Failure::new(Outcome::MayHaveRun, &error).on_connection(job, target, reused))
         }
         Err(error) => {
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -54,6 +54,8 @@
 mod soak;
 #[path = "it/starts.rs"]
 mod starts;
+#[path = "it/statuses.rs"]
+mod statuses;
 #[path = "it/stops.rs"]
 mod stops;
 #[path = "it/streams.rs"]
--- a/crates/thistlesill-net/src/http.rs
+++ b/crates/thistlesill-net/src/http.rs
@@ -106,6 +106,9 @@
             Ok(Err(e)) => Err(HttpError::Lost {
                 text: e.to_string(),
             }),
+            Ok(Ok(response)) if !is_final_status(response.status()) => Err(HttpError::Lost {
+                text: format!("no answer has the status {}", response.status().as_u16()),
+            }),
             Ok(Ok(response)) => Ok(response),
         }
     }
@@ -174,6 +177,12 @@
     }
 }
 
+/// Returns whether an answer may have a status. HTTP knows none from 600 on, and those below 200 precede
+/// an answer; 101 ends in another protocol, which no request of ours asks for.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Encodes a value as JSON.
 ///
 /// # Errors
--- a/crates/thistlesill-net/src/lane.rs
+++ b/crates/thistlesill-net/src/lane.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
+use crate::http::is_final_status;
 use crate::stream::{BlockedWrites, BudgetedBody, ReadBudget, WatchedStream};
 
 /// The local address of all connections of this process; without one, the system chooses it.
@@ -67,7 +68,8 @@
         /// The cause.
         text: String,
     },
-    /// The server sent bytes that are no answer; the request may have arrived.
+    /// The server sent bytes that are no answer, or a status that no answer may have; the request may
+    /// have arrived.
     #[snafu(display("not an answer: {text}"))]
     Garbled {
         /// The cause.
@@ -146,6 +148,10 @@
         self.budget.renew();
         let answer = self.sender.try_send_request(request);
         match timeout_at(until, answer).await {
+            Ok(Ok(response)) if !is_final_status(response.status()) => {
+                let text = format!("no answer has the status {}", response.status().as_u16());
+                Err(ConnectionError::Garbled { text })
+            }
             Ok(Ok(response)) => {
                 Ok(response.map(|body| BudgetedBody::new(body, self.budget.clone())))
             }
