fix(edge): a stopping daemon refuses what it will not end, and answers what is left open

In a planned stop, in calm, requests that came late in the grace were taken, passed on, and closed without an answer at its end, among them some that may run once.

Cause: until the balancer has noticed, each request of a caller was taken whatever its time, and the process ended with what was active. Evidence: those cut off are the ones sent less than their answer's time before the end (from 2.23 s after the signal on, with answers after 1.4 s and a grace of 4 s).

Change: a request is refused as not run where those of its service usually last longer than the daemon does, and what has no answer 0.3 s before the end gets one that says whether it may have run. Why this works: the measured time tells which answers will come, and a whole answer is better for a caller than a closed channel. requests_late_in_a_stop_are_passed_on_and_cut_off and requests_that_a_stop_leaves_open_get_no_answer fail before.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -298,6 +298,9 @@
         // The balancer sends no new callers; closes the connections that have no request.
         edge.stop.notify_waiters();
     }
+    if edge.is_ending() {
+        edge.ending.notify_waiters();
+    }
     let answered = edge.active.get() == 0 && edge.unsent.count() == 0;
     let done = answered && !edge.is_planner.get();
     elapsed >= edge.grace() || (done && elapsed >= BALANCER_DETECTION + IDLE_CLOSE_TIME)
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -13,7 +13,7 @@
 use thistlesill_net::lane::within;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
-use thistlesill_policy::edge::admission::{self, Admission, Key, SentBy, admit};
+use thistlesill_policy::edge::admission::{self, Admission, Key, LateRequest, SentBy, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, last_step, next_step};
 use tokio::time::timeout_at;
 
@@ -57,7 +57,11 @@
     let head = caller::read_caller(&parts.headers);
     let mut track = Track::new(&edge, &head.id, arrived);
     edge.wait_until_loaded().await;
-    let body = match read_body(&edge, body).await {
+    let body = tokio::select! {
+        body = read_body(&edge, body) => body,
+        () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(kind) => return track.refuse(kind, None),
     };
@@ -72,8 +76,7 @@
         }
     };
     track.admitted(&admission);
-    let sender = hop.map_or(SentBy::Caller, |_| SentBy::Peer);
-    if !is_accepted_while_stopping(&edge, sender, admission.timeout) {
+    if !is_accepted_while_stopping(&edge, &admission, hop) {
         let reason = "the daemon stops before the request would end";
         return track.with_reason(reason).refuse(ErrorKind::NotReady, None);
     }
@@ -88,20 +91,45 @@
     if let Some(urgency) = job.urgency {
         track.ranked(urgency, job.caller_key());
     }
-    let mut answer = serve(job.clone(), track).await;
+    let mut answer = tokio::select! {
+        answer = serve(job.clone(), &mut track) => answer,
+        () = job.edge.wait_until_ending() => end_by_stop(&job, &mut track),
+    };
     answer.extensions_mut().insert(SentTargets(job.sent.get()));
     answer
 }
 
-/// Returns whether a request with a time limit is accepted; while the daemon is stopping, only if
-/// the request can end in time.
-fn is_accepted_while_stopping(edge: &Edge, sender: SentBy, limit: Millis) -> bool {
+/// Returns whether an admitted request is accepted; while the daemon is stopping, only if the request can
+/// end in time.
+fn is_accepted_while_stopping(edge: &Edge, admission: &Admission, hop: Option<Hop>) -> bool {
     edge.stopping.get().is_none_or(|since| {
-        let elapsed = edge.now() - since;
-        admission::accepts_while_stopping(sender, elapsed, limit, edge.grace())
+        let request = LateRequest {
+            sender: hop.map_or(SentBy::Caller, |_| SentBy::Peer),
+            limit: admission.timeout,
+            usual: usual_time(edge, admission),
+        };
+        admission::accepts_while_stopping(request, edge.now() - since, edge.answer_grace())
     })
 }
 
+/// Returns how long plain requests to the targets of a service usually take, at the slowest of them.
+fn usual_time(edge: &Edge, admission: &Admission) -> Option<Millis> {
+    let (registry, loads) = (edge.registry.borrow(), edge.loads.borrow());
+    let targets = registry.of_service(&admission.service.name)?;
+    targets.keys().filter_map(|id| loads.usual_time(id)).max()
+}
+
+/// Ends a request that has no answer as the daemon ends. What was sent may have run.
+fn end_by_stop(job: &Job, track: &mut Track) -> Response<OutBody> {
+    let may_have_run = job.hop.is_some_and(|hop| hop.attempts().may_have_run);
+    let kind = if job.sent.get() > 0 || track.is_forwarded() || may_have_run {
+        ErrorKind::SentUnknown
+    } else {
+        ErrorKind::NotReady
+    };
+    track.with_reason("the daemon stops").refuse(kind, None)
+}
+
 async fn read_body(edge: &Edge, body: BudgetedBody) -> Result<Bytes, ErrorKind> {
     let max_bytes = edge.catalog().map_or(0, |c| c.limits().body_bytes);
     if max_bytes == 0 {
@@ -147,7 +175,7 @@
 
 /// Sends a request to targets, or through peers, until an attempt gives an answer or no further
 /// attempt is allowed.
-async fn serve(job: Rc<Job>, mut track: Track) -> Response<OutBody> {
+async fn serve(job: Rc<Job>, track: &mut Track) -> Response<OutBody> {
     let mut attempts = job.hop.map_or_else(Attempts::default, Hop::attempts);
     let mut tried = Tried::default();
     let needs_retry = job.hop.is_some_and(Hop::needs_retry);
@@ -173,8 +201,8 @@
             };
         }
         let mut end = match way {
-            Way::Direct => try_target(&job, &mut tried, attempts, &mut track).await,
-            Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, &mut track).await,
+            Way::Direct => try_target(&job, &mut tried, attempts, track).await,
+            Way::Peer(peer) => try_peer(&job, peer, &mut tried, attempts, track).await,
             Way::Nowhere if forward::may_wait_for_way(&job, attempts) => {
                 if !forward::wait_to_try_again(&job).await {
                     return track.refuse(ErrorKind::LateAnswer, None);
@@ -192,7 +220,7 @@
         if matches!(end, AttemptEnd::NoTarget)
             && let Some(peer) = forward::peer_for_doubted(&job, &tried.peers).await
         {
-            end = try_peer(&job, peer, &mut tried, attempts, &mut track).await;
+            end = try_peer(&job, peer, &mut tried, attempts, track).await;
         }
         let (failure, destination) = match end {
             AttemptEnd::Answered(response) => return response,
@@ -201,7 +229,7 @@
             }
             AttemptEnd::Failed(failure, destination) => (failure, destination),
         };
-        let next = resolve_failure(&job, &destination, &failure, &tried, &mut attempts, &track);
+        let next = resolve_failure(&job, &destination, &failure, &tried, &mut attempts, track);
         match next {
             // A new connection to the same target may do.
             NextStep::Retry
@@ -211,7 +239,7 @@
             }
             NextStep::Retry => {}
             NextStep::Forward => match failure.answer {
-                Some(answer) => return forward_failure(&job, *answer, &mut track).await,
+                Some(answer) => return forward_failure(&job, *answer, track).await,
                 None => return track.refuse(ErrorKind::SentUnknown, None),
             },
             NextStep::Fail(kind) => return track.refuse(kind, retry_after(&job)),
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -68,6 +68,8 @@
 const UNREACHABLE_TIMEOUT: Millis = Millis::new(5_000);
 /// Safety margin before the moment at which a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
+/// Time in which the last answers of a stopping daemon reach their callers before it ends.
+const LAST_ANSWERS_TIME: Millis = Millis::new(300);
 
 /// Changes of targets that a peer announced and this daemon has not received.
 #[derive(Debug, Clone, Copy)]
@@ -145,6 +147,8 @@
     pub(crate) stopping: Cell<Option<Millis>>,
     /// Notified when connections without a request must close.
     pub(crate) stop: Notify,
+    /// Notified when requests without an answer must get one, since the daemon ends.
+    pub(crate) ending: Notify,
     /// Whether this daemon holds the lease to form groups.
     pub(crate) is_planner: Cell<bool>,
     /// When the daemon started.
@@ -223,6 +227,7 @@
             had_requests: Cell::new(false),
             stopping: Cell::new(None),
             stop: Notify::new(),
+            ending: Notify::new(),
             is_planner: Cell::new(false),
             started: clock.now(),
             store_unreachable_at: Cell::new(None),
@@ -348,6 +353,28 @@
         self.settings.borrow().bounds.grace - STOP_MARGIN
     }
 
+    /// Returns the time after which a daemon that was told to stop answers what is still open.
+    pub(crate) fn answer_grace(&self) -> Millis {
+        self.grace() - LAST_ANSWERS_TIME
+    }
+
+    /// Returns whether the daemon was told to stop so long ago that it answers what is still open.
+    pub(crate) fn is_ending(&self) -> bool {
+        let since = self.stopping.get();
+        since.is_some_and(|since| self.now() - since >= self.answer_grace())
+    }
+
+    /// Returns once the daemon answers what is still open, since it must end.
+    pub(crate) async fn wait_until_ending(&self) {
+        loop {
+            let ending = self.ending.notified();
+            if self.is_ending() {
+                return;
+            }
+            ending.await;
+        }
+    }
+
     /// Returns whether the balancer may send new callers to this daemon.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.catalog.borrow().is_some();
--- a/crates/thistlesill-edge/src/track.rs
+++ b/crates/thistlesill-edge/src/track.rs
@@ -198,6 +198,11 @@
         self.peer = Some(peer.clone());
     }
 
+    /// Returns whether the request was passed to a peer.
+    pub(crate) const fn is_forwarded(&self) -> bool {
+        self.peer.is_some()
+    }
+
     /// Logs an attempt that gave no answer to forward.
     pub(crate) fn attempt_failed(
         &self,
--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
+use thistlesill_net::lane::ConnectionError;
 use thistlesill_platform_standin::caller::{CallerRequest, call};
 use thistlesill_platform_standin::link::LinkFault;
 use thistlesill_platform_standin::slow;
@@ -119,6 +120,81 @@
     world.daemons[0].signal(Signal::SIGTERM);
 }
 
+/// Sends requests that may run once every 20 ms, each on a new connection, from just before a daemon is
+/// told to stop until it listens no more. Returns when each was sent after that, with its status; `None` for
+/// a connection that closed without a whole answer.
+async fn ask_through_stop(world: &mut World) -> Vec<(String, Duration, Option<u16>)> {
+    let address = world.daemons[0].caller_address();
+    world.daemons[0].signal(Signal::SIGTERM);
+    let stopped = Instant::now();
+    let mut calls = Vec::new();
+    for number in 0.. {
+        let sent = stopped.elapsed();
+        if sent > Duration::from_millis(3_400) {
+            break;
+        }
+        let id = format!("late-{number}");
+        let request = book(&id);
+        calls.push(tokio::spawn(async move {
+            match call(address, &request).await {
+                Err(ConnectionError::Refused) => None,
+                Ok(got) if got.is_complete => Some((id, sent, Some(got.status))),
+                _ => Some((id, sent, None)),
+            }
+        }));
+        sleep(20).await;
+    }
+    let calls = futures_util::future::join_all(calls).await;
+    world.daemons[0].wait().await;
+    calls
+        .into_iter()
+        .filter_map(|c| c.expect("the task ends"))
+        .collect()
+}
+
+/// Asserts that each request has a whole answer, and that a refusal is true.
+fn assert_answered(world: &World, calls: &[(String, Duration, Option<u16>)]) {
+    for (id, sent, status) in calls {
+        let runs = world.targets.ledger.runs(id).len();
+        let what = format!("{id}, sent after {sent:?}: {status:?}, {runs} runs");
+        assert!(matches!(status, Some(200 | 502 | 503)), "{what}");
+        assert!(*status != Some(503) || runs == 0, "{what}");
+        assert!(*status != Some(200) || runs == 1, "{what}");
+    }
+}
+
+/// Guards against requests that come late in a planned stop, are passed on, and are cut off without an
+/// answer: their service usually takes longer than the daemon lasts.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_late_in_a_stop_are_passed_on_and_cut_off() {
+    let mut world = world(243, 1).await;
+    for link in &world.targets.links[8..] {
+        link.set_fault(LinkFault::Delay(Duration::from_millis(700)));
+    }
+    for number in 0..10 {
+        let got = ask(&world, 0, book(&format!("before-{number}"))).await;
+        assert_eq!(got.status, 200);
+    }
+    let calls = ask_through_stop(&mut world).await;
+    assert_answered(&world, &calls);
+    let count = |status| calls.iter().filter(|(_, _, s)| *s == Some(status)).count();
+    assert!(count(200) > 20, "{} were served", count(200));
+    assert!(count(502) <= 3, "{} may have run", count(502));
+}
+
+/// Guards against the same where nothing tells that their answers will not come in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_a_stop_leaves_open_get_no_answer() {
+    let mut world = world(244, 1).await;
+    for link in &world.targets.links[8..] {
+        link.hold(true);
+    }
+    let calls = ask_through_stop(&mut world).await;
+    assert_answered(&world, &calls);
+    let open = calls.iter().filter(|(_, _, s)| *s == Some(502)).count();
+    assert!(open > 0, "requests were at a silent target");
+}
+
 /// Guards against a stopping daemon that takes a new connection for an idle one, and closes it while
 /// its first request is on the way.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/thistlesill-policy/src/edge/admission.rs
+++ b/crates/thistlesill-policy/src/edge/admission.rs
@@ -116,21 +116,38 @@
     Peer,
 }
 
-/// Returns whether a daemon that began to stop `gone` ago still accepts a request that may last for
-/// `timeout`, where the daemon must exit within `grace`.
+/// How much longer than usual a request may take that a stopping daemon accepts.
+const USUAL_TIME_FACTOR: f64 = 1.25;
+
+/// A request that arrives at a stopping daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateRequest {
+    /// Who sent the request.
+    pub sender: SentBy,
+    /// How long the request may last.
+    pub limit: Millis,
+    /// How long requests to its service usually take, if that is known.
+    pub usual: Option<Millis>,
+}
+
+/// Returns whether a daemon that began to stop `gone` ago still accepts a request, where all answers must
+/// be ready within `grace`.
 ///
-/// Until the balancer has noticed, callers cannot avoid the daemon. Later callers arrive only if
-/// the balancer has no other daemon, and a request that does not end within `grace` would be cut
-/// off.
+/// Until the balancer has noticed, callers cannot avoid the daemon, and most of their requests end in
+/// time, as long as those of the service usually do. Later callers arrive only if the balancer has no
+/// other daemon. A request that does not end within `grace` has no answer of its target.
 #[must_use]
-pub fn accepts_while_stopping(
-    sender: SentBy,
-    gone: Millis,
-    timeout: Millis,
-    grace: Millis,
-) -> bool {
-    let is_unavoidable = sender == SentBy::Caller && gone < BALANCER_DETECTION;
-    is_unavoidable || gone + timeout < grace
+pub fn accepts_while_stopping(request: LateRequest, gone: Millis, grace: Millis) -> bool {
+    let is_unavoidable = request.sender == SentBy::Caller && gone < BALANCER_DETECTION;
+    let expected = match request.usual {
+        Some(usual) if is_unavoidable => {
+            let longer = Millis::new((usual.get() as f64 * USUAL_TIME_FACTOR) as u64);
+            longer.min(request.limit)
+        }
+        None if is_unavoidable => Millis::ZERO,
+        _ => request.limit,
+    };
+    gone + expected < grace
 }
 
 /// Draws one of the route's services by weight.
--- a/crates/thistlesill-policy/src/edge/load.rs
+++ b/crates/thistlesill-policy/src/edge/load.rs
@@ -183,6 +183,12 @@
         };
     }
 
+    /// Returns the mean time that plain requests to a target have taken; `None` if there were none.
+    pub fn usual_time(&self, id: &TargetId) -> Option<Millis> {
+        let duration = self.targets.get(id)?.duration;
+        (duration > 0.0).then(|| Millis::new(duration as u64))
+    }
+
     /// Records the pause before an event of a stream.
     pub fn note_pause(&mut self, target: &Target, engine: &Engine, pause: Millis, now: Millis) {
         let work = self.work(&target.id, now);
--- a/crates/thistlesill-policy/tests/edge/admission.rs
+++ b/crates/thistlesill-policy/tests/edge/admission.rs
@@ -5,7 +5,7 @@
 use thistlesill_core::edge::{Bounds, Catalog, Limits, Route, RouteKind, Service, ServiceShare};
 use thistlesill_core::{ErrorKind, Millis};
 use thistlesill_policy::edge::admission::{
-    Admission, AdmissionRequest, Key, SentBy, accepts_while_stopping, admit,
+    Admission, AdmissionRequest, Key, LateRequest, SentBy, accepts_while_stopping, admit,
 };
 use thistlesill_policy::edge::freshness::{Freshness, MARGIN};
 
@@ -188,45 +188,36 @@
     assert_eq!(refused, Some(ErrorKind::NotReady));
 }
 
+/// Returns whether a request that arrives `gone` milliseconds after the signal is accepted.
+fn is_accepted(sender: SentBy, gone: u64, limit: u64, usual: Option<u64>) -> bool {
+    let request = LateRequest {
+        sender,
+        limit: Millis::new(limit),
+        usual: usual.map(Millis::new),
+    };
+    accepts_while_stopping(request, Millis::new(gone), Millis::new(7_600))
+}
+
 #[test]
 fn a_stopping_daemon_takes_only_what_ends_in_time() {
-    let grace = Millis::new(7_600);
-    let (long, short) = (Millis::new(6_000), Millis::new(1_000));
-    assert!(accepts_while_stopping(
-        SentBy::Caller,
-        Millis::new(2_500),
-        long,
-        grace
-    ));
-    assert!(!accepts_while_stopping(
-        SentBy::Caller,
-        Millis::new(2_700),
-        long,
-        grace
-    ));
-    assert!(accepts_while_stopping(
-        SentBy::Caller,
-        Millis::new(6_500),
-        short,
-        grace
-    ));
-    assert!(!accepts_while_stopping(
-        SentBy::Caller,
-        Millis::new(6_700),
-        short,
-        grace
-    ));
+    assert!(is_accepted(SentBy::Caller, 2_500, 6_000, None));
+    assert!(!is_accepted(SentBy::Caller, 2_700, 6_000, None));
+    assert!(is_accepted(SentBy::Caller, 6_500, 1_000, None));
+    assert!(!is_accepted(SentBy::Caller, 6_700, 1_000, None));
     // A peer can choose another daemon at once.
-    assert!(!accepts_while_stopping(
-        SentBy::Peer,
-        Millis::new(2_000),
-        long,
-        grace
-    ));
-    assert!(accepts_while_stopping(
-        SentBy::Peer,
-        Millis::new(2_000),
-        short,
-        grace
-    ));
+    assert!(!is_accepted(SentBy::Peer, 2_000, 6_000, None));
+    assert!(is_accepted(SentBy::Peer, 2_000, 1_000, None));
+}
+
+/// Guards against a request that is passed on although those of its service usually last longer than
+/// the daemon does.
+#[test]
+fn a_stopping_daemon_takes_what_usually_lasts_longer() {
+    assert!(is_accepted(SentBy::Caller, 2_500, 6_000, Some(4_000)));
+    assert!(!is_accepted(SentBy::Caller, 2_500, 6_000, Some(4_100)));
+    assert!(is_accepted(SentBy::Caller, 1_000, 6_000, Some(4_100)));
+    // A request lasts no longer than its limit.
+    assert!(is_accepted(SentBy::Caller, 2_500, 5_000, Some(60_000)));
+    // Later ones go by their limits, whatever is usual.
+    assert!(!is_accepted(SentBy::Caller, 2_700, 6_000, Some(10)));
 }
