fix(edge): bodies and unread answers are bounded together by the memory of the settings

One daemon that most callers were sent to ended for want of memory, and the requests of all others with it: 154 callers with bodies of 4 MB, each as large as allowed. The same with a few hundred callers that read nothing of answers without end.

Cause: each body and each connection has a bound, their sum had none, and memoryMb was read by nobody.

Change: MemoryBudget counts bodies of requests, the parts of answers that are held, and the codecs' buffers of answers that are not kept up with, up to 0.35 of the memory, until the last copy is gone. A body that there is no room for is refused by its length with 503 (memory_short); an answer is passed on earlier, or fails. Why this works: what is counted is what grew in both cases, and what is left is bounded by connections.

--- a/crates/thistlesill-core/src/edge/bounds.rs
+++ b/crates/thistlesill-core/src/edge/bounds.rs
@@ -52,6 +52,8 @@
     pub link: u32,
     /// Number of files and connections that the process may open, if it is limited.
     pub files: Option<usize>,
+    /// Memory that the process may use in bytes, if it is limited.
+    pub memory: Option<usize>,
     /// Limits of admission under overload.
     pub overload: OverloadLimits,
 }
--- a/crates/thistlesill-core/src/error.rs
+++ b/crates/thistlesill-core/src/error.rs
@@ -131,6 +131,8 @@
     StoreDown = "store_down", 503, Unknown, LATER, "The platform's service is out of reach.";
     /// An error inside the system itself.
     Internal = "internal", 500, Unknown, NEVER, "A fault of the system; the request may have run.";
+    /// The bodies of other requests take the memory that there is for them.
+    MemoryShort = "memory_short", 503, No, SOON, "This entry instance has no memory for the body now.";
 }
 
 impl std::fmt::Display for ErrorKind {
--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -310,8 +310,7 @@
 fn reload_settings(edge: &Edge, path: &Path) {
     match read_settings(path) {
         Ok(settings) => {
-            edge.ranking.set_limits(settings.overload);
-            edge.settings.replace(Rc::new(settings));
+            edge.set_settings(settings);
             edge.lines.line("reload").with("result", "taken").write();
         }
         Err(error) => edge.lines.line("reload").with("result", error).write(),
@@ -321,6 +320,7 @@
 /// Logs the daemon's state, and sets its gauges.
 fn log_status(edge: &Edge) {
     let now = edge.now();
+    metrics::gauge!("thistlesill_edge_held_bytes").set(edge.memory.held() as f64);
     metrics::gauge!("thistlesill_edge_active_requests").set(edge.active.get() as f64);
     if let Some(age) = edge.targets_age() {
         metrics::gauge!("thistlesill_edge_targets_age_ms").set(age.get() as f64);
--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use thistlesill_core::Millis;
+use thistlesill_net::lane::CODEC_BYTES;
+use thistlesill_net::memory::{MemoryBudget, Reservation};
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
 use thistlesill_policy::edge::attempt::Outcome;
@@ -26,22 +28,50 @@
 enum ReadBody {
     /// All of it.
     Complete(Bytes),
-    /// Its start; the whole body is too large to hold.
-    Start(Bytes),
+    /// Its start; the whole body is too large to hold now.
+    Start(LargeBody),
+    /// As much as there is memory for, which is not enough to pass the rest on.
+    MemoryShort,
 }
 
-/// Reads a body, up to the size of answers that are read completely.
-async fn read_answer_body(body: &mut BudgetedBody) -> Result<ReadBody, hyper::Error> {
+/// The start of a body that is forwarded as it arrives.
+pub(crate) struct LargeBody {
+    pub(crate) start: Bytes,
+    /// The memory that the rest takes while it is forwarded.
+    pub(crate) reservation: Reservation,
+}
+
+impl LargeBody {
+    /// Creates the body after `start`, if there is memory for the rest.
+    fn new(start: Bytes, memory: &MemoryBudget) -> Option<Self> {
+        let mut reservation = memory.reservation();
+        let has_room = reservation.resize(CODEC_BYTES);
+        has_room.then_some(Self { start, reservation })
+    }
+}
+
+/// Reads a body, up to the size of answers that are read completely, and while there is memory for it.
+async fn read_answer_body(
+    body: &mut BudgetedBody,
+    memory: &MemoryBudget,
+) -> Result<ReadBody, hyper::Error> {
     let mut read = BytesMut::new();
+    let mut reservation = memory.reservation();
     while read.len() as u64 <= MAX_BUFFERED_BYTES {
         let Some(frame) = body.frame().await.transpose()? else {
-            return Ok(ReadBody::Complete(read.freeze()));
+            return Ok(ReadBody::Complete(reservation.hold(read.freeze())));
         };
-        if let Ok(data) = frame.into_data() {
-            read.extend_from_slice(&data);
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&data);
+        if !reservation.resize(read.len()) {
+            break;
         }
     }
-    Ok(ReadBody::Start(read.freeze()))
+    let start = reservation.hold(read.freeze());
+    let large = LargeBody::new(start, memory);
+    Ok(large.map_or(ReadBody::MemoryShort, ReadBody::Start))
 }
 
 /// Reads a small plain answer completely and returns it; a large one is forwarded as it arrives.
@@ -53,16 +83,20 @@
     let edge = &job.edge;
     let large = hyper::body::Body::size_hint(&answered.body).lower() > MAX_BUFFERED_BYTES;
     if large {
-        return relay::forward_plain(job.clone(), answered, Bytes::new(), track);
+        let Some(body) = LargeBody::new(Bytes::new(), &edge.memory) else {
+            return Err(short_of_memory(&answered));
+        };
+        return relay::forward_plain(job.clone(), answered, body, track);
     }
     let began = edge.now();
-    let read = read_answer_body(&mut answered.body);
+    let read = read_answer_body(&mut answered.body, &edge.memory);
     let read = edge.alarm.timeout_at(job.answer_deadline(), read).await;
     let body = match read {
         Some(Ok(ReadBody::Complete(body))) => body,
-        Some(Ok(ReadBody::Start(start))) => {
-            return relay::forward_plain(job.clone(), answered, start, track);
+        Some(Ok(ReadBody::Start(body))) => {
+            return relay::forward_plain(job.clone(), answered, body, track);
         }
+        Some(Ok(ReadBody::MemoryShort)) => return Err(short_of_memory(&answered)),
         Some(Err(error)) => {
             let phase = AnswerPhase::Starting(began);
             let origin = &mut answered.origin;
@@ -77,6 +111,12 @@
     Ok(finish(job, answered, began, body, track))
 }
 
+/// Returns the failure of an answer that this daemon has no memory for.
+fn short_of_memory(answered: &Answered) -> Failure {
+    let reason = "no memory for the answer";
+    Failure::of_answer(answered, Outcome::MayHaveRun, &reason)
+}
+
 /// Returns a plain answer that was read completely.
 fn finish(
     job: &Job,
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -130,20 +131,47 @@
     track.with_reason("the daemon stops").refuse(kind, None)
 }
 
-async fn read_body(edge: &Edge, body: BudgetedBody) -> Result<Bytes, ErrorKind> {
+/// Reads the body of a request. One that there is no memory for is refused, by its length if that is known.
+async fn read_body(edge: &Edge, mut body: BudgetedBody) -> Result<Bytes, ErrorKind> {
     let max_bytes = edge.catalog().map_or(0, |c| c.limits().body_bytes);
     if max_bytes == 0 {
         return Ok(Bytes::new());
     }
-    let read = Limited::new(body, max_bytes).collect();
-    match timeout_at(within(BODY_TIMEOUT), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ErrorKind::BodyTooLarge)
-        }
-        Ok(Err(_)) => Err(ErrorKind::BadRequest),
-        Err(_) => Err(ErrorKind::SlowCaller),
+    let announced = body.size_hint().lower().min(max_bytes as u64) as usize;
+    let mut reservation = edge.memory.reservation();
+    if !reservation.resize(announced) {
+        discard(body);
+        return Err(ErrorKind::MemoryShort);
     }
+    let read = async {
+        let mut bytes = BytesMut::with_capacity(announced);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
+                continue;
+            };
+            let length = bytes.len() + data.len();
+            if length > max_bytes {
+                return Err(ErrorKind::BodyTooLarge);
+            }
+            if length > announced && !reservation.resize(length) {
+                return Err(ErrorKind::MemoryShort);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    };
+    let read = timeout_at(within(BODY_TIMEOUT), read).await;
+    let bytes = read.unwrap_or(Err(ErrorKind::SlowCaller))?;
+    Ok(reservation.hold(bytes))
+}
+
+/// Reads a body without keeping it, while its request is refused. If the connection were closed with bytes
+/// of the body unread, its caller might not get the answer.
+fn discard(mut body: BudgetedBody) {
+    tokio::task::spawn_local(async move {
+        let read = async { while let Some(Ok(_)) = body.frame().await {} };
+        drop(timeout_at(within(BODY_TIMEOUT), read).await);
+    });
 }
 
 fn check_admission(edge: &Edge, parts: &Parts, head: &CallerHead) -> Result<Admission, ErrorKind> {
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -15,7 +15,8 @@
 use hyper::Response;
 use thistlesill_core::Millis;
 use thistlesill_core::edge::Target;
-use thistlesill_net::lane::HttpConnection;
+use thistlesill_net::lane::{CODEC_BYTES, HttpConnection};
+use thistlesill_net::memory::Reservation;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
 use thistlesill_policy::edge::attempt::{Attempts, Outcome};
@@ -34,6 +35,9 @@
 use crate::reply::{self, Interrupted, OutBody};
 use crate::track::Track;
 
+/// Bytes that arrive at once of a stream that keeps up.
+const MAX_USUAL_BYTES: usize = 16 * 1024;
+
 /// A pause between two events of a stream, as the caller observes it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Pause {
@@ -75,7 +79,7 @@
     Ended,
     /// The stream broke off.
     Broken,
-    /// An event is longer than any may be.
+    /// An event is longer than any may be, or than there is memory for.
     Endless,
     /// No event came for too long; the stream may still go on.
     Stalled,
@@ -89,6 +93,10 @@
     track: Track,
     attempts: Attempts,
     cutter: Cutter,
+    /// Memory for an event that is not complete, and for the codecs.
+    reservation: Reservation,
+    /// Bytes that the codecs hold.
+    codec_bytes: usize,
     source: Option<Source>,
     tried: Tried,
     /// Whether to wait for a silent source, since the stream may not or cannot be resumed elsewhere;
@@ -166,6 +174,16 @@
     }
 }
 
+/// Returns the number of bytes that the codecs hold of a stream of which this many arrive at once. Events
+/// are small unless their caller does not keep up.
+const fn codec_bytes(arrived: usize) -> usize {
+    if arrived > MAX_USUAL_BYTES {
+        CODEC_BYTES
+    } else {
+        0
+    }
+}
+
 /// Fails if an answer that is passed on as it arrives began after the deadline: the relay would break
 /// off at once, and the connection close before the head is written.
 fn check_deadline(job: &Job, answered: &Answered) -> Result<(), Failure> {
@@ -201,6 +219,8 @@
         job,
         attempts,
         cutter: Cutter::default(),
+        reservation: edge.memory.reservation(),
+        codec_bytes: 0,
         stay: false,
         cut_off: None,
         bytes: 0,
@@ -273,7 +293,11 @@
                         return None;
                     };
                     source.end_prefill();
-                    match self.cutter.push(&data) {
+                    let added = self.cutter.push(&data);
+                    self.codec_bytes = self.codec_bytes.max(codec_bytes(data.len()));
+                    let held = self.cutter.partial_len() + self.codec_bytes;
+                    let has_room = self.reservation.resize(held);
+                    match added {
                         Added::Events => {
                             self.stay = false;
                             self.cut_off = None;
@@ -284,8 +308,8 @@
                             }
                             None
                         }
-                        Added::Part => None,
-                        Added::Excess => Some(Stop::Endless),
+                        Added::Part if has_room => None,
+                        Added::Part | Added::Excess => Some(Stop::Endless),
                     }
                 }
                 Some(Err(_)) => Some(Stop::Broken),
--- a/crates/thistlesill-edge/src/relay/cutter.rs
+++ b/crates/thistlesill-edge/src/relay/cutter.rs
@@ -68,6 +68,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes of the event that is not complete.
+    pub(super) fn partial_len(&self) -> usize {
+        self.buffer.len() - self.complete
+    }
+
     /// Drops the incomplete event in the buffer.
     pub(super) fn drop_partial(&mut self) {
         self.buffer.truncate(self.complete);
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -6,11 +6,13 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::Response;
+use thistlesill_net::memory::Reservation;
 use thistlesill_platform::caller::{self, BodyEnd};
 
 use super::{Source, check_deadline};
 use crate::attempt::{Answered, Failure};
 use crate::job::Job;
+use crate::plain::LargeBody;
 use crate::quarantine;
 use crate::reply::{self, Interrupted, OutBody};
 use crate::track::Track;
@@ -22,11 +24,13 @@
     track: Track,
     /// The part of the answer that was read already.
     start: Bytes,
+    /// The memory that the rest takes.
+    _reservation: Reservation,
     bytes: usize,
 }
 
-/// Forwards a large plain answer to the caller as it arrives, after the `start` of its body, which
-/// was read already.
+/// Forwards a large plain answer to the caller as it arrives, after the start of its body, which was
+/// read already.
 ///
 /// # Errors
 ///
@@ -34,7 +38,7 @@
 pub(crate) fn forward_plain(
     job: Rc<Job>,
     answered: Answered,
-    start: Bytes,
+    large: LargeBody,
     track: &mut Track,
 ) -> Result<Response<OutBody>, Failure> {
     check_deadline(&job, &answered)?;
@@ -45,7 +49,8 @@
         track: track.split(&job.edge),
         source: Source::new(answered, job.edge.now()),
         job,
-        start,
+        start: large.start,
+        _reservation: large.reservation,
         bytes: 0,
     };
     let chunks = stream::try_unfold(forwarding, |mut forwarding| async move {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -13,6 +13,7 @@
 use thistlesill_core::table::{Txn, TxnResult};
 use thistlesill_core::{Millis, ServiceName};
 use thistlesill_net::clock::{Alarm, Clock};
+use thistlesill_net::memory::MemoryBudget;
 use thistlesill_net::stream::BlockedWrites;
 use thistlesill_platform::store::Store;
 use thistlesill_policy::budget::RetryBudget;
@@ -68,6 +69,10 @@
 const UNREACHABLE_TIMEOUT: Millis = Millis::new(5_000);
 /// Safety margin before the moment at which a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
+/// Share of the memory that bodies may take. Connections, the codec's buffers and all else take the rest.
+const BODIES_SHARE: f64 = 0.35;
+/// Bytes that bodies may take if the memory is not limited.
+const DEFAULT_BODIES_BYTES: usize = 256 << 20;
 /// Time in which the last answers of a stopping daemon reach their callers before it ends.
 const LAST_ANSWERS_TIME: Millis = Millis::new(300);
 
@@ -130,6 +135,8 @@
     /// Backoffs that targets request from this daemon.
     pub(crate) backoffs: Backoffs,
     pub(crate) lanes: Lanes,
+    /// Bytes that are held for callers and targets.
+    pub(crate) memory: MemoryBudget,
     /// Peers that requests can be passed to.
     pub(crate) forwarding: ForwardState,
     /// The links to the targets.
@@ -186,6 +193,8 @@
 impl Edge {
     pub(crate) fn new(settings: EdgeSettings) -> Self {
         let clock = Clock::new();
+        let memory = MemoryBudget::default();
+        memory.set_limit(bodies_limit(&settings));
         let mut rng = SmallRng::seed_from_u64(rand::random());
         Self {
             store: Store::new(settings.store, STORE_IDLE_TIMEOUT),
@@ -217,6 +226,7 @@
             loads: RefCell::new(LoadTable::default()),
             demand_meter: RefCell::new(DemandMeter::default()),
             lanes: Lanes::default(),
+            memory,
             forwarding: ForwardState::default(),
             links: Links::default(),
             lines: Lines::start(std::io::stdout()),
@@ -251,6 +261,13 @@
         self.clock.now()
     }
 
+    /// Brings other settings in force.
+    pub(crate) fn set_settings(&self, settings: EdgeSettings) {
+        self.ranking.set_limits(settings.overload);
+        self.memory.set_limit(bodies_limit(&settings));
+        self.settings.replace(Rc::new(settings));
+    }
+
     pub(crate) fn settings(&self) -> Rc<EdgeSettings> {
         self.settings.borrow().clone()
     }
@@ -437,3 +454,9 @@
         }
     }
 }
+
+/// Returns the number of bytes that bodies may take.
+fn bodies_limit(settings: &EdgeSettings) -> usize {
+    let share = |memory: usize| (memory as f64 * BODIES_SHARE) as usize;
+    settings.memory.map_or(DEFAULT_BODIES_BYTES, share)
+}
--- a/crates/thistlesill-edge/tests/it.rs
+++ b/crates/thistlesill-edge/tests/it.rs
@@ -34,6 +34,8 @@
 mod lines;
 #[path = "it/lost_peers.rs"]
 mod lost_peers;
+#[path = "it/memory.rs"]
+mod memory;
 #[path = "it/owners.rs"]
 mod owners;
 #[path = "it/partitions.rs"]
