fix(edge): an event ends with an empty line, however its lines end

After a release callers got the head of each stream and no event, and their kept connections were closed.

Cause: the cutter knew LF LF as the only end of an event. The new targets end lines with CR LF, so their streams were held back as one event, requested again elsewhere, and lost.

Change: lines end with LF, CR LF or CR, as the format allows, also where CR and LF arrive apart. Why this works: an event ends with the first empty line after it, which all three forms have.

streams_whose_lines_end_otherwise_are_lost fails before: no event arrives.

--- a/crates/thistlesill-edge/src/relay/cutter.rs
+++ b/crates/thistlesill-edge/src/relay/cutter.rs
@@ -2,8 +2,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The end of an event.
-const EVENT_END: &[u8] = b"\n\n";
 /// The prefix of the line with an event's id.
 const ID_PREFIX: &[u8] = b"id:";
 
@@ -21,6 +19,34 @@
     Excess,
 }
 
+/// The place in the lines of a stream. A line ends with LF, CR LF or CR, and an empty one ends an event.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Place {
+    /// Within a line.
+    #[default]
+    Line,
+    /// After LF, or after CR LF.
+    LineEnd,
+    /// After CR, which LF may follow.
+    CarriageReturn,
+    /// As [`CarriageReturn`](Self::CarriageReturn), where an event has ended.
+    EventEnd,
+}
+
+impl Place {
+    /// Returns the place after another byte, and whether an event ends with it.
+    const fn after(self, byte: u8) -> (Self, bool) {
+        match (byte, self) {
+            (b'\n', Self::CarriageReturn) => (Self::LineEnd, false),
+            (b'\n', Self::EventEnd | Self::LineEnd) => (Self::LineEnd, true),
+            (b'\n', Self::Line) => (Self::LineEnd, false),
+            (b'\r', Self::Line) => (Self::CarriageReturn, false),
+            (b'\r', _) => (Self::EventEnd, true),
+            _ => (Self::Line, false),
+        }
+    }
+}
+
 /// Buffers bytes and returns complete events.
 ///
 /// Only complete events go to the caller, so that a stream that breaks off within an event can be
@@ -30,23 +56,28 @@
     buffer: BytesMut,
     /// Length of the start of `buffer` that consists of complete events.
     complete: usize,
+    /// The place after all bytes so far.
+    place: Place,
     last_id: Option<String>,
 }
 
 impl Cutter {
     /// Appends bytes to the buffer, and returns what they add.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Added {
-        // The end of an event may begin in the bytes before.
-        let searched = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
-        let from = searched.max(self.complete);
+        let before = self.buffer.len();
+        let mut added = Added::Part;
+        for (number, byte) in bytes.iter().enumerate() {
+            let (place, is_end) = self.place.after(*byte);
+            self.place = place;
+            if is_end {
+                self.complete = before + number + 1;
+                added = Added::Events;
+            }
+        }
         self.buffer.extend_from_slice(bytes);
-        if let Some(at) = rfind(&self.buffer[from..], EVENT_END) {
-            self.complete = from + at + EVENT_END.len();
-            Added::Events
-        } else if self.buffer.len() - self.complete <= MAX_EVENT_BYTES {
-            Added::Part
-        } else {
-            Added::Excess
+        match added {
+            Added::Part if self.partial_len() > MAX_EVENT_BYTES => Added::Excess,
+            added => added,
         }
     }
 
@@ -76,6 +107,7 @@
     /// Drops the incomplete event in the buffer.
     pub(super) fn drop_partial(&mut self) {
         self.buffer.truncate(self.complete);
+        self.place = Place::default();
     }
 
     /// Returns the id of the last event that [`take`](Self::take) returned.
@@ -84,13 +116,9 @@
     }
 }
 
-fn rfind(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|w| w == pattern)
-}
-
 /// Returns the id of the last event that has one.
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|b| *b == b'\n');
+    let lines = events.rsplit(|b| matches!(b, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_PREFIX));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     Some(id.trim().to_owned())
--- a/crates/thistlesill-edge/tests/it/streams.rs
+++ b/crates/thistlesill-edge/tests/it/streams.rs
@@ -38,6 +38,31 @@
     );
 }
 
+/// Guards against streams that are held back as one event, requested from one target after the other, and
+/// lost: their lines end with CR LF, or with CR, as the format allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_whose_lines_end_otherwise_are_lost() {
+    let world = world(218, 1).await;
+    for end in ["\r\n", "\r", "\n"] {
+        for (leader, _) in world.targets.serving() {
+            let fault = Fault::LineEnds(end);
+            world.targets.set_fault(leader.as_str(), fault);
+        }
+        for number in 0..4 {
+            let id = format!("lines-{}-{number}", end.escape_default());
+            let got = ask(&world, 0, stream(&id)).await;
+            assert_eq!((got.status, got.is_complete), (200, true), "{got:?}");
+            let event = |n: u64| format!("id: {n}\ndata: {id}:{n}\n\n").replace('\n', end);
+            let all: String = all_events().into_iter().map(event).collect();
+            assert_eq!(got.body, all);
+            assert_eq!(world.targets.ledger.runs(&id).len(), 1);
+            // Each event is passed on as it arrives.
+            let lines = world.log_lines(0, &format!("id={id}"));
+            assert!(lines.iter().all(|l| !l.contains("broke_off")), "{lines:?}");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_pause_within_an_event_loses_nothing_if_no_other_group_can_go_on() {
     let world = world(25, 1).await;
