fix(edge): settings that change without a signal are obeyed

A daemon went on with the bounds of its start for as long as it ran: requests with a removed key were answered for 8 s, where the settings laid 20 s before, without a signal, allow two.

Cause: the settings file was read at the start and after a hang-up signal only. Evidence: no reload line.

Change: the file is compared once a second and a changed one is applied, as after a signal. A process that only plans keeps its own name and ports in both.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The main loop of an edge daemon, with its start and stop.
 
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::str::FromStr;
@@ -124,13 +124,55 @@
     },
 }
 
+/// The settings file as it was last read.
+struct SettingsFile {
+    path: PathBuf,
+    text: String,
+}
+
+impl SettingsFile {
+    fn read(path: PathBuf) -> Result<Self, StartError> {
+        let text = std::fs::read_to_string(&path).context(ReadSnafu { path: &path })?;
+        Ok(Self { path, text })
+    }
+
+    /// Reads the file again; returns whether it has changed.
+    fn refresh(&mut self) -> Result<bool, StartError> {
+        let read = Self::read(self.path.clone())?;
+        let is_changed = read.text != self.text;
+        *self = read;
+        Ok(is_changed)
+    }
+
+    /// Decodes the settings of a process with these tasks.
+    fn settings(&self, parts: Parts) -> Result<EdgeSettings, StartError> {
+        let path = &self.path;
+        let settings = decode_settings(&self.text).context(SettingsSnafu { path })?;
+        Ok(match parts {
+            Parts::Plan => for_separate_planner(settings),
+            Parts::Both | Parts::Serve => settings,
+        })
+    }
+}
+
+/// Returns the settings of a planner process on the machine of a serving daemon, so that names
+/// and ports differ.
+fn for_separate_planner(mut settings: EdgeSettings) -> EdgeSettings {
+    settings.name = format!("{}-plan", settings.name).into();
+    settings.peer_port += 1;
+    settings.last_port = settings.last_port.saturating_sub(1);
+    settings
+}
+
 /// Reads the settings and runs a daemon with them, or only checks them.
 ///
 /// Returns exit code 2 if the settings are invalid, and 1 if the daemon could not start.
 pub fn main(config: Option<PathBuf>, only_check: bool, options: Options) -> ExitCode {
     let path = config.unwrap_or_else(settings_path);
-    let settings = match read_settings(&path) {
-        Ok(settings) => settings,
+    let checked = SettingsFile::read(path.clone());
+    let checked = checked.and_then(|file| file.settings(options.parts).map(|_| file));
+    let file = match checked {
+        Ok(file) => file,
         Err(error) => {
             eprintln!("thistlesill-edge: {error}");
             return ExitCode::from(INVALID_SETTINGS_EXIT_CODE);
@@ -144,7 +186,7 @@
     if let Some(source) = options.source {
         thistlesill_net::lane::bind_source(source);
     }
-    match launch(settings, path, options) {
+    match launch(file, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("thistlesill-edge: {error}");
@@ -153,25 +195,17 @@
     }
 }
 
-fn read_settings(path: &Path) -> Result<EdgeSettings, StartError> {
-    let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-    decode_settings(&text).context(SettingsSnafu { path })
-}
-
-fn launch(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
+fn launch(file: SettingsFile, options: Options) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(IoSnafu { what: "runtime" })?;
     let local = LocalSet::new();
-    local.block_on(&runtime, run(settings, path, options))
+    local.block_on(&runtime, run(file, options))
 }
 
-async fn run(settings: EdgeSettings, path: PathBuf, options: Options) -> Result<(), StartError> {
-    let settings = match options.parts {
-        Parts::Plan => for_separate_planner(settings),
-        Parts::Both | Parts::Serve => settings,
-    };
+async fn run(mut file: SettingsFile, options: Options) -> Result<(), StartError> {
+    let settings = file.settings(options.parts)?;
     let charts = Charts::load().context(ChartsSnafu)?;
     let handle = figures::install();
     let mut stop = listen_for(SignalKind::terminate())?;
@@ -223,13 +257,14 @@
     loop {
         tokio::select! {
             _ = stop.recv() => begin_stop(&edge),
-            _ = reload.recv() => reload_settings(&edge, &path),
+            _ = reload.recv() => reload_settings(&edge, &mut file, options.parts, Trigger::Signal),
             () = tokio::time::sleep(SWEEP_INTERVAL) => {}
         }
         rounds += 1;
         handle_suspension(&edge);
         sweep(&edge);
         if rounds % ROUNDS_PER_SLOW_SWEEP == 0 {
+            reload_settings(&edge, &mut file, options.parts, Trigger::Check);
             edge.lanes.sweep(edge.now());
             edge.quarantine.retain(edge.now());
             edge.ranking.retain(edge.now());
@@ -254,15 +289,6 @@
     Ok(())
 }
 
-/// Returns the settings of a planner process on the machine of a serving daemon, so that names
-/// and ports differ.
-fn for_separate_planner(mut settings: EdgeSettings) -> EdgeSettings {
-    settings.name = format!("{}-plan", settings.name).into();
-    settings.peer_port += 1;
-    settings.last_port = settings.last_port.saturating_sub(1);
-    settings
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.with_context(|_| IoSnafu {
@@ -306,9 +332,25 @@
     elapsed >= edge.grace() || (done && elapsed >= BALANCER_DETECTION + IDLE_CLOSE_TIME)
 }
 
+/// Why the settings file is read again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trigger {
+    /// A signal says that it has changed.
+    Signal,
+    /// It may have changed without a signal.
+    Check,
+}
+
 /// Applies a changed settings file; an invalid one changes nothing.
-fn reload_settings(edge: &Edge, path: &Path) {
-    match read_settings(path) {
+fn reload_settings(edge: &Edge, file: &mut SettingsFile, parts: Parts, trigger: Trigger) {
+    let changed = file.refresh();
+    match (&changed, trigger) {
+        (Ok(false), Trigger::Check) => return,
+        // The platform may be replacing the file.
+        (Err(error), Trigger::Check) => return log::debug!("settings: {error}"),
+        _ => {}
+    }
+    match changed.and_then(|_| file.settings(parts)) {
         Ok(settings) => {
             edge.set_settings(settings);
             edge.lines.line("reload").with("result", "taken").write();
--- a/crates/thistlesill-edge/src/relay/cutter.rs
+++ b/crates/thistlesill-edge/src/relay/cutter.rs
@@ -37,9 +37,8 @@
     /// Returns the place after another byte, and whether an event ends with it.
     const fn after(self, byte: u8) -> (Self, bool) {
         match (byte, self) {
-            (b'\n', Self::CarriageReturn) => (Self::LineEnd, false),
-            (b'\n', Self::EventEnd | Self::LineEnd) => (Self::LineEnd, true),
-            (b'\n', Self::Line) => (Self::LineEnd, false),
+            (b'\n', Self::Line | Self::CarriageReturn) => (Self::LineEnd, false),
+            (b'\n', Self::LineEnd | Self::EventEnd) => (Self::LineEnd, true),
             (b'\r', Self::Line) => (Self::CarriageReturn, false),
             (b'\r', _) => (Self::EventEnd, true),
             _ => (Self::Line, false),
--- a/crates/thistlesill-edge/tests/it/keys.rs
+++ b/crates/thistlesill-edge/tests/it/keys.rs
@@ -49,6 +49,40 @@
     }
 }
 
+/// Guards against settings that change without a signal and are never obeyed: a removed key passed for as
+/// long as the settings before allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_change_without_a_signal_are_not_obeyed() {
+    let mut world = world(219, 1).await;
+    world.daemons[0].set_bound("revokeMs", 1_000);
+    world.daemons[0].write_settings();
+    // The operators allow two seconds until a change is obeyed.
+    sleep(2_000).await;
+    let reloads = world.log_lines(0, "ev=reload result=taken");
+    assert_eq!(reloads.len(), 1, "{reloads:?}");
+    assert_eq!(
+        ask(&world, 0, book("before").key(Some("k2"))).await.status,
+        200
+    );
+    world.links[0].set_fault(LinkFault::Stalled);
+    sleep(200).await;
+    world.set_catalog(9, &["k1"]);
+    sleep(1_200).await;
+    for number in 0..8 {
+        let id = format!("removed-{number}");
+        let got = ask(&world, 0, book(&id).key(Some("k2"))).await;
+        assert_eq!(got.status, 503, "{id}");
+        assert!(world.targets.ledger.runs(&id).is_empty(), "{id} ran");
+        sleep(150).await;
+    }
+    // A file that cannot be read changes nothing, and is named once.
+    let path = world.daemons[0].log_path().with_extension("json");
+    std::fs::write(path, "{").expect("the file can be written");
+    sleep(3_200).await;
+    let reloads = world.log_lines(0, "ev=reload");
+    assert_eq!(reloads.len(), 2, "{reloads:?}");
+}
+
 /// Guards against a daemon that asks for no key once the last customer has lost its last one.
 #[tokio::test(flavor = "multi_thread")]
 async fn after_the_last_key_is_removed_every_request_with_and_without_a_key_is_refused() {
