--- a/crates/thistlesill-edge/tests/it/limits.rs
+++ b/crates/thistlesill-edge/tests/it/limits.rs
@@ -20,7 +20,7 @@
 
 use crate::evacuation::WARMUP_BOUND;
 use crate::support::{
-    Timed, large_leader, read, send_steadily, send_steadily_to, sleep, stream, world,
+    Timed, ask, large_leader, read, send_steadily, send_steadily_to, sleep, stream, world,
 };
 
 /// Window over which the requests at a target are compared with its limit.
@@ -251,3 +251,27 @@
     let lines = world.log_lines(0, "ev=limit_unreadable");
     assert!(lines.iter().any(|l| l.contains("text=-1")), "{lines:?}");
 }
+
+/// Guards against numbers in answers that are carried on as a sum or a product: the largest ones that can be
+/// read must end no service.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_numbers_in_answers_end_service() {
+    let world = world(220, 2).await;
+    let (largest, least) = ("9".repeat(308), format!("0.{}1", "0".repeat(300)));
+    for number in [largest.as_str(), "18446744073709551616", least.as_str()] {
+        world.targets.set_limit("p-0", Some(number));
+        world.targets.shed("p-1", Some(number));
+        for turn in 0..6 {
+            drop(ask(&world, turn % 2, read(&format!("odd-{turn}"))).await);
+        }
+        world.targets.set_limit("p-0", None);
+        world.targets.shed("p-1", None);
+        sleep(500).await;
+        for daemon in 0..2 {
+            let got = ask(&world, daemon, stream(&format!("beside-{daemon}"))).await;
+            assert_eq!((got.status, got.is_complete), (200, true), "{got:?}");
+        }
+    }
+    let panics = (0..2).flat_map(|d| world.log_lines(d, "panicked"));
+    assert_eq!(panics.collect::<Vec<_>>(), Vec::<String>::new());
+}
--- a/crates/thistlesill-net/tests/cuts.rs
+++ b/crates/thistlesill-net/tests/cuts.rs
@@ -2,11 +2,15 @@
 //! the request did not run would let the request run twice.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use thistlesill_core::seal::SharedKey;
 use thistlesill_core::{Millis, RequestId};
 use thistlesill_net::engine::{Engines, StreamCall, StreamEvent, StreamOperation};
+use thistlesill_net::lane::{ConnectionError, HttpConnection, within};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -139,3 +143,27 @@
     let address = target(Cut::Answer("what is this\r\n\r\n")).await;
     assert_eq!(events(address).await, vec![StreamEvent::Broken]);
 }
+
+/// Guards against an answer that is taken for one although no answer may have its status.
+#[tokio::test]
+async fn a_status_that_no_answer_may_have_is_an_answer() {
+    for answer in [
+        "HTTP/1.1 000 Odd\r\nx-ran: no\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 Odd\r\nx-ran: no\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\nx-ran: no\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 999 Odd\r\nx-ran: no\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let address = target(Cut::Answer(answer)).await;
+        assert_eq!(events(address).await, vec![StreamEvent::Broken], "{answer}");
+        // Orders and status checks go over connections of their own.
+        let until = || within(Duration::from_secs(2));
+        let mut lane = HttpConnection::connect(address, until())
+            .await
+            .expect("it listens");
+        let request = Request::get("/api/report").header("host", "x");
+        let request = request.body(Full::default()).expect("a request");
+        let answered = lane.call(request, 1_000, until()).await;
+        let is_garbled = matches!(answered, Err(ConnectionError::Garbled { .. }));
+        assert!(is_garbled, "{answer}: {answered:?}");
+    }
+}
