fix(policy): a first sign of life clears no request that its target left unread

A target that stood still reads what lies there as it goes on. A request that it reads then, after its end, and that crashes it, was cleared by the first sign of life.

Change: the target must go on for half a second, or not have ended within five, to clear the request; one that crashes it before that did so when it woke.

--- a/crates/thistlesill-policy/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -5,7 +5,7 @@
 //! request comes again some seconds later, and stops the next machine.
 //!
 //! Silence alone proves nothing: sound targets stand still for a second, and links hang. So the request
-//! is kept until its target shows life, which clears it, or is found to have ended: it is listed under
+//! is kept until its target goes on, which clears it, or is found to have ended: it is listed under
 //! another incarnation, or no longer listed. Then the target was lost under the request, unless what the
 //! request consists of was answered elsewhere meanwhile.
 
@@ -17,6 +17,11 @@
 
 /// How long a request is kept: longer than an entry takes to lapse and a machine to start again.
 const RETENTION: Millis = Millis::new(20_000);
+/// Time from the first sign of life of a target until one that proves that it goes on: what it reads first
+/// has crashed it by then, or does not.
+const PROOF_TIME: Millis = Millis::new(500);
+/// Time after which a target that has shown life, and has not ended, has gone on.
+const MAX_PROOF_TIME: Millis = Millis::new(5_000);
 /// Maximum number of requests that are kept; each takes some 200 bytes. The oldest are dropped first.
 const MAX_KEPT: usize = 1_024;
 
@@ -59,10 +64,32 @@
     Returned(T, Vec<Fingerprint>),
 }
 
+/// A request that is kept, with its target.
+#[derive(Debug, Clone)]
+struct Kept<T> {
+    target: T,
+    request: UnansweredRequest,
+    /// When the target first showed life after the end of the request.
+    woke: Option<Millis>,
+}
+
+impl<T> Kept<T> {
+    /// Returns whether a target that last sent something at `last` goes on, or nothing became known of
+    /// it in time.
+    fn is_over(&mut self, last: Millis, now: Millis) -> bool {
+        let ended = self.request.ended;
+        if self.woke.is_none() && last > ended {
+            self.woke = Some(last);
+        }
+        let goes_on = |woke| last - woke >= PROOF_TIME || now - woke >= MAX_PROOF_TIME;
+        self.woke.is_some_and(goes_on) || now - ended >= RETENTION
+    }
+}
+
 /// Requests that ended without an answer; `T` identifies one incarnation of a target.
 #[derive(Debug, Clone)]
 pub struct Unanswered<T> {
-    kept: VecDeque<(T, UnansweredRequest)>,
+    kept: VecDeque<Kept<T>>,
     /// When the last answer began that was whole or past its start, by the keys of kept requests.
     sound: HashMap<Fingerprint, Millis>,
     /// Targets that were taken for lost, with the keys of the requests and the time.
@@ -92,10 +119,14 @@
         for key in request.keys.iter() {
             self.sound.entry(key).or_insert(Millis::ZERO);
         }
-        self.kept.push_back((target, request));
+        self.kept.push_back(Kept {
+            target,
+            request,
+            woke: None,
+        });
         let is_full = self.kept.len() > MAX_KEPT;
         let dropped = is_full.then(|| self.kept.pop_front()).flatten();
-        dropped.map(|(_, request)| request)
+        dropped.map(|kept| kept.request)
     }
 
     /// Records that the answer to a request with these keys, which began at `began`, was whole or is
@@ -111,13 +142,11 @@
     /// Returns what follows from the fates of the targets, and keeps the other requests.
     pub fn review(&mut self, fate: impl Fn(&T) -> Fate, now: Millis) -> Vec<Finding<T>> {
         let mut findings = Vec::new();
-        for (target, request) in std::mem::take(&mut self.kept) {
-            match fate(&target) {
-                Fate::Listed(last) if last <= request.ended && now - request.ended < RETENTION => {
-                    self.kept.push_back((target, request));
-                }
-                Fate::Listed(_) | Fate::Left => findings.push(Finding::Dropped(request)),
-                Fate::Ended => findings.push(self.find_lost(target, request, now)),
+        for mut kept in std::mem::take(&mut self.kept) {
+            match fate(&kept.target) {
+                Fate::Listed(last) if !kept.is_over(last, now) => self.kept.push_back(kept),
+                Fate::Listed(_) | Fate::Left => findings.push(Finding::Dropped(kept.request)),
+                Fate::Ended => findings.push(self.find_lost(kept, now)),
             }
         }
         let returned = |target: &T, _: &mut (Vec<Fingerprint>, Millis)| {
@@ -133,7 +162,16 @@
     }
 
     /// Decides on a request whose target has ended: what was answered elsewhere since is no suspect.
-    fn find_lost(&mut self, target: T, mut request: UnansweredRequest, now: Millis) -> Finding<T> {
+    fn find_lost(&mut self, kept: Kept<T>, now: Millis) -> Finding<T> {
+        let Kept {
+            target,
+            mut request,
+            woke,
+        } = kept;
+        if let (AnswerPhase::Waiting(_), Some(woke)) = (request.phase, woke) {
+            // It was not read before.
+            request.phase = AnswerPhase::Waiting(woke);
+        }
         let sound = |key: &Fingerprint| {
             let last = self.sound.get(key);
             last.is_some_and(|began| *began > request.seen)
--- a/crates/thistlesill-policy/tests/quarantine_silence.rs
+++ b/crates/thistlesill-policy/tests/quarantine_silence.rs
@@ -47,7 +47,10 @@
     // The target last sent something before the request ended.
     let findings = kept.review(|_| Fate::Listed(at(400)), at(3_000));
     assert!(findings.is_empty());
-    let findings = kept.review(|_| Fate::Listed(at(501)), at(3_100));
+    // It shows life, and goes on.
+    let findings = kept.review(|_| Fate::Listed(at(3_050)), at(3_100));
+    assert!(findings.is_empty());
+    let findings = kept.review(|_| Fate::Listed(at(3_550)), at(3_600));
     assert!(
         matches!(findings[..], [Finding::Dropped(_)]),
         "{findings:?}"
@@ -55,6 +58,38 @@
     assert!(kept.is_empty());
 }
 
+/// Guards against a request that is read by a target that stood still, crashes it, and is cleared by the
+/// target's first sign of life.
+#[test]
+fn a_target_that_wakes_and_crashes_is_not_lost() {
+    let mut kept = Unanswered::default();
+    kept.keep(1, silent("same", &[], 0));
+    assert!(
+        kept.review(|_| Fate::Listed(at(1_250)), at(1_300))
+            .is_empty()
+    );
+    assert!(
+        kept.review(|_| Fate::Listed(at(1_250)), at(2_500))
+            .is_empty()
+    );
+    let losses = lost(&kept.review(|_| Fate::Ended, at(2_800)));
+    assert_eq!(losses.len(), 1);
+    // It cannot have crashed the target before that.
+    assert_eq!(losses[0].1.phase, AnswerPhase::Waiting(at(1_250)));
+    // One of which nothing more is known goes on, if it has not ended for long.
+    let mut kept = Unanswered::default();
+    kept.keep(2, silent("other", &[], 5_000));
+    assert!(
+        kept.review(|_| Fate::Listed(at(6_000)), at(6_100))
+            .is_empty()
+    );
+    let findings = kept.review(|_| Fate::Listed(at(6_000)), at(11_000));
+    assert!(
+        matches!(findings[..], [Finding::Dropped(_)]),
+        "{findings:?}"
+    );
+}
+
 #[test]
 fn a_target_that_left_as_planned_is_not_lost() {
     let mut kept = Unanswered::default();
