fix(policy): targets of which no group can be formed are no capacity

With an odd entry in a domain of its own one of two models had no group for good, and the other one two.

Cause: the planner counted all listed targets as capacity, so each model's part of eight engines was 1.1 groups: enough for a second group of one, of the engines that the other one lacked.

Change: only targets count whose domains have enough of them for the smallest group. an_odd_entry_in_a_domain_of_its_own_is_capacity fails before: (2, 0) groups where (1, 1) are expected. The test that failed waits until both models serve, 25 s at most: a group that is lost while it is formed keeps its members for ten.

--- a/crates/thistlesill-edge/tests/it/writers.rs
+++ b/crates/thistlesill-edge/tests/it/writers.rs
@@ -1,5 +1,7 @@
 //! Targets that restart under their id, and entries of other writers.
 
+use std::time::{Duration, Instant};
+
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
@@ -106,12 +108,23 @@
     }
 }
 
-/// Restarts all engines, and waits until they serve in groups again.
+/// Restarts all engines, and waits until groups of both models serve again. A group that is lost while it is
+/// formed keeps its members for ten seconds, the longest that an engine may drain.
 async fn restart_engines(world: &World) {
     for number in 0..world.engine_count() {
         world.targets.restart(&format!("i-{number:03}"));
     }
-    sleep(15_000).await;
+    let until = Instant::now() + Duration::from_secs(25);
+    let mut tries = 0;
+    while Instant::now() < until {
+        sleep(500).await;
+        tries += 1;
+        let large = ask(world, 0, stream(&format!("large-{tries}"))).await;
+        let small = stream(&format!("small-{tries}")).model("small");
+        if large.status == 200 && ask(world, 0, small).await.status == 200 {
+            return;
+        }
+    }
 }
 
 /// Guards against an epoch of another writer's entry that ends all groups: the planner gave its own groups
--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 use thistlesill_core::edge::{Engine, GroupRef, Incarnation, Order, OrderReply, Target, TargetId};
-use thistlesill_core::{HallId, InstanceId, Millis, Model};
+use thistlesill_core::{DomainId, HallId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
@@ -70,6 +70,8 @@
 const PROBE_ROUND_INTERVAL: Millis = Millis::new(2_000);
 /// Time between two probes of an idle target that was slow or did not answer.
 const IDLE_PROBE_INTERVAL: Millis = Millis::new(1_000);
+/// Size of the smallest group before the models are known.
+const USUAL_SMALLEST_GROUP: usize = 2;
 /// Time between two probes of one target.
 const PROBE_INTERVAL: Millis = Millis::new(140);
 
@@ -234,8 +236,10 @@
     last_models: BTreeMap<TargetId, Model>,
     /// The last known leader of each group.
     leaders: BTreeMap<GroupRef, TargetId>,
-    /// The largest number of targets that was seen.
+    /// The largest number of targets that was seen in domains with enough of them for a group.
     peak_targets: usize,
+    /// The size of the smallest group of any model, once that is known.
+    smallest_group: Option<usize>,
     /// The numbers of targets from which groups may be formed, as of the last step.
     target_counts: TargetCounts,
     /// When a target was last listed for the first time.
@@ -260,6 +264,8 @@
     /// Evaluates the fleet and returns the actions to take next.
     pub fn step(&mut self, view: &FleetView<'_>, now: Millis) -> Vec<FleetAction> {
         let is_sole_planner = self.enter_term(view, now);
+        let sizes = view.engine.models.iter().map(|plan| plan.size as usize);
+        self.smallest_group = sizes.min();
         self.observe(view.targets, is_sole_planner, now);
         let survey = Survey::new(view);
         self.target_counts = self.count_targets(view);
@@ -302,13 +308,29 @@
     fn count_targets(&self, view: &FleetView<'_>) -> TargetCounts {
         let (evacuated, usable): (Vec<&Target>, Vec<&Target>) =
             view.targets.values().partition(|t| view.is_evacuated(t));
-        let available = usable.iter().filter(|t| !t.leaving && !self.is_dead(&t.id));
+        let available = usable
+            .into_iter()
+            .filter(|t| !t.leaving && !self.is_dead(&t.id));
         TargetCounts {
-            peak: self.peak_targets.saturating_sub(evacuated.len()),
-            available: available.count(),
+            peak: self
+                .peak_targets
+                .saturating_sub(self.count_groupable(evacuated)),
+            available: self.count_groupable(available),
         }
     }
 
+    /// Counts the targets whose domains have enough of them for a group. Others are no capacity: another
+    /// writer's entry may name a domain of its own.
+    fn count_groupable<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> usize {
+        let mut domains: HashMap<Option<&DomainId>, usize> = HashMap::new();
+        for target in targets {
+            *domains.entry(target.domain.as_ref()).or_default() += 1;
+        }
+        let smallest = self.smallest_group.unwrap_or(USUAL_SMALLEST_GROUP);
+        let counts = domains.into_values();
+        counts.filter(|count| *count >= smallest).sum()
+    }
+
     /// Applies the reply to an order.
     pub fn record_reply(
         &mut self,
--- a/crates/thistlesill-policy/src/edge/fleet/memory.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/memory.rs
@@ -90,7 +90,8 @@
         self.avoided.retain(|_, at| now - *at < AVOID_DURATION);
         self.failed_probes
             .retain(|_, (_, at)| now - *at < DEAD_TARGET_RETENTION);
-        self.peak_targets = self.peak_targets.max(targets.len());
+        let groupable = self.count_groupable(targets.values());
+        self.peak_targets = self.peak_targets.max(groupable);
         self.last_orders.retain(|_, at| now - *at < AVOID_DURATION);
         self.probe_rounds
             .retain(|_, (_, at)| now - *at < PROBE_ROUND_INTERVAL);
--- a/crates/thistlesill-policy/tests/edge/epochs.rs
+++ b/crates/thistlesill-policy/tests/edge/epochs.rs
@@ -193,3 +193,31 @@
         "{first:?}, {second:?}"
     );
 }
+
+/// Guards against a model that gets no group for good, as an entry in a domain of its own counts as capacity
+/// for a further group of the other model.
+#[test]
+fn an_odd_entry_in_a_domain_of_its_own_is_capacity() {
+    for pause in [1, 2, 3, 5] {
+        let mut sim = Simulation::formed(1);
+        let odd = add_odd(&mut sim, 40, 1 << 62);
+        sim.run(secs(1));
+        // All engines start again, in two batches.
+        let ids: Vec<TargetId> = sim.engines.listed().into_keys().collect();
+        let sound = ids.iter().filter(|id| **id != odd);
+        let (first, second): (Vec<&TargetId>, Vec<&TargetId>) = sound.partition(|id| {
+            let instance = id.instance().as_str();
+            !matches!(instance, "i-001" | "i-004" | "i-005")
+        });
+        for batch in [first, second] {
+            for id in batch {
+                let born = Incarnation::new(sim.wall());
+                sim.engines.restart(id, born);
+            }
+            sim.run(Millis::new(100 * pause));
+        }
+        sim.run(secs(60));
+        assert_eq!(sim.sizes(), (1, 1), "{pause}");
+        sim.assert_no_breaches();
+    }
+}
