--- a/crates/thistlesill-policy/src/edge/fleet.rs
+++ b/crates/thistlesill-policy/src/edge/fleet.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 use thistlesill_core::edge::{Engine, GroupRef, Incarnation, Order, OrderReply, Target, TargetId};
-use thistlesill_core::{DomainId, HallId, InstanceId, Millis, Model};
+use thistlesill_core::{HallId, InstanceId, Millis, Model};
 
 pub use self::census::{Census, DomainCensus, ModelCensus};
 use self::conversion::Conversion;
@@ -70,8 +70,6 @@
 const PROBE_ROUND_INTERVAL: Millis = Millis::new(2_000);
 /// Time between two probes of an idle target that was slow or did not answer.
 const IDLE_PROBE_INTERVAL: Millis = Millis::new(1_000);
-/// Size of the smallest group before the models are known.
-const USUAL_SMALLEST_GROUP: usize = 2;
 /// Time between two probes of one target.
 const PROBE_INTERVAL: Millis = Millis::new(140);
 
@@ -305,32 +303,6 @@
         actions
     }
 
-    fn count_targets(&self, view: &FleetView<'_>) -> TargetCounts {
-        let (evacuated, usable): (Vec<&Target>, Vec<&Target>) =
-            view.targets.values().partition(|t| view.is_evacuated(t));
-        let available = usable
-            .into_iter()
-            .filter(|t| !t.leaving && !self.is_dead(&t.id));
-        TargetCounts {
-            peak: self
-                .peak_targets
-                .saturating_sub(self.count_groupable(evacuated)),
-            available: self.count_groupable(available),
-        }
-    }
-
-    /// Counts the targets whose domains have enough of them for a group. Others are no capacity: another
-    /// writer's entry may name a domain of its own.
-    fn count_groupable<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> usize {
-        let mut domains: HashMap<Option<&DomainId>, usize> = HashMap::new();
-        for target in targets {
-            *domains.entry(target.domain.as_ref()).or_default() += 1;
-        }
-        let smallest = self.smallest_group.unwrap_or(USUAL_SMALLEST_GROUP);
-        let counts = domains.into_values();
-        counts.filter(|count| *count >= smallest).sum()
-    }
-
     /// Applies the reply to an order.
     pub fn record_reply(
         &mut self,
--- a/crates/thistlesill-policy/src/edge/fleet/demand.rs
+++ b/crates/thistlesill-policy/src/edge/fleet/demand.rs
@@ -5,12 +5,12 @@
 //! they need in the order of their urgency, after each less urgent model has received its floor.
 //! Otherwise, all models are scaled down by the same ratio.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
-use thistlesill_core::Model;
-use thistlesill_core::edge::{Engine, ModelPlan, RateLimit};
+use thistlesill_core::edge::{Engine, ModelPlan, RateLimit, Target};
+use thistlesill_core::{DomainId, Model};
 
-use super::FleetView;
+use super::{FleetPlanner, FleetView};
 use crate::edge::shortage::Urgency;
 
 /// Ratio of the targets that groups may use. The rest are spares that replace lost members.
@@ -25,6 +25,9 @@
 /// request starves.
 pub(crate) const FLOOR_RATIO: f64 = 0.25;
 
+/// Size of the smallest group before the models are known.
+const USUAL_SMALLEST_GROUP: usize = 2;
+
 /// Demand for each model, in groups: 1 keeps one group fully busy.
 pub type Demand = BTreeMap<Model, f64>;
 
@@ -38,6 +41,38 @@
     pub(super) available: usize,
 }
 
+impl FleetPlanner {
+    /// Counts the targets from which groups may be formed.
+    pub(super) fn count_targets(&self, view: &FleetView<'_>) -> TargetCounts {
+        let (evacuated, usable): (Vec<&Target>, Vec<&Target>) =
+            view.targets.values().partition(|t| view.is_evacuated(t));
+        let available = usable
+            .into_iter()
+            .filter(|t| !t.leaving && !self.is_dead(&t.id));
+        TargetCounts {
+            peak: self
+                .peak_targets
+                .saturating_sub(self.count_groupable(evacuated)),
+            available: self.count_groupable(available),
+        }
+    }
+
+    /// Counts the targets whose domains have enough of them for a group. Others are no capacity: another
+    /// writer's entry may name a domain of its own.
+    pub(super) fn count_groupable<'a>(
+        &self,
+        targets: impl IntoIterator<Item = &'a Target>,
+    ) -> usize {
+        let mut domains: HashMap<Option<&DomainId>, usize> = HashMap::new();
+        for target in targets {
+            *domains.entry(target.domain.as_ref()).or_default() += 1;
+        }
+        let smallest = self.smallest_group.unwrap_or(USUAL_SMALLEST_GROUP);
+        let counts = domains.into_values();
+        counts.filter(|count| *count >= smallest).sum()
+    }
+}
+
 /// A model's place among those that lack groups while targets are rationed; the lowest comes first.
 /// All models have the same place if targets are not rationed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
