--- a/crates/thistlesill-edge/tests/it/stops.rs
+++ b/crates/thistlesill-edge/tests/it/stops.rs
@@ -167,7 +167,7 @@
 /// answer: their service usually takes longer than the daemon lasts.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_late_in_a_stop_are_passed_on_and_cut_off() {
-    let mut world = world(243, 1).await;
+    let mut world = world(247, 1).await;
     for link in &world.targets.links[8..] {
         link.set_fault(LinkFault::Delay(Duration::from_millis(700)));
     }
@@ -185,7 +185,7 @@
 /// Guards against the same where nothing tells that their answers will not come in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_a_stop_leaves_open_get_no_answer() {
-    let mut world = world(244, 1).await;
+    let mut world = world(248, 1).await;
     for link in &world.targets.links[8..] {
         link.hold(true);
     }
