--- a/crates/thistlesill-policy/tests/edge/epochs.rs
+++ b/crates/thistlesill-policy/tests/edge/epochs.rs
@@ -221,3 +221,21 @@
         sim.assert_no_breaches();
     }
 }
+
+/// Guards against sound members that are ordered to join with an odd one before it has joined itself.
+#[test]
+fn sound_members_join_with_an_odd_one_that_has_not_joined() {
+    let mut sim = Simulation::new(0);
+    for number in 0..3 {
+        sim.engines.add(number);
+    }
+    let odd = add_odd(&mut sim, 3, 1 << 62);
+    // With two of them in a group, the third one is left with the odd one.
+    sim.run(secs(20));
+    let limit = (sim.term + 1) << 20;
+    let joins = joins(&sim);
+    assert!(!joins.is_empty(), "the sound ones form a group");
+    let others = joins.iter().filter(|(target, _)| *target != odd);
+    let raised: Vec<_> = others.filter(|(_, group)| group.epoch >= limit).collect();
+    assert!(raised.is_empty(), "{raised:?}");
+}
