fix(edge): an answer clears a request only once its target has gone on

Cause: a whole answer counted as proof that its target bears the request, also of a target that is gone.

--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -119,7 +119,7 @@
 
 /// Returns a plain answer that was read completely.
 fn finish(
-    job: &Job,
+    job: &Rc<Job>,
     answered: Answered,
     began: Millis,
     body: Bytes,
@@ -146,7 +146,8 @@
         let took = job.edge.now() - job.arrived;
         job.edge.loads.borrow_mut().note_time(&target.id, took);
         if status.is_success() && info.body_end == BodyEnd::Marked {
-            quarantine::note_success(job, began);
+            let phase = AnswerPhase::Starting(began);
+            quarantine::note_success(job, target, began, phase);
         }
         if !info.closing {
             job.return_lane(&target.id, lane, info.keep_alive);
--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -5,14 +5,16 @@
 //! verdicts, so that a daemon that missed some asks for them. Each withheld request is also a row
 //! in the store, in case all daemons are lost at once ([`rows`]). Where lost engines may live, they are
 //! asked for their reports ([`checks`]). Requests that end while their targets are silent are kept until
-//! it is known what became of these ([`unanswered`]).
+//! it is known what became of these ([`unanswered`]), and an answer clears a request only once its target
+//! has gone on after it ([`survival`]).
 
 mod checks;
 mod rows;
+mod survival;
 mod unanswered;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +27,7 @@
 
 pub(crate) use self::checks::{check_losses, confirm_crashes, receive_refutations};
 pub(crate) use self::rows::persist;
+pub(crate) use self::survival::note_success;
 pub(crate) use self::unanswered::{Awaited, review};
 use crate::job::Job;
 use crate::peers::packet::{Packet, PartLoss};
@@ -50,6 +53,8 @@
     known: RefCell<Quarantine<TargetId>>,
     /// Requests that ended without an answer while their targets were silent.
     unanswered: RefCell<Unanswered<TargetId>>,
+    /// Suspected requests that were answered, whose targets have to go on after that.
+    surviving: RefCell<HashSet<Fingerprint>>,
     unsent: RefCell<Unsent>,
     unwritten: RefCell<Vec<Verdict>>,
     /// Requests and parts whose verdicts may change by checks, and when the targets lost there may be
@@ -127,6 +132,13 @@
         !self.unanswered.borrow().is_empty()
     }
 
+    /// Returns whether there is evidence against a request or its parts, or may be soon.
+    fn is_suspected(&self, job: &Job) -> bool {
+        let (known, unanswered) = (self.known.borrow(), self.unanswered.borrow());
+        (!known.is_empty() && known.has_evidence(job.keys()))
+            || (!unanswered.is_empty() && unanswered.has_request(job.keys()))
+    }
+
     fn announce(&self, verdict: Verdict) {
         self.unsent.borrow_mut().verdicts.push(verdict);
         self.send.notify_one();
@@ -322,23 +334,6 @@
     }
 }
 
-/// Records that a request was answered successfully, with an answer that began at `began`.
-pub(crate) fn note_success(job: &Job, began: Millis) {
-    let edge = &job.edge;
-    if edge.quarantine.awaits_signs() {
-        let mut unanswered = edge.quarantine.unanswered.borrow_mut();
-        unanswered.note_sound([job.fingerprint()], began);
-    }
-    if !edge.quarantine.known.borrow().is_empty() {
-        let verdict = {
-            let mut known = edge.quarantine.known.borrow_mut();
-            known.note_success(job.fingerprint(), edge.now())
-        };
-        announce_progress(job, verdict);
-    }
-    note_progress(job, began);
-}
-
 /// Records that the answer to a request, which began at `began`, was written past its start.
 pub(crate) fn note_progress(job: &Job, began: Millis) {
     let edge = &job.edge;
--- a/crates/thistlesill-edge/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-edge/src/quarantine/unanswered.rs
@@ -90,12 +90,18 @@
             seen: self.seen,
             ended: now,
         };
+        keep(edge, &self.target, request);
+    }
+}
+
+/// Keeps a request until it is known what became of its target.
+pub(super) fn keep(edge: &Edge, target: &TargetId, request: UnansweredRequest) {
+    let dropped = {
         let mut unanswered = edge.quarantine.unanswered.borrow_mut();
-        let dropped = unanswered.keep(self.target.clone(), request);
-        drop(unanswered);
-        if let Some(dropped) = dropped {
-            end_silent_trials(edge, &dropped.id, &dropped.tried);
-        }
+        unanswered.keep(target.clone(), request)
+    };
+    if let Some(dropped) = dropped {
+        end_silent_trials(edge, &dropped.id, &dropped.tried);
     }
 }
 
@@ -119,7 +125,7 @@
 }
 
 /// Returns what became of a target.
-fn fate(edge: &Edge, target: &TargetId) -> Fate {
+pub(super) fn fate(edge: &Edge, target: &TargetId) -> Fate {
     let registry = edge.registry.borrow();
     if registry.is_leaving(target) {
         Fate::Left
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -1,7 +1,7 @@
 //! Whether this daemon reaches the targets of each service, by what it observes itself.
 
 mod checks;
-mod life;
+pub(crate) mod life;
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
--- a/crates/thistlesill-edge/src/relay.rs
+++ b/crates/thistlesill-edge/src/relay.rs
@@ -355,7 +355,8 @@
             self.track.ended(200, source.origin.target_id(), bytes);
             if let Origin::Target { target, .. } = &source.origin {
                 if source.body_end == BodyEnd::Marked {
-                    quarantine::note_success(&self.job, source.began);
+                    let phase = source.progress.phase();
+                    quarantine::note_success(&self.job, target, source.began, phase);
                 }
                 if !source.closing {
                     self.job.return_lane(&target.id, source.lane, source.keep);
--- a/crates/thistlesill-edge/src/relay/passing.rs
+++ b/crates/thistlesill-edge/src/relay/passing.rs
@@ -76,10 +76,13 @@
             match frame {
                 None => {
                     self.source.origin.settle();
-                    let target = self.source.origin.target_id();
-                    self.track.ended(200, target, self.bytes);
-                    if target.is_some() && self.source.body_end == BodyEnd::Marked {
-                        quarantine::note_success(&self.job, self.source.began);
+                    let source = &self.source;
+                    let target = source.origin.target();
+                    self.track
+                        .ended(200, target.map(|target| &target.id), self.bytes);
+                    if let Some(target) = target.filter(|_| source.body_end == BodyEnd::Marked) {
+                        let phase = source.progress.phase();
+                        quarantine::note_success(&self.job, target, source.began, phase);
                     }
                     return Ok(None);
                 }
--- a/crates/thistlesill-edge/tests/it/silent_crashes.rs
+++ b/crates/thistlesill-edge/tests/it/silent_crashes.rs
@@ -106,6 +106,14 @@
     assert_withheld(232, away, Repetition::new(1_500, 700)).await;
 }
 
+/// Guards against a request that takes its targets away and is cleared by its answers: some came whole
+/// from targets that ended right after.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_cleared_by_answers_that_their_targets_did_not_survive() {
+    let away = CrashPoint::SilentByTurns(Duration::from_millis(4_500));
+    assert_withheld(249, away, Repetition::new(2_000, 10_000)).await;
+}
+
 /// Asserts that a part of prompts which stops the machines of engines is withheld in time.
 async fn assert_part_withheld(net: u8, point: CrashPoint) {
     let (program, folder) = place(net);
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -195,6 +195,13 @@
         }
     }
 
+    /// Returns whether there is evidence against a request or a part of its prompt.
+    #[must_use]
+    pub fn has_evidence(&self, keys: &RequestKeys) -> bool {
+        let mut records = keys.iter().filter_map(|key| self.records.get(&key));
+        records.any(|record| record.level > 0 || !record.lost.is_empty())
+    }
+
     /// Records that the answer to a request, which began at `began`, was written past its start.
     /// Returns the verdicts to broadcast.
     pub fn note_request_progress(
--- a/crates/thistlesill-policy/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -113,6 +113,12 @@
         self.kept.is_empty() && self.lost.is_empty()
     }
 
+    /// Returns whether a request with one of these keys is kept, or was while others are.
+    #[must_use]
+    pub fn has_request(&self, keys: &RequestKeys) -> bool {
+        keys.iter().any(|key| self.sound.contains_key(&key))
+    }
+
     /// Keeps a request that ended without an answer at a target. Returns the request that is dropped
     /// for want of room.
     pub fn keep(&mut self, target: T, request: UnansweredRequest) -> Option<UnansweredRequest> {
