fix(edge): the time that a target must survive counts from the begin of its answer

Trials of sound streams took 0.4 s in place of 0.2 s since an answer has to be survived, and of twelve streams that had run beside a fatal one, tried one after the other, the last was not served in 40 tries: in 2 of 6 runs of streams_that_ran_beside_it_are_served.

--- a/crates/thistlesill-edge/src/quarantine/survival.rs
+++ b/crates/thistlesill-edge/src/quarantine/survival.rs
@@ -13,8 +13,8 @@
 use crate::job::Job;
 use crate::reach::life;
 
-/// Time after an answer until its target is asked whether it goes on, unless it has sent something.
-const SURVIVAL_TIME: Millis = Millis::new(200);
+/// Time from the begin of an answer in which a target has crashed that does not bear the request.
+const SURVIVAL_TIME: Millis = Millis::new(100);
 
 /// An answer to a suspected request, which came whole.
 struct Answer {
@@ -57,9 +57,7 @@
 /// Clears the request once its target has gone on, or keeps it until it is known what became of that.
 async fn await_survival(answer: Answer) {
     let edge = &answer.job.edge;
-    edge.alarm
-        .sleep_until(answer.request.ended + SURVIVAL_TIME)
-        .await;
+    edge.alarm.sleep_until(answer.began + SURVIVAL_TIME).await;
     let goes_on = goes_on(&answer).await;
     let print = answer.request.keys.whole;
     edge.quarantine.surviving.borrow_mut().remove(&print);
