fix(router): a group that falls silent until the deadline of a request is a loss once it has ended

Callers of the OpenAI interface could take one group after the other away with a request whose groups fall silent: the request ended at its deadline, or as its caller left, and nothing connected the end of the group with it seconds later. The router now keeps such requests as the edge does, and learns from the watchers' reports of the members whether the group goes on, left as planned, or has ended.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -135,8 +135,11 @@
     /// Returns whether there is evidence against a request or its parts, or may be soon.
     fn is_suspected(&self, job: &Job) -> bool {
         let (known, unanswered) = (self.known.borrow(), self.unanswered.borrow());
-        (!known.is_empty() && known.has_evidence(job.keys()))
-            || (!unanswered.is_empty() && unanswered.has_request(job.keys()))
+        if known.is_empty() && unanswered.is_empty() {
+            return false;
+        }
+        let mut keys = job.keys().iter();
+        known.has_evidence(job.keys()) || keys.any(|key| unanswered.has_request(key))
     }
 
     fn announce(&self, verdict: Verdict) {
--- a/crates/thistlesill-policy/src/quarantine/request.rs
+++ b/crates/thistlesill-policy/src/quarantine/request.rs
@@ -42,7 +42,7 @@
 
 impl RequestKeys {
     /// Returns all keys.
-    pub(super) fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
         std::iter::once(self.whole).chain(self.parts.iter().copied())
     }
 }
--- a/crates/thistlesill-policy/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -113,10 +113,10 @@
         self.kept.is_empty() && self.lost.is_empty()
     }
 
-    /// Returns whether a request with one of these keys is kept, or was while others are.
+    /// Returns whether a request with a key is kept, or was while others are.
     #[must_use]
-    pub fn has_request(&self, keys: &RequestKeys) -> bool {
-        keys.iter().any(|key| self.sound.contains_key(&key))
+    pub fn has_request(&self, key: Fingerprint) -> bool {
+        self.sound.contains_key(&key)
     }
 
     /// Keeps a request that ended without an answer at a target. Returns the request that is dropped
--- a/crates/thistlesill-policy/src/router/core.rs
+++ b/crates/thistlesill-policy/src/router/core.rs
@@ -6,6 +6,7 @@
 mod fatal;
 mod presence;
 mod sending;
+mod silence;
 mod time;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,8 +29,8 @@
 use crate::drain::Drain;
 use crate::pick::GroupLoad;
 use crate::presence::View;
-use crate::quarantine::Quarantine;
-use crate::serving::{GroupKey, ServerList};
+use crate::quarantine::{Quarantine, Unanswered};
+use crate::serving::{GroupKey, Member, ServerList};
 use crate::share::FairQueue;
 
 /// Presence window when the settings have none.
@@ -115,6 +116,10 @@
     budget: RetryBudget,
     /// Requests suspected of crashing their groups.
     quarantine: Quarantine<GroupKey>,
+    /// Requests that ended without an answer while their groups were silent.
+    unanswered: Unanswered<GroupKey>,
+    /// The members of the groups of these requests, as they were then.
+    silent_members: BTreeMap<GroupKey, Vec<Member>>,
     /// Losses and verdicts to send to the other routers.
     unsent_fatal: Fatal,
     last_verdicts_sent: Millis,
@@ -151,6 +156,8 @@
             claims: Claims::new(charts.claim.clone(), options.name.clone()),
             budget: RetryBudget::default(),
             quarantine: Quarantine::default(),
+            unanswered: Unanswered::default(),
+            silent_members: BTreeMap::new(),
             unsent_fatal: Fatal::default(),
             last_verdicts_sent: Millis::ZERO,
             drain: Drain::new(
--- a/crates/thistlesill-policy/src/router/core/endings.rs
+++ b/crates/thistlesill-policy/src/router/core/endings.rs
@@ -18,7 +18,7 @@
             return;
         }
         if !matches!(ending, Ending::Recorded(_)) {
-            self.record_success(&request.arrival, now);
+            self.record_success(&request.arrival, request.arrived_at, now);
         }
         let tokens = match &ending {
             Ending::Streamed { count, .. } => *count,
@@ -93,6 +93,7 @@
             self.claims.withdraw(id);
         }
         if sent {
+            self.keep_unanswered(id, now);
             self.out.push(RouterAction::Cancel {
                 request: id,
                 attempt,
--- a/crates/thistlesill-policy/src/router/core/fatal.rs
+++ b/crates/thistlesill-policy/src/router/core/fatal.rs
@@ -13,7 +13,7 @@
 
 /// Returns the fingerprint by which a repeated request is recognised; `None` for a plain service,
 /// whose calls differ by parts that the core does not see.
-fn fingerprint(arrival: &Arrival) -> Option<Fingerprint> {
+pub(super) fn fingerprint(arrival: &Arrival) -> Option<Fingerprint> {
     let Wanted::Model(model) = &arrival.wanted else {
         return None;
     };
@@ -28,7 +28,7 @@
     /// Returns the fingerprint of a request if any request is suspected. Usually none is, and no
     /// fingerprint has to be computed.
     fn suspect_fingerprint(&self, arrival: &Arrival) -> Option<Fingerprint> {
-        if self.quarantine.is_empty() {
+        if self.quarantine.is_empty() && self.unanswered.is_empty() {
             return None;
         }
         fingerprint(arrival)
@@ -65,17 +65,20 @@
         self.quarantine.status(print, now) == QuarantineStatus::Free
     }
 
-    /// Records that a request completed successfully.
-    pub(super) fn record_success(&mut self, arrival: &Arrival, now: Millis) {
+    /// Records that a request, which arrived at `began`, completed successfully.
+    pub(super) fn record_success(&mut self, arrival: &Arrival, began: Millis, now: Millis) {
         if let Some(print) = self.suspect_fingerprint(arrival) {
+            self.unanswered.note_sound([print], began);
             let verdict = self.quarantine.note_success(print, now);
             self.unsent_fatal.verdicts.extend(verdict);
         }
     }
 
-    /// Records that a request ended without success; a trial without an outcome may be repeated.
+    /// Records that a request ended without success; a trial without an outcome may be repeated. One
+    /// that is kept as unanswered may still have an outcome.
     pub(super) fn record_unsuccessful(&mut self, arrival: &Arrival, now: Millis) {
-        if let Some(print) = self.suspect_fingerprint(arrival) {
+        let print = self.suspect_fingerprint(arrival);
+        if let Some(print) = print.filter(|print| !self.unanswered.has_request(*print)) {
             let verdict = self.quarantine.end_trial(print, now);
             self.unsent_fatal.verdicts.extend(verdict);
         }
--- a/crates/thistlesill-policy/src/router/core/sending.rs
+++ b/crates/thistlesill-policy/src/router/core/sending.rs
@@ -103,6 +103,7 @@
         let ahead = self.loads.get(&server.key).map_or(0, GroupLoad::occupancy);
         request.attempt = Some(Attempt {
             key: server.key.clone(),
+            members: server.members.clone(),
             sent_at: now,
             last_event: now,
             ahead,
--- a/crates/thistlesill-policy/src/router/core/time.rs
+++ b/crates/thistlesill-policy/src/router/core/time.rs
@@ -20,6 +20,7 @@
         let steps = self.claims.tick(now);
         self.claim_steps(steps, now);
         self.expire(now);
+        self.review_unanswered(now);
         self.send_waiting(now);
         self.send_updates(now);
         self.view.forget(now, WATCHER_RETENTION);
@@ -61,6 +62,7 @@
                     self.handle_broken(id, ErrorKind::StreamLost, now);
                 }
                 Timeout::Unanswered => {
+                    self.keep_unanswered(id, now);
                     self.cancel(id);
                     self.mark_may_have_run(id);
                     self.fail(id, ErrorKind::LateAnswer, None, now);
--- a/crates/thistlesill-policy/src/router/request.rs
+++ b/crates/thistlesill-policy/src/router/request.rs
@@ -10,7 +10,7 @@
 use super::stream::Assembly;
 use super::{Arrival, Mode};
 use crate::charts::{RequestEvent, RequestState};
-use crate::serving::{GroupKey, Runs};
+use crate::serving::{GroupKey, Member, Runs};
 use crate::share::QueueEntry;
 
 /// Time limit of a request when the settings have none.
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Attempt {
     pub(super) key: GroupKey,
+    pub(super) members: Vec<Member>,
     pub(super) sent_at: Millis,
     pub(super) last_event: Millis,
     /// Requests at the group when this one was sent.
--- a/crates/thistlesill-replay/tests/it/requests.rs
+++ b/crates/thistlesill-replay/tests/it/requests.rs
@@ -176,6 +176,84 @@
     crashed.len()
 }
 
+/// Guards against a request that takes its groups away in silence and is never withheld: it ended at its
+/// deadline before anything showed a loss.
+#[test]
+fn a_request_whose_groups_fall_silent_until_its_deadline_is_never_withheld() {
+    let mut sim = serving(options(), 2);
+    let mut stopped: Vec<(String, Millis)> = Vec::new();
+    let mut count = 0;
+    for n in 0..15 {
+        let silencing = Arrival {
+            body: "fatal".to_owned(),
+            deadline: Some(Millis::new(4_000)),
+            ..chat(1_000 + n)
+        };
+        let request = silencing.request;
+        sim.submit((n % 2) as usize, silencing, 200, Millis::new(4_000));
+        let end = sim.elapsed() + Millis::new(5_000);
+        while sim.elapsed() < end {
+            for leader in leaders_sent_to(&sim, request) {
+                if stopped.iter().all(|(known, _)| *known != leader) {
+                    sim.set_power(&leader, Power::Paused);
+                    stopped.push((leader, sim.elapsed() + Millis::new(4_500)));
+                    count += 1;
+                }
+            }
+            let now = sim.elapsed();
+            for (leader, _) in stopped.extract_if(.., |(_, until)| *until <= now) {
+                sim.set_power(&leader, Power::Off);
+                sim.set_power(&leader, Power::On);
+            }
+            sim.step();
+        }
+    }
+    assert!(count <= 3 + 2, "{count} groups fell silent");
+}
+
+/// Guards against verdicts on requests whose groups only stood still: silence alone proves nothing.
+#[test]
+fn a_request_is_withheld_because_its_groups_stood_still() {
+    let mut sim = serving(options(), 2);
+    let same = |n: u128| Arrival {
+        body: "same".to_owned(),
+        deadline: Some(Millis::new(600)),
+        ..chat(2_000 + n)
+    };
+    for round in 0..6 {
+        for n in 0..4 {
+            sim.submit((n % 2) as usize, same(round * 4 + n), 200, Millis::new(600));
+        }
+        let sent = (0..4).flat_map(|n| leaders_sent_to(&sim, same(round * 4 + n).request));
+        let leaders: BTreeSet<String> = sent.collect();
+        for leader in &leaders {
+            sim.set_power(leader, Power::Paused);
+        }
+        sim.run(Millis::new(1_200));
+        for leader in &leaders {
+            sim.set_power(leader, Power::On);
+        }
+        sim.run(Millis::new(1_300));
+    }
+    sim.run(Millis::new(30_000));
+    let after = Arrival {
+        deadline: None,
+        ..same(100)
+    };
+    let request = after.request;
+    sim.submit(0, after, 20, Millis::new(20_000));
+    sim.run(Millis::new(5_000));
+    assert_eq!(sim.answer(request), Some(&Answer::Whole));
+}
+
+/// Returns the leaders of the groups that a request was sent to, as far as these are listed.
+fn leaders_sent_to(sim: &Simulation, request: RequestId) -> Vec<String> {
+    let servers = &sim.router(0).roster().servers;
+    let keys = groups_sent_to(sim, request);
+    let sent = servers.iter().filter(|s| keys.contains(&s.key));
+    sent.map(|s| s.leader().to_string()).collect()
+}
+
 /// Returns the groups that a request was sent to, one per attempt.
 fn groups_sent_to(sim: &Simulation, request: RequestId) -> Vec<GroupKey> {
     let sent = sim.records().iter().filter_map(|r| match &r.what {
