fix(edge): a stream whose request may be tried within a second waits for that

Callers of sound streams got a part of their answer and then an end: their target was lost while a part of the prompt was withheld for the first time, because others with the part had crashed theirs. Cause: a withheld request ended its stream whatever time was left, where ways that come back are waited for. A stream without a source now waits if its request may be tried within a second, until its deadline; longer verdicts end it at once, as before.

--- a/crates/thistlesill-edge/src/relay/resume.rs
+++ b/crates/thistlesill-edge/src/relay/resume.rs
@@ -16,6 +16,8 @@
 /// How long a peer must reach the targets, and this daemon not, before a silent source is given up: two
 /// rounds of the checks of lost links.
 const MIN_CUT_OFF: Millis = Millis::new(500);
+/// How long a stream that has lost its target waits until it may be tried: a first verdict lasts as long.
+const MAX_WITHHELD: Millis = Millis::new(1_000);
 
 /// Why the rest of a stream cannot be requested from another target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,8 +34,8 @@
     Unsent,
     /// No target takes the request now.
     NoTarget,
-    /// The request is withheld.
-    Withheld,
+    /// The request is withheld for this much longer.
+    Withheld(Millis),
     /// The target or peer that was asked answered with a failure.
     Refused,
 }
@@ -48,7 +50,7 @@
             Self::NoWay => "neither this daemon nor a peer reaches the targets",
             Self::Unsent => "the targets that were tried take no request",
             Self::NoTarget => "no target takes the rest of the stream",
-            Self::Withheld => "the request is withheld",
+            Self::Withheld(_) => "the request is withheld",
             Self::Refused => "the rest of the stream was answered with a failure",
         }
     }
@@ -56,7 +58,7 @@
     /// Returns the outcome of a stream that ends for this reason.
     const fn outcome(self) -> &'static str {
         match self {
-            Self::Withheld => ErrorKind::Withheld.name(),
+            Self::Withheld(_) => ErrorKind::Withheld.name(),
             Self::Waiting
             | Self::Spent
             | Self::Unpaid
@@ -68,8 +70,12 @@
     }
 
     /// Returns whether the rest of the stream may be requested after a while.
-    const fn is_passing(self) -> bool {
-        matches!(self, Self::NoWay | Self::Unsent)
+    fn is_passing(self) -> bool {
+        match self {
+            Self::NoWay | Self::Unsent => true,
+            Self::Withheld(left) => left <= MAX_WITHHELD,
+            _ => false,
+        }
     }
 }
 
@@ -125,7 +131,8 @@
 
     /// Decides what follows when the rest of the stream cannot be requested elsewhere.
     ///
-    /// A stream that has no source left waits for targets that all stand still. One that a peer passed
+    /// A stream that has no source left waits for targets that all stand still, and until its request may
+    /// be tried if that is soon. One that a peer passed
     /// on ends, since that peer may have another way. A source that is open is given up only if this
     /// daemon stays cut off: after a common silence peers may reach the targets a moment earlier.
     fn after(&mut self, obstacle: Obstacle) -> Next {
@@ -164,9 +171,11 @@
         loop {
             let job = self.job.clone();
             let way = forward::way(&job, &self.tried.peers);
-            if way == Way::Direct && quarantine::withheld(&job).is_some() {
+            if way == Way::Direct
+                && let Some(left) = quarantine::withheld(&job)
+            {
                 self.track.withheld(job.fingerprint());
-                return Err(Obstacle::Withheld);
+                return Err(Obstacle::Withheld(left));
             }
             let mut end = match way {
                 Way::Direct => self.try_target().await,
--- a/crates/thistlesill-edge/tests/it/fatal_parts.rs
+++ b/crates/thistlesill-edge/tests/it/fatal_parts.rs
@@ -11,13 +11,13 @@
 
 use std::time::{Duration, Instant};
 
-use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest};
+use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
 use thistlesill_platform_standin::daemon::Daemon;
 use thistlesill_platform_standin::ledger::Run;
-use thistlesill_platform_standin::targets::Fault;
-use thistlesill_platform_standin::world::World;
+use thistlesill_platform_standin::targets::{FATAL, Fault};
+use thistlesill_platform_standin::world::{Size, World};
 
-use crate::support::{ask, send_steadily_to, sleep, stream, world};
+use crate::support::{ask, place, send_steadily_to, sleep, stream, world};
 
 /// The part that crashes targets.
 const PART: &str = "deadly";
@@ -130,6 +130,41 @@
     assert!(later(&runs) <= MOST_LATER, "{} late", later(&runs));
 }
 
+/// Guards against a sound stream that ends although it could go on a second later: it lost its target while a
+/// part of its prompt was withheld for the first time, because of others that crashed theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_ends_while_its_part_waits_for_its_first_trial() {
+    let (program, folder) = place(250);
+    let world = World::start_sized(program, &folder, 250, Size::with_many_groups(2)).await;
+    let address = world.daemons[0].caller_address();
+    let request = stream("long")
+        .model("large")
+        .prompt_parts(&["shared", "own"]);
+    let long = tokio::spawn(async move { call(address, &request).await });
+    sleep(60).await;
+    let runs = world.targets.ledger.runs("long");
+    let target = runs.first().expect("the stream runs").target.clone();
+    let engine = target.instance().as_str().trim_start_matches("i-");
+    let link: usize = engine.parse().expect("the number of an engine");
+    world.targets.pause_only(&[link]);
+    for n in 0..4 {
+        let id = format!("fatal-{n}");
+        let own = format!("own-{n}");
+        let request = stream(&id).model("small").body(FATAL);
+        drop(ask(&world, 1, request.prompt_parts(&["shared", &own])).await);
+    }
+    world.targets.restart(target.instance().as_str());
+    world.targets.pause_only(&[]);
+    let got = long.await.expect("the task ends").expect("an answer");
+    assert!(got.is_complete, "{got:?}");
+    sleep(600).await;
+    let withheld = world.log_lines(0, "ev=request_withheld");
+    assert!(
+        withheld.len() > 1,
+        "the part and the fatal request: {withheld:?}"
+    );
+}
+
 /// The sound requests are served at the first attempt at least half as often as before, once the
 /// daemons have had twice the time of being connected.
 #[tokio::test(flavor = "multi_thread")]
