refactor: requests that the router keeps are marked; comments

A copy that ended while another one was kept left the trial of the request open until its time limit, and the members of groups were forgotten only once no request was kept. Whether a request is kept is now a field of its own. The edge has comments changed, no code.

--- a/crates/thistlesill-edge/src/quarantine/survival.rs
+++ b/crates/thistlesill-edge/src/quarantine/survival.rs
@@ -13,7 +13,7 @@
 use crate::job::Job;
 use crate::reach::life;
 
-/// Time from the begin of an answer in which a target has crashed that does not bear the request.
+/// Time after the beginning of an answer within which a request crashes its target.
 const SURVIVAL_TIME: Millis = Millis::new(100);
 
 /// An answer to a suspected request, which came whole.
--- a/crates/thistlesill-edge/src/relay/resume.rs
+++ b/crates/thistlesill-edge/src/relay/resume.rs
@@ -132,9 +132,9 @@
     /// Decides what follows when the rest of the stream cannot be requested elsewhere.
     ///
     /// A stream that has no source left waits for targets that all stand still, and until its request may
-    /// be tried if that is soon. One that a peer passed
-    /// on ends, since that peer may have another way. A source that is open is given up only if this
-    /// daemon stays cut off: after a common silence peers may reach the targets a moment earlier.
+    /// be tried if that is soon. One that a peer passed on ends, since that peer may have another way. A
+    /// source that is open is given up only if this daemon stays cut off: after a common silence peers may
+    /// reach the targets a moment earlier.
     fn after(&mut self, obstacle: Obstacle) -> Next {
         let now = self.job.edge.now();
         let cut_off = self.can_caller_resume();
--- a/crates/thistlesill-policy/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -119,6 +119,13 @@
         self.sound.contains_key(&key)
     }
 
+    /// Returns whether it is still open what became of a target, or the target was taken for lost lately.
+    #[must_use]
+    pub fn has_target(&self, target: &T) -> bool {
+        let mut kept = self.kept.iter();
+        self.lost.contains_key(target) || kept.any(|kept| kept.target == *target)
+    }
+
     /// Keeps a request that ended without an answer at a target. Returns the request that is dropped
     /// for want of room.
     pub fn keep(&mut self, target: T, request: UnansweredRequest) -> Option<UnansweredRequest> {
--- a/crates/thistlesill-policy/src/router/core/endings.rs
+++ b/crates/thistlesill-policy/src/router/core/endings.rs
@@ -54,7 +54,7 @@
             return;
         };
         self.queue.remove(&request.arrival.customer, id);
-        self.record_unsuccessful(&request.arrival, now);
+        self.record_unsuccessful(&request, now);
         let stepped = request.apply(&self.charts.request, RequestEvent::Fail);
         if !self.count_refusal(stepped.is_ok()) {
             return;
@@ -113,7 +113,7 @@
             return;
         };
         self.queue.remove(&request.arrival.customer, id);
-        self.record_unsuccessful(&request.arrival, now);
+        self.record_unsuccessful(&request, now);
         if request.claimed && request.may_have_run {
             self.claims.abandon(id);
         } else if request.claimed {
--- a/crates/thistlesill-policy/src/router/core/fatal.rs
+++ b/crates/thistlesill-policy/src/router/core/fatal.rs
@@ -8,6 +8,7 @@
 
 use super::{MAX_VERDICTS_PER_MESSAGE, RouterCore, VERDICTS_INTERVAL};
 use crate::quarantine::QuarantineStatus;
+use crate::router::request::Request;
 use crate::router::{Arrival, RouterAction, Wanted};
 use crate::serving::GroupKey;
 
@@ -76,9 +77,9 @@
 
     /// Records that a request ended without success; a trial without an outcome may be repeated. One
     /// that is kept as unanswered may still have an outcome.
-    pub(super) fn record_unsuccessful(&mut self, arrival: &Arrival, now: Millis) {
-        let print = self.suspect_fingerprint(arrival);
-        if let Some(print) = print.filter(|print| !self.unanswered.has_request(*print)) {
+    pub(super) fn record_unsuccessful(&mut self, request: &Request, now: Millis) {
+        let print = self.suspect_fingerprint(&request.arrival);
+        if let Some(print) = print.filter(|_| !request.is_kept) {
             let verdict = self.quarantine.end_trial(print, now);
             self.unsent_fatal.verdicts.extend(verdict);
         }
--- a/crates/thistlesill-policy/src/router/core/silence.rs
+++ b/crates/thistlesill-policy/src/router/core/silence.rs
@@ -1,25 +1,30 @@
 //! Requests that end without an answer while their groups are silent; see [`crate::quarantine`].
 
 use thistlesill_core::message::ObservedState;
-use thistlesill_core::{Millis, RequestId};
+use thistlesill_core::{Fingerprint, Millis, RequestId};
 
 use super::RouterCore;
 use super::fatal::fingerprint;
 use crate::quarantine::{
-    AnswerPhase, CheckAnswer, Fate, Finding, LossCheck, RequestKeys, UnansweredRequest,
+    AnswerPhase, CheckAnswer, Fate, Finding, LossCheck, QuarantineStatus, RequestKeys,
+    UnansweredRequest,
 };
 use crate::serving::{GroupKey, Member};
 
 impl RouterCore {
     /// Keeps a request whose attempt ends without an answer until it is known what became of its group.
     pub(super) fn keep_unanswered(&mut self, id: RequestId, now: Millis) {
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         let print = fingerprint(&request.arrival);
         let (Some(attempt), Some(print)) = (&request.attempt, print) else {
             return;
         };
+        let is_tried = matches!(
+            self.quarantine.status(print, now),
+            QuarantineStatus::Tried(_)
+        );
         let phase = if attempt.streaming {
             AnswerPhase::Starting(attempt.sent_at)
         } else {
@@ -31,14 +36,15 @@
                 whole: print,
                 parts: Vec::new(),
             },
-            tried: vec![print],
+            tried: is_tried.then_some(print).into_iter().collect(),
             phase,
             seen: attempt.last_event,
             ended: now,
         };
-        self.silent_members
-            .insert(attempt.key.clone(), attempt.members.clone());
-        let dropped = self.unanswered.keep(attempt.key.clone(), unanswered);
+        let (key, members) = (attempt.key.clone(), attempt.members.clone());
+        request.is_kept = true;
+        self.silent_members.insert(key.clone(), members);
+        let dropped = self.unanswered.keep(key, unanswered);
         if let Some(dropped) = dropped {
             self.end_silent_trial(&dropped, now);
         }
@@ -46,12 +52,13 @@
 
     /// Decides on the unanswered requests whose groups have shown life or have ended.
     pub(super) fn review_unanswered(&mut self, now: Millis) {
-        if self.unanswered.is_empty() {
-            self.silent_members.clear();
+        if self.silent_members.is_empty() {
             return;
         }
         let mut unanswered = std::mem::take(&mut self.unanswered);
         let findings = unanswered.review(|key| self.fate(key, now), now);
+        self.silent_members
+            .retain(|key, _| unanswered.has_target(key));
         self.unanswered = unanswered;
         for finding in findings {
             match finding {
@@ -63,11 +70,7 @@
                         begun: now,
                         answer: CheckAnswer::Named(key),
                     };
-                    let checks = [check];
-                    for print in prints {
-                        let effect = self.quarantine.apply_checks(print, &checks, now);
-                        self.unsent_fatal.verdicts.extend(effect.verdict);
-                    }
+                    self.refute(&prints, check, now);
                 }
             }
         }
@@ -114,9 +117,20 @@
         self.unsent_fatal.verdicts.extend(effect.verdicts);
     }
 
+    /// Takes back the losses of a group that has not ended.
+    fn refute(&mut self, prints: &[Fingerprint], check: LossCheck<GroupKey>, now: Millis) {
+        let checks = [check];
+        for print in prints {
+            let effect = self.quarantine.apply_checks(*print, &checks, now);
+            self.unsent_fatal.verdicts.extend(effect.verdict);
+        }
+    }
+
     /// Ends the trial of a request of which it did not become known what its group did.
     fn end_silent_trial(&mut self, request: &UnansweredRequest, now: Millis) {
-        let verdict = self.quarantine.end_trial(request.keys.whole, now);
-        self.unsent_fatal.verdicts.extend(verdict);
+        for print in &request.tried {
+            let verdict = self.quarantine.end_trial(*print, now);
+            self.unsent_fatal.verdicts.extend(verdict);
+        }
     }
 }
--- a/crates/thistlesill-policy/src/router/request.rs
+++ b/crates/thistlesill-policy/src/router/request.rs
@@ -98,6 +98,8 @@
     pub(super) claimed: bool,
     /// Whether a byte may have reached a target that did not confirm that it refused the request.
     pub(super) may_have_run: bool,
+    /// Whether the request is kept until it is known what became of its group.
+    pub(super) is_kept: bool,
 }
 
 impl Request {
@@ -124,6 +126,7 @@
                 Mode::Fresh
             },
             may_have_run: resume.is_some(),
+            is_kept: false,
             pinned: resume.map(|r| r.key),
             not_before: Millis::ZERO,
             assembly: Assembly::starting_at(offset),
