fix(edge): what a daemon misses while it is late itself says nothing of targets

Callers got 503 (no_group) at all daemons although all targets were sound: a planner that ran for 10 ms of every 160 missed the answers to its probes, took four targets for lost at once, and cut the only group of a model. Cause: a probe that has no answer in time counts, whoever was late. A probe or check without an answer now says nothing if the event loop was late by over 50 ms meanwhile; refused connections and lapsed entries count as before.

--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -245,7 +245,7 @@
         let health = listen(settings.health.context(NoCallersSnafu)?).await?;
         tokio::task::spawn_local(front::serve_health(edge.clone(), health));
         let intake = IntakeState::new(settings.files);
-        tokio::task::spawn_local(intake::sample_delay(intake.clone()));
+        tokio::task::spawn_local(intake::sample_delay(edge.clone(), intake.clone()));
         tokio::task::spawn_local(front::serve_callers(edge.clone(), intake, callers));
     }
     if let Some(handle) = &handle {
--- a/crates/thistlesill-edge/src/intake.rs
+++ b/crates/thistlesill-edge/src/intake.rs
@@ -1,17 +1,21 @@
 //! Accepts or closes new connections of callers, by what this daemon is short of.
+//!
+//! A daemon that is short of processor time also misses answers that come in time. What it then asks in
+//! vain says nothing of targets.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use thistlesill_core::Millis;
-use thistlesill_policy::edge::intake::{Intake, Shortage};
+use thistlesill_policy::edge::intake::{Intake, MAX_LOOP_DELAY, Shortage};
 use tokio::time::Instant;
 
 use crate::lines::Lines;
+use crate::state::Edge;
 
 /// Interval between two samples of the delay of the event loop.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+const SAMPLE_INTERVAL: Millis = Millis::new(20);
 /// Shortest interval between two log lines about connections that were closed.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -78,12 +82,37 @@
     }
 }
 
+/// When the event loop was last late to run a task.
+#[derive(Debug, Default)]
+pub(crate) struct LoopDelay {
+    sampled: Cell<Millis>,
+    delayed: Cell<Millis>,
+}
+
+impl LoopDelay {
+    fn note(&self, delay: Millis, now: Millis) {
+        self.sampled.set(now);
+        if delay > MAX_LOOP_DELAY {
+            self.delayed.set(now);
+        }
+    }
+
+    /// Returns whether the event loop was late after `since`, so that this daemon may have missed what
+    /// came in time.
+    pub(crate) fn was_late_since(&self, since: Millis, now: Millis) -> bool {
+        // The next sample may be late as well.
+        let is_late = now - self.sampled.get() > SAMPLE_INTERVAL + MAX_LOOP_DELAY;
+        is_late || self.delayed.get() > since
+    }
+}
+
 /// Samples the delay of the event loop; never returns.
-pub(crate) async fn sample_delay(state: Rc<IntakeState>) {
+pub(crate) async fn sample_delay(edge: Rc<Edge>, state: Rc<IntakeState>) {
     loop {
-        let due = Instant::now() + SAMPLE_INTERVAL;
+        let due = Instant::now() + SAMPLE_INTERVAL.duration();
         tokio::time::sleep_until(due).await;
         let delay = Millis::new(due.elapsed().as_millis() as u64);
         state.intake.borrow_mut().note_delay(delay);
+        edge.delay.note(delay, edge.now());
     }
 }
--- a/crates/thistlesill-edge/src/planner/actions.rs
+++ b/crates/thistlesill-edge/src/planner/actions.rs
@@ -72,7 +72,8 @@
             }
             Err(error) => {
                 let kind = reach::failure_kind(error);
-                self.confirm_failure(service, target, begun, kind).await
+                !reach::is_own_delay(&self.edge, kind, begun)
+                    && self.confirm_failure(service, target, begun, kind).await
             }
         };
         let line = lines.line("probe").with("target", target);
--- a/crates/thistlesill-edge/src/reach.rs
+++ b/crates/thistlesill-edge/src/reach.rs
@@ -156,6 +156,12 @@
     }
 }
 
+/// Returns whether a target that did not answer since `begun` may have done so in time: this daemon was
+/// late itself.
+pub(crate) fn is_own_delay(edge: &Edge, kind: FailureKind, begun: Millis) -> bool {
+    kind == FailureKind::Silent && edge.delay.was_late_since(begun, edge.now())
+}
+
 /// Records that a target was not reached, by a connection or check that began at `begun`.
 pub(crate) fn note_failure(edge: &Edge, target: &Target, begun: Millis, kind: FailureKind) {
     let change = {
--- a/crates/thistlesill-edge/src/reach/checks.rs
+++ b/crates/thistlesill-edge/src/reach/checks.rs
@@ -10,7 +10,7 @@
 use thistlesill_policy::edge::life::CheckOutcome;
 use thistlesill_policy::edge::reach::{FailureKind, Reach};
 
-use super::{failure_kind, life, may_be_asked, note_answer, note_failure};
+use super::{failure_kind, is_own_delay, life, may_be_asked, note_answer, note_failure};
 use crate::limits;
 use crate::peers::packet::Permit;
 use crate::state::Edge;
@@ -147,6 +147,9 @@
         Err(error) => {
             log::debug!("reach: {}: {error}", target.id);
             let kind = failure_kind(&error);
+            if is_own_delay(edge, kind, opened) {
+                return CheckOutcome::Unknown;
+            }
             note_failure(edge, target, opened, kind);
             match kind {
                 FailureKind::Silent => CheckOutcome::Silent,
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -27,6 +27,7 @@
 
 use crate::backoffs::Backoffs;
 use crate::forward::ForwardState;
+use crate::intake::LoopDelay;
 use crate::lanes::Lanes;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -146,6 +147,8 @@
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Number of requests in progress.
     pub(crate) active: Cell<usize>,
+    /// When this daemon was short of processor time.
+    pub(crate) delay: LoopDelay,
     /// Connections to callers and peers that cannot write all of an answer.
     pub(crate) unsent: BlockedWrites,
     /// Whether any request has arrived since the start.
@@ -233,6 +236,7 @@
             rng: RefCell::new(rng),
             retries: RefCell::new(HashMap::new()),
             active: Cell::new(0),
+            delay: LoopDelay::default(),
             unsent: BlockedWrites::default(),
             had_requests: Cell::new(false),
             stopping: Cell::new(None),
--- a/crates/thistlesill-edge/tests/it/crowded.rs
+++ b/crates/thistlesill-edge/tests/it/crowded.rs
@@ -132,6 +132,27 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_without_processor_time_reads_requests_that_it_cannot_serve() {
     let world = world(169, 4).await;
+    let [before, crowded] = served_while_throttled(&world).await;
+    assert!(crowded >= MIN_RATIO * before, "{before:.2}, {crowded:.2}");
+}
+
+/// Guards against sound groups that are cut: their planner, short of processor time, missed the answers to
+/// its probes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_without_processor_time_takes_sound_targets_for_lost() {
+    let world = world(251, 4).await;
+    let lines = world.log_lines(0, "ev=lease_gained");
+    assert!(!lines.is_empty(), "the first daemon plans");
+    served_while_throttled(&world).await;
+    sleep(600).await;
+    for word in ["alive=false confirmed=true", "order=cut"] {
+        assert_eq!(world.log_lines(0, word), Vec::<String>::new());
+    }
+}
+
+/// Returns the shares served before and while the first daemon is crowded, which runs for 10 ms of every
+/// 160 meanwhile.
+async fn served_while_throttled(world: &World) -> [f64; 2] {
     let daemon = &world.daemons[0];
     let throttle = async {
         loop {
@@ -142,10 +163,9 @@
         }
     };
     let shares = tokio::select! {
-        shares = served_before_and_while_crowded(&world) => shares,
+        shares = served_before_and_while_crowded(world) => shares,
         () = throttle => unreachable!("it never ends"),
     };
     daemon.signal(Signal::SIGCONT);
-    let [before, crowded] = shares;
-    assert!(crowded >= MIN_RATIO * before, "{before:.2}, {crowded:.2}");
+    shares
 }
--- a/crates/thistlesill-policy/src/edge/intake.rs
+++ b/crates/thistlesill-policy/src/edge/intake.rs
@@ -13,7 +13,7 @@
 const CALLER_RATIO: f64 = 0.4;
 /// Delay of the event loop from which this daemon counts as short of processor time: a request
 /// passes the loop several times, so it adds some tenths of a second.
-const MAX_LOOP_DELAY: Millis = Millis::new(50);
+pub const MAX_LOOP_DELAY: Millis = Millis::new(50);
 /// Number of delayed samples in a row after which new connections are closed. A single one may be a
 /// suspension, or the end of the processor share of a short period.
 const DELAYED_SAMPLES: u32 = 3;
