fix(edge): a request is cleared late if the target that answered it stood still and goes on

Cause: such a request was kept, and dropped without effect once its target went on. It is cleared then, as its answer and what came half a second later show that the target bears it.

--- a/crates/thistlesill-edge/src/quarantine.rs
+++ b/crates/thistlesill-edge/src/quarantine.rs
@@ -351,17 +351,21 @@
         let mut known = edge.quarantine.known.borrow_mut();
         known.note_request_progress(job.keys(), began, edge.now())
     };
-    announce_progress(job, verdicts);
+    announce_progress(edge, verdicts, &job.head.id, |print| job.part_of(print));
 }
 
 /// Sends and stores verdicts that follow from the progress of an answer: by most of them the request or
 /// parts of its prompt are cleared.
-fn announce_progress(job: &Job, verdicts: impl IntoIterator<Item = Verdict>) {
-    let edge = &job.edge;
+fn announce_progress<'a>(
+    edge: &Edge,
+    verdicts: impl IntoIterator<Item = Verdict>,
+    id: &str,
+    part_of: impl Fn(Fingerprint) -> Option<&'a str>,
+) {
     for verdict in verdicts {
         edge.quarantine.announce(verdict);
         if verdict.round > 0 {
-            log_verdict(edge, &verdict, &job.head.id, job.part_of(verdict.print));
+            log_verdict(edge, &verdict, id, part_of(verdict.print));
             edge.quarantine.store(verdict);
             edge.quarantine.queue_check(verdict.print, edge.now());
         }
--- a/crates/thistlesill-edge/src/quarantine/survival.rs
+++ b/crates/thistlesill-edge/src/quarantine/survival.rs
@@ -5,13 +5,14 @@
 
 use std::rc::Rc;
 
-use thistlesill_core::Millis;
 use thistlesill_core::edge::Target;
+use thistlesill_core::{Fingerprint, Millis};
 use thistlesill_policy::quarantine::{AnswerPhase, Fate, UnansweredRequest};
 
-use super::{announce_progress, end_silent_trials, note_progress, unanswered};
+use super::{announce_progress, end_silent_trials, unanswered};
 use crate::job::Job;
 use crate::reach::life;
+use crate::state::Edge;
 
 /// Time after the beginning of an answer within which a request crashes its target.
 const SURVIVAL_TIME: Millis = Millis::new(100);
@@ -20,7 +21,6 @@
 struct Answer {
     job: Rc<Job>,
     target: Target,
-    began: Millis,
     /// What is kept if the target does not go on.
     request: UnansweredRequest,
 }
@@ -41,7 +41,6 @@
     let answer = Answer {
         job: job.clone(),
         target: target.clone(),
-        began,
         request: UnansweredRequest {
             id: job.head.id.clone(),
             keys: job.keys().clone(),
@@ -49,6 +48,7 @@
             phase,
             seen: now,
             ended: now,
+            answered: Some(began),
         },
     };
     tokio::task::spawn_local(await_survival(answer));
@@ -57,12 +57,14 @@
 /// Clears the request once its target has gone on, or keeps it until it is known what became of that.
 async fn await_survival(answer: Answer) {
     let edge = &answer.job.edge;
-    edge.alarm.sleep_until(answer.began + SURVIVAL_TIME).await;
+    let began = answer.request.answered.unwrap_or(answer.request.ended);
+    edge.alarm.sleep_until(began + SURVIVAL_TIME).await;
     let goes_on = goes_on(&answer).await;
     let print = answer.request.keys.whole;
     edge.quarantine.surviving.borrow_mut().remove(&print);
     if goes_on {
-        clear(&answer);
+        let part_of = |print| answer.job.part_of(print);
+        conclude(edge, &answer.request, part_of);
     } else {
         unanswered::keep(edge, &answer.target.id, answer.request);
     }
@@ -83,20 +85,25 @@
     }
 }
 
-/// Clears a request that its target has survived.
-fn clear(answer: &Answer) {
-    let (job, request) = (&answer.job, &answer.request);
-    let edge = &job.edge;
-    let whole = request.keys.whole;
-    if edge.quarantine.awaits_signs() {
-        let mut unanswered = edge.quarantine.unanswered.borrow_mut();
-        unanswered.note_sound([whole], answer.began);
+/// Ends the wait for a target that goes on: a request that it has answered is cleared.
+pub(super) fn conclude<'a>(
+    edge: &Edge,
+    request: &UnansweredRequest,
+    part_of: impl Fn(Fingerprint) -> Option<&'a str>,
+) {
+    if let Some(began) = request.answered {
+        if edge.quarantine.awaits_signs() {
+            let mut unanswered = edge.quarantine.unanswered.borrow_mut();
+            unanswered.note_sound(request.keys.iter(), began);
+        }
+        let now = edge.now();
+        let verdicts = {
+            let mut known = edge.quarantine.known.borrow_mut();
+            let whole = known.note_success(request.keys.whole, now);
+            let parts = known.note_request_progress(&request.keys, began, now);
+            whole.into_iter().chain(parts)
+        };
+        announce_progress(edge, verdicts, &request.id, part_of);
     }
-    let verdict = {
-        let mut known = edge.quarantine.known.borrow_mut();
-        known.note_success(whole, edge.now())
-    };
-    announce_progress(job, verdict);
-    note_progress(job, answer.began);
     end_silent_trials(edge, &request.id, &request.tried);
 }
--- a/crates/thistlesill-edge/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-edge/src/quarantine/unanswered.rs
@@ -8,7 +8,7 @@
     AnswerPhase, CheckAnswer, Fate, Finding, LossCause, LossCheck, UnansweredRequest,
 };
 
-use super::{announce_effect, checks, end_silent_trials, note_lost};
+use super::{announce_effect, checks, end_silent_trials, note_lost, survival};
 use crate::job::Job;
 use crate::state::Edge;
 
@@ -89,6 +89,7 @@
             phase: self.phase,
             seen: self.seen,
             ended: now,
+            answered: None,
         };
         keep(edge, &self.target, request);
     }
@@ -117,7 +118,7 @@
     for finding in findings {
         match finding {
             Finding::Lost(target, request) => note_silent_loss(edge, &target, &request),
-            Finding::Dropped(request) => end_silent_trials(edge, &request.id, &request.tried),
+            Finding::Dropped(request) => survival::conclude(edge, &request, |_| None),
             Finding::Returned(target, _) if target.incarnation() == Incarnation::default() => {}
             Finding::Returned(target, keys) => refute(edge, &target, keys),
         }
--- a/crates/thistlesill-policy/src/quarantine/unanswered.rs
+++ b/crates/thistlesill-policy/src/quarantine/unanswered.rs
@@ -40,6 +40,8 @@
     pub seen: Millis,
     /// When the request ended.
     pub ended: Millis,
+    /// When the answer began, if it came whole and the target has not shown life since.
+    pub answered: Option<Millis>,
 }
 
 /// What is known of a target that was silent.
@@ -132,10 +134,12 @@
         for key in request.keys.iter() {
             self.sound.entry(key).or_insert(Millis::ZERO);
         }
+        // A whole answer is a sign of life.
+        let woke = request.answered.map(|_| request.ended);
         self.kept.push_back(Kept {
             target,
             request,
-            woke: None,
+            woke,
         });
         let is_full = self.kept.len() > MAX_KEPT;
         let dropped = is_full.then(|| self.kept.pop_front()).flatten();
--- a/crates/thistlesill-policy/src/router/core/silence.rs
+++ b/crates/thistlesill-policy/src/router/core/silence.rs
@@ -40,6 +40,7 @@
             phase,
             seen: attempt.last_event,
             ended: now,
+            answered: None,
         };
         let (key, members) = (attempt.key.clone(), attempt.members.clone());
         request.is_kept = true;
--- a/crates/thistlesill-policy/tests/quarantine_silence.rs
+++ b/crates/thistlesill-policy/tests/quarantine_silence.rs
@@ -28,6 +28,7 @@
         phase: AnswerPhase::Waiting(at(sent)),
         seen: at(sent),
         ended: at(sent + 500),
+        answered: None,
     }
 }
 
@@ -58,6 +59,29 @@
     assert!(kept.is_empty());
 }
 
+/// Guards against sound requests that are never cleared, as their target stood still just after its answer.
+#[test]
+fn a_target_that_answered_and_goes_on_later_is_in_doubt() {
+    let answered = |whole| UnansweredRequest {
+        answered: Some(at(480)),
+        ..silent(whole, &[], 0)
+    };
+    let mut kept = Unanswered::default();
+    kept.keep(1, answered("goes on"));
+    kept.keep(2, answered("ends"));
+    let later = |target: &u32| match target {
+        1 => Fate::Listed(at(1_000)),
+        _ => Fate::Listed(at(500)),
+    };
+    let findings = kept.review(later, at(1_010));
+    let [Finding::Dropped(request)] = &findings[..] else {
+        panic!("{findings:?}");
+    };
+    assert_eq!(request.id, "goes on");
+    let losses = lost(&kept.review(|_| Fate::Ended, at(1_500)));
+    assert_eq!(losses.len(), 1);
+}
+
 /// Guards against a request that is read by a target that stood still, crashes it, and is cleared by the
 /// target's first sign of life.
 #[test]
