--- a/crates/thistlesill-standins/src/harness/process.rs
+++ b/crates/thistlesill-standins/src/harness/process.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.inner.id()
+    }
+
     /// Returns what the process has written to its log file.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
