--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -11,6 +11,7 @@
 use thistlesill_core::Millis;
 use thistlesill_core::chart::ChartError;
 use thistlesill_core::edge::EdgeSettings;
+use thistlesill_net::listen::listen_bounded;
 use thistlesill_platform::Malformed;
 use thistlesill_platform::settings::{decode_settings, settings_path};
 use thistlesill_policy::charts::Charts;
@@ -241,8 +242,8 @@
     tokio::task::spawn_local(reach::check_undecided(edge.clone()));
     if options.parts != Parts::Plan {
         tokio::task::spawn_local(forward::serve(edge.clone()));
-        let callers = listen(settings.callers.context(NoCallersSnafu)?).await?;
-        let health = listen(settings.health.context(NoCallersSnafu)?).await?;
+        let callers = listen(settings.callers.context(NoCallersSnafu)?)?;
+        let health = listen(settings.health.context(NoCallersSnafu)?)?;
         tokio::task::spawn_local(front::serve_health(edge.clone(), health));
         let intake = IntakeState::new(settings.files);
         tokio::task::spawn_local(intake::sample_delay(edge.clone(), intake.clone()));
@@ -250,7 +251,7 @@
     }
     if let Some(handle) = &handle {
         let address = options.metrics.unwrap_or(settings.metrics_address());
-        let listener = listen(address).await?;
+        let listener = listen(address)?;
         tokio::task::spawn_local(figures::serve(listener, handle.clone()));
     }
     let mut rounds = 0;
@@ -289,8 +290,8 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    let listener = TcpListener::bind(address).await;
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = listen_bounded(address);
     listener.with_context(|_| IoSnafu {
         what: address.to_string(),
     })
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -9,8 +9,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thistlesill_core::ErrorKind;
+use thistlesill_net::listen::listen_bounded;
 use thistlesill_net::stream::{BudgetedBody, ReadBudget, WatchedStream};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use super::head::{self, Hop};
 use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
@@ -27,7 +28,7 @@
         log::error!("forward: the ports for daemons do not suffice to take requests of peers");
         return;
     }
-    let listener = match TcpListener::bind(address).await {
+    let listener = match listen_bounded(address) {
         Ok(listener) => listener,
         Err(error) => {
             log::error!("forward: {address}: {error}");
--- a/crates/thistlesill-net/src/admin.rs
+++ b/crates/thistlesill-net/src/admin.rs
@@ -16,10 +16,10 @@
 use thistlesill_core::config::Limits;
 use thistlesill_core::error::ErrorBody;
 use thistlesill_core::seal::sha256_hex;
-use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::journal::Journal;
+use crate::listen::listen_bounded;
 
 /// The smallest HTTP/1 read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -213,22 +213,6 @@
     server(address, &Limits::default()).serve(router).await;
 }
 
-/// The number of connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
-/// Listens with `TCP_NODELAY`, which accepted connections inherit: the last event of a stream
-/// must not wait for an acknowledgement.
-fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    TcpAcceptor::try_from(socket.listen(BACKLOG)?)
-}
-
 /// Creates a server at an address, with limits on connections, header size, and the time to
 /// receive a header section or a body.
 ///
@@ -236,7 +220,8 @@
 ///
 /// If the address cannot be bound.
 pub fn server(address: SocketAddr, limits: &Limits) -> Server<TcpAcceptor> {
-    let acceptor = listen(address).unwrap_or_else(|e| panic!("{address}: {e}"));
+    let acceptor = listen_bounded(address).and_then(TcpAcceptor::try_from);
+    let acceptor = acceptor.unwrap_or_else(|e| panic!("{address}: {e}"));
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_millis(limits.head_ms))
         .with_request_body_timeout(Duration::from_millis(limits.body_ms));
--- a/crates/thistlesill-net/src/lib.rs
+++ b/crates/thistlesill-net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod lane;
 pub mod launch;
+pub mod listen;
 pub mod memory;
 pub mod peer;
 pub mod platform;
