--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -54,28 +54,38 @@
 ) -> Response<OutBody> {
     let arrived = edge.now();
     edge.had_requests.set(true);
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = caller::read_caller(&parts.headers);
     let mut track = Track::new(&edge, &head.id, arrived);
     edge.wait_until_loaded().await;
-    let body = tokio::select! {
-        body = read_body(&edge, body) => body,
-        () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
+    let checked = edge.now();
+    let mut admission = match check_admission(&edge, &parts, &head) {
+        Ok(admission) => admission,
+        Err(kind) => {
+            discard(&edge, body);
+            return refuse_admission(&edge, kind, &mut track);
+        }
     };
-    let body = match body {
-        Ok(body) => body,
-        Err(kind) => return track.refuse(kind, None),
+    let read = tokio::select! {
+        read = read_body(&edge, &mut body) => read,
+        () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
     };
-    let admission = match check_admission(&edge, &parts, &head) {
-        Ok(admission) => admission,
+    let body = match read {
+        Ok(bytes) => bytes,
         Err(kind) => {
-            let after = match kind {
-                ErrorKind::NotReady => start::retry_after(&edge),
-                _ => None,
-            };
-            return track.refuse(kind, after);
+            if matches!(kind, ErrorKind::BodyTooLarge | ErrorKind::MemoryShort) {
+                discard(&edge, body);
+            }
+            return track.refuse(kind, None);
         }
     };
+    // A key may have been revoked while the body arrived.
+    if edge.now() != checked {
+        admission = match check_admission(&edge, &parts, &head) {
+            Ok(admission) => admission,
+            Err(kind) => return refuse_admission(&edge, kind, &mut track),
+        };
+    }
     track.admitted(&admission);
     if !is_accepted_while_stopping(&edge, &admission, hop) {
         let reason = "the daemon stops before the request would end";
@@ -131,16 +141,29 @@
     track.with_reason("the daemon stops").refuse(kind, None)
 }
 
-/// Reads the body of a request. One that there is no memory for is refused, by its length if that is known.
-async fn read_body(edge: &Edge, mut body: BudgetedBody) -> Result<Bytes, ErrorKind> {
-    let max_bytes = edge.catalog().map_or(0, |c| c.limits().body_bytes);
+/// Refuses a request that is not admitted.
+fn refuse_admission(edge: &Edge, kind: ErrorKind, track: &mut Track) -> Response<OutBody> {
+    let after = match kind {
+        ErrorKind::NotReady => start::retry_after(edge),
+        _ => None,
+    };
+    track.refuse(kind, after)
+}
+
+/// Reads the body of a request. One that is too large, or that there is no memory for, is refused by its
+/// length if that is known.
+async fn read_body(edge: &Edge, body: &mut BudgetedBody) -> Result<Bytes, ErrorKind> {
+    let max_bytes = max_body_bytes(edge);
     if max_bytes == 0 {
         return Ok(Bytes::new());
     }
-    let announced = body.size_hint().lower().min(max_bytes as u64) as usize;
+    let announced = body.size_hint().lower();
+    if announced > max_bytes as u64 {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let announced = announced as usize;
     let mut reservation = edge.memory.reservation();
     if !reservation.resize(announced) {
-        discard(body);
         return Err(ErrorKind::MemoryShort);
     }
     let read = async {
@@ -165,11 +188,28 @@
     Ok(reservation.hold(bytes))
 }
 
+/// Returns the largest body that the operators allow; 0 while there is no catalog.
+fn max_body_bytes(edge: &Edge) -> usize {
+    edge.catalog().map_or(0, |c| c.limits().body_bytes)
+}
+
 /// Reads a body without keeping it, while its request is refused. If the connection were closed with bytes
-/// of the body unread, its caller might not get the answer.
-fn discard(mut body: BudgetedBody) {
+/// of the body unread, its caller might not get the answer. Of a body that is too large, a part is read.
+fn discard(edge: &Edge, mut body: BudgetedBody) {
+    if body.is_end_stream() {
+        return;
+    }
+    let mut left = max_body_bytes(edge);
     tokio::task::spawn_local(async move {
-        let read = async { while let Some(Ok(_)) = body.frame().await {} };
+        let read = async {
+            while let Some(Ok(frame)) = body.frame().await {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                match left.checked_sub(bytes) {
+                    Some(rest) => left = rest,
+                    None => return,
+                }
+            }
+        };
         drop(timeout_at(within(BODY_TIMEOUT), read).await);
     });
 }
