--- a/crates/thistlesill-edge/src/daemon.rs
+++ b/crates/thistlesill-edge/src/daemon.rs
@@ -20,7 +20,6 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
-use crate::intake::IntakeState;
 use crate::lines::Line;
 use crate::state::Edge;
 use crate::{
@@ -245,9 +244,8 @@
         let callers = listen(settings.callers.context(NoCallersSnafu)?)?;
         let health = listen(settings.health.context(NoCallersSnafu)?)?;
         tokio::task::spawn_local(front::serve_health(edge.clone(), health));
-        let intake = IntakeState::new(settings.files);
-        tokio::task::spawn_local(intake::sample_delay(edge.clone(), intake.clone()));
-        tokio::task::spawn_local(front::serve_callers(edge.clone(), intake, callers));
+        tokio::task::spawn_local(intake::sample_delay(edge.clone()));
+        tokio::task::spawn_local(front::serve_callers(edge.clone(), callers));
     }
     if let Some(handle) = &handle {
         let address = options.metrics.unwrap_or(settings.metrics_address());
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -15,7 +15,7 @@
 
 use super::head::{self, Hop};
 use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
-use crate::proxy;
+use crate::proxy::{self, Sender};
 use crate::reply::{self, OutBody, SentTargets};
 use crate::state::Edge;
 
@@ -81,7 +81,7 @@
     if edge.catalog().is_none_or(|c| c.version < hop.catalog) {
         return decline("its catalog is older");
     }
-    let mut answer = proxy::handle(edge, request, Some(hop)).await;
+    let mut answer = proxy::handle(edge, request, Sender::Peer(hop)).await;
     let declined = match answer.extensions().get::<ErrorKind>() {
         Some(kind @ (ErrorKind::NotReady | ErrorKind::Unreached | ErrorKind::RetryBudget)) => {
             Some(kind.name())
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -1,24 +1,27 @@
 //! The listeners for callers and for the balancer's health checks.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thistlesill_net::stream::{BudgetedBody, ReadBudget, WatchedStream};
+use thistlesill_policy::edge::eviction::Phase;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
-use crate::intake::{Accepted, IntakeState};
-use crate::proxy;
-use crate::reply::OutBody;
+use crate::intake::{Accepted, Place};
+use crate::proxy::{self, Sender};
+use crate::reply::{Interrupted, OutBody};
 use crate::state::Edge;
 
 /// Idle timeout of connections before the operators' limits are known.
@@ -33,15 +36,14 @@
 /// idle.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(100);
 
+/// Time for the answer to a stalled body whose connection gives way to another one.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Accepts connections of callers; never returns.
-pub(crate) async fn serve_callers(edge: Rc<Edge>, intake: Rc<IntakeState>, listener: TcpListener) {
+pub(crate) async fn serve_callers(edge: Rc<Edge>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Some(accepted) = intake.accept(edge.active.get(), &edge.lines) {
-                    tokio::task::spawn_local(serve_caller(edge.clone(), stream, accepted));
-                }
-            }
+            Ok((stream, _)) => accept(&edge, stream).await,
             Err(error) => {
                 log::warn!("front: a connection was not accepted: {error}");
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -50,7 +52,23 @@
     }
 }
 
-async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, _accepted: Accepted) {
+/// Serves a new connection, or closes it if there is no room for it.
+async fn accept(edge: &Rc<Edge>, stream: TcpStream) {
+    let active = edge.active.get();
+    match edge.intake.accept(active, edge.now(), &edge.lines) {
+        Accepted::Free(place) => {
+            tokio::task::spawn_local(serve_caller(edge.clone(), stream, place));
+        }
+        Accepted::Evicting(place) => {
+            tokio::task::spawn_local(serve_caller(edge.clone(), stream, place));
+            // The connection that gives way is closed before the next one is accepted.
+            tokio::task::yield_now().await;
+        }
+        Accepted::Refused => {}
+    }
+}
+
+async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, place: Rc<Place>) {
     let opened = Instant::now();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("front: {error}");
@@ -61,11 +79,11 @@
     let budget = ReadBudget::new();
     let stream = WatchedStream::new(stream, budget.clone(), edge.unsent.clone());
     let service = {
-        let edge = edge.clone();
+        let (edge, place) = (edge.clone(), place.clone());
         service_fn(move |request: Request<Incoming>| {
             let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
-            let edge = edge.clone();
-            async move { Ok::<_, Infallible>(answer(edge, request).await) }
+            let (edge, place) = (edge.clone(), place.clone());
+            async move { Ok::<_, Infallible>(answer(edge, request, place).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -80,6 +98,14 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        phase = place.evicted() => match phase {
+            Phase::Body => {
+                connection.as_mut().graceful_shutdown();
+                let last = timeout(LAST_ANSWER_TIMEOUT, connection).await;
+                last.unwrap_or(Ok(()))
+            }
+            Phase::Opening | Phase::Busy | Phase::Refused | Phase::Idle => return,
+        },
     };
     if let Err(error) = ended {
         log::debug!("front: a caller's connection ended: {error}");
@@ -100,13 +126,51 @@
 ///
 /// A stopping daemon still answers requests, since the balancer has not noticed yet, but closes
 /// the connection after the answer.
-async fn answer(edge: Rc<Edge>, request: Request<BudgetedBody>) -> Response<OutBody> {
-    let mut answer = proxy::handle(edge.clone(), request, None).await;
+async fn answer(
+    edge: Rc<Edge>,
+    request: Request<BudgetedBody>,
+    place: Rc<Place>,
+) -> Response<PlacedBody> {
+    let sender = Sender::Caller(place.clone());
+    let mut answer = proxy::handle(edge.clone(), request, sender).await;
     if edge.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
-    answer
+    answer.map(|body| PlacedBody { body, place, edge })
+}
+
+/// The body of an answer, with the end of which its connection becomes idle.
+struct PlacedBody {
+    body: OutBody,
+    place: Rc<Place>,
+    edge: Rc<Edge>,
+}
+
+impl Body for PlacedBody {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for PlacedBody {
+    fn drop(&mut self) {
+        self.place.note_answered(self.edge.now());
+    }
 }
 
 /// Answers the balancer's health checks: 200 if the daemon accepts callers, else 503; never
--- a/crates/thistlesill-edge/src/intake.rs
+++ b/crates/thistlesill-edge/src/intake.rs
@@ -4,11 +4,14 @@
 //! vain says nothing of targets.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use thistlesill_core::Millis;
+use thistlesill_policy::edge::eviction::{ConnectionId, Connections, Phase};
 use thistlesill_policy::edge::intake::{Intake, MAX_LOOP_DELAY, Shortage};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::lines::Lines;
@@ -23,37 +26,94 @@
 #[derive(Debug)]
 pub(crate) struct IntakeState {
     intake: RefCell<Intake>,
-    connections: Cell<usize>,
+    /// The connections that may give way to others.
+    connections: RefCell<Connections>,
+    /// Places of these connections.
+    places: RefCell<HashMap<ConnectionId, Rc<Eviction>>>,
+    /// Number of connections, with those that are being closed.
+    count: Cell<usize>,
     /// Connections that were closed since the last log line.
     closed: Cell<u64>,
     last_line: Cell<Option<Instant>>,
 }
 
-/// An accepted connection of a caller; counts until it is dropped.
+/// Whether a connection must give way to another one.
+#[derive(Debug, Default)]
+struct Eviction {
+    /// What the connection was doing when it had to.
+    due: Cell<Option<Phase>>,
+    notify: Notify,
+}
+
+/// The place of a caller's connection, which is free again once this value is dropped.
 #[derive(Debug)]
-pub(crate) struct Accepted(Rc<IntakeState>);
+pub(crate) struct Place {
+    intake: Rc<IntakeState>,
+    id: ConnectionId,
+    eviction: Rc<Eviction>,
+}
+
+/// What the intake does with a new connection.
+#[derive(Debug)]
+pub(crate) enum Accepted {
+    /// There is a place for it.
+    Free(Rc<Place>),
+    /// Another connection gives way to it, and closes as soon as its task runs.
+    Evicting(Rc<Place>),
+    /// It must be closed unread, so that its caller tries another daemon.
+    Refused,
+}
 
 impl IntakeState {
     /// Creates the state of a daemon that may open `files` files; `None` if that is not known.
     pub(crate) fn new(files: Option<usize>) -> Rc<Self> {
         Rc::new(Self {
             intake: RefCell::new(Intake::new(files)),
-            connections: Cell::new(0),
+            connections: RefCell::default(),
+            places: RefCell::default(),
+            count: Cell::new(0),
             closed: Cell::new(0),
             last_line: Cell::new(None),
         })
     }
 
-    /// Accepts a new connection while `active` requests are in progress; returns `None` if it must be
-    /// closed unread, so that its caller tries another daemon.
-    pub(crate) fn accept(self: &Rc<Self>, active: usize, lines: &Lines) -> Option<Accepted> {
-        let connections = self.connections.get();
-        if let Some(shortage) = self.intake.borrow().shortage(connections, active) {
+    /// Decides on a new connection while `active` requests are in progress.
+    pub(crate) fn accept(self: &Rc<Self>, active: usize, now: Millis, lines: &Lines) -> Accepted {
+        let shortage = self.intake.borrow().shortage(self.count.get(), active);
+        let Some(shortage) = shortage else {
+            return Accepted::Free(self.add(now));
+        };
+        if shortage.is_of_places() && self.evict_for_place(now) {
             self.note_closed(shortage, active, lines);
-            return None;
+            return Accepted::Evicting(self.add(now));
         }
-        self.connections.set(connections + 1);
-        Some(Accepted(self.clone()))
+        self.note_closed(shortage, active, lines);
+        Accepted::Refused
+    }
+
+    fn add(self: &Rc<Self>, now: Millis) -> Rc<Place> {
+        let id = self.connections.borrow_mut().open(now);
+        let eviction = Rc::new(Eviction::default());
+        self.places.borrow_mut().insert(id, eviction.clone());
+        self.count.set(self.count.get() + 1);
+        Rc::new(Place {
+            intake: self.clone(),
+            id,
+            eviction,
+        })
+    }
+
+    /// Makes a connection give way to a new one; returns whether one does.
+    fn evict_for_place(&self, now: Millis) -> bool {
+        let evicted = self.connections.borrow_mut().evict_for_place(now);
+        let Some((id, phase)) = evicted else {
+            return false;
+        };
+        if let Some(eviction) = self.places.borrow_mut().remove(&id) {
+            eviction.due.set(Some(phase));
+            eviction.notify.notify_waiters();
+        }
+        true
     }
 
     fn note_closed(&self, shortage: Shortage, active: usize, lines: &Lines) {
@@ -68,17 +128,43 @@
         lines
             .line("callers_turned_away")
             .with("short", shortage.name())
-            .with("connections", self.connections.get())
+            .with("connections", self.count.get())
             .with("active", active)
             .with("closed", self.closed.take())
             .write();
     }
 }
 
-impl Drop for Accepted {
+impl Place {
+    /// Records what the connection does, or that it has made progress in that.
+    pub(crate) fn note(&self, phase: Phase, now: Millis) {
+        let connections = &self.intake.connections;
+        connections.borrow_mut().note(self.id, phase, now);
+    }
+
+    /// Records that the answer to the connection's request has ended.
+    pub(crate) fn note_answered(&self, now: Millis) {
+        let connections = &self.intake.connections;
+        connections.borrow_mut().note_answered(self.id, now);
+    }
+
+    /// Waits until the connection must give way to another one; returns what it was doing then.
+    pub(crate) async fn evicted(&self) -> Phase {
+        loop {
+            if let Some(phase) = self.eviction.due.get() {
+                return phase;
+            }
+            self.eviction.notify.notified().await;
+        }
+    }
+}
+
+impl Drop for Place {
     fn drop(&mut self) {
-        let connections = &self.0.connections;
-        connections.set(connections.get().saturating_sub(1));
+        let intake = &self.intake;
+        intake.connections.borrow_mut().close(self.id);
+        intake.places.borrow_mut().remove(&self.id);
+        intake.count.set(intake.count.get().saturating_sub(1));
     }
 }
 
@@ -107,12 +193,12 @@
 }
 
 /// Samples the delay of the event loop; never returns.
-pub(crate) async fn sample_delay(edge: Rc<Edge>, state: Rc<IntakeState>) {
+pub(crate) async fn sample_delay(edge: Rc<Edge>) {
     loop {
         let due = Instant::now() + SAMPLE_INTERVAL.duration();
         tokio::time::sleep_until(due).await;
         let delay = Millis::new(due.elapsed().as_millis() as u64);
-        state.intake.borrow_mut().note_delay(delay);
+        edge.intake.intake.borrow_mut().note_delay(delay);
         edge.delay.note(delay, edge.now());
     }
 }
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -16,12 +16,14 @@
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Admission, Key, LateRequest, SentBy, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, last_step, next_step};
+use thistlesill_policy::edge::eviction::Phase;
 use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, Failure, attempt};
 use crate::choice::{Choice, Overload, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
+use crate::intake::Place;
 use crate::job::{Arrival, Job};
 use crate::plain;
 use crate::quarantine;
@@ -44,15 +46,53 @@
 /// Time for a caller to send the body after the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes of a body after which it counts as having made progress.
+const PROGRESS_BYTES: usize = 16 * 1024;
+
+/// Who sent a request to this daemon.
+#[derive(Debug, Clone)]
+pub(crate) enum Sender {
+    /// The caller, on the connection of this place.
+    Caller(Rc<Place>),
+    /// A peer, which says this of the request.
+    Peer(Hop),
+}
+
+impl Sender {
+    /// Returns what the peer says that passed the request on.
+    const fn hop(&self) -> Option<Hop> {
+        match self {
+            Self::Caller(_) => None,
+            Self::Peer(hop) => Some(*hop),
+        }
+    }
+
+    /// Records what the connection of a caller does.
+    fn note(&self, phase: Phase, now: Millis) {
+        match self {
+            Self::Caller(place) => place.note(phase, now),
+            Self::Peer(_) => {}
+        }
+    }
+
+    /// Waits until the connection of a caller must give way to another one.
+    async fn evicted(&self) -> Phase {
+        match self {
+            Self::Caller(place) => place.evicted().await,
+            Self::Peer(_) => std::future::pending().await,
+        }
+    }
+}
+
 /// Answers a request of a caller.
-///
-/// `hop` is what the peer says that passed the request on; `None` if its caller sent it here.
 pub(crate) async fn handle(
     edge: Rc<Edge>,
     request: Request<BudgetedBody>,
-    hop: Option<Hop>,
+    sender: Sender,
 ) -> Response<OutBody> {
     let arrived = edge.now();
+    let hop = sender.hop();
+    sender.note(Phase::Busy, arrived);
     edge.had_requests.set(true);
     let (parts, mut body) = request.into_parts();
     let head = caller::read_caller(&parts.headers);
@@ -62,19 +102,21 @@
     let mut admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
         Err(kind) => {
-            discard(&edge, body);
+            discard(&edge, body, sender);
             return refuse_admission(&edge, kind, &mut track);
         }
     };
     let read = tokio::select! {
-        read = read_body(&edge, &mut body) => read,
+        read = read_body(&edge, &mut body, &sender) => read,
+        _ = sender.evicted() => Err(ErrorKind::SlowCaller),
         () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
     };
+    sender.note(Phase::Busy, edge.now());
     let body = match read {
         Ok(bytes) => bytes,
         Err(kind) => {
             if matches!(kind, ErrorKind::BodyTooLarge | ErrorKind::MemoryShort) {
-                discard(&edge, body);
+                discard(&edge, body, sender);
             }
             return track.refuse(kind, None);
         }
@@ -152,11 +194,16 @@
 
 /// Reads the body of a request. One that is too large, or that there is no memory for, is refused by its
 /// length if that is known.
-async fn read_body(edge: &Edge, body: &mut BudgetedBody) -> Result<Bytes, ErrorKind> {
+async fn read_body(
+    edge: &Edge,
+    body: &mut BudgetedBody,
+    sender: &Sender,
+) -> Result<Bytes, ErrorKind> {
     let max_bytes = max_body_bytes(edge);
-    if max_bytes == 0 {
+    if max_bytes == 0 || body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    sender.note(Phase::Body, edge.now());
     let announced = body.size_hint().lower();
     if announced > max_bytes as u64 {
         return Err(ErrorKind::BodyTooLarge);
@@ -168,6 +215,7 @@
     }
     let read = async {
         let mut bytes = BytesMut::with_capacity(announced);
+        let mut next_progress = PROGRESS_BYTES;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
                 continue;
@@ -180,6 +228,10 @@
                 return Err(ErrorKind::MemoryShort);
             }
             bytes.extend_from_slice(&data);
+            if length >= next_progress {
+                sender.note(Phase::Body, edge.now());
+                next_progress = length + PROGRESS_BYTES;
+            }
         }
         Ok(bytes.freeze())
     };
@@ -195,11 +247,13 @@
 
 /// Reads a body without keeping it, while its request is refused. If the connection were closed with bytes
 /// of the body unread, its caller might not get the answer. Of a body that is too large, a part is read.
-fn discard(edge: &Edge, mut body: BudgetedBody) {
+fn discard(edge: &Rc<Edge>, mut body: BudgetedBody, sender: Sender) {
     if body.is_end_stream() {
         return;
     }
-    let mut left = max_body_bytes(edge);
+    sender.note(Phase::Refused, edge.now());
+    let edge = edge.clone();
+    let mut left = max_body_bytes(&edge);
     tokio::task::spawn_local(async move {
         let read = async {
             while let Some(Ok(frame)) = body.frame().await {
@@ -211,6 +265,7 @@
             }
         };
         drop(timeout_at(within(BODY_TIMEOUT), read).await);
+        sender.note(Phase::Idle, edge.now());
     });
 }
 
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -27,7 +27,7 @@
 
 use crate::backoffs::Backoffs;
 use crate::forward::ForwardState;
-use crate::intake::LoopDelay;
+use crate::intake::{IntakeState, LoopDelay};
 use crate::lanes::Lanes;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -147,6 +147,8 @@
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Number of requests in progress.
     pub(crate) active: Cell<usize>,
+    /// Connections of callers.
+    pub(crate) intake: Rc<IntakeState>,
     /// When this daemon was short of processor time.
     pub(crate) delay: LoopDelay,
     /// Connections to callers and peers that cannot write all of an answer.
@@ -208,7 +210,6 @@
             quarantine: QuarantineState::default(),
             limits: Limits::new(&mut rng),
             backoffs: Backoffs::default(),
-            settings: RefCell::new(Rc::new(settings)),
             clock,
             alarm: Alarm::new(clock),
             boot: rand::random(),
@@ -236,6 +237,7 @@
             rng: RefCell::new(rng),
             retries: RefCell::new(HashMap::new()),
             active: Cell::new(0),
+            intake: IntakeState::new(settings.files),
             delay: LoopDelay::default(),
             unsent: BlockedWrites::default(),
             had_requests: Cell::new(false),
@@ -258,6 +260,7 @@
             newer_targets: Notify::new(),
             fleet_changed: Notify::new(),
             store_failed: Notify::new(),
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
--- a/crates/thistlesill-edge/tests/it/crowded.rs
+++ b/crates/thistlesill-edge/tests/it/crowded.rs
@@ -109,12 +109,16 @@
     world.daemons[0].start();
     sleep(2_000).await;
     let address = world.daemons[0].caller_address();
+    let first = HttpConnection::connect(address, within(Duration::from_secs(1))).await;
+    let mut first = first.expect("the daemon accepts callers");
+    let before = call_on(&mut first, &read("before")).await;
+    assert_eq!(before.expect("an answer").status, 200);
+    // Connections that send nothing do not displace it.
     let mut open = Vec::new();
     for _ in 0..500 {
         let limit = within(Duration::from_secs(1));
         open.push(HttpConnection::connect(address, limit).await);
     }
-    let mut first = open.remove(0).expect("the daemon accepts callers");
     for i in 0..10 {
         let id = format!("open-{i}");
         let got = call_on(&mut first, &stream(&id)).await;
--- a/crates/thistlesill-policy/src/edge.rs
+++ b/crates/thistlesill-policy/src/edge.rs
@@ -8,6 +8,7 @@
 pub mod beats;
 pub mod book;
 pub mod evacuation;
+pub mod eviction;
 pub mod feed;
 pub mod fleet;
 pub mod freshness;
--- a/crates/thistlesill-policy/src/edge/intake.rs
+++ b/crates/thistlesill-policy/src/edge/intake.rs
@@ -38,6 +38,15 @@
             Self::Processor => "processor",
         }
     }
+
+    /// Returns whether another connection that is closed makes room for a new one.
+    #[must_use]
+    pub const fn is_of_places(self) -> bool {
+        match self {
+            Self::Files => true,
+            Self::Processor => false,
+        }
+    }
 }
 
 /// Decides on new connections by the files and the processor time that are left.
@@ -70,7 +79,7 @@
         };
     }
 
-    /// Returns why a new connection is closed unread; `None` if it is accepted.
+    /// Returns why there is no room for a new connection; `None` if there is.
     ///
     /// `connections` is the number of callers' connections, `active` that of requests in progress.
     #[must_use]
--- a/crates/thistlesill-policy/tests/edge.rs
+++ b/crates/thistlesill-policy/tests/edge.rs
@@ -20,6 +20,8 @@
 mod evacuated_groups;
 #[path = "edge/evacuation.rs"]
 mod evacuation;
+#[path = "edge/eviction.rs"]
+mod eviction;
 #[path = "edge/feed.rs"]
 mod feed;
 #[path = "edge/fleet.rs"]
