--- a/crates/thistlesill-edge/src/plain.rs
+++ b/crates/thistlesill-edge/src/plain.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use thistlesill_core::Millis;
-use thistlesill_net::lane::CODEC_BYTES;
+use thistlesill_net::lane::{CODEC_BYTES, MAX_BUFFER_BYTES};
 use thistlesill_net::memory::{HeldBuffer, MemoryBudget, Reservation};
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, BodyEnd};
@@ -24,6 +24,9 @@
 /// that one that breaks off can be requested again.
 const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 
+/// The most that is read of an answer of unknown length before it is forwarded: that size, and one part.
+const MAX_START_BYTES: usize = MAX_BUFFERED_BYTES as usize + MAX_BUFFER_BYTES;
+
 /// What was read of the body of a plain answer.
 enum ReadBody {
     /// All of it.
@@ -56,7 +59,8 @@
     memory: &MemoryBudget,
 ) -> Result<ReadBody, hyper::Error> {
     let known = hyper::body::Body::size_hint(body).exact();
-    let mut read = HeldBuffer::new(memory, known.map_or(usize::MAX, |bytes| bytes as usize));
+    let max_length = known.map_or(MAX_START_BYTES, |bytes| bytes as usize);
+    let mut read = HeldBuffer::new(memory, max_length);
     while read.len() as u64 <= MAX_BUFFERED_BYTES {
         let Some(frame) = body.frame().await.transpose()? else {
             return Ok(ReadBody::Complete(read.finish()));
--- a/crates/thistlesill-net/src/lane.rs
+++ b/crates/thistlesill-net/src/lane.rs
@@ -217,7 +217,7 @@
 }
 
 /// The size to which a connection's read buffer may grow.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Bytes that the codecs hold of an answer which is read faster than its caller takes it: a read buffer, and
 /// one that waits to be written.
 pub const CODEC_BYTES: usize = 2 * MAX_BUFFER_BYTES;
