--- a/crates/thistlesill-edge/src/intake.rs
+++ b/crates/thistlesill-edge/src/intake.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use thistlesill_core::Millis;
+use thistlesill_core::edge::EdgeSettings;
 use thistlesill_policy::edge::eviction::{ConnectionId, Connections, Phase};
-use thistlesill_policy::edge::intake::{Intake, MAX_LOOP_DELAY, Shortage};
+use thistlesill_policy::edge::intake::{Intake, MAX_LOOP_DELAY, Room, Shortage};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -65,10 +66,10 @@
 }
 
 impl IntakeState {
-    /// Creates the state of a daemon that may open `files` files; `None` if that is not known.
-    pub(crate) fn new(files: Option<usize>) -> Rc<Self> {
+    /// Creates the state of a daemon with these settings.
+    pub(crate) fn new(settings: &EdgeSettings) -> Rc<Self> {
         Rc::new(Self {
-            intake: RefCell::new(Intake::new(files)),
+            intake: RefCell::new(Intake::new(room(settings))),
             connections: RefCell::default(),
             places: RefCell::default(),
             count: Cell::new(0),
@@ -77,6 +78,11 @@
         })
     }
 
+    /// Brings other settings in force.
+    pub(crate) fn set_settings(&self, settings: &EdgeSettings) {
+        self.intake.borrow_mut().set_room(room(settings));
+    }
+
     /// Decides on a new connection while `active` requests are in progress.
     pub(crate) fn accept(self: &Rc<Self>, active: usize, now: Millis, lines: &Lines) -> Accepted {
         let shortage = self.intake.borrow().shortage(self.count.get(), active);
@@ -145,6 +151,13 @@
     }
 }
 
+const fn room(settings: &EdgeSettings) -> Room {
+    Room {
+        files: settings.files,
+        memory: settings.memory,
+    }
+}
+
 impl Place {
     /// Records what the connection does, or that it has made progress in that.
     pub(crate) fn note(&self, phase: Phase, now: Millis) {
--- a/crates/thistlesill-edge/src/state.rs
+++ b/crates/thistlesill-edge/src/state.rs
@@ -70,8 +70,8 @@
 const UNREACHABLE_TIMEOUT: Millis = Millis::new(5_000);
 /// Safety margin before the moment at which a stopping process is killed.
 const STOP_MARGIN: Millis = Millis::new(400);
-/// Share of the memory that bodies may take. Connections, the codec's buffers and all else take the rest.
-const BODIES_SHARE: f64 = 0.35;
+/// Share of the memory that bodies may take. Connections and all else take the rest.
+const BODIES_SHARE: f64 = 0.3;
 /// Bytes that bodies may take if the memory is not limited.
 const DEFAULT_BODIES_BYTES: usize = 256 << 20;
 /// Time in which the last answers of a stopping daemon reach their callers before it ends.
@@ -237,7 +237,7 @@
             rng: RefCell::new(rng),
             retries: RefCell::new(HashMap::new()),
             active: Cell::new(0),
-            intake: IntakeState::new(settings.files),
+            intake: IntakeState::new(&settings),
             delay: LoopDelay::default(),
             unsent: BlockedWrites::default(),
             had_requests: Cell::new(false),
@@ -272,6 +272,7 @@
     pub(crate) fn set_settings(&self, settings: EdgeSettings) {
         self.ranking.set_limits(settings.overload);
         self.memory.set_limit(bodies_limit(&settings));
+        self.intake.set_settings(&settings);
         self.settings.replace(Rc::new(settings));
     }
 
