--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -82,8 +82,9 @@
         let (edge, place) = (edge.clone(), place.clone());
         service_fn(move |request: Request<Incoming>| {
             let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
-            let (edge, place) = (edge.clone(), place.clone());
-            async move { Ok::<_, Infallible>(answer(edge, request, place).await) }
+            // A connection has memory for the state of this future as long as it is open.
+            let answer = Box::pin(answer(edge.clone(), request, place.clone()));
+            async move { Ok::<_, Infallible>(answer.await) }
         })
     };
     let connection = http1::Builder::new()
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -146,7 +146,8 @@
         track.ranked(urgency, job.caller_key());
     }
     let mut answer = tokio::select! {
-        answer = serve(job.clone(), &mut track) => answer,
+        // Its state is many times that of a request whose body is read.
+        answer = Box::pin(serve(job.clone(), &mut track)) => answer,
         () = job.edge.wait_until_ending() => end_by_stop(&job, &mut track),
     };
     answer.extensions_mut().insert(SentTargets(job.sent.get()));
