--- a/crates/thistlesill-edge/src/figures.rs
+++ b/crates/thistlesill-edge/src/figures.rs
@@ -2,16 +2,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
+use hyper::Response;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use thistlesill_core::{Millis, ServiceName};
 use thistlesill_policy::edge::fleet::Census;
 use tokio::net::TcpListener;
 
+use crate::probes;
 use crate::ranking::Ranking;
 
 /// Upper bounds of the buckets of the latency histograms, in milliseconds.
@@ -79,20 +76,6 @@
 
 /// Serves the metrics; never returns.
 pub(crate) async fn serve(listener: TcpListener, handle: PrometheusHandle) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let handle = handle.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let text = handle.render();
-                async move { Ok::<_, hyper::Error>(Response::new(Full::new(Bytes::from(text)))) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("metrics: a connection ended: {error}");
-            }
-        });
-    }
+    let answer = move || Response::new(Full::new(Bytes::from(handle.render())));
+    probes::serve(listener, "metrics", answer).await;
 }
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::intake::{Accepted, Place};
+use crate::probes;
 use crate::proxy::{self, Sender};
 use crate::reply::{Interrupted, OutBody};
 use crate::state::Edge;
@@ -177,26 +178,12 @@
 /// Answers the balancer's health checks: 200 if the daemon accepts callers, else 503; never
 /// returns.
 pub(crate) async fn serve_health(edge: Rc<Edge>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let edge = edge.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let status = if edge.is_ready() {
-                    StatusCode::OK
-                } else {
-                    StatusCode::SERVICE_UNAVAILABLE
-                };
-                let mut answer = Response::new(Full::new(Bytes::new()));
-                *answer.status_mut() = status;
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("health: a connection ended: {error}");
-            }
-        });
-    }
+    let answer = move || {
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        if !edge.is_ready() {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    };
+    probes::serve(listener, "health", answer).await;
 }
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod plain;
 mod planner;
+mod probes;
 mod proxy;
 mod quarantine;
 mod ranking;
