--- a/crates/thistlesill-core/src/config.rs
+++ b/crates/thistlesill-core/src/config.rs
@@ -70,6 +70,9 @@
 pub struct Limits {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Memory that the bodies of all requests may take together, in bytes; at least that of four bodies of
+    /// the largest size.
+    pub held_bytes: usize,
     /// Largest header section of a request, in bytes.
     pub head_bytes: usize,
     /// Largest number of open connections from callers.
@@ -88,6 +91,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            held_bytes: 32 << 20,
             head_bytes: 16 << 10,
             connections: 4_096,
             head_ms: 5_000,
--- a/crates/thistlesill-router/src/callers.rs
+++ b/crates/thistlesill-router/src/callers.rs
@@ -8,8 +8,10 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use http_body_util::BodyExt;
 use rand::RngExt;
-use salvo::http::{ParseError, StatusCode};
+use salvo::http::StatusCode;
+use salvo::hyper::body::Body;
 use salvo::hyper::{Method, Uri};
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, handler};
 use salvo::server::ServerHandle;
@@ -20,6 +22,7 @@
 use thistlesill_core::seal::sha256_hex;
 use thistlesill_core::{CustomerId, ErrorKind, RequestId, ServiceName};
 use thistlesill_net::admin::{bearer, server, write_error};
+use thistlesill_net::memory::{HeldBuffer, MemoryBudget};
 use thistlesill_net::sync::CurrentSettings;
 use thistlesill_policy::router::{Arrival, ResumePoint, Wanted};
 use thistlesill_policy::serving::GroupKey;
@@ -36,6 +39,10 @@
 /// Response header with the request id, on every answer to a routed request.
 const REQUEST_HEADER: &str = "x-request-id";
 
+/// Number of bodies of the largest size that there is memory for, whatever the settings say: a single one
+/// and the copy of it that an engine gets must always pass.
+const MIN_HELD_BODIES: usize = 4;
+
 type Events = mpsc::UnboundedSender<LoopEvent>;
 
 /// The running HTTP server for callers.
@@ -66,10 +73,14 @@
 /// cannot be bound.
 pub fn spawn(config: &DaemonConfig, shelf: CurrentSettings, events: Events) -> Callers {
     let address = config.callers.expect("checked settings of a router");
+    let memory = MemoryBudget::default();
+    let min_bytes = MIN_HELD_BODIES * config.limits.body_bytes;
+    memory.set_limit(config.limits.held_bytes.max(min_bytes));
     let shared = Arc::new(Shared {
         shelf,
         events,
         limits: config.limits,
+        memory,
     });
     let server = server(address, &config.limits);
     let handle = server.handle();
@@ -81,6 +92,8 @@
     shelf: CurrentSettings,
     events: Events,
     limits: Limits,
+    /// Bytes that are held of bodies.
+    memory: MemoryBudget,
 }
 
 fn routes(shared: &Arc<Shared>) -> Router {
@@ -151,12 +164,39 @@
         found.ok_or_else(|| ErrorBody::new(ErrorKind::Unauthorized, None))
     }
 
+    /// Reads the body of a request.
     async fn body(&self, req: &mut Request) -> Result<Bytes, ErrorBody> {
-        let limit = self.shared.limits.body_bytes;
-        match req.payload_with_max_size(limit).await {
-            Ok(bytes) => Ok(bytes.clone()),
-            Err(error) => Err(body_error(&error)),
+        let refused = |kind| ErrorBody::new(kind, None);
+        let max_bytes = self.shared.limits.body_bytes;
+        let mut body = req.take_body();
+        let size = Body::size_hint(&body);
+        if size.lower() > max_bytes as u64 {
+            return Err(refused(ErrorKind::BodyTooLarge));
         }
+        let length = size.exact().map_or(max_bytes, |bytes| bytes as usize);
+        let mut buffer = HeldBuffer::new(&self.shared.memory, length);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| refused(broken_body(&error)))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if buffer.len() + data.len() > max_bytes {
+                return Err(refused(ErrorKind::BodyTooLarge));
+            }
+            if !buffer.push(&data) {
+                return Err(refused(ErrorKind::MemoryShort));
+            }
+        }
+        Ok(buffer.finish())
+    }
+
+    /// Holds the memory of the copy of a body that an engine gets, with the body.
+    fn hold_copy(&self, body: Bytes) -> Result<Bytes, ErrorBody> {
+        let mut copy = self.shared.memory.reservation();
+        if !copy.resize(body.len()) {
+            return Err(ErrorBody::new(ErrorKind::MemoryShort, None));
+        }
+        Ok(copy.hold(body))
     }
 
     async fn complete(
@@ -167,6 +207,7 @@
     ) -> Result<(), ErrorBody> {
         let customer = self.customer(req)?;
         let body = self.body(req).await?;
+        let body = self.hold_copy(body)?;
         let completion = openai::parse(dialect, &body).map_err(|e| bad(&e.text))?;
         let head = Head::read(req)?;
         let resume = resume_point(req)?;
@@ -411,13 +452,12 @@
     }
 }
 
-fn body_error(error: &ParseError) -> ErrorBody {
-    let kind = match error {
-        ParseError::PayloadTooLarge => ErrorKind::BodyTooLarge,
-        ParseError::Io(_) | ParseError::Hyper(_) => ErrorKind::SlowCaller,
+/// Returns the kind of error of a body that ended too early, or took too long.
+fn broken_body(error: &std::io::Error) -> ErrorKind {
+    match error.kind() {
+        std::io::ErrorKind::TimedOut => ErrorKind::SlowCaller,
         _ => ErrorKind::BadRequest,
-    };
-    ErrorBody::new(kind, None)
+    }
 }
 
 fn new_request() -> RequestId {
