--- a/crates/thistlesill-router/src/callers.rs
+++ b/crates/thistlesill-router/src/callers.rs
@@ -207,8 +207,9 @@
     ) -> Result<(), ErrorBody> {
         let customer = self.customer(req)?;
         let body = self.body(req).await?;
+        let hash = sha256_hex(&body);
         let body = self.hold_copy(body)?;
-        let completion = openai::parse(dialect, &body).map_err(|e| bad(&e.text))?;
+        let completion = openai::parse(dialect, body).map_err(|e| bad(&e.text))?;
         let head = Head::read(req)?;
         let resume = resume_point(req)?;
         let request = resume.as_ref().map_or_else(new_request, |id| id.request);
@@ -221,7 +222,7 @@
             priority: head.priority,
             repeatable: head.repeatable,
             key: head.key,
-            body: sha256_hex(&body),
+            body: hash,
             resume: resume.map(|id| ResumePoint {
                 key: GroupKey {
                     group: id.group,
--- a/crates/thistlesill-router/src/openai.rs
+++ b/crates/thistlesill-router/src/openai.rs
@@ -1,10 +1,18 @@
 //! Requests and answers of the `OpenAI` completion protocol.
 
+mod fields;
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value, json};
+use serde_json::value::RawValue;
+use serde_json::{Value, json};
 use snafu::Snafu;
 use thistlesill_core::{Model, RequestId};
 
+use self::fields::{KnownFields, MessageList, NewField, text_of};
+
 /// Number of bytes of the first prompt text that are hashed as its prefix.
 const PREFIX_BYTES: usize = 64;
 
@@ -46,7 +54,8 @@
     pub streamed: bool,
     /// Hash of the beginning of the prompt; `None` for an empty prompt.
     pub prefix: Option<u64>,
-    body: Map<String, Value>,
+    /// The body of the request, which is a JSON object.
+    body: Bytes,
 }
 
 /// Parses a completion request.
@@ -55,22 +64,21 @@
 ///
 /// [`BadCompletion`] if the body is not a JSON object, or if a required field is missing or of the
 /// wrong type.
-pub fn parse(dialect: Dialect, bytes: &[u8]) -> Result<Completion, BadCompletion> {
-    let body: Map<String, Value> =
-        serde_json::from_slice(bytes).map_err(|e| bad(format!("not a JSON object: {e}")))?;
-    let model = body
-        .get("model")
-        .and_then(Value::as_str)
-        .ok_or_else(|| bad("`model` must be a string"))?;
-    let streamed = match body.get("stream") {
-        None | Some(Value::Null) => false,
-        Some(Value::Bool(stream)) => *stream,
+pub fn parse(dialect: Dialect, body: Bytes) -> Result<Completion, BadCompletion> {
+    let no_object = |e: &dyn std::fmt::Display| bad(format!("not a JSON object: {e}"));
+    let text = std::str::from_utf8(&body).map_err(|e| no_object(&e))?;
+    let fields = KnownFields::read(text).map_err(|e| no_object(&e))?;
+    let model = fields.model.and_then(text_of);
+    let model = model.ok_or_else(|| bad("`model` must be a string"))?;
+    let streamed = match fields.stream.map(RawValue::get) {
+        None | Some("null" | "false") => false,
+        Some("true") => true,
         Some(_) => return Err(bad("`stream` must be true or false")),
     };
-    let prompt = prompt(dialect, &body)?;
+    let prompt = prompt(dialect, &fields)?;
     Ok(Completion {
         dialect,
-        model: Model::from(model),
+        model: Model::from(model.as_str()),
         streamed,
         prefix: (!prompt.is_empty()).then(|| prefix_hash(&prompt)),
         body,
@@ -80,27 +88,45 @@
 impl Completion {
     /// Returns the request body for an engine, which always streams.
     pub fn engine_body(&self) -> Vec<u8> {
-        let mut body = self.body.clone();
-        body.insert("stream".to_owned(), Value::Bool(true));
-        to_bytes(&body)
+        self.body_with(Vec::new())
     }
 
     /// Returns the request body for an engine that continues after the text `delivered`.
     pub fn continued_body(&self, delivered: &str) -> Vec<u8> {
-        let mut body = self.body.clone();
-        body.insert("stream".to_owned(), Value::Bool(true));
-        match self.dialect {
-            Dialect::Chat => {
-                let turn = json!({"role": "assistant", "content": delivered});
-                if let Some(Value::Array(messages)) = body.get_mut("messages") {
-                    messages.push(turn);
-                }
-            }
-            Dialect::Text => {
-                body.insert("continue_from".to_owned(), Value::from(delivered));
-            }
-        }
-        to_bytes(&body)
+        let field = match self.dialect {
+            Dialect::Chat => NewField {
+                name: "messages",
+                value: Cow::from(self.messages_with(delivered)),
+            },
+            Dialect::Text => NewField {
+                name: "continue_from",
+                value: Cow::from(Value::from(delivered).to_string()),
+            },
+        };
+        self.body_with(vec![field])
+    }
+
+    /// Returns the messages with what was delivered as a further one.
+    fn messages_with(&self, delivered: &str) -> String {
+        let messages = KnownFields::read(self.text()).ok().and_then(|f| f.messages);
+        let messages = messages.map_or("[]", RawValue::get);
+        let start = messages.strip_suffix(']').unwrap_or(messages);
+        let turn = json!({"role": "assistant", "content": delivered});
+        format!("{start},{turn}]")
+    }
+
+    /// Returns the body of a stream with some fields replaced.
+    fn body_with(&self, mut new: Vec<NewField<'_>>) -> Vec<u8> {
+        new.push(NewField {
+            name: "stream",
+            value: Cow::from("true"),
+        });
+        fields::replace(self.text(), &new).unwrap_or_default()
+    }
+
+    /// Returns the body, which was checked to be text.
+    fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap_or_default()
     }
 
     /// Returns one chunk of a streamed answer as JSON.
@@ -179,39 +205,24 @@
     BadCompletion { text: text.into() }
 }
 
-fn to_bytes(body: &Map<String, Value>) -> Vec<u8> {
-    serde_json::to_vec(body).unwrap_or_default()
-}
-
-fn prompt(dialect: Dialect, body: &Map<String, Value>) -> Result<String, BadCompletion> {
+fn prompt(dialect: Dialect, fields: &KnownFields<'_>) -> Result<String, BadCompletion> {
     match dialect {
-        Dialect::Text => match body.get("prompt") {
-            Some(Value::String(prompt)) => Ok(prompt.clone()),
-            _ => Err(bad("`prompt` must be a string")),
-        },
+        Dialect::Text => {
+            let prompt = fields.prompt.and_then(text_of);
+            prompt.ok_or_else(|| bad("`prompt` must be a string"))
+        }
         Dialect::Chat => {
-            let Some(Value::Array(messages)) = body.get("messages") else {
-                return Err(bad("`messages` must be a list"));
-            };
-            if messages.is_empty() {
+            let messages = fields.messages.and_then(MessageList::read);
+            let messages = messages.ok_or_else(|| bad("`messages` must be a list"))?;
+            if messages.count == 0 {
                 return Err(bad("`messages` must not be empty"));
             }
-            first_message(messages)
-        }
-    }
-}
-
-fn first_message(messages: &[Value]) -> Result<String, BadCompletion> {
-    let mut first = None;
-    for message in messages {
-        let role = message.get("role").and_then(Value::as_str);
-        if role.is_none() {
-            return Err(bad("each message needs a `role`"));
+            if !messages.has_roles {
+                return Err(bad("each message needs a `role`"));
+            }
+            Ok(messages.first_text.unwrap_or_default())
         }
-        let content = message.get("content").and_then(Value::as_str);
-        first = first.or(content);
     }
-    Ok(first.unwrap_or_default().to_owned())
 }
 
 fn prefix_hash(prompt: &str) -> u64 {
