--- a/crates/thistlesill-net/src/listen.rs
+++ b/crates/thistlesill-net/src/listen.rs
@@ -9,8 +9,6 @@
 /// Without a bound the kernel lets the queue of a connection that is read slowly grow to megabytes, which
 /// count as memory of the process.
 const RECEIVE_BYTES: u32 = 16 * 1024;
-/// The most bytes that a connection from a bounded listener may hold in the kernel unread.
-pub const MAX_QUEUED_BYTES: usize = 2 * RECEIVE_BYTES as usize;
 /// The number of connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
