--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -83,7 +83,7 @@
         let (edge, place) = (edge.clone(), place.clone());
         service_fn(move |request: Request<Incoming>| {
             let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
-            // A connection has memory for the state of this future as long as it is open.
+            // A connection reserves memory for the state of its service's future, so that is but a pointer.
             let answer = Box::pin(answer(edge.clone(), request, place.clone()));
             async move { Ok::<_, Infallible>(answer.await) }
         })
--- a/crates/thistlesill-edge/src/intake.rs
+++ b/crates/thistlesill-edge/src/intake.rs
@@ -1,4 +1,5 @@
-//! Accepts or closes new connections of callers, by what this daemon is short of.
+//! Accepts or closes new connections of callers, by what this daemon is short of, and has others give way
+//! to them.
 //!
 //! A daemon that is short of processor time also misses answers that come in time. What it then asks in
 //! vain says nothing of targets.
@@ -33,7 +34,7 @@
     places: RefCell<HashMap<ConnectionId, Rc<Eviction>>>,
     /// Number of connections, with those that are being closed.
     count: Cell<usize>,
-    /// Connections that were closed since the last log line.
+    /// Connections that were closed for want of room since the last log line.
     closed: Cell<u64>,
     last_line: Cell<Option<Instant>>,
 }
@@ -89,12 +90,12 @@
         let Some(shortage) = shortage else {
             return Accepted::Free(self.add(now));
         };
-        if shortage.is_of_places() && self.evict_for_place(now) {
-            self.note_closed(shortage, active, lines);
-            return Accepted::Evicting(self.add(now));
-        }
         self.note_closed(shortage, active, lines);
-        Accepted::Refused
+        if shortage.allows_eviction() && self.evict_for_place(now) {
+            Accepted::Evicting(self.add(now))
+        } else {
+            Accepted::Refused
+        }
     }
 
     fn add(self: &Rc<Self>, now: Millis) -> Rc<Place> {
@@ -112,19 +113,22 @@
     /// Makes a connection give way to a new one; returns whether one does.
     fn evict_for_place(&self, now: Millis) -> bool {
         let evicted = self.connections.borrow_mut().evict_for_place(now);
-        self.close(evicted)
+        self.notify_evicted(evicted)
     }
 
     /// Makes a connection whose body has stalled give way to another body; returns whether one does.
     pub(crate) fn evict_for_memory(&self, now: Millis) -> bool {
         let evicted = self.connections.borrow_mut().evict_for_memory(now);
-        self.close(evicted)
+        self.notify_evicted(evicted)
     }
 
-    fn close(&self, evicted: Option<(ConnectionId, Phase)>) -> bool {
+    /// Tells a connection that it must give way; returns whether there is one.
+    fn notify_evicted(&self, evicted: Option<(ConnectionId, Phase)>) -> bool {
         let Some((id, phase)) = evicted else {
             return false;
         };
+        metrics::counter!("thistlesill_edge_connections_evicted_total", "phase" => phase.name())
+            .increment(1);
         if let Some(eviction) = self.places.borrow_mut().remove(&id) {
             eviction.due.set(Some(phase));
             eviction.notify.notify_waiters();
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -108,8 +108,10 @@
         }
     };
     let read = tokio::select! {
-        read = read_body(&edge, &mut body, &sender) => read,
+        biased;
+        // Its connection closes soon, also if the rest of the body has just arrived.
         _ = sender.evicted() => Err(ErrorKind::SlowCaller),
+        read = read_body(&edge, &mut body, &sender) => read,
         () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
     };
     sender.note(Phase::Busy, edge.now());
--- a/crates/thistlesill-policy/src/edge/eviction.rs
+++ b/crates/thistlesill-policy/src/edge/eviction.rs
@@ -36,6 +36,20 @@
     Idle,
 }
 
+impl Phase {
+    /// Returns the name in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Opening => "opening",
+            Self::Body => "body",
+            Self::Busy => "busy",
+            Self::Refused => "refused",
+            Self::Idle => "idle",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Connection {
     phase: Phase,
--- a/crates/thistlesill-policy/src/edge/intake.rs
+++ b/crates/thistlesill-policy/src/edge/intake.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Returns whether another connection that is closed makes room for a new one.
+    /// Returns whether a connection that is closed makes room for a new one.
     #[must_use]
-    pub const fn is_of_places(self) -> bool {
+    pub const fn allows_eviction(self) -> bool {
         match self {
             Self::Files | Self::Memory => true,
             Self::Processor => false,
