--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -14,8 +14,9 @@
 use tokio::net::TcpStream;
 
 use super::head::{self, Hop};
+use crate::body::Sender;
 use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
-use crate::proxy::{self, Sender};
+use crate::proxy;
 use crate::reply::{self, OutBody, SentTargets};
 use crate::state::Edge;
 
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -19,9 +19,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
 
+use crate::body::Sender;
 use crate::intake::{Accepted, Place};
 use crate::probes;
-use crate::proxy::{self, Sender};
+use crate::proxy;
 use crate::reply::{Interrupted, OutBody};
 use crate::state::Edge;
 
--- a/crates/thistlesill-edge/src/lib.rs
+++ b/crates/thistlesill-edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod backoffs;
+mod body;
 mod choice;
 pub mod daemon;
 mod destination;
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -3,28 +3,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Body;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use thistlesill_core::edge::RouteKind;
 use thistlesill_core::{ErrorKind, Millis, NodeId};
-use thistlesill_net::lane::within;
-use thistlesill_net::memory::HeldBuffer;
 use thistlesill_net::stream::BudgetedBody;
 use thistlesill_platform::caller::{self, CallerHead, KeyHeader};
 use thistlesill_policy::edge::admission::{self, Admission, Key, LateRequest, SentBy, admit};
 use thistlesill_policy::edge::attempt::{Attempts, NextStep, Outcome, last_step, next_step};
 use thistlesill_policy::edge::eviction::Phase;
-use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, Failure, attempt};
+use crate::body::{self, Sender};
 use crate::choice::{Choice, Overload, Pick};
 use crate::destination::{Destination, Tried};
 use crate::forward::{self, Hop, Way};
-use crate::intake::Place;
 use crate::job::{Arrival, Job};
 use crate::plain;
 use crate::quarantine;
@@ -44,47 +38,6 @@
 const MAX_RESUME_DEFERRAL: Millis = Millis::new(1_000);
 /// Interval between two checks for free capacity.
 const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(40);
-/// Time for a caller to send the body after the head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Bytes of a body after which it counts as having made progress.
-const PROGRESS_BYTES: usize = 16 * 1024;
-
-/// Who sent a request to this daemon.
-#[derive(Debug, Clone)]
-pub(crate) enum Sender {
-    /// The caller, on the connection of this place.
-    Caller(Rc<Place>),
-    /// A peer, which says this of the request.
-    Peer(Hop),
-}
-
-impl Sender {
-    /// Returns what the peer says that passed the request on.
-    const fn hop(&self) -> Option<Hop> {
-        match self {
-            Self::Caller(_) => None,
-            Self::Peer(hop) => Some(*hop),
-        }
-    }
-
-    /// Records what the connection of a caller does.
-    fn note(&self, phase: Phase, now: Millis) {
-        match self {
-            Self::Caller(place) => place.note(phase, now),
-            Self::Peer(_) => {}
-        }
-    }
-
-    /// Waits until the connection of a caller must give way to another one.
-    async fn evicted(&self) -> Phase {
-        match self {
-            Self::Caller(place) => place.evicted().await,
-            Self::Peer(_) => std::future::pending().await,
-        }
-    }
-}
-
 /// Answers a request of a caller.
 pub(crate) async fn handle(
     edge: Rc<Edge>,
@@ -103,23 +56,19 @@
     let mut admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
         Err(kind) => {
-            discard(&edge, body, sender);
+            body::discard(&edge, body, sender);
             return refuse_admission(&edge, kind, &mut track);
         }
     };
     let read = tokio::select! {
-        biased;
-        // Its connection closes soon, also if the rest of the body has just arrived.
-        _ = sender.evicted() => Err(ErrorKind::SlowCaller),
-        read = read_body(&edge, &mut body, &sender) => read,
+        read = body::read(&edge, &mut body, &sender) => read,
         () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
     };
-    sender.note(Phase::Busy, edge.now());
     let body = match read {
         Ok(bytes) => bytes,
         Err(kind) => {
             if matches!(kind, ErrorKind::BodyTooLarge | ErrorKind::MemoryShort) {
-                discard(&edge, body, sender);
+                body::discard(&edge, body, sender);
             }
             return track.refuse(kind, None);
         }
@@ -196,80 +145,6 @@
     track.refuse(kind, after)
 }
 
-/// Reads the body of a request, for which stalled bodies give way if there is no memory. One that is too
-/// large is refused by its length if that is known.
-async fn read_body(
-    edge: &Edge,
-    body: &mut BudgetedBody,
-    sender: &Sender,
-) -> Result<Bytes, ErrorKind> {
-    let max_bytes = max_body_bytes(edge);
-    if max_bytes == 0 || body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    sender.note(Phase::Body, edge.now());
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    let capacity = body.size_hint().exact().map_or(max_bytes, |b| b as usize);
-    let mut buffer = HeldBuffer::new(&edge.memory, capacity);
-    let read = async {
-        let mut next_progress = PROGRESS_BYTES;
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
-                continue;
-            };
-            if buffer.len() + data.len() > max_bytes {
-                return Err(ErrorKind::BodyTooLarge);
-            }
-            while !buffer.push(&data) {
-                if !edge.intake.evict_for_memory(edge.now()) {
-                    return Err(ErrorKind::MemoryShort);
-                }
-                // The body that gives way is dropped before the next try.
-                tokio::task::yield_now().await;
-            }
-            if buffer.len() >= next_progress {
-                sender.note(Phase::Body, edge.now());
-                next_progress = buffer.len() + PROGRESS_BYTES;
-            }
-        }
-        Ok(())
-    };
-    let read = timeout_at(within(BODY_TIMEOUT), read).await;
-    read.unwrap_or(Err(ErrorKind::SlowCaller))?;
-    Ok(buffer.finish())
-}
-
-/// Returns the largest body that the operators allow; 0 while there is no catalog.
-fn max_body_bytes(edge: &Edge) -> usize {
-    edge.catalog().map_or(0, |c| c.limits().body_bytes)
-}
-
-/// Reads a body without keeping it, while its request is refused. If the connection were closed with bytes
-/// of the body unread, its caller might not get the answer. Of a body that is too large, a part is read.
-fn discard(edge: &Rc<Edge>, mut body: BudgetedBody, sender: Sender) {
-    if body.is_end_stream() {
-        return;
-    }
-    sender.note(Phase::Refused, edge.now());
-    let edge = edge.clone();
-    let mut left = max_body_bytes(&edge);
-    tokio::task::spawn_local(async move {
-        let read = async {
-            while let Some(Ok(frame)) = body.frame().await {
-                let bytes = frame.data_ref().map_or(0, Bytes::len);
-                match left.checked_sub(bytes) {
-                    Some(rest) => left = rest,
-                    None => return,
-                }
-            }
-        };
-        drop(timeout_at(within(BODY_TIMEOUT), read).await);
-        sender.note(Phase::Idle, edge.now());
-    });
-}
-
 fn check_admission(edge: &Edge, parts: &Parts, head: &CallerHead) -> Result<Admission, ErrorKind> {
     let named = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
