--- a/crates/thistlesill-edge/src/body.rs
+++ b/crates/thistlesill-edge/src/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use thistlesill_core::{ErrorKind, Millis};
+use thistlesill_core::ErrorKind;
 use thistlesill_net::lane::within;
 use thistlesill_net::memory::HeldBuffer;
 use thistlesill_net::stream::BudgetedBody;
@@ -26,37 +26,11 @@
 
 /// Who sent a request to this daemon.
 #[derive(Debug, Clone)]
-pub(crate) enum Sender {
-    /// The caller, on the connection of this place.
-    Caller(Rc<Place>),
-    /// A peer, which says this of the request.
-    Peer(Hop),
-}
-
-impl Sender {
-    /// Returns what the peer says that passed the request on.
-    pub(crate) const fn hop(&self) -> Option<Hop> {
-        match self {
-            Self::Caller(_) => None,
-            Self::Peer(hop) => Some(*hop),
-        }
-    }
-
-    /// Records what the connection of a caller does.
-    pub(crate) fn note(&self, phase: Phase, now: Millis) {
-        match self {
-            Self::Caller(place) => place.note(phase, now),
-            Self::Peer(_) => {}
-        }
-    }
-
-    /// Waits until the connection of a caller must give way to another one.
-    async fn evicted(&self) -> Phase {
-        match self {
-            Self::Caller(place) => place.evicted().await,
-            Self::Peer(_) => std::future::pending().await,
-        }
-    }
+pub(crate) struct Sender {
+    /// The place of its connection.
+    pub(crate) place: Rc<Place>,
+    /// What the peer says that passed the request on; `None` if its caller sent it here.
+    pub(crate) hop: Option<Hop>,
 }
 
 /// Reads the body of a request. One that is too large is refused by its length if that is known.
@@ -68,7 +42,7 @@
 pub(crate) async fn read(
     edge: &Edge,
     body: &mut BudgetedBody,
-    sender: &Sender,
+    place: &Place,
 ) -> Result<Bytes, ErrorKind> {
     let max_bytes = max_body_bytes(edge);
     if max_bytes == 0 || body.is_end_stream() {
@@ -77,15 +51,15 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(ErrorKind::BodyTooLarge);
     }
-    sender.note(Phase::Body, edge.now());
+    place.note(Phase::Body, edge.now());
     let read = tokio::select! {
         biased;
         // Its connection closes soon, also if the rest of the body has just arrived.
-        _ = sender.evicted() => Err(ErrorKind::SlowCaller),
-        read = collect(edge, body, max_bytes, sender) => read,
+        _ = place.evicted() => Err(ErrorKind::SlowCaller),
+        read = collect(edge, body, max_bytes, place) => read,
         () = tokio::time::sleep(BODY_TIMEOUT) => Err(ErrorKind::SlowCaller),
     };
-    sender.note(Phase::Busy, edge.now());
+    place.note(Phase::Busy, edge.now());
     read
 }
 
@@ -94,7 +68,7 @@
     edge: &Edge,
     body: &mut BudgetedBody,
     max_bytes: usize,
-    sender: &Sender,
+    place: &Place,
 ) -> Result<Bytes, ErrorKind> {
     let length = body.size_hint().exact();
     let mut buffer = HeldBuffer::new(
@@ -117,7 +91,7 @@
             tokio::task::yield_now().await;
         }
         if buffer.len() >= next_progress {
-            sender.note(Phase::Body, edge.now());
+            place.note(Phase::Body, edge.now());
             next_progress = buffer.len() + PROGRESS_BYTES;
         }
     }
@@ -131,11 +105,11 @@
 
 /// Reads a body without keeping it, while its request is refused. If the connection were closed with bytes
 /// of the body unread, its caller might not get the answer. Of a body that is too large, a part is read.
-pub(crate) fn discard(edge: &Rc<Edge>, mut body: BudgetedBody, sender: Sender) {
+pub(crate) fn discard(edge: &Rc<Edge>, mut body: BudgetedBody, place: Rc<Place>) {
     if body.is_end_stream() {
         return;
     }
-    sender.note(Phase::Refused, edge.now());
+    place.note(Phase::Refused, edge.now());
     let edge = edge.clone();
     let mut left = max_body_bytes(&edge).max(MIN_DISCARDED_BYTES);
     tokio::task::spawn_local(async move {
@@ -149,6 +123,6 @@
             }
         };
         drop(timeout_at(within(BODY_TIMEOUT), read).await);
-        sender.note(Phase::Idle, edge.now());
+        place.note(Phase::Idle, edge.now());
     });
 }
--- a/crates/thistlesill-edge/src/forward/serve.rs
+++ b/crates/thistlesill-edge/src/forward/serve.rs
@@ -16,6 +16,7 @@
 use super::head::{self, Hop};
 use crate::body::Sender;
 use crate::front::{ACCEPT_BACKOFF, DEFAULT_IDLE_TIMEOUT, MIN_HEAD_BYTES};
+use crate::intake::Place;
 use crate::proxy;
 use crate::reply::{self, OutBody, SentTargets};
 use crate::state::Edge;
@@ -39,7 +40,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_peer(edge.clone(), stream));
+                if let Some(place) = edge.intake.accept_peer(edge.now()).await {
+                    tokio::task::spawn_local(serve_peer(edge.clone(), stream, place));
+                }
             }
             Err(error) => {
                 log::warn!("forward: a connection was not accepted: {error}");
@@ -50,7 +53,7 @@
 }
 
 /// Serves one request; peers open a connection for each.
-async fn serve_peer(edge: Rc<Edge>, stream: TcpStream) {
+async fn serve_peer(edge: Rc<Edge>, stream: TcpStream, place: Rc<Place>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("forward: {error}");
     }
@@ -58,10 +61,11 @@
     let head_bytes = limits.map_or(MIN_HEAD_BYTES, |l| l.head_bytes.max(MIN_HEAD_BYTES));
     let budget = ReadBudget::new();
     let stream = WatchedStream::new(stream, budget.clone(), edge.unsent.clone());
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(|request: Request<Incoming>| {
         let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
-        let edge = edge.clone();
-        async move { Ok::<_, Infallible>(answer(edge, request).await) }
+        // A connection reserves memory for the state of its service's future, so that is but a pointer.
+        let answer = Box::pin(answer(edge.clone(), request, place.clone()));
+        async move { Ok::<_, Infallible>(answer.await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -69,12 +73,21 @@
         .keep_alive(false)
         .max_buf_size(head_bytes + MIN_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = served.await {
-        log::debug!("forward: a peer's connection ended: {error}");
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                log::debug!("forward: a peer's connection ended: {error}");
+            }
+        }
+        _ = place.evicted() => log::debug!("forward: a peer's connection gives way"),
     }
 }
 
-async fn answer(edge: Rc<Edge>, mut request: Request<BudgetedBody>) -> Response<OutBody> {
+async fn answer(
+    edge: Rc<Edge>,
+    mut request: Request<BudgetedBody>,
+    place: Rc<Place>,
+) -> Response<OutBody> {
     let Some(hop) = Hop::take(request.headers_mut()) else {
         return decline("the request does not come from a daemon");
     };
@@ -82,7 +95,11 @@
     if edge.catalog().is_none_or(|c| c.version < hop.catalog) {
         return decline("its catalog is older");
     }
-    let mut answer = proxy::handle(edge, request, Sender::Peer(hop)).await;
+    let sender = Sender {
+        place,
+        hop: Some(hop),
+    };
+    let mut answer = proxy::handle(edge, request, sender).await;
     let declined = match answer.extensions().get::<ErrorKind>() {
         Some(kind @ (ErrorKind::NotReady | ErrorKind::Unreached | ErrorKind::RetryBudget)) => {
             Some(kind.name())
--- a/crates/thistlesill-edge/src/front.rs
+++ b/crates/thistlesill-edge/src/front.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::body::Sender;
-use crate::intake::{Accepted, Place};
+use crate::intake::Place;
 use crate::probes;
 use crate::proxy;
 use crate::reply::{Interrupted, OutBody};
@@ -45,7 +45,12 @@
 pub(crate) async fn serve_callers(edge: Rc<Edge>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => accept(&edge, stream).await,
+            Ok((stream, _)) => {
+                let (active, now) = (edge.active.get(), edge.now());
+                if let Some(place) = edge.intake.accept(active, now, &edge.lines).await {
+                    tokio::task::spawn_local(serve_caller(edge.clone(), stream, place));
+                }
+            }
             Err(error) => {
                 log::warn!("front: a connection was not accepted: {error}");
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -54,22 +59,6 @@
     }
 }
 
-/// Serves a new connection, or closes it if there is no room for it.
-async fn accept(edge: &Rc<Edge>, stream: TcpStream) {
-    let active = edge.active.get();
-    match edge.intake.accept(active, edge.now(), &edge.lines) {
-        Accepted::Free(place) => {
-            tokio::task::spawn_local(serve_caller(edge.clone(), stream, place));
-        }
-        Accepted::Evicting(place) => {
-            tokio::task::spawn_local(serve_caller(edge.clone(), stream, place));
-            // The connection that gives way is closed before the next one is accepted.
-            tokio::task::yield_now().await;
-        }
-        Accepted::Refused => {}
-    }
-}
-
 async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, place: Rc<Place>) {
     let opened = Instant::now();
     if let Err(error) = stream.set_nodelay(true) {
@@ -134,7 +123,10 @@
     request: Request<BudgetedBody>,
     place: Rc<Place>,
 ) -> Response<PlacedBody> {
-    let sender = Sender::Caller(place.clone());
+    let sender = Sender {
+        place: place.clone(),
+        hop: None,
+    };
     let mut answer = proxy::handle(edge.clone(), request, sender).await;
     if edge.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
--- a/crates/thistlesill-edge/src/intake.rs
+++ b/crates/thistlesill-edge/src/intake.rs
@@ -24,7 +24,7 @@
 /// Shortest interval between two log lines about connections that were closed.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Connections of callers, and those that were closed unread.
+/// Connections of callers and peers, and those that were closed unread.
 #[derive(Debug)]
 pub(crate) struct IntakeState {
     intake: RefCell<Intake>,
@@ -47,7 +47,7 @@
     notify: Notify,
 }
 
-/// The place of a caller's connection, which is free again once this value is dropped.
+/// The place of a connection of a caller or a peer, which is free again once this value is dropped.
 #[derive(Debug)]
 pub(crate) struct Place {
     intake: Rc<IntakeState>,
@@ -55,17 +55,6 @@
     eviction: Rc<Eviction>,
 }
 
-/// What the intake does with a new connection.
-#[derive(Debug)]
-pub(crate) enum Accepted {
-    /// There is a place for it.
-    Free(Rc<Place>),
-    /// Another connection gives way to it, and closes as soon as its task runs.
-    Evicting(Rc<Place>),
-    /// It must be closed unread, so that its caller tries another daemon.
-    Refused,
-}
-
 impl IntakeState {
     /// Creates the state of a daemon with these settings.
     pub(crate) fn new(settings: &EdgeSettings) -> Rc<Self> {
@@ -84,20 +73,48 @@
         self.intake.borrow_mut().set_room(room(settings));
     }
 
-    /// Decides on a new connection while `active` requests are in progress.
-    pub(crate) fn accept(self: &Rc<Self>, active: usize, now: Millis, lines: &Lines) -> Accepted {
+    /// Returns the place of a new connection of a caller while `active` requests are in progress, for which
+    /// another connection may have to give way; `None` if the new one must be closed unread, so that its caller
+    /// tries another daemon.
+    pub(crate) async fn accept(
+        self: &Rc<Self>,
+        active: usize,
+        now: Millis,
+        lines: &Lines,
+    ) -> Option<Rc<Place>> {
         let shortage = self.intake.borrow().shortage(self.count.get(), active);
         let Some(shortage) = shortage else {
-            return Accepted::Free(self.add(now));
+            return Some(self.add(now));
         };
         self.note_closed(shortage, active, lines);
-        if shortage.allows_eviction() && self.evict_for_place(now) {
-            Accepted::Evicting(self.add(now))
+        if shortage.allows_eviction() {
+            self.replace(now).await
+        } else {
+            None
+        }
+    }
+
+    /// Returns the place of a new connection of a peer. It is not closed for want of processor time: of a
+    /// request that may run once, the peer cannot tell whether it was read.
+    pub(crate) async fn accept_peer(self: &Rc<Self>, now: Millis) -> Option<Rc<Place>> {
+        if self.intake.borrow().shortage(self.count.get(), 0).is_none() {
+            Some(self.add(now))
         } else {
-            Accepted::Refused
+            self.replace(now).await
         }
     }
 
+    /// Returns the place of a new connection to which another one gives way; `None` if all are in use.
+    async fn replace(self: &Rc<Self>, now: Millis) -> Option<Rc<Place>> {
+        let evicted = self.connections.borrow_mut().evict_for_place(now);
+        if !self.notify_evicted(evicted) {
+            return None;
+        }
+        // It is closed before the next connection is accepted.
+        tokio::task::yield_now().await;
+        Some(self.add(now))
+    }
+
     fn add(self: &Rc<Self>, now: Millis) -> Rc<Place> {
         let id = self.connections.borrow_mut().open(now);
         let eviction = Rc::new(Eviction::default());
@@ -110,12 +127,6 @@
         })
     }
 
-    /// Makes a connection give way to a new one; returns whether one does.
-    fn evict_for_place(&self, now: Millis) -> bool {
-        let evicted = self.connections.borrow_mut().evict_for_place(now);
-        self.notify_evicted(evicted)
-    }
-
     /// Makes a connection whose body has stalled give way to another body; returns whether one does.
     pub(crate) fn evict_for_memory(&self, now: Millis) -> bool {
         let evicted = self.connections.borrow_mut().evict_for_memory(now);
--- a/crates/thistlesill-edge/src/proxy.rs
+++ b/crates/thistlesill-edge/src/proxy.rs
@@ -45,8 +45,8 @@
     sender: Sender,
 ) -> Response<OutBody> {
     let arrived = edge.now();
-    let hop = sender.hop();
-    sender.note(Phase::Busy, arrived);
+    let Sender { place, hop } = sender;
+    place.note(Phase::Busy, arrived);
     edge.had_requests.set(true);
     let (parts, mut body) = request.into_parts();
     let head = caller::read_caller(&parts.headers);
@@ -56,19 +56,19 @@
     let mut admission = match check_admission(&edge, &parts, &head) {
         Ok(admission) => admission,
         Err(kind) => {
-            body::discard(&edge, body, sender);
+            body::discard(&edge, body, place);
             return refuse_admission(&edge, kind, &mut track);
         }
     };
     let read = tokio::select! {
-        read = body::read(&edge, &mut body, &sender) => read,
+        read = body::read(&edge, &mut body, &place) => read,
         () = edge.wait_until_ending() => Err(ErrorKind::NotReady),
     };
     let body = match read {
         Ok(bytes) => bytes,
         Err(kind) => {
             if matches!(kind, ErrorKind::BodyTooLarge | ErrorKind::MemoryShort) {
-                body::discard(&edge, body, sender);
+                body::discard(&edge, body, place);
             }
             return track.refuse(kind, None);
         }
--- a/crates/thistlesill-edge/tests/crowds.rs
+++ b/crates/thistlesill-edge/tests/crowds.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use serde_json::json;
+use thistlesill_core::edge::EdgeSettings;
 use thistlesill_net::lane::ConnectionError;
 use thistlesill_platform_standin::caller::{CallerAnswer, CallerRequest, call};
 use thistlesill_platform_standin::crowd::{Crowd, Sends, Usage, Watch};
@@ -350,3 +351,17 @@
     health.close().await;
     trial.finish().await;
 }
+
+/// Guards against half a head to the port for peers' requests, whose descriptors callers then lack.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_heads_to_the_port_of_peers() {
+    let trial = Trial::start(25).await;
+    let peers = trial.world.daemons[0].peer_address();
+    let address = EdgeSettings::forward_address_of(peers);
+    let head =
+        |_: usize, framing: &str| CallerRequest::new("other", "POST", "/book/x").head_text(framing);
+    let crowd = Crowd::start(address, 1_500, head, |_| HEAD);
+    sleep(HOLD_MS).await;
+    trial.hold("port of peers", crowd).await;
+    trial.finish().await;
+}
