--- a/crates/thistlesill-edge/tests/it/memory.rs
+++ b/crates/thistlesill-edge/tests/it/memory.rs
@@ -124,19 +124,25 @@
     assert_memory(&world);
 }
 
-/// Guards against a body that is announced far over the limit and read all the same.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_body_announced_over_the_limit_is_awaited() {
-    let world = small_world(209).await;
-    let request = CallerRequest::new("announced", "POST", "/book/x");
+/// Sends the head of a request alone; returns the start of the answer, which must come within the request's
+/// deadline.
+async fn answer_to_head(world: &World, request: CallerRequest, framing: &str) -> String {
     let address = world.daemons[0].caller_address();
     let mut stream = TcpStream::connect(address).await.expect("it listens");
-    let head = request.head_text("content-length: 1073741824");
+    let head = request.head_text(framing);
     stream.write_all(head.as_bytes()).await.expect("a head");
     let mut answer = [0; 64];
     let read = tokio::time::timeout(request.deadline, stream.read(&mut answer)).await;
     let length = read.expect("an answer before the body").expect("an answer");
-    let answer = String::from_utf8_lossy(&answer[..length]);
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+/// Guards against a body that is announced far over the limit and read all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_announced_over_the_limit_is_awaited() {
+    let world = small_world(209).await;
+    let request = CallerRequest::new("announced", "POST", "/book/x");
+    let answer = answer_to_head(&world, request, "content-length: 1073741824").await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
 }
 
@@ -145,13 +151,6 @@
 async fn a_body_of_a_client_without_a_key_is_awaited() {
     let world = small_world(210).await;
     let request = CallerRequest::new("no-key", "POST", "/book/x").key(None);
-    let address = world.daemons[0].caller_address();
-    let mut stream = TcpStream::connect(address).await.expect("it listens");
-    let head = request.head_text("content-length: 1000000");
-    stream.write_all(head.as_bytes()).await.expect("a head");
-    let mut answer = [0; 64];
-    let read = tokio::time::timeout(request.deadline, stream.read(&mut answer)).await;
-    let length = read.expect("an answer before the body").expect("an answer");
-    let answer = String::from_utf8_lossy(&answer[..length]);
+    let answer = answer_to_head(&world, request, "content-length: 1000000").await;
     assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
 }
