--- a/crates/thistlesill-edge/tests/crowds.rs
+++ b/crates/thistlesill-edge/tests/crowds.rs
@@ -32,9 +32,9 @@
 const HOLD_MS: u64 = 3_000;
 
 /// How often is looked whether the connections of a crowd are closed.
-const CALM_CHECKS: u32 = 120;
+const CALM_CHECKS: u32 = 240;
 /// Connections that a daemon opens by itself meanwhile.
-const OTHER_FILES: u64 = 20;
+const OTHER_FILES: u64 = 4;
 
 static TURN: Mutex<()> = Mutex::const_new(());
 
--- a/crates/thistlesill-edge/tests/it/memory.rs
+++ b/crates/thistlesill-edge/tests/it/memory.rs
@@ -140,7 +140,7 @@
 /// Guards against a body that is announced far over the limit and read all the same.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_announced_over_the_limit_is_awaited() {
-    let world = small_world(209).await;
+    let world = small_world(254).await;
     let request = CallerRequest::new("announced", "POST", "/book/x");
     let answer = answer_to_head(&world, request, "content-length: 1073741824").await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
@@ -149,7 +149,7 @@
 /// Guards against a body that is read before its request is refused for another reason.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_of_a_client_without_a_key_is_awaited() {
-    let world = small_world(210).await;
+    let world = small_world(255).await;
     let request = CallerRequest::new("no-key", "POST", "/book/x").key(None);
     let answer = answer_to_head(&world, request, "content-length: 1000000").await;
     assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
