--- a/crates/thistlesill-edge/src/probes.rs
+++ b/crates/thistlesill-edge/src/probes.rs
@@ -19,8 +19,7 @@
 
 use crate::front::ACCEPT_BACKOFF;
 
-/// Most connections of a listener. Beyond it the oldest one is closed: a program that checks every second
-/// uses one or two.
+/// Most connections of a listener. Beyond it the oldest one is closed.
 const MAX_CONNECTIONS: usize = 64;
 /// Time for a head, and between two requests on a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/thistlesill-net/src/peer.rs
+++ b/crates/thistlesill-net/src/peer.rs
@@ -174,6 +174,9 @@
     }
 }
 
+/// Backoff after a failure to accept, such as when file descriptors run out.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
 /// Answers requests on streams with `reply`, until the process ends.
 ///
 /// # Errors
@@ -188,8 +191,13 @@
         .context(IoSnafu { address })?;
     let permits = Arc::new(tokio::sync::Semaphore::new(MAX_STREAMS));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("peer: a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else {
             metrics::counter!("thistlesill_peer_refused_total").increment(1);
